--- /dev/null
+++ b/src/documents/mod.rs
@@ -0,0 +1,5 @@
+//! The documents that every process holds: the charter, the pools and the quarantine.
+
+mod document_store;
+
+pub use crate::documents::document_store::{DocumentError, DocumentStore};
--- /dev/null
+++ b/src/membership/member_record.rs
@@ -0,0 +1,88 @@
+//! What is known about one host of the deployment.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    digest::Digest,
+    ids::{HostId, Incarnation, PoolId, RegionId, ServiceId, SwitchNumber, ZoneId},
+};
+
+/// What the process on a host does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HostRole {
+    /// Takes requests from callers.
+    Entry,
+    /// Stands before a model engine of the pool.
+    Engine(PoolId),
+    /// Stands before a plain service.
+    Service(ServiceId),
+}
+
+/// Life cycle of a host as the others see it; later states win within one incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum HostState {
+    /// Started, takes no requests yet.
+    Joining,
+    /// Takes requests.
+    Live,
+    /// Missed probes; counts as gone when others confirm it.
+    Suspect,
+    /// Takes no new requests and finishes those in progress.
+    Leaving,
+    /// No longer takes part.
+    Gone,
+}
+
+/// How far one backend server host has come with the weights of its pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsStatus {
+    /// Manifest digests whose weights are complete and verified in memory.
+    pub verified: Vec<Digest>,
+    /// Manifest digest of the version that the engine confirmed to have loaded.
+    pub loaded: Option<Digest>,
+    /// Switch number that the host has acknowledged in the prepare step.
+    pub prepared: SwitchNumber,
+    /// Switch number in force on the host.
+    pub switch_number: SwitchNumber,
+}
+
+/// Everything that one host tells about itself; only the host raises `incarnation` and `sequence`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// The host.
+    pub host: HostId,
+    /// What its process does.
+    pub role: HostRole,
+    /// Region of the host.
+    pub region: RegionId,
+    /// Availability zone of the host.
+    pub zone: ZoneId,
+    /// Address for calls between processes of the system.
+    pub peer_address: SocketAddr,
+    /// Address for requests: callers' at an entry host, entry hosts' at a slot.
+    pub request_address: SocketAddr,
+    /// Address for operators.
+    pub operator_address: SocketAddr,
+    /// Start number of the host.
+    pub incarnation: Incarnation,
+    /// Rises with every change that the host makes to its own record.
+    pub sequence: u64,
+    /// Life cycle of the host.
+    pub state: HostState,
+    /// Weights held and loaded; unused by entry hosts, except `prepared` and `switch_number`.
+    pub weights: WeightsStatus,
+    /// Charter number in force on the host.
+    pub charter_number: u64,
+}
+
+impl MemberRecord {
+    /// Whether `self` replaces `other` for the same host.
+    ///
+    /// Precondition: both records name the same host.
+    pub fn is_newer_than(&self, other: &MemberRecord) -> bool {
+        let own = (self.incarnation, self.sequence, self.state);
+        own > (other.incarnation, other.sequence, other.state)
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP towards callers, backend servers, the platform and operators.
+
+mod byte_stream;
+mod http_client;
+mod http_server;
+
+pub use crate::net::{
+    byte_stream::ByteStream,
+    http_client::{CallError, Exchange, HttpClient},
+    http_server::{read_request_body, BodyError, Handler, HttpServer, ServerLimits},
+};
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,5 @@
+//! What the stages of one process share.
+
+mod node;
+
+pub use crate::node::node::Node;
--- /dev/null
+++ b/src/node/node.rs
@@ -0,0 +1,88 @@
+//! The handles that every stage of a process works with.
+
+use std::{
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    documents::DocumentStore,
+    membership::{HostRole, HostState, MemberRecord, Membership, WeightsStatus},
+    net::HttpClient,
+    peer::{LinkCounters, PeerPool},
+    platform::PlatformClient,
+    settings::{BackendKind, Settings},
+};
+
+/// Shared handles of one process.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Documents held.
+    pub documents: Arc<DocumentStore>,
+    /// Membership view.
+    pub membership: Arc<Membership>,
+    /// Connections to other processes.
+    pub peers: Arc<PeerPool>,
+    /// Bytes sent to and received from other processes.
+    pub counters: Arc<LinkCounters>,
+    /// Client for backend servers, slots and the origin.
+    pub http: HttpClient,
+    /// The platform's service.
+    pub platform: PlatformClient,
+}
+
+impl Node {
+    /// Makes the handles; nothing runs yet and no connection is open.
+    pub fn new(settings: Settings) -> Arc<Node> {
+        let counters = Arc::new(LinkCounters::default());
+        let key = settings.secrets.peer_key.clone();
+        let http = HttpClient::new();
+        let platform = PlatformClient::new(
+            settings.platform.addresses.clone(),
+            settings.platform.timeout_ms,
+            http.clone(),
+        );
+        Arc::new(Node {
+            documents: Arc::new(DocumentStore::new()),
+            membership: Arc::new(Membership::new(own_record(&settings))),
+            peers: Arc::new(PeerPool::new(key, counters.clone())),
+            counters,
+            http,
+            platform,
+            settings,
+        })
+    }
+}
+
+fn own_record(settings: &Settings) -> MemberRecord {
+    MemberRecord {
+        host: settings.host.id.clone(),
+        role: role_of(settings),
+        region: settings.host.region.clone(),
+        zone: settings.host.zone.clone(),
+        peer_address: settings.listen.peer,
+        request_address: settings.listen.request,
+        operator_address: settings.listen.operator,
+        incarnation: start_incarnation(),
+        sequence: 0,
+        state: HostState::Joining,
+        weights: WeightsStatus::default(),
+        charter_number: 0,
+    }
+}
+
+fn role_of(settings: &Settings) -> HostRole {
+    let Some(backend) = &settings.backend else { return HostRole::Entry };
+    match backend.kind {
+        BackendKind::Engine => HostRole::Engine(backend.name.clone()),
+        BackendKind::Service => HostRole::Service(backend.name.clone()),
+    }
+}
+
+/// A host keeps nothing, so the clock gives a number greater than that of its last start.
+fn start_incarnation() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_millis() as u64
+}
--- /dev/null
+++ b/src/peer/link_counters.rs
@@ -0,0 +1,57 @@
+//! Bytes sent and received between processes, apart by purpose.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::{Deserialize, Serialize};
+
+/// What a connection between processes carries; each class has connections of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum LinkClass {
+    /// Gossip, documents and probes.
+    Control,
+    /// Manifests, have lists and chunks of weights.
+    Weights,
+}
+
+/// Bytes sent and received in each class.
+#[derive(Debug, Default)]
+pub struct LinkCounters {
+    control_sent: AtomicU64,
+    control_received: AtomicU64,
+    weights_sent: AtomicU64,
+    weights_received: AtomicU64,
+}
+
+impl LinkCounters {
+    /// Bytes sent in `class` since the start.
+    pub fn sent_bytes(&self, class: LinkClass) -> u64 {
+        self.sent(class).load(Ordering::Relaxed)
+    }
+
+    /// Bytes received in `class` since the start.
+    pub fn received_bytes(&self, class: LinkClass) -> u64 {
+        self.received(class).load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn add_sent(&self, class: LinkClass, n_bytes: usize) {
+        self.sent(class).fetch_add(n_bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_received(&self, class: LinkClass, n_bytes: usize) {
+        self.received(class).fetch_add(n_bytes as u64, Ordering::Relaxed);
+    }
+
+    fn sent(&self, class: LinkClass) -> &AtomicU64 {
+        match class {
+            LinkClass::Control => &self.control_sent,
+            LinkClass::Weights => &self.weights_sent,
+        }
+    }
+
+    fn received(&self, class: LinkClass) -> &AtomicU64 {
+        match class {
+            LinkClass::Control => &self.control_received,
+            LinkClass::Weights => &self.weights_received,
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,21 @@
+//! Calls between the processes of the system, over tarpc on authenticated connections.
+
+mod counted_stream;
+mod handshake;
+mod link_counters;
+mod peer_pool;
+mod peer_server;
+mod peer_service;
+mod protocol;
+
+pub use crate::peer::{
+    handshake::{HandshakeError, PeerKey},
+    link_counters::{LinkClass, LinkCounters},
+    peer_pool::{PeerError, PeerPool},
+    peer_server::PeerServer,
+    peer_service::PeerService,
+    protocol::{
+        ChunkAnswer, ChunkRequest, Document, DocumentDigest, DocumentName, GossipExchange,
+        GossipReply, HaveAnswer, HaveRequest, Peer, PeerClient, ProbeAnswer,
+    },
+};
--- /dev/null
+++ b/src/peer/peer_pool.rs
@@ -0,0 +1,149 @@
+//! Connections to other processes, opened on first use and dropped when they fail.
+
+use std::{
+    collections::HashMap,
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use async_compat::{Compat, CompatExt};
+use async_net::TcpStream;
+use quick_error::quick_error;
+use tarpc::{
+    client::{self, RpcError},
+    context::{self, Context},
+    serde_transport,
+    tokio_serde::formats::Bincode,
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::{
+    peer::{
+        counted_stream::CountedStream,
+        handshake::{self, HandshakeError, PeerKey},
+        link_counters::{LinkClass, LinkCounters},
+        protocol::PeerClient,
+    },
+    runtime,
+};
+
+/// Longest frame between processes.
+pub(crate) const MAX_FRAME_BYTES: usize = 8 << 20;
+/// Time within which a connection must be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+quick_error! {
+    /// Why a call to another process failed.
+    #[derive(Debug)]
+    pub enum PeerError {
+        /// No connection could be opened.
+        Connect(address: SocketAddr, err: io::Error) {
+            source(err)
+            display("no connection to the process at {address}: {err}")
+        }
+        /// The connection was refused.
+        Handshake(address: SocketAddr, err: HandshakeError) {
+            source(err)
+            display("the process at {address} was refused: {err}")
+        }
+        /// The call failed or its time limit passed.
+        Call(address: SocketAddr, err: RpcError) {
+            source(err)
+            display("the call to the process at {address} failed: {err}")
+        }
+    }
+}
+
+/// Connections to other processes, one an address and class.
+#[derive(Debug)]
+pub struct PeerPool {
+    key: PeerKey,
+    counters: Arc<LinkCounters>,
+    clients: Mutex<HashMap<(SocketAddr, LinkClass), PeerClient>>,
+}
+
+impl PeerPool {
+    /// Makes a pool without connections.
+    pub fn new(key: PeerKey, counters: Arc<LinkCounters>) -> PeerPool {
+        PeerPool { key, counters, clients: Mutex::default() }
+    }
+
+    /// Bytes sent and received.
+    pub fn counters(&self) -> &LinkCounters {
+        &self.counters
+    }
+
+    /// Calls the process at `address`; `limit` bounds the call and connecting.
+    ///
+    /// The connection is dropped when the call fails, so that the next call opens a new one.
+    pub async fn call<T, F>(
+        &self,
+        address: SocketAddr,
+        class: LinkClass,
+        limit: Duration,
+        call: impl FnOnce(PeerClient, Context) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.client(address, class).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + limit;
+        let res = call(client, context).compat().await;
+        res.map_err(|err| {
+            self.forget(address, class);
+            PeerError::Call(address, err)
+        })
+    }
+
+    /// Number of open connections.
+    pub fn n_connections(&self) -> usize {
+        self.clients.lock().unwrap().len()
+    }
+
+    /// Closes the connections to `address`.
+    pub fn forget_host(&self, address: SocketAddr) {
+        self.clients.lock().unwrap().retain(|(it, _), _| *it != address);
+    }
+
+    fn forget(&self, address: SocketAddr, class: LinkClass) {
+        self.clients.lock().unwrap().remove(&(address, class));
+    }
+
+    async fn client(&self, address: SocketAddr, class: LinkClass) -> Result<PeerClient, PeerError> {
+        if let Some(client) = self.clients.lock().unwrap().get(&(address, class)) {
+            return Ok(client.clone());
+        }
+        let client = self.connect(address, class).await?;
+        self.clients.lock().unwrap().insert((address, class), client.clone());
+        Ok(client)
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        class: LinkClass,
+    ) -> Result<PeerClient, PeerError> {
+        let open = runtime::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = open.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let mut stream = stream.map_err(|err| PeerError::Connect(address, err))?;
+        stream.set_nodelay(true).map_err(|err| PeerError::Connect(address, err))?;
+        handshake::open(&mut stream, &self.key, class)
+            .await
+            .map_err(|err| PeerError::Handshake(address, err))?;
+        let stream = CountedStream::new(stream, class, self.counters.clone());
+        let framed = Framed::new(Compat::new(stream), codec());
+        let transport = serde_transport::new(framed, Bincode::default());
+        let new_client = PeerClient::new(client::Config::default(), transport);
+        runtime::spawn(new_client.dispatch.compat()).detach();
+        Ok(new_client.client)
+    }
+}
+
+/// Codec of the frames between processes.
+pub(crate) fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
--- /dev/null
+++ b/src/peer/peer_server.rs
@@ -0,0 +1,125 @@
+//! Accepts connections of other processes and answers their calls.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use async_compat::{Compat, CompatExt};
+use async_executor::Task;
+use async_net::{TcpListener, TcpStream};
+use futures_util::StreamExt;
+use tarpc::{
+    serde_transport,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tokio_util::codec::Framed;
+
+use crate::{
+    peer::{
+        counted_stream::CountedStream,
+        handshake::{self, PeerKey},
+        link_counters::LinkCounters,
+        peer_pool::codec,
+        peer_service::PeerService,
+        protocol::Peer,
+    },
+    runtime,
+};
+
+/// Connections of other processes open at once; further ones are closed at once.
+const MAX_CONNECTIONS: usize = 1024;
+/// Pause after a failed accept, so that a shortage of descriptors does not spin.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// A listening server for calls of other processes; dropping it stops listening.
+#[derive(Debug)]
+pub struct PeerServer {
+    address: SocketAddr,
+    accept_task: Task<()>,
+}
+
+impl PeerServer {
+    /// Listens on `address` and answers with `service` until closed.
+    pub async fn bind(
+        address: SocketAddr,
+        key: PeerKey,
+        counters: Arc<LinkCounters>,
+        service: PeerService,
+    ) -> io::Result<PeerServer> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let accept_task = runtime::spawn(accept_loop(listener, key, counters, service));
+        Ok(PeerServer { address, accept_task })
+    }
+
+    /// The address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening; open connections end with their other side.
+    pub async fn close(self) {
+        self.accept_task.cancel().await;
+    }
+}
+
+async fn accept_loop(
+    listener: TcpListener,
+    key: PeerKey,
+    counters: Arc<LinkCounters>,
+    service: PeerService,
+) {
+    let n_connections = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            runtime::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        if n_connections.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+            log::warn!("peer: connection refused, too many open from={from}");
+            continue;
+        }
+        n_connections.fetch_add(1, Ordering::Relaxed);
+        let serve = serve_connection(stream, from, key.clone(), counters.clone(), service.clone());
+        let n_connections = n_connections.clone();
+        runtime::spawn(async move {
+            serve.await;
+            n_connections.fetch_sub(1, Ordering::Relaxed);
+        })
+        .detach();
+    }
+}
+
+async fn serve_connection(
+    mut stream: TcpStream,
+    from: SocketAddr,
+    key: PeerKey,
+    counters: Arc<LinkCounters>,
+    service: PeerService,
+) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let class = match handshake::accept(&mut stream, &key).await {
+        Ok(class) => class,
+        Err(err) => {
+            log::warn!("peer: connection refused from={from} error=\"{err}\"");
+            return;
+        }
+    };
+    let stream = CountedStream::new(stream, class, counters);
+    let framed = Framed::new(Compat::new(stream), codec());
+    let transport = serde_transport::new(framed, Bincode::default());
+    let requests = BaseChannel::with_defaults(transport).execute(service.serve());
+    let run = requests.for_each(|answer| async move {
+        runtime::spawn(answer.compat()).detach();
+    });
+    run.compat().await;
+}
--- /dev/null
+++ b/src/peer/peer_service.rs
@@ -0,0 +1,93 @@
+//! Answers the calls of other processes from the stages of this one.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde_bytes::ByteBuf;
+use tarpc::context::Context;
+
+use crate::{
+    digest::Digest,
+    documents::DocumentStore,
+    ids::{DocumentNumber, Incarnation},
+    membership::{Gossip, MemberRecord, Membership},
+    peer::{
+        link_counters::LinkClass,
+        peer_pool::PeerPool,
+        protocol::{
+            ChunkAnswer, ChunkRequest, Document, DocumentName, GossipExchange, GossipReply,
+            HaveAnswer, HaveRequest, Peer, ProbeAnswer,
+        },
+    },
+    weights::ChunkServer,
+};
+
+/// Time within which a third host must answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The stages that answer calls of other processes.
+#[derive(Clone, Debug)]
+pub struct PeerService {
+    /// Documents held.
+    pub documents: Arc<DocumentStore>,
+    /// Membership view.
+    pub membership: Arc<Membership>,
+    /// Gossip state.
+    pub gossip: Arc<Gossip>,
+    /// Manifests and chunks held; an entry host holds none.
+    pub chunks: Arc<ChunkServer>,
+    /// Connections to other processes, for probes.
+    pub peers: Arc<PeerPool>,
+}
+
+impl Peer for PeerService {
+    async fn exchange(self, _: Context, exchange: GossipExchange) -> GossipReply {
+        self.gossip.answer(exchange)
+    }
+
+    async fn members(self, _: Context) -> Vec<MemberRecord> {
+        self.membership.records().iter().map(|it| (**it).clone()).collect()
+    }
+
+    async fn document(self, _: Context, name: DocumentName) -> Option<Document> {
+        self.documents.document(&name)
+    }
+
+    async fn offer(self, _: Context, document: Document) -> DocumentNumber {
+        let name = document.name.clone();
+        if let Err(err) = self.documents.offer(document) {
+            log::warn!("peer: document refused error=\"{err}\"");
+        }
+        self.documents.document(&name).map_or(0, |it| it.number)
+    }
+
+    async fn announce(self, _: Context, record: MemberRecord) {
+        self.membership.merge(vec![record]);
+    }
+
+    async fn ping(self, _: Context) -> Incarnation {
+        self.membership.own().incarnation
+    }
+
+    async fn probe(self, _: Context, address: SocketAddr) -> ProbeAnswer {
+        let ping =
+            self.peers.call(address, LinkClass::Control, PROBE_TIMEOUT, |peer, ctx| async move {
+                peer.ping(ctx).await
+            });
+        match ping.await {
+            Ok(incarnation) => ProbeAnswer::Alive(incarnation),
+            Err(_) => ProbeAnswer::Silent,
+        }
+    }
+
+    async fn manifest(self, _: Context, digest: Digest) -> Option<ByteBuf> {
+        self.chunks.manifest(&digest)
+    }
+
+    async fn have(self, _: Context, request: HaveRequest) -> Option<HaveAnswer> {
+        self.chunks.have(&request)
+    }
+
+    async fn chunk(self, _: Context, request: ChunkRequest) -> ChunkAnswer {
+        self.chunks.chunk(request).await
+    }
+}
--- /dev/null
+++ b/src/peer/protocol.rs
@@ -0,0 +1,146 @@
+//! Messages and calls between processes of the system.
+//!
+//! Documents travel as JSON inside a message, so that a process that knows fewer fields can still
+//! pass a document on unchanged.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+
+use crate::{
+    digest::Digest,
+    ids::{DocumentNumber, HostId, Incarnation, PoolId},
+    membership::MemberRecord,
+};
+
+/// Names a document of which every process keeps the greatest number it has seen.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum DocumentName {
+    /// The charter.
+    Charter,
+    /// The state of one pool's rollout.
+    Pool(PoolId),
+    /// Fingerprints of requests that crash backend servers.
+    Quarantine,
+}
+
+/// A document with its number; `json` is the document's text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Which document.
+    pub name: DocumentName,
+    /// Number of the document.
+    pub number: DocumentNumber,
+    /// JSON text.
+    pub json: ByteBuf,
+}
+
+/// The number of one document that a process holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentDigest {
+    /// Which document.
+    pub name: DocumentName,
+    /// Its greatest number seen.
+    pub number: DocumentNumber,
+}
+
+/// One gossip message.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GossipExchange {
+    /// The sender.
+    pub from: HostId,
+    /// Address of the sender for calls between processes.
+    pub from_address: SocketAddr,
+    /// Numbers of the documents that the sender holds.
+    pub documents: Vec<DocumentDigest>,
+    /// Order-independent hash of the sender's membership view.
+    pub membership_hash: u64,
+    /// Membership events that the sender still passes on.
+    pub events: Vec<MemberRecord>,
+}
+
+/// Answer to a gossip message, with the same content from the other side.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GossipReply {
+    /// Numbers of the documents that the answering process holds.
+    pub documents: Vec<DocumentDigest>,
+    /// Order-independent hash of its membership view.
+    pub membership_hash: u64,
+    /// Membership events that it still passes on.
+    pub events: Vec<MemberRecord>,
+}
+
+/// Asks which chunks of a manifest a process holds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HaveRequest {
+    /// The asking host.
+    pub from: HostId,
+    /// Digest of the manifest.
+    pub manifest_digest: Digest,
+    /// Chunks are numbered in the order in which the answering host got them; earlier ones are known.
+    pub known: u32,
+}
+
+/// Chunk indexes that a process got since the last answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HaveAnswer {
+    /// Number of chunks held in all.
+    pub total: u32,
+    /// Indexes got since `known`, in order; smaller `total` than `known` means that the host restarted.
+    pub since: Vec<u32>,
+}
+
+/// Asks for one chunk.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ChunkRequest {
+    /// The asking host.
+    pub from: HostId,
+    /// Digest of the chunk's bytes.
+    pub chunk_digest: Digest,
+}
+
+/// Answer to a request for a chunk.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ChunkAnswer {
+    /// The bytes of the chunk, not yet verified by the receiver.
+    Chunk(ByteBuf),
+    /// All upload slots are taken; ask again later or elsewhere.
+    Busy,
+    /// The host does not hold the chunk.
+    Missing,
+}
+
+/// Answer to a probe of a third host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProbeAnswer {
+    /// The third host answered.
+    Alive(Incarnation),
+    /// The third host did not answer in time.
+    Silent,
+}
+
+/// Calls that every process answers.
+#[tarpc::service]
+pub trait Peer {
+    /// Exchanges document numbers and membership events.
+    async fn exchange(exchange: GossipExchange) -> GossipReply;
+    /// Gives the whole membership view.
+    async fn members() -> Vec<MemberRecord>;
+    /// Gives a document, if held.
+    async fn document(name: DocumentName) -> Option<Document>;
+    /// Offers a document; the answer is the greatest number held afterwards.
+    async fn offer(document: Document) -> DocumentNumber;
+    /// Offers one membership event that does not wait for gossip.
+    async fn announce(record: MemberRecord);
+    /// Gives the incarnation of the answering process.
+    async fn ping() -> Incarnation;
+    /// Probes a third host on behalf of the caller.
+    async fn probe(address: SocketAddr) -> ProbeAnswer;
+    /// Gives the bytes of a manifest, if held.
+    async fn manifest(digest: Digest) -> Option<ByteBuf>;
+    /// Gives the chunks held.
+    async fn have(request: HaveRequest) -> Option<HaveAnswer>;
+    /// Gives one chunk.
+    async fn chunk(request: ChunkRequest) -> ChunkAnswer;
+}
--- /dev/null
+++ b/src/runtime.rs
@@ -0,0 +1,56 @@
+//! The process-wide executor and the few timers built on it.
+
+use std::{
+    future::Future,
+    thread,
+    time::{Duration, Instant},
+};
+
+use async_executor::{StaticExecutor, Task};
+use async_io::Timer;
+use futures_lite::FutureExt;
+
+static EXECUTOR: StaticExecutor = StaticExecutor::new();
+
+/// Number of threads that help the main thread to run tasks.
+const HELPER_THREADS: usize = 1;
+
+/// The time limit of an operation has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimedOut;
+
+/// Runs `future` on the calling thread, which also runs spawned tasks, until it ends.
+pub fn run_until<T>(future: impl Future<Output = T>) -> T {
+    for idx in 0..HELPER_THREADS {
+        let name = format!("executor-{idx}");
+        let run = || async_io::block_on(EXECUTOR.run(std::future::pending::<()>()));
+        if let Err(err) = thread::Builder::new().name(name).spawn(run) {
+            log::warn!("runtime: helper thread not started error={err}");
+        }
+    }
+    async_io::block_on(EXECUTOR.run(future))
+}
+
+/// Starts a task; dropping the returned handle cancels it, `detach` lets it run.
+pub fn spawn<T: Send + 'static>(future: impl Future<Output = T> + Send + 'static) -> Task<T> {
+    EXECUTOR.spawn(future)
+}
+
+/// Waits for `duration`.
+pub async fn sleep(duration: Duration) {
+    Timer::after(duration).await;
+}
+
+/// Waits until `instant`.
+pub async fn sleep_until(instant: Instant) {
+    Timer::at(instant).await;
+}
+
+/// Gives the result of `future`, or `TimedOut` when `limit` passes first; the future is dropped then.
+pub async fn timeout<T>(limit: Duration, future: impl Future<Output = T>) -> Result<T, TimedOut> {
+    let expire = async {
+        Timer::after(limit).await;
+        Err(TimedOut)
+    };
+    async { Ok(future.await) }.or(expire).await
+}
--- /dev/null
+++ b/src/settings/reader.rs
@@ -0,0 +1,284 @@
+//! Reads typed values from INI text and collects every problem.
+
+use std::{
+    collections::BTreeSet,
+    fmt,
+    net::SocketAddr,
+    ops::RangeInclusive,
+    path::{Path, PathBuf},
+    str::FromStr,
+    time::Duration,
+};
+
+use ini::Ini;
+use quick_error::quick_error;
+
+use crate::{digest::Digest, peer::PeerKey};
+
+quick_error! {
+    /// Why settings were refused.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// The file can't be read.
+        Unreadable(path: PathBuf, err: std::io::Error) {
+            source(err)
+            display("the settings file {} can't be read: {err}; name another with --settings", path.display())
+        }
+        /// The file is not INI.
+        Syntax(path: PathBuf, err: ini::ParseError) {
+            source(err)
+            display("{}: line {}: {}; write sections as [name] and values as key = value", path.display(), err.line + 1, err.msg)
+        }
+        /// Keys are unknown, missing or have bad values.
+        Problems(path: PathBuf, problems: Vec<Problem>) {
+            display("{}: {} problems\n{}", path.display(), problems.len(), lines_of(problems))
+        }
+    }
+}
+
+/// One problem of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Problem {
+    /// Line in the file, from 1; 0 for a key that is missing.
+    pub line: usize,
+    /// Section and key.
+    pub key: String,
+    /// What is wrong and what is allowed.
+    pub reason: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "  {}: {}", self.key, self.reason),
+            line => write!(f, "  line {line}: {}: {}", self.key, self.reason),
+        }
+    }
+}
+
+/// Reads values of one file; `finish` reports all problems at once.
+pub(crate) struct Reader {
+    ini: Ini,
+    text: String,
+    path: PathBuf,
+    known: BTreeSet<(String, String)>,
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    pub(crate) fn new(text: &str, path: &Path) -> Result<Reader, SettingsError> {
+        let ini =
+            Ini::load_from_str(text).map_err(|err| SettingsError::Syntax(path.to_owned(), err))?;
+        Ok(Reader {
+            ini,
+            text: text.to_owned(),
+            path: path.to_owned(),
+            known: BTreeSet::new(),
+            problems: Vec::new(),
+        })
+    }
+
+    /// Reports unknown keys and all problems found so far.
+    pub(crate) fn finish(mut self) -> Result<(), SettingsError> {
+        self.find_unknown_keys();
+        if self.problems.is_empty() {
+            return Ok(());
+        }
+        self.problems.sort();
+        Err(SettingsError::Problems(self.path, self.problems))
+    }
+
+    pub(crate) fn name(&mut self, section: &str, key: &str) -> Option<String> {
+        let allowed = "letters, digits, '-', '_' and '.', 1 to 64 of them";
+        let is_name = |it: &str| {
+            let is_allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+            (1..=64).contains(&it.len()) && it.chars().all(is_allowed)
+        };
+        let text = self.required(section, key, allowed)?;
+        if is_name(&text) {
+            return Some(text);
+        }
+        self.refuse(section, key, &text, allowed)
+    }
+
+    pub(crate) fn address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
+        self.parsed(section, key, "an IP address and port such as 10.0.0.7:8000")
+    }
+
+    pub(crate) fn digest(&mut self, section: &str, key: &str) -> Option<Digest> {
+        self.parsed(section, key, "64 hexadecimal digits, as `crocustiller token digest` prints")
+    }
+
+    pub(crate) fn addresses(&mut self, section: &str, key: &str) -> Option<Vec<SocketAddr>> {
+        let allowed = "one or more IP addresses and ports, with commas between them";
+        let text = self.required(section, key, allowed)?;
+        match parse_addresses(&text) {
+            Some(addresses) if !addresses.is_empty() => Some(addresses),
+            _ => self.refuse(section, key, &text, allowed),
+        }
+    }
+
+    pub(crate) fn addresses_or_none(&mut self, section: &str, key: &str) -> Vec<SocketAddr> {
+        if self.value(section, key).is_none() {
+            return Vec::new();
+        }
+        self.addresses(section, key).unwrap_or_default()
+    }
+
+    pub(crate) fn number(
+        &mut self,
+        section: &str,
+        key: &str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Option<u64> {
+        let Some(text) = self.value(section, key) else { return Some(default) };
+        match text.parse() {
+            Ok(number) if range.contains(&number) => Some(number),
+            _ => {
+                let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+                self.refuse(section, key, &text, &allowed)
+            }
+        }
+    }
+
+    pub(crate) fn milliseconds(
+        &mut self,
+        section: &str,
+        key: &str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Option<Duration> {
+        self.number(section, key, range, default).map(Duration::from_millis)
+    }
+
+    pub(crate) fn flag(&mut self, section: &str, key: &str, default: bool) -> Option<bool> {
+        let Some(text) = self.value(section, key) else { return Some(default) };
+        match text.as_str() {
+            "true" => Some(true),
+            "false" => Some(false),
+            _ => self.refuse(section, key, &text, "true or false"),
+        }
+    }
+
+    pub(crate) fn choice<T: Copy>(
+        &mut self,
+        section: &str,
+        key: &str,
+        choices: &[(&str, T)],
+    ) -> Option<T> {
+        let names: Vec<&str> = choices.iter().map(|it| it.0).collect();
+        let allowed = format!("one of {}", names.join(", "));
+        let text = self.required(section, key, &allowed)?;
+        match choices.iter().find(|it| it.0 == text) {
+            Some(choice) => Some(choice.1),
+            None => self.refuse(section, key, &text, &allowed),
+        }
+    }
+
+    pub(crate) fn choice_or_first<T: Copy>(
+        &mut self,
+        section: &str,
+        key: &str,
+        choices: &[(&str, T)],
+    ) -> Option<T> {
+        match self.value(section, key) {
+            Some(_) => self.choice(section, key, choices),
+            None => Some(choices[0].1),
+        }
+    }
+
+    pub(crate) fn peer_key(&mut self, section: &str, key: &str) -> Option<PeerKey> {
+        let allowed = "a readable file that holds the shared secret";
+        let text = self.required(section, key, allowed)?;
+        let folder = self.path.parent().unwrap_or(Path::new("."));
+        match PeerKey::from_file(&folder.join(&text)) {
+            Ok(peer_key) => Some(peer_key),
+            Err(_) => self.refuse(section, key, &text, allowed),
+        }
+    }
+
+    fn parsed<T: FromStr>(&mut self, section: &str, key: &str, allowed: &str) -> Option<T> {
+        let text = self.required(section, key, allowed)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(_) => self.refuse(section, key, &text, allowed),
+        }
+    }
+
+    fn value(&mut self, section: &str, key: &str) -> Option<String> {
+        self.known.insert((section.to_owned(), key.to_owned()));
+        self.ini.get_from(Some(section), key).map(str::to_owned)
+    }
+
+    fn required(&mut self, section: &str, key: &str, allowed: &str) -> Option<String> {
+        let value = self.value(section, key);
+        if value.is_none() {
+            let reason = format!("missing; give {allowed}");
+            self.problems.push(Problem { line: 0, key: full_key(section, key), reason });
+        }
+        value
+    }
+
+    fn refuse<T>(&mut self, section: &str, key: &str, text: &str, allowed: &str) -> Option<T> {
+        let line = self.line_of(section, key);
+        let reason = format!("'{text}' is not allowed; give {allowed}");
+        self.problems.push(Problem { line, key: full_key(section, key), reason });
+        None
+    }
+
+    fn find_unknown_keys(&mut self) {
+        let mut unknown = Vec::new();
+        for (section, properties) in self.ini.iter() {
+            let section = section.unwrap_or("");
+            for (key, _) in properties.iter() {
+                if !self.known.contains(&(section.to_owned(), key.to_owned())) {
+                    unknown.push((section.to_owned(), key.to_owned()));
+                }
+            }
+        }
+        for (section, key) in unknown {
+            let line = self.line_of(&section, &key);
+            let keys: Vec<&str> = self.keys_of(&section);
+            let reason = match keys.is_empty() {
+                true => "unknown section; remove it".to_owned(),
+                false => format!("unknown key; allowed are {}", keys.join(", ")),
+            };
+            self.problems.push(Problem { line, key: full_key(&section, &key), reason });
+        }
+    }
+
+    fn keys_of(&self, section: &str) -> Vec<&str> {
+        let of_section = self.known.iter().filter(|it| it.0 == section);
+        of_section.map(|it| it.1.as_str()).collect()
+    }
+
+    fn line_of(&self, section: &str, key: &str) -> usize {
+        let mut current = "";
+        for (idx, line) in self.text.lines().enumerate() {
+            let line = line.trim();
+            if let Some(name) = line.strip_prefix('[').and_then(|it| it.strip_suffix(']')) {
+                current = name.trim();
+            }
+            let name = line.split(['=', ':']).next().unwrap_or("").trim();
+            if current == section && name == key {
+                return idx + 1;
+            }
+        }
+        0
+    }
+}
+
+fn full_key(section: &str, key: &str) -> String {
+    format!("[{section}] {key}")
+}
+
+fn parse_addresses(text: &str) -> Option<Vec<SocketAddr>> {
+    let parts = text.split(',').map(str::trim).filter(|it| !it.is_empty());
+    parts.map(|it| it.parse().ok()).collect()
+}
+
+fn lines_of(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    lines.join("\n")
+}
