--- a/src/charter/charter.rs
+++ b/src/charter/charter.rs
@@ -11,8 +11,10 @@
 };
 
 /// The document that operators patch; every accepted patch raises `number` by one.
+///
+/// A field of a newer release is passed over here and stays in the document's text, which is what
+/// travels; an operator's patch that sets an unknown field is refused by `charter_patch`.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Charter {
     /// Rises by one with every accepted patch.
     pub number: DocumentNumber,
@@ -34,6 +36,9 @@
     /// The latest accepted patches, oldest first; at most `RECENT_PATCHES`.
     #[serde(default)]
     pub recent_patches: Vec<AcceptedPatch>,
+    /// Ids that were reported as refused, oldest first; at most `RECENT_PATCHES`.
+    #[serde(default)]
+    pub refused_patches: Vec<PatchId>,
 }
 
 /// Number of accepted patches that a charter remembers.
@@ -41,7 +46,6 @@
 
 /// Terms of one pool.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct PoolTerms {
     /// Version that every host of the pool is to serve.
     pub version: VersionId,
@@ -57,7 +61,6 @@
 
 /// Terms of one plain service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ServiceTerms {
     /// Whether a call may be repeated without harm; other calls need an idempotency key.
     pub repeatable: bool,
@@ -75,7 +78,6 @@
 
 /// Terms of one customer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct CustomerTerms {
     /// Share of a busy pool in proportion to the other customers.
     #[serde(default = "default_weight")]
@@ -100,7 +102,7 @@
 
 /// How new weights are rolled out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 pub struct RolloutTerms {
     /// What the endgame favours.
     pub mode: RolloutMode,
@@ -111,7 +113,7 @@
 /// Outcomes that the charter promises to each customer.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 pub struct ServiceLevels {
     /// Share of requests that get an answer, in percent.
     pub answered_percent: f64,
@@ -132,12 +134,14 @@
 
 /// A patch that took effect.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct AcceptedPatch {
     /// The operator's idempotency key.
     pub id: PatchId,
     /// Number of the charter that the patch made.
     pub number: DocumentNumber,
+    /// Digest of what the patch asked for.
+    #[serde(default)]
+    pub digest: Option<Digest>,
 }
 
 impl Default for RolloutTerms {
--- /dev/null
+++ b/src/charter/charter_patch.rs
@@ -0,0 +1,131 @@
+//! Merges a patch into the text of a charter and checks the result.
+//!
+//! Works on JSON values, so that fields of a newer release stay in the charter when a process of an
+//! older one merges a patch.
+
+use serde_json::{json, Value};
+
+use crate::{
+    charter::{
+        charter_check,
+        patch_order::{FieldError, PatchOrder},
+        RECENT_PATCHES,
+    },
+    ids::DocumentNumber,
+};
+
+/// Longest text of a charter; the platform takes no longer values.
+const MAX_CHARTER_BYTES: usize = 1 << 20;
+/// Longest id of a patch.
+const MAX_PATCH_ID_BYTES: usize = 128;
+/// Fields that only the system writes.
+const OWN_FIELDS: [&str; 3] = ["number", "recent_patches", "refused_patches"];
+
+/// Why a patch can't be merged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The charter has another number than the patch was made for.
+    Stale,
+    /// The fields that are wrong.
+    Invalid(Vec<FieldError>),
+}
+
+/// Text of the charter before the first patch.
+pub fn empty_charter() -> Vec<u8> {
+    json!({ "number": 0 }).to_string().into_bytes()
+}
+
+/// Number of a charter; 0 where it has none.
+pub fn number_of(charter: &Value) -> DocumentNumber {
+    charter["number"].as_u64().unwrap_or(0)
+}
+
+/// Number of the charter that the patch `id` made, if it is remembered.
+pub fn accepted_number(charter: &Value, id: &str) -> Option<DocumentNumber> {
+    recent_patch(charter, id)?["number"].as_u64()
+}
+
+/// Checks that the accepted patch with the order's id asked for the same.
+pub fn check_repeated(charter: &Value, order: &PatchOrder) -> Result<(), FieldError> {
+    let digest = recent_patch(charter, &order.id).and_then(|it| it["digest"].as_str());
+    if digest.is_some_and(|it| it != order.digest().to_string()) {
+        let reason = format!("{} was accepted for another patch; use a new key", order.id);
+        return Err(FieldError::new("Idempotency-Key", reason));
+    }
+    Ok(())
+}
+
+/// Merges `order` into `current`; gives the text of the next charter.
+pub fn apply(current: Value, order: &PatchOrder) -> Result<Vec<u8>, Refusal> {
+    let number = number_of(&current);
+    if is_refused(&current, &order.id) {
+        let reason = format!("{} was reported as refused; use a new key", order.id);
+        return Err(Refusal::Invalid(vec![FieldError::new("Idempotency-Key", reason)]));
+    }
+    if number != order.base_number {
+        return Err(Refusal::Stale);
+    }
+    let mut errors = check_order(order);
+    let mut next = current;
+    json_patch::merge(&mut next, &order.patch);
+    errors.extend(charter_check::check(&next, &order.patch));
+    if !errors.is_empty() {
+        return Err(Refusal::Invalid(errors));
+    }
+    next["number"] = json!(number + 1);
+    remember(&mut next, order);
+    let text = next.to_string().into_bytes();
+    if text.len() > MAX_CHARTER_BYTES {
+        let reason = format!("{} bytes; at most {MAX_CHARTER_BYTES}", text.len());
+        return Err(Refusal::Invalid(vec![FieldError::new("(whole charter)", reason)]));
+    }
+    Ok(text)
+}
+
+/// Adds `id` to the patches that are refused for good; the number stays.
+pub fn refuse(charter: &mut Value, id: &str) {
+    push_bounded(charter, "refused_patches", json!(id));
+}
+
+/// Whether the patch `id` was reported as refused.
+pub fn is_refused(charter: &Value, id: &str) -> bool {
+    let refused = charter["refused_patches"].as_array();
+    refused.is_some_and(|ids| ids.iter().any(|it| it == id))
+}
+
+fn recent_patch<'a>(charter: &'a Value, id: &str) -> Option<&'a Value> {
+    charter["recent_patches"].as_array()?.iter().find(|it| it["id"] == id)
+}
+
+fn remember(charter: &mut Value, order: &PatchOrder) {
+    let number = number_of(charter);
+    let patch = json!({ "id": order.id, "number": number, "digest": order.digest() });
+    push_bounded(charter, "recent_patches", patch);
+}
+
+fn push_bounded(charter: &mut Value, field: &str, item: Value) {
+    let mut items = charter[field].as_array().cloned().unwrap_or_default();
+    items.push(item);
+    let n_over = items.len().saturating_sub(RECENT_PATCHES);
+    items.drain(..n_over);
+    charter[field] = Value::Array(items);
+}
+
+fn check_order(order: &PatchOrder) -> Vec<FieldError> {
+    let mut errors = Vec::new();
+    let is_printable = order.id.chars().all(|it| it.is_ascii_graphic());
+    if order.id.is_empty() || order.id.len() > MAX_PATCH_ID_BYTES || !is_printable {
+        let reason = format!("1 to {MAX_PATCH_ID_BYTES} printable ASCII characters");
+        errors.push(FieldError::new("Idempotency-Key", reason));
+    }
+    let Some(fields) = order.patch.as_object() else {
+        errors.push(FieldError::new("(whole patch)", "a JSON object is needed"));
+        return errors;
+    };
+    for field in OWN_FIELDS {
+        if fields.contains_key(field) {
+            errors.push(FieldError::new(field, "written by the system only; leave it out"));
+        }
+    }
+    errors
+}
--- /dev/null
+++ b/src/charter/patch.rs
@@ -0,0 +1,157 @@
+//! Brings a patch into the charter object of the platform and on to the other processes.
+
+use std::{
+    future::Future,
+    time::{Duration, Instant},
+};
+
+use serde_bytes::ByteBuf;
+use serde_json::Value;
+
+use crate::{
+    charter::{
+        charter_patch,
+        patch_attempt::{precondition_of, PatchAttempt, PatchStep, WriteResult},
+        patch_order::{PatchOrder, PatchOutcome, PatchState},
+        push::push_document,
+    },
+    node::Node,
+    peer::{Document, DocumentName},
+    platform::{Object, PlatformClient, PlatformError},
+    runtime,
+    verdict::Verdict,
+};
+
+/// Name of the charter object at the platform.
+const CHARTER_OBJECT: &str = "charter";
+/// First pause after a call that did not help.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause between two calls.
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+/// Time within which the state of a patch is settled.
+const STATE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Patches the charter; the outcome is certain except for `Unsettled`.
+///
+/// An accepted charter is in force here and was pushed on when this returns.
+pub async fn patch(node: &Node, order: PatchOrder) -> PatchOutcome {
+    let id = order.id.clone();
+    let (outcome, text) = settle(&node.platform, order).await;
+    log::info!("charter: patch settled id={id} outcome={outcome:?}");
+    if let Some(document) = text.and_then(document_of) {
+        take(node, document).await;
+    }
+    outcome
+}
+
+/// Tells what became of the patch `id`; a patch that is said to be refused never takes effect.
+pub async fn patch_state(node: &Node, id: &str) -> PatchState {
+    let settle = refuse_unless_accepted(&node.platform, id);
+    runtime::timeout(STATE_TIMEOUT, settle).await.unwrap_or(PatchState::Unknown)
+}
+
+async fn settle(platform: &PlatformClient, order: PatchOrder) -> (PatchOutcome, Option<Vec<u8>>) {
+    let deadline = order.deadline;
+    let mut attempt = PatchAttempt::new(order);
+    let mut step = PatchStep::Read;
+    let mut reason = "the platform did not answer in time".to_owned();
+    let mut pause = Pause::new();
+    loop {
+        step = match step {
+            PatchStep::Done(outcome, text) => return (outcome, text),
+            PatchStep::Read => match until(deadline, platform.get(CHARTER_OBJECT)).await {
+                Some(Ok(object)) => attempt.on_read(object),
+                Some(Err(err)) => {
+                    reason = err.to_string();
+                    PatchStep::Read
+                }
+                None => return (attempt.expire(&reason), None),
+            },
+            PatchStep::Write(write) => {
+                let put = platform.put(CHARTER_OBJECT, &write.value, write.precondition);
+                match until(deadline, put).await {
+                    Some(res) => attempt.on_write(write_result(res, &mut reason)),
+                    None => return (attempt.expire(&reason), None),
+                }
+            }
+        };
+        if step == PatchStep::Read && until(deadline, pause.wait()).await.is_none() {
+            return (attempt.expire(&reason), None);
+        }
+    }
+}
+
+async fn refuse_unless_accepted(platform: &PlatformClient, id: &str) -> PatchState {
+    let mut pause = Pause::new();
+    loop {
+        if let Ok(object) = platform.get(CHARTER_OBJECT).await {
+            let (precondition, mut charter) = parts_of(object);
+            if let Some(number) = charter_patch::accepted_number(&charter, id) {
+                return PatchState::Accepted(number);
+            }
+            let is_refused = charter_patch::is_refused(&charter, id);
+            if is_refused {
+                return PatchState::Refused;
+            }
+            charter_patch::refuse(&mut charter, id);
+            let text = charter.to_string().into_bytes();
+            if platform.put(CHARTER_OBJECT, &text, precondition).await.is_ok() {
+                return PatchState::Refused;
+            }
+        }
+        pause.wait().await;
+    }
+}
+
+fn parts_of(object: Option<Object>) -> (crate::platform::Precondition, Value) {
+    let revision = object.as_ref().map_or(0, |it| it.revision);
+    let text = object.map_or_else(charter_patch::empty_charter, |it| it.value);
+    (precondition_of(revision), serde_json::from_slice(&text).unwrap_or_default())
+}
+
+fn write_result(res: Result<u64, PlatformError>, reason: &mut String) -> WriteResult {
+    match res {
+        Ok(revision) => WriteResult::Written(revision),
+        Err(PlatformError::Conflict(_)) => WriteResult::Conflict,
+        Err(err) => {
+            *reason = err.to_string();
+            match err.verdict() {
+                Verdict::NotRun => WriteResult::NotRun,
+                Verdict::Ran | Verdict::MayHaveRun => WriteResult::Lost,
+            }
+        }
+    }
+}
+
+fn document_of(text: Vec<u8>) -> Option<Document> {
+    let charter: Value = serde_json::from_slice(&text).ok()?;
+    let number = charter_patch::number_of(&charter);
+    Some(Document { name: DocumentName::Charter, number, json: ByteBuf::from(text) })
+}
+
+async fn take(node: &Node, document: Document) {
+    if let Err(err) = node.documents.offer(document.clone()) {
+        log::error!("charter: accepted charter not readable error=\"{err}\"");
+        return;
+    }
+    push_document(node, document).await;
+}
+
+async fn until<T>(deadline: Instant, future: impl Future<Output = T>) -> Option<T> {
+    let limit = deadline.saturating_duration_since(Instant::now());
+    runtime::timeout(limit, future).await.ok()
+}
+
+/// Growing pauses with jitter between calls of the platform.
+struct Pause(Duration);
+
+impl Pause {
+    fn new() -> Pause {
+        Pause(FIRST_PAUSE)
+    }
+
+    async fn wait(&mut self) {
+        runtime::sleep(self.0.mul_f64(0.5 + fastrand::f64())).await;
+        self.0 = (self.0 * 2).min(MAX_PAUSE);
+    }
+}
--- /dev/null
+++ b/src/charter/patch_attempt.rs
@@ -0,0 +1,194 @@
+//! Decides the next call of the platform for one patch, so that a lost answer is always settled.
+//!
+//! A write whose answer was lost may still take effect later, as long as the revision that it was
+//! made for stands. So the next write is a no-op for that same revision: once a later revision
+//! stands, the delayed write can't take effect any more, and a read tells which of both won.
+
+use serde_json::Value;
+
+use crate::{
+    charter::{
+        charter_patch::{self, Refusal},
+        patch_order::{PatchOrder, PatchOutcome},
+        RECENT_PATCHES,
+    },
+    ids::{DocumentNumber, Revision},
+    platform::{Object, Precondition},
+};
+
+/// Reads that are older than the operator's number before the number counts as wrong.
+const MAX_OLD_READS: u32 = 5;
+
+/// A conditional write of the charter object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CharterWrite {
+    /// New value.
+    pub value: Vec<u8>,
+    /// What must hold for the write to take effect.
+    pub precondition: Precondition,
+}
+
+/// What came of a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteResult {
+    /// It took effect and made this revision.
+    Written(Revision),
+    /// The precondition did not hold; it never takes effect.
+    Conflict,
+    /// It never reached the platform or was refused by it.
+    NotRun,
+    /// The answer was lost; it may take effect at any later time.
+    Lost,
+}
+
+/// The next thing to do for a patch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PatchStep {
+    /// Read the charter object.
+    Read,
+    /// Write the charter object.
+    Write(CharterWrite),
+    /// Nothing more; an accepted charter's text is given along when it is known.
+    Done(PatchOutcome, Option<Vec<u8>>),
+}
+
+/// Progress of one patch; values in, values out.
+#[derive(Debug)]
+pub struct PatchAttempt {
+    order: PatchOrder,
+    min_revision: Revision,
+    lost: Option<Precondition>,
+    in_flight: Option<InFlight>,
+    n_old_reads: u32,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    write: CharterWrite,
+    kind: WriteKind,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteKind {
+    Patch,
+    Barrier,
+}
+
+impl PatchAttempt {
+    /// Begins with a read.
+    pub fn new(order: PatchOrder) -> PatchAttempt {
+        PatchAttempt { order, min_revision: 0, lost: None, in_flight: None, n_old_reads: 0 }
+    }
+
+    /// Decides after a read; `None` means that the object does not exist.
+    pub fn on_read(&mut self, object: Option<Object>) -> PatchStep {
+        let revision = object.as_ref().map_or(0, |it| it.revision);
+        if revision < self.min_revision {
+            return PatchStep::Read;
+        }
+        self.min_revision = revision;
+        let text = object.map_or_else(charter_patch::empty_charter, |it| it.value);
+        let Ok(current) = serde_json::from_slice::<Value>(&text) else {
+            return self.unreadable();
+        };
+        let precondition = precondition_of(revision);
+        let number = charter_patch::number_of(&current);
+        if let Some(accepted) = charter_patch::accepted_number(&current, &self.order.id) {
+            return self.repeated(&current, accepted, text);
+        }
+        if self.lost == Some(precondition) {
+            return self.write(WriteKind::Barrier, text, precondition);
+        }
+        if self.lost.take().is_some() && number > self.order.base_number + RECENT_PATCHES as u64 {
+            let reason = "too many patches were accepted since to tell";
+            return done(PatchOutcome::Unsettled(reason.to_owned()));
+        }
+        if number < self.order.base_number && self.n_old_reads < MAX_OLD_READS {
+            self.n_old_reads += 1;
+            return PatchStep::Read;
+        }
+        self.apply(current, number, precondition)
+    }
+
+    /// Decides after a write.
+    pub fn on_write(&mut self, result: WriteResult) -> PatchStep {
+        let Some(InFlight { write, kind }) = self.in_flight.take() else {
+            return PatchStep::Read;
+        };
+        match (result, kind) {
+            (WriteResult::Written(_), WriteKind::Patch) => {
+                let number = self.order.base_number + 1;
+                return PatchStep::Done(PatchOutcome::Accepted(number), Some(write.value));
+            }
+            (WriteResult::Written(revision), WriteKind::Barrier) => {
+                self.lost = None;
+                self.min_revision = revision;
+            }
+            (WriteResult::Conflict, _) => self.min_revision = after(write.precondition),
+            (WriteResult::Lost, WriteKind::Patch) => self.lost = Some(write.precondition),
+            (WriteResult::Lost, WriteKind::Barrier) | (WriteResult::NotRun, _) => {}
+        }
+        PatchStep::Read
+    }
+
+    /// The outcome when the time is up; `reason` says what was waited for.
+    pub fn expire(&self, reason: &str) -> PatchOutcome {
+        let is_lost = self.lost.is_some();
+        let is_patch_in_flight =
+            self.in_flight.as_ref().is_some_and(|it| it.kind == WriteKind::Patch);
+        if is_lost || is_patch_in_flight {
+            return PatchOutcome::Unsettled(reason.to_owned());
+        }
+        PatchOutcome::Unavailable(reason.to_owned())
+    }
+
+    fn apply(
+        &mut self,
+        current: Value,
+        number: DocumentNumber,
+        precondition: Precondition,
+    ) -> PatchStep {
+        match charter_patch::apply(current, &self.order) {
+            Ok(value) => self.write(WriteKind::Patch, value, precondition),
+            Err(Refusal::Stale) => done(PatchOutcome::Stale { current: number }),
+            Err(Refusal::Invalid(errors)) => done(PatchOutcome::Invalid(errors)),
+        }
+    }
+
+    fn write(&mut self, kind: WriteKind, value: Vec<u8>, precondition: Precondition) -> PatchStep {
+        let write = CharterWrite { value, precondition };
+        self.in_flight = Some(InFlight { write: write.clone(), kind });
+        PatchStep::Write(write)
+    }
+
+    fn repeated(&self, current: &Value, number: DocumentNumber, text: Vec<u8>) -> PatchStep {
+        match charter_patch::check_repeated(current, &self.order) {
+            Ok(()) => PatchStep::Done(PatchOutcome::Accepted(number), Some(text)),
+            Err(error) => done(PatchOutcome::Invalid(vec![error])),
+        }
+    }
+
+    fn unreadable(&self) -> PatchStep {
+        done(self.expire("the charter object of the platform is not JSON; write a valid one first"))
+    }
+}
+
+/// The precondition that holds for exactly the revision that was read; 0 means no object.
+pub(crate) fn precondition_of(revision: Revision) -> Precondition {
+    match revision {
+        0 => Precondition::Absent,
+        it => Precondition::Revision(it),
+    }
+}
+
+/// The smallest revision that a read can show after a conflict with `precondition`.
+pub(crate) fn after(precondition: Precondition) -> Revision {
+    match precondition {
+        Precondition::Absent => 1,
+        Precondition::Revision(it) => it + 1,
+    }
+}
+
+fn done(outcome: PatchOutcome) -> PatchStep {
+    PatchStep::Done(outcome, None)
+}
--- a/src/peer/protocol.rs
+++ b/src/peer/protocol.rs
@@ -3,7 +3,7 @@
 //! Documents travel as JSON inside a message, so that a process that knows fewer fields can still
 //! pass a document on unchanged.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -15,6 +15,8 @@
 };
 
 /// Names a document of which every process keeps the greatest number it has seen.
+///
+/// Its text is the name of its object at the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum DocumentName {
     /// The charter.
@@ -25,6 +27,16 @@
     Quarantine,
 }
 
+impl fmt::Display for DocumentName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DocumentName::Charter => f.write_str("charter"),
+            DocumentName::Pool(pool) => write!(f, "pools/{pool}"),
+            DocumentName::Quarantine => f.write_str("quarantine"),
+        }
+    }
+}
+
 /// A document with its number; `json` is the document's text.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's service: objects with revisions and conditional updates.
 
+mod document_watch;
 mod platform_client;
 
-pub use crate::platform::platform_client::{Object, PlatformClient, PlatformError, Precondition};
+pub use crate::platform::{
+    document_watch::{choose_watchers, DocumentWatch},
+    platform_client::{Object, PlatformClient, PlatformError, Precondition},
+};
