Rollout steps, slot driver, decider and the daemon's life cycle

Cause: a pool must go over to a new version at one point, whoever decides. The next step is a pure function of charter, pool document and membership; the conditional update lets one decider win, so no lease is needed. Ruled out: an elected leader (a paused holder is one more failure mode). Ruled out: a serving share above one half through a switch, because one engine holds one version and all customers switch at one point: the hosts that serve before and after the switch are disjoint. Proof: tests/rollout_steps.rs, 1,000 seeds with deaths, restarts, lag and changes of target.

--- a/src/bin/crocustillerd.rs
+++ b/src/bin/crocustillerd.rs
@@ -1,1 +1,5 @@
-fn main() {}
+//! The daemon of crocustiller.
+
+fn main() -> std::process::ExitCode {
+    crocustiller::daemon::run()
+}
--- a/src/charter/charter.rs
+++ b/src/charter/charter.rs
@@ -50,7 +50,10 @@
     /// Hosts of the pool; empty means every backend server host whose settings name the pool.
     #[serde(default)]
     pub hosts: Vec<HostId>,
-    /// Smallest share of the hosts, in percent, that keeps serving during a rollout.
+    /// Smallest share of the hosts, in percent, that keeps serving during a rollout, 0 to 50.
+    ///
+    /// All customers switch at one point, and an engine holds one version, so more than one half
+    /// can't serve on both sides of a switch.
     #[serde(default = "default_min_serving_percent")]
     pub min_serving_percent: u32,
 }
@@ -160,7 +163,7 @@
 }
 
 fn default_min_serving_percent() -> u32 {
-    70
+    50
 }
 
 fn default_claim_shards() -> u32 {
--- /dev/null
+++ b/src/daemon/arguments.rs
@@ -0,0 +1,59 @@
+//! Command line of the daemon.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use argh::FromArgs;
+
+use crate::{daemon::daemon::Daemon, logging, runtime, settings::Settings};
+
+/// Exit code for settings or a command line that can't be used.
+const EXIT_BAD_SETTINGS: u8 = 2;
+/// Exit code for a start that failed.
+const EXIT_START_FAILED: u8 = 1;
+
+/// Serves as an entry host or in the slot of a backend server host, as its settings say.
+///
+/// Exit codes: 0 after a graceful shutdown, 1 when the start failed, 2 for bad settings.
+#[derive(FromArgs)]
+struct Arguments {
+    /// the INI file with the settings
+    #[argh(option)]
+    settings: PathBuf,
+    /// only check the settings, then exit
+    #[argh(switch)]
+    check: bool,
+}
+
+/// Runs the daemon with the arguments of the process.
+pub fn run() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings = match Settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("{err}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("{}: the settings are good", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(err) = logging::init(&settings) {
+        eprintln!("logs can't be written: {err}");
+        return ExitCode::from(EXIT_START_FAILED);
+    }
+    match runtime::run_until(live(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("daemon: start failed error=\"{err}\"");
+            ExitCode::from(EXIT_START_FAILED)
+        }
+    }
+}
+
+async fn live(settings: Settings) -> Result<(), crate::daemon::StartError> {
+    let serving = Daemon::start(settings).await?.serve().await?;
+    let leaving = serving.wait_for_leave().await;
+    leaving.close().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,10 @@
+//! The life of one process, from its settings to the end of a graceful shutdown.
+
+mod arguments;
+mod daemon;
+mod stages;
+
+pub use crate::daemon::{
+    arguments::run,
+    daemon::{Daemon, Leaving, Serving, StartError, Starting},
+};
--- /dev/null
+++ b/src/daemon/stages.rs
@@ -0,0 +1,131 @@
+//! The stages of one process, joined.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::Sender;
+use async_executor::Task;
+
+use crate::{
+    daemon::daemon::StartError,
+    engine::EngineClient,
+    membership::{Detector, Gossip},
+    net::{Handler, HttpServer, ServerLimits},
+    node::Node,
+    operator::{self, ProcessView},
+    peer::{PeerServer, PeerService},
+    platform::DocumentWatch,
+    request,
+    rollout::{RolloutDecider, ServiceDriver, ServingState, SlotDriver},
+    runtime,
+    settings::{BackendKind, BackendSettings},
+    weights::WeightsStage,
+};
+
+/// Everything that runs in a process.
+pub(crate) struct Stages {
+    peer_server: PeerServer,
+    request_server: HttpServer,
+    operator_server: HttpServer,
+    serving: Arc<ServingState>,
+    tasks: Vec<Task<()>>,
+}
+
+impl Stages {
+    /// Listens on every address and starts the background tasks of the role.
+    pub(crate) async fn start(node: Arc<Node>, leave: Sender<()>) -> Result<Stages, StartError> {
+        let serving = ServingState::new();
+        let weights = WeightsStage::new(node.clone());
+        let gossip = Arc::new(Gossip::new(
+            node.documents.clone(),
+            node.membership.clone(),
+            node.peers.clone(),
+            node.settings.join.clone(),
+        ));
+        let peer_server = listen_for_peers(&node, &gossip, &weights).await?;
+        let handler = match &node.settings.backend {
+            None => request::entry_handler(node.clone()),
+            Some(_) => request::slot_handler(node.clone(), serving.clone(), weights.clone()),
+        };
+        let request_server = listen(&node, "request", handler).await?;
+        let view = Arc::new(ProcessView::new(weights.clone(), leave));
+        let handler = operator::handler(node.clone(), view);
+        let operator_server = listen(&node, "operator", handler).await?;
+        let mut tasks = vec![
+            runtime::spawn(gossip.run()),
+            runtime::spawn(Detector::new(node.clone()).run()),
+            runtime::spawn(DocumentWatch::run(node.clone())),
+            runtime::spawn(weights.clone().run()),
+        ];
+        tasks.push(match &node.settings.backend {
+            None => runtime::spawn(RolloutDecider::new(node).run()),
+            Some(backend) => drive_backend(&node, backend, weights, serving.clone()),
+        });
+        Ok(Stages { peer_server, request_server, operator_server, serving, tasks })
+    }
+
+    /// Waits until no request is in progress, for at most `limit`.
+    pub(crate) async fn wait_until_idle(&self, limit: Duration) {
+        if self.serving.wait_until_idle(limit).await.is_err() {
+            log::warn!("daemon: requests are still in progress count={}", self.serving.n_admitted());
+        }
+    }
+
+    /// Ends the background tasks and stops listening.
+    pub(crate) async fn close(self) {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        self.request_server.close().await;
+        self.operator_server.close().await;
+        self.peer_server.close().await;
+    }
+}
+
+async fn listen_for_peers(
+    node: &Arc<Node>,
+    gossip: &Arc<Gossip>,
+    weights: &Arc<WeightsStage>,
+) -> Result<PeerServer, StartError> {
+    let service = PeerService {
+        documents: node.documents.clone(),
+        membership: node.membership.clone(),
+        gossip: gossip.clone(),
+        chunks: weights.chunk_server(),
+        peers: node.peers.clone(),
+    };
+    let key = node.settings.secrets.peer_key.clone();
+    let counters = node.counters.clone();
+    PeerServer::bind(node.settings.listen.peer, key, counters, service)
+        .await
+        .map_err(|err| StartError::Listen("peer", err))
+}
+
+async fn listen(
+    node: &Node,
+    key: &'static str,
+    handler: Handler,
+) -> Result<HttpServer, StartError> {
+    let address = match key {
+        "request" => node.settings.listen.request,
+        _ => node.settings.listen.operator,
+    };
+    let limits = ServerLimits { max_connections: node.settings.limits.max_connections };
+    HttpServer::bind(address, limits, handler).await.map_err(|err| StartError::Listen(key, err))
+}
+
+fn drive_backend(
+    node: &Arc<Node>,
+    backend: &BackendSettings,
+    weights: Arc<WeightsStage>,
+    serving: Arc<ServingState>,
+) -> Task<()> {
+    match backend.kind {
+        BackendKind::Engine => {
+            let engine = EngineClient::new(backend.address, node.http.clone());
+            let driver =
+                SlotDriver::new(node.clone(), weights, serving, engine, &backend.name);
+            runtime::spawn(driver.run())
+        }
+        BackendKind::Service => runtime::spawn(ServiceDriver::new(node.clone(), serving).run()),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,14 +3,19 @@
 //! This file is the map: it lists every module and all that is public.
 
 pub mod charter;
+pub mod daemon;
 pub mod digest;
 pub mod documents;
+pub mod engine;
 pub mod ids;
+pub mod logging;
 pub mod membership;
 pub mod net;
 pub mod node;
+pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod request;
 pub mod rollout;
 pub mod runtime;
 pub mod settings;
--- a/src/membership/member_record.rs
+++ b/src/membership/member_record.rs
@@ -42,12 +42,37 @@
     pub verified: Vec<Digest>,
     /// Manifest digest of the version that the engine confirmed to have loaded.
     pub loaded: Option<Digest>,
-    /// Switch number that the host has acknowledged in the prepare step.
-    pub prepared: SwitchNumber,
+    /// Switches that the host has acknowledged in the prepare step, one a pool.
+    pub prepared: Vec<PreparedSwitch>,
     /// Switch number in force on the host.
     pub switch_number: SwitchNumber,
 }
 
+/// Acknowledgement of a coming switch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PreparedSwitch {
+    /// The pool.
+    pub pool: PoolId,
+    /// Number that the switch will have.
+    pub switch_number: SwitchNumber,
+}
+
+impl WeightsStatus {
+    /// Whether the host has acknowledged the switch of `pool` to `switch_number` or a later one.
+    pub fn has_prepared(&self, pool: &str, switch_number: SwitchNumber) -> bool {
+        self.prepared.iter().any(|it| it.pool == pool && it.switch_number >= switch_number)
+    }
+
+    /// Acknowledges the switch of `pool` to `switch_number`.
+    pub fn prepare(&mut self, pool: &str, switch_number: SwitchNumber) {
+        if self.has_prepared(pool, switch_number) {
+            return;
+        }
+        self.prepared.retain(|it| it.pool != pool);
+        self.prepared.push(PreparedSwitch { pool: pool.to_owned(), switch_number });
+    }
+}
+
 /// Everything that one host tells about itself; only the host raises `incarnation` and `sequence`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,6 +6,6 @@
 
 pub use crate::membership::{
     gossip::Gossip,
-    member_record::{HostRole, HostState, MemberRecord, WeightsStatus},
+    member_record::{HostRole, HostState, MemberRecord, PreparedSwitch, WeightsStatus},
     membership::Membership,
 };
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -1,9 +1,19 @@
 //! The rollout of a new version over the hosts of a pool.
 
+mod next_step;
 mod pool_document;
+mod rollout_decider;
+mod service_driver;
 mod serving_state;
+mod slot_driver;
+mod slot_intent;
 
 pub use crate::rollout::{
+    next_step::{first_wave_size, next_step, pool_hosts, PoolView},
     pool_document::{PoolDocument, RolloutStep, WeightsTarget},
+    rollout_decider::{object_name, DecideError, RolloutDecider},
+    service_driver::ServiceDriver,
     serving_state::{Admission, Refusal, Serving, ServingState},
+    slot_driver::SlotDriver,
+    slot_intent::{may_prepare, slot_intent, SlotIntent},
 };
--- /dev/null
+++ b/src/rollout/next_step.rs
@@ -0,0 +1,161 @@
+//! Decides the next step of a pool's rollout.
+
+use crate::{
+    charter::PoolTerms,
+    ids::HostId,
+    membership::{HostRole, HostState, MemberRecord},
+    rollout::pool_document::{PoolDocument, RolloutStep, WeightsTarget},
+};
+
+/// What a decider knows about a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolView<'a> {
+    /// Name of the pool.
+    pub pool: &'a str,
+    /// Terms of the charter.
+    pub terms: &'a PoolTerms,
+    /// Weights of the version that the charter names.
+    pub wanted: &'a WeightsTarget,
+    /// All hosts known.
+    pub members: &'a [MemberRecord],
+}
+
+/// Gives the document that must follow `current`, or none while there is nothing to do.
+///
+/// The result depends on the arguments alone, so that several deciders agree.
+pub fn next_step(view: PoolView, current: Option<&PoolDocument>) -> Option<PoolDocument> {
+    let Some(current) = current else { return Some(first_document(view)) };
+    if current.target.as_ref() != Some(view.wanted) {
+        return Some(retarget(view, current));
+    }
+    match &current.step {
+        RolloutStep::Steady => None,
+        RolloutStep::Stage => begin_first_wave(view, current),
+        RolloutStep::FirstWave { hosts } => after_first_wave(view, current, hosts),
+        RolloutStep::Prepare { hosts } => switch(view, current, hosts),
+    }
+}
+
+/// Hosts of the pool that take part, in order of host id.
+pub fn pool_hosts<'a>(
+    pool: &str,
+    terms: &PoolTerms,
+    members: &'a [MemberRecord],
+) -> Vec<&'a MemberRecord> {
+    let is_named = |it: &&MemberRecord| terms.hosts.is_empty() || terms.hosts.contains(&it.host);
+    let is_engine = |it: &&MemberRecord| matches!(&it.role, HostRole::Engine(own) if own == pool);
+    let is_live = |it: &&MemberRecord| it.state == HostState::Live;
+    members.iter().filter(is_engine).filter(is_live).filter(is_named).collect()
+}
+
+/// Number of hosts of the first wave; the others serve the old version until the switch.
+///
+/// One half serves before the switch and the other after it, so the smallest serving share that
+/// can be kept through a switch is one half, rounded down.
+pub fn first_wave_size(n_hosts: usize) -> usize {
+    n_hosts.div_ceil(2)
+}
+
+fn first_document(view: PoolView) -> PoolDocument {
+    PoolDocument {
+        number: 1,
+        pool: view.pool.to_owned(),
+        serving: None,
+        target: Some(view.wanted.clone()),
+        switch_number: 0,
+        step: RolloutStep::Stage,
+    }
+}
+
+fn retarget(view: PoolView, current: &PoolDocument) -> PoolDocument {
+    let is_back = current.serving.as_ref() == Some(view.wanted);
+    let step = if is_back { RolloutStep::Steady } else { RolloutStep::Stage };
+    let target = Some(view.wanted.clone());
+    PoolDocument { number: current.number + 1, target, step, ..current.clone() }
+}
+
+fn begin_first_wave(view: PoolView, current: &PoolDocument) -> Option<PoolDocument> {
+    let hosts = pool_hosts(view.pool, view.terms, view.members);
+    if hosts.is_empty() || !hosts.iter().all(|it| has_verified(it, view.wanted)) {
+        return None;
+    }
+    let n_first = match current.serving {
+        None => hosts.len(),
+        Some(_) => first_wave_size(hosts.len()),
+    };
+    let hosts = hosts.iter().take(n_first).map(|it| it.host.clone()).collect();
+    Some(follow(current, RolloutStep::FirstWave { hosts }))
+}
+
+fn after_first_wave(
+    view: PoolView,
+    current: &PoolDocument,
+    wave: &[HostId],
+) -> Option<PoolDocument> {
+    let (live, is_short) = live_wave(view, current, wave);
+    if is_short {
+        return Some(follow(current, RolloutStep::Stage));
+    }
+    if !live.iter().all(|it| has_loaded(it, view.wanted)) {
+        return None;
+    }
+    let hosts = live.iter().map(|it| it.host.clone()).collect();
+    Some(follow(current, RolloutStep::Prepare { hosts }))
+}
+
+fn switch(view: PoolView, current: &PoolDocument, wave: &[HostId]) -> Option<PoolDocument> {
+    let (live, is_short) = live_wave(view, current, wave);
+    if is_short {
+        return Some(follow(current, RolloutStep::Stage));
+    }
+    let next_number = current.switch_number + 1;
+    let is_prepared = |it: &MemberRecord| it.weights.has_prepared(view.pool, next_number);
+    let is_entry = |it: &&MemberRecord| it.role == HostRole::Entry && it.state == HostState::Live;
+    let all_entries = view.members.iter().filter(is_entry).all(is_prepared);
+    let pool_hosts = pool_hosts(view.pool, view.terms, view.members);
+    let all_hosts = pool_hosts.into_iter().all(is_prepared);
+    let all_loaded = live.iter().all(|it| has_loaded(it, view.wanted));
+    if !(all_entries && all_hosts && all_loaded) {
+        return None;
+    }
+    Some(PoolDocument {
+        number: current.number + 1,
+        serving: current.target.clone(),
+        switch_number: next_number,
+        step: RolloutStep::Steady,
+        ..current.clone()
+    })
+}
+
+/// The live hosts of a first wave, and whether too few are left to take the pool over.
+fn live_wave<'a>(
+    view: PoolView<'a>,
+    current: &PoolDocument,
+    wave: &[HostId],
+) -> (Vec<&'a MemberRecord>, bool) {
+    let hosts = pool_hosts(view.pool, view.terms, view.members);
+    let needed = match current.serving {
+        None => 1,
+        Some(_) => needed_hosts(view.terms, hosts.len()),
+    };
+    let live: Vec<_> = hosts.into_iter().filter(|it| wave.contains(&it.host)).collect();
+    let is_short = live.len() < needed.max(1);
+    (live, is_short)
+}
+
+/// Hosts that must serve at every moment of a rollout.
+fn needed_hosts(terms: &PoolTerms, n_hosts: usize) -> usize {
+    n_hosts * terms.min_serving_percent as usize / 100
+}
+
+fn has_verified(member: &MemberRecord, target: &WeightsTarget) -> bool {
+    member.weights.verified.contains(&target.manifest_digest)
+}
+
+fn has_loaded(member: &MemberRecord, target: &WeightsTarget) -> bool {
+    member.weights.loaded == Some(target.manifest_digest)
+}
+
+fn follow(current: &PoolDocument, step: RolloutStep) -> PoolDocument {
+    PoolDocument { number: current.number + 1, step, ..current.clone() }
+}
--- /dev/null
+++ b/tests/rollout_steps.rs
@@ -0,0 +1,334 @@
+//! The rollout of a pool, decided over many seeds with hosts that die, join and lag.
+
+use std::collections::BTreeMap;
+
+use crocustiller::{
+    charter::PoolTerms,
+    digest::Digest,
+    membership::{HostRole, HostState, MemberRecord, WeightsStatus},
+    rollout::{
+        may_prepare, next_step, pool_hosts, slot_intent, PoolDocument, PoolView, RolloutStep,
+        WeightsTarget,
+    },
+};
+use fastrand::Rng;
+
+const POOL: &str = "chat";
+const SEEDS: u64 = 1_000;
+const ROUNDS: usize = 400;
+/// Rounds after which a rollout without faults counts as stuck.
+const MAX_ROUNDS: usize = 20_000;
+
+#[test]
+fn switch_keeps_the_promises_over_many_seeds() {
+    for seed in 0..SEEDS {
+        let mut model = Model::new(seed, 1 + (seed as usize % 9), 3);
+        for _ in 0..ROUNDS {
+            model.step();
+            model.check_promises();
+        }
+    }
+}
+
+#[test]
+fn rollout_ends_when_faults_end() {
+    for seed in 0..SEEDS {
+        let mut model = Model::new(seed, 1 + (seed as usize % 9), 3);
+        for _ in 0..ROUNDS / 2 {
+            model.step();
+        }
+        model.has_faults = false;
+        model.restart_all_hosts();
+        let is_done = (0..MAX_ROUNDS).any(|_| {
+            model.step();
+            model.is_steady() && model.live_slots().all(|it| it.engine == Some(model.digest()))
+        });
+        assert!(is_done, "seed {seed}");
+        let document = model.document.as_ref().unwrap();
+        assert_eq!(document.step, RolloutStep::Steady, "seed {seed}");
+        assert_eq!(document.serving.as_ref(), Some(&model.wanted), "seed {seed}");
+    }
+}
+
+#[test]
+fn half_of_the_hosts_serves_through_a_switch() {
+    for n_hosts in [1, 2, 3, 15, 60] {
+        let mut model = Model::new(7, n_hosts, 2);
+        model.has_faults = false;
+        while !(model.is_steady() && model.n_serving() == n_hosts) {
+            model.step();
+        }
+        model.retarget("v2");
+        while !(model.is_steady() && model.n_serving() == n_hosts) {
+            model.step();
+            assert!(model.n_serving() >= n_hosts / 2, "{n_hosts} hosts");
+        }
+    }
+}
+
+#[test]
+fn unverified_host_holds_the_switch_back() {
+    let mut model = Model::new(3, 4, 2);
+    model.has_faults = false;
+    model.run_until_steady();
+    model.retarget("v2");
+    let held_back = model.slots.keys().next().unwrap().clone();
+    for _ in 0..ROUNDS {
+        model.step_without(&held_back);
+    }
+    assert_eq!(model.document.as_ref().unwrap().step, RolloutStep::Stage);
+    assert_eq!(model.document.as_ref().unwrap().serving.as_ref().unwrap().version, "v1");
+}
+
+/// One slot and its engine.
+#[derive(Clone)]
+struct Slot {
+    record: MemberRecord,
+    engine: Option<Digest>,
+    /// The document that the slot has heard of; may be older than the platform's.
+    heard: Option<PoolDocument>,
+}
+
+impl Slot {
+    /// Switch number and weights that the slot admits requests under.
+    fn open(&self) -> Option<(u64, Digest)> {
+        self.open_under(self.heard.as_ref()?)
+    }
+
+    fn open_under(&self, document: &PoolDocument) -> Option<(u64, Digest)> {
+        let intent = slot_intent(document, &self.record.host);
+        let wanted = intent.load?.manifest_digest;
+        let is_open = intent.is_serving && self.engine == Some(wanted);
+        is_open.then_some((document.switch_number, wanted))
+    }
+}
+
+struct Model {
+    rng: Rng,
+    terms: PoolTerms,
+    wanted: WeightsTarget,
+    document: Option<PoolDocument>,
+    slots: BTreeMap<String, Slot>,
+    entries: BTreeMap<String, MemberRecord>,
+    switches: BTreeMap<u64, Digest>,
+    n_versions: u32,
+    has_faults: bool,
+}
+
+impl Model {
+    fn new(seed: u64, n_slots: usize, n_entries: usize) -> Model {
+        let slots = (0..n_slots).map(|it| {
+            let host = format!("slot-{it:02}");
+            let record = record(&host, HostRole::Engine(POOL.to_owned()));
+            (host, Slot { record, engine: None, heard: None })
+        });
+        let entries = (0..n_entries).map(|it| {
+            let host = format!("entry-{it}");
+            (host.clone(), record(&host, HostRole::Entry))
+        });
+        Model {
+            rng: Rng::with_seed(seed),
+            terms: terms("v1"),
+            wanted: target("v1"),
+            document: None,
+            slots: slots.collect(),
+            entries: entries.collect(),
+            switches: BTreeMap::new(),
+            n_versions: 1,
+            has_faults: true,
+        }
+    }
+
+    fn retarget(&mut self, version: &str) {
+        self.wanted = target(version);
+        self.terms = terms(version);
+    }
+
+    fn run_until_steady(&mut self) {
+        while !self.is_steady() {
+            self.step();
+        }
+    }
+
+    fn is_steady(&self) -> bool {
+        let is_done = |it: &PoolDocument| {
+            it.step == RolloutStep::Steady && it.serving.as_ref() == Some(&self.wanted)
+        };
+        self.document.as_ref().is_some_and(is_done)
+    }
+
+    fn live_slots(&self) -> impl Iterator<Item = &Slot> {
+        self.slots.values().filter(|it| it.record.state == HostState::Live)
+    }
+
+    /// Slots that serve when an entry host asks under the platform's document.
+    ///
+    /// A prepared slot adopts the switch from the first request under its number.
+    fn n_serving(&self) -> usize {
+        let Some(document) = &self.document else { return 0 };
+        self.live_slots().filter(|it| it.open_under(document).is_some()).count()
+    }
+
+    fn digest(&self) -> Digest {
+        self.wanted.manifest_digest
+    }
+
+    fn step(&mut self) {
+        self.step_without("");
+    }
+
+    fn step_without(&mut self, held_back: &str) {
+        match self.rng.u32(0..12) {
+            0 if self.has_faults => self.kill_a_host(),
+            1 if self.has_faults => self.restart_a_host(),
+            2 if self.has_faults && self.rng.u32(0..10) == 0 => self.retarget_at_random(),
+            0..=4 => self.decide(),
+            5 => self.acknowledge_on_entry(),
+            _ => self.work_on_a_slot(held_back),
+        }
+    }
+
+    fn decide(&mut self) {
+        let members = self.members();
+        let view =
+            PoolView { pool: POOL, terms: &self.terms, wanted: &self.wanted, members: &members };
+        let Some(next) = next_step(view, self.document.as_ref()) else { return };
+        let number = self.document.as_ref().map_or(0, |it| it.number);
+        assert_eq!(next.number, number + 1);
+        self.check_change(&next, &members);
+        self.document = Some(next);
+    }
+
+    /// The serving version changes only by a switch that every live host acknowledged.
+    fn check_change(&mut self, next: &PoolDocument, members: &[MemberRecord]) {
+        let Some(old) = &self.document else { return };
+        if next.serving == old.serving {
+            assert_eq!(next.switch_number, old.switch_number);
+            return;
+        }
+        assert_eq!(next.switch_number, old.switch_number + 1);
+        assert!(matches!(old.step, RolloutStep::Prepare { .. }));
+        for host in pool_hosts(POOL, &self.terms, members) {
+            assert!(host.weights.has_prepared(POOL, next.switch_number));
+        }
+        self.switches.insert(next.switch_number, next.serving.as_ref().unwrap().manifest_digest);
+    }
+
+    fn work_on_a_slot(&mut self, held_back: &str) {
+        let Some(document) = self.document.clone() else { return };
+        let hosts: Vec<String> = self.slots.keys().cloned().collect();
+        let host = self.rng.choice(hosts).unwrap();
+        let action = self.rng.u32(0..4);
+        let slot = self.slots.get_mut(&host).unwrap();
+        if slot.record.state != HostState::Live || host == held_back {
+            return;
+        }
+        if action == 0 || slot.heard.is_none() {
+            slot.heard = Some(document);
+        }
+        let heard = slot.heard.clone().unwrap();
+        let intent = slot_intent(&heard, &host);
+        match action {
+            1 => slot.record.weights.verified = digests(&intent.hold),
+            2 => load(slot, intent.load.as_ref()),
+            _ => {}
+        }
+        slot.record.weights.loaded = slot.engine;
+        if let Some(number) = intent.prepare.filter(|_| may_prepare(&intent, slot.engine)) {
+            slot.record.weights.prepare(POOL, number);
+        }
+    }
+
+    fn acknowledge_on_entry(&mut self) {
+        let Some(document) = &self.document else { return };
+        if !matches!(document.step, RolloutStep::Prepare { .. }) {
+            return;
+        }
+        let hosts: Vec<String> = self.entries.keys().cloned().collect();
+        let host = self.rng.choice(hosts).unwrap();
+        let entry = self.entries.get_mut(&host).unwrap();
+        entry.weights.prepare(POOL, document.switch_number + 1);
+    }
+
+    fn kill_a_host(&mut self) {
+        let hosts: Vec<String> = self.slots.keys().cloned().collect();
+        let host = self.rng.choice(hosts).unwrap();
+        self.slots.get_mut(&host).unwrap().record.state = HostState::Gone;
+    }
+
+    fn restart_a_host(&mut self) {
+        let is_gone = |it: &&Slot| it.record.state == HostState::Gone;
+        let Some(host) = self.slots.values().find(is_gone).map(|it| it.record.host.clone()) else {
+            return;
+        };
+        let record = record(&host, HostRole::Engine(POOL.to_owned()));
+        self.slots.insert(host, Slot { record, engine: None, heard: None });
+    }
+
+    fn restart_all_hosts(&mut self) {
+        while self.slots.values().any(|it| it.record.state == HostState::Gone) {
+            self.restart_a_host();
+        }
+    }
+
+    fn retarget_at_random(&mut self) {
+        self.n_versions += 1;
+        let version = format!("v{}", self.n_versions);
+        self.retarget(&version);
+    }
+
+    fn check_promises(&self) {
+        for slot in self.slots.values() {
+            let Some((number, digest)) = slot.open() else { continue };
+            assert_eq!(self.switches.get(&number), Some(&digest), "a version outside its switch");
+        }
+    }
+
+    fn members(&self) -> Vec<MemberRecord> {
+        let slots = self.slots.values().map(|it| it.record.clone());
+        slots.chain(self.entries.values().cloned()).collect()
+    }
+}
+
+fn load(slot: &mut Slot, wanted: Option<&WeightsTarget>) {
+    let Some(wanted) = wanted else { return };
+    if slot.record.weights.verified.contains(&wanted.manifest_digest) {
+        slot.engine = Some(wanted.manifest_digest);
+    }
+}
+
+fn digests(targets: &[WeightsTarget]) -> Vec<Digest> {
+    targets.iter().map(|it| it.manifest_digest).collect()
+}
+
+fn target(version: &str) -> WeightsTarget {
+    let manifest_digest = Digest::of(version.as_bytes());
+    WeightsTarget { version: version.to_owned(), manifest_digest }
+}
+
+fn terms(version: &str) -> PoolTerms {
+    PoolTerms {
+        version: version.to_owned(),
+        customers: Vec::new(),
+        hosts: Vec::new(),
+        min_serving_percent: 50,
+    }
+}
+
+fn record(host: &str, role: HostRole) -> MemberRecord {
+    let address = "127.0.0.1:1".parse().unwrap();
+    MemberRecord {
+        host: host.to_owned(),
+        role,
+        region: "kigali".to_owned(),
+        zone: "kigali-a".to_owned(),
+        peer_address: address,
+        request_address: address,
+        operator_address: address,
+        incarnation: 1,
+        sequence: 0,
+        state: HostState::Live,
+        weights: WeightsStatus::default(),
+        charter_number: 0,
+    }
+}
