--- /dev/null
+++ b/src/operator/answer.rs
@@ -0,0 +1,31 @@
+//! Answers of the operator address.
+
+use http_types::{Response, StatusCode};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::verdict::Verdict;
+
+/// An answer with a JSON body.
+pub(crate) fn json_answer(status: StatusCode, body: &impl Serialize) -> Response {
+    let mut response = Response::new(status);
+    let bytes = serde_json::to_vec(body).expect("answers have only string keys");
+    response.set_body(bytes);
+    response.set_content_type(http_types::mime::JSON);
+    response
+}
+
+/// An answer with plain text.
+pub(crate) fn text_answer(status: StatusCode, text: &str) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(text);
+    response
+}
+
+/// An error that says what to do and whether the order may have taken effect.
+pub(crate) fn error_answer(status: StatusCode, message: &str, verdict: Verdict) -> Response {
+    let body = json!({ "error": { "message": message, "verdict": verdict } });
+    let mut response = json_answer(status, &body);
+    response.insert_header("X-Verdict", verdict.as_str());
+    response
+}
--- /dev/null
+++ b/src/operator/handler.rs
@@ -0,0 +1,105 @@
+//! Routes of the operator address.
+
+use std::sync::Arc;
+
+use http_types::{Method, Request, Response, StatusCode};
+use serde_json::json;
+
+use crate::{
+    membership::HostState,
+    net::Handler,
+    node::Node,
+    operator::{
+        answer::{error_answer, json_answer, text_answer},
+        charter_routes, metrics_page,
+        process_report::ProcessReport,
+        process_view::ProcessView,
+    },
+    verdict::Verdict,
+};
+
+/// Answers requests on the operator address.
+pub fn handler(node: Arc<Node>, view: Arc<ProcessView>) -> Handler {
+    metrics_page::install_recorder();
+    Arc::new(move |request| {
+        let node = node.clone();
+        let view = view.clone();
+        Box::pin(async move { Ok(route(&node, &view, request).await) })
+    })
+}
+
+async fn route(node: &Node, view: &ProcessView, request: Request) -> Response {
+    let path = request.url().path().trim_matches('/').to_owned();
+    let parts: Vec<&str> = path.split('/').collect();
+    match parts.as_slice() {
+        ["healthz"] => return text_answer(StatusCode::Ok, "ok\n"),
+        ["readyz"] => return readiness(node),
+        ["metrics"] => return text_answer(StatusCode::Ok, &metrics_page::render()),
+        _ => {}
+    }
+    if !is_operator(node, &request) {
+        return unauthorized();
+    }
+    match (request.method(), parts.as_slice()) {
+        (Method::Get, ["v1", "charter"]) => charter_routes::show(node),
+        (Method::Patch, ["v1", "charter"]) => charter_routes::patch(node, request).await,
+        (Method::Get, ["v1", "charter", "patches", id]) => {
+            charter_routes::patch_state(node, id).await
+        }
+        (Method::Get, ["v1", "hosts"]) => hosts(node),
+        (Method::Post, ["v1", "hosts", "self", "leave"]) => leave(node, view),
+        (Method::Get, ["v1", "pools"]) => pools(node),
+        (Method::Get, ["v1", "process"]) => json_answer(StatusCode::Ok, &ProcessReport::of(node)),
+        _ => not_found(&path),
+    }
+}
+
+fn readiness(node: &Node) -> Response {
+    let state = node.membership.own().state;
+    if state == HostState::Live && node.documents.charter().is_some() {
+        return text_answer(StatusCode::Ok, "ready\n");
+    }
+    let number = node.documents.charter_number();
+    let text = format!("not ready: state={state:?} charter={number}\n");
+    text_answer(StatusCode::ServiceUnavailable, &text)
+}
+
+/// Compares digests in constant time.
+fn is_operator(node: &Node, request: &Request) -> bool {
+    let header = request.header("Authorization").map(|it| it.as_str());
+    let Some(token) = header.and_then(|it| it.strip_prefix("Bearer ")) else { return false };
+    let expected = blake3::Hash::from(*node.settings.secrets.operator_token_digest.as_bytes());
+    blake3::hash(token.trim().as_bytes()) == expected
+}
+
+fn unauthorized() -> Response {
+    let message = "the operator token is missing or wrong; send `Authorization: Bearer <token>`";
+    let mut response = error_answer(StatusCode::Unauthorized, message, Verdict::NotRun);
+    response.insert_header("WWW-Authenticate", "Bearer");
+    response
+}
+
+fn not_found(path: &str) -> Response {
+    let message = format!("no route /{path} with this method; docs/INTERFACES.md lists the routes");
+    error_answer(StatusCode::NotFound, &message, Verdict::NotRun)
+}
+
+fn hosts(node: &Node) -> Response {
+    let records = node.membership.records();
+    json_answer(StatusCode::Ok, &json!({ "hosts": records }))
+}
+
+fn leave(node: &Node, view: &ProcessView) -> Response {
+    let host = node.membership.own().host.clone();
+    log::info!("operator: leave ordered host={host}");
+    let _ = view.leave.try_send(());
+    json_answer(StatusCode::Accepted, &json!({ "host": host, "state": HostState::Leaving }))
+}
+
+fn pools(node: &Node) -> Response {
+    let Some(charter) = node.documents.charter() else {
+        return charter_routes::no_charter();
+    };
+    let pools: Vec<_> = charter.pools.keys().filter_map(|it| node.documents.pool(it)).collect();
+    json_answer(StatusCode::Ok, &json!({ "pools": pools }))
+}
--- /dev/null
+++ b/src/subcommand/charter.rs
@@ -0,0 +1,162 @@
+//! `crocustiller charter`: shows and patches the charter.
+
+use std::path::{Path, PathBuf};
+
+use argh::FromArgs;
+use http_types::Method;
+use serde_json::Value;
+
+use crate::{
+    error::CommandError,
+    ids::{DocumentNumber, PatchId},
+    subcommand::operator_client::{OperatorClient, Order},
+};
+
+/// Shows and patches the charter.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "charter")]
+pub(crate) struct CharterCommand {
+    #[argh(subcommand)]
+    action: CharterAction,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum CharterAction {
+    Show(ShowCharter),
+    Patch(PatchCharter),
+    Status(PatchStatus),
+    History(CharterHistory),
+}
+
+/// Prints the charter in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+struct ShowCharter {}
+
+/// Patches the charter with a JSON merge patch.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "patch")]
+struct PatchCharter {
+    /// file with the patch; - reads standard input
+    #[argh(positional)]
+    file: PathBuf,
+    /// number of the charter that the patch builds on; 0 makes the first charter
+    #[argh(option)]
+    base: DocumentNumber,
+    /// id of the patch for a later look-up; made at random without it
+    #[argh(option)]
+    id: Option<PatchId>,
+}
+
+/// Tells whether a patch was accepted.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct PatchStatus {
+    /// id of the patch
+    #[argh(positional)]
+    id: PatchId,
+}
+
+/// Lists the latest accepted patches, oldest first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+struct CharterHistory {}
+
+impl CharterCommand {
+    /// Runs the command.
+    pub(crate) fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        match self.action {
+            CharterAction::Show(_) => show(client),
+            CharterAction::Patch(it) => it.run(client),
+            CharterAction::Status(it) => it.run(client),
+            CharterAction::History(_) => history(client),
+        }
+    }
+}
+
+impl PatchCharter {
+    fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        let body = read_patch(&self.file)?;
+        let id = self.id.unwrap_or_else(|| uuid::Uuid::now_v7().to_string());
+        let order = Order {
+            method: Method::Patch,
+            path: "/v1/charter".to_owned(),
+            headers: vec![
+                ("If-Match", self.base.to_string()),
+                ("Idempotency-Key", id.clone()),
+                ("Content-Type", "application/merge-patch+json".to_owned()),
+            ],
+            body,
+        };
+        match client.send(&order) {
+            Err(err @ CommandError::Refused(.., crate::verdict::Verdict::MayHaveRun)) => {
+                eprintln!("Look the patch up with `crocustiller charter status {id}`.");
+                Err(err)
+            }
+            res => print_state(client, &res?),
+        }
+    }
+}
+
+impl PatchStatus {
+    fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        let path = format!("/v1/charter/patches/{}", self.id);
+        print_state(client, &client.send(&Order::get(&path))?)
+    }
+}
+
+fn show(client: &OperatorClient) -> Result<(), CommandError> {
+    let charter = client.send(&Order::get("/v1/charter"))?;
+    println!("{charter:#}");
+    Ok(())
+}
+
+fn history(client: &OperatorClient) -> Result<(), CommandError> {
+    let charter = client.send(&Order::get("/v1/charter"))?;
+    let patches = &charter["recent_patches"];
+    if client.is_json {
+        println!("{patches}");
+        return Ok(());
+    }
+    for patch in patches.as_array().into_iter().flatten() {
+        println!("{:>8}  {}", patch["number"], text_of(&patch["id"]));
+    }
+    Ok(())
+}
+
+fn print_state(client: &OperatorClient, state: &Value) -> Result<(), CommandError> {
+    if client.is_json {
+        println!("{state}");
+        return Ok(());
+    }
+    let id = text_of(&state["id"]);
+    match state["number"].as_u64() {
+        Some(number) => println!("patch {id}: {} as charter {number}", text_of(&state["state"])),
+        None => println!("patch {id}: {}", text_of(&state["state"])),
+    }
+    Ok(())
+}
+
+fn text_of(value: &Value) -> &str {
+    value.as_str().unwrap_or("")
+}
+
+/// Reads the patch and checks that it is a JSON object.
+fn read_patch(path: &Path) -> Result<Vec<u8>, CommandError> {
+    let res = match path.to_str() {
+        Some("-") => std::io::read_to_string(std::io::stdin()),
+        _ => std::fs::read_to_string(path),
+    };
+    let text = res.map_err(|err| CommandError::File(path.to_owned(), err))?;
+    match serde_json::from_str(&text) {
+        Ok(Value::Object(_)) => Ok(text.into_bytes()),
+        Ok(_) => Err(not_a_patch(path, "it is no JSON object")),
+        Err(err) => Err(not_a_patch(path, &err.to_string())),
+    }
+}
+
+fn not_a_patch(path: &Path, reason: &str) -> CommandError {
+    let path = path.display();
+    CommandError::Usage(format!("{path}: {reason}; write a JSON merge patch (RFC 7396)"))
+}
