Slots adopt a switch from the first request under its number

Cause: entry hosts are pushed a switch at once, slots hear by gossip; a slot that waits for gossip would refuse or answer from the old version meanwhile. Ruled out: pushing to all slots from one decider (960 calls a step at the target size).

--- a/src/daemon/stages.rs
+++ b/src/daemon/stages.rs
@@ -14,7 +14,7 @@
     operator::{self, ProcessView},
     peer::{PeerServer, PeerService},
     platform::DocumentWatch,
-    request,
+    request::{self, WeightsSource},
     rollout::{RolloutDecider, ServiceDriver, ServingState, SlotDriver},
     runtime,
     settings::{BackendKind, BackendSettings},
@@ -44,15 +44,15 @@
         let peer_server = listen_for_peers(&node, &gossip, &weights).await?;
         let handler = match &node.settings.backend {
             None => request::entry_handler(node.clone()),
-            Some(_) => request::slot_handler(node.clone(), serving.clone(), weights.clone()),
+            Some(_) => slot_handler(&node, &serving, &weights),
         };
         let request_server = listen(&node, "request", handler).await?;
-        let view = Arc::new(ProcessView::new(weights.clone(), leave));
+        let view = Arc::new(ProcessView { leave, accounts: node.accounts.clone() });
         let handler = operator::handler(node.clone(), view);
         let operator_server = listen(&node, "operator", handler).await?;
         let mut tasks = vec![
             runtime::spawn(gossip.run()),
-            runtime::spawn(Detector::new(node.clone()).run()),
+            runtime::spawn(Detector::new(node.membership.clone(), node.peers.clone()).run()),
             runtime::spawn(DocumentWatch::run(node.clone())),
             runtime::spawn(weights.clone().run()),
         ];
@@ -66,7 +66,10 @@
     /// Waits until no request is in progress, for at most `limit`.
     pub(crate) async fn wait_until_idle(&self, limit: Duration) {
         if self.serving.wait_until_idle(limit).await.is_err() {
-            log::warn!("daemon: requests are still in progress count={}", self.serving.n_admitted());
+            log::warn!(
+                "daemon: requests are still in progress count={}",
+                self.serving.n_admitted()
+            );
         }
     }
 
@@ -81,6 +84,17 @@
     }
 }
 
+fn slot_handler(
+    node: &Arc<Node>,
+    serving: &Arc<ServingState>,
+    weights: &Arc<WeightsStage>,
+) -> Handler {
+    let weights = weights.clone();
+    let source: WeightsSource =
+        Arc::new(move |manifest| weights.verified(manifest).map(|it| it.body()));
+    request::slot_handler(node.clone(), serving.clone(), source)
+}
+
 async fn listen_for_peers(
     node: &Arc<Node>,
     gossip: &Arc<Gossip>,
@@ -122,8 +136,7 @@
     match backend.kind {
         BackendKind::Engine => {
             let engine = EngineClient::new(backend.address, node.http.clone());
-            let driver =
-                SlotDriver::new(node.clone(), weights, serving, engine, &backend.name);
+            let driver = SlotDriver::new(node.clone(), weights, serving, engine, &backend.name);
             runtime::spawn(driver.run())
         }
         BackendKind::Service => runtime::spawn(ServiceDriver::new(node.clone(), serving).run()),
--- a/src/rollout/rollout_decider.rs
+++ b/src/rollout/rollout_decider.rs
@@ -104,9 +104,8 @@
     async fn decide(&mut self, pool: &str, terms: &PoolTerms) -> Result<(), DecideError> {
         let Some(rank) = self.own_rank(pool) else { return Ok(()) };
         let held = self.node.documents.pool(pool);
-        let needs_target =
-            held.as_ref().and_then(|it| it.target.as_ref()).map(|it| &it.version)
-                != Some(&terms.version);
+        let needs_target = held.as_ref().and_then(|it| it.target.as_ref()).map(|it| &it.version)
+            != Some(&terms.version);
         if needs_target && !self.is_turn(pool, rank) {
             return Ok(());
         }
@@ -189,9 +188,8 @@
     fn own_rank(&self, pool: &str) -> Option<usize> {
         let own = &self.node.settings.host.id;
         let records = self.node.membership.records();
-        let is_entry = |it: &&Arc<MemberRecord>| {
-            it.role == HostRole::Entry && it.state == HostState::Live
-        };
+        let is_entry =
+            |it: &&Arc<MemberRecord>| it.role == HostRole::Entry && it.state == HostState::Live;
         let hosts: Vec<HostId> =
             records.iter().filter(is_entry).map(|it| it.host.clone()).collect();
         let decision = format!("pools/{pool}");
--- a/src/rollout/service_driver.rs
+++ b/src/rollout/service_driver.rs
@@ -2,9 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{
-    membership::HostState, node::Node, rollout::serving_state::ServingState, runtime,
-};
+use crate::{membership::HostState, node::Node, rollout::serving_state::ServingState, runtime};
 
 /// Longest pause between two looks at the own state.
 const TICK: Duration = Duration::from_millis(500);
--- a/src/rollout/serving_state.rs
+++ b/src/rollout/serving_state.rs
@@ -42,13 +42,22 @@
 #[derive(Debug)]
 struct Inner {
     serving: Serving,
+    prepared: Option<Prepared>,
+    adopted: SwitchNumber,
     n_admitted: usize,
 }
 
+/// A version that the slot may serve from a coming switch on.
+#[derive(Debug)]
+struct Prepared {
+    version: VersionId,
+    switch_number: SwitchNumber,
+}
+
 impl ServingState {
     /// Starts closed.
     pub fn new() -> Arc<ServingState> {
-        let inner = Inner { serving: Serving::Closed, n_admitted: 0 };
+        let inner = Inner { serving: Serving::Closed, prepared: None, adopted: 0, n_admitted: 0 };
         Arc::new(ServingState { inner: Mutex::new(inner), idle: Event::new() })
     }
 
@@ -57,25 +66,54 @@
         self.inner.lock().unwrap().serving.clone()
     }
 
-    /// Opens the slot for a version.
+    /// Opens the slot for a version; ignored when a later switch was adopted.
     pub fn open(&self, version: &str, switch_number: SwitchNumber) {
-        let serving = Serving::Open { version: version.to_owned(), switch_number };
-        self.inner.lock().unwrap().serving = serving;
+        let mut inner = self.inner.lock().unwrap();
+        if switch_number < inner.adopted {
+            return;
+        }
+        inner.adopted = switch_number;
+        inner.prepared = None;
+        inner.serving = Serving::Open { version: version.to_owned(), switch_number };
     }
 
     /// Admits nothing from now on; requests admitted before go on.
     pub fn close(&self) {
-        self.inner.lock().unwrap().serving = Serving::Closed;
+        let mut inner = self.inner.lock().unwrap();
+        inner.serving = Serving::Closed;
+        inner.prepared = None;
+    }
+
+    /// Admits nothing under `switch_number`; ignored when a later switch was adopted.
+    pub fn close_at(&self, switch_number: SwitchNumber) {
+        if switch_number >= self.inner.lock().unwrap().adopted {
+            self.close();
+        }
+    }
+
+    /// Lets the first request under `switch_number` open the slot for `version`.
+    ///
+    /// The entry hosts learn of a switch before most slots do; a prepared slot need not wait for
+    /// the document that the entry host already has.
+    pub fn prepare(&self, version: &str, switch_number: SwitchNumber) {
+        let mut inner = self.inner.lock().unwrap();
+        if switch_number > inner.adopted {
+            inner.prepared = Some(Prepared { version: version.to_owned(), switch_number });
+        }
     }
 
     /// Admits one request, which counts as in progress until the admission is dropped.
     ///
-    /// `switch_number` is `None` at a plain service.
+    /// `switch_number` is `None` at a plain service. A greater number than the own one is adopted:
+    /// the slot serves under it if prepared, and nothing older from then on.
     pub fn admit(
         self: &Arc<Self>,
         switch_number: Option<SwitchNumber>,
     ) -> Result<Admission, Refusal> {
         let mut inner = self.inner.lock().unwrap();
+        if let Some(number) = switch_number {
+            inner.adopt(number);
+        }
         let Serving::Open { version, switch_number: own } = &inner.serving else {
             return Err(Refusal::Closed);
         };
@@ -117,6 +155,20 @@
     }
 }
 
+impl Inner {
+    fn adopt(&mut self, number: SwitchNumber) {
+        if number <= self.adopted {
+            return;
+        }
+        self.adopted = number;
+        let prepared = self.prepared.take().filter(|it| it.switch_number == number);
+        self.serving = match prepared {
+            Some(it) => Serving::Open { version: it.version, switch_number: number },
+            None => Serving::Closed,
+        };
+    }
+}
+
 /// One admitted request.
 #[derive(Debug)]
 pub struct Admission {
--- a/src/rollout/slot_driver.rs
+++ b/src/rollout/slot_driver.rs
@@ -86,9 +86,12 @@
         self.weights.set_targets(intent.hold.clone());
         self.check_engine(pool).await;
         let wanted = intent.load.as_ref().map(|it| it.manifest_digest);
-        if wanted.is_none() || self.loaded != wanted || !self.may_serve() {
+        if !self.may_serve() {
             self.serving.close();
         }
+        if wanted.is_none() || self.loaded != wanted {
+            self.serving.close_at(pool.switch_number);
+        }
         if let Some(target) = intent.load.clone().filter(|_| self.loaded != wanted) {
             self.load(pool, &target).await;
         }
@@ -100,12 +103,17 @@
     }
 
     fn serve(&self, pool: &PoolDocument, intent: &SlotIntent) {
-        let Some(target) = intent.load.as_ref().filter(|_| intent.is_serving) else {
-            self.serving.close();
+        if !intent.is_serving {
+            self.serving.close_at(pool.switch_number);
+        }
+        let Some(target) = &intent.load else { return };
+        if self.loaded != Some(target.manifest_digest) || !self.may_serve() {
             return;
-        };
-        if self.loaded == Some(target.manifest_digest) && self.may_serve() {
-            self.serving.open(&target.version, pool.switch_number);
+        }
+        match intent.prepare.filter(|_| !intent.is_serving) {
+            Some(number) => self.serving.prepare(&target.version, number),
+            None if intent.is_serving => self.serving.open(&target.version, pool.switch_number),
+            None => {}
         }
     }
 
