Thin: stand-ins for platform, origin, engine and service, with faults

Each stand-in counts what it is asked and takes timing and faults by method or by POST /faults (fields not named keep their value).

The futures of async-h1 are several tens of KB each; nested in callers they overflowed the 2 MiB stack of a test thread in a debug build (platform_updates_conditionally: 'has overflowed its stack', before). Ruled out: recursion (the backtrace is flat).

--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -82,7 +82,8 @@
         limit: Duration,
     ) -> Result<Exchange, CallError> {
         let stream = self.connection(address).await?;
-        let wait = async_h1::connect(stream.clone(), request);
+        // On the heap, because callers nest this large future in their own.
+        let wait = Box::pin(async_h1::connect(stream.clone(), request));
         match runtime::timeout(limit, wait).await {
             Ok(Ok(response)) => Ok(Exchange { address, response, stream, client: self.clone() }),
             Ok(Err(err)) => Err(CallError::Exchange(address, verdict_of(&stream), err.to_string())),
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -28,7 +28,7 @@
             log::warn!("runtime: helper thread not started error={err}");
         }
     }
-    async_io::block_on(EXECUTOR.run(future))
+    async_io::block_on(EXECUTOR.run(Box::pin(future)))
 }
 
 /// Starts a task; dropping the returned handle cancels it, `detach` lets it run.
--- /dev/null
+++ b/standins/src/behaviour.rs
@@ -0,0 +1,44 @@
+//! Timing and faults of a stand-in, changed while it runs.
+
+use std::sync::Mutex;
+
+use serde::{de::DeserializeOwned, Serialize};
+use serde_json::Value;
+
+/// A settable value whose JSON fields can be changed one by one.
+#[derive(Debug, Default)]
+pub(crate) struct Behaviour<T>(Mutex<T>);
+
+impl<T: Clone + Serialize + DeserializeOwned> Behaviour<T> {
+    pub(crate) fn get(&self) -> T {
+        self.0.lock().unwrap().clone()
+    }
+
+    pub(crate) fn set(&self, value: T) {
+        *self.0.lock().unwrap() = value;
+    }
+
+    /// Changes the value in place and gives what `change` gives.
+    pub(crate) fn update<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
+        change(&mut self.0.lock().unwrap())
+    }
+
+    /// Replaces the fields that `json` names and keeps the others.
+    pub(crate) fn merge(&self, json: &[u8]) -> Result<(), serde_json::Error> {
+        let patch: serde_json::Map<String, Value> = serde_json::from_slice(json)?;
+        let mut current = self.0.lock().unwrap();
+        let mut fields = serde_json::to_value(&*current)?;
+        for (key, value) in patch {
+            fields[key] = value;
+        }
+        *current = serde_json::from_value(fields)?;
+        Ok(())
+    }
+}
+
+/// Takes one of the `remaining` occurrences of a fault.
+pub(crate) fn take_one(remaining: &mut u32) -> bool {
+    let is_due = *remaining > 0;
+    *remaining = remaining.saturating_sub(1);
+    is_due
+}
--- /dev/null
+++ b/standins/src/engine/batch.rs
@@ -0,0 +1,105 @@
+//! Places in the running batch, given by priority and then in order of arrival.
+
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, Mutex},
+};
+
+use event_listener::Event;
+
+/// Requests that wait and run.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    inner: Mutex<Inner>,
+    changed: Event,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    n_running: usize,
+    next_number: u64,
+    waiting: BTreeSet<Ticket>,
+}
+
+/// Smaller tickets go first; a greater priority makes a smaller ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Ticket {
+    negative_priority: i64,
+    number: u64,
+}
+
+impl Batch {
+    pub(crate) fn n_running(&self) -> usize {
+        self.inner.lock().unwrap().n_running
+    }
+
+    pub(crate) fn n_queued(&self) -> usize {
+        self.inner.lock().unwrap().waiting.len()
+    }
+
+    /// Waits for a place among `concurrency`; dropping the future gives the wait up.
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        priority: i64,
+        concurrency: impl Fn() -> usize,
+    ) -> Place {
+        let waiting = Waiting::new(self.clone(), priority);
+        loop {
+            let listener = self.changed.listen();
+            if waiting.try_enter(concurrency()) {
+                return Place(self.clone());
+            }
+            listener.await;
+        }
+    }
+
+    /// Lets the waiting look again, after a change of the concurrency.
+    pub(crate) fn notify(&self) {
+        self.changed.notify(usize::MAX);
+    }
+}
+
+/// A place in the queue, given up on drop.
+struct Waiting {
+    batch: Arc<Batch>,
+    ticket: Ticket,
+}
+
+impl Waiting {
+    fn new(batch: Arc<Batch>, priority: i64) -> Waiting {
+        let mut inner = batch.inner.lock().unwrap();
+        let ticket = Ticket { negative_priority: -priority, number: inner.next_number };
+        inner.next_number += 1;
+        inner.waiting.insert(ticket);
+        drop(inner);
+        Waiting { batch, ticket }
+    }
+
+    fn try_enter(&self, concurrency: usize) -> bool {
+        let mut inner = self.batch.inner.lock().unwrap();
+        let is_first = inner.waiting.first() == Some(&self.ticket);
+        if !is_first || inner.n_running >= concurrency {
+            return false;
+        }
+        inner.n_running += 1;
+        true
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.batch.inner.lock().unwrap().waiting.remove(&self.ticket);
+        self.batch.notify();
+    }
+}
+
+/// A place in the running batch, given up on drop.
+#[derive(Debug)]
+pub(crate) struct Place(Arc<Batch>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.inner.lock().unwrap().n_running -= 1;
+        self.0.notify();
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,23 @@
+//! Small stand-ins for the platform, the origin, the model engine and a plain service.
+//!
+//! Each listens on an address, counts what it is asked and takes faults by method or over HTTP
+//! (`POST /faults` with the fields to change, `GET /counts`).
 
+mod behaviour;
+mod engine;
+mod origin;
+mod piece_body;
+mod platform;
+mod respond;
+mod service;
+mod token_bucket;
+
+pub use crate::{
+    engine::{
+        expected_answer, EngineBehaviour, EngineCounts, EngineStandin, MIXED_WEIGHTS,
+        PARTIAL_WEIGHTS,
+    },
+    origin::{NewVersion, OriginBehaviour, OriginCounts, OriginStandin, VersionCounts},
+    platform::{HostEntry, PlatformBehaviour, PlatformCounts, PlatformStandin},
+    service::{ServiceBehaviour, ServiceCounts, ServiceStandin},
+};
--- /dev/null
+++ b/standins/src/origin/origin_standin.rs
@@ -0,0 +1,333 @@
+//! Serves manifests and ranges of weights, with faults.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    ops::Range,
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+use async_channel::Sender;
+use crocustiller::{
+    digest::Digest,
+    net::{HttpServer, ServerLimits},
+    runtime,
+    weights::Manifest,
+};
+use http_types::{Method, Request, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    behaviour::Behaviour, origin::weights_bytes::NewVersion, piece_body::PieceBody, respond,
+    token_bucket::TokenBucket,
+};
+
+/// Bytes that are sent at a time under the rate.
+const PIECE_BYTES: usize = 16 << 10;
+
+/// Timing and faults of the origin.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OriginBehaviour {
+    /// Bytes a second over all answers; 0 for no limit.
+    pub rate_bytes_per_s: u64,
+    /// Closes every connection without an answer.
+    pub down: bool,
+    /// Share of the ranges in which one byte is wrong.
+    pub corrupt_percent: u32,
+    /// Answers 429 with `Retry-After`.
+    pub status_429: bool,
+    /// Sends half of each range and then nothing, with the connection open.
+    pub stall: bool,
+    /// Text served in place of every manifest.
+    pub manifest_text: Option<String>,
+    /// Ranges in progress beyond which 429 is answered; 0 for no limit.
+    pub max_in_progress: u32,
+}
+
+/// What the origin sent of one version.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct VersionCounts {
+    /// Bytes of content sent.
+    pub content_bytes: u64,
+    /// Requests for content.
+    pub requests: u64,
+    /// Requests for the manifest.
+    pub manifest_requests: u64,
+    /// Length of the weights.
+    pub size_bytes: u64,
+}
+
+/// What the origin sent.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OriginCounts {
+    /// By name of the version.
+    pub versions: BTreeMap<String, VersionCounts>,
+    /// Answers with status 429.
+    pub refused_by_rate: u64,
+    /// Ranges being sent now.
+    pub in_progress: u32,
+}
+
+/// A running stand-in of the origin.
+#[derive(Debug)]
+pub struct OriginStandin {
+    inner: Arc<Inner>,
+    server: HttpServer,
+}
+
+#[derive(Debug)]
+struct Inner {
+    behaviour: Behaviour<OriginBehaviour>,
+    versions: Mutex<BTreeMap<String, Stored>>,
+    counts: Mutex<OriginCounts>,
+    rate: TokenBucket,
+}
+
+#[derive(Clone, Debug)]
+struct Stored {
+    manifest: Arc<Manifest>,
+    bytes: Arc<Vec<u8>>,
+}
+
+/// Answer to the registration of a version.
+#[derive(Serialize)]
+struct Registered {
+    version: String,
+    size_bytes: u64,
+    content_digest: Digest,
+    manifest_digest: Digest,
+}
+
+impl OriginStandin {
+    /// Listens on `address`, without versions.
+    pub async fn start(address: SocketAddr) -> io::Result<OriginStandin> {
+        let inner = Arc::new(Inner {
+            behaviour: Behaviour::default(),
+            versions: Mutex::default(),
+            counts: Mutex::default(),
+            rate: TokenBucket::new(),
+        });
+        let state = inner.clone();
+        let handler = Arc::new(move |request| {
+            let inner = state.clone();
+            Box::pin(async move { inner.answer(request).await }) as _
+        });
+        let server = HttpServer::bind(address, ServerLimits::default(), handler).await?;
+        Ok(OriginStandin { inner, server })
+    }
+
+    /// The address that the stand-in listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces timing and faults.
+    pub fn set_behaviour(&self, behaviour: OriginBehaviour) {
+        self.inner.behaviour.set(behaviour);
+    }
+
+    /// Registers a version and gives its true manifest.
+    pub fn add_version(&self, new_version: &NewVersion) -> io::Result<Arc<Manifest>> {
+        self.inner.add_version(new_version)
+    }
+
+    /// The bytes of a version.
+    pub fn content(&self, version: &str) -> Option<Arc<Vec<u8>>> {
+        self.inner.versions.lock().unwrap().get(version).map(|it| it.bytes.clone())
+    }
+
+    /// What was sent so far.
+    pub fn counts(&self) -> OriginCounts {
+        self.inner.counts.lock().unwrap().clone()
+    }
+
+    /// Stops listening.
+    pub async fn close(self) {
+        self.inner.behaviour.update(|it| it.down = true);
+        self.server.close().await;
+    }
+}
+
+impl Inner {
+    async fn answer(self: Arc<Self>, mut request: Request) -> http_types::Result<Response> {
+        let path = request.url().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/faults") => {
+                let body = respond::read(&mut request).await?;
+                Ok(self.behaviour.merge(&body).map_or_else(
+                    |err| respond::error(422, &err.to_string()),
+                    |()| respond::empty(204),
+                ))
+            }
+            (Method::Get, "/counts") => {
+                Ok(respond::json(200, &self.counts.lock().unwrap().clone()))
+            }
+            (Method::Post, "/versions") => {
+                let body = respond::read(&mut request).await?;
+                let new_version: NewVersion = serde_json::from_slice(&body)?;
+                let manifest = self.add_version(&new_version)?;
+                Ok(respond::json(
+                    200,
+                    &Registered {
+                        version: new_version.version,
+                        size_bytes: manifest.size_bytes,
+                        content_digest: manifest.content_digest,
+                        manifest_digest: Digest::of(&manifest.to_json()),
+                    },
+                ))
+            }
+            (Method::Get, _) => self.weights(&request, &path),
+            _ => Ok(respond::error(405, "use GET")),
+        }
+    }
+
+    fn add_version(&self, new_version: &NewVersion) -> io::Result<Arc<Manifest>> {
+        let base = new_version.similar_to.as_ref().map(|it| self.stored(it));
+        let base = base.map(|it| it.ok_or(io::ErrorKind::NotFound)).transpose()?;
+        let bytes = new_version.bytes(base.as_ref().map(|it| it.bytes.as_slice()))?;
+        let old = self.stored(&new_version.version).filter(|_| new_version.keep_manifest);
+        let manifest = match old {
+            Some(old) => old.manifest,
+            None => Arc::new(Manifest::build(&new_version.version, &bytes)),
+        };
+        let size_bytes = manifest.size_bytes;
+        let stored = Stored { manifest: manifest.clone(), bytes: Arc::new(bytes) };
+        self.versions.lock().unwrap().insert(new_version.version.clone(), stored);
+        self.count(&new_version.version, |it| it.size_bytes = size_bytes);
+        Ok(manifest)
+    }
+
+    fn stored(&self, version: &str) -> Option<Stored> {
+        self.versions.lock().unwrap().get(version).cloned()
+    }
+
+    fn count(&self, version: &str, change: impl FnOnce(&mut VersionCounts)) {
+        change(self.counts.lock().unwrap().versions.entry(version.to_owned()).or_default());
+    }
+
+    fn weights(self: Arc<Self>, request: &Request, path: &str) -> http_types::Result<Response> {
+        let behaviour = self.behaviour.get();
+        if behaviour.down {
+            return respond::cut();
+        }
+        let mut parts = path.trim_start_matches("/weights/").rsplitn(2, '/');
+        let (kind, version) = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
+        let Some(stored) = self.stored(version) else {
+            return Ok(respond::error(404, "no such version"));
+        };
+        if self.is_refused(&behaviour) {
+            let mut response = respond::error(429, "too many requests; wait and ask again");
+            response.insert_header("Retry-After", "1");
+            return Ok(response);
+        }
+        match kind {
+            "manifest" => {
+                self.count(version, |it| it.manifest_requests += 1);
+                let mut response = respond::json(200, &*stored.manifest);
+                if let Some(text) = behaviour.manifest_text {
+                    response.set_body(text);
+                }
+                Ok(response)
+            }
+            "content" => Ok(self.content(request, version, &stored, &behaviour)),
+            _ => Ok(respond::error(404, "no such route")),
+        }
+    }
+
+    fn is_refused(&self, behaviour: &OriginBehaviour) -> bool {
+        let mut counts = self.counts.lock().unwrap();
+        let limit = behaviour.max_in_progress;
+        let is_refused = behaviour.status_429 || (limit > 0 && counts.in_progress >= limit);
+        counts.refused_by_rate += u64::from(is_refused);
+        is_refused
+    }
+
+    fn content(
+        self: Arc<Self>,
+        request: &Request,
+        version: &str,
+        stored: &Stored,
+        behaviour: &OriginBehaviour,
+    ) -> Response {
+        self.count(version, |it| it.requests += 1);
+        let size = stored.bytes.len();
+        let (status, range) = match respond::header(request, "Range") {
+            None => (200, 0..size),
+            Some(text) => match parse_range(&text, size) {
+                Some(range) => (206, range),
+                None => return respond::error(416, "no such range"),
+            },
+        };
+        let mut response = respond::empty(status);
+        if status == 206 {
+            let text = format!("bytes {}-{}/{size}", range.start, range.end - 1);
+            response.insert_header("Content-Range", text);
+        }
+        let wrong_byte = (fastrand::u32(0..100) < behaviour.corrupt_percent)
+            .then(|| fastrand::usize(range.clone()));
+        let (sender, receiver) = async_channel::bounded(2);
+        response.set_body(PieceBody::body(receiver, Some(range.len())));
+        let bytes = stored.bytes.clone();
+        let version = version.to_owned();
+        runtime::spawn(async move {
+            self.counts.lock().unwrap().in_progress += 1;
+            self.send(&sender, &version, &bytes, range, wrong_byte).await;
+            self.counts.lock().unwrap().in_progress -= 1;
+        })
+        .detach();
+        response
+    }
+
+    async fn send(
+        &self,
+        sender: &Sender<io::Result<Vec<u8>>>,
+        version: &str,
+        bytes: &[u8],
+        range: Range<usize>,
+        wrong_byte: Option<usize>,
+    ) {
+        let mut start = range.start;
+        while start < range.end {
+            let end = range.end.min(start + PIECE_BYTES);
+            let behaviour = self.behaviour.get();
+            if behaviour.stall && start > range.start + range.len() / 2 {
+                return wait_until_closed(sender).await;
+            }
+            if behaviour.down {
+                let _ = sender.send(Err(io::ErrorKind::ConnectionAborted.into())).await;
+                return;
+            }
+            if behaviour.rate_bytes_per_s > 0 {
+                let amount = (end - start) as u64;
+                let free = self.rate.reserve(amount, behaviour.rate_bytes_per_s, Instant::now());
+                runtime::sleep_until(free).await;
+            }
+            let mut piece = bytes[start..end].to_vec();
+            if let Some(wrong) = wrong_byte.filter(|it| (start..end).contains(it)) {
+                piece[wrong - start] ^= 0xff;
+            }
+            if sender.send(Ok(piece)).await.is_err() {
+                return;
+            }
+            self.count(version, |it| it.content_bytes += (end - start) as u64);
+            start = end;
+        }
+    }
+}
+
+/// Keeps an answer open without sending until its reader is gone.
+async fn wait_until_closed(sender: &Sender<io::Result<Vec<u8>>>) {
+    while !sender.is_closed() {
+        runtime::sleep(std::time::Duration::from_millis(100)).await;
+    }
+}
+
+fn parse_range(text: &str, size: usize) -> Option<Range<usize>> {
+    let (first, last) = text.strip_prefix("bytes=")?.split_once('-')?;
+    let first: usize = first.parse().ok()?;
+    let last: usize = if last.is_empty() { size.checked_sub(1)? } else { last.parse().ok()? };
+    (first <= last && last < size).then_some(first..last + 1)
+}
--- /dev/null
+++ b/standins/src/origin/weights_bytes.rs
@@ -0,0 +1,55 @@
+//! Bytes of a version, made from a seed or read from a file.
+
+use std::io;
+
+use crocustiller::weights::Manifest;
+use serde::{Deserialize, Serialize};
+
+/// Describes a version to be registered.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NewVersion {
+    /// Name of the version.
+    pub version: String,
+    /// Seed of the bytes.
+    pub seed: u64,
+    /// Length of the weights.
+    pub size_bytes: u64,
+    /// File that holds the bytes; replaces `seed` and `size_bytes`.
+    pub file: Option<String>,
+    /// Version whose bytes are taken, but for `changed_percent` of the chunks.
+    pub similar_to: Option<String>,
+    /// Share of the chunks that differ from `similar_to`.
+    pub changed_percent: u32,
+    /// Keeps the manifest of the version as it was, so that it no longer describes the bytes.
+    pub keep_manifest: bool,
+}
+
+impl NewVersion {
+    /// The bytes; `base` is the content of `similar_to`.
+    pub(crate) fn bytes(&self, base: Option<&[u8]>) -> io::Result<Vec<u8>> {
+        if let Some(file) = &self.file {
+            return std::fs::read(file);
+        }
+        let Some(base) = base else { return Ok(random_bytes(self.seed, self.size_bytes)) };
+        Ok(self.changed(base))
+    }
+
+    fn changed(&self, base: &[u8]) -> Vec<u8> {
+        let mut bytes = base.to_vec();
+        let chunk_bytes = Manifest::build(&self.version, base).chunk_bytes as usize;
+        let mut random = fastrand::Rng::with_seed(self.seed);
+        for chunk in bytes.chunks_mut(chunk_bytes) {
+            if random.u32(0..100) < self.changed_percent {
+                random.fill(chunk);
+            }
+        }
+        bytes
+    }
+}
+
+fn random_bytes(seed: u64, size_bytes: u64) -> Vec<u8> {
+    let mut bytes = vec![0; size_bytes as usize];
+    fastrand::Rng::with_seed(seed).fill(&mut bytes);
+    bytes
+}
--- /dev/null
+++ b/standins/src/piece_body.rs
@@ -0,0 +1,61 @@
+//! A body whose pieces are made while it is sent.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{ready, Context, Poll},
+};
+
+use async_channel::Receiver;
+use futures_lite::{AsyncBufRead, AsyncRead, Stream};
+use http_types::Body;
+
+/// Reads the pieces of a channel; an error piece closes the connection.
+pub(crate) struct PieceBody {
+    pieces: Pin<Box<Receiver<io::Result<Vec<u8>>>>>,
+    current: Vec<u8>,
+    position: usize,
+}
+
+impl PieceBody {
+    /// A body of `length` bytes, or a chunked one without a length.
+    pub(crate) fn body(pieces: Receiver<io::Result<Vec<u8>>>, length: Option<usize>) -> Body {
+        let reader = PieceBody { pieces: Box::pin(pieces), current: Vec::new(), position: 0 };
+        Body::from_reader(reader, length)
+    }
+}
+
+impl AsyncRead for PieceBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = ready!(self.as_mut().poll_fill_buf(cx))?;
+        let n = available.len().min(buf.len());
+        buf[..n].copy_from_slice(&available[..n]);
+        self.consume(n);
+        Poll::Ready(Ok(n))
+    }
+}
+
+impl AsyncBufRead for PieceBody {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        while this.position == this.current.len() {
+            match ready!(this.pieces.as_mut().poll_next(cx)) {
+                Some(Ok(piece)) => {
+                    this.current = piece;
+                    this.position = 0;
+                }
+                Some(Err(err)) => return Poll::Ready(Err(err)),
+                None => return Poll::Ready(Ok(&[])),
+            }
+        }
+        Poll::Ready(Ok(&this.current[this.position..]))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, n: usize) {
+        self.position += n;
+    }
+}
--- /dev/null
+++ b/standins/src/platform/mod.rs
@@ -0,0 +1,8 @@
+//! The platform's service: objects with revisions, watches and the list of hosts.
+
+mod object_store;
+mod platform_standin;
+
+pub use crate::platform::platform_standin::{
+    HostEntry, PlatformBehaviour, PlatformCounts, PlatformStandin,
+};
--- /dev/null
+++ b/standins/src/service/service_standin.rs
@@ -0,0 +1,204 @@
+//! Serves any path and records how often each idempotency key ran.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    time::Duration,
+};
+
+use crocustiller::{
+    digest::Digest,
+    net::{HttpServer, ServerLimits},
+    runtime,
+};
+use http_types::{Method, Request, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    behaviour::{take_one, Behaviour},
+    piece_body::PieceBody,
+    respond,
+};
+
+/// Timing and faults of the service.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceBehaviour {
+    /// Number of calls that run, but whose connection is closed without an answer.
+    pub lose_answers: u32,
+    /// Wait before a call runs.
+    pub delay_ms: u64,
+    /// Wait after a call ran and before it is answered.
+    pub answer_delay_ms: u64,
+    /// Number of calls that run and then end the service.
+    pub crash: u32,
+    /// Number of answers that are cut in half.
+    pub short: u32,
+}
+
+/// Calls that ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCounts {
+    /// Runs by idempotency key.
+    pub runs: BTreeMap<String, u32>,
+    /// Runs without a key.
+    pub runs_without_key: u64,
+}
+
+impl ServiceCounts {
+    /// The greatest number of runs of one key.
+    pub fn max_runs(&self) -> u32 {
+        self.runs.values().copied().max().unwrap_or(0)
+    }
+}
+
+/// Body of an answer.
+#[derive(Serialize)]
+struct Outcome {
+    key: Option<String>,
+    run: u32,
+    path: String,
+    body_digest: Digest,
+}
+
+/// A running stand-in of a plain service.
+#[derive(Debug)]
+pub struct ServiceStandin {
+    inner: Arc<Inner>,
+    server: HttpServer,
+}
+
+#[derive(Debug)]
+struct Inner {
+    behaviour: Behaviour<ServiceBehaviour>,
+    counts: Mutex<ServiceCounts>,
+    is_crashed: AtomicBool,
+    exits_on_crash: bool,
+}
+
+impl ServiceStandin {
+    /// Listens on `address`; after a crash every connection is closed without an answer.
+    pub async fn start(address: SocketAddr) -> io::Result<ServiceStandin> {
+        ServiceStandin::start_with(address, false).await
+    }
+
+    /// Like `start`; with `exits_on_crash` a crash ends the process.
+    pub async fn start_with(
+        address: SocketAddr,
+        exits_on_crash: bool,
+    ) -> io::Result<ServiceStandin> {
+        let inner = Arc::new(Inner {
+            behaviour: Behaviour::default(),
+            counts: Mutex::default(),
+            is_crashed: AtomicBool::new(false),
+            exits_on_crash,
+        });
+        let state = inner.clone();
+        let handler = Arc::new(move |request| {
+            let inner = state.clone();
+            Box::pin(async move { inner.answer(request).await }) as _
+        });
+        let server = HttpServer::bind(address, ServerLimits::default(), handler).await?;
+        Ok(ServiceStandin { inner, server })
+    }
+
+    /// The address that the stand-in listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces timing and faults.
+    pub fn set_behaviour(&self, behaviour: ServiceBehaviour) {
+        self.inner.behaviour.set(behaviour);
+    }
+
+    /// Calls that ran so far.
+    pub fn counts(&self) -> ServiceCounts {
+        self.inner.counts.lock().unwrap().clone()
+    }
+
+    /// Starts to answer again after a crash.
+    pub fn restart(&self) {
+        self.inner.is_crashed.store(false, Ordering::Relaxed);
+    }
+
+    /// Stops listening.
+    pub async fn close(self) {
+        self.inner.is_crashed.store(true, Ordering::Relaxed);
+        self.server.close().await;
+    }
+}
+
+impl Inner {
+    async fn answer(&self, mut request: Request) -> http_types::Result<Response> {
+        let path = request.url().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/faults") => {
+                let body = respond::read(&mut request).await?;
+                Ok(self.behaviour.merge(&body).map_or_else(
+                    |err| respond::error(422, &err.to_string()),
+                    |()| respond::empty(204),
+                ))
+            }
+            (Method::Get, "/counts") => {
+                Ok(respond::json(200, &self.counts.lock().unwrap().clone()))
+            }
+            _ => self.run(request, path).await,
+        }
+    }
+
+    async fn run(&self, mut request: Request, path: String) -> http_types::Result<Response> {
+        if self.is_crashed.load(Ordering::Relaxed) {
+            return respond::cut();
+        }
+        let body = respond::read(&mut request).await?;
+        let behaviour = self.behaviour.get();
+        runtime::sleep(Duration::from_millis(behaviour.delay_ms)).await;
+        let key = respond::header(&request, "Idempotency-Key");
+        let run = self.count(key.as_deref());
+        runtime::sleep(Duration::from_millis(behaviour.answer_delay_ms)).await;
+        if self.behaviour.update(|it| take_one(&mut it.crash)) {
+            return self.crash();
+        }
+        if self.behaviour.update(|it| take_one(&mut it.lose_answers)) {
+            return respond::cut();
+        }
+        let outcome = Outcome { key, run, path, body_digest: Digest::of(&body) };
+        let mut response = respond::json(200, &outcome);
+        if let Some(request_id) = respond::header(&request, "X-Request-Id") {
+            response.insert_header("X-Request-Id", request_id);
+        }
+        if self.behaviour.update(|it| take_one(&mut it.short)) {
+            let text = serde_json::to_vec(&outcome)?;
+            let (sender, receiver) = async_channel::bounded(2);
+            let _ = sender.try_send(Ok(text[..text.len() / 2].to_vec()));
+            let _ = sender.try_send(Err(io::ErrorKind::ConnectionAborted.into()));
+            response.set_body(PieceBody::body(receiver, Some(text.len())));
+        }
+        Ok(response)
+    }
+
+    fn count(&self, key: Option<&str>) -> u32 {
+        let mut counts = self.counts.lock().unwrap();
+        let Some(key) = key else {
+            counts.runs_without_key += 1;
+            return 1;
+        };
+        let runs = counts.runs.entry(key.to_owned()).or_default();
+        *runs += 1;
+        *runs
+    }
+
+    fn crash(&self) -> http_types::Result<Response> {
+        if self.exits_on_crash {
+            std::process::exit(101);
+        }
+        self.is_crashed.store(true, Ordering::Relaxed);
+        respond::cut()
+    }
+}
