--- a/src/daemon/arguments.rs
+++ b/src/daemon/arguments.rs
@@ -38,10 +38,7 @@
         println!("{}: the settings are good", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(err) = logging::init(&settings) {
-        eprintln!("logs can't be written: {err}");
-        return ExitCode::from(EXIT_START_FAILED);
-    }
+    logging::init(&settings);
     match runtime::run_until(live(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
