Thin: rig burst and rig scale

Starts stand-ins, entry hosts and backend server hosts as sibling programs, runs live requests whose answers follow from their prompts, patches the charter through an entry host and judges the figures.

--- /dev/null
+++ b/rig/src/children.rs
@@ -0,0 +1,106 @@
+//! Processes that the rig started; all end with it.
+
+use std::{
+    collections::BTreeMap,
+    fs::File,
+    io,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::Mutex,
+};
+
+use rustix::process::{kill_process, Pid, Signal};
+
+/// Started processes by name; dropping the value kills them all.
+#[derive(Debug)]
+pub(crate) struct Children {
+    folder: PathBuf,
+    running: Mutex<BTreeMap<String, Child>>,
+}
+
+impl Children {
+    /// Logs of the processes go to `folder`.
+    pub(crate) fn new(folder: &Path) -> Children {
+        Children { folder: folder.to_owned(), running: Mutex::default() }
+    }
+
+    /// Starts the sibling program `program`.
+    pub(crate) fn spawn(&self, name: &str, program: &str, args: &[String]) -> io::Result<()> {
+        let path = sibling(program)?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))?;
+        let child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .map_err(|err| io::Error::new(err.kind(), format!("{}: {err}", path.display())))?;
+        self.running.lock().unwrap().insert(name.to_owned(), child);
+        Ok(())
+    }
+
+    /// Process id, while the process runs.
+    pub(crate) fn pid(&self, name: &str) -> Option<u32> {
+        self.running.lock().unwrap().get(name).map(Child::id)
+    }
+
+    /// Names of processes that ended by themselves.
+    pub(crate) fn ended(&self) -> Vec<String> {
+        let mut running = self.running.lock().unwrap();
+        let is_ended = |child: &mut Child| !matches!(child.try_wait(), Ok(None));
+        let ended = running.iter_mut().filter_map(|(name, it)| is_ended(it).then_some(name));
+        ended.cloned().collect()
+    }
+
+    /// Ends a process without warning.
+    pub(crate) fn kill(&self, name: &str) {
+        let child = self.running.lock().unwrap().remove(name);
+        if let Some(mut child) = child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Freezes a process with its connections open.
+    pub(crate) fn freeze(&self, name: &str) {
+        self.signal(name, Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub(crate) fn thaw(&self, name: &str) {
+        self.signal(name, Signal::CONT);
+    }
+
+    fn signal(&self, name: &str, signal: Signal) {
+        let pid = self.pid(name).and_then(|it| Pid::from_raw(it as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Children {
+    fn drop(&mut self) {
+        let running = std::mem::take(self.running.get_mut().unwrap());
+        let mut children: Vec<Child> = running.into_values().collect();
+        for child in &mut children {
+            let _ = child.kill();
+        }
+        for child in &mut children {
+            let _ = child.wait();
+        }
+    }
+}
+
+fn sibling(program: &str) -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let path = own.with_file_name(program);
+    if path.exists() {
+        return Ok(path);
+    }
+    let message = format!("{} is missing; run `cargo build --release --workspace`", path.display());
+    Err(io::Error::new(io::ErrorKind::NotFound, message))
+}
--- /dev/null
+++ b/rig/src/deployment.rs
@@ -0,0 +1,287 @@
+//! A running deployment: stand-ins, entry hosts and backend server hosts.
+
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use crocustiller::{digest::Digest, runtime};
+use serde_json::{json, Value};
+
+use crate::{
+    api::{Api, OPERATOR_TOKEN},
+    children::Children,
+    host_plan::{HostPlan, Ports},
+    options::BurstOptions,
+};
+
+/// Engines that one stand-in process holds.
+const ENGINES_PER_PROCESS: usize = 10;
+/// Time within which a deployment must be ready and serve its first version.
+const START_LIMIT: Duration = Duration::from_secs(120);
+/// Pause between two looks.
+const POLL: Duration = Duration::from_millis(200);
+/// Length of the first version.
+const FIRST_SIZE_BYTES: u64 = 1 << 20;
+/// Addresses that a process joins by.
+const N_JOIN: usize = 3;
+/// The pool.
+pub(crate) const POOL: &str = "drafts";
+/// Customers that share the pool.
+pub(crate) const N_CUSTOMERS: usize = 3;
+
+/// One deployment on loopback.
+#[derive(Debug)]
+pub(crate) struct Deployment {
+    pub(crate) options: BurstOptions,
+    pub(crate) api: Api,
+    pub(crate) platform: SocketAddr,
+    pub(crate) origin: SocketAddr,
+    pub(crate) entries: Vec<HostPlan>,
+    pub(crate) backends: Vec<HostPlan>,
+    pub(crate) children: Children,
+    folder: PathBuf,
+}
+
+impl Deployment {
+    /// Starts everything and waits until the first version serves on every host.
+    pub(crate) async fn start(options: &BurstOptions) -> io::Result<Deployment> {
+        let mut ports = Ports::new();
+        let folder = std::env::temp_dir().join(format!("crocustiller-rig-{}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let mut deployment = Deployment {
+            options: options.clone(),
+            api: Api::default(),
+            platform: ports.next_address()?,
+            origin: ports.next_address()?,
+            entries: Vec::new(),
+            backends: Vec::new(),
+            children: Children::new(&folder),
+            folder,
+        };
+        for idx in 0..options.entry_hosts {
+            deployment.entries.push(HostPlan::entry(idx, options.regions, &mut ports)?);
+        }
+        for idx in 0..options.hosts {
+            deployment.backends.push(HostPlan::backend(idx, options.regions, &mut ports)?);
+        }
+        deployment.start_standins().await?;
+        fs::write(deployment.folder.join("peer.key"), "rig-peer-key")?;
+        for host in deployment.entries.iter().chain(&deployment.backends) {
+            deployment.start_host(host)?;
+        }
+        deployment.wait_until_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Size of the new weights.
+    pub(crate) fn size_bytes(&self) -> u64 {
+        let file = self.options.weights.as_ref().and_then(|it| fs::metadata(it).ok());
+        file.map_or(self.options.size_mib << 20, |it| it.len())
+    }
+
+    /// Bytes a second that carry `copies` in the window.
+    pub(crate) fn rate(&self, copies: f64) -> u64 {
+        (copies * self.size_bytes() as f64 / self.options.window_s) as u64
+    }
+
+    /// Starts the daemon of a host, also again.
+    pub(crate) fn start_host(&self, host: &HostPlan) -> io::Result<()> {
+        let path = self.folder.join(format!("{}.ini", host.id));
+        fs::write(&path, self.settings_text(host))?;
+        let args = ["--settings".to_owned(), path.display().to_string()];
+        self.children.spawn(&host.id, "crocustillerd", &args)
+    }
+
+    /// Registers a version at the origin and gives the digest of its content.
+    pub(crate) async fn register(&self, version: &str, seed: u64) -> io::Result<Digest> {
+        let mut body = json!({"version": version, "seed": seed, "size_bytes": self.size_bytes()});
+        if let Some(file) = &self.options.weights {
+            body["file"] = json!(fs::canonicalize(file)?);
+        }
+        self.register_body(&body).await
+    }
+
+    /// Patches the pool's version and gives the new charter number.
+    pub(crate) async fn set_version(&self, number: u64, version: &str) -> io::Result<u64> {
+        let patch = json!({"pools": {POOL: {"version": version}}});
+        let key = format!("rig-{number}-{version}");
+        self.api.patch_charter(self.entries[0].operator, number, &key, &patch).await?;
+        Ok(number + 1)
+    }
+
+    /// Digests of the weights that the engines of `hosts` have loaded.
+    pub(crate) async fn loaded(&self, hosts: &[HostPlan]) -> Vec<Option<String>> {
+        let asked = hosts.iter().map(|host| async move {
+            let address = host.engine.expect("a backend server host has an engine");
+            let state = self.api.get(address, "/admin/state").await.ok()?;
+            state["content_digest"].as_str().map(str::to_owned)
+        });
+        futures_util::future::join_all(asked).await
+    }
+
+    /// Reports of the processes of `hosts`.
+    pub(crate) async fn processes(&self, hosts: &[HostPlan]) -> Vec<Option<Value>> {
+        let asked = hosts
+            .iter()
+            .map(|host| async move { self.api.get(host.operator, "/v1/process").await.ok() });
+        futures_util::future::join_all(asked).await
+    }
+
+    /// Ends every process and removes settings and logs unless they are to be kept.
+    pub(crate) fn close(self) {
+        drop(self.children);
+        if self.options.keep_logs {
+            eprintln!("settings and logs: {}", self.folder.display());
+            return;
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+
+    async fn start_standins(&self) -> io::Result<()> {
+        let program = "crocustiller-standins";
+        let listen = |it: SocketAddr| ["--listen".to_owned(), it.to_string()];
+        for (kind, address) in [("platform", self.platform), ("origin", self.origin)] {
+            let mut args = vec![kind.to_owned()];
+            args.extend(listen(address));
+            self.children.spawn(kind, program, &args)?;
+        }
+        for (idx, hosts) in self.backends.chunks(ENGINES_PER_PROCESS).enumerate() {
+            let mut args = vec!["engine".to_owned()];
+            args.extend(hosts.iter().filter_map(|it| it.engine).flat_map(listen));
+            self.children.spawn(&format!("engines-{idx}"), program, &args)?;
+        }
+        self.wait_for("the stand-ins", || async {
+            let mut missing = 0;
+            for address in [self.platform, self.origin] {
+                missing += usize::from(self.api.get(address, "/counts").await.is_err());
+            }
+            missing
+        })
+        .await?;
+        let hosts: Vec<Value> = self.entries.iter().chain(&self.backends).map(host_line).collect();
+        self.api.post(self.platform, "/hosts", &json!({ "hosts": hosts })).await?;
+        self.api.put_new(self.platform, "charter", &self.first_charter()).await?;
+        let first = json!({"version": "v1", "seed": 0, "size_bytes": FIRST_SIZE_BYTES});
+        self.register_body(&first).await?;
+        let rate = json!({"rate_bytes_per_s": self.rate(4.0)});
+        self.api.post(self.origin, "/faults", &rate).await.map(|_| ())
+    }
+
+    async fn register_body(&self, body: &Value) -> io::Result<Digest> {
+        let answer = self.api.post(self.origin, "/versions", body).await?;
+        let text = answer["content_digest"].as_str().unwrap_or_default();
+        text.parse().map_err(io::Error::other)
+    }
+
+    async fn wait_until_ready(&self) -> io::Result<()> {
+        let all: Vec<&HostPlan> = self.entries.iter().chain(&self.backends).collect();
+        self.wait_for("processes to be ready", || async {
+            let asked =
+                all.iter().map(|it| async { self.api.get(it.operator, "/readyz").await.is_err() });
+            let missing = futures_util::future::join_all(asked).await;
+            missing.into_iter().filter(|it| *it).count()
+        })
+        .await?;
+        self.wait_for("engines to load the first version", || async {
+            let loaded = self.loaded(&self.backends).await;
+            loaded.iter().filter(|it| it.is_none()).count()
+        })
+        .await
+    }
+
+    async fn wait_for<F: std::future::Future<Output = usize>>(
+        &self,
+        what: &str,
+        n_missing: impl Fn() -> F,
+    ) -> io::Result<()> {
+        let limit = Instant::now() + START_LIMIT;
+        loop {
+            let missing = n_missing().await;
+            if missing == 0 {
+                return Ok(());
+            }
+            if let Some(name) = self.children.ended().first() {
+                let log = fs::read_to_string(self.folder.join(format!("{name}.log")));
+                let log = log.unwrap_or_default();
+                return Err(io::Error::other(format!("{name} ended at its start:\n{log}")));
+            }
+            if Instant::now() > limit {
+                let message = format!("waited too long for {what}: {missing} missing");
+                return Err(io::Error::other(message));
+            }
+            runtime::sleep(POLL).await;
+        }
+    }
+
+    fn first_charter(&self) -> Value {
+        let names: Vec<String> = (0..N_CUSTOMERS).map(customer).collect();
+        let customers: serde_json::Map<String, Value> = names
+            .iter()
+            .map(|it| (it.clone(), json!({"token_digest": Digest::of(token(it).as_bytes())})))
+            .collect();
+        json!({
+            "number": 1,
+            "pools": {POOL: {"version": "v1", "customers": names, "min_serving_percent": 70}},
+            "customers": customers,
+            "rollout": {
+                "mode": self.options.mode,
+                "origin_copies": if self.options.mode == "time-first" { 2 } else { 1 },
+            },
+        })
+    }
+
+    fn settings_text(&self, host: &HostPlan) -> String {
+        let join: Vec<String> =
+            self.entries.iter().take(N_JOIN).map(|it| it.peer.to_string()).collect();
+        let machine_rate = self.rate(2.0);
+        let mut text = format!(
+            "[host]\nid = {}\nrole = {}\nregion = {}\nzone = {}\n\
+             [listen]\nrequest = {}\npeer = {}\noperator = {}\n\
+             [platform]\naddresses = {}\n[join]\npeers = {}\n\
+             [secrets]\npeer_key_file = peer.key\noperator_token_digest = {}\n\
+             [weights]\norigin = {}\nsend_bytes_per_s = {machine_rate}\n\
+             receive_bytes_per_s = {machine_rate}\n",
+            host.id,
+            host.role(),
+            host.region,
+            host.zone,
+            host.request,
+            host.peer,
+            host.operator,
+            self.platform,
+            join.join(", "),
+            Digest::of(OPERATOR_TOKEN.as_bytes()),
+            self.origin,
+        );
+        if let Some(engine) = host.engine {
+            text.push_str(&format!(
+                "[backend]\nkind = engine\nname = {POOL}\naddress = {engine}\nchecks_fencing = true\n"
+            ));
+        }
+        text
+    }
+}
+
+/// Name of customer number `idx`.
+pub(crate) fn customer(idx: usize) -> String {
+    format!("customer-{idx}")
+}
+
+/// Bearer token of a customer.
+pub(crate) fn token(customer: &str) -> String {
+    format!("token-of-{customer}")
+}
+
+fn host_line(host: &HostPlan) -> Value {
+    json!({
+        "host": host.id,
+        "role": host.role(),
+        "region": host.region,
+        "zone": host.zone,
+        "state": "live",
+        "peer_address": host.peer,
+    })
+}
--- /dev/null
+++ b/rig/src/figures.rs
@@ -0,0 +1,146 @@
+//! What a burst showed, and which promises broke.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::Serialize;
+
+use crate::live_load::{Outcome, Sample};
+
+/// Figures of one burst; `None` is printed as null and means not measured.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct BurstFigures {
+    pub(crate) hosts: usize,
+    pub(crate) size_bytes: u64,
+    pub(crate) mode: String,
+    pub(crate) faults: Vec<String>,
+    pub(crate) seed: u64,
+    pub(crate) bound_s: f64,
+    pub(crate) time_to_all_s: Option<f64>,
+    pub(crate) time_to_all_serving_s: Option<f64>,
+    pub(crate) ratio: Option<f64>,
+    pub(crate) origin_copies: Option<f64>,
+    pub(crate) region_link_copies_max: Option<f64>,
+    pub(crate) duplicate_chunk_share: Option<f64>,
+    pub(crate) bad_digest_served: u64,
+    pub(crate) mixed_answers: u64,
+    pub(crate) requests: u64,
+    pub(crate) answered: u64,
+    pub(crate) lost: u64,
+    pub(crate) cut: u64,
+    pub(crate) wrong_answers: u64,
+    pub(crate) live_p99_ms_without: Option<f64>,
+    pub(crate) live_p99_ms_with: Option<f64>,
+    pub(crate) live_p99_ratio: Option<f64>,
+    pub(crate) skew_s: Option<f64>,
+    pub(crate) platform_calls_per_s: Option<f64>,
+    pub(crate) peak_rss_max_bytes: Option<u64>,
+    pub(crate) hosts_at_target: usize,
+    pub(crate) hosts_live: usize,
+    /// Reasons of requests that were not answered, with their number.
+    pub(crate) failures: BTreeMap<String, u64>,
+    /// Promises that broke.
+    pub(crate) broken: Vec<String>,
+}
+
+/// Failure reasons that are kept apart.
+const MAX_FAILURES: usize = 20;
+
+impl BurstFigures {
+    /// Counts what callers saw; `digests` are those of the versions in order.
+    pub(crate) fn add_samples(
+        &mut self,
+        samples: &[Sample],
+        digests: &[String],
+        burst: std::ops::Range<std::time::Instant>,
+    ) {
+        for sample in samples {
+            self.add_sample(sample, digests);
+        }
+        let answered = |it: &&Sample| it.outcome == Outcome::Answered;
+        let without = samples.iter().filter(answered).filter(|it| it.ended < burst.start);
+        let with = samples.iter().filter(answered).filter(|it| burst.contains(&it.ended));
+        self.live_p99_ms_without = p99_ms(without);
+        self.live_p99_ms_with = p99_ms(with);
+        let pair = self.live_p99_ms_with.zip(self.live_p99_ms_without);
+        self.live_p99_ratio = pair.map(|(with, without)| with / without);
+        self.skew_s = skew(samples, digests).map(|it| it.as_secs_f64());
+    }
+
+    fn add_sample(&mut self, sample: &Sample, digests: &[String]) {
+        self.requests += 1;
+        let reason = match &sample.outcome {
+            Outcome::Answered => {
+                self.answered += 1;
+                None
+            }
+            Outcome::Lost(reason) => {
+                self.lost += 1;
+                Some(reason)
+            }
+            Outcome::Cut(reason) => {
+                self.cut += 1;
+                Some(reason)
+            }
+            Outcome::Wrong(reason) => {
+                self.wrong_answers += 1;
+                Some(reason)
+            }
+        };
+        if let Some(reason) = reason {
+            if self.failures.len() < MAX_FAILURES || self.failures.contains_key(reason) {
+                *self.failures.entry(reason.clone()).or_default() += 1;
+            }
+        }
+        let Some(fingerprint) = &sample.fingerprint else { return };
+        if fingerprint.contains("weights") || fingerprint.contains('+') {
+            self.mixed_answers += 1;
+        } else if !digests.contains(fingerprint) {
+            self.bad_digest_served += 1;
+        }
+    }
+
+    /// Notes every promise that the figures break; `kills_hosts` allows answers to be cut.
+    pub(crate) fn judge(&mut self, kills_hosts: bool, origin_copies_max: f64) {
+        let mut broken = Vec::new();
+        let mut expect = |is_kept: bool, text: &str| {
+            if !is_kept {
+                broken.push(text.to_owned());
+            }
+        };
+        expect(self.hosts_at_target == self.hosts_live, "a live host is not at the target");
+        expect(self.time_to_all_s.is_some(), "the weights did not reach all live hosts");
+        expect(self.mixed_answers == 0, "an answer came from partial or mixed weights");
+        expect(self.bad_digest_served == 0, "an answer came from unknown weights");
+        expect(self.wrong_answers == 0, "an answer was wrong, short or another's");
+        expect(self.lost == 0, "a live request was lost");
+        expect(kills_hosts || self.cut == 0, "an answer was cut");
+        expect(self.answered > 0, "no live request was answered");
+        let copies = self.origin_copies.unwrap_or(f64::INFINITY);
+        expect(copies <= origin_copies_max, "the origin sent too many copies");
+        self.broken.extend(broken);
+    }
+}
+
+/// The 99th percentile of the times from sending to the whole answer.
+fn p99_ms<'a>(samples: impl Iterator<Item = &'a Sample>) -> Option<f64> {
+    let mut times: Vec<Duration> = samples.map(|it| it.ended - it.sent).collect();
+    times.sort();
+    let idx = (times.len() * 99).div_ceil(100).checked_sub(1)?;
+    Some(times[idx].as_secs_f64() * 1e3)
+}
+
+/// Longest time for which older weights answered requests that were sent after newer ones had
+/// answered another request.
+fn skew(samples: &[Sample], digests: &[String]) -> Option<Duration> {
+    let rank = |it: &Sample| digests.iter().position(|d| Some(d) == it.fingerprint.as_ref());
+    let mut longest = None;
+    for newer in 1..digests.len() {
+        let of_newer = samples.iter().filter(|it| rank(it) == Some(newer));
+        let Some(first) = of_newer.map(|it| it.ended).min() else { continue };
+        let older = samples.iter().filter(|it| rank(it).is_some_and(|it| it < newer));
+        let last = older.map(|it| it.sent).max();
+        let skew = last.map_or(Duration::ZERO, |it| it.saturating_duration_since(first));
+        longest = longest.max(Some(skew));
+    }
+    longest
+}
--- /dev/null
+++ b/rig/src/live_load.rs
@@ -0,0 +1,231 @@
+//! Callers that send live requests and check every answer.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    time::{Duration, Instant},
+};
+
+use async_executor::Task;
+use crocustiller::{
+    net::{Exchange, HttpClient},
+    runtime,
+    verdict::Verdict,
+};
+use crocustiller_standins::expected_answer;
+
+use http_types::{Method, Request};
+use serde_json::{json, Value};
+
+use crate::deployment::{customer, token, N_CUSTOMERS, POOL};
+
+/// Callers at work.
+const N_CALLERS: usize = 16;
+/// Pause of a caller between two requests.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Tokens of an answer.
+const N_TOKENS: usize = 8;
+/// Time limit of one request.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Longest answer.
+const LIMIT_BYTES: usize = 1 << 20;
+/// Entry hosts that a caller tries while none takes the request.
+const N_TRIES: usize = 3;
+
+/// What became of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// Whole and right.
+    Answered,
+    /// No answer.
+    Lost(String),
+    /// The answer began and broke off, which the caller saw.
+    Cut(String),
+    /// Not the answer to the request.
+    Wrong(String),
+}
+
+/// One request as its caller saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct Sample {
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
+    pub(crate) outcome: Outcome,
+    /// Fingerprint of the weights that answered.
+    pub(crate) fingerprint: Option<String>,
+}
+
+/// Callers that run until closed.
+#[derive(Debug)]
+pub(crate) struct LiveLoad {
+    shared: Arc<Shared>,
+    tasks: Vec<Task<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    entries: Vec<SocketAddr>,
+    seed: u64,
+    is_closing: AtomicBool,
+    samples: Mutex<Vec<Sample>>,
+    http: HttpClient,
+}
+
+/// Text and fingerprint of an answer.
+struct Answer {
+    request_id: String,
+    text: String,
+    fingerprint: String,
+}
+
+impl LiveLoad {
+    /// Starts callers that use the entry hosts at `entries`.
+    pub(crate) fn start(entries: Vec<SocketAddr>, seed: u64) -> LiveLoad {
+        let shared = Arc::new(Shared {
+            entries,
+            seed,
+            is_closing: AtomicBool::new(false),
+            samples: Mutex::default(),
+            http: HttpClient::new(),
+        });
+        let caller = |idx| runtime::spawn(shared.clone().call_until_closed(idx));
+        let tasks = (0..N_CALLERS).map(caller).collect();
+        LiveLoad { shared, tasks }
+    }
+
+    /// Number of requests that have ended.
+    pub(crate) fn n_ended(&self) -> usize {
+        self.shared.samples.lock().unwrap().len()
+    }
+
+    /// Lets every request end and gives what was seen.
+    pub(crate) async fn close(self) -> Vec<Sample> {
+        self.shared.is_closing.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            task.await;
+        }
+        std::mem::take(&mut *self.shared.samples.lock().unwrap())
+    }
+}
+
+impl Shared {
+    async fn call_until_closed(self: Arc<Self>, caller: usize) {
+        let mut random = fastrand::Rng::with_seed(self.seed ^ (caller as u64) << 32);
+        let mut number = 0;
+        while !self.is_closing.load(Ordering::Relaxed) {
+            let id = format!("rig-{}-{caller}-{number}", self.seed);
+            let is_stream = number % 2 == 1;
+            let sent = Instant::now();
+            let (outcome, fingerprint) = self.request(&id, caller, is_stream, &mut random).await;
+            let sample = Sample { sent, ended: Instant::now(), outcome, fingerprint };
+            self.samples.lock().unwrap().push(sample);
+            number += 1;
+            runtime::sleep(PAUSE.mul_f64(0.5 + random.f64())).await;
+        }
+    }
+
+    async fn request(
+        &self,
+        id: &str,
+        caller: usize,
+        is_stream: bool,
+        random: &mut fastrand::Rng,
+    ) -> (Outcome, Option<String>) {
+        let mut last = Outcome::Lost("no entry host".to_owned());
+        for _ in 0..N_TRIES {
+            let address = self.entries[random.usize(0..self.entries.len())];
+            let request = chat_request(address, id, &customer(caller % N_CUSTOMERS), is_stream);
+            match self.http.send(address, request, LIMIT).await {
+                Ok(exchange) => return judge(id, is_stream, exchange).await,
+                Err(err) => {
+                    last = Outcome::Lost(err.to_string());
+                    if err.verdict() != Verdict::NotRun {
+                        break;
+                    }
+                }
+            }
+        }
+        (last, None)
+    }
+}
+
+fn chat_request(address: SocketAddr, id: &str, customer: &str, is_stream: bool) -> Request {
+    let url = format!("http://{address}/v1/chat/completions");
+    let mut request = Request::new(Method::Post, url.as_str());
+    request.insert_header("Authorization", format!("Bearer {}", token(customer)));
+    request.insert_header("X-Request-Id", id);
+    request.insert_header("Content-Type", "application/json");
+    let body = json!({
+        "model": POOL,
+        "stream": is_stream,
+        "max_tokens": N_TOKENS,
+        "messages": [{"role": "user", "content": prompt(id)}],
+    });
+    request.set_body(body.to_string());
+    request
+}
+
+fn prompt(id: &str) -> String {
+    format!("Describe lot {id}.")
+}
+
+async fn judge(id: &str, is_stream: bool, exchange: Exchange) -> (Outcome, Option<String>) {
+    let status = u16::from(exchange.response.status());
+    let body = match runtime::timeout(LIMIT, read(exchange)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(reason)) => return (Outcome::Cut(reason), None),
+        Err(_) => return (Outcome::Cut("the answer took too long".to_owned()), None),
+    };
+    if status != 200 {
+        let text = String::from_utf8_lossy(&body);
+        return (Outcome::Lost(format!("status {status}: {text}")), None);
+    }
+    let answer = if is_stream { parse_events(&body) } else { parse_whole(&body) };
+    let Some(answer) = answer else {
+        let reason = format!("not a whole answer: {}", String::from_utf8_lossy(&body));
+        return (Outcome::Wrong(reason), None);
+    };
+    let expected = expected_answer(&prompt(id), N_TOKENS);
+    if answer.text != expected || answer.request_id != id {
+        let reason = format!("{id}: got {} for {}", answer.text, answer.request_id);
+        return (Outcome::Wrong(reason), Some(answer.fingerprint));
+    }
+    (Outcome::Answered, Some(answer.fingerprint))
+}
+
+async fn read(exchange: Exchange) -> Result<Vec<u8>, String> {
+    exchange.read(LIMIT_BYTES).await.map(|it| it.1).map_err(|err| err.to_string())
+}
+
+fn parse_whole(body: &[u8]) -> Option<Answer> {
+    let value: Value = serde_json::from_slice(body).ok()?;
+    Some(Answer {
+        request_id: value["id"].as_str()?.to_owned(),
+        text: value["choices"][0]["message"]["content"].as_str()?.to_owned(),
+        fingerprint: value["system_fingerprint"].as_str()?.to_owned(),
+    })
+}
+
+/// Joins server-sent events; events with different fingerprints give both.
+fn parse_events(body: &[u8]) -> Option<Answer> {
+    let text = std::str::from_utf8(body).ok()?.strip_suffix("data: [DONE]\n\n")?;
+    let mut answer: Option<Answer> = None;
+    for event in text.split("\n\n").filter(|it| !it.is_empty()) {
+        let value: Value = serde_json::from_str(event.strip_prefix("data: ")?).ok()?;
+        let piece = value["choices"][0]["delta"]["content"].as_str()?;
+        let fingerprint = value["system_fingerprint"].as_str()?;
+        let joined = answer.get_or_insert_with(|| Answer {
+            request_id: value["id"].as_str().unwrap_or_default().to_owned(),
+            text: String::new(),
+            fingerprint: fingerprint.to_owned(),
+        });
+        joined.text.push_str(piece);
+        if joined.fingerprint != fingerprint {
+            joined.fingerprint = format!("{}+{fingerprint}", joined.fingerprint);
+        }
+    }
+    answer
+}
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,1 +1,73 @@
-fn main() {}
+//! Starts the processes of a deployment on loopback, applies faults and prints figures.
+
+mod api;
+mod burst;
+mod children;
+mod deployment;
+mod fault;
+mod figures;
+mod host_plan;
+mod live_load;
+mod options;
+mod process_sample;
+mod scale;
+
+use std::{io, process::ExitCode};
+
+use async_signal::{Signal, Signals};
+use crocustiller::runtime;
+use futures_lite::{FutureExt, StreamExt};
+use serde::Serialize;
+
+use crate::options::{Command, Options};
+
+/// Exit code when a promise broke.
+const EXIT_BROKEN: u8 = 1;
+/// Exit code when the run could not be made.
+const EXIT_FAILED: u8 = 2;
+
+fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    match runtime::run_until(run(options).or(interrupted())) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_BROKEN),
+        Err(err) => {
+            eprintln!("rig: {err}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+/// Runs the command; says whether every promise held.
+async fn run(options: Options) -> io::Result<bool> {
+    match options.command {
+        Command::Burst(options) => {
+            let figures = burst::run(&options).await?;
+            print(&figures, options.json)?;
+            Ok(figures.broken.is_empty())
+        }
+        Command::Scale(options) => {
+            let all = scale::run(&options).await?;
+            if !options.json {
+                all.iter().try_for_each(|it| print(it, false))?;
+            }
+            Ok(true)
+        }
+    }
+}
+
+/// Ends with an error at the first signal; what was started ends as the run is dropped.
+async fn interrupted() -> io::Result<bool> {
+    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
+    signals.next().await;
+    Err(io::Error::new(io::ErrorKind::Interrupted, "interrupted; everything started was ended"))
+}
+
+fn print(figures: &impl Serialize, is_json: bool) -> io::Result<()> {
+    if is_json {
+        println!("{}", serde_json::to_string(figures)?);
+        return Ok(());
+    }
+    println!("{}", serde_json::to_string_pretty(figures)?);
+    Ok(())
+}
--- a/standins/src/engine/engine_standin.rs
+++ b/standins/src/engine/engine_standin.rs
@@ -206,6 +206,10 @@
             (Method::Get, "/counts") => {
                 Ok(respond::json(200, &self.counts.lock().unwrap().clone()))
             }
+            (Method::Post, "/crash") => {
+                self.crash();
+                respond::cut()
+            }
             (Method::Post, "/faults") => {
                 let body = respond::read(&mut request).await?;
                 let res = self.behaviour.merge(&body);
@@ -240,13 +244,13 @@
         runtime::sleep(Duration::from_millis(behaviour.load_delay_ms)).await;
         {
             let mut weights = self.weights.lock().unwrap();
-            if !behaviour.ignore_fencing && weights.is_outdated(&order.fencing) {
+            if !behaviour.ignore_fencing && order.fencing < weights.fencing {
                 self.counts.lock().unwrap().refused_loads += 1;
                 return Ok(respond::error(409, "the fencing number is old"));
             }
             *weights = LoadedWeights {
                 is_loading: true,
-                fencing: order.fencing.clone(),
+                fencing: order.fencing,
                 ..LoadedWeights::default()
             };
         }
--- a/standins/src/engine/loaded_weights.rs
+++ b/standins/src/engine/loaded_weights.rs
@@ -2,7 +2,6 @@
 
 use crocustiller::digest::Digest;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 /// Fingerprint of an answer that was computed while weights were being replaced.
 pub const PARTIAL_WEIGHTS: &str = "partial-weights";
@@ -15,7 +14,7 @@
     pub(crate) version: String,
     pub(crate) url: String,
     #[serde(default)]
-    pub(crate) fencing: Value,
+    pub(crate) fencing: u64,
 }
 
 /// The weights in the engine's memory.
@@ -24,7 +23,7 @@
     pub(crate) version: Option<String>,
     pub(crate) content_digest: Option<Digest>,
     pub(crate) is_loading: bool,
-    pub(crate) fencing: Value,
+    pub(crate) fencing: u64,
 }
 
 /// What an engine says about itself.
@@ -34,7 +33,7 @@
     pub(crate) content_digest: Option<Digest>,
     pub(crate) running: usize,
     pub(crate) queued: usize,
-    pub(crate) fencing: Value,
+    pub(crate) fencing: u64,
 }
 
 impl LoadedWeights {
@@ -45,11 +44,6 @@
         }
         self.content_digest.map(|it| it.to_string())
     }
-
-    /// Whether an order with `fencing` is older than one taken before.
-    pub(crate) fn is_outdated(&self, fencing: &Value) -> bool {
-        numbers_of(fencing) < numbers_of(&self.fencing)
-    }
 }
 
 /// Fingerprint of an answer that began under `first` and went on under `next`.
@@ -59,17 +53,3 @@
     }
     MIXED_WEIGHTS.to_owned()
 }
-
-/// The numbers of a fencing value, most significant first.
-fn numbers_of(fencing: &Value) -> Vec<u64> {
-    match fencing {
-        Value::Array(items) => items.iter().flat_map(numbers_of).collect(),
-        Value::Number(it) => it.as_u64().into_iter().collect(),
-        Value::String(text) => text.split('.').filter_map(|it| it.parse().ok()).collect(),
-        Value::Object(fields) => {
-            let keys = ["switch_number", "switch", "order_count", "order"];
-            keys.iter().filter_map(|it| fields.get(*it)).flat_map(numbers_of).collect()
-        }
-        Value::Null | Value::Bool(_) => Vec::new(),
-    }
-}
