--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,16 +3,25 @@
 //! This file is the map: it lists every module and all that is public.
 
 pub mod charter;
+pub mod daemon;
 pub mod digest;
 pub mod documents;
+pub mod engine;
+pub mod error;
 pub mod ids;
+pub mod logging;
 pub mod membership;
+pub mod metric_names;
 pub mod net;
 pub mod node;
+pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod report;
+pub mod request;
 pub mod rollout;
 pub mod runtime;
 pub mod settings;
+pub mod subcommand;
 pub mod verdict;
 pub mod weights;
