Fair queue in the slot, bounded heads, slow senders, callers that leave

The slot's gate is the only way to its backend server: deficit round robin by charter weight in estimated tokens, bounded, early 429 when the deadline can't be met. The HTTP server bounds what is read, answers malformed, long and slow heads with a status and a verdict, drops a handler whose caller has left, and counts exchanges so that a graceful shutdown can wait for them.

--- a/src/net/http_client.rs
+++ b/src/net/http_client.rs
@@ -5,7 +5,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_net::TcpStream;
@@ -23,6 +23,8 @@
 
 /// Idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
+/// Age at which an idle connection is closed, well under the time at which servers close it.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
 /// Time within which a connection must be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -65,7 +67,13 @@
 /// A client that any number of tasks share.
 #[derive(Clone, Debug, Default)]
 pub struct HttpClient {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<ByteStream>>>>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleStream>>>>,
+}
+
+#[derive(Debug)]
+struct IdleStream {
+    stream: ByteStream,
+    since: Instant,
 }
 
 impl HttpClient {
@@ -120,14 +128,16 @@
 
     fn take_idle(&self, address: SocketAddr) -> Option<ByteStream> {
         let mut idle = self.idle.lock().unwrap();
-        idle.get_mut(&address)?.pop()
+        let streams = idle.get_mut(&address)?;
+        streams.retain(|it| it.since.elapsed() < MAX_IDLE_AGE);
+        streams.pop().map(|it| it.stream)
     }
 
     fn put_idle(&self, address: SocketAddr, stream: ByteStream) {
         let mut idle = self.idle.lock().unwrap();
         let streams = idle.entry(address).or_default();
         if streams.len() < MAX_IDLE_PER_ADDRESS {
-            streams.push(stream);
+            streams.push(IdleStream { stream, since: Instant::now() });
         }
     }
 }
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -13,12 +13,15 @@
 };
 
 use async_executor::Task;
-use async_net::{TcpListener, TcpStream};
+use async_net::TcpListener;
 use futures_lite::AsyncReadExt;
 use http_types::{Request, Response};
 use quick_error::quick_error;
 
-use crate::{net::byte_stream::ByteStream, runtime};
+use crate::{
+    net::server_connection::ServerConnection,
+    runtime::{self, TimedOut},
+};
 
 /// Answers one request; an error closes the connection.
 pub type Handler = Arc<dyn Fn(Request) -> HandlerFuture + Send + Sync>;
@@ -38,6 +41,8 @@
     }
 }
 
+/// Pause between two looks at whether all exchanges have ended.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause after a failed accept, so that a shortage of descriptors does not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -45,10 +50,19 @@
 #[derive(Debug)]
 pub struct HttpServer {
     address: SocketAddr,
-    n_connections: Arc<AtomicUsize>,
+    counts: Arc<ServerCounts>,
     accept_task: Task<()>,
 }
 
+/// What a server has open.
+#[derive(Debug, Default)]
+pub(crate) struct ServerCounts {
+    /// Open connections.
+    pub(crate) connections: AtomicUsize,
+    /// Exchanges in progress: from a request's head to the end of its answer.
+    pub(crate) exchanges: AtomicUsize,
+}
+
 impl HttpServer {
     /// Listens on `address` and answers with `handler` until closed.
     pub async fn bind(
@@ -58,10 +72,9 @@
     ) -> io::Result<HttpServer> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let n_connections = Arc::new(AtomicUsize::new(0));
-        let accept_task =
-            runtime::spawn(accept_loop(listener, limits, handler, n_connections.clone()));
-        Ok(HttpServer { address, n_connections, accept_task })
+        let counts = Arc::new(ServerCounts::default());
+        let accept_task = runtime::spawn(accept_loop(listener, limits, handler, counts.clone()));
+        Ok(HttpServer { address, counts, accept_task })
     }
 
     /// The address that the server listens on.
@@ -71,7 +84,22 @@
 
     /// Number of open connections.
     pub fn n_connections(&self) -> usize {
-        self.n_connections.load(Ordering::Relaxed)
+        self.counts.connections.load(Ordering::Relaxed)
+    }
+
+    /// Number of exchanges in progress, whose answers are not yet wholly sent.
+    pub fn n_exchanges(&self) -> usize {
+        self.counts.exchanges.load(Ordering::Relaxed)
+    }
+
+    /// Waits until no exchange is in progress, for at most `limit`.
+    pub async fn wait_until_idle(&self, limit: Duration) -> Result<(), TimedOut> {
+        let idle = async {
+            while self.n_exchanges() > 0 {
+                runtime::sleep(IDLE_CHECK_INTERVAL).await;
+            }
+        };
+        runtime::timeout(limit, idle).await
     }
 
     /// Stops listening; open connections end by themselves.
@@ -134,41 +162,19 @@
     listener: TcpListener,
     limits: ServerLimits,
     handler: Handler,
-    n_connections: Arc<AtomicUsize>,
+    counts: Arc<ServerCounts>,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             runtime::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if n_connections.load(Ordering::Relaxed) >= limits.max_connections {
+        if counts.connections.load(Ordering::Relaxed) >= limits.max_connections {
             continue;
         }
-        let guard = ConnectionGuard::new(n_connections.clone());
-        runtime::spawn(serve_connection(stream, handler.clone(), guard)).detach();
-    }
-}
-
-async fn serve_connection(stream: TcpStream, handler: Handler, _guard: ConnectionGuard) {
-    let Ok(stream) = ByteStream::new(stream) else { return };
-    let res = async_h1::accept(stream, move |req| handler(req)).await;
-    if let Err(err) = res {
-        log::debug!("http: connection ended error={err}");
-    }
-}
-
-/// Counts one open connection for as long as it lives.
-struct ConnectionGuard(Arc<AtomicUsize>);
-
-impl ConnectionGuard {
-    fn new(count: Arc<AtomicUsize>) -> ConnectionGuard {
-        count.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(count)
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        let Ok(connection) = ServerConnection::new(stream, handler.clone(), counts.clone()) else {
+            continue;
+        };
+        runtime::spawn(connection.serve()).detach();
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod byte_stream;
 mod http_client;
 mod http_server;
+mod server_connection;
 
 pub use crate::net::{
     byte_stream::ByteStream,
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -26,5 +26,7 @@
 pub(crate) const LOAD_RUNNING: &str = "X-Load-Running";
 /// Wait that a new request must expect, in milliseconds.
 pub(crate) const LOAD_WAIT_MS: &str = "X-Load-Wait-Ms";
+/// Present when the request is suspected to crash backend servers and must run alone.
+pub(crate) const SUSPECT: &str = "X-Suspect";
 /// Present on a failure during which the backend server broke the connection.
 pub(crate) const CRASHED: &str = "X-Crashed";
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,12 +4,14 @@
 mod entry_hosts;
 mod entry_stage;
 mod failure;
+mod fair_queue;
 mod headers;
 mod in_progress;
 mod incoming;
 mod relay;
 mod retry_budget;
 mod route;
+mod slot_gate;
 mod slot_loads;
 mod slot_picker;
 mod slot_stage;
@@ -25,6 +27,7 @@
 
 pub use crate::request::{
     entry_hosts::choose_entry_hosts,
+    fair_queue::{Enqueued, FairQueue, Ticket},
     retry_budget::RetryBudget,
     slot_picker::{SlotLoad, SlotPicker},
     slot_stage::WeightsSource,
--- a/src/request/route.rs
+++ b/src/request/route.rs
@@ -71,6 +71,14 @@
         }
         chat_route(&incoming.body)
     }
+
+    /// Estimated work in tokens, which the fair queue shares out.
+    pub(crate) fn cost_tokens(&self) -> u64 {
+        match self {
+            Route::Chat { cost_tokens, .. } => *cost_tokens,
+            Route::Service { .. } => 1,
+        }
+    }
 }
 
 fn service_route(rest: &str) -> Result<Route, Failure> {
--- /dev/null
+++ b/src/request/slot_gate.rs
@@ -0,0 +1,260 @@
+//! The only way to the backend server of a slot: a bounded number of requests at once, fairly.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use async_channel::Sender;
+use http_types::StatusCode;
+
+use crate::request::{
+    failure::Failure,
+    fair_queue::{Enqueued, FairQueue, Ticket},
+};
+
+/// Weight of the newest measurement in the running mean of the time a token takes.
+const NEWEST_WEIGHT: f64 = 0.1;
+
+/// Work that wants to pass the gate.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Work<'a> {
+    /// Whose request it is.
+    pub(crate) customer: &'a str,
+    /// The customer's weight in the charter.
+    pub(crate) weight: u32,
+    /// Estimated work in tokens.
+    pub(crate) cost_tokens: u64,
+    /// Whether nothing else may run beside it.
+    pub(crate) is_alone: bool,
+    /// Instant until which the sender waits.
+    pub(crate) deadline: Instant,
+}
+
+/// Load of a slot, as entry hosts are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct GateLoad {
+    /// Requests that wait.
+    pub(crate) n_queued: usize,
+    /// Requests at the backend server.
+    pub(crate) n_running: usize,
+    /// Wait that a new request must expect.
+    pub(crate) wait: Duration,
+}
+
+/// Lets requests pass in the order of the fair queue.
+#[derive(Debug)]
+pub(crate) struct SlotGate {
+    state: Mutex<GateState>,
+    concurrency: usize,
+}
+
+#[derive(Debug)]
+struct GateState {
+    queue: FairQueue,
+    waiters: HashMap<Ticket, Waiter>,
+    /// A request that has its turn but must run alone.
+    next_alone: Option<Ticket>,
+    n_running: usize,
+    is_alone_running: bool,
+    seconds_per_token: f64,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    sender: Sender<Grant>,
+    is_alone: bool,
+}
+
+#[derive(Debug)]
+enum Grant {
+    Pass(GatePass),
+    Evicted,
+}
+
+impl SlotGate {
+    /// A gate that lets `concurrency` requests run at once while `max_queued` wait.
+    pub(crate) fn new(concurrency: usize, max_queued: usize) -> Arc<SlotGate> {
+        let state = GateState {
+            queue: FairQueue::new(max_queued + concurrency),
+            waiters: HashMap::new(),
+            next_alone: None,
+            n_running: 0,
+            is_alone_running: false,
+            seconds_per_token: 0.0,
+        };
+        Arc::new(SlotGate { state: Mutex::new(state), concurrency })
+    }
+
+    /// Waits for the turn of `work`; a failure says that it did not run.
+    pub(crate) async fn enter(self: &Arc<Self>, work: Work<'_>) -> Result<GatePass, Failure> {
+        let (ticket, receiver) = self.enqueue(work)?;
+        let mut place = QueuePlace { gate: self, ticket: Some(ticket) };
+        self.dispatch();
+        let left = work.deadline.saturating_duration_since(Instant::now());
+        let grant = crate::runtime::timeout(left, receiver.recv()).await;
+        match grant {
+            Ok(Ok(Grant::Pass(pass))) => {
+                place.ticket = None;
+                Ok(pass)
+            }
+            Ok(Ok(Grant::Evicted) | Err(_)) => {
+                place.ticket = None;
+                Err(full(self.load().wait))
+            }
+            Err(_) => Err(late(self.load().wait)),
+        }
+    }
+
+    /// The load now.
+    pub(crate) fn load(&self) -> GateLoad {
+        let state = self.state.lock().unwrap();
+        GateLoad {
+            n_queued: state.queue.len(),
+            n_running: state.n_running,
+            wait: self.expected_wait(&state, state.queue.total_tokens()),
+        }
+    }
+
+    fn enqueue(&self, work: Work<'_>) -> Result<(Ticket, async_channel::Receiver<Grant>), Failure> {
+        let mut state = self.state.lock().unwrap();
+        let ahead = state.queue.tokens_ahead(work.customer, work.weight);
+        let is_waiting = state.n_running >= self.concurrency;
+        let wait = self.expected_wait(&state, ahead);
+        if is_waiting && Instant::now() + wait > work.deadline {
+            return Err(late(wait));
+        }
+        let (sender, receiver) = async_channel::bounded(1);
+        let mut evicted = None;
+        let ticket = match state.queue.push(work.customer, work.weight, work.cost_tokens) {
+            Enqueued::Waits(ticket) => ticket,
+            Enqueued::Displaced { ticket, evicted: left } => {
+                evicted = state.waiters.remove(&left);
+                ticket
+            }
+            Enqueued::Full => return Err(full(wait)),
+        };
+        state.waiters.insert(ticket, Waiter { sender, is_alone: work.is_alone });
+        drop(state);
+        if let Some(waiter) = evicted {
+            let _ = waiter.sender.try_send(Grant::Evicted);
+        }
+        Ok((ticket, receiver))
+    }
+
+    /// Lets as many requests pass as may run now.
+    fn dispatch(self: &Arc<Self>) {
+        loop {
+            let mut state = self.state.lock().unwrap();
+            let Some((waiter, is_alone)) = state.next(self.concurrency) else { return };
+            state.n_running += 1;
+            state.is_alone_running = is_alone;
+            drop(state);
+            let pass = GatePass { gate: self.clone(), is_alone, started: Instant::now(), cost: 0 };
+            let _ = waiter.sender.try_send(Grant::Pass(pass));
+        }
+    }
+
+    fn leave(self: &Arc<Self>, pass: &GatePass) {
+        let mut state = self.state.lock().unwrap();
+        state.n_running -= 1;
+        if pass.is_alone {
+            state.is_alone_running = false;
+        }
+        if pass.cost > 0 {
+            let newest = pass.started.elapsed().as_secs_f64() / pass.cost as f64;
+            let old = state.seconds_per_token;
+            let mean = if old == 0.0 { newest } else { old + NEWEST_WEIGHT * (newest - old) };
+            state.seconds_per_token = mean;
+        }
+        drop(state);
+        self.dispatch();
+    }
+
+    fn give_up(self: &Arc<Self>, ticket: Ticket) {
+        let mut state = self.state.lock().unwrap();
+        state.queue.remove(ticket);
+        state.waiters.remove(&ticket);
+        if state.next_alone == Some(ticket) {
+            state.next_alone = None;
+        }
+        drop(state);
+        self.dispatch();
+    }
+
+    fn expected_wait(&self, state: &GateState, tokens_ahead: u64) -> Duration {
+        let seconds = tokens_ahead as f64 * state.seconds_per_token / self.concurrency as f64;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+}
+
+impl GateState {
+    /// The waiter that may run now, and whether it must run alone.
+    fn next(&mut self, concurrency: usize) -> Option<(Waiter, bool)> {
+        if self.is_alone_running || self.n_running >= concurrency {
+            return None;
+        }
+        loop {
+            let ticket = match self.next_alone.take() {
+                Some(ticket) => ticket,
+                None => self.queue.pop()?,
+            };
+            let Some(waiter) = self.waiters.get(&ticket) else { continue };
+            if waiter.is_alone && self.n_running > 0 {
+                self.next_alone = Some(ticket);
+                return None;
+            }
+            let waiter = self.waiters.remove(&ticket).expect("the waiter was found");
+            let is_alone = waiter.is_alone;
+            return Some((waiter, is_alone));
+        }
+    }
+}
+
+/// Leave to run at the backend server; dropping it lets the next request pass.
+#[derive(Debug)]
+pub(crate) struct GatePass {
+    gate: Arc<SlotGate>,
+    is_alone: bool,
+    started: Instant,
+    cost: u64,
+}
+
+impl GatePass {
+    /// Counts the time until the pass is dropped as the time that `cost_tokens` take.
+    pub(crate) fn measure(&mut self, cost_tokens: u64) {
+        self.cost = cost_tokens;
+    }
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        let gate = self.gate.clone();
+        gate.leave(self);
+    }
+}
+
+/// A place in the queue, given up when its request no longer waits.
+struct QueuePlace<'a> {
+    gate: &'a Arc<SlotGate>,
+    ticket: Option<Ticket>,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            self.gate.give_up(ticket);
+        }
+    }
+}
+
+fn full(wait: Duration) -> Failure {
+    let message = "the queue of this host is full; send it again after Retry-After";
+    Failure::not_run(StatusCode::TooManyRequests, message).retry_after(wait)
+}
+
+fn late(wait: Duration) -> Failure {
+    let message = "the deadline can't be met; send it again after Retry-After or allow more time";
+    Failure::not_run(StatusCode::TooManyRequests, message).retry_after(wait)
+}
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -16,6 +16,7 @@
         incoming::{check_framing, request_id_of, text_of, Incoming, IncomingLimits},
         relay,
         route::Route,
+        slot_gate::{GatePass, SlotGate, Work},
     },
     rollout::{Admission, Refusal, ServingState},
     settings::{BackendKind, BackendSettings},
@@ -37,6 +38,7 @@
     node: Arc<Node>,
     backend: BackendSettings,
     serving: Arc<ServingState>,
+    gate: Arc<SlotGate>,
     weights: WeightsSource,
 }
 
@@ -44,6 +46,13 @@
 struct Envelope {
     customer: String,
     switch_number: Option<SwitchNumber>,
+    is_suspect: bool,
+}
+
+/// Leave to call the backend server; both parts end with the answer.
+struct Permit {
+    pass: GatePass,
+    admission: Admission,
 }
 
 impl SlotStage {
@@ -56,7 +65,8 @@
         weights: WeightsSource,
     ) -> Arc<SlotStage> {
         let backend = node.settings.backend.clone().expect("a slot's settings have [backend]");
-        Arc::new(SlotStage { node, backend, serving, weights })
+        let gate = SlotGate::new(backend.concurrency as usize, backend.max_queued as usize);
+        Arc::new(SlotStage { node, backend, serving, gate, weights })
     }
 
     /// Answers one request.
@@ -72,9 +82,10 @@
             Ok(response) => response,
             Err(failure) => failure.into_response(&id),
         };
-        response.insert_header(headers::LOAD_QUEUED, "0");
-        response.insert_header(headers::LOAD_RUNNING, self.serving.n_admitted().to_string());
-        response.insert_header(headers::LOAD_WAIT_MS, "0");
+        let load = self.gate.load();
+        response.insert_header(headers::LOAD_QUEUED, load.n_queued.to_string());
+        response.insert_header(headers::LOAD_RUNNING, load.n_running.to_string());
+        response.insert_header(headers::LOAD_WAIT_MS, load.wait.as_millis().to_string());
         response
     }
 
@@ -87,8 +98,22 @@
         };
         let incoming = Incoming::read(id, request, limits).await?;
         let route = Route::of(&incoming)?;
+        drop(self.admit(&route, &envelope)?);
+        let pass = self.gate.enter(self.work(&incoming, &route, &envelope)).await?;
         let admission = self.admit(&route, &envelope)?;
-        self.call(&incoming, &route, &envelope, admission).await
+        self.call(&incoming, &route, &envelope, Permit { pass, admission }).await
+    }
+
+    fn work<'a>(&self, incoming: &Incoming, route: &Route, envelope: &'a Envelope) -> Work<'a> {
+        let charter = self.node.documents.charter();
+        let terms = charter.as_ref().and_then(|it| it.customers.get(&envelope.customer));
+        Work {
+            customer: &envelope.customer,
+            weight: terms.map_or(1, |it| it.weight),
+            cost_tokens: route.cost_tokens(),
+            is_alone: envelope.is_suspect,
+            deadline: incoming.deadline,
+        }
     }
 
     fn envelope(&self, id: &str, request: &Request) -> Result<Envelope, Failure> {
@@ -102,7 +127,8 @@
         let customer = text_of(request, headers::CUSTOMER)
             .ok_or_else(|| Failure::not_run(StatusCode::BadRequest, "X-Customer is missing"))?;
         let switch_number = text_of(request, headers::SWITCH).and_then(|it| it.parse().ok());
-        Ok(Envelope { customer, switch_number })
+        let is_suspect = request.header(headers::SUSPECT).is_some();
+        Ok(Envelope { customer, switch_number, is_suspect })
     }
 
     fn admit(&self, route: &Route, envelope: &Envelope) -> Result<Admission, Failure> {
@@ -143,14 +169,15 @@
         incoming: &Incoming,
         route: &Route,
         envelope: &Envelope,
-        admission: Admission,
+        mut permit: Permit,
     ) -> Result<Response, Failure> {
         let request = self.request(incoming, route, envelope);
         let limit = incoming.time_left();
         let sent = self.node.http.send(self.backend.address, request, limit).await;
         let exchange = sent.map_err(|err| Failure::of_call(&err))?;
         self.check_echo(&exchange.response, incoming, route)?;
-        self.relay(incoming, route, exchange, admission).await
+        permit.pass.measure(route.cost_tokens());
+        self.relay(incoming, route, exchange, permit).await
     }
 
     async fn relay(
@@ -158,17 +185,17 @@
         incoming: &Incoming,
         route: &Route,
         exchange: Exchange,
-        admission: Admission,
+        permit: Permit,
     ) -> Result<Response, Failure> {
         let mut response = Response::new(exchange.response.status());
         response.insert_header(headers::REQUEST_ID, incoming.id.as_str());
         response.insert_header(headers::VERDICT, Verdict::Ran.as_str());
         if matches!(route, Route::Chat { .. }) {
-            response.insert_header(headers::VERSION, admission.version.as_str());
-            response.insert_header(headers::SWITCH, admission.switch_number.to_string());
+            response.insert_header(headers::VERSION, permit.admission.version.as_str());
+            response.insert_header(headers::SWITCH, permit.admission.switch_number.to_string());
         }
         if relay::is_stream(&exchange.response) {
-            response.set_body(relay::stream_body(exchange, incoming.deadline, admission));
+            response.set_body(relay::stream_body(exchange, incoming.deadline, permit));
             return Ok(response);
         }
         let read = crate::runtime::timeout(incoming.time_left(), exchange.read(MAX_ANSWER_BYTES));
