Settings report unknown and repeated entries; examples of both deployments

The check missed empty unknown sections, took the first of two equal keys silently, named [backend] unknown when only the role was wrong, and took an empty peer key file.

A peer key needs a secret of 16 characters now.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,10 +2,12 @@
 
 use std::time::SystemTime;
 
+use log::SetLoggerError;
+
 use crate::settings::Settings;
 
-/// Starts logging at the level that the settings name; a second call changes nothing.
-pub fn init(settings: &Settings) {
+/// Starts logging at the level that the settings name; fails when a logger is set already.
+pub fn init(settings: &Settings) -> Result<(), SetLoggerError> {
     let dispatch = fern::Dispatch::new()
         .format(|out, message, record| {
             let now = humantime::format_rfc3339_millis(SystemTime::now());
@@ -14,5 +16,5 @@
         .level(log::LevelFilter::Warn)
         .level_for("crocustiller", settings.log.level)
         .chain(std::io::stderr());
-    let _ = dispatch.apply();
+    dispatch.apply()
 }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -11,6 +11,7 @@
     net::HttpClient,
     peer::{LinkCounters, PeerPool},
     platform::PlatformClient,
+    report::RequestAccounts,
     settings::{BackendKind, Settings},
 };
 
@@ -31,6 +32,8 @@
     pub http: HttpClient,
     /// The platform's service.
     pub platform: PlatformClient,
+    /// Outcomes of requests; empty on a backend server host.
+    pub accounts: Arc<RequestAccounts>,
 }
 
 impl Node {
@@ -44,8 +47,10 @@
             settings.platform.timeout_ms,
             http.clone(),
         );
+        let documents = Arc::new(DocumentStore::new());
         Arc::new(Node {
-            documents: Arc::new(DocumentStore::new()),
+            accounts: RequestAccounts::new(documents.clone()),
+            documents,
             membership: Arc::new(Membership::new(own_record(&settings))),
             peers: Arc::new(PeerPool::new(key, counters.clone())),
             counters,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of one process, read from an INI file and checked as a whole.
 
+mod line_index;
 mod reader;
 mod settings;
 
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -13,7 +13,10 @@
 use ini::Ini;
 use quick_error::quick_error;
 
-use crate::{digest::Digest, peer::PeerKey};
+use crate::{digest::Digest, peer::PeerKey, settings::line_index::LineIndex};
+
+/// Length of the shortest secret that a peer key is derived from.
+const MIN_SECRET_CHARS: usize = 16;
 
 quick_error! {
     /// Why settings were refused.
@@ -31,7 +34,7 @@
         }
         /// Keys are unknown, missing or have bad values.
         Problems(path: PathBuf, problems: Vec<Problem>) {
-            display("{}: {} problems\n{}", path.display(), problems.len(), lines_of(problems))
+            display("{}: {}\n{}", path.display(), count_of(problems), lines_of(problems))
         }
     }
 }
@@ -59,9 +62,10 @@
 /// Reads values of one file; `finish` reports all problems at once.
 pub(crate) struct Reader {
     ini: Ini,
-    text: String,
+    lines: LineIndex,
     path: PathBuf,
     known: BTreeSet<(String, String)>,
+    optional_sections: BTreeSet<&'static str>,
     problems: Vec<Problem>,
 }
 
@@ -71,16 +75,19 @@
             Ini::load_from_str(text).map_err(|err| SettingsError::Syntax(path.to_owned(), err))?;
         Ok(Reader {
             ini,
-            text: text.to_owned(),
+            lines: LineIndex::new(text),
             path: path.to_owned(),
             known: BTreeSet::new(),
+            optional_sections: BTreeSet::new(),
             problems: Vec::new(),
         })
     }
 
-    /// Reports unknown keys and all problems found so far.
+    /// Reports unknown and repeated entries and all problems found so far.
     pub(crate) fn finish(mut self) -> Result<(), SettingsError> {
+        self.find_unknown_sections();
         self.find_unknown_keys();
+        self.find_repeated();
         if self.problems.is_empty() {
             return Ok(());
         }
@@ -88,6 +95,20 @@
         Err(SettingsError::Problems(self.path, self.problems))
     }
 
+    /// Whether the file has this section, which is allowed.
+    pub(crate) fn has_section(&mut self, section: &'static str) -> bool {
+        self.optional_sections.insert(section);
+        self.lines.has_section(section)
+    }
+
+    /// Refuses a section that the other settings leave without a use.
+    pub(crate) fn refuse_section(&mut self, section: &str, reason: &str) {
+        for (_, line) in self.lines.sections().filter(|it| it.0 == section) {
+            let key = format!("[{section}]");
+            self.problems.push(Problem { line, key, reason: reason.to_owned() });
+        }
+    }
+
     pub(crate) fn name(&mut self, section: &str, key: &str) -> Option<String> {
         let allowed = "letters, digits, '-', '_' and '.', 1 to 64 of them";
         let is_name = |it: &str| {
@@ -189,12 +210,16 @@
     }
 
     pub(crate) fn peer_key(&mut self, section: &str, key: &str) -> Option<PeerKey> {
-        let allowed = "a readable file that holds the shared secret";
-        let text = self.required(section, key, allowed)?;
+        let allowed = format!(
+            "a readable file with a shared secret of {MIN_SECRET_CHARS} characters or more"
+        );
+        let text = self.required(section, key, &allowed)?;
         let folder = self.path.parent().unwrap_or(Path::new("."));
-        match PeerKey::from_file(&folder.join(&text)) {
-            Ok(peer_key) => Some(peer_key),
-            Err(_) => self.refuse(section, key, &text, allowed),
+        match std::fs::read_to_string(folder.join(&text)) {
+            Ok(secret) if secret.trim_end().chars().count() >= MIN_SECRET_CHARS => {
+                Some(PeerKey::from_secret(secret.trim_end().as_bytes()))
+            }
+            _ => self.refuse(section, key, &text, &allowed),
         }
     }
 
@@ -221,30 +246,49 @@
     }
 
     fn refuse<T>(&mut self, section: &str, key: &str, text: &str, allowed: &str) -> Option<T> {
-        let line = self.line_of(section, key);
+        let line = self.lines.line_of(section, key);
         let reason = format!("'{text}' is not allowed; give {allowed}");
         self.problems.push(Problem { line, key: full_key(section, key), reason });
         None
     }
 
+    fn find_unknown_sections(&mut self) {
+        let mut names: BTreeSet<&str> = self.known.iter().map(|it| it.0.as_str()).collect();
+        names.extend(&self.optional_sections);
+        let allowed = names.iter().copied().collect::<Vec<&str>>().join(", ");
+        let mut problems = Vec::new();
+        for (section, line) in self.lines.sections().filter(|it| !names.contains(it.0)) {
+            let reason = format!("unknown section; allowed are {allowed}");
+            problems.push(Problem { line, key: format!("[{section}]"), reason });
+        }
+        self.problems.append(&mut problems);
+    }
+
     fn find_unknown_keys(&mut self) {
-        let mut unknown = Vec::new();
-        for (section, properties) in self.ini.iter() {
-            let section = section.unwrap_or("");
-            for (key, _) in properties.iter() {
-                if !self.known.contains(&(section.to_owned(), key.to_owned())) {
-                    unknown.push((section.to_owned(), key.to_owned()));
-                }
+        let mut problems = Vec::new();
+        for (section, key, line) in self.lines.keys() {
+            if self.known.contains(&(section.to_owned(), key.to_owned())) {
+                continue;
             }
+            let keys = self.keys_of(section);
+            let reason = match (section, keys.is_empty()) {
+                ("", _) => "stands before the first section; put it under one".to_owned(),
+                (_, true) => continue,
+                (_, false) => format!("unknown key; allowed are {}", keys.join(", ")),
+            };
+            problems.push(Problem { line, key: full_key(section, key), reason });
         }
-        for (section, key) in unknown {
-            let line = self.line_of(&section, &key);
-            let keys: Vec<&str> = self.keys_of(&section);
-            let reason = match keys.is_empty() {
-                true => "unknown section; remove it".to_owned(),
-                false => format!("unknown key; allowed are {}", keys.join(", ")),
+        self.problems.append(&mut problems);
+    }
+
+    fn find_repeated(&mut self) {
+        for it in self.lines.repeated() {
+            let key = match &it.key {
+                Some(key) => full_key(&it.section, key),
+                None => format!("[{}]", it.section),
             };
-            self.problems.push(Problem { line, key: full_key(&section, &key), reason });
+            let reason = format!("stands already on line {}; keep one of them", it.first_line);
+            self.problems.push(Problem { line: it.line, key, reason });
         }
     }
 
@@ -252,21 +296,6 @@
         let of_section = self.known.iter().filter(|it| it.0 == section);
         of_section.map(|it| it.1.as_str()).collect()
     }
-
-    fn line_of(&self, section: &str, key: &str) -> usize {
-        let mut current = "";
-        for (idx, line) in self.text.lines().enumerate() {
-            let line = line.trim();
-            if let Some(name) = line.strip_prefix('[').and_then(|it| it.strip_suffix(']')) {
-                current = name.trim();
-            }
-            let name = line.split(['=', ':']).next().unwrap_or("").trim();
-            if current == section && name == key {
-                return idx + 1;
-            }
-        }
-        0
-    }
 }
 
 fn full_key(section: &str, key: &str) -> String {
@@ -278,6 +307,13 @@
     parts.map(|it| it.parse().ok()).collect()
 }
 
+fn count_of(problems: &[Problem]) -> String {
+    match problems.len() {
+        1 => "1 problem".to_owned(),
+        n => format!("{n} problems"),
+    }
+}
+
 fn lines_of(problems: &[Problem]) -> String {
     let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
     lines.join("\n")
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -176,8 +176,7 @@
     let weights = read_weights(reader);
     let limits = read_limits(reader);
     let log = read_log(reader);
-    let is_backend = host.as_ref().is_some_and(|it| it.role == RoleSettings::Backend);
-    let backend = if is_backend { Some(read_backend(reader)?) } else { None };
+    let backend = read_backend_of(reader, host.as_ref().map(|it| it.role));
     Some(Settings {
         host: host?,
         listen: listen?,
@@ -185,7 +184,7 @@
         join,
         secrets: secrets?,
         weights: weights?,
-        backend,
+        backend: backend?,
         limits: limits?,
         log: log?,
     })
@@ -243,6 +242,24 @@
     })
 }
 
+/// Reads `[backend]`, which belongs to the role `backend` alone; checks it also while the role is unknown.
+fn read_backend_of(
+    reader: &mut Reader,
+    role: Option<RoleSettings>,
+) -> Option<Option<BackendSettings>> {
+    let has_section = reader.has_section("backend");
+    match role {
+        Some(RoleSettings::Backend) => read_backend(reader).map(Some),
+        None if has_section => read_backend(reader).map(Some),
+        Some(RoleSettings::Entry) if has_section => {
+            read_backend(reader);
+            reader.refuse_section("backend", "belongs to role = backend; remove it");
+            None
+        }
+        _ => Some(None),
+    }
+}
+
 fn read_backend(reader: &mut Reader) -> Option<BackendSettings> {
     const SECTION: &str = "backend";
     let kind = reader.choice(
--- /dev/null
+++ b/tests/example_settings.rs
@@ -0,0 +1,43 @@
+//! The example settings and charters of each deployment are accepted.
+
+use std::{fs, path::Path};
+
+use crocustiller::{
+    charter::{Charter, RolloutMode},
+    settings::{RoleSettings, Settings},
+};
+
+#[test]
+fn habimana_rolls_out_time_first() {
+    check("habimana", RolloutMode::TimeFirst);
+}
+
+#[test]
+fn senarc_rolls_out_origin_first() {
+    check("senarc", RolloutMode::OriginFirst);
+}
+
+fn check(deployment: &str, mode: RolloutMode) {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(deployment);
+    let folder = tempfile::tempdir().unwrap();
+    fs::write(folder.path().join("peer.key"), "a shared secret for tests").unwrap();
+    for (file, role) in [("entry.ini", RoleSettings::Entry), ("backend.ini", RoleSettings::Backend)]
+    {
+        let path = folder.path().join(file);
+        fs::copy(examples.join(file), &path).unwrap();
+        let settings = Settings::load(&path).unwrap_or_else(|err| panic!("{err}"));
+        assert_eq!(settings.host.role, role);
+    }
+    check_charter(&examples.join("charter.json"), mode);
+}
+
+fn check_charter(path: &Path, mode: RolloutMode) {
+    let mut patch: serde_json::Value =
+        serde_json::from_str(&fs::read_to_string(path).unwrap()).unwrap();
+    patch["number"] = 1.into();
+    let charter: Charter = serde_json::from_value(patch).unwrap();
+    assert_eq!(charter.rollout.mode, mode);
+    for pool in charter.pools.values() {
+        assert!(pool.customers.iter().all(|it| charter.customers.contains_key(it)));
+    }
+}
