--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -32,7 +32,7 @@
     pub http: HttpClient,
     /// The platform's service.
     pub platform: PlatformClient,
-    /// Outcomes of requests; empty on a backend server host.
+    /// Outcomes of requests; without entries on a backend server host.
     pub accounts: Arc<RequestAccounts>,
 }
 
--- a/src/operator/process_view.rs
+++ b/src/operator/process_view.rs
@@ -1,17 +1,16 @@
 //! What the operator address shows and starts beyond the shared handles.
 
+use std::sync::Arc;
+
 use async_channel::Sender;
 
-/// Parts of one process beyond its shared handles.
+use crate::report::RequestAccounts;
+
+/// Parts of one process that only some roles have.
 #[derive(Clone, Debug)]
 pub struct ProcessView {
     /// Starts a graceful shutdown; one message is enough.
     pub leave: Sender<()>,
-}
-
-impl ProcessView {
-    /// Shows a process that a message to `leave` shuts down gracefully.
-    pub fn new(leave: Sender<()>) -> ProcessView {
-        ProcessView { leave }
-    }
+    /// Outcomes of requests; without entries on a backend server host.
+    pub accounts: Arc<RequestAccounts>,
 }
