Thin: weights from the origin into every host's memory

Manifests are checked (digest, sizes, chunk count, memory limit) before use, chunks lie in memory under a limit and are shared between versions, and only `Weights<Verified>` gives a body for an engine. Each chunk leaves the origin through the host of rank 0; one host a region takes it across the link; the rest goes between neighbours, rarest first, with late requests repeated once. Have lists are long polls: a call waits at the neighbour until there is news.

Protocol: chunk, have and manifest requests carry a wait; a chunk answer says how many uploads still wait; chunk bytes are shared, not copied.

--- /dev/null
+++ b/benches/weights_burst.rs
@@ -0,0 +1,150 @@
+//! Measures a burst: time until every host is verified over the physical bound, and copies sent.
+//!
+//! `cargo bench --bench weights_burst -- <hosts> <regions> <MiB> <mode> <runs>`; the window is 20 s.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use crocustiller::{
+    charter::RolloutMode, digest::Digest, rollout::WeightsTarget, runtime, weights::Manifest,
+};
+use crocustiller_standins::{NewVersion, OriginBehaviour, OriginStandin};
+
+use fleet::{Fleet, FleetTerms};
+
+/// Time in which a machine sends and receives two copies and the origin sends four.
+const WINDOW_S: f64 = 20.0;
+/// Threads that run tasks beside the two of `runtime::run_until`.
+const EXTRA_THREADS: usize = 6;
+
+/// Figures of one run.
+#[derive(Debug)]
+#[allow(dead_code, reason = "printed as a whole")]
+struct Figures {
+    time_s: f64,
+    ratio: f64,
+    origin_copies: f64,
+    region_copies_max: f64,
+    duplicate_share: f64,
+    hedged: u64,
+    busy: u64,
+}
+
+fn main() {
+    let words: Vec<String> = std::env::args().skip(1).filter(|it| it != "--bench").collect();
+    let word =
+        |idx: usize, default: &str| words.get(idx).cloned().unwrap_or_else(|| default.to_owned());
+    let number = |idx: usize, default: &str| word(idx, default).parse::<usize>().unwrap();
+    let (n_hosts, n_regions, size_mib) = (number(0, "60"), number(1, "3"), number(2, "64"));
+    let mode = match word(3, "origin-first").as_str() {
+        "time-first" => RolloutMode::TimeFirst,
+        _ => RolloutMode::OriginFirst,
+    };
+    let n_runs = number(4, "1");
+    for _ in 0..EXTRA_THREADS / 2 {
+        std::thread::spawn(|| runtime::run_until(std::future::pending::<()>()));
+    }
+    runtime::run_until(async {
+        let mut ratios = Vec::new();
+        for _ in 0..n_runs {
+            let figures = burst(n_hosts, n_regions, (size_mib as u64) << 20, mode).await;
+            println!("{figures:.3?}");
+            ratios.push(figures.ratio);
+        }
+        ratios.sort_by(f64::total_cmp);
+        println!("median ratio {:.3} of {n_runs}", ratios[ratios.len() / 2]);
+    });
+}
+
+async fn burst(n_hosts: usize, n_regions: usize, size_bytes: u64, mode: RolloutMode) -> Figures {
+    let size = size_bytes as f64;
+    let (host_rate, origin_rate) = (2.0 * size / WINDOW_S, 4.0 * size / WINDOW_S);
+    let n = n_hosts as f64;
+    let bound_s =
+        (size / host_rate).max(size / origin_rate).max(n * size / (origin_rate + n * host_rate));
+    let origin = OriginStandin::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let rate_bytes_per_s = origin_rate as u64;
+    origin.set_behaviour(OriginBehaviour { rate_bytes_per_s, ..OriginBehaviour::default() });
+    let new_version =
+        NewVersion { version: "v1".to_owned(), seed: 7, size_bytes, ..NewVersion::default() };
+    let manifest = origin.add_version(&new_version).unwrap();
+    let terms = FleetTerms {
+        bytes_per_s: host_rate as u64,
+        mode,
+        ..FleetTerms::new(n_hosts, n_regions, origin.address())
+    };
+    let mut fleet = Fleet::start(terms).await;
+    let target = target_of(&manifest);
+    let started = Instant::now();
+    fleet.set_targets(std::slice::from_ref(&target));
+    let mut next_s = 1.0;
+    let mut is_verified = false;
+    while !is_verified {
+        is_verified = fleet.wait_verified(&target, Duration::from_millis(100)).await;
+        if std::env::var_os("BURST_TRACE").is_some() && started.elapsed().as_secs_f64() > next_s {
+            trace(&fleet, &target, next_s);
+            next_s += 1.0;
+        }
+        assert!(started.elapsed() < Duration::from_secs(120), "{:#?}", fleet.progress(&target));
+    }
+    let all = fleet.progress(&target);
+    let last = all.iter().filter_map(|it| it.verified_unix_ms).max().unwrap_or(0);
+    let first = all.iter().map(|it| it.started_unix_ms).min().unwrap_or(0);
+    let time_s = (last - first) as f64 / 1000.0;
+    let figures = Figures {
+        time_s,
+        ratio: time_s / bound_s,
+        origin_copies: origin.counts().versions["v1"].content_bytes as f64 / size,
+        region_copies_max: region_copies(&fleet, n_regions, &target) / size,
+        duplicate_share: all.iter().map(|it| it.counts.duplicate_chunks).sum::<u64>() as f64
+            / (n * manifest.chunks.len() as f64),
+        hedged: all.iter().map(|it| it.counts.hedged_requests).sum(),
+        busy: all.iter().map(|it| it.counts.busy_answers).sum(),
+    };
+    for idx in 0..n_hosts {
+        fleet.kill(idx).await;
+    }
+    origin.close().await;
+    figures
+}
+
+fn trace(fleet: &Fleet, target: &WeightsTarget, at_s: f64) {
+    let held: Vec<u32> = fleet.progress(target).iter().map(|it| it.chunks_held).collect();
+    let origin: u64 = fleet.progress(target).iter().map(|it| it.counts.origin_bytes).sum();
+    let mean = held.iter().sum::<u32>() as f64 / held.len().max(1) as f64;
+    println!(
+        "  {at_s:.0} s: held min {:?} mean {mean:.1} max {:?}, origin MiB {:.1}",
+        held.iter().min(),
+        held.iter().max(),
+        origin as f64 / (1 << 20) as f64
+    );
+}
+
+/// Greatest number of bytes from one region into another.
+fn region_copies(fleet: &Fleet, n_regions: usize, target: &WeightsTarget) -> f64 {
+    let mut greatest = 0;
+    for idx in 0..n_regions {
+        let into =
+            fleet.running().filter(|it| it.node.settings.host.region == format!("region-{idx}"));
+        let mut sums = std::collections::BTreeMap::<String, u64>::new();
+        let counts = into
+            .flat_map(|it| it.stage.progress())
+            .filter(|it| it.manifest_digest == target.manifest_digest);
+        for progress in counts {
+            for (region, bytes) in progress.counts.cross_region_bytes {
+                *sums.entry(region).or_default() += bytes;
+            }
+        }
+        greatest = greatest.max(sums.into_values().max().unwrap_or(0));
+    }
+    greatest as f64
+}
+
+fn target_of(manifest: &Manifest) -> WeightsTarget {
+    WeightsTarget {
+        version: manifest.version.clone(),
+        manifest_digest: Digest::of(&manifest.to_json()),
+    }
+}
--- a/src/peer/peer_service.rs
+++ b/src/peer/peer_service.rs
@@ -6,7 +6,6 @@
 use tarpc::context::Context;
 
 use crate::{
-    digest::Digest,
     documents::DocumentStore,
     ids::{DocumentNumber, Incarnation},
     membership::{Gossip, MemberRecord, Membership},
@@ -15,7 +14,7 @@
         peer_pool::PeerPool,
         protocol::{
             ChunkAnswer, ChunkRequest, Document, DocumentName, GossipExchange, GossipReply,
-            HaveAnswer, HaveRequest, Peer, ProbeAnswer,
+            HaveAnswer, HaveRequest, ManifestRequest, Peer, ProbeAnswer,
         },
     },
     weights::ChunkServer,
@@ -79,12 +78,12 @@
         }
     }
 
-    async fn manifest(self, _: Context, digest: Digest) -> Option<ByteBuf> {
-        self.chunks.manifest(&digest)
+    async fn manifest(self, _: Context, request: ManifestRequest) -> Option<ByteBuf> {
+        self.chunks.manifest(request).await
     }
 
     async fn have(self, _: Context, request: HaveRequest) -> Option<HaveAnswer> {
-        self.chunks.have(&request)
+        self.chunks.have(request).await
     }
 
     async fn chunk(self, _: Context, request: ChunkRequest) -> ChunkAnswer {
--- a/src/peer/protocol.rs
+++ b/src/peer/protocol.rs
@@ -12,6 +12,7 @@
     digest::Digest,
     ids::{DocumentNumber, HostId, Incarnation, PoolId},
     membership::MemberRecord,
+    weights::ChunkBytes,
 };
 
 /// Names a document of which every process keeps the greatest number it has seen.
@@ -92,6 +93,17 @@
     pub manifest_digest: Digest,
     /// Chunks are numbered in the order in which the answering host got them; earlier ones are known.
     pub known: u32,
+    /// Time in milliseconds to wait for news; 0 asks for an answer at once.
+    pub wait_ms: u32,
+}
+
+/// Asks for the text of a manifest.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ManifestRequest {
+    /// Digest of the manifest.
+    pub manifest_digest: Digest,
+    /// Time in milliseconds to wait for the manifest to come; 0 asks for an answer at once.
+    pub wait_ms: u32,
 }
 
 /// Chunk indexes that a process got since the last answer.
@@ -110,13 +122,20 @@
     pub from: HostId,
     /// Digest of the chunk's bytes.
     pub chunk_digest: Digest,
+    /// Time in milliseconds to wait for the chunk to come; 0 asks for an answer at once.
+    pub wait_ms: u32,
 }
 
 /// Answer to a request for a chunk.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ChunkAnswer {
-    /// The bytes of the chunk, not yet verified by the receiver.
-    Chunk(ByteBuf),
+    /// The chunk, not yet verified by the receiver.
+    Chunk {
+        /// Bytes of the chunk.
+        bytes: ChunkBytes,
+        /// Uploads that still wait at the answering host.
+        queued: u32,
+    },
     /// All upload slots are taken; ask again later or elsewhere.
     Busy,
     /// The host does not hold the chunk.
@@ -150,7 +169,7 @@
     /// Probes a third host on behalf of the caller.
     async fn probe(address: SocketAddr) -> ProbeAnswer;
     /// Gives the bytes of a manifest, if held.
-    async fn manifest(digest: Digest) -> Option<ByteBuf>;
+    async fn manifest(request: ManifestRequest) -> Option<ByteBuf>;
     /// Gives the chunks held.
     async fn have(request: HaveRequest) -> Option<HaveAnswer>;
     /// Gives one chunk.
--- /dev/null
+++ b/src/weights/chunk_reader.rs
@@ -0,0 +1,62 @@
+//! Reads chunks one after another without copying them together.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use futures_lite::io::{AsyncBufRead, AsyncRead};
+
+use crate::weights::ChunkBytes;
+
+/// A reader over the bytes of all chunks.
+#[derive(Debug)]
+pub(crate) struct ChunkReader {
+    chunks: Arc<[ChunkBytes]>,
+    idx: usize,
+    offset: usize,
+}
+
+impl ChunkReader {
+    pub(crate) fn new(chunks: Arc<[ChunkBytes]>) -> ChunkReader {
+        ChunkReader { chunks, idx: 0, offset: 0 }
+    }
+
+    fn rest(&self) -> &[u8] {
+        self.chunks.get(self.idx).map_or(&[], |it| &it[self.offset..])
+    }
+
+    fn advance(&mut self, n_bytes: usize) {
+        self.offset += n_bytes;
+        if self.chunks.get(self.idx).is_some_and(|it| self.offset >= it.len()) {
+            self.idx += 1;
+            self.offset = 0;
+        }
+    }
+}
+
+impl AsyncRead for ChunkReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let rest = self.rest();
+        let n_bytes = rest.len().min(buf.len());
+        buf[..n_bytes].copy_from_slice(&rest[..n_bytes]);
+        self.advance(n_bytes);
+        Poll::Ready(Ok(n_bytes))
+    }
+}
+
+impl AsyncBufRead for ChunkReader {
+    fn poll_fill_buf(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Poll::Ready(Ok(self.get_mut().rest()))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, n_bytes: usize) {
+        self.advance(n_bytes);
+    }
+}
--- /dev/null
+++ b/src/weights/chunk_shelf.rs
@@ -0,0 +1,113 @@
+//! Verified chunks in memory, under a limit.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use event_listener::Event;
+
+use crate::{
+    digest::Digest,
+    runtime,
+    weights::{ChunkBytes, VerifiedChunk},
+};
+
+/// Digests that may be waited for at the same time.
+const MAX_AWAITED: usize = 4096;
+
+/// Verified chunks by digest; versions that share a chunk share its memory.
+#[derive(Debug)]
+pub struct ChunkShelf {
+    limit_bytes: u64,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    chunks: HashMap<Digest, ChunkBytes>,
+    held_bytes: u64,
+    awaited: HashMap<Digest, Arc<Event>>,
+}
+
+impl ChunkShelf {
+    /// Makes an empty shelf that holds at most `limit_bytes`.
+    pub fn new(limit_bytes: u64) -> ChunkShelf {
+        ChunkShelf { limit_bytes, inner: Mutex::default() }
+    }
+
+    /// Greatest number of bytes held.
+    pub fn limit_bytes(&self) -> u64 {
+        self.limit_bytes
+    }
+
+    /// Number of bytes held.
+    pub fn held_bytes(&self) -> u64 {
+        self.inner.lock().unwrap().held_bytes
+    }
+
+    /// Keeps a chunk; `false` when the limit would be passed.
+    pub fn insert(&self, chunk: VerifiedChunk) -> bool {
+        let mut inner = self.inner.lock().unwrap();
+        if inner.chunks.contains_key(chunk.digest()) {
+            return true;
+        }
+        let n_bytes = chunk.bytes().len() as u64;
+        if inner.held_bytes + n_bytes > self.limit_bytes {
+            return false;
+        }
+        inner.held_bytes += n_bytes;
+        inner.chunks.insert(*chunk.digest(), chunk.bytes().clone());
+        let event = inner.awaited.remove(chunk.digest());
+        drop(inner);
+        if let Some(event) = event {
+            event.notify(usize::MAX);
+        }
+        true
+    }
+
+    /// The bytes of a chunk, if held.
+    pub fn get(&self, digest: &Digest) -> Option<ChunkBytes> {
+        self.inner.lock().unwrap().chunks.get(digest).cloned()
+    }
+
+    /// Whether a chunk is held.
+    pub fn contains(&self, digest: &Digest) -> bool {
+        self.inner.lock().unwrap().chunks.contains_key(digest)
+    }
+
+    /// The bytes of a chunk, waiting at most `limit` for it to come.
+    pub async fn wait_for(&self, digest: &Digest, limit: Duration) -> Option<ChunkBytes> {
+        let listener = {
+            let mut inner = self.inner.lock().unwrap();
+            if let Some(bytes) = inner.chunks.get(digest) {
+                return Some(bytes.clone());
+            }
+            if inner.awaited.len() >= MAX_AWAITED || limit.is_zero() {
+                return None;
+            }
+            inner.awaited.entry(*digest).or_default().listen()
+        };
+        let _ = runtime::timeout(limit, listener).await;
+        let res = self.get(digest);
+        if res.is_none() {
+            self.forget_unawaited(digest);
+        }
+        res
+    }
+
+    /// Drops all chunks but those in `wanted`.
+    pub fn retain(&self, wanted: &HashSet<Digest>) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.chunks.retain(|digest, _| wanted.contains(digest));
+        inner.held_bytes = inner.chunks.values().map(|it| it.len() as u64).sum();
+    }
+
+    fn forget_unawaited(&self, digest: &Digest) {
+        let mut inner = self.inner.lock().unwrap();
+        if inner.awaited.get(digest).is_some_and(|it| it.total_listeners() == 0) {
+            inner.awaited.remove(digest);
+        }
+    }
+}
--- a/src/weights/mod.rs
+++ b/src/weights/mod.rs
@@ -1,6 +1,50 @@
 //! Manifests and chunks of weights, and their way from the origin into memory.
 
+mod chunk_bytes;
+mod chunk_reader;
 mod chunk_server;
+mod chunk_shelf;
+mod fetch_context;
+mod fetch_job;
+mod fetch_log;
+mod fetch_schedule;
+mod fetcher;
+mod holding;
+mod link_budget;
 mod manifest;
+mod manifest_fetch;
+mod neighbour;
+mod origin_client;
+mod resolve;
+mod target_state;
+mod verified_chunk;
+mod weights;
+mod weights_progress;
+mod weights_stage;
 
-pub use crate::weights::{chunk_server::ChunkServer, manifest::Manifest};
+pub mod chunk_picker;
+pub mod deadlines;
+pub mod endgame;
+pub mod fetch_plan;
+pub mod link_share;
+pub mod neighbour_set;
+pub mod origin_gate;
+pub mod rank;
+pub mod strikes;
+pub mod token_bucket;
+pub mod turns;
+
+pub use crate::weights::{
+    chunk_bytes::ChunkBytes,
+    chunk_server::ChunkServer,
+    chunk_shelf::ChunkShelf,
+    holding::Holding,
+    link_budget::LinkBudget,
+    manifest::{Manifest, ManifestError, MAX_CHUNK_BYTES, MAX_MANIFEST_BYTES},
+    origin_client::{OriginClient, OriginError},
+    resolve::{resolve_target, ResolveError},
+    verified_chunk::{ChunkError, VerifiedChunk},
+    weights::{Fetching, LoadError, Loaded, Verified, Weights},
+    weights_progress::{FetchCounts, WeightsProgress},
+    weights_stage::WeightsStage,
+};
--- /dev/null
+++ b/src/weights/origin_client.rs
@@ -0,0 +1,154 @@
+//! Calls of the origin of weights.
+
+use std::{
+    net::SocketAddr,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use http_types::{Method, Request, Response, Url};
+use quick_error::quick_error;
+
+use crate::{
+    net::HttpClient,
+    weights::{
+        manifest::MAX_MANIFEST_BYTES, origin_gate::OriginGate, ChunkBytes, Manifest, ManifestError,
+    },
+};
+
+/// Time limit of one call; chunks are sent at the origin's shared rate.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause when the origin refuses a request without saying for how long.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+quick_error! {
+    /// Why the origin gave nothing.
+    #[derive(Debug)]
+    pub enum OriginError {
+        /// The origin is not to be asked now.
+        Paused {
+            display("the origin is not asked now, it refused or failed a moment ago")
+        }
+        /// The origin asked for a pause.
+        Refused(retry_after: Duration) {
+            display("the origin asks to wait for {} s", retry_after.as_secs())
+        }
+        /// The origin could not be reached or its answer was cut.
+        Unavailable(reason: String) {
+            display("the origin does not answer: {reason}")
+        }
+        /// The origin answered with another status than expected.
+        Status(path: String, status: u16) {
+            display("the origin answered {path} with status {status}; check the version's name")
+        }
+        /// The manifest is not usable.
+        Manifest(err: ManifestError) {
+            source(err)
+            from()
+            display("{err}")
+        }
+    }
+}
+
+/// A client of the origin that obeys its pauses.
+#[derive(Debug)]
+pub struct OriginClient {
+    addresses: Vec<SocketAddr>,
+    http: HttpClient,
+    gate: Mutex<OriginGate>,
+}
+
+impl OriginClient {
+    /// Makes a client that asks `addresses` in turn.
+    pub fn new(addresses: Vec<SocketAddr>, http: HttpClient) -> OriginClient {
+        OriginClient { addresses, http, gate: Mutex::default() }
+    }
+
+    /// Whether the origin may be asked now.
+    pub fn is_open(&self) -> bool {
+        self.gate.lock().unwrap().is_open(Instant::now())
+    }
+
+    /// The JSON text of a version's manifest.
+    pub async fn manifest(&self, version: &str) -> Result<Vec<u8>, OriginError> {
+        let path = format!("/weights/{version}/manifest");
+        let (response, json) = self.get(&path, None, MAX_MANIFEST_BYTES).await?;
+        self.check_status(&path, &response, 200)?;
+        Ok(json)
+    }
+
+    /// The bytes of one chunk, not yet verified.
+    pub async fn chunk(&self, manifest: &Manifest, idx: u32) -> Result<ChunkBytes, OriginError> {
+        let path = format!("/weights/{}/content", manifest.version);
+        let bytes = manifest.byte_range(idx);
+        let n_bytes = (bytes.end - bytes.start) as usize;
+        let range = format!("bytes={}-{}", bytes.start, bytes.end - 1);
+        let (response, bytes) = self.get(&path, Some(range), n_bytes).await?;
+        self.check_status(&path, &response, 206)?;
+        Ok(ChunkBytes::new(bytes))
+    }
+
+    /// The bytes of a chunk did not match its digest, so the origin is left alone for a while.
+    pub(crate) fn report_corruption(&self) {
+        self.gate.lock().unwrap().failed(Instant::now(), fastrand::f64());
+    }
+
+    async fn get(
+        &self,
+        path: &str,
+        range: Option<String>,
+        limit_bytes: usize,
+    ) -> Result<(Response, Vec<u8>), OriginError> {
+        if !self.is_open() {
+            return Err(OriginError::Paused);
+        }
+        let mut reason = "no address".to_owned();
+        for address in &self.addresses {
+            let mut request = Request::new(Method::Get, url(*address, path));
+            if let Some(range) = &range {
+                request.insert_header("Range", range.as_str());
+            }
+            // The body of a refusal may be longer than the bytes asked for.
+            let limit_bytes = limit_bytes.max(4096);
+            match self.http.fetch(*address, request, CALL_TIMEOUT, limit_bytes).await {
+                Ok(answer) => return Ok(answer),
+                Err(err) => reason = err.to_string(),
+            }
+        }
+        self.gate.lock().unwrap().failed(Instant::now(), fastrand::f64());
+        Err(OriginError::Unavailable(reason))
+    }
+
+    fn check_status(
+        &self,
+        path: &str,
+        response: &Response,
+        wanted: u16,
+    ) -> Result<(), OriginError> {
+        let status = u16::from(response.status());
+        let mut gate = self.gate.lock().unwrap();
+        if status == wanted {
+            gate.succeeded();
+            return Ok(());
+        }
+        let now = Instant::now();
+        if status == 429 || status == 503 {
+            let retry_after = retry_after(response);
+            gate.refused(retry_after, now, fastrand::f64());
+            return Err(OriginError::Refused(retry_after));
+        }
+        gate.failed(now, fastrand::f64());
+        Err(OriginError::Status(path.to_owned(), status))
+    }
+}
+
+fn retry_after(response: &Response) -> Duration {
+    let seconds = response.header("Retry-After").and_then(|it| it.as_str().parse().ok());
+    seconds.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs)
+}
+
+fn url(address: SocketAddr, path: &str) -> Url {
+    let mut url = Url::parse(&format!("http://{address}/")).expect("an address makes a URL");
+    url.set_path(path);
+    url
+}
--- /dev/null
+++ b/src/weights/target_state.rs
@@ -0,0 +1,86 @@
+//! One target of a host and the task that fetches it.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use async_executor::Task;
+
+use crate::{
+    rollout::WeightsTarget,
+    weights::{fetch_log::FetchLog, weights::Verified, Holding, Weights, WeightsProgress},
+};
+
+/// What a host knows and holds of one target.
+#[derive(Debug)]
+pub(crate) struct TargetState {
+    pub(crate) target: WeightsTarget,
+    pub(crate) log: Arc<FetchLog>,
+    started_unix_ms: u64,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    holding: Option<Arc<Holding>>,
+    verified: Option<Weights<Verified>>,
+    verified_unix_ms: Option<u64>,
+}
+
+/// A target whose fetch ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct TargetEntry {
+    pub(crate) state: Arc<TargetState>,
+    pub(crate) _task: Task<()>,
+}
+
+impl TargetState {
+    pub(crate) fn new(target: WeightsTarget) -> TargetState {
+        TargetState {
+            target,
+            log: Arc::default(),
+            started_unix_ms: unix_ms(),
+            inner: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn set_holding(&self, holding: Arc<Holding>) {
+        self.inner.lock().unwrap().holding = Some(holding);
+    }
+
+    pub(crate) fn set_verified(&self, weights: Weights<Verified>) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.verified = Some(weights);
+        inner.verified_unix_ms = Some(unix_ms());
+    }
+
+    pub(crate) fn holding(&self) -> Option<Arc<Holding>> {
+        self.inner.lock().unwrap().holding.clone()
+    }
+
+    pub(crate) fn verified(&self) -> Option<Weights<Verified>> {
+        self.inner.lock().unwrap().verified.clone()
+    }
+
+    pub(crate) fn progress(&self) -> WeightsProgress {
+        let inner = self.inner.lock().unwrap();
+        let holding = inner.holding.as_ref();
+        WeightsProgress {
+            version: self.target.version.clone(),
+            manifest_digest: self.target.manifest_digest,
+            size_bytes: holding.map_or(0, |it| it.manifest().size_bytes),
+            chunks_held: holding.map_or(0, |it| it.n_held()),
+            chunks_total: holding.map_or(0, |it| it.manifest().n_chunks()),
+            is_verified: inner.verified.is_some(),
+            started_unix_ms: self.started_unix_ms,
+            verified_unix_ms: inner.verified_unix_ms,
+            problem: self.log.problem(),
+            counts: self.log.counts(),
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,236 @@
+//! Starts several hosts of one pool in this process, with real connections between them.
+
+#![allow(dead_code, reason = "not every test uses all of it")]
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_executor::Task;
+use crocustiller::{
+    charter::{Charter, RolloutMode, RolloutTerms},
+    digest::Digest,
+    membership::{Gossip, HostState, MemberRecord},
+    node::Node,
+    peer::{Document, DocumentName, PeerKey, PeerServer, PeerService},
+    rollout::WeightsTarget,
+    runtime,
+    settings::{
+        BackendKind, BackendSettings, HostSettings, LimitSettings, ListenSettings, LogSettings,
+        PlatformSettings, RoleSettings, SecretSettings, Settings, WeightsSettings,
+    },
+    weights::{WeightsProgress, WeightsStage},
+};
+use serde_bytes::ByteBuf;
+
+/// What the hosts of a fleet are told.
+#[derive(Clone, Debug)]
+pub struct FleetTerms {
+    pub n_hosts: usize,
+    pub n_regions: usize,
+    pub origin: SocketAddr,
+    pub bytes_per_s: u64,
+    pub memory_limit_bytes: u64,
+    pub mode: RolloutMode,
+    pub origin_copies: u32,
+}
+
+/// One host of a fleet.
+pub struct FleetHost {
+    pub node: Arc<Node>,
+    pub stage: Arc<WeightsStage>,
+    server: PeerServer,
+    _run_task: Task<()>,
+}
+
+/// Hosts that know each other.
+pub struct Fleet {
+    pub terms: FleetTerms,
+    pub hosts: Vec<Option<FleetHost>>,
+}
+
+impl FleetTerms {
+    pub fn new(n_hosts: usize, n_regions: usize, origin: SocketAddr) -> FleetTerms {
+        FleetTerms {
+            n_hosts,
+            n_regions,
+            origin,
+            bytes_per_s: 1_000_000_000,
+            memory_limit_bytes: 1 << 30,
+            mode: RolloutMode::OriginFirst,
+            origin_copies: 2,
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts the hosts and tells each of all.
+    pub async fn start(terms: FleetTerms) -> Fleet {
+        let mut hosts = Vec::new();
+        for idx in 0..terms.n_hosts {
+            hosts.push(Some(start_host(&terms, idx).await));
+        }
+        let fleet = Fleet { terms, hosts };
+        fleet.introduce();
+        fleet
+    }
+
+    /// The hosts that run.
+    pub fn running(&self) -> impl Iterator<Item = &FleetHost> {
+        self.hosts.iter().flatten()
+    }
+
+    /// Tells every host of every other.
+    pub fn introduce(&self) {
+        let records: Vec<MemberRecord> =
+            self.running().map(|it| (*it.node.membership.own()).clone()).collect();
+        for host in self.running() {
+            host.node.membership.merge(records.clone());
+        }
+    }
+
+    /// Sets the targets of all hosts.
+    pub fn set_targets(&self, targets: &[WeightsTarget]) {
+        for host in self.running() {
+            host.stage.set_targets(targets.to_vec());
+        }
+    }
+
+    /// Ends a host without a word to the others.
+    pub async fn kill(&mut self, idx: usize) {
+        let Some(host) = self.hosts[idx].take() else { return };
+        host.stage.set_targets(Vec::new());
+        host.server.close().await;
+        for other in self.running() {
+            other.node.peers.forget_host(host.node.membership.own().peer_address);
+        }
+    }
+
+    /// Starts a host anew, with empty memory, and tells the others.
+    pub async fn restart(&mut self, idx: usize) {
+        self.kill(idx).await;
+        self.hosts[idx] = Some(start_host(&self.terms, idx).await);
+        self.introduce();
+    }
+
+    /// Waits until every running host has verified `target`; `false` when `limit` passes first.
+    pub async fn wait_verified(&self, target: &WeightsTarget, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        for host in self.running() {
+            loop {
+                let listener = host.stage.listen();
+                if host.stage.verified(&target.manifest_digest).is_some() {
+                    break;
+                }
+                let left = end.saturating_duration_since(Instant::now());
+                if runtime::timeout(left, listener).await.is_err() {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// The digest of the weights that each running host would hand to its engine.
+    pub async fn content_digests(&self, target: &WeightsTarget) -> Vec<Option<Digest>> {
+        let mut digests = Vec::new();
+        for host in self.running() {
+            let weights = host.stage.verified(&target.manifest_digest);
+            let bytes = match weights {
+                Some(it) => it.body().into_bytes().await.ok(),
+                None => None,
+            };
+            digests.push(bytes.map(|it| Digest::of(&it)));
+        }
+        digests
+    }
+
+    /// Progress of one target on every running host.
+    pub fn progress(&self, target: &WeightsTarget) -> Vec<WeightsProgress> {
+        let all = self.running().flat_map(|it| it.stage.progress());
+        all.filter(|it| it.manifest_digest == target.manifest_digest).collect()
+    }
+}
+
+async fn start_host(terms: &FleetTerms, idx: usize) -> FleetHost {
+    let node = Node::new(settings(terms, idx));
+    let stage = WeightsStage::new(node.clone());
+    let gossip = Gossip::new(
+        node.documents.clone(),
+        node.membership.clone(),
+        node.peers.clone(),
+        Vec::new(),
+    );
+    let service = PeerService {
+        documents: node.documents.clone(),
+        membership: node.membership.clone(),
+        gossip: Arc::new(gossip),
+        chunks: stage.chunk_server(),
+        peers: node.peers.clone(),
+    };
+    let key = node.settings.secrets.peer_key.clone();
+    let listen = node.settings.listen.peer;
+    let server = PeerServer::bind(listen, key, node.counters.clone(), service).await.unwrap();
+    node.membership.update_own(|it| {
+        it.peer_address = server.address();
+        it.state = HostState::Live;
+    });
+    node.documents.offer(charter_document(terms)).unwrap();
+    let run_task = runtime::spawn(stage.clone().run());
+    FleetHost { node, stage, server, _run_task: run_task }
+}
+
+fn charter_document(terms: &FleetTerms) -> Document {
+    let rollout = RolloutTerms { mode: terms.mode, origin_copies: terms.origin_copies };
+    let charter = Charter { number: 1, rollout, ..Charter::default() };
+    let json = ByteBuf::from(serde_json::to_vec(&charter).unwrap());
+    Document { name: DocumentName::Charter, number: 1, json }
+}
+
+fn settings(terms: &FleetTerms, idx: usize) -> Settings {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let region = idx % terms.n_regions;
+    let zone = idx / terms.n_regions % 2;
+    Settings {
+        host: HostSettings {
+            id: format!("host-{idx}"),
+            role: RoleSettings::Backend,
+            region: format!("region-{region}"),
+            zone: format!("zone-{region}-{zone}"),
+        },
+        listen: ListenSettings { request: any, peer: any, operator: any },
+        platform: PlatformSettings { addresses: Vec::new(), timeout_ms: Duration::from_secs(1) },
+        join: Vec::new(),
+        secrets: SecretSettings {
+            peer_key: PeerKey::from_secret(b"fleet"),
+            operator_token_digest: Digest::of(b"fleet"),
+        },
+        weights: WeightsSettings {
+            origin: vec![terms.origin],
+            memory_limit_bytes: terms.memory_limit_bytes,
+            send_bytes_per_s: terms.bytes_per_s,
+            receive_bytes_per_s: terms.bytes_per_s,
+            upload_slots: 8,
+            neighbours: 12,
+            min_share_percent: 20,
+        },
+        backend: Some(BackendSettings {
+            kind: BackendKind::Engine,
+            name: "chat".to_owned(),
+            address: any,
+            checks_fencing: true,
+            concurrency: 1,
+            max_queued: 1,
+        }),
+        limits: LimitSettings {
+            max_connections: 1024,
+            max_body_bytes: 1 << 20,
+            request_timeout_ms: Duration::from_secs(10),
+            entry_hosts_max_age_s: Duration::from_secs(1),
+            drain_timeout_ms: Duration::from_secs(1),
+        },
+        log: LogSettings { level: log::LevelFilter::Info },
+    }
+}
