--- /dev/null
+++ b/standins/src/engine/engine.rs
@@ -0,0 +1,255 @@
+//! State, orders and life cycle of an engine.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    time::Duration,
+};
+
+use crocustiller::{
+    digest::Digest,
+    net::{HttpClient, HttpServer, ServerLimits},
+    runtime,
+};
+use event_listener::Event;
+use futures_lite::{AsyncReadExt, FutureExt};
+use http_types::{Method, Request, Response, Url};
+use serde_json::json;
+
+use crate::{
+    behaviour::Behaviour,
+    engine::{
+        batch::Batch,
+        engine_behaviour::{EngineBehaviour, EngineCounts},
+        loaded_weights::{LoadOrder, LoadedWeights, StateAnswer},
+    },
+    respond,
+};
+
+/// Time limit for the head of the answer that carries weights.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time without a byte after which a load fails.
+const LOAD_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes of weights read at a time.
+const LOAD_PIECE_BYTES: usize = 256 << 10;
+/// Characters of a prompt that count as its prefix in the cache.
+const PREFIX_CHARS: usize = 64;
+/// Cache events that are kept.
+const MAX_CACHE_EVENTS: usize = 1000;
+
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub(crate) behaviour: Behaviour<EngineBehaviour>,
+    pub(crate) weights: Mutex<LoadedWeights>,
+    pub(crate) batch: Arc<Batch>,
+    pub(crate) counts: Mutex<EngineCounts>,
+    pub(crate) last_text: Mutex<Option<(String, String)>>,
+    pub(crate) cache_events: Mutex<Vec<serde_json::Value>>,
+    pub(crate) server: Mutex<Option<HttpServer>>,
+    pub(crate) is_crashed: AtomicBool,
+    pub(crate) crashed: Event,
+    pub(crate) exits_on_crash: bool,
+    pub(crate) http: HttpClient,
+}
+
+impl Engine {
+    pub(crate) fn new(exits_on_crash: bool) -> Arc<Engine> {
+        Arc::new(Engine {
+            behaviour: Behaviour::default(),
+            weights: Mutex::default(),
+            batch: Arc::default(),
+            counts: Mutex::default(),
+            last_text: Mutex::default(),
+            cache_events: Mutex::default(),
+            server: Mutex::default(),
+            is_crashed: AtomicBool::new(false),
+            crashed: Event::new(),
+            exits_on_crash,
+            http: HttpClient::new(),
+        })
+    }
+
+    pub(crate) async fn listen(self: &Arc<Self>, address: SocketAddr) -> io::Result<SocketAddr> {
+        let state = self.clone();
+        let handler = Arc::new(move |request| {
+            let inner = state.clone();
+            Box::pin(async move { inner.answer_unless_crashed(request).await }) as _
+        });
+        let server = HttpServer::bind(address, ServerLimits::default(), handler).await?;
+        let address = server.address();
+        *self.server.lock().unwrap() = Some(server);
+        Ok(address)
+    }
+
+    pub(crate) async fn restart(self: Arc<Self>, address: SocketAddr) -> io::Result<()> {
+        *self.weights.lock().unwrap() = LoadedWeights::default();
+        self.is_crashed.store(false, Ordering::Relaxed);
+        self.listen(address).await.map(|_| ())
+    }
+
+    /// Stops listening and cuts all exchanges.
+    pub(crate) fn stop(&self) {
+        self.is_crashed.store(true, Ordering::Relaxed);
+        self.crashed.notify(usize::MAX);
+        drop(self.server.lock().unwrap().take());
+    }
+
+    pub(crate) fn crash(self: &Arc<Self>) {
+        if self.exits_on_crash {
+            std::process::exit(101);
+        }
+        self.counts.lock().unwrap().crashes += 1;
+        let address = self.server.lock().unwrap().as_ref().map(HttpServer::address);
+        self.stop();
+        let pause = self.behaviour.get().restart_after_ms;
+        let (Some(address), true) = (address, pause > 0) else { return };
+        let inner = self.clone();
+        runtime::spawn(async move {
+            runtime::sleep(Duration::from_millis(pause)).await;
+            let _ = inner.restart(address).await;
+        })
+        .detach();
+    }
+
+    async fn answer_unless_crashed(
+        self: Arc<Self>,
+        request: Request,
+    ) -> http_types::Result<Response> {
+        let crashed = self.crashed.listen();
+        if self.is_crashed.load(Ordering::Relaxed) {
+            return respond::cut();
+        }
+        let cut = async {
+            crashed.await;
+            respond::cut()
+        };
+        self.clone().answer(request).or(cut).await
+    }
+
+    async fn answer(self: Arc<Self>, mut request: Request) -> http_types::Result<Response> {
+        let path = request.url().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/v1/chat/completions") => self.chat(request).await,
+            (Method::Post, "/admin/load") => self.load(request).await,
+            (Method::Get, "/admin/state") => Ok(respond::json(200, &self.state())),
+            (Method::Get, "/admin/cache-events") => Ok(self.cache_events_since(&request)),
+            (Method::Get, "/counts") => {
+                Ok(respond::json(200, &self.counts.lock().unwrap().clone()))
+            }
+            (Method::Post, "/crash") => {
+                self.crash();
+                respond::cut()
+            }
+            (Method::Post, "/faults") => {
+                let body = respond::read(&mut request).await?;
+                let res = self.behaviour.merge(&body);
+                self.batch.notify();
+                Ok(res.map_or_else(
+                    |err| respond::error(422, &err.to_string()),
+                    |()| respond::empty(204),
+                ))
+            }
+            _ => Ok(respond::error(404, "no such route")),
+        }
+    }
+
+    fn state(&self) -> StateAnswer {
+        let weights = self.weights.lock().unwrap().clone();
+        StateAnswer {
+            version: weights.version,
+            content_digest: weights.content_digest,
+            running: self.batch.n_running(),
+            queued: self.batch.n_queued(),
+            fencing: weights.fencing,
+        }
+    }
+
+    async fn load(&self, mut request: Request) -> http_types::Result<Response> {
+        let body = respond::read(&mut request).await?;
+        let order: LoadOrder = match serde_json::from_slice(&body) {
+            Ok(order) => order,
+            Err(err) => return Ok(respond::error(422, &err.to_string())),
+        };
+        let behaviour = self.behaviour.get();
+        runtime::sleep(Duration::from_millis(behaviour.load_delay_ms)).await;
+        {
+            let mut weights = self.weights.lock().unwrap();
+            if !behaviour.ignore_fencing && order.fencing < weights.fencing {
+                self.counts.lock().unwrap().refused_loads += 1;
+                return Ok(respond::error(409, "the fencing number is old"));
+            }
+            *weights = LoadedWeights {
+                is_loading: true,
+                fencing: order.fencing,
+                ..LoadedWeights::default()
+            };
+        }
+        let res = self.fetch_digest(&order.url).await;
+        let mut weights = self.weights.lock().unwrap();
+        weights.is_loading = false;
+        match res {
+            Err(err) => Ok(respond::error(502, &format!("the weights were not read: {err}"))),
+            Ok(content_digest) => {
+                weights.version = Some(order.version);
+                weights.content_digest = Some(content_digest);
+                drop(weights);
+                self.counts.lock().unwrap().loads += 1;
+                Ok(respond::json(200, &self.state()))
+            }
+        }
+    }
+
+    /// Digest of the bytes behind `url`, which are not kept.
+    async fn fetch_digest(&self, url: &str) -> http_types::Result<Digest> {
+        let url = Url::parse(url)?;
+        let addresses = url.socket_addrs(|| None)?;
+        let no_address = || io::Error::from(io::ErrorKind::AddrNotAvailable);
+        let address = *addresses.first().ok_or_else(no_address)?;
+        let request = Request::new(Method::Get, url);
+        let mut exchange = self.http.send(address, request, LOAD_TIMEOUT).await?;
+        if !exchange.response.status().is_success() {
+            let message = format!("status {}", exchange.response.status());
+            return Err(io::Error::other(message).into());
+        }
+        let announced = exchange.response.len();
+        let mut hasher = blake3::Hasher::new();
+        let mut buffer = vec![0; LOAD_PIECE_BYTES];
+        let mut n_total = 0;
+        loop {
+            let read = exchange.response.read(&mut buffer);
+            let read = runtime::timeout(LOAD_IDLE_TIMEOUT, read).await;
+            let n = read.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+            if n == 0 {
+                break;
+            }
+            hasher.update(&buffer[..n]);
+            n_total += n;
+        }
+        if announced.is_some_and(|it| it != n_total) {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        }
+        Ok(hasher.finalize().into())
+    }
+
+    pub(crate) fn note_prefix(&self, prompt: &str) {
+        let prefix: String = prompt.chars().take(PREFIX_CHARS).collect();
+        let mut events = self.cache_events.lock().unwrap();
+        let number = events.last().and_then(|it| it["number"].as_u64()).unwrap_or(0) + 1;
+        events.push(json!({"number": number, "prefix": prefix, "kind": "stored"}));
+        if events.len() > MAX_CACHE_EVENTS {
+            events.remove(0);
+        }
+    }
+
+    fn cache_events_since(&self, request: &Request) -> Response {
+        let since = respond::query(request, "since").and_then(|it| it.parse().ok()).unwrap_or(0);
+        let events = self.cache_events.lock().unwrap();
+        let newer: Vec<_> =
+            events.iter().filter(|it| it["number"].as_u64() > Some(since)).cloned().collect();
+        respond::json(200, &json!({ "events": newer }))
+    }
+}
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 mod batch;
+mod chat;
+mod engine;
 mod engine_behaviour;
 mod engine_standin;
 mod loaded_weights;
