--- /dev/null
+++ b/src/request/claim_key.rs
@@ -0,0 +1,103 @@
+//! Maps an idempotency key to the one platform object that may hold its claim.
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+use uuid::Uuid;
+
+use crate::digest::Digest;
+
+/// Span of issue times whose keys share one object.
+pub const BUCKET_SPAN: Duration = Duration::from_secs(60);
+/// How far a key's issue time may lie ahead of the slot's clock.
+pub const MAX_CLOCK_SKEW: Duration = Duration::from_secs(60);
+
+quick_error! {
+    /// Why a key can't be used.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum KeyError {
+        /// The key was issued before the window.
+        TooOld {
+            display("the idempotency key is older than the service remembers; look up whether the call ran, then use a new key")
+        }
+        /// The key was issued in the future.
+        TooNew {
+            display("the idempotency key's issue time lies in the future; check the clock and use a new key")
+        }
+    }
+}
+
+/// An idempotency key in the scope of its service and customer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimKey {
+    /// Shard whose owner decides about the key.
+    pub shard: u32,
+    /// Name of the object that holds the claim.
+    pub object: String,
+    /// Key of the claim in the object.
+    pub entry: String,
+    /// Start of the object's span since 1970; `None` for the object of keys without issue time.
+    pub bucket_start: Option<Duration>,
+}
+
+impl ClaimKey {
+    /// The shard of a key, of `n_shards`.
+    pub fn shard_of(customer: &str, key: &str, n_shards: u32) -> u32 {
+        let hash = Digest::of(entry_of(customer, key).as_bytes());
+        let first: [u8; 8] = hash.as_bytes()[..8].try_into().expect("a digest has 32 bytes");
+        (u64::from_le_bytes(first) % u64::from(n_shards.max(1))) as u32
+    }
+
+    /// Places `key` at the time `now` since 1970.
+    ///
+    /// A UUIDv7 key carries its issue time and so names its span. All other keys of a shard
+    /// share one object: a conditional update of one object is what settles two owners.
+    pub fn new(
+        service: &str,
+        customer: &str,
+        key: &str,
+        n_shards: u32,
+        window: Duration,
+        now: Duration,
+    ) -> Result<ClaimKey, KeyError> {
+        let shard = ClaimKey::shard_of(customer, key, n_shards);
+        let entry = entry_of(customer, key);
+        let Some(issued) = issue_time(key) else {
+            let object = format!("claims/{service}/{shard}/undated");
+            return Ok(ClaimKey { shard, object, entry, bucket_start: None });
+        };
+        if issued + window < now {
+            return Err(KeyError::TooOld);
+        }
+        if issued > now + MAX_CLOCK_SKEW {
+            return Err(KeyError::TooNew);
+        }
+        let span_s = BUCKET_SPAN.as_secs();
+        let start_s = issued.as_secs() / span_s * span_s;
+        Ok(ClaimKey {
+            shard,
+            object: format!("claims/{service}/{shard}/{start_s}"),
+            entry,
+            bucket_start: Some(Duration::from_secs(start_s)),
+        })
+    }
+}
+
+/// The decision name by which the owner of a shard is ranked.
+pub fn shard_decision(service: &str, shard: u32) -> String {
+    format!("claims/{service}/{shard}")
+}
+
+fn entry_of(customer: &str, key: &str) -> String {
+    let key = Uuid::parse_str(key).map_or_else(|_| key.to_owned(), |it| it.to_string());
+    format!("{customer} {key}")
+}
+
+fn issue_time(key: &str) -> Option<Duration> {
+    let uuid = Uuid::parse_str(key).ok()?;
+    if uuid.get_version_num() != 7 {
+        return None;
+    }
+    let (seconds, nanoseconds) = uuid.get_timestamp()?.to_unix();
+    Some(Duration::new(seconds, nanoseconds))
+}
--- /dev/null
+++ b/src/request/claim_object.rs
@@ -0,0 +1,167 @@
+//! Commits changes of claims to one platform object, many in one write.
+
+use std::{
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use async_channel::{Receiver, Sender};
+use async_lock::Mutex as AsyncMutex;
+
+use crate::{
+    ids::Revision,
+    platform::{PlatformClient, PlatformError, Precondition},
+    request::claim_bucket::{ClaimAnswer, ClaimBucket, ClaimChange},
+    runtime,
+    verdict::Verdict,
+};
+
+/// Pause after a failed call of the platform.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest value that is written; a margin under the platform's limit.
+const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// One object of claims; changes that arrive during a write go into the next one together.
+#[derive(Debug)]
+pub(crate) struct ClaimObject {
+    name: String,
+    /// Age at which claims are dropped from the object; `None` where the whole object is deleted.
+    max_age: Option<Duration>,
+    pending: Mutex<Vec<Pending>>,
+    known: AsyncMutex<Option<Known>>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    change: ClaimChange,
+    answer: Sender<ClaimAnswer>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    revision: Option<Revision>,
+    bucket: ClaimBucket,
+}
+
+impl ClaimObject {
+    /// Prepares the object `name`; nothing is read yet.
+    pub(crate) fn new(name: &str, max_age: Option<Duration>) -> ClaimObject {
+        ClaimObject {
+            name: name.to_owned(),
+            max_age,
+            pending: Mutex::default(),
+            known: AsyncMutex::new(None),
+        }
+    }
+
+    /// Makes `change` durable; an error says that it may or may not have been.
+    pub(crate) async fn commit(
+        &self,
+        platform: &PlatformClient,
+        change: ClaimChange,
+        deadline: Instant,
+    ) -> Result<ClaimAnswer, PlatformError> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.pending.lock().unwrap().push(Pending { change, answer: sender.clone() });
+        let mut known = self.known.lock().await;
+        if let Some(answer) = answered(&receiver) {
+            return Ok(answer);
+        }
+        let batch = std::mem::take(&mut *self.pending.lock().unwrap());
+        let res = self.write(platform, &mut known, &batch, deadline).await;
+        if let Err(err) = res {
+            let own = |it: &Pending| it.answer.same_channel(&sender);
+            self.pending.lock().unwrap().extend(batch.into_iter().filter(|it| !own(it)));
+            return Err(err);
+        }
+        answered(&receiver).ok_or_else(|| lost(&self.name))
+    }
+
+    /// Reads the object again before the next answer.
+    pub(crate) async fn refresh(&self) {
+        *self.known.lock().await = None;
+    }
+
+    async fn write(
+        &self,
+        platform: &PlatformClient,
+        known: &mut Option<Known>,
+        batch: &[Pending],
+        deadline: Instant,
+    ) -> Result<(), PlatformError> {
+        loop {
+            let err = match self.write_once(platform, known, batch).await {
+                Ok(()) => return Ok(()),
+                Err(err) => err,
+            };
+            *known = None;
+            let is_final = matches!(err, PlatformError::Refused(..));
+            if is_final || Instant::now() + RETRY_PAUSE >= deadline {
+                return Err(err);
+            }
+            if !matches!(err, PlatformError::Conflict(_)) {
+                runtime::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    /// One read, if needed, and one conditional write; a lost answer shows at the next read.
+    async fn write_once(
+        &self,
+        platform: &PlatformClient,
+        known: &mut Option<Known>,
+        batch: &[Pending],
+    ) -> Result<(), PlatformError> {
+        let current = match known.take() {
+            Some(current) => current,
+            None => self.read(platform).await?,
+        };
+        let mut bucket = current.bucket.clone();
+        if let Some(max_age) = self.max_age {
+            bucket.expire(since_1970().saturating_sub(max_age));
+        }
+        let answers: Vec<ClaimAnswer> = batch.iter().map(|it| bucket.apply(&it.change)).collect();
+        let mut revision = current.revision;
+        if bucket != current.bucket {
+            let value = serde_json::to_vec(&bucket).expect("claims have only string keys");
+            if value.len() > MAX_VALUE_BYTES {
+                *known = Some(current);
+                return Err(PlatformError::Refused(self.name.clone(), 413));
+            }
+            let precondition = match revision {
+                Some(it) => Precondition::Revision(it),
+                None => Precondition::Absent,
+            };
+            revision = Some(platform.put(&self.name, &value, precondition).await?);
+        }
+        *known = Some(Known { revision, bucket });
+        for (pending, answer) in batch.iter().zip(answers) {
+            let _ = pending.answer.try_send(answer);
+        }
+        Ok(())
+    }
+
+    async fn read(&self, platform: &PlatformClient) -> Result<Known, PlatformError> {
+        let Some(object) = platform.get(&self.name).await? else {
+            return Ok(Known { revision: None, bucket: ClaimBucket::default() });
+        };
+        let bucket = serde_json::from_slice(&object.value).map_err(|err| {
+            log::error!("claims: object can't be read object={} error=\"{err}\"", self.name);
+            PlatformError::Refused(self.name.clone(), 422)
+        })?;
+        Ok(Known { revision: Some(object.revision), bucket })
+    }
+}
+
+/// Time since 1970.
+pub(crate) fn since_1970() -> Duration {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default()
+}
+
+fn answered(receiver: &Receiver<ClaimAnswer>) -> Option<ClaimAnswer> {
+    receiver.try_recv().ok()
+}
+
+fn lost(name: &str) -> PlatformError {
+    PlatformError::Unavailable(Verdict::MayHaveRun, format!("no answer about {name}"))
+}
--- a/src/request/failure.rs
+++ b/src/request/failure.rs
@@ -58,6 +58,11 @@
         Failure::new(status, Verdict::MayHaveRun, message.into())
     }
 
+    /// A failure of a request that ran.
+    pub(crate) fn ran(status: StatusCode, message: impl Into<String>) -> Failure {
+        Failure::new(status, Verdict::Ran, message.into())
+    }
+
     /// The failure of a call to a slot or backend server.
     pub(crate) fn of_call(err: &CallError) -> Failure {
         let is_timeout = matches!(err, CallError::TimedOut(..));
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,6 +1,10 @@
 //! Live requests: from a caller through an entry host and a slot to a backend server and back.
 
 mod attempt;
+mod claim_bucket;
+mod claim_key;
+mod claim_object;
+mod claim_stage;
 mod entry_hosts;
 mod entry_stage;
 mod failure;
@@ -8,6 +12,8 @@
 mod headers;
 mod in_progress;
 mod incoming;
+mod quarantine;
+mod quarantine_stage;
 mod relay;
 mod retry_budget;
 mod route;
@@ -26,8 +32,11 @@
 };
 
 pub use crate::request::{
+    claim_bucket::{CallOutcome, Claim, ClaimAnswer, ClaimBucket, ClaimChange},
+    claim_key::{shard_decision, ClaimKey, KeyError, BUCKET_SPAN, MAX_CLOCK_SKEW},
     entry_hosts::choose_entry_hosts,
     fair_queue::{Enqueued, FairQueue, Ticket},
+    quarantine::{Quarantine, QuarantineChange, QuarantineEntry, Standing, MAX_CRASHED_HOSTS},
     retry_budget::RetryBudget,
     slot_picker::{SlotLoad, SlotPicker},
     slot_stage::WeightsSource,
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -5,12 +5,14 @@
 use http_types::{Body, Request, Response, StatusCode, Url};
 
 use crate::{
+    charter::ServiceTerms,
     digest::Digest,
     ids::SwitchNumber,
     membership::HostState,
     net::Exchange,
     node::Node,
     request::{
+        claim_stage::{ClaimStage, ServiceAnswer},
         failure::Failure,
         headers,
         incoming::{check_framing, request_id_of, text_of, Incoming, IncomingLimits},
@@ -19,6 +21,7 @@
         slot_gate::{GatePass, SlotGate, Work},
     },
     rollout::{Admission, Refusal, ServingState},
+    runtime,
     settings::{BackendKind, BackendSettings},
     verdict::Verdict,
 };
@@ -39,6 +42,7 @@
     backend: BackendSettings,
     serving: Arc<ServingState>,
     gate: Arc<SlotGate>,
+    claims: Arc<ClaimStage>,
     weights: WeightsSource,
 }
 
@@ -66,7 +70,8 @@
     ) -> Arc<SlotStage> {
         let backend = node.settings.backend.clone().expect("a slot's settings have [backend]");
         let gate = SlotGate::new(backend.concurrency as usize, backend.max_queued as usize);
-        Arc::new(SlotStage { node, backend, serving, gate, weights })
+        let claims = ClaimStage::new(node.clone());
+        Arc::new(SlotStage { node, backend, serving, gate, claims, weights })
     }
 
     /// Answers one request.
@@ -78,7 +83,7 @@
             Ok(id) => id,
             Err((id, failure)) => return failure.closing().into_response(&id),
         };
-        let mut response = match self.run(id.clone(), request).await {
+        let mut response = match self.clone().run(id.clone(), request).await {
             Ok(response) => response,
             Err(failure) => failure.into_response(&id),
         };
@@ -89,7 +94,7 @@
         response
     }
 
-    async fn run(&self, id: String, request: Request) -> Result<Response, Failure> {
+    async fn run(self: Arc<Self>, id: String, request: Request) -> Result<Response, Failure> {
         check_framing(&request)?;
         let envelope = self.envelope(&id, &request).map_err(Failure::closing)?;
         let limits = IncomingLimits {
@@ -101,7 +106,65 @@
         drop(self.admit(&route, &envelope)?);
         let pass = self.gate.enter(self.work(&incoming, &route, &envelope)).await?;
         let admission = self.admit(&route, &envelope)?;
-        self.call(&incoming, &route, &envelope, Permit { pass, admission }).await
+        let permit = Permit { pass, admission };
+        match self.terms_of(&route)? {
+            Some(terms) if !terms.repeatable => {
+                self.call_once(incoming, route, envelope, terms, permit).await
+            }
+            _ => self.call(&incoming, &route, &envelope, permit).await,
+        }
+    }
+
+    fn terms_of(&self, route: &Route) -> Result<Option<ServiceTerms>, Failure> {
+        let Route::Service { service, .. } = route else { return Ok(None) };
+        let charter = self.node.documents.charter();
+        let terms = charter.and_then(|it| it.services.get(service).cloned());
+        let terms = terms.ok_or_else(|| closed("the slot's charter does not name the service"))?;
+        Ok(Some(terms))
+    }
+
+    /// Runs a call at most once; it goes on when the entry host leaves, to record its outcome.
+    async fn call_once(
+        self: Arc<Self>,
+        incoming: Incoming,
+        route: Route,
+        envelope: Envelope,
+        terms: ServiceTerms,
+        permit: Permit,
+    ) -> Result<Response, Failure> {
+        let (sender, receiver) = async_channel::bounded(1);
+        runtime::spawn(async move {
+            let service = self.backend.name.clone();
+            let call = || self.call_whole(&incoming, &route, &envelope);
+            let run =
+                self.claims.clone().run(&incoming, &envelope.customer, &service, &terms, call);
+            let res = run.await.map(|it| it.into_response(&incoming.id));
+            drop(permit);
+            let _ = sender.try_send(res);
+        })
+        .detach();
+        let gone = |_| Failure::may_have_run(StatusCode::InternalServerError, "the slot failed");
+        receiver.recv().await.map_err(gone)?
+    }
+
+    async fn call_whole(
+        &self,
+        incoming: &Incoming,
+        route: &Route,
+        envelope: &Envelope,
+    ) -> Result<ServiceAnswer, Failure> {
+        let request = self.request(incoming, route, envelope);
+        let limit = incoming.time_left();
+        let sent = self.node.http.send(self.backend.address, request, limit).await;
+        let exchange = sent.map_err(|err| Failure::of_call(&err))?;
+        self.check_echo(&exchange.response, incoming, route)?;
+        let read = runtime::timeout(incoming.time_left(), exchange.read(MAX_ANSWER_BYTES));
+        let (head, body) = match read.await {
+            Ok(res) => res.map_err(|err| Failure::of_call(&err))?,
+            Err(_) => return Err(too_late()),
+        };
+        let content_type = head.header("Content-Type").map(|it| it.as_str().to_owned());
+        Ok(ServiceAnswer { status: head.status(), content_type, body })
     }
 
     fn work<'a>(&self, incoming: &Incoming, route: &Route, envelope: &'a Envelope) -> Work<'a> {
@@ -198,7 +261,7 @@
             response.set_body(relay::stream_body(exchange, incoming.deadline, permit));
             return Ok(response);
         }
-        let read = crate::runtime::timeout(incoming.time_left(), exchange.read(MAX_ANSWER_BYTES));
+        let read = runtime::timeout(incoming.time_left(), exchange.read(MAX_ANSWER_BYTES));
         let (head, body) = match read.await {
             Ok(res) => res.map_err(|err| Failure::of_call(&err))?,
             Err(_) => return Err(too_late()),
