--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -11,7 +11,7 @@
     detector::Detector,
     gossip::Gossip,
     leaving::announce_leaving,
-    member_record::{HostRole, HostState, MemberRecord, WeightsStatus},
+    member_record::{HostRole, HostState, MemberRecord, PreparedSwitch, WeightsStatus},
     membership::Membership,
     rank::rank,
 };
