Burn of error budgets: counts in rings, rates, two-window alerts

Counts a customer and level lie in rings of 30 s over six hours, with the time passed in, so memory does not grow with requests; gathered counts add up over entry hosts and a missing host is named. Charter in force and time to all are events of the whole deployment, timed on each entry host from the membership.

Ruled out: histograms of waits a customer for equal wait; the mean is enough for a ratio and adds up over hosts.

--- a/src/operator/charter_routes.rs
+++ b/src/operator/charter_routes.rs
@@ -1,46 +1,25 @@
 //! Routes that show and patch the charter.
 
+use std::time::{Duration, Instant};
+
 use http_types::{Request, Response, StatusCode};
-use quick_error::quick_error;
-use serde_bytes::ByteBuf;
-use serde_json::{json, Value};
+use serde_json::json;
 
 use crate::{
-    charter::{AcceptedPatch, Charter, RECENT_PATCHES},
+    charter::{self, FieldError, PatchOrder, PatchOutcome, PatchState},
     ids::DocumentNumber,
     net::read_request_body,
     node::Node,
     operator::answer::{error_answer, json_answer},
-    peer::{Document, DocumentName},
-    platform::{Object, PlatformError, Precondition},
     verdict::Verdict,
 };
 
-/// Name of the charter's object.
-const CHARTER_OBJECT: &str = "charter";
 /// Longest patch.
 const MAX_PATCH_BYTES: usize = 1 << 20;
-
-quick_error! {
-    /// Why a patch did not take effect.
-    #[derive(Debug)]
-    enum PatchRefusal {
-        /// The patch builds on another charter than the one in force.
-        Stale(base: DocumentNumber, current: DocumentNumber) {
-            display("the patch builds on charter {base}, but {current} is in force; read it and patch again")
-        }
-        /// The patch doesn't make a charter.
-        Malformed(reason: String) {
-            display("{reason}")
-        }
-        /// The platform did not answer.
-        Platform(err: PlatformError) {
-            from()
-            source(err)
-            display("{err}")
-        }
-    }
-}
+/// Time for a patch whose operator names no deadline.
+const PATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest deadline that an operator may name.
+const MAX_PATCH_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// `GET /v1/charter`.
 pub(crate) fn show(node: &Node) -> Response {
@@ -58,118 +37,107 @@
 
 /// `PATCH /v1/charter`.
 pub(crate) async fn patch(node: &Node, mut request: Request) -> Response {
-    let Some(base_number) = number_header(&request, "If-Match") else {
-        let message = "send `If-Match: <number>` with the charter number that the patch builds on";
-        return error_answer(StatusCode::PreconditionRequired, message, Verdict::NotRun);
-    };
-    let Some(id) = request.header("Idempotency-Key").map(|it| it.as_str().to_owned()) else {
-        let message = "send `Idempotency-Key: <id>` so that the patch can be looked up";
-        return error_answer(StatusCode::PreconditionRequired, message, Verdict::NotRun);
-    };
-    let body = match read_request_body(&mut request, MAX_PATCH_BYTES).await {
-        Ok(body) => body,
-        Err(err) => return bad_patch(&err.to_string()),
+    let order = match read_order(&mut request).await {
+        Ok(order) => order,
+        Err(err) => return err.answer(),
     };
-    let patch = match serde_json::from_slice(&body) {
-        Ok(patch) => patch,
-        Err(err) => return bad_patch(&format!("the patch is not JSON: {err}")),
-    };
-    match apply(node, &id, base_number, &patch).await {
-        Ok(number) => accepted(&id, number),
-        Err(refusal) => refusal.answer(),
+    let (id, base_number) = (order.id.clone(), order.base_number);
+    match charter::patch(node, order).await {
+        PatchOutcome::Accepted(number) => state_answer(&id, PatchState::Accepted(number)),
+        PatchOutcome::Stale { current } => stale(base_number, current),
+        PatchOutcome::Invalid(fields) => invalid(&fields),
+        PatchOutcome::Unavailable(reason) => {
+            let message = format!("the platform can't be asked ({reason}); send the patch again");
+            error_answer(StatusCode::ServiceUnavailable, &message, Verdict::NotRun)
+        }
+        PatchOutcome::Unsettled(reason) => {
+            let message = format!(
+                "the patch may have taken effect ({reason}); ask `GET /v1/charter/patches/{id}`"
+            );
+            error_answer(StatusCode::GatewayTimeout, &message, Verdict::MayHaveRun)
+        }
     }
 }
 
 /// `GET /v1/charter/patches/<id>`.
 pub(crate) async fn patch_state(node: &Node, id: &str) -> Response {
-    let charter = node.documents.charter();
-    let patch = charter.as_ref().and_then(|it| it.recent_patches.iter().find(|it| it.id == id));
-    match patch {
-        Some(patch) => accepted(id, patch.number),
-        None => json_answer(StatusCode::Ok, &json!({ "id": id, "state": "unknown" })),
-    }
+    state_answer(id, charter::patch_state(node, id).await)
 }
 
-impl PatchRefusal {
-    fn answer(&self) -> Response {
-        let (status, verdict) = match self {
-            PatchRefusal::Stale(..) => (StatusCode::PreconditionFailed, Verdict::NotRun),
-            PatchRefusal::Malformed(_) => (StatusCode::UnprocessableEntity, Verdict::NotRun),
-            PatchRefusal::Platform(err) if err.verdict() == Verdict::NotRun => {
-                (StatusCode::ServiceUnavailable, Verdict::NotRun)
-            }
-            PatchRefusal::Platform(_) => (StatusCode::GatewayTimeout, Verdict::MayHaveRun),
-        };
-        let mut response = error_answer(status, &self.to_string(), verdict);
-        if let PatchRefusal::Stale(_, current) = self {
-            response.insert_header("ETag", current.to_string());
-        }
-        response
-    }
+/// What an order lacks.
+struct OrderError {
+    status: StatusCode,
+    message: String,
 }
 
-async fn apply(
-    node: &Node,
-    id: &str,
-    base_number: DocumentNumber,
-    patch: &Value,
-) -> Result<DocumentNumber, PatchRefusal> {
-    let object = node.platform.get(CHARTER_OBJECT).await?;
-    let charter = read(object.as_ref())?;
-    if let Some(known) = charter.recent_patches.iter().find(|it| it.id == id) {
-        return Ok(known.number);
-    }
-    if charter.number != base_number {
-        return Err(PatchRefusal::Stale(base_number, charter.number));
+impl OrderError {
+    fn new(status: StatusCode, message: impl Into<String>) -> OrderError {
+        OrderError { status, message: message.into() }
     }
-    let charter = merged(charter, id, patch)?;
-    let json = serde_json::to_vec(&charter).expect("a charter has only string keys");
-    let precondition = match object {
-        Some(object) => Precondition::Revision(object.revision),
-        None => Precondition::Absent,
-    };
-    match node.platform.put(CHARTER_OBJECT, &json, precondition).await {
-        Ok(_) => {}
-        Err(PlatformError::Conflict(_)) => {
-            return Err(PatchRefusal::Stale(base_number, charter.number))
-        }
-        Err(err) => return Err(err.into()),
+
+    fn answer(&self) -> Response {
+        error_answer(self.status, &self.message, Verdict::NotRun)
     }
-    let document =
-        Document { name: DocumentName::Charter, number: charter.number, json: ByteBuf::from(json) };
-    node.documents.offer(document).map_err(|err| PatchRefusal::Malformed(err.to_string()))?;
-    Ok(charter.number)
 }
 
-fn read(object: Option<&Object>) -> Result<Charter, PatchRefusal> {
-    let Some(object) = object else { return Ok(Charter::default()) };
-    serde_json::from_slice(&object.value)
-        .map_err(|err| PatchRefusal::Malformed(format!("the stored charter can't be read: {err}")))
+async fn read_order(request: &mut Request) -> Result<PatchOrder, OrderError> {
+    let required = StatusCode::PreconditionRequired;
+    let Some(base_number) = number_header(request, "If-Match") else {
+        let message = "send `If-Match: <number>` with the charter number that the patch builds on";
+        return Err(OrderError::new(required, message));
+    };
+    let Some(id) = request.header("Idempotency-Key").map(|it| it.as_str().to_owned()) else {
+        let message = "send `Idempotency-Key: <id>` so that the patch can be looked up";
+        return Err(OrderError::new(required, message));
+    };
+    let wait = number_header(request, "X-Deadline-Ms").map(Duration::from_millis);
+    let deadline = Instant::now() + wait.unwrap_or(PATCH_TIMEOUT).min(MAX_PATCH_TIMEOUT);
+    let body = read_request_body(request, MAX_PATCH_BYTES)
+        .await
+        .map_err(|err| OrderError::new(StatusCode::BadRequest, err.to_string()))?;
+    let patch = serde_json::from_slice(&body).map_err(|err| {
+        let message = format!("the patch is not JSON: {err}; send a JSON merge patch (RFC 7396)");
+        OrderError::new(StatusCode::UnprocessableEntity, message)
+    })?;
+    Ok(PatchOrder { id, base_number, patch, deadline })
 }
 
-fn merged(charter: Charter, id: &str, patch: &Value) -> Result<Charter, PatchRefusal> {
-    let number = charter.number + 1;
-    let mut recent = charter.recent_patches.clone();
-    let mut value = serde_json::to_value(charter).expect("a charter has only string keys");
-    json_patch::merge(&mut value, patch);
-    let mut charter: Charter =
-        serde_json::from_value(value).map_err(|err| PatchRefusal::Malformed(err.to_string()))?;
-    recent.push(AcceptedPatch { id: id.to_owned(), number });
-    let n_old = recent.len().saturating_sub(RECENT_PATCHES);
-    charter.recent_patches = recent.split_off(n_old);
-    charter.number = number;
-    Ok(charter)
+fn state_answer(id: &str, state: PatchState) -> Response {
+    let (name, number) = match state {
+        PatchState::Accepted(number) => ("accepted", Some(number)),
+        PatchState::Refused => ("refused", None),
+        PatchState::Unknown => ("unknown", None),
+    };
+    let body = json!({ "id": id, "state": name, "number": number });
+    let mut response = json_answer(StatusCode::Ok, &body);
+    if let Some(number) = number {
+        response.insert_header("ETag", number.to_string());
+    }
+    response
 }
 
-fn accepted(id: &str, number: DocumentNumber) -> Response {
-    let body = json!({ "id": id, "state": "accepted", "number": number });
-    let mut response = json_answer(StatusCode::Ok, &body);
-    response.insert_header("ETag", number.to_string());
+fn stale(base: DocumentNumber, current: DocumentNumber) -> Response {
+    let message = format!(
+        "the patch builds on charter {base}, but {current} is in force; read it and patch again"
+    );
+    let body = json!({
+        "error": { "message": message, "verdict": Verdict::NotRun, "current_number": current }
+    });
+    let mut response = json_answer(StatusCode::PreconditionFailed, &body);
+    response.insert_header("X-Verdict", Verdict::NotRun.as_str());
+    response.insert_header("ETag", current.to_string());
     response
 }
 
-fn bad_patch(message: &str) -> Response {
-    error_answer(StatusCode::UnprocessableEntity, message, Verdict::NotRun)
+fn invalid(fields: &[FieldError]) -> Response {
+    let lines: Vec<String> = fields.iter().map(|it| format!("  {it}")).collect();
+    let message = format!("the patched charter is not valid:\n{}", lines.join("\n"));
+    let body = json!({
+        "error": { "message": message, "verdict": Verdict::NotRun, "fields": fields }
+    });
+    let mut response = json_answer(StatusCode::UnprocessableEntity, &body);
+    response.insert_header("X-Verdict", Verdict::NotRun.as_str());
+    response
 }
 
 fn number_header(request: &Request, name: &str) -> Option<u64> {
--- a/src/operator/handler.rs
+++ b/src/operator/handler.rs
@@ -15,6 +15,7 @@
         process_report::ProcessReport,
         process_view::ProcessView,
     },
+    peer::DocumentName,
     verdict::Verdict,
 };
 
@@ -34,7 +35,7 @@
     match parts.as_slice() {
         ["healthz"] => return text_answer(StatusCode::Ok, "ok\n"),
         ["readyz"] => return readiness(node),
-        ["metrics"] => return text_answer(StatusCode::Ok, &metrics_page::render()),
+        ["metrics"] => return text_answer(StatusCode::Ok, &metrics_page::render(node)),
         _ => {}
     }
     if !is_operator(node, &request) {
@@ -50,6 +51,9 @@
         (Method::Post, ["v1", "hosts", "self", "leave"]) => leave(node, view),
         (Method::Get, ["v1", "pools"]) => pools(node),
         (Method::Get, ["v1", "process"]) => json_answer(StatusCode::Ok, &ProcessReport::of(node)),
+        (Method::Get, ["v1", "burn"]) => burn(node, view),
+        (Method::Get, ["v1", "requests", id]) => requests(view, id),
+        (Method::Get, ["v1", "quarantine"]) => quarantine(node),
         _ => not_found(&path),
     }
 }
@@ -103,3 +107,18 @@
     let pools: Vec<_> = charter.pools.keys().filter_map(|it| node.documents.pool(it)).collect();
     json_answer(StatusCode::Ok, &json!({ "pools": pools }))
 }
+
+fn burn(node: &Node, view: &ProcessView) -> Response {
+    let counts = view.accounts.burn_counts(&node.settings.host.id);
+    json_answer(StatusCode::Ok, &counts)
+}
+
+fn requests(view: &ProcessView, id_or_key: &str) -> Response {
+    json_answer(StatusCode::Ok, &json!({ "requests": view.accounts.find(id_or_key) }))
+}
+
+fn quarantine(node: &Node) -> Response {
+    let document = node.documents.document(&DocumentName::Quarantine);
+    let entries = document.and_then(|it| serde_json::from_slice(&it.json).ok());
+    json_answer(StatusCode::Ok, &entries.unwrap_or_else(|| json!({ "number": 0, "entries": [] })))
+}
--- /dev/null
+++ b/src/report/account_book.rs
@@ -0,0 +1,82 @@
+//! Counts for each customer and level, with the time passed in.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    charter::{Charter, ServiceLevels},
+    ids::CustomerId,
+    report::{
+        burn_counts::{LevelCounts, SERIES_POINTS, SERIES_STEP},
+        count_ring::CountRing,
+        counts::Counts,
+        level::Level,
+        request_outcome::RequestOutcome,
+        windows::Window,
+    },
+};
+
+/// Customers that are counted at most; further ones are left out.
+const MAX_CUSTOMERS: usize = 256;
+
+/// Rings of counts; times are since the start of the process.
+#[derive(Debug, Default)]
+pub struct AccountBook {
+    rings: BTreeMap<(Option<CustomerId>, Level), CountRing>,
+}
+
+impl AccountBook {
+    /// Counts the end of one request against the limits in `levels`.
+    pub fn record(&mut self, now: Duration, outcome: &RequestOutcome, levels: &ServiceLevels) {
+        if !self.has_room_for(&outcome.customer) {
+            return;
+        }
+        let wait_ms = outcome.wait_ms.as_millis() as u64;
+        self.count(now, outcome, Level::Answered, outcome.is_answered, 0);
+        self.count(now, outcome, Level::EqualWait, true, wait_ms);
+        if let Some(first_token) = outcome.first_token_ms {
+            let is_in_time = first_token <= levels.first_token_ms;
+            self.count(now, outcome, Level::FirstToken, is_in_time, 0);
+        }
+        if outcome.is_answered {
+            self.count(now, outcome, Level::ExactVersion, outcome.version_is_intended, 0);
+        }
+    }
+
+    /// Counts one event of the whole deployment.
+    pub fn record_event(&mut self, now: Duration, level: Level, is_in_time: bool) {
+        let counts = Counts { good: is_in_time.into(), total: 1, wait_ms: 0 };
+        self.rings.entry((None, level)).or_default().add(now, counts);
+    }
+
+    /// All counts up to `now`; `charter` gives the customers' weights.
+    pub fn counts(&self, now: Duration, charter: &Charter) -> Vec<LevelCounts> {
+        let counts_of = |((customer, level), ring): (&(Option<CustomerId>, Level), &CountRing)| {
+            let terms = customer.as_ref().and_then(|it| charter.customers.get(it));
+            LevelCounts {
+                customer: customer.clone(),
+                weight: terms.map_or(0, |it| it.weight),
+                level: *level,
+                windows: Window::ALL.map(|it| ring.sum(now, it.duration())),
+                series: ring.series(now, SERIES_STEP, SERIES_POINTS),
+            }
+        };
+        self.rings.iter().map(counts_of).collect()
+    }
+
+    fn count(
+        &mut self,
+        now: Duration,
+        outcome: &RequestOutcome,
+        level: Level,
+        is_good: bool,
+        wait_ms: u64,
+    ) {
+        let ring = self.rings.entry((Some(outcome.customer.clone()), level)).or_default();
+        ring.add(now, Counts { good: is_good.into(), total: 1, wait_ms });
+    }
+
+    fn has_room_for(&self, customer: &str) -> bool {
+        let key = (Some(customer.to_owned()), Level::Answered);
+        self.rings.contains_key(&key) || self.rings.len() < MAX_CUSTOMERS * Level::ALL.len()
+    }
+}
--- /dev/null
+++ b/src/report/burn_report.rs
@@ -0,0 +1,156 @@
+//! Burn rates of error budgets, gathered from all entry hosts.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    charter::ServiceLevels,
+    ids::{CustomerId, HostId},
+    report::{
+        alert::Alert,
+        burn_counts::{BurnCounts, LevelCounts},
+        counts::Counts,
+        level::Level,
+    },
+};
+
+/// Shortest mean wait that is compared; below it, differences do not matter to a customer.
+const MIN_COMPARED_WAIT_MS: f64 = 10.0;
+
+/// Burn of every customer and level.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BurnReport {
+    /// Entry hosts whose counts are in the report.
+    pub hosts: Vec<HostId>,
+    /// Entry hosts whose counts are missing; the report is partial when there are any.
+    pub missing: Vec<MissingHost>,
+    /// Whether counts are missing.
+    pub is_partial: bool,
+    /// One row for each customer and level, in the order of `Level::ALL`.
+    pub rows: Vec<BurnRow>,
+}
+
+/// An entry host that gave no counts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MissingHost {
+    /// The entry host, or its operator address where its id is unknown.
+    pub host: String,
+    /// Why its counts are missing.
+    pub reason: String,
+}
+
+/// Burn of one customer and level.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BurnRow {
+    /// The level.
+    pub level: Level,
+    /// The customer; `None` for a level of the whole deployment.
+    pub customer: Option<CustomerId>,
+    /// Share of requests that must meet the level, or the greatest ratio of waits.
+    pub target: f64,
+    /// Counts over the windows of `Window::ALL`.
+    pub counts: [Counts; 3],
+    /// Burn over the windows of `Window::ALL`: 1 uses the budget up exactly; `None` without requests.
+    ///
+    /// For equal wait it is the ratio of the customer's mean wait to the best one's.
+    pub burn: [Option<f64>; 3],
+    /// What the burn asks for.
+    pub alert: Alert,
+    /// Burn over the last six hours in steps of five minutes, oldest first.
+    pub series: Vec<Option<f64>>,
+}
+
+impl BurnReport {
+    /// Adds the counts of all entry hosts up; the limits are those of the first one.
+    pub fn new(counts: &[BurnCounts], missing: Vec<MissingHost>) -> BurnReport {
+        let levels = counts.first().map(|it| it.service_levels.clone()).unwrap_or_default();
+        let merged = merge(counts);
+        let mut rows: Vec<BurnRow> = merged.iter().map(|it| row_of(it, &merged, &levels)).collect();
+        rows.sort_by(|a, b| (a.level, &a.customer).cmp(&(b.level, &b.customer)));
+        BurnReport {
+            hosts: counts.iter().map(|it| it.host.clone()).collect(),
+            is_partial: !missing.is_empty(),
+            missing,
+            rows,
+        }
+    }
+
+    /// The gravest alert of all rows.
+    pub fn alert(&self) -> Alert {
+        self.rows.iter().map(|it| it.alert).max().unwrap_or(Alert::None)
+    }
+}
+
+/// Sums the counts of the same customer and level.
+fn merge(counts: &[BurnCounts]) -> Vec<LevelCounts> {
+    let mut merged: BTreeMap<(Option<&str>, Level), LevelCounts> = BTreeMap::new();
+    for it in counts.iter().flat_map(|it| &it.levels) {
+        let key = (it.customer.as_deref(), it.level);
+        let Some(sum) = merged.get_mut(&key) else {
+            merged.insert(key, it.clone());
+            continue;
+        };
+        sum.weight = sum.weight.max(it.weight);
+        add_each(&mut sum.windows, &it.windows);
+        add_each(&mut sum.series, &it.series);
+    }
+    merged.into_values().collect()
+}
+
+fn add_each(sums: &mut [Counts], counts: &[Counts]) {
+    for (sum, it) in sums.iter_mut().zip(counts) {
+        *sum += *it;
+    }
+}
+
+fn row_of(counts: &LevelCounts, all: &[LevelCounts], levels: &ServiceLevels) -> BurnRow {
+    let target_percent = counts.level.target_percent(levels);
+    let (burn, series, alert) = match target_percent {
+        Some(target) => {
+            let burn = counts.windows.map(|it| burn_rate(it, target));
+            let series = counts.series.iter().map(|it| burn_rate(*it, target)).collect();
+            (burn, series, Alert::of_burn(burn))
+        }
+        None => {
+            let equals: Vec<&LevelCounts> = all
+                .iter()
+                .filter(|it| it.level == counts.level && it.weight == counts.weight)
+                .collect();
+            let burn = [0, 1, 2].map(|idx| {
+                wait_ratio(counts.windows[idx], equals.iter().map(|it| it.windows[idx]))
+            });
+            let at = |idx: usize| {
+                let others = equals.iter().filter_map(|it| it.series.get(idx).copied());
+                wait_ratio(counts.series[idx], others)
+            };
+            let series = (0..counts.series.len()).map(at).collect();
+            (burn, series, Alert::of_ratio(burn, levels.equal_wait_ratio))
+        }
+    };
+    BurnRow {
+        level: counts.level,
+        customer: counts.customer.clone(),
+        target: target_percent.unwrap_or(levels.equal_wait_ratio),
+        counts: counts.windows,
+        burn,
+        alert,
+        series,
+    }
+}
+
+/// Share of bad requests over the share that the target allows.
+fn burn_rate(counts: Counts, target_percent: f64) -> Option<f64> {
+    if counts.total == 0 {
+        return None;
+    }
+    let allowed = (1.0 - target_percent / 100.0).max(f64::EPSILON);
+    Some(counts.bad() as f64 / counts.total as f64 / allowed)
+}
+
+/// Mean wait of one customer over the shortest mean wait of all.
+fn wait_ratio(own: Counts, all: impl Iterator<Item = Counts>) -> Option<f64> {
+    let compared = |it: Counts| it.mean_wait_ms().map(|it| it.max(MIN_COMPARED_WAIT_MS));
+    let best = all.filter_map(compared).min_by(f64::total_cmp)?;
+    Some(compared(own)? / best)
+}
--- /dev/null
+++ b/src/report/convergence.rs
@@ -0,0 +1,51 @@
+//! Measures how long a new number takes to be in force on every host.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Numbers that are waited for at the same time at most; further ones count with the newest.
+const MAX_PENDING: usize = 64;
+
+/// Follows one rising number; times are since the start of the process.
+#[derive(Clone, Debug, Default)]
+pub struct Convergence {
+    newest: u64,
+    pending: VecDeque<Pending>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    number: u64,
+    since: Duration,
+}
+
+impl Convergence {
+    /// Takes the number known here and the lowest one in force on any host at `now`.
+    ///
+    /// Gives the time that each number took which is in force everywhere now, or which has been
+    /// waited for longer than `limit`.
+    pub fn observe(
+        &mut self,
+        now: Duration,
+        newest: u64,
+        lowest: u64,
+        limit: Duration,
+    ) -> Vec<Duration> {
+        let is_first = self.newest == 0;
+        if newest > self.newest {
+            self.newest = newest;
+            if !is_first && self.pending.len() < MAX_PENDING {
+                self.pending.push_back(Pending { number: newest, since: now });
+            }
+        }
+        let mut ended = Vec::new();
+        while let Some(oldest) = self.pending.front() {
+            let took = now.saturating_sub(oldest.since);
+            if oldest.number > lowest && took <= limit {
+                break;
+            }
+            ended.push(took);
+            self.pending.pop_front();
+        }
+        ended
+    }
+}
--- a/src/report/request_outcome.rs
+++ b/src/report/request_outcome.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, DurationMilliSeconds};
+
 use crate::{
     ids::{CustomerId, HostId, PoolId, RequestId},
     verdict::Verdict,
 };
 
 /// The end of one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestOutcome {
     /// The request.
     pub request_id: RequestId,
@@ -25,9 +29,11 @@
     /// Whether the request may have run.
     pub verdict: Verdict,
     /// Time from the request's arrival to the first byte of its answer.
-    pub first_token: Option<Duration>,
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub first_token_ms: Option<Duration>,
     /// Time that the request waited before it went to a backend server.
-    pub wait: Duration,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub wait_ms: Duration,
     /// Whether the answer came from the intended version.
     pub version_is_intended: bool,
 }
--- /dev/null
+++ b/tests/burn_report.rs
@@ -0,0 +1,192 @@
+//! The burn report: rates of error budgets, two-window alerts, partial reports.
+
+use std::time::Duration;
+
+use crocustiller::{
+    charter::Charter,
+    report::{
+        AccountBook, Alert, BurnCounts, BurnReport, BurnRow, Level, MissingHost, RequestOutcome,
+    },
+    verdict::Verdict,
+};
+
+/// Time of the last request; six hours after the start.
+const NOW: Duration = Duration::from_secs(6 * 3600);
+
+#[test]
+fn burn_is_share_of_bad_over_budget() {
+    // 2 of 1000 unanswered with a budget of 0.1 %: twice the budget.
+    let mut host = Host::new("entry-1");
+    host.answered(NOW, "weavers", 998);
+    host.unanswered(NOW, "weavers", 2);
+    let report = report(&[host]);
+    let burn = row(&report, Level::Answered, "weavers").burn;
+    assert!(burn.iter().all(|it| (it.unwrap() - 2.0).abs() < 1e-6), "{burn:?}");
+}
+
+#[test]
+fn alerts_need_two_windows() {
+    let cases = [
+        // (share unanswered at -5 h, at -30 min, now; expected)
+        ([0, 0, 0], Alert::None),
+        ([0, 0, 100], Alert::None),
+        ([0, 100, 100], Alert::Page),
+        ([0, 100, 0], Alert::Ticket),
+        ([50, 10, 0], Alert::Ticket),
+        ([100, 0, 0], Alert::None),
+    ];
+    for (unanswered, expected) in cases {
+        check_alert(unanswered, expected);
+    }
+}
+
+#[test]
+fn late_first_token_burns() {
+    let mut host = Host::new("entry-1");
+    for idx in 0..100 {
+        let first_token_ms = if idx < 10 { 361 } else { 360 };
+        host.record(
+            NOW,
+            RequestOutcome {
+                first_token_ms: Some(Duration::from_millis(first_token_ms)),
+                ..outcome("weavers")
+            },
+        );
+    }
+    let report = report(&[host]);
+    let burn = row(&report, Level::FirstToken, "weavers").burn[0].unwrap();
+    assert!((burn - 2.0).abs() < 1e-6, "{burn}");
+}
+
+#[test]
+fn other_version_burns() {
+    let mut host = Host::new("entry-1");
+    host.answered(NOW, "weavers", 999);
+    host.record(NOW, RequestOutcome { version_is_intended: false, ..outcome("weavers") });
+    let report = report(&[host]);
+    assert!(row(&report, Level::ExactVersion, "weavers").burn[0].unwrap() > 9.0);
+}
+
+#[test]
+fn waits_are_compared_at_equal_weight() {
+    let mut host = Host::new("entry-1");
+    for (customer, wait_ms) in [("weavers", 100), ("schools", 200), ("heavy", 900)] {
+        let wait_ms = Duration::from_millis(wait_ms);
+        host.record(NOW, RequestOutcome { wait_ms, ..outcome(customer) });
+    }
+    let report = report(&[host]);
+    assert_eq!(row(&report, Level::EqualWait, "weavers").burn[0], Some(1.0));
+    assert_eq!(row(&report, Level::EqualWait, "schools").burn[0], Some(2.0));
+    assert_eq!(row(&report, Level::EqualWait, "heavy").burn[0], Some(1.0));
+    assert_eq!(row(&report, Level::EqualWait, "schools").alert, Alert::Ticket);
+}
+
+#[test]
+fn counts_of_hosts_add_up() {
+    let mut one = Host::new("entry-1");
+    one.answered(NOW, "weavers", 10);
+    let mut two = Host::new("entry-2");
+    two.unanswered(NOW, "weavers", 10);
+    let report = report(&[one, two]);
+    let counts = row(&report, Level::Answered, "weavers").counts[0];
+    assert_eq!((counts.good, counts.total), (10, 20));
+    assert!(!report.is_partial);
+}
+
+#[test]
+fn missing_host_makes_report_partial() {
+    let missing =
+        vec![MissingHost { host: "entry-2".to_owned(), reason: "no connection".to_owned() }];
+    let report = BurnReport::new(&[Host::new("entry-1").counts()], missing.clone());
+    assert!(report.is_partial);
+    assert_eq!(report.missing, missing);
+}
+
+fn check_alert(unanswered_percent: [usize; 3], expected: Alert) {
+    let mut host = Host::new("entry-1");
+    let ages_s = [5 * 3600, 1800, 0];
+    for (percent, age_s) in unanswered_percent.into_iter().zip(ages_s) {
+        let at = NOW - Duration::from_secs(age_s);
+        // Few recent requests, so that they do not fill the window of an hour alone.
+        let n_requests = if age_s == 0 { 10 } else { 1000 };
+        host.unanswered(at, "weavers", n_requests * percent / 100);
+        host.answered(at, "weavers", n_requests * (100 - percent) / 100);
+    }
+    let report = report(&[host]);
+    let row = row(&report, Level::Answered, "weavers");
+    assert_eq!(row.alert, expected, "{unanswered_percent:?} {:?}", row.burn);
+}
+
+fn report(hosts: &[Host]) -> BurnReport {
+    let counts: Vec<BurnCounts> = hosts.iter().map(Host::counts).collect();
+    BurnReport::new(&counts, Vec::new())
+}
+
+fn row<'a>(report: &'a BurnReport, level: Level, customer: &str) -> &'a BurnRow {
+    let is_wanted = |it: &&BurnRow| it.level == level && it.customer.as_deref() == Some(customer);
+    report.rows.iter().find(is_wanted).expect("the report has a row for the level")
+}
+
+/// Counts of one entry host under a charter with three customers.
+struct Host {
+    host: &'static str,
+    book: AccountBook,
+    charter: Charter,
+}
+
+impl Host {
+    fn new(host: &'static str) -> Host {
+        let digest = "0".repeat(64);
+        let customers = [("weavers", 1), ("schools", 1), ("heavy", 3)].map(|(customer, weight)| {
+            (customer, serde_json::json!({ "weight": weight, "token_digest": digest }))
+        });
+        let customers: std::collections::BTreeMap<_, _> = customers.into_iter().collect();
+        let charter = serde_json::json!({ "number": 1, "customers": customers });
+        Host {
+            host,
+            book: AccountBook::default(),
+            charter: serde_json::from_value(charter).unwrap(),
+        }
+    }
+
+    fn record(&mut self, at: Duration, outcome: RequestOutcome) {
+        self.book.record(at, &outcome, &self.charter.service_levels);
+    }
+
+    fn answered(&mut self, at: Duration, customer: &str, n: usize) {
+        (0..n).for_each(|_| self.record(at, outcome(customer)));
+    }
+
+    fn unanswered(&mut self, at: Duration, customer: &str, n: usize) {
+        let outcome = RequestOutcome {
+            is_answered: false,
+            verdict: Verdict::MayHaveRun,
+            first_token_ms: None,
+            ..outcome(customer)
+        };
+        (0..n).for_each(|_| self.record(at, outcome.clone()));
+    }
+
+    fn counts(&self) -> BurnCounts {
+        BurnCounts {
+            host: self.host.to_owned(),
+            service_levels: self.charter.service_levels.clone(),
+            levels: self.book.counts(NOW, &self.charter),
+        }
+    }
+}
+
+fn outcome(customer: &str) -> RequestOutcome {
+    RequestOutcome {
+        request_id: "request-1".to_owned(),
+        idempotency_key: None,
+        customer: customer.to_owned(),
+        pool: "lots".to_owned(),
+        host: None,
+        is_answered: true,
+        verdict: Verdict::Ran,
+        first_token_ms: Some(Duration::from_millis(50)),
+        wait_ms: Duration::from_millis(5),
+        version_is_intended: true,
+    }
+}
