Gossip by events, neighbours, failure detector, charter reports

Detector: probe, three third hosts, suspicion, confirmation by three hosts that rank first. A document of a newer release that can't be read is kept and passed on, and the log says so.

--- a/src/charter/charter_check.rs
+++ b/src/charter/charter_check.rs
@@ -44,7 +44,7 @@
     needed("version", Kind::Name),
     needed("customers", Kind::Names),
     optional("hosts", Kind::Names),
-    optional("min_serving_percent", Kind::Integer(0, 100)),
+    optional("min_serving_percent", Kind::Integer(0, 50)),
 ];
 
 const SERVICE_RULES: &[Rule] = &[
--- a/src/charter/mod.rs
+++ b/src/charter/mod.rs
@@ -7,6 +7,7 @@
 mod patch_attempt;
 mod patch_order;
 mod push;
+mod status;
 
 pub use crate::charter::{
     charter::{
@@ -17,4 +18,5 @@
     patch_attempt::{CharterWrite, PatchAttempt, PatchStep, WriteResult},
     patch_order::{FieldError, PatchOrder, PatchOutcome, PatchState},
     push::push_document,
+    status::{charter_status, summarise, CharterStatus},
 };
--- /dev/null
+++ b/src/charter/status.rs
@@ -0,0 +1,79 @@
+//! Tells on how many hosts a charter is in force.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use futures_util::future::join_all;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{DocumentNumber, HostId},
+    membership::{CharterReport, HostRole, MemberRecord},
+    node::Node,
+    peer::LinkClass,
+};
+
+/// Time limit of one call to an entry host.
+const REPORTS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How far the greatest known charter has spread.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CharterStatus {
+    /// Greatest number known.
+    pub number: DocumentNumber,
+    /// Hosts that take part.
+    pub n_hosts: usize,
+    /// Hosts on which `number` is in force.
+    pub n_in_force: usize,
+    /// Hosts with a smaller number, or of which no report is known.
+    pub behind: Vec<CharterReport>,
+    /// Entry hosts that did not answer; their reports may be missing.
+    pub silent: Vec<HostId>,
+}
+
+/// Asks all entry hosts for the reports that they got.
+pub async fn charter_status(node: &Node) -> CharterStatus {
+    let own = node.membership.own();
+    let records = node.membership.records();
+    let others = records.iter().filter(|it| it.role == HostRole::Entry && it.host != own.host);
+    let answers = join_all(others.map(|it| reports_of(node, it))).await;
+    let mut reports = node.membership.reports().reports();
+    let own_number = node.documents.charter_number();
+    reports.push(CharterReport { host: own.host.clone(), charter_number: own_number });
+    let mut silent = Vec::new();
+    for answer in answers {
+        match answer {
+            Ok(theirs) => reports.extend(theirs),
+            Err(host) => silent.push(host),
+        }
+    }
+    let hosts: Vec<HostId> = records.iter().map(|it| it.host.clone()).collect();
+    CharterStatus { silent, ..summarise(&hosts, reports) }
+}
+
+/// Counts the hosts at the greatest number; of several reports of a host the greatest counts.
+pub fn summarise(hosts: &[HostId], reports: Vec<CharterReport>) -> CharterStatus {
+    let mut numbers: BTreeMap<&HostId, DocumentNumber> = hosts.iter().map(|it| (it, 0)).collect();
+    for report in &reports {
+        if let Some(number) = numbers.get_mut(&report.host) {
+            *number = report.charter_number.max(*number);
+        }
+    }
+    let number = numbers.values().copied().max().unwrap_or(0);
+    let behind: Vec<CharterReport> = numbers
+        .into_iter()
+        .filter(|it| it.1 < number)
+        .map(|(host, charter_number)| CharterReport { host: host.clone(), charter_number })
+        .collect();
+    let n_in_force = hosts.len() - behind.len();
+    CharterStatus { number, n_hosts: hosts.len(), n_in_force, behind, silent: Vec::new() }
+}
+
+async fn reports_of(node: &Node, record: &MemberRecord) -> Result<Vec<CharterReport>, HostId> {
+    let call = node.peers.call(
+        record.peer_address,
+        LinkClass::Control,
+        REPORTS_TIMEOUT,
+        |peer, ctx| async move { peer.charter_reports(ctx).await },
+    );
+    call.await.map_err(|_| record.host.clone())
+}
--- a/src/documents/document_store.rs
+++ b/src/documents/document_store.rs
@@ -7,6 +7,7 @@
 
 use event_listener::{Event, EventListener};
 use quick_error::quick_error;
+use serde::Deserialize;
 
 use crate::{
     charter::Charter,
@@ -22,11 +23,16 @@
         /// The text is not what its name promises.
         Malformed(name: DocumentName, err: serde_json::Error) {
             source(err)
-            display("the document {name:?} can't be read: {err}; the sender may run a newer release")
+            display("the document {name} can't be read: {err}")
+        }
+        /// The document is kept and passed on, but this release can't bring it into force.
+        Newer(name: DocumentName, number: DocumentNumber, err: serde_json::Error) {
+            source(err)
+            display("the document {name} number {number} is passed on but not in force here: {err}; upgrade this host")
         }
         /// The number beside the document differs from the number inside it.
         Number(name: DocumentName, outside: DocumentNumber, inside: DocumentNumber) {
-            display("the document {name:?} is sent as number {outside} but says {inside}")
+            display("the document {name} is sent as number {outside} but says {inside}")
         }
     }
 }
@@ -40,6 +46,7 @@
 
 #[derive(Debug, Default)]
 struct Held {
+    is_joining: bool,
     documents: BTreeMap<DocumentName, Document>,
     charter: Option<Arc<Charter>>,
     pools: BTreeMap<PoolId, Arc<PoolDocument>>,
@@ -52,28 +59,51 @@
     }
 
     /// Takes `document` if its number is greater than the held one's; says whether it was taken.
+    ///
+    /// A document that this release can't read is kept and passed on all the same, and the error
+    /// says so; what was in force before stays in force.
     pub fn offer(&self, document: Document) -> Result<bool, DocumentError> {
-        let parsed = Parsed::of(&document)?;
+        check_number(&document)?;
         let mut held = self.held.lock().unwrap();
         if held.documents.get(&document.name).is_some_and(|it| it.number >= document.number) {
             return Ok(false);
         }
-        match parsed {
-            Parsed::Charter(charter) => held.charter = Some(Arc::new(charter)),
-            Parsed::Pool(pool) => {
-                held.pools.insert(pool.pool.clone(), Arc::new(pool));
+        let parsed = Parsed::of(&document);
+        let (name, number) = (document.name.clone(), document.number);
+        held.documents.insert(name.clone(), document);
+        let res = match parsed {
+            Ok(parsed) => {
+                held.put_in_force(parsed);
+                Ok(true)
             }
-            Parsed::Text => {}
-        }
-        held.documents.insert(document.name.clone(), document);
+            Err(err) => Err(DocumentError::Newer(name, number, err)),
+        };
         drop(held);
         self.changed.notify(usize::MAX);
-        Ok(true)
+        res
+    }
+
+    /// Hides the documents until `end_join`, if none is known yet.
+    pub(crate) fn begin_join(&self) {
+        let mut held = self.held.lock().unwrap();
+        held.is_joining = held.documents.is_empty();
+    }
+
+    /// Shows the greatest documents that were offered so far.
+    pub(crate) fn end_join(&self) {
+        self.held.lock().unwrap().is_joining = false;
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Whether the documents are hidden, as several peers are still being asked.
+    pub fn is_joining(&self) -> bool {
+        self.held.lock().unwrap().is_joining
     }
 
     /// The charter, if one is known.
     pub fn charter(&self) -> Option<Arc<Charter>> {
-        self.held.lock().unwrap().charter.clone()
+        let held = self.held.lock().unwrap();
+        held.charter.clone().filter(|_| !held.is_joining)
     }
 
     /// Number of the charter held; 0 without one.
@@ -83,7 +113,8 @@
 
     /// The state of a pool, if known.
     pub fn pool(&self, pool: &str) -> Option<Arc<PoolDocument>> {
-        self.held.lock().unwrap().pools.get(pool).cloned()
+        let held = self.held.lock().unwrap();
+        held.pools.get(pool).cloned().filter(|_| !held.is_joining)
     }
 
     /// A document as it travels.
@@ -112,6 +143,18 @@
     }
 }
 
+impl Held {
+    fn put_in_force(&mut self, parsed: Parsed) {
+        match parsed {
+            Parsed::Charter(charter) => self.charter = Some(Arc::new(charter)),
+            Parsed::Pool(pool) => {
+                self.pools.insert(pool.pool.clone(), Arc::new(pool));
+            }
+            Parsed::Text => {}
+        }
+    }
+}
+
 enum Parsed {
     Charter(Charter),
     Pool(PoolDocument),
@@ -119,25 +162,27 @@
 }
 
 impl Parsed {
-    fn of(document: &Document) -> Result<Parsed, DocumentError> {
-        let malformed = |err| DocumentError::Malformed(document.name.clone(), err);
-        let (parsed, inside) = match &document.name {
-            DocumentName::Charter => {
-                let charter: Charter = serde_json::from_slice(&document.json).map_err(malformed)?;
-                let number = charter.number;
-                (Parsed::Charter(charter), number)
-            }
-            DocumentName::Pool(_) => {
-                let pool: PoolDocument =
-                    serde_json::from_slice(&document.json).map_err(malformed)?;
-                let number = pool.number;
-                (Parsed::Pool(pool), number)
-            }
-            DocumentName::Quarantine => (Parsed::Text, document.number),
-        };
-        if inside != document.number {
-            return Err(DocumentError::Number(document.name.clone(), document.number, inside));
+    fn of(document: &Document) -> Result<Parsed, serde_json::Error> {
+        match &document.name {
+            DocumentName::Charter => Ok(Parsed::Charter(serde_json::from_slice(&document.json)?)),
+            DocumentName::Pool(_) => Ok(Parsed::Pool(serde_json::from_slice(&document.json)?)),
+            DocumentName::Quarantine => Ok(Parsed::Text),
         }
-        Ok(parsed)
     }
 }
+
+/// What every document has, whatever the release that wrote it.
+#[derive(Deserialize)]
+struct Numbered {
+    number: DocumentNumber,
+}
+
+fn check_number(document: &Document) -> Result<(), DocumentError> {
+    let numbered: Numbered = serde_json::from_slice(&document.json)
+        .map_err(|err| DocumentError::Malformed(document.name.clone(), err))?;
+    if numbered.number != document.number {
+        let name = document.name.clone();
+        return Err(DocumentError::Number(name, document.number, numbered.number));
+    }
+    Ok(())
+}
--- a/src/membership/member_record.rs
+++ b/src/membership/member_record.rs
@@ -73,8 +73,6 @@
     pub state: HostState,
     /// Weights held and loaded; unused by entry hosts, except `prepared` and `switch_number`.
     pub weights: WeightsStatus,
-    /// Charter number in force on the host.
-    pub charter_number: u64,
 }
 
 impl MemberRecord {
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -1,95 +1,160 @@
-//! One process's view of the hosts, and its own record in it.
+//! One process's view of the hosts, shared by its tasks.
 
 use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    time::Instant,
 };
 
 use event_listener::{Event, EventListener};
 
 use crate::{
     ids::HostId,
-    membership::member_record::{HostState, MemberRecord},
+    membership::{
+        member_record::{HostState, MemberRecord},
+        member_table::{MemberTable, Merged},
+        report_table::ReportTable,
+    },
 };
 
 /// The hosts as one process knows them; the own record changes only through `update_own`.
 #[derive(Debug)]
 pub struct Membership {
-    own: HostId,
-    view: Mutex<View>,
+    table: Mutex<MemberTable>,
+    reports: ReportTable,
+    has_joined: AtomicBool,
     changed: Event,
 }
 
-#[derive(Debug, Default)]
-struct View {
-    records: BTreeMap<HostId, Arc<MemberRecord>>,
-}
-
 impl Membership {
     /// Starts a view that holds only the own record.
     pub fn new(own: MemberRecord) -> Membership {
-        let host = own.host.clone();
-        let records = BTreeMap::from([(host.clone(), Arc::new(own))]);
-        Membership { own: host, view: Mutex::new(View { records }), changed: Event::new() }
+        Membership {
+            table: Mutex::new(MemberTable::new(own)),
+            reports: ReportTable::default(),
+            has_joined: AtomicBool::new(false),
+            changed: Event::new(),
+        }
     }
 
     /// The own record.
     pub fn own(&self) -> Arc<MemberRecord> {
-        self.view.lock().unwrap().records[&self.own].clone()
+        self.table.lock().unwrap().own().clone()
     }
 
-    /// All records, in order of host id.
+    /// Records of all hosts that are not gone, in order of host id.
     pub fn records(&self) -> Vec<Arc<MemberRecord>> {
-        self.view.lock().unwrap().records.values().cloned().collect()
+        self.table.lock().unwrap().present()
+    }
+
+    /// Records of gone hosts that are still remembered.
+    pub fn gone(&self) -> Vec<Arc<MemberRecord>> {
+        self.table.lock().unwrap().gone()
     }
 
-    /// The record of one host.
+    /// The record of one host, gone or not.
     pub fn record(&self, host: &str) -> Option<Arc<MemberRecord>> {
-        self.view.lock().unwrap().records.get(host).cloned()
+        self.table.lock().unwrap().record(host).cloned()
+    }
+
+    /// Records of hosts that take new work.
+    pub fn live(&self) -> Vec<Arc<MemberRecord>> {
+        let records = self.records();
+        records.into_iter().filter(|it| it.state == HostState::Live).collect()
+    }
+
+    /// Charter numbers that slots reported to this entry host.
+    pub fn reports(&self) -> &ReportTable {
+        &self.reports
     }
 
     /// Changes the own record; a change raises its sequence and is passed on.
     pub fn update_own(&self, change: impl FnOnce(&mut MemberRecord)) {
-        let mut view = self.view.lock().unwrap();
-        let old = view.records[&self.own].clone();
-        let mut new = (*old).clone();
-        change(&mut new);
-        if new == *old {
-            return;
+        let is_changed = self.table.lock().unwrap().update_own(change);
+        if is_changed {
+            self.changed.notify(usize::MAX);
         }
-        new.sequence = old.sequence + 1;
-        view.records.insert(self.own.clone(), Arc::new(new));
-        drop(view);
-        self.changed.notify(usize::MAX);
     }
 
     /// Takes the records that are newer than the held ones; says how many were.
     pub fn merge(&self, events: Vec<MemberRecord>) -> usize {
-        let mut view = self.view.lock().unwrap();
-        let mut n_taken = 0;
+        let n_events = events.len();
+        n_events - self.merge_events(events).len()
+    }
+
+    /// Takes the records that are newer than the held ones and gives the hosts of the others.
+    pub(crate) fn merge_events(&self, events: Vec<MemberRecord>) -> Vec<HostId> {
+        let now = Instant::now();
+        let mut known = Vec::new();
+        let mut is_changed = false;
         for event in events {
-            let held = view.records.get(&event.host);
-            if event.host == self.own || held.is_some_and(|it| !event.is_newer_than(it)) {
-                continue;
+            let host = event.host.clone();
+            match self.merge_one(event, now) {
+                Merged::Known => known.push(host),
+                Merged::Taken | Merged::Refuted | Merged::Replaced => is_changed = true,
             }
-            view.records.insert(event.host.clone(), Arc::new(event));
-            n_taken += 1;
         }
-        drop(view);
-        if n_taken > 0 {
+        if is_changed {
             self.changed.notify(usize::MAX);
         }
-        n_taken
+        known
     }
 
-    /// Records of hosts that take new work.
-    pub fn live(&self) -> Vec<Arc<MemberRecord>> {
-        let records = self.records();
-        records.into_iter().filter(|it| it.state == HostState::Live).collect()
+    /// Marks a probed host as suspect or gone; says whether that was news.
+    pub(crate) fn mark(&self, probed: &MemberRecord, state: HostState) -> bool {
+        let merged = self.table.lock().unwrap().mark(probed, state, Instant::now());
+        let is_news = merged == Merged::Taken;
+        if is_news {
+            self.changed.notify(usize::MAX);
+        }
+        is_news
+    }
+
+    /// Runs `action` on the table.
+    pub(crate) fn with_table<T>(&self, action: impl FnOnce(&mut MemberTable) -> T) -> T {
+        action(&mut self.table.lock().unwrap())
+    }
+
+    /// Whether the process has taken the list of hosts from a peer, or found that none is up.
+    pub fn has_joined(&self) -> bool {
+        self.has_joined.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the view is worth acting on.
+    pub(crate) fn set_joined(&self, has_joined: bool) {
+        self.has_joined.store(has_joined, Ordering::Relaxed);
+        self.changed.notify(usize::MAX);
     }
 
     /// Listens for the next change; call before reading, then wait.
     pub fn listen(&self) -> EventListener {
         self.changed.listen()
     }
+
+    fn merge_one(&self, event: MemberRecord, now: Instant) -> Merged {
+        let host = event.host.clone();
+        let state = event.state;
+        let merged = self.table.lock().unwrap().merge(event, now);
+        match merged {
+            Merged::Taken if state >= HostState::Suspect => {
+                log::info!("members: state changed host={host} state={state:?}");
+            }
+            Merged::Refuted => log::warn!("members: own host was taken for {state:?}, refuted"),
+            Merged::Replaced => self.leave_to_successor(),
+            Merged::Taken | Merged::Known => {}
+        }
+        merged
+    }
+
+    fn leave_to_successor(&self) {
+        let is_new = self.own().state != HostState::Leaving;
+        self.update_own(|it| it.state = HostState::Leaving);
+        if is_new {
+            log::error!(
+                "members: a newer process has the id of this host; this one takes no more work"
+            );
+        }
+    }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -2,16 +2,25 @@
 
 mod detector;
 mod gossip;
+mod join;
 mod leaving;
 mod member_record;
+mod member_table;
 mod membership;
+mod neighbours;
 mod rank;
+mod report_table;
+mod suspicion;
 
 pub use crate::membership::{
     detector::Detector,
     gossip::Gossip,
     leaving::announce_leaving,
     member_record::{HostRole, HostState, MemberRecord, WeightsStatus},
+    member_table::{MemberTable, Merged},
     membership::Membership,
+    neighbours::Neighbours,
     rank::rank,
+    report_table::{CharterReport, ReportTable},
+    suspicion::{confirm_delay, judge, Finding},
 };
--- /dev/null
+++ b/src/membership/neighbours.rs
@@ -0,0 +1,97 @@
+//! Chooses the few peers that a process gossips with.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use crate::{
+    ids::HostId,
+    membership::member_record::{HostRole, HostState, MemberRecord},
+};
+
+/// Neighbours in the own region.
+const MAX_NEAR: usize = 8;
+/// Neighbours in other regions.
+const MAX_FAR: usize = 4;
+/// Exchanges between regions that the hosts of one region begin a second, together.
+const FAR_EXCHANGES_PER_S: f64 = 64.0;
+
+/// A small random set of peers that changes slowly, so that connections stay few.
+#[derive(Debug, Default)]
+pub struct Neighbours {
+    near: Vec<HostId>,
+    far: Vec<HostId>,
+}
+
+impl Neighbours {
+    /// Drops hosts that are no longer up, replaces one at random and fills up.
+    pub fn renew(
+        &mut self,
+        own: &MemberRecord,
+        records: &[Arc<MemberRecord>],
+        random: &mut fastrand::Rng,
+    ) {
+        for set in [&mut self.near, &mut self.far] {
+            if !set.is_empty() {
+                set.swap_remove(random.usize(0..set.len()));
+            }
+        }
+        self.fill(own, records, random);
+    }
+
+    /// Drops hosts that are no longer up and fills up.
+    pub fn fill(
+        &mut self,
+        own: &MemberRecord,
+        records: &[Arc<MemberRecord>],
+        random: &mut fastrand::Rng,
+    ) {
+        let others = records.iter().filter(|it| it.host != own.host && is_up(it));
+        let (near, far): (Vec<&MemberRecord>, Vec<&MemberRecord>) =
+            others.map(|it| &**it).partition(|it| it.region == own.region);
+        fill_set(&mut self.near, &near, MAX_NEAR, random);
+        fill_set(&mut self.far, &far, MAX_FAR, random);
+    }
+
+    /// The next peer; `may_be_far` allows one of another region in this round.
+    ///
+    /// An entry host always takes up the offer; of the slots only so many that the links between
+    /// regions carry a fixed number of exchanges.
+    pub fn choose(
+        &self,
+        own: &MemberRecord,
+        records: &[Arc<MemberRecord>],
+        may_be_far: bool,
+        random: &mut fastrand::Rng,
+    ) -> Option<SocketAddr> {
+        let n_near = records.iter().filter(|it| it.region == own.region).count().max(1);
+        let far_share = FAR_EXCHANGES_PER_S / n_near as f64;
+        let is_far = may_be_far && (own.role == HostRole::Entry || random.f64() < far_share);
+        let (first, second) =
+            if is_far { (&self.far, &self.near) } else { (&self.near, &self.far) };
+        let set = if first.is_empty() { second } else { first };
+        let host = set.get(random.usize(0..set.len().max(1)))?;
+        records.iter().find(|it| it.host == *host).map(|it| it.peer_address)
+    }
+
+    /// Number of neighbours.
+    pub fn n_hosts(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+}
+
+fn fill_set(
+    set: &mut Vec<HostId>,
+    candidates: &[&MemberRecord],
+    max_hosts: usize,
+    random: &mut fastrand::Rng,
+) {
+    set.retain(|host| candidates.iter().any(|it| it.host == *host));
+    let mut fresh: Vec<&HostId> =
+        candidates.iter().map(|it| &it.host).filter(|it| !set.contains(it)).collect();
+    random.shuffle(&mut fresh);
+    let n_free = max_hosts.saturating_sub(set.len());
+    set.extend(fresh.into_iter().take(n_free).cloned());
+}
+
+fn is_up(record: &MemberRecord) -> bool {
+    matches!(record.state, HostState::Joining | HostState::Live | HostState::Leaving)
+}
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -69,7 +69,6 @@
         sequence: 0,
         state: HostState::Joining,
         weights: WeightsStatus::default(),
-        charter_number: 0,
     }
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,6 +16,6 @@
     peer_service::PeerService,
     protocol::{
         ChunkAnswer, ChunkRequest, Document, DocumentDigest, DocumentName, GossipExchange,
-        GossipReply, HaveAnswer, HaveRequest, Peer, PeerClient, ProbeAnswer,
+        GossipReply, HaveAnswer, HaveRequest, Identity, Peer, PeerClient, ProbeAnswer,
     },
 };
--- a/src/peer/peer_service.rs
+++ b/src/peer/peer_service.rs
@@ -8,16 +8,17 @@
 use crate::{
     digest::Digest,
     documents::DocumentStore,
-    ids::{DocumentNumber, Incarnation},
-    membership::{Gossip, MemberRecord, Membership},
+    ids::{DocumentNumber, HostId},
+    membership::{CharterReport, Gossip, MemberRecord, Membership},
     peer::{
         link_counters::LinkClass,
         peer_pool::PeerPool,
         protocol::{
             ChunkAnswer, ChunkRequest, Document, DocumentName, GossipExchange, GossipReply,
-            HaveAnswer, HaveRequest, Peer, ProbeAnswer,
+            HaveAnswer, HaveRequest, Identity, Peer, ProbeAnswer,
         },
     },
+    runtime,
     weights::ChunkServer,
 };
 
@@ -64,21 +65,30 @@
         self.membership.merge(vec![record]);
     }
 
-    async fn ping(self, _: Context) -> Incarnation {
-        self.membership.own().incarnation
+    async fn ping(self, _: Context) -> Identity {
+        let own = self.membership.own();
+        Identity { host: own.host.clone(), incarnation: own.incarnation }
     }
 
-    async fn probe(self, _: Context, address: SocketAddr) -> ProbeAnswer {
+    async fn probe(self, _: Context, host: HostId, address: SocketAddr) -> ProbeAnswer {
         let ping =
             self.peers.call(address, LinkClass::Control, PROBE_TIMEOUT, |peer, ctx| async move {
                 peer.ping(ctx).await
             });
-        match ping.await {
-            Ok(incarnation) => ProbeAnswer::Alive(incarnation),
-            Err(_) => ProbeAnswer::Silent,
+        match runtime::timeout(PROBE_TIMEOUT, ping).await {
+            Ok(Ok(identity)) if identity.host == host => ProbeAnswer::Alive,
+            _ => ProbeAnswer::Silent,
         }
     }
 
+    async fn report(self, _: Context, report: CharterReport) {
+        self.membership.reports().take(report);
+    }
+
+    async fn charter_reports(self, _: Context) -> Vec<CharterReport> {
+        self.membership.reports().reports()
+    }
+
     async fn manifest(self, _: Context, digest: Digest) -> Option<ByteBuf> {
         self.chunks.manifest(&digest)
     }
--- a/src/peer/protocol.rs
+++ b/src/peer/protocol.rs
@@ -11,7 +11,7 @@
 use crate::{
     digest::Digest,
     ids::{DocumentNumber, HostId, Incarnation, PoolId},
-    membership::MemberRecord,
+    membership::{CharterReport, MemberRecord},
 };
 
 /// Names a document of which every process keeps the greatest number it has seen.
@@ -75,12 +75,18 @@
 /// Answer to a gossip message, with the same content from the other side.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GossipReply {
+    /// The answering host.
+    pub from: HostId,
     /// Numbers of the documents that the answering process holds.
     pub documents: Vec<DocumentDigest>,
     /// Order-independent hash of its membership view.
     pub membership_hash: u64,
     /// Membership events that it still passes on.
     pub events: Vec<MemberRecord>,
+    /// Hosts of the exchange's events that it knew already.
+    pub known: Vec<HostId>,
+    /// Whether it does not know the sender and asks for its record.
+    pub wants_sender: bool,
 }
 
 /// Asks which chunks of a manifest a process holds.
@@ -123,12 +129,21 @@
     Missing,
 }
 
+/// Who answers at an address.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The host.
+    pub host: HostId,
+    /// Its start number.
+    pub incarnation: Incarnation,
+}
+
 /// Answer to a probe of a third host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProbeAnswer {
-    /// The third host answered.
-    Alive(Incarnation),
-    /// The third host did not answer in time.
+    /// The host answered.
+    Alive,
+    /// The host did not answer in time, or another one answered at its address.
     Silent,
 }
 
@@ -145,10 +160,14 @@
     async fn offer(document: Document) -> DocumentNumber;
     /// Offers one membership event that does not wait for gossip.
     async fn announce(record: MemberRecord);
-    /// Gives the incarnation of the answering process.
-    async fn ping() -> Incarnation;
-    /// Probes a third host on behalf of the caller.
-    async fn probe(address: SocketAddr) -> ProbeAnswer;
+    /// Tells who answers.
+    async fn ping() -> Identity;
+    /// Probes the host that is expected at `address` on behalf of the caller.
+    async fn probe(host: HostId, address: SocketAddr) -> ProbeAnswer;
+    /// Reports the charter number in force on the calling host.
+    async fn report(report: CharterReport);
+    /// Gives the charter numbers that hosts reported.
+    async fn charter_reports() -> Vec<CharterReport>;
     /// Gives the bytes of a manifest, if held.
     async fn manifest(digest: Digest) -> Option<ByteBuf>;
     /// Gives the chunks held.
--- a/src/platform/document_watch.rs
+++ b/src/platform/document_watch.rs
@@ -52,9 +52,12 @@
         let started = Instant::now();
         let start_delay = START_READ_DELAY.mul_f64(1.0 + fastrand::f64());
         loop {
-            let must_read_alone =
-                started.elapsed() > start_delay && watch.node.documents.charter_number() == 0;
-            watch.update(must_read_alone);
+            let is_late = started.elapsed() > start_delay;
+            let has_charter = watch.node.documents.charter_number() > 0;
+            // A view of only the own host would make every starting process a watcher.
+            if is_late || watch.node.membership.has_joined() {
+                watch.update(is_late && !has_charter);
+            }
             runtime::sleep(CHECK_INTERVAL).await;
         }
     }
@@ -148,13 +151,19 @@
     };
     let number = numbered.number;
     let document = Document { name: name.clone(), number, json: ByteBuf::from(object.value) };
-    match node.documents.offer(document.clone()) {
+    let res = node.documents.offer(document.clone());
+    if *name == DocumentName::Charter {
+        node.documents.end_join();
+    }
+    match res {
         Ok(true) => {
             log::info!("platform: document read name={name} number={number}");
             push_document(node, document).await;
         }
         Ok(false) => {}
-        Err(err) => log::error!("platform: document refused error=\"{err}\""),
+        Err(err) => {
+            log::error!("platform: document refused error=\"{err}\"");
+        }
     }
 }
 
