--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -16,7 +16,7 @@
     detector::Detector,
     gossip::Gossip,
     leaving::announce_leaving,
-    member_record::{HostRole, HostState, MemberRecord, WeightsStatus},
+    member_record::{HostRole, HostState, MemberRecord, PreparedSwitch, WeightsStatus},
     member_table::{MemberTable, Merged},
     membership::Membership,
     neighbours::Neighbours,
