--- a/tests/rollout_steps.rs
+++ b/tests/rollout_steps.rs
@@ -343,6 +343,5 @@
         sequence: 0,
         state: HostState::Live,
         weights: WeightsStatus::default(),
-        charter_number: 0,
     }
 }
