rig: live requests begin after the switch to the first version

Callers began when the engines had loaded and waited for the first switch, so p99 without a burst was 2109 to 3357 ms, with one 54 to 73 ms.

--- a/rig/src/deployment.rs
+++ b/rig/src/deployment.rs
@@ -189,6 +189,16 @@
             let loaded = self.loaded(&self.backends).await;
             loaded.iter().filter(|it| it.is_none()).count()
         })
+        .await?;
+        let all: Vec<HostPlan> = self.entries.iter().chain(&self.backends).cloned().collect();
+        self.wait_for("the switch to the first version", || async {
+            let reports = self.processes(&all).await;
+            let is_missing = |report: &Option<Value>| {
+                let number = report.as_ref().and_then(|it| it["switch_numbers"][POOL].as_u64());
+                number.unwrap_or(0) == 0
+            };
+            reports.iter().filter(|it| is_missing(it)).count()
+        })
         .await
     }
 
