--- /dev/null
+++ b/src/report/burn_plot.rs
@@ -0,0 +1,99 @@
+//! Draws the burn of one level as SVG.
+
+use plotters::{
+    backend::SVGBackend,
+    chart::ChartBuilder,
+    drawing::IntoDrawingArea,
+    element::PathElement,
+    series::LineSeries,
+    style::{Color, RGBColor, ShapeStyle, WHITE},
+};
+
+use crate::report::{burn_counts::SERIES_STEP, burn_report::BurnRow, level::Level};
+
+/// Colours of the lines, as red, green and blue; they repeat after the last one.
+pub(crate) const PALETTE: [(u8, u8, u8); 10] = [
+    (31, 119, 180),
+    (255, 127, 14),
+    (44, 160, 44),
+    (214, 39, 40),
+    (148, 103, 189),
+    (140, 86, 75),
+    (227, 119, 194),
+    (96, 96, 96),
+    (188, 189, 34),
+    (23, 190, 207),
+];
+
+/// Size of a plot in pixels.
+const SIZE: (u32, u32) = (960, 260);
+/// Least height of the burn axis, so that a quiet plot is not all noise.
+const MIN_TOP: f64 = 2.0;
+
+/// Draws one line for each row; the error is the text of the drawing library.
+pub(crate) fn draw(level: Level, rows: &[&BurnRow]) -> Result<String, String> {
+    let mut svg = String::new();
+    draw_into(&mut svg, level, rows).map_err(|err| err.to_string())?;
+    Ok(svg)
+}
+
+fn draw_into(
+    svg: &mut String,
+    level: Level,
+    rows: &[&BurnRow],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let n_points = rows.iter().map(|it| it.series.len()).max().unwrap_or(0);
+    let left = -hours(n_points);
+    let limit = if level == Level::EqualWait { rows[0].target } else { 1.0 };
+    let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(8)
+        .x_label_area_size(32)
+        .y_label_area_size(52)
+        .build_cartesian_2d(left..0.0, 0.0..top_of(rows))?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .x_desc("hours from now")
+        .x_label_formatter(&|it| format!("{it:.0}"))
+        .y_label_formatter(&|it| format!("{it:.1}"))
+        .light_line_style(WHITE)
+        .draw()?;
+    let limit_style = ShapeStyle::from(RGBColor(120, 120, 120)).stroke_width(1);
+    let limit_line = PathElement::new(vec![(left, limit), (0.0, limit)], limit_style);
+    chart.draw_series([limit_line])?;
+    for (idx, row) in rows.iter().enumerate() {
+        let (red, green, blue) = PALETTE[idx % PALETTE.len()];
+        let style = RGBColor(red, green, blue).stroke_width(2);
+        for line in lines_of(row) {
+            chart.draw_series(LineSeries::new(line, style).point_size(2))?;
+        }
+    }
+    area.present()?;
+    drop(chart);
+    Ok(())
+}
+
+/// Points of one row in unbroken pieces; a step without requests ends a piece.
+fn lines_of(row: &BurnRow) -> Vec<Vec<(f64, f64)>> {
+    let n_points = row.series.len();
+    let mut lines = vec![Vec::new()];
+    for (idx, burn) in row.series.iter().enumerate() {
+        match burn {
+            Some(burn) => lines.last_mut().unwrap().push((-hours(n_points - 1 - idx), *burn)),
+            None => lines.push(Vec::new()),
+        }
+    }
+    lines.retain(|it| !it.is_empty());
+    lines
+}
+
+fn top_of(rows: &[&BurnRow]) -> f64 {
+    let greatest = rows.iter().flat_map(|it| &it.series).flatten().fold(0.0, |a, b| b.max(a));
+    (greatest * 1.1).max(MIN_TOP)
+}
+
+fn hours(n_points: usize) -> f64 {
+    n_points as f64 * SERIES_STEP.as_secs_f64() / 3600.0
+}
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -3,6 +3,8 @@
 mod account_book;
 mod alert;
 mod burn_counts;
+mod burn_page;
+mod burn_plot;
 mod burn_report;
 mod convergence;
 mod convergence_watch;
@@ -17,6 +19,7 @@
     account_book::AccountBook,
     alert::Alert,
     burn_counts::{BurnCounts, LevelCounts, SERIES_POINTS, SERIES_STEP},
+    burn_page::burn_page,
     burn_report::{BurnReport, BurnRow, MissingHost},
     convergence::Convergence,
     convergence_watch::ConvergenceWatch,
--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -6,12 +6,20 @@
 
 use crate::{
     error::{CommandError, EXIT_USAGE},
+    runtime,
     subcommand::{common_options::CommonOptions, operator_client::OperatorClient},
 };
 
+mod burn;
 mod charter;
 mod common_options;
+mod fleet;
+mod hosts;
 mod operator_client;
+mod pools;
+mod quarantine;
+mod requests;
+mod table;
 mod token;
 mod weights;
 
@@ -38,6 +46,11 @@
 #[argh(subcommand)]
 enum Command {
     Charter(charter::CharterCommand),
+    Hosts(hosts::HostsCommand),
+    Pools(pools::PoolsCommand),
+    Requests(requests::RequestsCommand),
+    Quarantine(quarantine::QuarantineCommand),
+    Burn(burn::BurnCommand),
     Token(token::TokenCommand),
     Weights(weights::WeightsCommand),
 }
@@ -62,16 +75,22 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    match arguments.command.run(options) {
+    match runtime::run_until(arguments.command.run(options)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => report(&err),
     }
 }
 
 impl Command {
-    fn run(self, options: CommonOptions) -> Result<(), CommandError> {
+    async fn run(self, options: CommonOptions) -> Result<(), CommandError> {
+        let client = || OperatorClient::new(&options);
         match self {
-            Command::Charter(it) => it.run(&OperatorClient::new(options)?),
+            Command::Charter(it) => it.run(&client()?).await,
+            Command::Hosts(it) => it.run(&client()?).await,
+            Command::Pools(it) => it.run(&client()?).await,
+            Command::Requests(it) => it.run(&client()?).await,
+            Command::Quarantine(it) => it.run(&client()?).await,
+            Command::Burn(it) => it.run(&client()?).await,
             Command::Token(it) => it.run(&options),
             Command::Weights(it) => it.run(),
         }
--- /dev/null
+++ b/src/subcommand/burn.rs
@@ -0,0 +1,79 @@
+//! `crocustiller burn`: reports the burn of error budgets.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use crate::{
+    error::CommandError,
+    report::{burn_page, BurnCounts, BurnReport, BurnRow, Level, Window},
+    subcommand::{
+        fleet::{self, Gathered},
+        operator_client::OperatorClient,
+        table::Table,
+    },
+};
+
+/// Reports the burn of error budgets over 5 min, 1 h and 6 h.
+///
+/// A burn of 1 uses a budget up exactly.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "burn")]
+pub(crate) struct BurnCommand {
+    /// also write the report as one HTML page to this file
+    #[argh(option)]
+    html: Option<PathBuf>,
+}
+
+impl BurnCommand {
+    /// Runs the command.
+    pub(crate) async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        let targets = fleet::entry_hosts(client).await?;
+        let gathered: Gathered<BurnCounts> = fleet::gather(client, &targets, "/v1/burn").await;
+        let counts: Vec<BurnCounts> = gathered.answers.into_iter().map(|it| it.1).collect();
+        let report = BurnReport::new(&counts, gathered.missing);
+        if let Some(path) = self.html {
+            std::fs::write(&path, burn_page(&report))
+                .map_err(|err| CommandError::File(path.clone(), err))?;
+        }
+        if client.is_json {
+            println!("{}", serde_json::json!(report));
+        } else {
+            print(&report);
+        }
+        Ok(())
+    }
+}
+
+fn print(report: &BurnReport) {
+    let [short, middle, long] = Window::ALL.map(Window::as_str);
+    let mut table =
+        Table::new(&["LEVEL", "CUSTOMER", "TARGET", short, middle, long, "REQUESTS 1 h", "ALERT"]);
+    for row in &report.rows {
+        table.add(cells_of(row));
+    }
+    table.print();
+    println!("from {} entry hosts: {}", report.hosts.len(), report.hosts.join(", "));
+    for missing in &report.missing {
+        println!("PARTIAL: no counts from {} ({})", missing.host, missing.reason);
+    }
+}
+
+fn cells_of(row: &BurnRow) -> Vec<String> {
+    let target = match row.level {
+        Level::EqualWait => format!("ratio {}", row.target),
+        _ => format!("{} %", row.target),
+    };
+    let burn = row.burn.map(|it| it.map_or("-".to_owned(), |it| format!("{it:.2}")));
+    let [short, middle, long] = burn;
+    vec![
+        row.level.as_str().to_owned(),
+        row.customer.clone().unwrap_or_else(|| "(deployment)".to_owned()),
+        target,
+        short,
+        middle,
+        long,
+        row.counts[1].total.to_string(),
+        row.alert.as_str().to_owned(),
+    ]
+}
--- a/src/subcommand/charter.rs
+++ b/src/subcommand/charter.rs
@@ -10,6 +10,7 @@
     error::CommandError,
     ids::{DocumentNumber, PatchId},
     subcommand::operator_client::{OperatorClient, Order},
+    verdict::Verdict,
 };
 
 /// Shows and patches the charter.
@@ -65,18 +66,18 @@
 
 impl CharterCommand {
     /// Runs the command.
-    pub(crate) fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+    pub(crate) async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
         match self.action {
-            CharterAction::Show(_) => show(client),
-            CharterAction::Patch(it) => it.run(client),
-            CharterAction::Status(it) => it.run(client),
-            CharterAction::History(_) => history(client),
+            CharterAction::Show(_) => show(client).await,
+            CharterAction::Patch(it) => it.run(client).await,
+            CharterAction::Status(it) => it.run(client).await,
+            CharterAction::History(_) => history(client).await,
         }
     }
 }
 
 impl PatchCharter {
-    fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+    async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
         let body = read_patch(&self.file)?;
         let id = self.id.unwrap_or_else(|| uuid::Uuid::now_v7().to_string());
         let order = Order {
@@ -89,8 +90,8 @@
             ],
             body,
         };
-        match client.send(&order) {
-            Err(err @ CommandError::Refused(.., crate::verdict::Verdict::MayHaveRun)) => {
+        match client.send(&order).await {
+            Err(err @ CommandError::Refused(.., Verdict::MayHaveRun)) => {
                 eprintln!("Look the patch up with `crocustiller charter status {id}`.");
                 Err(err)
             }
@@ -100,20 +101,20 @@
 }
 
 impl PatchStatus {
-    fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+    async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
         let path = format!("/v1/charter/patches/{}", self.id);
-        print_state(client, &client.send(&Order::get(&path))?)
+        print_state(client, &client.send(&Order::get(&path)).await?)
     }
 }
 
-fn show(client: &OperatorClient) -> Result<(), CommandError> {
-    let charter = client.send(&Order::get("/v1/charter"))?;
+async fn show(client: &OperatorClient) -> Result<(), CommandError> {
+    let charter = client.send(&Order::get("/v1/charter")).await?;
     println!("{charter:#}");
     Ok(())
 }
 
-fn history(client: &OperatorClient) -> Result<(), CommandError> {
-    let charter = client.send(&Order::get("/v1/charter"))?;
+async fn history(client: &OperatorClient) -> Result<(), CommandError> {
+    let charter = client.send(&Order::get("/v1/charter")).await?;
     let patches = &charter["recent_patches"];
     if client.is_json {
         println!("{patches}");
--- a/src/subcommand/operator_client.rs
+++ b/src/subcommand/operator_client.rs
@@ -3,15 +3,16 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http_types::{Method, Request, Url};
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::{
-    error::CommandError, net::HttpClient, runtime, subcommand::common_options::CommonOptions,
+    error::CommandError, net::HttpClient, subcommand::common_options::CommonOptions,
     verdict::Verdict,
 };
 
 /// Time limit of one order at one entry host.
-const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest answer.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -47,7 +48,7 @@
 
 impl OperatorClient {
     /// Makes a client from the options; opens no connection.
-    pub(crate) fn new(options: CommonOptions) -> Result<OperatorClient, CommandError> {
+    pub(crate) fn new(options: &CommonOptions) -> Result<OperatorClient, CommandError> {
         Ok(OperatorClient {
             entry_hosts: options.entry_hosts()?,
             token: options.token()?,
@@ -56,18 +57,27 @@
         })
     }
 
+    /// The entry hosts that the operator named.
+    pub(crate) fn entry_hosts(&self) -> &[SocketAddr] {
+        &self.entry_hosts
+    }
+
     /// Sends `order` to the entry hosts in turn until one answers or may have run it.
-    pub(crate) fn send(&self, order: &Order) -> Result<Value, CommandError> {
-        runtime::run_until(async {
-            let mut last = String::new();
-            for address in &self.entry_hosts {
-                match self.send_to(*address, order).await {
-                    Err(CommandError::Unreachable(_, reason)) => last = reason,
-                    res => return res,
-                }
+    pub(crate) async fn send(&self, order: &Order) -> Result<Value, CommandError> {
+        let mut last = String::new();
+        for address in &self.entry_hosts {
+            match self.send_to(*address, order, ORDER_TIMEOUT).await {
+                Err(CommandError::Unreachable(_, reason)) => last = reason,
+                res => return res,
             }
-            Err(CommandError::Unreachable(self.entry_hosts.clone(), last))
-        })
+        }
+        Err(CommandError::Unreachable(self.entry_hosts.clone(), last))
+    }
+
+    /// Reads `path` at the first entry host that answers.
+    pub(crate) async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, CommandError> {
+        let value = self.send(&Order::get(path)).await?;
+        serde_json::from_value(value).map_err(|err| CommandError::Answer(err.to_string()))
     }
 
     /// Sends `order` to one process.
@@ -75,9 +85,10 @@
         &self,
         address: SocketAddr,
         order: &Order,
+        limit: Duration,
     ) -> Result<Value, CommandError> {
         let request = self.request(address, order);
-        let res = self.http.fetch(address, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await;
+        let res = self.http.fetch(address, request, limit, MAX_ANSWER_BYTES).await;
         let is_read = order.method == Method::Get;
         let (response, body) = res.map_err(|err| match err.verdict() {
             Verdict::MayHaveRun if !is_read => {
--- /dev/null
+++ b/src/subcommand/quarantine.rs
@@ -0,0 +1,72 @@
+//! `crocustiller quarantine`: shows and clears requests that are refused.
+
+use argh::FromArgs;
+use http_types::Method;
+
+use crate::{
+    error::CommandError,
+    subcommand::operator_client::{OperatorClient, Order},
+};
+
+/// Shows and clears requests that are refused because they crash backend servers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "quarantine")]
+pub(crate) struct QuarantineCommand {
+    #[argh(subcommand)]
+    action: QuarantineAction,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum QuarantineAction {
+    List(ListQuarantine),
+    Clear(ClearQuarantine),
+}
+
+/// Lists the fingerprints of refused requests.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListQuarantine {}
+
+/// Lets the requests with one fingerprint through again.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "clear")]
+struct ClearQuarantine {
+    /// fingerprint as `quarantine list` shows it
+    #[argh(positional)]
+    fingerprint: String,
+}
+
+impl QuarantineCommand {
+    /// Runs the command.
+    pub(crate) async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        match self.action {
+            QuarantineAction::List(_) => list(client).await,
+            QuarantineAction::Clear(it) => it.run(client).await,
+        }
+    }
+}
+
+impl ClearQuarantine {
+    async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        let path = format!("/v1/quarantine/{}", self.fingerprint);
+        let order = Order { method: Method::Delete, ..Order::get(&path) };
+        let answer = client.send(&order).await?;
+        if client.is_json {
+            println!("{answer}");
+        } else {
+            println!("fingerprint {}: cleared", self.fingerprint);
+        }
+        Ok(())
+    }
+}
+
+async fn list(client: &OperatorClient) -> Result<(), CommandError> {
+    let quarantine = client.send(&Order::get("/v1/quarantine")).await?;
+    if client.is_json {
+        println!("{quarantine}");
+    } else {
+        println!("{quarantine:#}");
+    }
+    Ok(())
+}
--- a/tests/burn_report.rs
+++ b/tests/burn_report.rs
@@ -5,7 +5,8 @@
 use crocustiller::{
     charter::Charter,
     report::{
-        AccountBook, Alert, BurnCounts, BurnReport, BurnRow, Level, MissingHost, RequestOutcome,
+        burn_page, AccountBook, Alert, BurnCounts, BurnReport, BurnRow, Level, MissingHost,
+        RequestOutcome,
     },
     verdict::Verdict,
 };
@@ -102,6 +103,30 @@
     assert_eq!(report.missing, missing);
 }
 
+#[test]
+fn page_is_self_contained() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut host = Host::new("entry-1");
+    for minute in 0..360 {
+        let at = Duration::from_secs(minute * 60);
+        for customer in ["weavers", "schools", "heavy <&> co"] {
+            host.answered(at, customer, 20);
+            host.unanswered(at, customer, usize::from(rng.u32(0..40) == 0));
+            let wait_ms = Duration::from_millis(rng.u64(20..40));
+            host.record(at, RequestOutcome { wait_ms, ..outcome(customer) });
+        }
+    }
+    let missing =
+        vec![MissingHost { host: "entry-2".to_owned(), reason: "no connection".to_owned() }];
+    let page = burn_page(&BurnReport::new(&[host.counts()], missing));
+    assert!(page.contains("no counts from <b>entry-2</b>"));
+    assert!(page.contains("heavy &lt;&amp;&gt; co") && !page.contains("heavy <&>"));
+    assert_eq!(page.matches("<svg").count(), 4);
+    for outside in ["src=", "href=", "@import", "url("] {
+        assert!(!page.contains(outside), "{outside}");
+    }
+}
+
 fn check_alert(unanswered_percent: [usize; 3], expected: Alert) {
     let mut host = Host::new("entry-1");
     let ages_s = [5 * 3600, 1800, 0];
