--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,10 @@
 //! This file is the map: it lists every module and all that is public.
 
 pub mod charter;
+pub mod daemon;
 pub mod digest;
 pub mod documents;
+pub mod engine;
 pub mod error;
 pub mod ids;
 pub mod logging;
@@ -16,6 +18,7 @@
 pub mod peer;
 pub mod platform;
 pub mod report;
+pub mod request;
 pub mod rollout;
 pub mod runtime;
 pub mod settings;
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,67 @@
+//! Live requests: from a caller through an entry host and a slot to a backend server and back.
+
+mod attempt;
+mod claim_bucket;
+mod claim_key;
+mod claim_object;
+mod claim_stage;
+mod entry_hosts;
+mod entry_stage;
+mod failure;
+mod fair_queue;
+mod headers;
+mod in_progress;
+mod incoming;
+mod quarantine;
+mod quarantine_stage;
+mod relay;
+mod retry_budget;
+mod route;
+mod slot_gate;
+mod slot_loads;
+mod slot_picker;
+mod slot_stage;
+
+use std::sync::Arc;
+
+use crate::{
+    net::Handler,
+    node::Node,
+    request::{entry_stage::EntryStage, slot_stage::SlotStage},
+    rollout::ServingState,
+};
+
+pub use crate::request::{
+    claim_bucket::{CallOutcome, Claim, ClaimAnswer, ClaimBucket, ClaimChange},
+    claim_key::{shard_decision, ClaimKey, KeyError, BUCKET_SPAN, MAX_CLOCK_SKEW},
+    entry_hosts::choose_entry_hosts,
+    fair_queue::{Enqueued, FairQueue, Ticket},
+    quarantine::{Quarantine, QuarantineChange, QuarantineEntry, Standing, MAX_CRASHED_HOSTS},
+    retry_budget::RetryBudget,
+    slot_picker::{SlotLoad, SlotPicker},
+    slot_stage::WeightsSource,
+};
+
+/// Answers callers at an entry host.
+pub fn entry_handler(node: Arc<Node>) -> Handler {
+    let stage = EntryStage::new(node);
+    Arc::new(move |request| {
+        let stage = stage.clone();
+        Box::pin(async move { Ok(stage.answer(request).await) })
+    })
+}
+
+/// Answers entry hosts and the own engine at a slot.
+///
+/// `weights` gives the body of verified weights by the digest of their manifest.
+pub fn slot_handler(
+    node: Arc<Node>,
+    serving: Arc<ServingState>,
+    weights: WeightsSource,
+) -> Handler {
+    let stage = SlotStage::new(node, serving, weights);
+    Arc::new(move |request| {
+        let stage = stage.clone();
+        Box::pin(async move { Ok(stage.answer(request).await) })
+    })
+}
