--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -1,19 +1,33 @@
 //! One request's tries at the slots of its pool or service.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http_types::{Request, Response, StatusCode, Url};
 
 use crate::{
-    charter::Charter,
-    ids::{DocumentNumber, HostId, SwitchNumber},
-    membership::{HostRole, HostState, MemberRecord},
+    digest::Digest,
+    ids::{HostId, SwitchNumber},
+    membership::{HostState, MemberRecord},
     net::Exchange,
     peer::{DocumentName, LinkClass},
     request::{
-        entry_stage::EntryStage, failure::Failure, headers, in_progress::InProgressGuard,
-        incoming::Incoming, relay, route::Route, slot_loads::SlotGuard,
+        account::Account,
+        entry_stage::EntryStage,
+        failure::Failure,
+        headers,
+        in_progress::InProgressGuard,
+        incoming::Incoming,
+        places::{no_place, Places},
+        quarantine::{QuarantineChange, Standing, MAX_CRASHED_HOSTS},
+        relay::{self, StreamEnd},
+        route::Route,
+        slot_loads::SlotGuard,
     },
+    runtime,
     verdict::Verdict,
 };
 
@@ -21,8 +35,8 @@
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// Time limit of the question for a newer document.
 const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Added to the deadline that the slot is told, so that its own answer still arrives.
-const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+/// Time beyond the deadline in which a slot's own failure still arrives.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
 /// What may be done after a failed try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,96 +65,168 @@
     pub(crate) incoming: &'a Incoming,
     route: &'a Route,
     customer: &'a str,
+    fingerprint: Digest,
+    guard: Arc<InProgressGuard>,
+    /// Taken by the answer that ends the request.
+    pub(crate) account: Option<Account>,
     /// Hosts that the request was tried at.
     tried: Vec<HostId>,
 }
 
-/// Where a request may go now.
-struct Places {
-    slots: Vec<Arc<MemberRecord>>,
-    switch_number: Option<SwitchNumber>,
+/// A slot that answered, and what is released with the end of its answer.
+struct Answering {
+    slot: SlotGuard,
+    standing: Standing,
+    version: Option<String>,
+    sent: Instant,
 }
 
 impl<'a> Attempt<'a> {
-    /// Prepares the first try.
+    /// Prepares the first try; `guard` lives until the answer is relayed.
     pub(crate) fn new(
         stage: &'a EntryStage,
         incoming: &'a Incoming,
         route: &'a Route,
         customer: &'a str,
+        guard: InProgressGuard,
+        account: Account,
     ) -> Attempt<'a> {
-        Attempt { stage, incoming, route, customer, tried: Vec::new() }
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(incoming.path.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(&incoming.body);
+        Attempt {
+            stage,
+            incoming,
+            route,
+            customer,
+            fingerprint: hasher.finalize().into(),
+            guard: Arc::new(guard),
+            account: Some(account),
+            tried: Vec::new(),
+        }
     }
 
-    /// Tries one slot; `guard` lives until the answer is relayed.
-    pub(crate) async fn run(
-        &mut self,
-        guard: Arc<InProgressGuard>,
-    ) -> Result<Response, AttemptError> {
-        let places = self.places()?;
+    /// Tries one slot.
+    pub(crate) async fn run(&mut self) -> Result<Response, AttemptError> {
+        let node = &self.stage.node;
+        let places = Places::find(node, self.incoming, self.route, self.customer)?;
+        let standing = self.stage.quarantine.standing(&self.fingerprint);
+        if standing == Standing::Refused {
+            return Err(never(quarantined()));
+        }
         let slot = self.pick(&places)?;
+        self.tried.push(slot.host.clone());
         let record = places.slots.iter().find(|it| it.host == slot.host);
         let record = record.expect("the picked slot is one of the places");
-        let address = record.request_address;
-        let request = self.request(address, places.switch_number);
+        let request = self.request(record.request_address, places.switch_number, standing);
         let limit = self.incoming.time_left() + ANSWER_MARGIN;
-        let sent = self.stage.node.http.send(address, request, limit).await;
-        self.tried.push(slot.host.clone());
-        let exchange = match sent {
+        let sent = Instant::now();
+        let exchange = match node.http.send(record.request_address, request, limit).await {
             Ok(exchange) => exchange,
             Err(err) => {
-                slot.avoid();
                 self.forget_gone();
-                return Err(self.failed(Failure::of_call(&err)));
+                return Err(self.failed_at(&slot, Failure::of_call(&err)).await);
             }
         };
-        slot.report(wait_of(&exchange.response));
+        slot.report(duration_of(&exchange.response, headers::LOAD_WAIT_MS));
         let verdict = exchange.response.header(headers::VERDICT).map(|it| it.as_str().to_owned());
         match verdict.as_deref().map(Verdict::from_header) {
-            Some(Verdict::Ran) => self.relay(exchange, (slot, guard)).await,
-            Some(verdict) => Err(self.refused(exchange, verdict, record).await),
-            None => Err(never(not_a_slot(address))),
+            Some(Verdict::Ran) => {
+                let version = places.version;
+                self.relay(exchange, Answering { slot, standing, version, sent }).await
+            }
+            Some(verdict) => Err(self.refused(exchange, verdict, &slot, record).await),
+            None => Err(never(not_a_slot(record.request_address))),
         }
     }
 
     async fn relay(
-        &self,
+        &mut self,
         exchange: Exchange,
-        guards: (SlotGuard, Arc<InProgressGuard>),
+        answering: Answering,
     ) -> Result<Response, AttemptError> {
+        let Answering { slot, standing, version, sent } = answering;
         self.check_echo(&exchange.response)?;
-        let mut response = Response::new(exchange.response.status());
-        response.insert_header(headers::REQUEST_ID, self.incoming.id.as_str());
-        for name in [headers::VERDICT, headers::VERSION, headers::SWITCH, "Content-Type"] {
-            if let Some(value) = exchange.response.header(name) {
-                response.insert_header(name, value);
-            }
+        let mut response = self.head_of(&exchange.response);
+        let answered_version = exchange.response.header(headers::VERSION).map(|it| it.as_str());
+        let is_intended = answered_version == version.as_deref();
+        let slot_wait = duration_of(&exchange.response, headers::WAIT_MS);
+        if let Some(account) = &mut self.account {
+            account.answered_by(&slot.host, sent, slot_wait, is_intended);
         }
         if relay::is_stream(&exchange.response) {
-            response.set_body(relay::stream_body(exchange, self.incoming.deadline, guards));
+            let body = relay::stream_body(
+                exchange,
+                self.incoming.deadline,
+                self.on_stream_end(slot, standing),
+            );
+            response.set_body(body);
             return Ok(response);
         }
-        let content_type = response.header("Content-Type").cloned();
         let limit = self.incoming.time_left() + ANSWER_MARGIN;
-        let read = crate::runtime::timeout(limit, exchange.read(MAX_ANSWER_BYTES)).await;
-        let (_, body) = match read {
+        let (_, body) = match runtime::timeout(limit, exchange.read(MAX_ANSWER_BYTES)).await {
             Ok(Ok(whole)) => whole,
-            Ok(Err(err)) => return Err(self.failed(Failure::of_call(&err))),
+            Ok(Err(err)) => return Err(self.failed_at(&slot, Failure::of_call(&err)).await),
             Err(_) => return Err(never(too_late())),
         };
+        if standing == Standing::Suspect {
+            self.stage.quarantine.note(self.cleared()).await;
+        }
+        let content_type = response.header("Content-Type").cloned();
         response.set_body(body);
         if let Some(content_type) = content_type {
             response.insert_header("Content-Type", &content_type);
         }
+        if let Some(account) = self.account.take() {
+            account.complete();
+        }
         Ok(response)
     }
 
+    fn head_of(&self, answer: &Response) -> Response {
+        let mut response = Response::new(answer.status());
+        response.insert_header(headers::REQUEST_ID, self.incoming.id.as_str());
+        let names =
+            [headers::VERDICT, headers::VERSION, headers::SWITCH, headers::WAIT_MS, "Content-Type"];
+        for name in names {
+            if let Some(value) = answer.header(name) {
+                response.insert_header(name, value);
+            }
+        }
+        response
+    }
+
+    /// Ends the account and the guards with the stream; a cut one counts as a crash of its host.
+    fn on_stream_end(&mut self, slot: SlotGuard, standing: Standing) -> relay::OnStreamEnd {
+        let account = self.account.take();
+        let guard = self.guard.clone();
+        let quarantine = self.stage.quarantine.clone();
+        let cleared = self.cleared();
+        let crashed = self.crashed(&slot.host);
+        Box::new(move |end| {
+            if let Some(account) = account {
+                account.stream_ended(end);
+            }
+            let change = match end {
+                StreamEnd::Cut => Some(crashed),
+                StreamEnd::Whole if standing == Standing::Suspect => Some(cleared),
+                StreamEnd::Whole | StreamEnd::Late | StreamEnd::Left => None,
+            };
+            if let Some(change) = change {
+                runtime::spawn(async move { quarantine.note(change).await }).detach();
+            }
+            drop((slot, guard));
+        })
+    }
+
     /// Reads a slot's refusal and says what may be done about it.
     async fn refused(
         &self,
         exchange: Exchange,
         verdict: Verdict,
-        slot: &MemberRecord,
+        slot: &SlotGuard,
+        record: &MemberRecord,
     ) -> AttemptError {
         let status = exchange.response.status();
         let head = &exchange.response;
@@ -148,8 +234,7 @@
         let switch = head.header(headers::SWITCH).and_then(|it| it.as_str().parse().ok());
         let is_crash = head.header(headers::CRASHED).is_some();
         let limit = self.incoming.time_left() + ANSWER_MARGIN;
-        let read = crate::runtime::timeout(limit, exchange.read(MAX_ANSWER_BYTES)).await;
-        let text = match read {
+        let text = match runtime::timeout(limit, exchange.read(MAX_ANSWER_BYTES)).await {
             Ok(Ok((_, body))) => message_of(&body),
             Ok(Err(err)) => err.to_string(),
             Err(_) => "the slot's answer did not arrive in time".to_owned(),
@@ -161,15 +246,16 @@
         failure.is_crash = is_crash;
         failure.retry_after = seconds.map(Duration::from_secs);
         if verdict != Verdict::NotRun {
-            return self.failed(failure);
+            return self.failed_at(slot, failure).await;
         }
         match status {
-            StatusCode::Conflict => {
-                self.learn_switch(slot, switch).await;
+            StatusCode::Conflict if switch.is_some() => {
+                self.learn_switch(record, switch).await;
                 AttemptError { failure: as_unavailable(failure), retry: Retry::AfterChange }
             }
             StatusCode::ServiceUnavailable => AttemptError { failure, retry: Retry::AfterChange },
             StatusCode::TooManyRequests => AttemptError { failure, retry: Retry::WithinBudget },
+            _ if status.is_server_error() => self.failed_at(slot, failure).await,
             _ => never(failure),
         }
     }
@@ -190,9 +276,8 @@
             |peer, ctx| async move { peer.document(ctx, name).await },
         );
         let Ok(Some(document)) = call.await else { return };
-        let number: DocumentNumber = document.number;
         if let Err(err) = node.documents.offer(document) {
-            log::warn!("request: pool document refused number={number} error=\"{err}\"");
+            log::warn!("request: pool document refused error=\"{err}\"");
         }
     }
 
@@ -204,8 +289,17 @@
         self.stage.loads.retain(is_known);
     }
 
-    /// Whether a failed exchange may be tried again.
-    fn failed(&self, failure: Failure) -> AttemptError {
+    /// Notes a failed exchange and says whether the request may be tried again.
+    async fn failed_at(&self, slot: &SlotGuard, failure: Failure) -> AttemptError {
+        slot.avoid();
+        if failure.is_crash {
+            self.stage.quarantine.note(self.crashed(&slot.host)).await;
+            let standing = self.stage.quarantine.standing(&self.fingerprint);
+            if standing == Standing::Suspect && self.is_repeatable() {
+                return AttemptError { failure, retry: Retry::AfterChange };
+            }
+            return never(failure);
+        }
         let is_safe = failure.verdict == Verdict::NotRun || self.is_repeatable();
         let is_late = failure.status == StatusCode::GatewayTimeout;
         let retry = if is_safe && !is_late { Retry::WithinBudget } else { Retry::Never };
@@ -218,6 +312,15 @@
         charter.and_then(|it| it.services.get(service).map(|it| it.repeatable)).unwrap_or(false)
     }
 
+    fn crashed(&self, host: &str) -> QuarantineChange {
+        let host = host.to_owned();
+        QuarantineChange::Crashed { fingerprint: self.fingerprint, host }
+    }
+
+    fn cleared(&self) -> QuarantineChange {
+        QuarantineChange::Cleared { fingerprint: self.fingerprint }
+    }
+
     fn check_echo(&self, response: &Response) -> Result<(), AttemptError> {
         let echo = response.header(headers::REQUEST_ID).map(|it| it.as_str());
         if echo == Some(self.incoming.id.as_str()) {
@@ -225,86 +328,44 @@
         }
         log::warn!("request: answer of another request dropped id={}", self.incoming.id);
         let message = "the slot sent the answer of another request, which was dropped";
-        Err(self.failed(Failure::may_have_run(StatusCode::BadGateway, message)))
-    }
-
-    fn places(&self) -> Result<Places, AttemptError> {
-        let node = &self.stage.node;
-        let charter = node.documents.charter().unwrap_or_default();
-        match self.route {
-            Route::Chat { pool, .. } => self.pool_places(&charter, pool),
-            Route::Service { service, .. } => self.service_places(&charter, service),
-        }
-    }
-
-    fn pool_places(&self, charter: &Charter, pool: &str) -> Result<Places, AttemptError> {
-        let Some(terms) = charter.pools.get(pool) else {
-            let message = format!("no pool \"{pool}\" in the charter; name another model");
-            return Err(never(Failure::not_run(StatusCode::NotFound, message)));
-        };
-        if !terms.customers.iter().any(|it| it == self.customer) {
-            let message = format!("the customer does not share pool \"{pool}\"; ask an operator");
-            return Err(never(Failure::not_run(StatusCode::Forbidden, message)));
-        }
-        let document = self.stage.node.documents.pool(pool);
-        let Some((serving, number)) =
-            document.and_then(|it| Some((it.serving.clone()?, it.switch_number)))
-        else {
-            return Err(no_place(pool));
-        };
-        let mut slots = self.stage.node.membership.live();
-        slots.retain(|it| it.role == HostRole::Engine(pool.to_owned()));
-        slots.retain(|it| terms.hosts.is_empty() || terms.hosts.contains(&it.host));
-        slots.retain(|it| it.weights.loaded == Some(serving.manifest_digest));
-        let is_ready = |it: &Arc<MemberRecord>| it.weights.switch_number == number;
-        if slots.iter().any(is_ready) {
-            slots.retain(is_ready);
-        }
-        Ok(Places { slots, switch_number: Some(number) })
-    }
-
-    fn service_places(&self, charter: &Charter, service: &str) -> Result<Places, AttemptError> {
-        let Some(terms) = charter.services.get(service) else {
-            let message = format!("no service \"{service}\" in the charter; name another one");
-            return Err(never(Failure::not_run(StatusCode::NotFound, message)));
-        };
-        let is_shared = terms.customers.is_empty();
-        if !is_shared && !terms.customers.iter().any(|it| it == self.customer) {
-            let message = format!("the customer may not call \"{service}\"; ask an operator");
-            return Err(never(Failure::not_run(StatusCode::Forbidden, message)));
-        }
-        if !terms.repeatable && self.incoming.idempotency_key.is_none() {
-            let message = "calls of this service take effect at most once; send Idempotency-Key";
-            return Err(never(Failure::not_run(StatusCode::BadRequest, message)));
-        }
-        let mut slots = self.stage.node.membership.live();
-        slots.retain(|it| it.role == HostRole::Service(service.to_owned()));
-        Ok(Places { slots, switch_number: None })
+        let failure = Failure::may_have_run(StatusCode::BadGateway, message);
+        let retry = if self.is_repeatable() { Retry::WithinBudget } else { Retry::Never };
+        Err(AttemptError { failure, retry })
     }
 
     fn pick(&self, places: &Places) -> Result<SlotGuard, AttemptError> {
         let all: Vec<HostId> = places.slots.iter().map(|it| it.host.clone()).collect();
         let is_new = |it: &&HostId| !self.tried.contains(it);
+        if let Some(first) = places.order.first() {
+            let next = places.order.iter().find(is_new).unwrap_or(first).clone();
+            return self.stage.loads.pick(&[next], None).ok_or_else(|| self.no_place());
+        }
         let untried: Vec<HostId> = all.iter().filter(is_new).cloned().collect();
         let hosts = if untried.is_empty() { &all } else { &untried };
-        self.stage.loads.pick(hosts, None).ok_or_else(|| no_place(self.target_name()))
+        let favoured = self.favoured(hosts);
+        self.stage.loads.pick(hosts, favoured.as_deref()).ok_or_else(|| self.no_place())
     }
 
-    fn target_name(&self) -> &str {
-        match self.route {
-            Route::Chat { pool, .. } => pool,
-            Route::Service { service, .. } => service,
-        }
+    /// The host whose engine most likely holds the prompt's prefix in its cache.
+    fn favoured(&self, hosts: &[HostId]) -> Option<HostId> {
+        let Route::Chat { prefix, .. } = self.route else { return None };
+        crate::membership::rank(&prefix.to_string(), hosts).into_iter().next()
+    }
+
+    fn no_place(&self) -> AttemptError {
+        no_place(self.route.target())
     }
 
-    fn request(&self, address: SocketAddr, switch_number: Option<SwitchNumber>) -> Request {
+    fn request(
+        &self,
+        address: SocketAddr,
+        switch_number: Option<SwitchNumber>,
+        standing: Standing,
+    ) -> Request {
         let url = format!("http://{address}{}", self.incoming.path);
         let url = Url::parse(&url).expect("an address and a checked path make a URL");
         let mut request = Request::new(self.incoming.method, url);
         request.set_body(self.incoming.body.clone());
-        if let Some(content_type) = &self.incoming.content_type {
-            request.insert_header("Content-Type", content_type.as_str());
-        }
         let id = self.incoming.id.as_str();
         let proof = self.stage.node.settings.secrets.peer_key.sign(id.as_bytes());
         let left = self.incoming.time_left().as_millis().max(1);
@@ -315,11 +376,18 @@
         if let Some(number) = switch_number {
             request.insert_header(headers::SWITCH, number.to_string());
         }
-        if let Some(key) = &self.incoming.idempotency_key {
-            request.insert_header(headers::IDEMPOTENCY_KEY, key.as_str());
+        if standing == Standing::Suspect {
+            request.insert_header(headers::SUSPECT, "1");
         }
-        if let Some(priority) = &self.incoming.priority {
-            request.insert_header(headers::PRIORITY, priority.as_str());
+        let passed_on = [
+            ("Content-Type", &self.incoming.content_type),
+            (headers::IDEMPOTENCY_KEY, &self.incoming.idempotency_key),
+            (headers::PRIORITY, &self.incoming.priority),
+        ];
+        for (name, value) in passed_on {
+            if let Some(value) = value {
+                request.insert_header(name, value.as_str());
+            }
         }
         request
     }
@@ -329,19 +397,20 @@
     AttemptError { failure, retry: Retry::Never }
 }
 
-fn no_place(name: &str) -> AttemptError {
-    let message = format!("no host serves \"{name}\" now; send it again later");
-    let failure = Failure::not_run(StatusCode::ServiceUnavailable, message);
-    let failure = failure.retry_after(Duration::from_secs(1));
-    AttemptError { failure, retry: Retry::AfterChange }
-}
-
 fn as_unavailable(mut failure: Failure) -> Failure {
     failure.status = StatusCode::ServiceUnavailable;
     failure.retry_after = Some(Duration::from_secs(1));
     failure
 }
 
+fn quarantined() -> Failure {
+    let message = format!(
+        "this request crashed {MAX_CRASHED_HOSTS} backend servers and is refused; \
+         change it or ask an operator to clear it"
+    );
+    Failure::not_run(StatusCode::UnprocessableEntity, message)
+}
+
 fn too_late() -> Failure {
     let message = "the answer did not arrive in time; send it again only if it may run twice";
     Failure::may_have_run(StatusCode::GatewayTimeout, message)
@@ -352,8 +421,8 @@
     Failure::may_have_run(StatusCode::BadGateway, message)
 }
 
-fn wait_of(response: &Response) -> Duration {
-    let text = response.header(headers::LOAD_WAIT_MS).map(|it| it.as_str());
+fn duration_of(response: &Response, name: &str) -> Duration {
+    let text = response.header(name).map(|it| it.as_str());
     Duration::from_millis(text.and_then(|it| it.parse().ok()).unwrap_or(0))
 }
 
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -26,6 +26,8 @@
 pub(crate) const LOAD_RUNNING: &str = "X-Load-Running";
 /// Wait that a new request must expect, in milliseconds.
 pub(crate) const LOAD_WAIT_MS: &str = "X-Load-Wait-Ms";
+/// Time that the request waited in the slot, in milliseconds.
+pub(crate) const WAIT_MS: &str = "X-Wait-Ms";
 /// Present when the request is suspected to crash backend servers and must run alone.
 pub(crate) const SUSPECT: &str = "X-Suspect";
 /// Present on a failure during which the backend server broke the connection.
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Live requests: from a caller through an entry host and a slot to a backend server and back.
 
+mod account;
 mod attempt;
 mod claim_bucket;
 mod claim_key;
@@ -12,6 +13,7 @@
 mod headers;
 mod in_progress;
 mod incoming;
+mod places;
 mod quarantine;
 mod quarantine_stage;
 mod relay;
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -1,4 +1,4 @@
-//! Passes an answer's pieces on as they come.
+//! Passes an answer's pieces on as they come, and tells a whole stream from a cut one.
 
 use std::{
     io,
@@ -18,6 +18,26 @@
 
 /// Media type of a stream of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
+/// Event that ends a whole stream.
+const END_EVENT: &[u8] = b"data: [DONE]";
+/// Bytes of the stream's end that are kept to look for the last event.
+const TAIL_BYTES: usize = 32;
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamEnd {
+    /// All events were passed on.
+    Whole,
+    /// The sender broke off.
+    Cut,
+    /// The deadline passed.
+    Late,
+    /// The receiver left.
+    Left,
+}
+
+/// Called once with the end of a stream; what it holds is dropped with it.
+pub(crate) type OnStreamEnd = Box<dyn FnOnce(StreamEnd) + Send + Sync>;
 
 /// Whether an answer comes as a stream of events.
 pub(crate) fn is_stream(response: &Response) -> bool {
@@ -27,33 +47,79 @@
 
 /// The body of a stream; dropping it closes the connection that it comes from.
 ///
-/// `guards` live until the stream ends or the receiver leaves.
-pub(crate) fn stream_body(
-    exchange: Exchange,
-    deadline: Instant,
-    guards: impl Send + Sync + Unpin + 'static,
-) -> Body {
-    let reader = RelayReader { exchange, expire: Timer::at(deadline), _guards: guards };
+/// A stream without its last event fails, so that it is never taken for a whole one.
+pub(crate) fn stream_body(exchange: Exchange, deadline: Instant, on_end: OnStreamEnd) -> Body {
+    let reader = RelayReader {
+        exchange,
+        expire: Timer::at(deadline),
+        tail: Vec::with_capacity(2 * TAIL_BYTES),
+        on_end: Some(on_end),
+    };
     let mut body = Body::from_reader(BufReader::new(reader), None);
     body.set_mime(EVENT_STREAM);
     body
 }
 
-struct RelayReader<G> {
+struct RelayReader {
     exchange: Exchange,
     expire: Timer,
-    _guards: G,
+    tail: Vec<u8>,
+    on_end: Option<OnStreamEnd>,
+}
+
+impl RelayReader {
+    fn end(&mut self, end: StreamEnd) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end(end);
+        }
+    }
+
+    fn keep_tail(&mut self, piece: &[u8]) {
+        let start = piece.len().saturating_sub(TAIL_BYTES);
+        self.tail.extend_from_slice(&piece[start..]);
+        let excess = self.tail.len().saturating_sub(TAIL_BYTES);
+        self.tail.drain(..excess);
+    }
+
+    fn is_whole(&self) -> bool {
+        self.tail.windows(END_EVENT.len()).any(|it| it == END_EVENT)
+    }
 }
 
-impl<G: Unpin> AsyncRead for RelayReader<G> {
+impl AsyncRead for RelayReader {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         if Pin::new(&mut self.expire).poll(cx).is_ready() {
+            self.end(StreamEnd::Late);
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        Pin::new(&mut self.exchange.response).poll_read(cx, buf)
+        match Pin::new(&mut self.exchange.response).poll_read(cx, buf) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Ok(0)) if self.is_whole() => {
+                self.end(StreamEnd::Whole);
+                Poll::Ready(Ok(0))
+            }
+            Poll::Ready(Ok(0)) => {
+                self.end(StreamEnd::Cut);
+                Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
+            }
+            Poll::Ready(Ok(n)) => {
+                self.keep_tail(&buf[..n]);
+                Poll::Ready(Ok(n))
+            }
+            Poll::Ready(Err(err)) => {
+                self.end(StreamEnd::Cut);
+                Poll::Ready(Err(err))
+            }
+        }
+    }
+}
+
+impl Drop for RelayReader {
+    fn drop(&mut self) {
+        self.end(StreamEnd::Left);
     }
 }
--- a/src/request/route.rs
+++ b/src/request/route.rs
@@ -72,6 +72,14 @@
         chat_route(&incoming.body)
     }
 
+    /// The pool or service.
+    pub(crate) fn target(&self) -> &str {
+        match self {
+            Route::Chat { pool, .. } => pool,
+            Route::Service { service, .. } => service,
+        }
+    }
+
     /// Estimated work in tokens, which the fair queue shares out.
     pub(crate) fn cost_tokens(&self) -> u64 {
         match self {
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -1,8 +1,12 @@
 //! The pipeline of a slot: from an entry host's request to its backend server and back.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http_types::{Body, Request, Response, StatusCode, Url};
+use serde::Deserialize;
 
 use crate::{
     charter::ServiceTerms,
@@ -104,15 +108,19 @@
         let incoming = Incoming::read(id, request, limits).await?;
         let route = Route::of(&incoming)?;
         drop(self.admit(&route, &envelope)?);
+        let arrived = Instant::now();
         let pass = self.gate.enter(self.work(&incoming, &route, &envelope)).await?;
         let admission = self.admit(&route, &envelope)?;
         let permit = Permit { pass, admission };
-        match self.terms_of(&route)? {
+        let waited = arrived.elapsed().as_millis();
+        let mut response = match self.terms_of(&route)? {
             Some(terms) if !terms.repeatable => {
-                self.call_once(incoming, route, envelope, terms, permit).await
+                self.call_once(incoming, route, envelope, terms, permit).await?
             }
-            _ => self.call(&incoming, &route, &envelope, permit).await,
-        }
+            _ => self.call(&incoming, &route, &envelope, permit).await?,
+        };
+        response.insert_header(headers::WAIT_MS, waited.to_string());
+        Ok(response)
     }
 
     fn terms_of(&self, route: &Route) -> Result<Option<ServiceTerms>, Failure> {
@@ -258,7 +266,8 @@
             response.insert_header(headers::SWITCH, permit.admission.switch_number.to_string());
         }
         if relay::is_stream(&exchange.response) {
-            response.set_body(relay::stream_body(exchange, incoming.deadline, permit));
+            let on_end = Box::new(move |_| drop(permit));
+            response.set_body(relay::stream_body(exchange, incoming.deadline, on_end));
             return Ok(response);
         }
         let read = runtime::timeout(incoming.time_left(), exchange.read(MAX_ANSWER_BYTES));
@@ -266,6 +275,7 @@
             Ok(res) => res.map_err(|err| Failure::of_call(&err))?,
             Err(_) => return Err(too_late()),
         };
+        check_whole(route, head.status(), &body)?;
         response.set_body(body);
         if let Some(content_type) = head.header("Content-Type") {
             response.insert_header("Content-Type", content_type);
@@ -326,6 +336,23 @@
     }
 }
 
+/// Whether an engine's answer is a whole JSON object; a length alone does not show that.
+fn check_whole(route: &Route, status: StatusCode, body: &[u8]) -> Result<(), Failure> {
+    let is_chat = matches!(route, Route::Chat { .. });
+    if !is_chat || !status.is_success() || serde_json::from_slice::<ChatAnswer>(body).is_ok() {
+        return Ok(());
+    }
+    let message = "the engine's answer is not whole, so it was dropped";
+    Err(Failure::may_have_run(StatusCode::BadGateway, message))
+}
+
+/// The part of an engine's answer that every whole one has.
+#[derive(Deserialize)]
+struct ChatAnswer {
+    #[serde(rename = "choices")]
+    _choices: Vec<serde_json::Value>,
+}
+
 fn closed(message: &str) -> Failure {
     Failure::not_run(StatusCode::ServiceUnavailable, message).retry_after(CLOSED_PAUSE)
 }
