--- a/rig/src/deployment.rs
+++ b/rig/src/deployment.rs
@@ -68,7 +68,7 @@
             deployment.backends.push(HostPlan::backend(idx, options.regions, &mut ports)?);
         }
         deployment.start_standins().await?;
-        fs::write(deployment.folder.join("peer.key"), "rig-peer-key")?;
+        fs::write(deployment.folder.join("peer.key"), "rig-peer-key-of-loopback")?;
         for host in deployment.entries.iter().chain(&deployment.backends) {
             deployment.start_host(host)?;
         }
--- a/src/daemon/stages.rs
+++ b/src/daemon/stages.rs
@@ -14,6 +14,7 @@
     operator::{self, ProcessView},
     peer::{PeerServer, PeerService},
     platform::DocumentWatch,
+    report::ConvergenceWatch,
     request::{self, WeightsSource},
     rollout::{RolloutDecider, ServiceDriver, ServingState, SlotDriver},
     runtime,
@@ -47,7 +48,8 @@
             Some(_) => slot_handler(&node, &serving, &weights),
         };
         let request_server = listen(&node, "request", handler).await?;
-        let view = Arc::new(ProcessView { leave, accounts: node.accounts.clone() });
+        let accounts = node.accounts.clone();
+        let view = Arc::new(ProcessView { leave, accounts, weights: weights.clone() });
         let handler = operator::handler(node.clone(), view);
         let operator_server = listen(&node, "operator", handler).await?;
         let mut tasks = vec![
@@ -56,10 +58,15 @@
             runtime::spawn(DocumentWatch::run(node.clone())),
             runtime::spawn(weights.clone().run()),
         ];
-        tasks.push(match &node.settings.backend {
-            None => runtime::spawn(RolloutDecider::new(node).run()),
-            Some(backend) => drive_backend(&node, backend, weights, serving.clone()),
-        });
+        match &node.settings.backend {
+            None => {
+                tasks.push(runtime::spawn(ConvergenceWatch::run(node.clone())));
+                tasks.push(runtime::spawn(RolloutDecider::new(node).run()));
+            }
+            Some(backend) => {
+                tasks.push(drive_backend(&node, backend, weights, serving.clone()));
+            }
+        }
         Ok(Stages { peer_server, request_server, operator_server, serving, tasks })
     }
 
--- a/src/operator/handler.rs
+++ b/src/operator/handler.rs
@@ -14,8 +14,8 @@
         charter_routes, metrics_page,
         process_report::ProcessReport,
         process_view::ProcessView,
+        quarantine_routes,
     },
-    peer::DocumentName,
     verdict::Verdict,
 };
 
@@ -29,13 +29,13 @@
     })
 }
 
-async fn route(node: &Node, view: &ProcessView, request: Request) -> Response {
+async fn route(node: &Arc<Node>, view: &ProcessView, request: Request) -> Response {
     let path = request.url().path().trim_matches('/').to_owned();
     let parts: Vec<&str> = path.split('/').collect();
     match parts.as_slice() {
         ["healthz"] => return text_answer(StatusCode::Ok, "ok\n"),
         ["readyz"] => return readiness(node),
-        ["metrics"] => return text_answer(StatusCode::Ok, &metrics_page::render(node)),
+        ["metrics"] => return text_answer(StatusCode::Ok, &metrics_page::render(node, view)),
         _ => {}
     }
     if !is_operator(node, &request) {
@@ -50,10 +50,15 @@
         (Method::Get, ["v1", "hosts"]) => hosts(node),
         (Method::Post, ["v1", "hosts", "self", "leave"]) => leave(node, view),
         (Method::Get, ["v1", "pools"]) => pools(node),
-        (Method::Get, ["v1", "process"]) => json_answer(StatusCode::Ok, &ProcessReport::of(node)),
+        (Method::Get, ["v1", "process"]) => {
+            json_answer(StatusCode::Ok, &ProcessReport::of(node, view))
+        }
         (Method::Get, ["v1", "burn"]) => burn(node, view),
         (Method::Get, ["v1", "requests", id]) => requests(view, id),
-        (Method::Get, ["v1", "quarantine"]) => quarantine(node),
+        (Method::Get, ["v1", "quarantine"]) => quarantine_routes::list(node),
+        (Method::Delete, ["v1", "quarantine", fingerprint]) => {
+            quarantine_routes::clear(node, fingerprint).await
+        }
         _ => not_found(&path),
     }
 }
@@ -116,9 +121,3 @@
 fn requests(view: &ProcessView, id_or_key: &str) -> Response {
     json_answer(StatusCode::Ok, &json!({ "requests": view.accounts.find(id_or_key) }))
 }
-
-fn quarantine(node: &Node) -> Response {
-    let document = node.documents.document(&DocumentName::Quarantine);
-    let entries = document.and_then(|it| serde_json::from_slice(&it.json).ok());
-    json_answer(StatusCode::Ok, &entries.unwrap_or_else(|| json!({ "number": 0, "entries": [] })))
-}
--- a/src/operator/metrics_page.rs
+++ b/src/operator/metrics_page.rs
@@ -1,6 +1,6 @@
 //! The recorder of the process's metrics and its text page.
 
-use std::sync::OnceLock;
+use std::sync::{Arc, OnceLock};
 
 use metrics::{counter, gauge};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -9,7 +9,7 @@
     membership::{HostState, MemberRecord},
     metric_names,
     node::Node,
-    operator::process_report::ProcessReport,
+    operator::{process_report::ProcessReport, process_view::ProcessView},
 };
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
@@ -23,9 +23,9 @@
 }
 
 /// All metrics as Prometheus text.
-pub(crate) fn render(node: &Node) -> String {
+pub(crate) fn render(node: &Node, view: &ProcessView) -> String {
     let Some(handle) = HANDLE.get() else { return String::new() };
-    set_process_metrics(&ProcessReport::of(node));
+    set_process_metrics(&ProcessReport::of(node, view));
     set_host_metrics(&node.membership.records());
     handle.run_upkeep();
     handle.render()
@@ -49,7 +49,7 @@
     counter!(metric_names::LINK_BYTES, "class" => class, "direction" => direction).absolute(bytes);
 }
 
-fn set_host_metrics(records: &[std::sync::Arc<MemberRecord>]) {
+fn set_host_metrics(records: &[Arc<MemberRecord>]) {
     let states = [
         (HostState::Joining, "joining"),
         (HostState::Live, "live"),
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -6,6 +6,7 @@
 mod metrics_page;
 mod process_report;
 mod process_view;
+mod quarantine_routes;
 
 pub use crate::operator::{
     handler::handler,
--- a/src/operator/process_report.rs
+++ b/src/operator/process_report.rs
@@ -8,7 +8,9 @@
     ids::{DocumentNumber, HostId, PoolId, RegionId, SwitchNumber, ZoneId},
     membership::{HostRole, HostState},
     node::Node,
+    operator::process_view::ProcessView,
     peer::{LinkClass, LinkCounters},
+    weights::WeightsProgress,
 };
 
 /// Clock ticks a second in `/proc/self/stat`; fixed by the kernel's interface.
@@ -41,6 +43,12 @@
     pub links: LinkReport,
     /// Connections opened to other processes.
     pub peer_connections: usize,
+    /// Send rate of the machine's link, from the settings.
+    pub send_bytes_per_s: u64,
+    /// Receive rate of the machine's link, from the settings.
+    pub receive_bytes_per_s: u64,
+    /// How far each version of weights has come; empty on an entry host.
+    pub weights: Vec<WeightsProgress>,
 }
 
 /// Bytes exchanged with other processes, by class.
@@ -58,7 +66,7 @@
 
 impl ProcessReport {
     /// Reads the counters of the running process.
-    pub(crate) fn of(node: &Node) -> ProcessReport {
+    pub(crate) fn of(node: &Node, view: &ProcessView) -> ProcessReport {
         let own = node.membership.own();
         ProcessReport {
             host: own.host.clone(),
@@ -73,6 +81,9 @@
             peak_rss_bytes: status_bytes("VmHWM:"),
             links: LinkReport::of(&node.counters),
             peer_connections: node.peers.n_connections(),
+            send_bytes_per_s: node.settings.weights.send_bytes_per_s,
+            receive_bytes_per_s: node.settings.weights.receive_bytes_per_s,
+            weights: view.weights.progress(),
         }
     }
 }
--- a/src/operator/process_view.rs
+++ b/src/operator/process_view.rs
@@ -4,13 +4,15 @@
 
 use async_channel::Sender;
 
-use crate::report::RequestAccounts;
+use crate::{report::RequestAccounts, weights::WeightsStage};
 
-/// Parts of one process that only some roles have.
+/// Parts of one process beyond its shared handles.
 #[derive(Clone, Debug)]
 pub struct ProcessView {
     /// Starts a graceful shutdown; one message is enough.
     pub leave: Sender<()>,
     /// Outcomes of requests; without entries on a backend server host.
     pub accounts: Arc<RequestAccounts>,
+    /// Weights held and fetched; without targets on an entry host.
+    pub weights: Arc<WeightsStage>,
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -27,9 +27,10 @@
 use std::sync::Arc;
 
 use crate::{
+    digest::Digest,
     net::Handler,
     node::Node,
-    request::{entry_stage::EntryStage, slot_stage::SlotStage},
+    request::{entry_stage::EntryStage, quarantine_stage::QuarantineStage, slot_stage::SlotStage},
     rollout::ServingState,
 };
 
@@ -67,3 +68,9 @@
         Box::pin(async move { Ok(stage.answer(request).await) })
     })
 }
+
+/// Lets requests with `fingerprint` through again on all entry hosts; the documents show the result.
+pub(crate) async fn clear_quarantine(node: &Arc<Node>, fingerprint: Digest) {
+    let stage = QuarantineStage::new(node.clone());
+    stage.note(QuarantineChange::Cleared { fingerprint }).await;
+}
--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -19,6 +19,8 @@
 mod pools;
 mod quarantine;
 mod requests;
+mod rollout;
+mod rollout_view;
 mod table;
 mod token;
 mod weights;
@@ -48,6 +50,7 @@
     Charter(charter::CharterCommand),
     Hosts(hosts::HostsCommand),
     Pools(pools::PoolsCommand),
+    Rollout(rollout::RolloutCommand),
     Requests(requests::RequestsCommand),
     Quarantine(quarantine::QuarantineCommand),
     Burn(burn::BurnCommand),
@@ -88,6 +91,7 @@
             Command::Charter(it) => it.run(&client()?).await,
             Command::Hosts(it) => it.run(&client()?).await,
             Command::Pools(it) => it.run(&client()?).await,
+            Command::Rollout(it) => it.run(&client()?).await,
             Command::Requests(it) => it.run(&client()?).await,
             Command::Quarantine(it) => it.run(&client()?).await,
             Command::Burn(it) => it.run(&client()?).await,
--- /dev/null
+++ b/src/subcommand/rollout.rs
@@ -0,0 +1,166 @@
+//! `crocustiller rollout`: follows the rollout of a version.
+
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use indicatif::{HumanBytes, ProgressBar, ProgressStyle};
+
+use crate::{
+    error::CommandError,
+    ids::PoolId,
+    membership::{HostRole, HostState, MemberRecord},
+    operator::ProcessReport,
+    runtime,
+    subcommand::{
+        fleet::{self, Gathered, Target},
+        operator_client::OperatorClient,
+        pools,
+        rollout_view::{Look, RolloutView},
+    },
+    verdict::Verdict,
+};
+
+/// Look of the progress bar.
+const BAR_TEMPLATE: &str = "{prefix} {bar:32} {pos}/{len} hosts  {msg}";
+
+/// Follows the rollout of a version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rollout")]
+pub(crate) struct RolloutCommand {
+    #[argh(subcommand)]
+    action: RolloutAction,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum RolloutAction {
+    Watch(WatchRollout),
+}
+
+/// Shows a progress bar until every host of a pool has loaded its version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "watch")]
+struct WatchRollout {
+    /// the pool
+    #[argh(positional)]
+    pool: PoolId,
+    /// rate of the origin's link, for the time over the bound
+    #[argh(option)]
+    origin_bytes_per_s: Option<u64>,
+    /// pause between two looks (default 1000)
+    #[argh(option, default = "1000")]
+    interval_ms: u64,
+    /// give up after this time (default 1800)
+    #[argh(option, default = "1800")]
+    timeout_s: u64,
+}
+
+impl RolloutCommand {
+    /// Runs the command.
+    pub(crate) async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        let RolloutAction::Watch(it) = self.action;
+        it.run(client).await
+    }
+}
+
+impl WatchRollout {
+    async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        let bar = progress_bar(client.is_json, &self.pool);
+        let started = Instant::now();
+        let mut last: Option<(Instant, u64)> = None;
+        loop {
+            let view = self.look(client).await?;
+            let rate = rate_of(last, view.held_bytes);
+            last = Some((Instant::now(), view.held_bytes));
+            show(&bar, client.is_json, &view, rate);
+            if view.is_complete() {
+                bar.abandon();
+                return Ok(());
+            }
+            if started.elapsed() > Duration::from_secs(self.timeout_s) {
+                bar.abandon();
+                return Err(self.timed_out(&view));
+            }
+            runtime::sleep(Duration::from_millis(self.interval_ms)).await;
+        }
+    }
+
+    async fn look(&self, client: &OperatorClient) -> Result<RolloutView, CommandError> {
+        let pools = pools::read_pools(client).await?;
+        let pool = pools.iter().find(|it| it.pool == self.pool);
+        let pool = pool.ok_or_else(|| pools::unknown_pool(&self.pool))?;
+        let Some(target) = pool.target.as_ref().or(pool.serving.as_ref()) else {
+            let message = format!("pool {} has no version yet; patch its version", self.pool);
+            return Err(CommandError::Refused(409, message, Verdict::NotRun));
+        };
+        let members = fleet::members(client).await?;
+        let hosts: Vec<&MemberRecord> = members.iter().filter(|it| self.is_of_pool(it)).collect();
+        let targets: Vec<Target> = hosts.iter().map(|it| fleet::target_of(it)).collect();
+        let gathered: Gathered<ProcessReport> =
+            fleet::gather(client, &targets, "/v1/process").await;
+        let reports: Vec<ProcessReport> = gathered.answers.into_iter().map(|it| it.1).collect();
+        let manifest = Some(target.manifest_digest);
+        Ok(RolloutView::new(Look {
+            pool,
+            target,
+            reports: &reports,
+            loaded: hosts.iter().filter(|it| it.weights.loaded == manifest).count(),
+            missing: gathered.missing,
+            origin_bytes_per_s: self.origin_bytes_per_s,
+        }))
+    }
+
+    fn is_of_pool(&self, member: &MemberRecord) -> bool {
+        let is_in_service = !matches!(member.state, HostState::Leaving | HostState::Gone);
+        is_in_service && member.role == HostRole::Engine(self.pool.clone())
+    }
+
+    fn timed_out(&self, view: &RolloutView) -> CommandError {
+        let message = format!(
+            "{} of {} hosts have loaded {} after {} s; `crocustiller hosts list` shows which",
+            view.loaded, view.hosts, view.version, self.timeout_s
+        );
+        CommandError::Refused(408, message, Verdict::NotRun)
+    }
+}
+
+fn progress_bar(is_json: bool, pool: &str) -> ProgressBar {
+    if is_json {
+        return ProgressBar::hidden();
+    }
+    let style = ProgressStyle::with_template(BAR_TEMPLATE).expect("the template is valid");
+    let bar = ProgressBar::new(0).with_style(style);
+    bar.set_prefix(pool.to_owned());
+    bar
+}
+
+/// Bytes a second that all hosts together gained since the last look.
+fn rate_of(last: Option<(Instant, u64)>, held_bytes: u64) -> u64 {
+    let Some((at, before)) = last else { return 0 };
+    (held_bytes.saturating_sub(before) as f64 / at.elapsed().as_secs_f64().max(0.001)) as u64
+}
+
+fn show(bar: &ProgressBar, is_json: bool, view: &RolloutView, rate: u64) {
+    if is_json {
+        println!("{}", serde_json::json!(view));
+        return;
+    }
+    let over_bound = view.time_over_bound.map(|it| format!("  {it:.2} x bound"));
+    let message = format!(
+        "{} {}: {} staged, {}/s, {:.2} origin copies, {:.1} s{}",
+        view.version,
+        view.step,
+        view.staged,
+        HumanBytes(rate),
+        view.origin_copies,
+        view.elapsed_s,
+        over_bound.unwrap_or_default()
+    );
+    bar.set_length(view.hosts as u64);
+    bar.set_position(view.loaded as u64);
+    if bar.is_hidden() {
+        println!("{}: {}/{} hosts  {message}", view.pool, view.loaded, view.hosts);
+    } else {
+        bar.set_message(message);
+    }
+}
--- /dev/null
+++ b/src/subcommand/rollout_view.rs
@@ -0,0 +1,123 @@
+//! How far the rollout of one pool has come over all its hosts.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::Serialize;
+
+use crate::{
+    ids::{PoolId, VersionId},
+    operator::ProcessReport,
+    report::MissingHost,
+    rollout::{PoolDocument, WeightsTarget},
+    subcommand::pools,
+    weights::WeightsProgress,
+};
+
+/// One look at a rollout.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct RolloutView {
+    /// The pool.
+    pub(crate) pool: PoolId,
+    /// Version that the pool goes to.
+    pub(crate) version: VersionId,
+    /// Step of the rollout.
+    pub(crate) step: &'static str,
+    /// Hosts of the pool.
+    pub(crate) hosts: usize,
+    /// Hosts that hold the whole version, verified.
+    pub(crate) staged: usize,
+    /// Hosts whose engine has loaded the version.
+    pub(crate) loaded: usize,
+    /// Length of the weights; 0 until a host knows it.
+    pub(crate) size_bytes: u64,
+    /// Bytes held on all hosts.
+    pub(crate) held_bytes: u64,
+    /// Copies that the origin has sent.
+    pub(crate) origin_copies: f64,
+    /// Time from the first host's start to the last host's last chunk, or to now.
+    pub(crate) elapsed_s: f64,
+    /// Shortest time that the links allow; `None` without the origin's rate.
+    pub(crate) bound_s: Option<f64>,
+    /// Elapsed time over the bound.
+    pub(crate) time_over_bound: Option<f64>,
+    /// Hosts that did not answer.
+    pub(crate) missing: Vec<MissingHost>,
+}
+
+/// What the hosts of a pool answered.
+#[derive(Debug)]
+pub(crate) struct Look<'a> {
+    /// The pool.
+    pub(crate) pool: &'a PoolDocument,
+    /// Version that the pool goes to.
+    pub(crate) target: &'a WeightsTarget,
+    /// Reports of the hosts that answered.
+    pub(crate) reports: &'a [ProcessReport],
+    /// Hosts whose engine has loaded the version.
+    pub(crate) loaded: usize,
+    /// Hosts that did not answer.
+    pub(crate) missing: Vec<MissingHost>,
+    /// Rate of the origin, where the operator named it.
+    pub(crate) origin_bytes_per_s: Option<u64>,
+}
+
+impl RolloutView {
+    /// Adds the answers up.
+    pub(crate) fn new(look: Look) -> RolloutView {
+        let progress: Vec<&WeightsProgress> = look
+            .reports
+            .iter()
+            .flat_map(|it| &it.weights)
+            .filter(|it| it.manifest_digest == look.target.manifest_digest)
+            .collect();
+        let size_bytes = progress.iter().map(|it| it.size_bytes).max().unwrap_or(0);
+        let hosts = look.reports.len() + look.missing.len();
+        let staged = progress.iter().filter(|it| it.is_verified).count();
+        let elapsed_s = elapsed_s(&progress, staged == hosts);
+        let bound_s =
+            look.origin_bytes_per_s.map(|it| bound_s(look.reports, hosts, size_bytes, it));
+        let origin_bytes: u64 = progress.iter().map(|it| it.counts.origin_bytes).sum();
+        RolloutView {
+            pool: look.pool.pool.clone(),
+            version: look.target.version.clone(),
+            step: pools::step_text(&look.pool.step),
+            hosts,
+            staged,
+            loaded: look.loaded,
+            size_bytes,
+            held_bytes: progress.iter().map(|it| held_bytes(it)).sum(),
+            origin_copies: origin_bytes as f64 / size_bytes.max(1) as f64,
+            elapsed_s,
+            bound_s,
+            time_over_bound: bound_s.filter(|it| *it > 0.0).map(|it| elapsed_s / it),
+            missing: look.missing,
+        }
+    }
+
+    /// Whether every host of the pool has loaded the version.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.hosts > 0 && self.loaded == self.hosts && self.missing.is_empty()
+    }
+}
+
+fn held_bytes(progress: &WeightsProgress) -> u64 {
+    let total = u64::from(progress.chunks_total).max(1);
+    progress.size_bytes * u64::from(progress.chunks_held) / total
+}
+
+fn elapsed_s(progress: &[&WeightsProgress], is_staged: bool) -> f64 {
+    let Some(start) = progress.iter().map(|it| it.started_unix_ms).min() else { return 0.0 };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let last_verified = progress.iter().filter_map(|it| it.verified_unix_ms).max();
+    let end = last_verified.filter(|_| is_staged).unwrap_or(now.as_millis() as u64);
+    end.saturating_sub(start) as f64 / 1000.0
+}
+
+/// S · max(1/d, 1/o, N/(o + N·u)) for N hosts that send at u and receive at d.
+fn bound_s(reports: &[ProcessReport], hosts: usize, size_bytes: u64, origin: u64) -> f64 {
+    let send = reports.iter().map(|it| it.send_bytes_per_s).max().unwrap_or(1) as f64;
+    let receive = reports.iter().map(|it| it.receive_bytes_per_s).max().unwrap_or(1) as f64;
+    let (hosts, origin) = (hosts as f64, origin as f64);
+    let slowest = (1.0 / receive).max(1.0 / origin).max(hosts / (origin + hosts * send));
+    size_bytes as f64 * slowest
+}
