--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Live requests: from a caller through an entry host and a slot to a backend server and back.
 
+mod account;
 mod attempt;
 mod claim_bucket;
 mod claim_key;
@@ -12,6 +13,7 @@
 mod headers;
 mod in_progress;
 mod incoming;
+mod places;
 mod quarantine;
 mod quarantine_stage;
 mod relay;
@@ -25,9 +27,10 @@
 use std::sync::Arc;
 
 use crate::{
+    digest::Digest,
     net::Handler,
     node::Node,
-    request::{entry_stage::EntryStage, slot_stage::SlotStage},
+    request::{entry_stage::EntryStage, quarantine_stage::QuarantineStage, slot_stage::SlotStage},
     rollout::ServingState,
 };
 
@@ -65,3 +68,9 @@
         Box::pin(async move { Ok(stage.answer(request).await) })
     })
 }
+
+/// Lets requests with `fingerprint` through again on all entry hosts; the documents show the result.
+pub(crate) async fn clear_quarantine(node: &Arc<Node>, fingerprint: Digest) {
+    let stage = QuarantineStage::new(node.clone());
+    stage.note(QuarantineChange::Cleared { fingerprint }).await;
+}
