--- a/src/request/account.rs
+++ b/src/request/account.rs
@@ -33,8 +33,8 @@
             host: None,
             is_answered: false,
             verdict: Verdict::NotRun,
-            first_token: None,
-            wait: Duration::ZERO,
+            first_token_ms: None,
+            wait_ms: Duration::ZERO,
             version_is_intended: true,
         };
         Account { accounts, outcome: Some(outcome), arrived }
@@ -53,8 +53,8 @@
         self.change(|it| {
             it.host = Some(host.to_owned());
             it.verdict = Verdict::Ran;
-            it.wait = waited;
-            it.first_token = Some(first);
+            it.wait_ms = waited;
+            it.first_token_ms = Some(first);
             it.version_is_intended = is_intended;
         });
     }
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -244,7 +244,7 @@
             Verdict::Ran | Verdict::MayHaveRun => Failure::may_have_run(status, text),
         };
         failure.is_crash = is_crash;
-        failure.retry_after = seconds.map(Duration::from_secs);
+        failure.retry_after_s = seconds.map(Duration::from_secs);
         if verdict != Verdict::NotRun {
             return self.failed_at(slot, failure).await;
         }
@@ -399,7 +399,7 @@
 
 fn as_unavailable(mut failure: Failure) -> Failure {
     failure.status = StatusCode::ServiceUnavailable;
-    failure.retry_after = Some(Duration::from_secs(1));
+    failure.retry_after_s = Some(Duration::from_secs(1));
     failure
 }
 
--- a/src/request/claim_bucket.rs
+++ b/src/request/claim_bucket.rs
@@ -25,7 +25,7 @@
     pub call_digest: Digest,
     /// Time of the claim since 1970.
     #[serde_as(as = "DurationSeconds<u64>")]
-    pub claimed_at: Duration,
+    pub claimed_at_s: Duration,
     /// How the call ended, once that is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub outcome: Option<CallOutcome>,
@@ -111,6 +111,6 @@
 
     /// Drops claims made before `oldest` since 1970.
     pub fn expire(&mut self, oldest: Duration) {
-        self.claims.retain(|_, it| it.claimed_at >= oldest);
+        self.claims.retain(|_, it| it.claimed_at_s >= oldest);
     }
 }
--- a/src/request/claim_stage.rs
+++ b/src/request/claim_stage.rs
@@ -97,7 +97,7 @@
         let claim = Claim {
             id: Uuid::new_v4(),
             call_digest: digest_of(incoming),
-            claimed_at: since_1970(),
+            claimed_at_s: since_1970(),
             outcome: None,
         };
         let _progress = ProgressGuard::new(&self, claim.id);
--- a/src/request/entry_stage.rs
+++ b/src/request/entry_stage.rs
@@ -102,7 +102,7 @@
         let guard = self.limit(&charter, &customer).map_err(Failure::closing)?;
         let limits = IncomingLimits {
             max_body_bytes: self.node.settings.limits.max_body_bytes,
-            request_timeout: self.node.settings.limits.request_timeout_ms,
+            request_timeout_ms: self.node.settings.limits.request_timeout_ms,
         };
         let incoming = Incoming::read(id, request, limits).await?;
         let route = Route::of(&incoming)?;
--- a/src/request/failure.rs
+++ b/src/request/failure.rs
@@ -22,7 +22,7 @@
     /// What happened and what to do.
     pub(crate) message: String,
     /// Time after which the request may be sent again.
-    pub(crate) retry_after: Option<Duration>,
+    pub(crate) retry_after_s: Option<Duration>,
     /// Switch number of the slot that refused.
     pub(crate) switch_number: Option<SwitchNumber>,
     /// Whether the connection ends with this answer.
@@ -93,7 +93,7 @@
 
     /// Names the time after which the request may be sent again.
     pub(crate) fn retry_after(mut self, pause: Duration) -> Failure {
-        self.retry_after = Some(pause);
+        self.retry_after_s = Some(pause);
         self
     }
 
@@ -102,7 +102,7 @@
         let mut response = Response::new(self.status);
         response.insert_header(headers::REQUEST_ID, request_id);
         response.insert_header(headers::VERDICT, self.verdict.as_str());
-        if let Some(pause) = self.retry_after {
+        if let Some(pause) = self.retry_after_s {
             let whole_s = pause.as_millis().div_ceil(1000).max(1);
             response.insert_header(headers::RETRY_AFTER, whole_s.to_string());
         }
@@ -130,7 +130,7 @@
             status,
             verdict,
             message,
-            retry_after: None,
+            retry_after_s: None,
             switch_number: None,
             closes_connection: false,
             is_crash: false,
--- a/src/request/incoming.rs
+++ b/src/request/incoming.rs
@@ -43,7 +43,7 @@
     /// Longest body.
     pub(crate) max_body_bytes: usize,
     /// Whole time of a request; a sender may ask for less.
-    pub(crate) request_timeout: Duration,
+    pub(crate) request_timeout_ms: Duration,
 }
 
 impl Incoming {
@@ -53,7 +53,7 @@
         mut request: Request,
         limits: IncomingLimits,
     ) -> Result<Incoming, Failure> {
-        let wait = deadline_of(&request, limits.request_timeout)?;
+        let wait = deadline_of(&request, limits.request_timeout_ms)?;
         let deadline = Instant::now() + wait;
         let idempotency_key = key_of(&request)?;
         let read = read_request_body(&mut request, limits.max_body_bytes);
--- a/src/request/slot_gate.rs
+++ b/src/request/slot_gate.rs
@@ -40,7 +40,7 @@
     /// Requests at the backend server.
     pub(crate) n_running: usize,
     /// Wait that a new request must expect.
-    pub(crate) wait: Duration,
+    pub(crate) wait_ms: Duration,
 }
 
 /// Lets requests pass in the order of the fair queue.
@@ -101,9 +101,9 @@
             }
             Ok(Ok(Grant::Evicted) | Err(_)) => {
                 place.ticket = None;
-                Err(full(self.load().wait))
+                Err(full(self.load().wait_ms))
             }
-            Err(_) => Err(late(self.load().wait)),
+            Err(_) => Err(late(self.load().wait_ms)),
         }
     }
 
@@ -113,7 +113,7 @@
         GateLoad {
             n_queued: state.queue.len(),
             n_running: state.n_running,
-            wait: self.expected_wait(&state, state.queue.total_tokens()),
+            wait_ms: self.expected_wait(&state, state.queue.total_tokens()),
         }
     }
 
--- a/src/request/slot_picker.rs
+++ b/src/request/slot_picker.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SlotLoad {
     /// Wait that the slot last reported.
-    pub reported_wait: Duration,
+    pub reported_wait_ms: Duration,
     /// Own requests that are in progress there.
     pub n_own: u32,
     /// Time, on the caller's clock, until which the slot is avoided.
@@ -72,7 +72,7 @@
 
     /// Notes the wait that a slot reported.
     pub fn report(&mut self, host: &str, wait: Duration) {
-        self.loads.entry(host.to_owned()).or_default().reported_wait = wait;
+        self.loads.entry(host.to_owned()).or_default().reported_wait_ms = wait;
     }
 
     /// Notes that a slot could not be reached.
@@ -96,6 +96,6 @@
 
     fn expected_wait(&self, host: &str) -> Duration {
         let load = self.load(host);
-        load.reported_wait + WAIT_PER_OWN_REQUEST * load.n_own
+        load.reported_wait_ms + WAIT_PER_OWN_REQUEST * load.n_own
     }
 }
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -94,7 +94,7 @@
         let load = self.gate.load();
         response.insert_header(headers::LOAD_QUEUED, load.n_queued.to_string());
         response.insert_header(headers::LOAD_RUNNING, load.n_running.to_string());
-        response.insert_header(headers::LOAD_WAIT_MS, load.wait.as_millis().to_string());
+        response.insert_header(headers::LOAD_WAIT_MS, load.wait_ms.as_millis().to_string());
         response
     }
 
@@ -103,7 +103,7 @@
         let envelope = self.envelope(&id, &request).map_err(Failure::closing)?;
         let limits = IncomingLimits {
             max_body_bytes: self.node.settings.limits.max_body_bytes,
-            request_timeout: self.node.settings.limits.request_timeout_ms,
+            request_timeout_ms: self.node.settings.limits.request_timeout_ms,
         };
         let incoming = Incoming::read(id, request, limits).await?;
         let route = Route::of(&incoming)?;
