Repeated warnings are held back and counted; errors name each host tried

Found by trying the tool against a deployment whose platform was down: the log repeated one warning every second or two, an unreachable error gave only the last host's reason, and 'hosts leave' was ignored by a process that still waited for its first charter. The wait ends on the order now as it does on a signal.

--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -72,7 +72,7 @@
         Ok(Daemon { node, stages, leave, signals, _state: Starting(()) })
     }
 
-    /// Waits for a charter, then takes requests; a signal to leave ends the wait.
+    /// Waits for a charter, then takes requests; a signal or an order to leave ends it.
     pub async fn serve(mut self) -> Result<Daemon<Serving>, StartError> {
         let node = self.node.clone();
         let ready = async {
@@ -81,10 +81,15 @@
             }
             true
         };
-        let is_ready = ready.or(async {
+        let signal = async {
             self.signals.next().await;
             false
-        });
+        };
+        let order = async {
+            let _ = self.leave.recv().await;
+            false
+        };
+        let is_ready = ready.or(signal).or(order);
         if is_ready.await {
             self.node.membership.update_own(|it| it.state = HostState::Live);
             log::info!("daemon: serving charter={}", self.node.documents.charter_number());
--- a/src/error.rs
+++ b/src/error.rs
@@ -20,8 +20,8 @@
             display("{}: {err}; check the path and its permissions", path.display())
         }
         /// No entry host answered.
-        Unreachable(tried: Vec<SocketAddr>, last: String) {
-            display("none of {tried:?} answered ({last}); name live operator addresses with --entry")
+        Unreachable(attempts: Vec<Attempt>) {
+            display("no entry host took the order; name others with --entry, or send it again later{}", lines_of(attempts))
         }
         /// An entry host refused the order.
         Refused(status: u16, message: String, verdict: Verdict) {
@@ -34,6 +34,15 @@
     }
 }
 
+/// Why one process did not take an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Operator address of the process.
+    pub address: SocketAddr,
+    /// What went wrong.
+    pub reason: String,
+}
+
 /// Exit code for an order that was refused.
 pub const EXIT_REFUSED: u8 = 1;
 /// Exit code for wrong arguments or settings.
@@ -54,3 +63,7 @@
         })
     }
 }
+
+fn lines_of(attempts: &[Attempt]) -> String {
+    attempts.iter().map(|it| format!("\n  {}: {}", it.address, it.reason)).collect()
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,20 +1,66 @@
 //! Log lines on standard error.
+//!
+//! A line is a short sentence after the prefix of its part, with fields as `key=value`. Warnings
+//! and errors that repeat are held back and counted.
 
-use std::time::SystemTime;
+use std::{
+    sync::Mutex,
+    time::{Instant, SystemTime},
+};
 
-use log::SetLoggerError;
+use log::{Level, LevelFilter, Log, Metadata, Record, SetLoggerError};
 
 use crate::settings::Settings;
 
+mod repeat_limiter;
+
+pub use crate::logging::repeat_limiter::{Admittance, RepeatLimiter};
+
 /// Starts logging at the level that the settings name; fails when a logger is set already.
 pub fn init(settings: &Settings) -> Result<(), SetLoggerError> {
-    let dispatch = fern::Dispatch::new()
+    let (max_level, lines) = fern::Dispatch::new()
         .format(|out, message, record| {
             let now = humantime::format_rfc3339_millis(SystemTime::now());
             out.finish(format_args!("{now} {:5} {message}", record.level()));
         })
-        .level(log::LevelFilter::Warn)
+        .level(LevelFilter::Warn)
         .level_for("crocustiller", settings.log.level)
-        .chain(std::io::stderr());
-    dispatch.apply()
+        .chain(std::io::stderr())
+        .into_log();
+    log::set_boxed_logger(Box::new(LimitedLog { lines, limiter: Mutex::default() }))?;
+    log::set_max_level(max_level);
+    Ok(())
+}
+
+/// Passes lines on, but for warnings and errors that repeat.
+struct LimitedLog {
+    lines: Box<dyn Log>,
+    limiter: Mutex<RepeatLimiter>,
+}
+
+impl Log for LimitedLog {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        self.lines.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record) {
+        if record.level() > Level::Warn || !self.enabled(record.metadata()) {
+            return self.lines.log(record);
+        }
+        let message = record.args().to_string();
+        let admittance = self.limiter.lock().unwrap().admit(&message, Instant::now());
+        match admittance {
+            Admittance::HoldBack => {}
+            Admittance::Log(0) => self.lines.log(record),
+            Admittance::Log(n) => {
+                let args = format_args!("{message} held_back={n}");
+                self.lines
+                    .log(&Record::builder().metadata(record.metadata().clone()).args(args).build());
+            }
+        }
+    }
+
+    fn flush(&self) {
+        self.lines.flush();
+    }
 }
--- a/src/operator/charter_routes.rs
+++ b/src/operator/charter_routes.rs
@@ -47,7 +47,7 @@
         PatchOutcome::Stale { current } => stale(base_number, current),
         PatchOutcome::Invalid(fields) => invalid(&fields),
         PatchOutcome::Unavailable(reason) => {
-            let message = format!("the platform can't be asked ({reason}); send the patch again");
+            let message = format!("{reason}; send the patch again");
             error_answer(StatusCode::ServiceUnavailable, &message, Verdict::NotRun)
         }
         PatchOutcome::Unsettled(reason) => {
--- a/src/subcommand/fleet.rs
+++ b/src/subcommand/fleet.rs
@@ -95,7 +95,9 @@
 
 fn reason_of(err: &CommandError) -> String {
     match err {
-        CommandError::Unreachable(_, reason) => reason.clone(),
+        CommandError::Unreachable(attempts) => {
+            attempts.first().map_or_else(String::new, |it| it.reason.clone())
+        }
         err => err.to_string(),
     }
 }
--- a/src/subcommand/operator_client.rs
+++ b/src/subcommand/operator_client.rs
@@ -7,7 +7,9 @@
 use serde_json::Value;
 
 use crate::{
-    error::CommandError, net::HttpClient, subcommand::common_options::CommonOptions,
+    error::{Attempt, CommandError},
+    net::HttpClient,
+    subcommand::common_options::CommonOptions,
     verdict::Verdict,
 };
 
@@ -64,14 +66,14 @@
 
     /// Sends `order` to the entry hosts in turn until one answers or may have run it.
     pub(crate) async fn send(&self, order: &Order) -> Result<Value, CommandError> {
-        let mut last = String::new();
+        let mut failed = Vec::new();
         for address in &self.entry_hosts {
             match self.send_to(*address, order, ORDER_TIMEOUT).await {
-                Err(CommandError::Unreachable(_, reason)) => last = reason,
+                Err(CommandError::Unreachable(attempts)) => failed.extend(attempts),
                 res => return res,
             }
         }
-        Err(CommandError::Unreachable(self.entry_hosts.clone(), last))
+        Err(CommandError::Unreachable(failed))
     }
 
     /// Reads `path` at the first entry host that answers.
@@ -94,7 +96,7 @@
             Verdict::MayHaveRun if !is_read => {
                 CommandError::Refused(0, err.to_string(), Verdict::MayHaveRun)
             }
-            _ => CommandError::Unreachable(vec![address], err.to_string()),
+            _ => unreachable(address, &err.to_string()),
         })?;
         let status = u16::from(response.status());
         let value: Value = serde_json::from_slice(&body)
@@ -123,7 +125,11 @@
     let message = value["error"]["message"].as_str().unwrap_or("refused").to_owned();
     let verdict = Verdict::from_header(value["error"]["verdict"].as_str().unwrap_or(""));
     if status == 503 && verdict == Verdict::NotRun {
-        return CommandError::Unreachable(vec![address], message);
+        return unreachable(address, &message);
     }
     CommandError::Refused(status, message, verdict)
 }
+
+fn unreachable(address: SocketAddr, reason: &str) -> CommandError {
+    CommandError::Unreachable(vec![Attempt { address, reason: reason.to_owned() }])
+}
--- a/src/subcommand/quarantine.rs
+++ b/src/subcommand/quarantine.rs
@@ -5,7 +5,11 @@
 
 use crate::{
     error::CommandError,
-    subcommand::operator_client::{OperatorClient, Order},
+    request::{Quarantine, Standing},
+    subcommand::{
+        operator_client::{OperatorClient, Order},
+        table::Table,
+    },
 };
 
 /// Shows and clears requests that are refused because they crash backend servers.
@@ -62,11 +66,20 @@
 }
 
 async fn list(client: &OperatorClient) -> Result<(), CommandError> {
-    let quarantine = client.send(&Order::get("/v1/quarantine")).await?;
+    let quarantine: Quarantine = client.read("/v1/quarantine").await?;
     if client.is_json {
-        println!("{quarantine}");
-    } else {
-        println!("{quarantine:#}");
+        println!("{}", serde_json::json!(quarantine));
+        return Ok(());
     }
+    let mut table = Table::new(&["FINGERPRINT", "STANDING", "CRASHED HOSTS"]);
+    for entry in &quarantine.entries {
+        let standing = match quarantine.standing(&entry.fingerprint) {
+            Standing::Clear => "clear",
+            Standing::Suspect => "suspect, runs alone",
+            Standing::Refused => "refused",
+        };
+        table.add(vec![entry.fingerprint.to_string(), standing.to_owned(), entry.hosts.join(", ")]);
+    }
+    table.print();
     Ok(())
 }
--- a/src/subcommand/requests.rs
+++ b/src/subcommand/requests.rs
@@ -81,7 +81,9 @@
             table.add(row_of(entry_host, request));
         }
     }
-    table.print();
+    if gathered.answers.iter().any(|it| !it.1.requests.is_empty()) {
+        table.print();
+    }
     for missing in &gathered.missing {
         println!("missing: {} ({})", missing.host, missing.reason);
     }
