--- a/src/error.rs
+++ b/src/error.rs
@@ -23,6 +23,10 @@
         Unreachable(attempts: Vec<Attempt>) {
             display("no entry host took the order; name others with --entry, or send it again later{}", lines_of(attempts))
         }
+        /// The answer to an order was lost.
+        Lost(reason: String) {
+            display("{reason}; the order may have taken effect, look before you send it again")
+        }
         /// An entry host refused the order.
         Refused(status: u16, message: String, verdict: Verdict) {
             display("{message} (status {status}, {verdict})")
@@ -58,7 +62,9 @@
         ExitCode::from(match self {
             CommandError::Usage(_) | CommandError::File(..) => EXIT_USAGE,
             CommandError::Unreachable(..) => EXIT_UNREACHABLE,
-            CommandError::Refused(_, _, Verdict::MayHaveRun) => EXIT_MAY_HAVE_RUN,
+            CommandError::Lost(_) | CommandError::Refused(_, _, Verdict::MayHaveRun) => {
+                EXIT_MAY_HAVE_RUN
+            }
             CommandError::Refused(..) | CommandError::Answer(_) => EXIT_REFUSED,
         })
     }
--- a/src/subcommand/operator_client.rs
+++ b/src/subcommand/operator_client.rs
@@ -93,9 +93,7 @@
         let res = self.http.fetch(address, request, limit, MAX_ANSWER_BYTES).await;
         let is_read = order.method == Method::Get;
         let (response, body) = res.map_err(|err| match err.verdict() {
-            Verdict::MayHaveRun if !is_read => {
-                CommandError::Refused(0, err.to_string(), Verdict::MayHaveRun)
-            }
+            Verdict::MayHaveRun if !is_read => CommandError::Lost(err.to_string()),
             _ => unreachable(address, &err.to_string()),
         })?;
         let status = u16::from(response.status());
--- /dev/null
+++ b/tests/tool/mod.rs
@@ -0,0 +1,128 @@
+//! Runs the real command-line tool against one entry host in this process.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output},
+    sync::Arc,
+};
+
+use crocustiller::{
+    digest::Digest,
+    membership::HostState,
+    net::{HttpServer, ServerLimits},
+    node::Node,
+    operator::{self, ProcessView},
+    settings::Settings,
+    weights::WeightsStage,
+};
+use crocustiller_standins::PlatformStandin;
+
+/// Token that the entry host accepts.
+const TOKEN: &str = "operator-token-of-the-test";
+/// An address on which nobody listens.
+pub const NOBODY: &str = "127.0.0.1:1";
+
+/// One entry host with its platform, and a folder for files.
+pub struct Deployment {
+    pub node: Arc<Node>,
+    pub leave: async_channel::Receiver<()>,
+    pub operator_address: SocketAddr,
+    folder: tempfile::TempDir,
+    server: HttpServer,
+    platform: PlatformStandin,
+}
+
+/// What the tool printed.
+#[derive(Debug)]
+pub struct Run {
+    pub code: i32,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Deployment {
+    pub async fn start() -> Deployment {
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("peer.key"), "a shared secret for tests").unwrap();
+        std::fs::write(folder.path().join("token"), TOKEN).unwrap();
+        let platform = PlatformStandin::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+        let node = Node::new(settings(&folder, platform.address()));
+        let (sender, leave) = async_channel::bounded(1);
+        let view = ProcessView {
+            leave: sender,
+            accounts: node.accounts.clone(),
+            weights: WeightsStage::new(node.clone()),
+        };
+        let handler = operator::handler(node.clone(), Arc::new(view));
+        let address = ([127, 0, 0, 1], 0).into();
+        let server = HttpServer::bind(address, ServerLimits::default(), handler).await.unwrap();
+        let operator_address = server.address();
+        node.membership.update_own(|it| {
+            it.operator_address = operator_address;
+            it.state = HostState::Live;
+        });
+        Deployment { node, leave, operator_address, folder, server, platform }
+    }
+
+    /// Writes a file and gives its path.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// Runs the tool with the entry host and its token.
+    ///
+    /// In `args`, `{dir}` stands for the folder and `{entry}` for the operator address.
+    pub async fn run(&self, args: &str) -> Run {
+        let token = self.folder.path().join("token");
+        let common = format!(" --entry {} --token-file {}", self.operator_address, token.display());
+        self.run_bare(&(args.to_owned() + &common)).await
+    }
+
+    /// Runs the tool with nothing but `args`.
+    pub async fn run_bare(&self, args: &str) -> Run {
+        let dir = self.folder.path().display().to_string();
+        let args =
+            args.replace("{dir}", &dir).replace("{entry}", &self.operator_address.to_string());
+        let output = output_of(args).await;
+        Run {
+            code: output.status.code().unwrap_or(-1),
+            stdout: String::from_utf8(output.stdout).unwrap(),
+            stderr: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+
+    pub async fn close(self) {
+        self.server.close().await;
+        self.platform.close().await;
+    }
+}
+
+/// Waits on a thread of its own, as a blocked executor thread would hold up the entry host.
+async fn output_of(args: String) -> Output {
+    let (sender, receiver) = async_channel::bounded(1);
+    std::thread::spawn(move || {
+        let output = Command::new(env!("CARGO_BIN_EXE_crocustiller"))
+            .args(args.split_whitespace())
+            .env_remove("CROCUSTILLER_ENTRY")
+            .env_remove("CROCUSTILLER_TOKEN")
+            .output()
+            .unwrap();
+        sender.send_blocking(output).unwrap();
+    });
+    receiver.recv().await.unwrap()
+}
+
+fn settings(folder: &tempfile::TempDir, platform: SocketAddr) -> Settings {
+    let text = format!(
+        "[host]\nid = entry-1\nrole = entry\nregion = north\nzone = north-a\n\
+         [listen]\nrequest = 127.0.0.1:2\npeer = 127.0.0.1:3\noperator = 127.0.0.1:4\n\
+         [platform]\naddresses = {platform}\n\
+         [secrets]\npeer_key_file = peer.key\noperator_token_digest = {}\n\
+         [weights]\norigin = 127.0.0.1:5\n",
+        Digest::of(TOKEN.as_bytes())
+    );
+    Settings::parse(&text, &folder.path().join("entry.ini")).unwrap_or_else(|err| panic!("{err}"))
+}
