--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,6 +16,7 @@
     peer_service::PeerService,
     protocol::{
         ChunkAnswer, ChunkRequest, Document, DocumentDigest, DocumentName, GossipExchange,
-        GossipReply, HaveAnswer, HaveRequest, ManifestRequest, Peer, PeerClient, ProbeAnswer,
+        GossipReply, HaveAnswer, HaveRequest, Identity, ManifestRequest, Peer, PeerClient,
+        ProbeAnswer,
     },
 };
