--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -16,6 +16,7 @@
     peer::{DocumentName, LinkClass},
     request::{
         account::Account,
+        backend_probe,
         entry_stage::EntryStage,
         failure::Failure,
         headers,
@@ -113,7 +114,7 @@
         let places = Places::find(node, self.incoming, self.route, self.customer)?;
         let standing = self.stage.quarantine.standing(&self.fingerprint);
         if standing == Standing::Refused {
-            return Err(never(quarantined()));
+            return Err(never(self.quarantined()));
         }
         let slot = self.pick(&places)?;
         self.tried.push(slot.host.clone());
@@ -197,26 +198,36 @@
         response
     }
 
-    /// Ends the account and the guards with the stream; a cut one counts as a crash of its host.
+    /// Ends the account and the guards with the stream; a cut one may have crashed its host.
     fn on_stream_end(&mut self, slot: SlotGuard, standing: Standing) -> relay::OnStreamEnd {
         let account = self.account.take();
         let guard = self.guard.clone();
         let quarantine = self.stage.quarantine.clone();
         let cleared = self.cleared();
         let crashed = self.crashed(&slot.host);
+        let node = self.stage.node.clone();
+        let address = node.membership.record(&slot.host).map(|it| it.request_address);
         Box::new(move |end| {
             if let Some(account) = account {
                 account.stream_ended(end);
             }
-            let change = match end {
-                StreamEnd::Cut => Some(crashed),
-                StreamEnd::Whole if standing == Standing::Suspect => Some(cleared),
-                StreamEnd::Whole | StreamEnd::Late | StreamEnd::Left => None,
-            };
-            if let Some(change) = change {
-                runtime::spawn(async move { quarantine.note(change).await }).detach();
-            }
             drop((slot, guard));
+            match end {
+                StreamEnd::Cut => runtime::spawn(async move {
+                    let is_up = match address {
+                        Some(it) => backend_probe::is_up_behind(&node, it).await,
+                        None => false,
+                    };
+                    if !is_up {
+                        quarantine.note(crashed).await;
+                    }
+                })
+                .detach(),
+                StreamEnd::Whole if standing == Standing::Suspect => {
+                    runtime::spawn(async move { quarantine.note(cleared).await }).detach();
+                }
+                StreamEnd::Whole | StreamEnd::Late | StreamEnd::Left => {}
+            }
         })
     }
 
@@ -233,6 +244,7 @@
         let seconds = head.header(headers::RETRY_AFTER).and_then(|it| it.as_str().parse().ok());
         let switch = head.header(headers::SWITCH).and_then(|it| it.as_str().parse().ok());
         let is_crash = head.header(headers::CRASHED).is_some();
+        let is_platform_out = head.header(headers::PLATFORM_OUT).is_some();
         let limit = self.incoming.time_left() + ANSWER_MARGIN;
         let text = match runtime::timeout(limit, exchange.read(MAX_ANSWER_BYTES)).await {
             Ok(Ok((_, body))) => message_of(&body),
@@ -253,6 +265,7 @@
                 self.learn_switch(record, switch).await;
                 AttemptError { failure: as_unavailable(failure), retry: Retry::AfterChange }
             }
+            _ if is_platform_out => never(failure),
             StatusCode::ServiceUnavailable => AttemptError { failure, retry: Retry::AfterChange },
             StatusCode::TooManyRequests => AttemptError { failure, retry: Retry::WithinBudget },
             _ if status.is_server_error() => self.failed_at(slot, failure).await,
@@ -292,7 +305,7 @@
     /// Notes a failed exchange and says whether the request may be tried again.
     async fn failed_at(&self, slot: &SlotGuard, failure: Failure) -> AttemptError {
         slot.avoid();
-        if failure.is_crash {
+        if failure.is_crash && !self.is_up_behind(&slot.host).await {
             self.stage.quarantine.note(self.crashed(&slot.host)).await;
             let standing = self.stage.quarantine.standing(&self.fingerprint);
             if standing == Standing::Suspect && self.is_repeatable() {
@@ -306,6 +319,12 @@
         AttemptError { failure, retry }
     }
 
+    async fn is_up_behind(&self, host: &str) -> bool {
+        let node = &self.stage.node;
+        let Some(record) = node.membership.record(host) else { return false };
+        backend_probe::is_up_behind(node, record.request_address).await
+    }
+
     fn is_repeatable(&self) -> bool {
         let Route::Service { service, .. } = self.route else { return true };
         let charter = self.stage.node.documents.charter();
@@ -321,6 +340,18 @@
         QuarantineChange::Cleared { fingerprint: self.fingerprint }
     }
 
+    /// A key's earlier call may have run, so a request with a key is not told that it did not.
+    fn quarantined(&self) -> Failure {
+        let message = format!(
+            "this request crashed {MAX_CRASHED_HOSTS} backend servers and is refused; \
+             change it or ask an operator to clear it"
+        );
+        if self.incoming.idempotency_key.is_some() {
+            return Failure::may_have_run(StatusCode::UnprocessableEntity, message);
+        }
+        Failure::not_run(StatusCode::UnprocessableEntity, message)
+    }
+
     fn check_echo(&self, response: &Response) -> Result<(), AttemptError> {
         let echo = response.header(headers::REQUEST_ID).map(|it| it.as_str());
         if echo == Some(self.incoming.id.as_str()) {
@@ -403,14 +434,6 @@
     failure
 }
 
-fn quarantined() -> Failure {
-    let message = format!(
-        "this request crashed {MAX_CRASHED_HOSTS} backend servers and is refused; \
-         change it or ask an operator to clear it"
-    );
-    Failure::not_run(StatusCode::UnprocessableEntity, message)
-}
-
 fn too_late() -> Failure {
     let message = "the answer did not arrive in time; send it again only if it may run twice";
     Failure::may_have_run(StatusCode::GatewayTimeout, message)
--- /dev/null
+++ b/src/request/backend_probe.rs
@@ -0,0 +1,63 @@
+//! Tells a backend server that crashed from one whose connection merely broke.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_net::TcpStream;
+use http_types::{Method, Request, StatusCode, Url};
+use serde::Deserialize;
+
+use crate::{
+    node::Node,
+    request::headers,
+    runtime,
+    settings::{BackendKind, BackendSettings},
+};
+
+/// Path at which a slot says whether its backend server is up.
+pub(crate) const BACKEND_STATE_PATH: &str = "/backend-state";
+/// Pause in which a process that dies closes its address.
+const DEATH_PAUSE: Duration = Duration::from_millis(50);
+/// Time limit of one question.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest answer to a question.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// The part of an engine's state that shows whether it still has its weights.
+#[derive(Deserialize)]
+struct EngineState {
+    version: Option<String>,
+}
+
+/// Whether the backend server behind the slot at `address` is up, as the slot says.
+pub(crate) async fn is_up_behind(node: &Node, address: SocketAddr) -> bool {
+    runtime::sleep(DEATH_PAUSE).await;
+    let mut request = get(address, BACKEND_STATE_PATH);
+    let id = uuid::Uuid::new_v4().to_string();
+    let proof = node.settings.secrets.peer_key.sign(id.as_bytes());
+    request.insert_header(headers::REQUEST_ID, id.as_str());
+    request.insert_header(headers::PROOF, proof.to_hex().as_str());
+    let res = node.http.fetch(address, request, PROBE_TIMEOUT * 2, MAX_ANSWER_BYTES).await;
+    res.is_ok_and(|(response, _)| response.status() == StatusCode::Ok)
+}
+
+/// Whether the backend server answers and, if it is an engine, still has weights.
+pub(crate) async fn is_up(node: &Node, backend: &BackendSettings) -> bool {
+    let address = backend.address;
+    match backend.kind {
+        BackendKind::Service => {
+            let connect = TcpStream::connect(address);
+            runtime::timeout(PROBE_TIMEOUT, connect).await.is_ok_and(|it| it.is_ok())
+        }
+        BackendKind::Engine => {
+            let request = get(address, "/admin/state");
+            let res = node.http.fetch(address, request, PROBE_TIMEOUT, MAX_ANSWER_BYTES).await;
+            let Ok((_, body)) = res else { return false };
+            serde_json::from_slice::<EngineState>(&body).is_ok_and(|it| it.version.is_some())
+        }
+    }
+}
+
+fn get(address: SocketAddr, path: &str) -> Request {
+    let url = format!("http://{address}{path}");
+    Request::new(Method::Get, Url::parse(&url).expect("an address and a path make a URL"))
+}
--- a/src/request/claim_object.rs
+++ b/src/request/claim_object.rs
@@ -63,7 +63,11 @@
     ) -> Result<ClaimAnswer, PlatformError> {
         let (sender, receiver) = async_channel::bounded(1);
         self.pending.lock().unwrap().push(Pending { change, answer: sender.clone() });
-        let mut known = self.known.lock().await;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let Ok(mut known) = runtime::timeout(left, self.known.lock()).await else {
+            self.pending.lock().unwrap().retain(|it| !it.answer.same_channel(&sender));
+            return answered(&receiver).ok_or_else(|| lost(&self.name));
+        };
         if let Some(answer) = answered(&receiver) {
             return Ok(answer);
         }
--- a/src/request/claim_stage.rs
+++ b/src/request/claim_stage.rs
@@ -32,6 +32,8 @@
 
 /// Longest wait until a claim is durable.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time before the caller's deadline at which a claim is given up, so that the refusal arrives.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(250);
 /// Longest wait of a caller for the record of its outcome; the record goes on without it.
 const SETTLE_WAIT: Duration = Duration::from_secs(1);
 /// Time for which an outcome is tried to be recorded.
@@ -132,7 +134,8 @@
         deadline: Instant,
     ) -> Result<ClaimAnswer, Failure> {
         let change = ClaimChange::Take { entry: key.entry.clone(), claim: claim.clone() };
-        let deadline = deadline.min(Instant::now() + CLAIM_TIMEOUT);
+        let latest = deadline.checked_sub(REFUSAL_MARGIN).unwrap_or(deadline);
+        let deadline = latest.min(Instant::now() + CLAIM_TIMEOUT);
         let res = object.commit(&self.node.platform, change, deadline).await;
         res.map_err(|err| {
             log::warn!("claims: no claim object={} error=\"{err}\"", key.object);
@@ -293,7 +296,10 @@
         }
         _ => format!("the claim can't be recorded: {err}; send the same key again later"),
     };
-    Failure::not_run(StatusCode::ServiceUnavailable, message).retry_after(OUTAGE_PAUSE)
+    let mut failure =
+        Failure::not_run(StatusCode::ServiceUnavailable, message).retry_after(OUTAGE_PAUSE);
+    failure.is_platform_out = true;
+    failure
 }
 
 fn too_late() -> Failure {
--- a/src/request/failure.rs
+++ b/src/request/failure.rs
@@ -29,6 +29,8 @@
     pub(crate) closes_connection: bool,
     /// Whether the backend server broke the connection while the request was in progress.
     pub(crate) is_crash: bool,
+    /// Whether the platform could not be asked, which another slot would meet as well.
+    pub(crate) is_platform_out: bool,
     /// Addresses of entry hosts to ask instead.
     pub(crate) entry_hosts: Vec<String>,
 }
@@ -115,6 +117,9 @@
         if self.is_crash {
             response.insert_header(headers::CRASHED, "1");
         }
+        if self.is_platform_out {
+            response.insert_header(headers::PLATFORM_OUT, "1");
+        }
         let detail = ErrorDetail {
             message: &self.message,
             verdict: self.verdict,
@@ -134,6 +139,7 @@
             switch_number: None,
             closes_connection: false,
             is_crash: false,
+            is_platform_out: false,
             entry_hosts: Vec::new(),
         }
     }
--- a/src/request/fair_queue.rs
+++ b/src/request/fair_queue.rs
@@ -1,36 +1,66 @@
-//! Shares a backend server among customers by deficit round robin over estimated tokens.
+//! Shares a backend server among customers by start-time fair queueing over estimated tokens.
+//!
+//! Each customer has a queue and a virtual clock that advances by the tokens that it spends, over
+//! its weight. The request of the customer whose clock is furthest behind goes next, so one that
+//! stays under its share does not wait behind the backlog of another. A few places are kept free
+//! for customers that hold less than their share of the places, while there are others.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use crate::ids::CustomerId;
 
-/// Tokens that a customer of weight 1 may spend in one round.
-const QUANTUM_TOKENS: u64 = 512;
+/// Factor that keeps fractions when tokens are divided by weights.
+const SCALE: u64 = 1 << 16;
+/// One of so many places is kept free for customers under their share.
+const PLACES_PER_RESERVED: usize = 8;
+/// Time over which the places that a customer holds are averaged.
+const MEAN_SPAN: Duration = Duration::from_secs(10);
+/// Factor by which the mean may exceed the share before a customer counts as over it.
+const SHARE_MARGIN: f64 = 1.05;
+/// Time for which a customer without requests still counts when places are shared out.
+const ACTIVE_FOR: Duration = Duration::from_secs(10);
 
 /// Names one waiting request.
 pub type Ticket = u64;
 
-/// One queue a customer; the customers take turns in proportion to their weights.
-///
-/// A customer whose queue was empty gets its first turn before those that wait already, for one
-/// quantum, so that an overload by one customer does not delay the others by a whole round.
+/// One bounded queue a customer, served in the order of virtual time.
 #[derive(Clone, Debug)]
 pub struct FairQueue {
     queues: HashMap<CustomerId, CustomerQueue>,
-    fresh: VecDeque<CustomerId>,
-    round: VecDeque<CustomerId>,
+    /// Start of the request that went last, in scaled tokens.
+    virtual_time: u64,
     n_queued: usize,
     queued_tokens: u64,
     max_queued: usize,
+    n_places: usize,
+    n_running: usize,
     next_ticket: Ticket,
 }
 
 #[derive(Clone, Debug)]
 struct CustomerQueue {
     weight: u64,
-    deficit: u64,
+    /// Virtual time at which the customer's next request starts.
+    start: u64,
     tokens: u64,
     waiting: VecDeque<Waiting>,
+    n_running: usize,
+    /// Running mean of the places held.
+    mean_running: f64,
+    /// Last time, on the caller's clock, at which the customer sent a request or had an answer.
+    seen: Duration,
+}
+
+impl CustomerQueue {
+    /// Brings the running mean up to `now`.
+    fn measure(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.seen).as_secs_f64() / MEAN_SPAN.as_secs_f64();
+        self.mean_running += (self.n_running as f64 - self.mean_running) * (1.0 - (-passed).exp());
+        self.seen = now;
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,36 +85,63 @@
     Full,
 }
 
+/// A request that was given a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Started {
+    /// The request.
+    pub ticket: Ticket,
+    /// Whose place it is.
+    pub customer: CustomerId,
+}
+
 impl FairQueue {
-    /// An empty queue that holds at most `max_queued` requests.
-    pub fn new(max_queued: usize) -> FairQueue {
+    /// An empty queue of at most `max_queued` requests before `n_places` places to run.
+    pub fn new(max_queued: usize, n_places: usize) -> FairQueue {
         FairQueue {
             queues: HashMap::new(),
-            fresh: VecDeque::new(),
-            round: VecDeque::new(),
+            virtual_time: 0,
             n_queued: 0,
             queued_tokens: 0,
             max_queued,
+            n_places,
+            n_running: 0,
             next_ticket: 0,
         }
     }
 
-    /// Adds a request of `customer`.
-    pub fn push(&mut self, customer: &str, weight: u32, cost_tokens: u64) -> Enqueued {
+    /// Adds a request of `customer` at the time `now` of the caller's clock.
+    pub fn push(
+        &mut self,
+        customer: &str,
+        weight: u32,
+        cost_tokens: u64,
+        now: Duration,
+    ) -> Enqueued {
         let weight = u64::from(weight.max(1));
-        let evicted = if self.n_queued >= self.max_queued {
-            let Some(evicted) = self.evict_for(customer, weight) else { return Enqueued::Full };
-            Some(evicted)
-        } else {
-            None
-        };
+        let mut evicted = None;
+        if self.n_queued >= self.max_queued {
+            evicted = self.evict_for(customer, weight);
+            if evicted.is_none() {
+                return Enqueued::Full;
+            }
+        }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let queue = self.queues.entry(customer.to_owned()).or_insert_with(|| {
-            self.fresh.push_back(customer.to_owned());
-            CustomerQueue { weight, deficit: 0, tokens: 0, waiting: VecDeque::new() }
+        let virtual_time = self.virtual_time;
+        let queue = self.queues.entry(customer.to_owned()).or_insert_with(|| CustomerQueue {
+            weight,
+            start: virtual_time,
+            tokens: 0,
+            waiting: VecDeque::new(),
+            n_running: 0,
+            mean_running: 0.0,
+            seen: now,
         });
+        if queue.waiting.is_empty() {
+            queue.start = queue.start.max(virtual_time);
+        }
         queue.weight = weight;
+        queue.measure(now);
         queue.tokens += cost_tokens;
         queue.waiting.push_back(Waiting { ticket, cost_tokens });
         self.n_queued += 1;
@@ -95,25 +152,49 @@
         }
     }
 
-    /// Takes the request whose turn it is.
-    pub fn pop(&mut self) -> Option<Ticket> {
-        if let Some(ticket) = self.pop_fresh() {
-            return Some(ticket);
-        }
-        loop {
-            let customer = self.round.front()?.clone();
-            let queue = self.queues.get_mut(&customer).expect("a round names only open queues");
-            let Some(head) = queue.waiting.front().copied() else {
-                self.round.pop_front();
-                self.queues.remove(&customer);
-                continue;
-            };
-            if head.cost_tokens <= queue.deficit {
-                return Some(self.take_head(&customer));
-            }
-            queue.deficit += QUANTUM_TOKENS * queue.weight;
-            self.round.rotate_left(1);
+    /// Gives a free place to the request whose turn it is, if one may start now.
+    ///
+    /// Of equal turns the one that came first goes. The place is held until `finish`.
+    pub fn pop(&mut self, now: Duration) -> Option<Started> {
+        let n_free = self.n_places.saturating_sub(self.n_running);
+        if n_free == 0 {
+            return None;
         }
+        self.forget_inactive(now);
+        let is_reserved = n_free <= self.n_places / PLACES_PER_RESERVED;
+        let all_weights: u64 = self.queues.values().map(|it| it.weight).sum();
+        let place_per_weight = self.n_places as f64 / all_weights as f64;
+        let is_under_share = |it: &CustomerQueue| {
+            it.mean_running <= SHARE_MARGIN * place_per_weight * it.weight as f64
+        };
+        let may_start = |it: &CustomerQueue| !is_reserved || is_under_share(it);
+        let waiting = self.queues.iter_mut().filter(|(_, it)| !it.waiting.is_empty());
+        let (customer, next) = waiting
+            .filter(|(_, it)| may_start(it))
+            .min_by_key(|(_, it)| (it.start, it.waiting.front().map(|head| head.ticket)))?;
+        let head = next.waiting.pop_front()?;
+        self.virtual_time = self.virtual_time.max(next.start);
+        next.start += head.cost_tokens * SCALE / next.weight;
+        next.tokens -= head.cost_tokens;
+        next.measure(now);
+        next.n_running += 1;
+        self.n_running += 1;
+        self.n_queued -= 1;
+        self.queued_tokens -= head.cost_tokens;
+        Some(Started { ticket: head.ticket, customer: customer.clone() })
+    }
+
+    /// Frees the place of a request of `customer` that `pop` started.
+    pub fn finish(&mut self, customer: &str, now: Duration) {
+        let Some(queue) = self.queues.get_mut(customer) else { return };
+        queue.measure(now);
+        queue.n_running -= 1;
+        self.n_running -= 1;
+    }
+
+    /// Number of requests that hold a place.
+    pub fn n_running(&self) -> usize {
+        self.n_running
     }
 
     /// Removes a request that no longer waits; says whether it was there.
@@ -155,32 +236,11 @@
         own + others.map(|(_, it)| share(it)).sum::<u64>()
     }
 
-    /// A new customer's first turn: one quantum, then it joins the round.
-    fn pop_fresh(&mut self) -> Option<Ticket> {
-        while let Some(customer) = self.fresh.pop_front() {
-            let queue = self.queues.get_mut(&customer).expect("a turn names only open queues");
-            queue.deficit += QUANTUM_TOKENS * queue.weight;
-            let head = queue.waiting.front().copied();
-            let is_in_turn = head.is_some_and(|it| it.cost_tokens <= queue.deficit);
-            self.round.push_back(customer.clone());
-            if is_in_turn {
-                return Some(self.take_head(&customer));
-            }
-        }
-        None
-    }
-
-    fn take_head(&mut self, customer: &str) -> Ticket {
-        let queue = self.queues.get_mut(customer).expect("the caller looked the queue up");
-        let head = queue.waiting.pop_front().expect("the caller saw a head");
-        queue.deficit -= head.cost_tokens;
-        queue.tokens -= head.cost_tokens;
-        self.n_queued -= 1;
-        self.queued_tokens -= head.cost_tokens;
-        if queue.waiting.is_empty() {
-            queue.deficit = 0;
-        }
-        head.ticket
+    fn forget_inactive(&mut self, now: Duration) {
+        self.queues.retain(|_, it| {
+            let is_busy = it.n_running > 0 || !it.waiting.is_empty();
+            is_busy || it.seen + ACTIVE_FOR > now
+        });
     }
 
     /// Makes room by the newest request of the queue that is longest for its weight.
@@ -188,7 +248,7 @@
         let own = self.queues.get(customer).map_or(0, |it| it.waiting.len() as u64) + 1;
         let relative = |it: &CustomerQueue| it.waiting.len() as u64 * SCALE / it.weight;
         let longest = self.queues.iter().max_by_key(|(name, it)| (relative(it), *name))?;
-        let (name, queue) = (longest.0.clone(), longest.1);
+        let (name, queue) = longest;
         if name == customer || relative(queue) <= own * SCALE / weight {
             return None;
         }
@@ -197,6 +257,3 @@
         Some(ticket)
     }
 }
-
-/// Factor that keeps fractions in the comparison of queue lengths by weight.
-const SCALE: u64 = 1 << 16;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod attempt;
+mod backend_probe;
 mod claim_bucket;
 mod claim_key;
 mod claim_object;
@@ -37,7 +38,7 @@
     claim_bucket::{CallOutcome, Claim, ClaimAnswer, ClaimBucket, ClaimChange},
     claim_key::{shard_decision, ClaimKey, KeyError, BUCKET_SPAN, MAX_CLOCK_SKEW},
     entry_hosts::choose_entry_hosts,
-    fair_queue::{Enqueued, FairQueue, Ticket},
+    fair_queue::{Enqueued, FairQueue, Started, Ticket},
     quarantine::{Quarantine, QuarantineChange, QuarantineEntry, Standing, MAX_CRASHED_HOSTS},
     retry_budget::RetryBudget,
     slot_picker::{SlotLoad, SlotPicker},
--- a/src/request/slot_gate.rs
+++ b/src/request/slot_gate.rs
@@ -9,9 +9,12 @@
 use async_channel::Sender;
 use http_types::StatusCode;
 
-use crate::request::{
-    failure::Failure,
-    fair_queue::{Enqueued, FairQueue, Ticket},
+use crate::{
+    ids::CustomerId,
+    request::{
+        failure::Failure,
+        fair_queue::{Enqueued, FairQueue, Started, Ticket},
+    },
 };
 
 /// Weight of the newest measurement in the running mean of the time a token takes.
@@ -48,15 +51,15 @@
 pub(crate) struct SlotGate {
     state: Mutex<GateState>,
     concurrency: usize,
+    opened: Instant,
 }
 
 #[derive(Debug)]
 struct GateState {
     queue: FairQueue,
     waiters: HashMap<Ticket, Waiter>,
-    /// A request that has its turn but must run alone.
-    next_alone: Option<Ticket>,
-    n_running: usize,
+    /// A request that has its place but waits until it is alone.
+    next_alone: Option<Alone>,
     is_alone_running: bool,
     seconds_per_token: f64,
 }
@@ -67,6 +70,12 @@
     is_alone: bool,
 }
 
+#[derive(Debug)]
+struct Alone {
+    waiter: Waiter,
+    started: Started,
+}
+
 #[derive(Debug)]
 enum Grant {
     Pass(GatePass),
@@ -77,14 +86,13 @@
     /// A gate that lets `concurrency` requests run at once while `max_queued` wait.
     pub(crate) fn new(concurrency: usize, max_queued: usize) -> Arc<SlotGate> {
         let state = GateState {
-            queue: FairQueue::new(max_queued + concurrency),
+            queue: FairQueue::new(max_queued + concurrency, concurrency),
             waiters: HashMap::new(),
             next_alone: None,
-            n_running: 0,
             is_alone_running: false,
             seconds_per_token: 0.0,
         };
-        Arc::new(SlotGate { state: Mutex::new(state), concurrency })
+        Arc::new(SlotGate { state: Mutex::new(state), concurrency, opened: Instant::now() })
     }
 
     /// Waits for the turn of `work`; a failure says that it did not run.
@@ -112,7 +120,7 @@
         let state = self.state.lock().unwrap();
         GateLoad {
             n_queued: state.queue.len(),
-            n_running: state.n_running,
+            n_running: state.queue.n_running(),
             wait_ms: self.expected_wait(&state, state.queue.total_tokens()),
         }
     }
@@ -120,14 +128,15 @@
     fn enqueue(&self, work: Work<'_>) -> Result<(Ticket, async_channel::Receiver<Grant>), Failure> {
         let mut state = self.state.lock().unwrap();
         let ahead = state.queue.tokens_ahead(work.customer, work.weight);
-        let is_waiting = state.n_running >= self.concurrency;
+        let is_waiting = state.queue.n_running() >= self.concurrency;
         let wait = self.expected_wait(&state, ahead);
         if is_waiting && Instant::now() + wait > work.deadline {
             return Err(late(wait));
         }
+        let now = self.opened.elapsed();
         let (sender, receiver) = async_channel::bounded(1);
         let mut evicted = None;
-        let ticket = match state.queue.push(work.customer, work.weight, work.cost_tokens) {
+        let ticket = match state.queue.push(work.customer, work.weight, work.cost_tokens, now) {
             Enqueued::Waits(ticket) => ticket,
             Enqueued::Displaced { ticket, evicted: left } => {
                 evicted = state.waiters.remove(&left);
@@ -147,18 +156,23 @@
     fn dispatch(self: &Arc<Self>) {
         loop {
             let mut state = self.state.lock().unwrap();
-            let Some((waiter, is_alone)) = state.next(self.concurrency) else { return };
-            state.n_running += 1;
-            state.is_alone_running = is_alone;
+            let Some((waiter, started)) = state.next(self.opened.elapsed()) else { return };
+            state.is_alone_running = waiter.is_alone;
             drop(state);
-            let pass = GatePass { gate: self.clone(), is_alone, started: Instant::now(), cost: 0 };
+            let pass = GatePass {
+                gate: self.clone(),
+                customer: started.customer,
+                is_alone: waiter.is_alone,
+                started: Instant::now(),
+                cost: 0,
+            };
             let _ = waiter.sender.try_send(Grant::Pass(pass));
         }
     }
 
     fn leave(self: &Arc<Self>, pass: &GatePass) {
         let mut state = self.state.lock().unwrap();
-        state.n_running -= 1;
+        state.queue.finish(&pass.customer, self.opened.elapsed());
         if pass.is_alone {
             state.is_alone_running = false;
         }
@@ -176,8 +190,8 @@
         let mut state = self.state.lock().unwrap();
         state.queue.remove(ticket);
         state.waiters.remove(&ticket);
-        if state.next_alone == Some(ticket) {
-            state.next_alone = None;
+        if let Some(alone) = state.next_alone.take_if(|it| it.started.ticket == ticket) {
+            state.queue.finish(&alone.started.customer, self.opened.elapsed());
         }
         drop(state);
         self.dispatch();
@@ -190,24 +204,31 @@
 }
 
 impl GateState {
-    /// The waiter that may run now, and whether it must run alone.
-    fn next(&mut self, concurrency: usize) -> Option<(Waiter, bool)> {
-        if self.is_alone_running || self.n_running >= concurrency {
+    /// The waiter that may run now, with the place that it got.
+    ///
+    /// One that must run alone holds its place until the others have ended; nothing starts then.
+    fn next(&mut self, now: Duration) -> Option<(Waiter, Started)> {
+        if self.is_alone_running {
             return None;
         }
+        if let Some(alone) = self.next_alone.take() {
+            if self.queue.n_running() > 1 {
+                self.next_alone = Some(alone);
+                return None;
+            }
+            return Some((alone.waiter, alone.started));
+        }
         loop {
-            let ticket = match self.next_alone.take() {
-                Some(ticket) => ticket,
-                None => self.queue.pop()?,
+            let started = self.queue.pop(now)?;
+            let Some(waiter) = self.waiters.remove(&started.ticket) else {
+                self.queue.finish(&started.customer, now);
+                continue;
             };
-            let Some(waiter) = self.waiters.get(&ticket) else { continue };
-            if waiter.is_alone && self.n_running > 0 {
-                self.next_alone = Some(ticket);
+            if waiter.is_alone && self.queue.n_running() > 1 {
+                self.next_alone = Some(Alone { waiter, started });
                 return None;
             }
-            let waiter = self.waiters.remove(&ticket).expect("the waiter was found");
-            let is_alone = waiter.is_alone;
-            return Some((waiter, is_alone));
+            return Some((waiter, started));
         }
     }
 }
@@ -216,6 +237,7 @@
 #[derive(Debug)]
 pub(crate) struct GatePass {
     gate: Arc<SlotGate>,
+    customer: CustomerId,
     is_alone: bool,
     started: Instant,
     cost: u64,
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -16,6 +16,7 @@
     net::Exchange,
     node::Node,
     request::{
+        backend_probe::{self, BACKEND_STATE_PATH},
         claim_stage::{ClaimStage, ServiceAnswer},
         failure::Failure,
         headers,
@@ -100,6 +101,10 @@
 
     async fn run(self: Arc<Self>, id: String, request: Request) -> Result<Response, Failure> {
         check_framing(&request)?;
+        if request.url().path() == BACKEND_STATE_PATH {
+            check_proof(&self.node, &id, &request)?;
+            return self.backend_state(&id).await;
+        }
         let envelope = self.envelope(&id, &request).map_err(Failure::closing)?;
         let limits = IncomingLimits {
             max_body_bytes: self.node.settings.limits.max_body_bytes,
@@ -188,13 +193,7 @@
     }
 
     fn envelope(&self, id: &str, request: &Request) -> Result<Envelope, Failure> {
-        let refuse = |message: &str| Failure::not_run(StatusCode::Unauthorized, message);
-        let proof = text_of(request, headers::PROOF).unwrap_or_default();
-        let proof = blake3::Hash::from_hex(proof)
-            .map_err(|_| refuse("X-Proof is missing or malformed; ask an entry host instead"))?;
-        if proof != self.node.settings.secrets.peer_key.sign(id.as_bytes()) {
-            return Err(refuse("X-Proof is wrong; check peer_key_file on both hosts"));
-        }
+        check_proof(&self.node, id, request)?;
         let customer = text_of(request, headers::CUSTOMER)
             .ok_or_else(|| Failure::not_run(StatusCode::BadRequest, "X-Customer is missing"))?;
         let switch_number = text_of(request, headers::SWITCH).and_then(|it| it.parse().ok());
@@ -202,6 +201,15 @@
         Ok(Envelope { customer, switch_number, is_suspect })
     }
 
+    async fn backend_state(&self, id: &str) -> Result<Response, Failure> {
+        if !backend_probe::is_up(&self.node, &self.backend).await {
+            return Err(closed("the backend server is down"));
+        }
+        let mut response = Response::new(StatusCode::Ok);
+        response.insert_header(headers::REQUEST_ID, id);
+        Ok(response)
+    }
+
     fn admit(&self, route: &Route, envelope: &Envelope) -> Result<Admission, Failure> {
         self.check_backend(route)?;
         if self.node.membership.own().state == HostState::Leaving {
@@ -336,6 +344,19 @@
     }
 }
 
+/// Refuses senders that do not hold the shared key.
+fn check_proof(node: &Node, id: &str, request: &Request) -> Result<(), Failure> {
+    let refuse = |message: &str| Err(Failure::not_run(StatusCode::Unauthorized, message));
+    let text = text_of(request, headers::PROOF).unwrap_or_default();
+    let Ok(proof) = blake3::Hash::from_hex(text) else {
+        return refuse("X-Proof is missing or malformed; ask an entry host instead");
+    };
+    if proof != node.settings.secrets.peer_key.sign(id.as_bytes()) {
+        return refuse("X-Proof is wrong; check peer_key_file on both hosts");
+    }
+    Ok(())
+}
+
 /// Whether an engine's answer is a whole JSON object; a length alone does not show that.
 fn check_whole(route: &Route, status: StatusCode, body: &[u8]) -> Result<(), Failure> {
     let is_chat = matches!(route, Route::Chat { .. });
--- /dev/null
+++ b/tests/deployment/mod.rs
@@ -0,0 +1,403 @@
+//! Entry hosts and slots in this process, with stand-ins behind them and real connections between.
+
+#![allow(dead_code, reason = "not every test uses all of it")]
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_net::TcpStream;
+use crocustiller::{
+    charter::{Charter, CustomerTerms, PoolTerms, ServiceTerms},
+    digest::Digest,
+    membership::{Gossip, HostState, MemberRecord},
+    net::{HttpClient, HttpServer, ServerLimits},
+    node::Node,
+    peer::{Document, DocumentName, PeerKey, PeerServer, PeerService},
+    request,
+    rollout::{PoolDocument, RolloutStep, ServingState, WeightsTarget},
+    settings::{
+        BackendKind, BackendSettings, HostSettings, LimitSettings, ListenSettings, LogSettings,
+        PlatformSettings, RoleSettings, SecretSettings, Settings, WeightsSettings,
+    },
+    verdict::Verdict,
+    weights::WeightsStage,
+};
+use crocustiller_standins::{EngineStandin, PlatformStandin, ServiceStandin};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Method, Request, Response, Url};
+use serde_bytes::ByteBuf;
+
+/// Token of the customer `a`; that of `b` is `token-b` and so on.
+pub const TOKEN: &str = "token-a";
+/// Longest body that the hosts of a deployment take.
+pub const MAX_BODY_BYTES: usize = 64 << 10;
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub n_entry_hosts: usize,
+    pub n_engines: usize,
+    pub n_services: usize,
+    pub concurrency: u32,
+    pub max_queued: u32,
+    pub max_age_s: u64,
+    pub timeout_ms: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            n_entry_hosts: 1,
+            n_engines: 2,
+            n_services: 0,
+            concurrency: 4,
+            max_queued: 100,
+            max_age_s: 1,
+            timeout_ms: 20_000,
+        }
+    }
+}
+
+/// One process.
+pub struct Host {
+    pub node: Arc<Node>,
+    pub serving: Arc<ServingState>,
+    pub server: HttpServer,
+    _peer_server: PeerServer,
+}
+
+/// The processes and what stands behind them.
+pub struct Deployment {
+    pub platform: PlatformStandin,
+    pub entry_hosts: Vec<Host>,
+    pub engine_slots: Vec<Host>,
+    pub engines: Vec<EngineStandin>,
+    pub service_slots: Vec<Host>,
+    pub services: Vec<ServiceStandin>,
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub verdict: Option<Verdict>,
+    pub response: Response,
+    pub body: String,
+}
+
+impl Deployment {
+    /// Starts everything; all hosts are live and know each other.
+    pub async fn start(plan: Plan) -> Deployment {
+        let platform = PlatformStandin::start(any()).await.unwrap();
+        let mut deployment = Deployment {
+            platform,
+            entry_hosts: Vec::new(),
+            engine_slots: Vec::new(),
+            engines: Vec::new(),
+            service_slots: Vec::new(),
+            services: Vec::new(),
+        };
+        for idx in 0..plan.n_entry_hosts {
+            let host = deployment.start_host(&plan, &format!("entry-{idx}"), None).await;
+            deployment.entry_hosts.push(host);
+        }
+        for idx in 0..plan.n_engines {
+            let engine = EngineStandin::start(any()).await.unwrap();
+            engine.preload("v1", digest());
+            let backend = backend(&plan, BackendKind::Engine, "chat", engine.address());
+            let host = deployment.start_host(&plan, &format!("engine-{idx}"), Some(backend)).await;
+            host.serving.open("v1", 1);
+            deployment.engines.push(engine);
+            deployment.engine_slots.push(host);
+        }
+        for idx in 0..plan.n_services {
+            let service = ServiceStandin::start(any()).await.unwrap();
+            let backend = backend(&plan, BackendKind::Service, "ledger", service.address());
+            let host = deployment.start_host(&plan, &format!("service-{idx}"), Some(backend)).await;
+            host.serving.open("", 0);
+            deployment.services.push(service);
+            deployment.service_slots.push(host);
+        }
+        deployment.introduce();
+        deployment
+    }
+
+    /// Tells every host of every other.
+    pub fn introduce(&self) {
+        let records: Vec<MemberRecord> =
+            self.hosts().map(|it| (*it.node.membership.own()).clone()).collect();
+        for host in self.hosts() {
+            host.node.membership.merge(records.clone());
+        }
+    }
+
+    /// All hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.entry_hosts.iter().chain(&self.engine_slots).chain(&self.service_slots)
+    }
+
+    /// Gives `document` to every host.
+    pub fn offer(&self, document: Document) {
+        for host in self.hosts() {
+            host.node.documents.offer(document.clone()).unwrap();
+        }
+    }
+
+    /// Sends a request of customer `a` to the first entry host.
+    pub async fn chat(&self, body: &str, headers: &[(&str, &str)]) -> Answer {
+        self.chat_at(0, TOKEN, body, headers).await
+    }
+
+    /// Sends a request to an entry host.
+    pub async fn chat_at(
+        &self,
+        entry: usize,
+        token: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Answer {
+        self.send(entry, token, "/v1/chat/completions", body, headers).await
+    }
+
+    /// Calls the service through an entry host.
+    pub async fn reserve(&self, entry: usize, key: &str, body: &str) -> Answer {
+        let path = "/v1/services/ledger/reservations";
+        self.send(entry, TOKEN, path, body, &[("Idempotency-Key", key)]).await
+    }
+
+    /// Posts `body` to an entry host.
+    pub async fn send(
+        &self,
+        entry: usize,
+        token: &str,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Answer {
+        let address = self.entry_hosts[entry].server.address();
+        let url = Url::parse(&format!("http://{address}{path}")).unwrap();
+        let mut request = Request::new(Method::Post, url);
+        request.set_body(body);
+        request.insert_header("Authorization", format!("Bearer {token}"));
+        for (name, value) in headers {
+            request.insert_header(*name, *value);
+        }
+        let limit = Duration::from_secs(60);
+        let res = HttpClient::new().fetch(address, request, limit, 64 << 20).await;
+        match res {
+            Ok((response, body)) => Answer {
+                status: response.status().into(),
+                verdict: response.header("X-Verdict").map(|it| Verdict::from_header(it.as_str())),
+                body: String::from_utf8(body).unwrap(),
+                response,
+            },
+            Err(err) => Answer {
+                status: 0,
+                verdict: None,
+                response: Response::new(500),
+                body: err.to_string(),
+            },
+        }
+    }
+
+    /// Sends bytes as they are to the first entry host and reads until it closes the connection.
+    pub async fn send_raw(&self, bytes: &[u8]) -> String {
+        let address = self.entry_hosts[0].server.address();
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// Requests that reached the engines.
+    pub fn n_engine_requests(&self) -> u64 {
+        self.engines.iter().map(|it| it.counts().requests).sum()
+    }
+
+    /// Runs of `key` at the services.
+    pub fn runs(&self, key: &str) -> u32 {
+        let runs = |it: &ServiceStandin| it.counts().runs.get(key).copied().unwrap_or(0);
+        self.services.iter().map(runs).sum()
+    }
+
+    async fn start_host(&self, plan: &Plan, id: &str, backend: Option<BackendSettings>) -> Host {
+        let node = Node::new(settings(plan, id, backend, self.platform.address()));
+        let peer_server = peer_server(&node).await;
+        let serving = ServingState::new();
+        let handler = match node.settings.backend {
+            None => request::entry_handler(node.clone()),
+            Some(_) => request::slot_handler(node.clone(), serving.clone(), Arc::new(|_| None)),
+        };
+        let limits = ServerLimits { max_connections: 1000 };
+        let server = HttpServer::bind(any(), limits, handler).await.unwrap();
+        node.membership.update_own(|it| {
+            it.peer_address = peer_server.address();
+            it.request_address = server.address();
+            it.state = HostState::Live;
+            it.weights.loaded = Some(digest());
+            it.weights.switch_number = 1;
+        });
+        node.documents.offer(charter_document()).unwrap();
+        node.documents.offer(pool_document(1, 1)).unwrap();
+        Host { node, serving, server, _peer_server: peer_server }
+    }
+}
+
+impl Host {
+    /// Ends the process without a word: it no longer listens.
+    pub async fn kill(self) {
+        self.server.close().await;
+        self._peer_server.close().await;
+    }
+}
+
+impl Answer {
+    /// The text that the model answered.
+    pub fn text(&self) -> String {
+        let json: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
+        json["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// A chat request.
+pub fn prompt(text: &str) -> String {
+    let message = serde_json::json!({"role": "user", "content": text});
+    serde_json::json!({"model": "chat", "messages": [message], "max_tokens": 4}).to_string()
+}
+
+/// A chat request that is answered with a stream.
+pub fn streamed_prompt(text: &str, n_tokens: u32) -> String {
+    let message = serde_json::json!({"role": "user", "content": text});
+    let body = serde_json::json!({
+        "model": "chat", "messages": [message], "max_tokens": n_tokens, "stream": true,
+    });
+    body.to_string()
+}
+
+/// The pool's document at a switch number.
+pub fn pool_document(number: u64, switch_number: u64) -> Document {
+    let target = WeightsTarget { version: "v1".to_owned(), manifest_digest: digest() };
+    let pool = PoolDocument {
+        number,
+        pool: "chat".to_owned(),
+        serving: Some(target.clone()),
+        target: Some(target),
+        switch_number,
+        step: RolloutStep::Steady,
+    };
+    let json = ByteBuf::from(serde_json::to_vec(&pool).unwrap());
+    Document { name: DocumentName::Pool("chat".to_owned()), number, json }
+}
+
+/// The address of any free port.
+pub fn any() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// Digest of the only weights.
+pub fn digest() -> Digest {
+    Digest::of(b"v1")
+}
+
+fn charter_document() -> Document {
+    let customer = |name: &str| {
+        let token_digest = Digest::of(format!("token-{name}").as_bytes());
+        (name.to_owned(), CustomerTerms { weight: 1, token_digest, max_in_progress: 1000 })
+    };
+    let names = ["a", "b", "c", "d"];
+    let pool = PoolTerms {
+        version: "v1".to_owned(),
+        customers: names[..3].iter().map(|it| it.to_string()).collect(),
+        hosts: Vec::new(),
+        min_serving_percent: 70,
+    };
+    let service = ServiceTerms {
+        repeatable: false,
+        customers: Vec::new(),
+        claim_shards: 4,
+        claim_window_s: Duration::from_secs(3600),
+    };
+    let charter = Charter {
+        number: 1,
+        pools: [("chat".to_owned(), pool)].into(),
+        services: [("ledger".to_owned(), service)].into(),
+        customers: names.into_iter().map(customer).collect(),
+        ..Charter::default()
+    };
+    let json = ByteBuf::from(serde_json::to_vec(&charter).unwrap());
+    Document { name: DocumentName::Charter, number: 1, json }
+}
+
+async fn peer_server(node: &Arc<Node>) -> PeerServer {
+    let gossip = Gossip::new(
+        node.documents.clone(),
+        node.membership.clone(),
+        node.peers.clone(),
+        Vec::new(),
+    );
+    let service = PeerService {
+        documents: node.documents.clone(),
+        membership: node.membership.clone(),
+        gossip: Arc::new(gossip),
+        chunks: WeightsStage::new(node.clone()).chunk_server(),
+        peers: node.peers.clone(),
+    };
+    let key = node.settings.secrets.peer_key.clone();
+    PeerServer::bind(any(), key, node.counters.clone(), service).await.unwrap()
+}
+
+fn backend(plan: &Plan, kind: BackendKind, name: &str, address: SocketAddr) -> BackendSettings {
+    BackendSettings {
+        kind,
+        name: name.to_owned(),
+        address,
+        checks_fencing: true,
+        concurrency: plan.concurrency,
+        max_queued: plan.max_queued,
+    }
+}
+
+fn settings(
+    plan: &Plan,
+    id: &str,
+    backend: Option<BackendSettings>,
+    platform: SocketAddr,
+) -> Settings {
+    let role = if backend.is_some() { RoleSettings::Backend } else { RoleSettings::Entry };
+    Settings {
+        host: HostSettings {
+            id: id.to_owned(),
+            role,
+            region: "region".to_owned(),
+            zone: "zone".to_owned(),
+        },
+        listen: ListenSettings { request: any(), peer: any(), operator: any() },
+        platform: PlatformSettings {
+            addresses: vec![platform],
+            timeout_ms: Duration::from_secs(1),
+        },
+        join: Vec::new(),
+        secrets: SecretSettings {
+            peer_key: PeerKey::from_secret(b"deployment"),
+            operator_token_digest: Digest::of(b"operator"),
+        },
+        weights: WeightsSettings {
+            origin: vec![any()],
+            memory_limit_bytes: 1 << 20,
+            send_bytes_per_s: 1 << 30,
+            receive_bytes_per_s: 1 << 30,
+            upload_slots: 1,
+            neighbours: 1,
+            min_share_percent: 20,
+        },
+        backend,
+        limits: LimitSettings {
+            max_connections: 1000,
+            max_body_bytes: MAX_BODY_BYTES,
+            request_timeout_ms: Duration::from_millis(plan.timeout_ms),
+            entry_hosts_max_age_s: Duration::from_secs(plan.max_age_s),
+            drain_timeout_ms: Duration::from_secs(30),
+        },
+        log: LogSettings { level: log::LevelFilter::Info },
+    }
+}
--- /dev/null
+++ b/tests/request_deciders.rs
@@ -0,0 +1,304 @@
+//! The pure deciders of the request path, over many fixed seeds.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use crocustiller::{
+    digest::Digest,
+    ids::HostId,
+    membership::{HostRole, HostState, MemberRecord, WeightsStatus},
+    request::{
+        choose_entry_hosts, CallOutcome, Claim, ClaimAnswer, ClaimBucket, ClaimChange, ClaimKey,
+        KeyError, Quarantine, QuarantineChange, RetryBudget, SlotPicker, Standing, BUCKET_SPAN,
+        MAX_CLOCK_SKEW,
+    },
+};
+use uuid::Uuid;
+
+const SEEDS: u64 = 1000;
+
+/// The stated bound: retries are at most a tenth of the requests, beyond the reserve.
+#[test]
+fn retries_are_a_tenth_of_the_requests() {
+    for seed in 0..SEEDS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut budget = RetryBudget::new();
+        let (mut n_requests, mut n_retries) = (0, 0);
+        for _ in 0..2000 {
+            if random.u8(..100) < 60 {
+                budget.deposit();
+                n_requests += 1;
+            }
+            n_retries += u64::from(budget.withdraw());
+            assert!(n_retries * 10 <= n_requests + 10 * RetryBudget::RESERVE, "seed {seed}");
+        }
+        assert!(n_retries * 11 >= n_requests, "seed {seed}: the budget can be used");
+    }
+}
+
+#[test]
+fn pick_avoids_busy_and_dead_slots() {
+    let hosts: Vec<HostId> = (0..10).map(|it| format!("host-{it}")).collect();
+    let now = Duration::from_secs(1);
+    for seed in 0..SEEDS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut picker = SlotPicker::new();
+        picker.report(&hosts[0], Duration::from_secs(9));
+        picker.avoid(&hosts[1], now);
+        for _ in 0..50 {
+            let host = picker.pick(&hosts, None, now, &mut random).unwrap();
+            assert!(host != hosts[0] && host != hosts[1], "seed {seed}: {host}");
+            picker.begin(&host);
+        }
+        let after = now + Duration::from_secs(10);
+        let only = picker.pick(&hosts[1..2], None, after, &mut random);
+        assert_eq!(only.as_ref(), Some(&hosts[1]), "the only slot is taken");
+        assert_eq!(picker.pick(&[], None, after, &mut random), None);
+        let favoured = SlotPicker::new().pick(&hosts, Some("host-7"), now, &mut random);
+        assert!(favoured.is_some());
+    }
+}
+
+#[test]
+fn picks_spread_evenly() {
+    let hosts: Vec<HostId> = (0..8).map(|it| format!("host-{it}")).collect();
+    let mut random = fastrand::Rng::with_seed(1);
+    let mut picker = SlotPicker::new();
+    let mut counts: BTreeMap<HostId, u32> = BTreeMap::new();
+    for _ in 0..800 {
+        let host = picker.pick(&hosts, None, Duration::ZERO, &mut random).unwrap();
+        picker.begin(&host);
+        *counts.entry(host).or_default() += 1;
+    }
+    assert!(counts.values().all(|it| (90..=110).contains(it)), "{counts:?}");
+}
+
+#[test]
+fn entry_hosts_of_the_own_zone_come_first() {
+    let mut firsts = HashSet::new();
+    for seed in 0..SEEDS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let own = entry_host(0);
+        let live: Vec<MemberRecord> = (0..12).map(entry_host).collect();
+        let addresses = choose_entry_hosts(&own, &live, &mut random);
+        assert_eq!(addresses.len(), 12);
+        let place = |it: &String| {
+            let host = live.iter().find(|host| host.request_address.to_string() == *it).unwrap();
+            (host.zone != own.zone, host.region != own.region)
+        };
+        let places: Vec<(bool, bool)> = addresses.iter().map(place).collect();
+        assert!(places.is_sorted(), "seed {seed}: {places:?}");
+        firsts.insert(addresses[0].clone());
+    }
+    assert_eq!(firsts.len(), 3, "the hosts of the own zone take turns");
+}
+
+#[test]
+fn standing_follows_crashes() {
+    for seed in 0..SEEDS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut quarantine = Quarantine::default();
+        let mut crashed: BTreeMap<u8, HashSet<u8>> = BTreeMap::new();
+        for _ in 0..100 {
+            let (request, host) = (random.u8(..20), random.u8(..3));
+            let fingerprint = Digest::of(&[request]);
+            let change = if random.u8(..5) == 0 {
+                crashed.remove(&request);
+                QuarantineChange::Cleared { fingerprint }
+            } else {
+                crashed.entry(request).or_default().insert(host);
+                QuarantineChange::Crashed { fingerprint, host: format!("host-{host}") }
+            };
+            quarantine.apply(&change);
+            let once = quarantine.clone();
+            quarantine.apply(&change);
+            assert_eq!(quarantine, once, "seed {seed}: twice is as once");
+            let expected = match crashed.get(&request).map_or(0, HashSet::len) {
+                0 => Standing::Clear,
+                1 => Standing::Suspect,
+                _ => Standing::Refused,
+            };
+            assert_eq!(quarantine.standing(&fingerprint), expected, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn key_names_one_object() {
+    let window = Duration::from_secs(3600);
+    for seed in 0..SEEDS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let issued = Duration::from_millis(random.u64(10_000_000..2_000_000_000_000));
+        let key = v7(issued, &mut random);
+        let place = |now| ClaimKey::new("ledger", "a", &key, 8, window, now);
+        let first = place(issued).unwrap();
+        let start = first.bucket_start.unwrap();
+        assert!(start <= issued && issued < start + BUCKET_SPAN);
+        for _ in 0..20 {
+            let now = issued + Duration::from_millis(random.u64(..3_600_000));
+            assert_eq!(place(now).unwrap(), first, "seed {seed}: any slot, at any time");
+        }
+        assert_eq!(place(issued + window + Duration::from_secs(1)), Err(KeyError::TooOld));
+        let early = issued.saturating_sub(MAX_CLOCK_SKEW + Duration::from_secs(1));
+        assert_eq!(place(early), Err(KeyError::TooNew));
+        assert_eq!(place(early + Duration::from_secs(2)).unwrap(), first);
+        let upper = ClaimKey::new("ledger", "a", &key.to_uppercase(), 8, window, issued);
+        assert_eq!(upper.unwrap(), first, "a key is the same in any spelling");
+    }
+}
+
+/// Slots race for keys on one object with conditional updates whose answers may be lost, whose
+/// effect may come late and whose reads may lag; no key is ever held by two attempts.
+#[test]
+fn racing_claims_are_held_once() {
+    for seed in 0..SEEDS {
+        Race::new(seed).run();
+    }
+}
+
+struct Race {
+    random: fastrand::Rng,
+    /// All values that the object had; the revision is the index plus one.
+    values: Vec<ClaimBucket>,
+    /// Writes that have not reached the platform: expected revision and value.
+    delayed: Vec<(usize, ClaimBucket)>,
+    holders: BTreeMap<String, HashSet<Uuid>>,
+}
+
+struct Racer {
+    entry: String,
+    claim: Claim,
+    known: Option<(usize, ClaimBucket)>,
+    is_done: bool,
+}
+
+impl Race {
+    fn new(seed: u64) -> Race {
+        Race {
+            random: fastrand::Rng::with_seed(seed),
+            values: vec![ClaimBucket::default()],
+            delayed: Vec::new(),
+            holders: BTreeMap::new(),
+        }
+    }
+
+    fn run(mut self) {
+        let mut racers: Vec<Racer> = (0..6).map(|idx| self.racer(idx % 2)).collect();
+        for _ in 0..400 {
+            let idx = self.random.usize(..racers.len());
+            if !racers[idx].is_done {
+                self.step(&mut racers[idx]);
+            }
+            if self.random.u8(..4) == 0 && !self.delayed.is_empty() {
+                let at = self.random.usize(..self.delayed.len());
+                let (revision, value) = self.delayed.remove(at);
+                self.put(revision, value);
+            }
+        }
+        for (entry, ids) in &self.holders {
+            assert!(ids.len() <= 1, "{entry}: {ids:?}");
+        }
+    }
+
+    fn racer(&mut self, key: usize) -> Racer {
+        let id = Uuid::from_u128(self.random.u128(..));
+        let claim = Claim {
+            id,
+            call_digest: Digest::of(b"call"),
+            claimed_at_s: Duration::ZERO,
+            outcome: None,
+        };
+        Racer { entry: format!("key-{key}"), claim, known: None, is_done: false }
+    }
+
+    fn step(&mut self, racer: &mut Racer) {
+        let Some((revision, bucket)) = racer.known.take() else {
+            let newest = self.values.len() - 1;
+            let lag = self.random.usize(..3).min(newest);
+            racer.known = Some((newest - lag + 1, self.values[newest - lag].clone()));
+            return;
+        };
+        let mut next = bucket.clone();
+        let change = ClaimChange::Take { entry: racer.entry.clone(), claim: racer.claim.clone() };
+        let answer = next.apply(&change);
+        if next != bucket {
+            match self.random.u8(..4) {
+                0 => return self.delayed.push((revision, next)),
+                1 => {
+                    self.put(revision, next);
+                    return;
+                }
+                _ => {
+                    if !self.put(revision, next) {
+                        return;
+                    }
+                }
+            }
+        }
+        racer.is_done = true;
+        if answer == ClaimAnswer::Held {
+            self.holders.entry(racer.entry.clone()).or_default().insert(racer.claim.id);
+        }
+    }
+
+    fn put(&mut self, revision: usize, value: ClaimBucket) -> bool {
+        let is_current = revision == self.values.len();
+        if is_current {
+            self.values.push(value);
+        }
+        is_current
+    }
+}
+
+#[test]
+fn settled_claims_are_never_released() {
+    let id = Uuid::from_u128(7);
+    let entry = "a key".to_owned();
+    let claim = Claim {
+        id,
+        call_digest: Digest::of(b"call"),
+        claimed_at_s: Duration::from_secs(50),
+        outcome: None,
+    };
+    let outcome = CallOutcome { status: 200, content_type: None, body: Some("done".to_owned()) };
+    let mut bucket = ClaimBucket::default();
+    let take = ClaimChange::Take { entry: entry.clone(), claim: claim.clone() };
+    assert_eq!(bucket.apply(&take), ClaimAnswer::Held);
+    let settle = ClaimChange::Settle { entry: entry.clone(), id, outcome: outcome.clone() };
+    assert_eq!(bucket.apply(&settle), ClaimAnswer::Noted);
+    let release = ClaimChange::Release { entry: entry.clone(), id };
+    assert_eq!(bucket.apply(&release), ClaimAnswer::Noted);
+    let other = Claim { id: Uuid::from_u128(8), ..claim.clone() };
+    let second = ClaimChange::Take { entry, claim: other };
+    let expected = Claim { outcome: Some(outcome), ..claim };
+    assert_eq!(bucket.apply(&second), ClaimAnswer::Taken(expected));
+    bucket.expire(Duration::from_secs(51));
+    assert_eq!(bucket.apply(&second), ClaimAnswer::Held);
+}
+
+fn v7(issued: Duration, random: &mut fastrand::Rng) -> String {
+    let bytes: [u8; 10] = std::array::from_fn(|_| random.u8(..));
+    let millis = issued.as_millis() as u64;
+    uuid::Builder::from_unix_timestamp_millis(millis, &bytes).into_uuid().to_string()
+}
+
+fn entry_host(idx: u16) -> MemberRecord {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1000 + idx));
+    MemberRecord {
+        host: format!("entry-{idx}"),
+        role: HostRole::Entry,
+        region: format!("region-{}", idx % 2),
+        zone: format!("zone-{}", idx % 4),
+        peer_address: address,
+        request_address: address,
+        operator_address: address,
+        incarnation: 1,
+        sequence: 1,
+        state: HostState::Live,
+        weights: WeightsStatus::default(),
+        charter_number: 1,
+    }
+}
