Charter convergence asks for reports only while a charter is waited for

Cause: member records no longer carry the charter number (they would change on every host with every charter), so the burn report asks the entry hosts instead.

--- a/src/report/convergence_watch.rs
+++ b/src/report/convergence_watch.rs
@@ -7,7 +7,8 @@
 };
 
 use crate::{
-    ids::PoolId,
+    charter::charter_status,
+    ids::{DocumentNumber, PoolId},
     membership::{HostRole, HostState, MemberRecord},
     node::Node,
     report::{convergence::Convergence, level::Level},
@@ -44,17 +45,17 @@
             pools: BTreeMap::new(),
         };
         loop {
-            watch.look();
+            watch.look().await;
             runtime::sleep(LOOK_INTERVAL).await;
         }
     }
 
-    fn look(&mut self) {
+    async fn look(&mut self) {
         let Some(charter) = self.node.documents.charter() else { return };
         let now = self.started.elapsed();
         let live = self.node.membership.live();
         let limit = charter.service_levels.charter_in_force_s;
-        let lowest = live.iter().map(|it| it.charter_number).min().unwrap_or(charter.number);
+        let lowest = self.lowest_in_force(charter.number, &live).await;
         for took in self.charter.observe(now, charter.number, lowest, limit) {
             self.node.accounts.record_event(Level::CharterInForce, took, limit);
         }
@@ -68,6 +69,23 @@
     }
 }
 
+impl ConvergenceWatch {
+    /// Lowest charter number on any live host; asks the entry hosts only while it is waited for.
+    async fn lowest_in_force(
+        &self,
+        number: DocumentNumber,
+        live: &[Arc<MemberRecord>],
+    ) -> DocumentNumber {
+        if !self.charter.is_waiting(number) {
+            return number;
+        }
+        let status = charter_status(&self.node).await;
+        let is_live = |host: &str| live.iter().any(|it| it.host == host);
+        let behind = status.behind.iter().filter(|it| is_live(&it.host));
+        behind.map(|it| it.charter_number).min().unwrap_or(number)
+    }
+}
+
 impl PoolConvergence {
     fn observe(
         &mut self,
