Docs, loopback example, charter status, alerts need 20 requests

Walking through the README's steps showed two faults: 'rollout watch' right after the first patch said that there is no such pool, and one late first token paged. The watch waits while the charter names the pool; a window needs 20 requests before it raises an alert (events of the deployment need one).

rollout watch and burn were run by hand against processes on loopback.

--- a/src/operator/charter_routes.rs
+++ b/src/operator/charter_routes.rs
@@ -64,6 +64,11 @@
     state_answer(id, charter::patch_state(node, id).await)
 }
 
+/// `GET /v1/charter/status`.
+pub(crate) async fn status(node: &Node) -> Response {
+    json_answer(StatusCode::Ok, &charter::charter_status(node).await)
+}
+
 /// What an order lacks.
 struct OrderError {
     status: StatusCode,
--- a/src/operator/handler.rs
+++ b/src/operator/handler.rs
@@ -43,6 +43,7 @@
     }
     match (request.method(), parts.as_slice()) {
         (Method::Get, ["v1", "charter"]) => charter_routes::show(node),
+        (Method::Get, ["v1", "charter", "status"]) => charter_routes::status(node).await,
         (Method::Patch, ["v1", "charter"]) => charter_routes::patch(node, request).await,
         (Method::Get, ["v1", "charter", "patches", id]) => {
             charter_routes::patch_state(node, id).await
--- a/src/report/burn_report.rs
+++ b/src/report/burn_report.rs
@@ -106,11 +106,12 @@
 
 fn row_of(counts: &LevelCounts, all: &[LevelCounts], levels: &ServiceLevels) -> BurnRow {
     let target_percent = counts.level.target_percent(levels);
+    let is_alerting = counts.windows.map(|it| it.total >= counts.level.min_alert_total());
     let (burn, series, alert) = match target_percent {
         Some(target) => {
             let burn = counts.windows.map(|it| burn_rate(it, target));
             let series = counts.series.iter().map(|it| burn_rate(*it, target)).collect();
-            (burn, series, Alert::of_burn(burn))
+            (burn, series, Alert::of_burn(only(burn, is_alerting)))
         }
         None => {
             let equals: Vec<&LevelCounts> = all
@@ -125,7 +126,8 @@
                 wait_ratio(counts.series[idx], others)
             };
             let series = (0..counts.series.len()).map(at).collect();
-            (burn, series, Alert::of_ratio(burn, levels.equal_wait_ratio))
+            let alert = Alert::of_ratio(only(burn, is_alerting), levels.equal_wait_ratio);
+            (burn, series, alert)
         }
     };
     BurnRow {
@@ -139,6 +141,11 @@
     }
 }
 
+/// The burns of the windows that may raise an alert.
+fn only(burn: [Option<f64>; 3], is_alerting: [bool; 3]) -> [Option<f64>; 3] {
+    [0, 1, 2].map(|idx| burn[idx].filter(|_| is_alerting[idx]))
+}
+
 /// Share of bad requests over the share that the target allows.
 fn burn_rate(counts: Counts, target_percent: f64) -> Option<f64> {
     if counts.total == 0 {
--- a/src/report/convergence.rs
+++ b/src/report/convergence.rs
@@ -19,6 +19,11 @@
 }
 
 impl Convergence {
+    /// Whether a number is waited for once `newest` is known.
+    pub fn is_waiting(&self, newest: u64) -> bool {
+        newest > self.newest || !self.pending.is_empty()
+    }
+
     /// Takes the number known here and the lowest one in force on any host at `now`.
     ///
     /// Gives the time that each number took which is in force everywhere now, or which has been
--- a/src/report/convergence_watch.rs
+++ b/src/report/convergence_watch.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::{
+    charter::{self, Charter},
     ids::PoolId,
     membership::{HostRole, HostState, MemberRecord},
     node::Node,
@@ -44,20 +45,18 @@
             pools: BTreeMap::new(),
         };
         loop {
-            watch.look();
+            watch.look().await;
             runtime::sleep(LOOK_INTERVAL).await;
         }
     }
 
-    fn look(&mut self) {
+    async fn look(&mut self) {
         let Some(charter) = self.node.documents.charter() else { return };
+        if self.charter.is_waiting(charter.number) {
+            self.look_at_charter(&charter).await;
+        }
         let now = self.started.elapsed();
         let live = self.node.membership.live();
-        let limit = charter.service_levels.charter_in_force_s;
-        let lowest = live.iter().map(|it| it.charter_number).min().unwrap_or(charter.number);
-        for took in self.charter.observe(now, charter.number, lowest, limit) {
-            self.node.accounts.record_event(Level::CharterInForce, took, limit);
-        }
         let limit = charter.service_levels.time_to_all_s;
         for pool in charter.pools.keys().filter_map(|it| self.node.documents.pool(it)) {
             let followed = self.pools.entry(pool.pool.clone()).or_default();
@@ -66,6 +65,18 @@
             }
         }
     }
+
+    /// Asks the entry hosts, so it is done only while a number is on its way.
+    async fn look_at_charter(&mut self, charter: &Charter) {
+        let status = charter::charter_status(&self.node).await;
+        let behind = status.behind.iter().map(|it| it.charter_number);
+        let lowest = behind.min().unwrap_or(status.number);
+        let limit = charter.service_levels.charter_in_force_s;
+        let now = self.started.elapsed();
+        for took in self.charter.observe(now, charter.number, lowest, limit) {
+            self.node.accounts.record_event(Level::CharterInForce, took, limit);
+        }
+    }
 }
 
 impl PoolConvergence {
--- a/src/report/level.rs
+++ b/src/report/level.rs
@@ -9,6 +9,9 @@
 /// Share of events that must meet a time limit of the whole deployment.
 const EVENTS_PERCENT: f64 = 99.0;
 
+/// Requests below which one bad request is no sign of a fault.
+const MIN_ALERT_REQUESTS: u64 = 20;
+
 /// One service level of the charter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -49,6 +52,14 @@
         }
     }
 
+    /// Requests or events that a window must hold before it can raise an alert.
+    pub(crate) fn min_alert_total(self) -> u64 {
+        match self {
+            Level::TimeToAll | Level::CharterInForce => 1,
+            _ => MIN_ALERT_REQUESTS,
+        }
+    }
+
     /// Name of the level in tables.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/subcommand/charter.rs
+++ b/src/subcommand/charter.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use crate::{
+    charter::CharterStatus,
     error::CommandError,
     ids::{DocumentNumber, PatchId},
     subcommand::operator_client::{OperatorClient, Order},
@@ -26,7 +27,7 @@
 enum CharterAction {
     Show(ShowCharter),
     Patch(PatchCharter),
-    Status(PatchStatus),
+    Status(CharterOrPatchStatus),
     History(CharterHistory),
 }
 
@@ -50,13 +51,13 @@
     id: Option<PatchId>,
 }
 
-/// Tells whether a patch was accepted.
+/// Tells on how many hosts the charter is in force, or whether a patch was accepted.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
-struct PatchStatus {
-    /// id of the patch
+struct CharterOrPatchStatus {
+    /// id of a patch
     #[argh(positional)]
-    id: PatchId,
+    id: Option<PatchId>,
 }
 
 /// Lists the latest accepted patches, oldest first.
@@ -100,9 +101,10 @@
     }
 }
 
-impl PatchStatus {
+impl CharterOrPatchStatus {
     async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
-        let path = format!("/v1/charter/patches/{}", self.id);
+        let Some(id) = self.id else { return in_force(client).await };
+        let path = format!("/v1/charter/patches/{id}");
         print_state(client, &client.send(&Order::get(&path)).await?)
     }
 }
@@ -113,6 +115,25 @@
     Ok(())
 }
 
+async fn in_force(client: &OperatorClient) -> Result<(), CommandError> {
+    let status: CharterStatus = client.read("/v1/charter/status").await?;
+    if client.is_json {
+        println!("{}", serde_json::json!(status));
+        return Ok(());
+    }
+    println!(
+        "charter {}: in force on {} of {} hosts",
+        status.number, status.n_in_force, status.n_hosts
+    );
+    for behind in &status.behind {
+        println!("  behind: {} at {}", behind.host, behind.charter_number);
+    }
+    for host in &status.silent {
+        println!("  silent entry host: {host}; its reports may be missing");
+    }
+    Ok(())
+}
+
 async fn history(client: &OperatorClient) -> Result<(), CommandError> {
     let charter = client.send(&Order::get("/v1/charter")).await?;
     let patches = &charter["recent_patches"];
--- a/src/subcommand/hosts.rs
+++ b/src/subcommand/hosts.rs
@@ -78,8 +78,7 @@
         println!("{}", serde_json::json!({ "hosts": members }));
         return Ok(());
     }
-    let heading =
-        ["HOST", "ROLE", "REGION", "ZONE", "STATE", "CHARTER", "SWITCH", "LOADED", "OPERATOR"];
+    let heading = ["HOST", "ROLE", "REGION", "ZONE", "STATE", "SWITCH", "LOADED", "OPERATOR"];
     let mut table = Table::new(&heading);
     for member in &members {
         table.add(row_of(member));
@@ -99,7 +98,6 @@
         member.region.clone(),
         member.zone.clone(),
         state_text(member.state).to_owned(),
-        member.charter_number.to_string(),
         member.weights.switch_number.to_string(),
         loaded,
         member.operator_address.to_string(),
--- a/src/subcommand/rollout.rs
+++ b/src/subcommand/rollout.rs
@@ -6,6 +6,7 @@
 use indicatif::{HumanBytes, ProgressBar, ProgressStyle};
 
 use crate::{
+    charter::Charter,
     error::CommandError,
     ids::PoolId,
     membership::{HostRole, HostState, MemberRecord},
@@ -69,7 +70,10 @@
         let started = Instant::now();
         let mut last: Option<(Instant, u64)> = None;
         loop {
-            let view = self.look(client).await?;
+            let Some(view) = self.look(client).await? else {
+                self.wait_for_start(&bar, client.is_json, started).await?;
+                continue;
+            };
             let rate = rate_of(last, view.held_bytes);
             last = Some((Instant::now(), view.held_bytes));
             show(&bar, client.is_json, &view, rate);
@@ -85,13 +89,15 @@
         }
     }
 
-    async fn look(&self, client: &OperatorClient) -> Result<RolloutView, CommandError> {
+    /// `None` while the charter names the pool and no rollout has begun.
+    async fn look(&self, client: &OperatorClient) -> Result<Option<RolloutView>, CommandError> {
         let pools = pools::read_pools(client).await?;
         let pool = pools.iter().find(|it| it.pool == self.pool);
-        let pool = pool.ok_or_else(|| pools::unknown_pool(&self.pool))?;
-        let Some(target) = pool.target.as_ref().or(pool.serving.as_ref()) else {
-            let message = format!("pool {} has no version yet; patch its version", self.pool);
-            return Err(CommandError::Refused(409, message, Verdict::NotRun));
+        let target = pool.and_then(|it| it.target.as_ref().or(it.serving.as_ref()));
+        let (Some(pool), Some(target)) = (pool, target) else {
+            let charter: Charter = client.read("/v1/charter").await?;
+            let is_named = charter.pools.contains_key(&self.pool);
+            return if is_named { Ok(None) } else { Err(pools::unknown_pool(&self.pool)) };
         };
         let members = fleet::members(client).await?;
         let hosts: Vec<&MemberRecord> = members.iter().filter(|it| self.is_of_pool(it)).collect();
@@ -100,14 +106,35 @@
             fleet::gather(client, &targets, "/v1/process").await;
         let reports: Vec<ProcessReport> = gathered.answers.into_iter().map(|it| it.1).collect();
         let manifest = Some(target.manifest_digest);
-        Ok(RolloutView::new(Look {
+        Ok(Some(RolloutView::new(Look {
             pool,
             target,
             reports: &reports,
             loaded: hosts.iter().filter(|it| it.weights.loaded == manifest).count(),
             missing: gathered.missing,
             origin_bytes_per_s: self.origin_bytes_per_s,
-        }))
+        })))
+    }
+
+    async fn wait_for_start(
+        &self,
+        bar: &ProgressBar,
+        is_json: bool,
+        started: Instant,
+    ) -> Result<(), CommandError> {
+        if started.elapsed() > Duration::from_secs(self.timeout_s) {
+            let message = format!(
+                "no rollout of {} began; look for `rollout:` in the logs of entry hosts",
+                self.pool
+            );
+            return Err(CommandError::Refused(408, message, Verdict::NotRun));
+        }
+        bar.set_message("waiting for the first step");
+        if bar.is_hidden() && !is_json {
+            println!("{}: waiting for the first step", self.pool);
+        }
+        runtime::sleep(Duration::from_millis(self.interval_ms)).await;
+        Ok(())
     }
 
     fn is_of_pool(&self, member: &MemberRecord) -> bool {
--- a/tests/example_settings.rs
+++ b/tests/example_settings.rs
@@ -17,6 +17,15 @@
     check("senarc", RolloutMode::OriginFirst);
 }
 
+#[test]
+fn loopback_is_complete() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/loopback");
+    for file in ["entry-1.ini", "entry-2.ini", "engine-1.ini", "engine-2.ini"] {
+        Settings::load(&folder.join(file)).unwrap_or_else(|err| panic!("{err}"));
+    }
+    check_charter(&folder.join("first.json"), RolloutMode::TimeFirst);
+}
+
 fn check(deployment: &str, mode: RolloutMode) {
     let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(deployment);
     let folder = tempfile::tempdir().unwrap();
