--- /dev/null
+++ b/tests/member_rules.rs
@@ -0,0 +1,246 @@
+//! The membership view: what replaces what, refutation, forgetting, and agreement over many seeds.
+
+use std::time::{Duration, Instant};
+
+use crocustiller::membership::{
+    confirm_delay, judge, Finding, HostRole, HostState, MemberRecord, MemberTable, Merged,
+    WeightsStatus,
+};
+use crocustiller::peer::ProbeAnswer;
+
+const SEEDS: u64 = 300;
+/// Hosts of a seeded run.
+const HOSTS: usize = 24;
+/// Rounds within which all views must be equal once nothing changes any more.
+const SETTLE_ROUNDS: usize = 200;
+
+#[test]
+fn newer_record_replaces() {
+    use HostState::{Gone, Joining, Leaving, Live, Suspect};
+    check_merge((5, 1, Live), (5, 2, Live), Merged::Taken);
+    check_merge((5, 2, Live), (5, 1, Live), Merged::Known);
+    check_merge((5, 1, Joining), (5, 1, Live), Merged::Taken);
+    check_merge((5, 1, Live), (5, 1, Suspect), Merged::Taken);
+    check_merge((5, 1, Suspect), (5, 1, Live), Merged::Known);
+    check_merge((5, 1, Suspect), (5, 2, Live), Merged::Taken);
+    check_merge((5, 1, Gone), (5, 1, Suspect), Merged::Known);
+    check_merge((5, 1, Gone), (6, 0, Live), Merged::Taken);
+    check_merge((6, 0, Live), (5, 9, Gone), Merged::Known);
+    check_merge((5, 1, Leaving), (5, 1, Suspect), Merged::Known);
+    check_merge((5, 1, Leaving), (5, 1, Gone), Merged::Taken);
+}
+
+#[test]
+fn own_host_refutes() {
+    use HostState::{Gone, Live, Suspect};
+    check_own((5, 3, Suspect), Merged::Refuted, 6);
+    check_own((5, 9, Gone), Merged::Refuted, 6);
+    check_own((9, 0, Gone), Merged::Refuted, 10);
+    check_own((9, 0, Live), Merged::Refuted, 10);
+    check_own((4, 9, Gone), Merged::Known, 5);
+    check_own((5, 9, Live), Merged::Known, 5);
+}
+
+#[test]
+fn newer_process_replaces_own() {
+    let mut table = MemberTable::new(record("a", 5, 1, HostState::Live));
+    let other = MemberRecord {
+        peer_address: ([127, 0, 0, 2], 9).into(),
+        ..record("a", 6, 0, HostState::Live)
+    };
+    assert_eq!(table.merge(other, Instant::now()), Merged::Replaced);
+    assert_eq!(table.own().incarnation, 5);
+}
+
+#[test]
+fn gone_host_stays_gone() {
+    let now = Instant::now();
+    let mut table = MemberTable::new(record("a", 1, 0, HostState::Live));
+    table.merge(record("b", 5, 2, HostState::Live), now);
+    let probed = record("b", 5, 2, HostState::Live);
+    assert_eq!(table.mark(&probed, HostState::Gone, now), Merged::Taken);
+    assert_eq!(table.merge(probed.clone(), now + minutes(30)), Merged::Known);
+    table.forget(now + minutes(59));
+    assert_eq!(table.n_records(), 2);
+    assert_eq!(table.merge(probed, now + minutes(59)), Merged::Known);
+    table.forget(now + minutes(61));
+    assert_eq!(table.n_records(), 1);
+}
+
+#[test]
+fn state_stays_bounded() {
+    let now = Instant::now();
+    let mut table = MemberTable::new(record("a", 1, 0, HostState::Live));
+    for idx in 0..10_000 {
+        table.merge(record(&format!("h{idx}"), 1, 0, HostState::Gone), now);
+        if idx % 1000 == 999 {
+            table.forget(now);
+        }
+    }
+    assert!(table.n_records() <= 4097, "{} records", table.n_records());
+    assert_eq!(table.present().len(), 1);
+}
+
+#[test]
+fn hash_ignores_order_and_gone_hosts() {
+    let now = Instant::now();
+    let records: Vec<MemberRecord> =
+        (0..20).map(|idx| record(&format!("h{idx}"), idx, 0, HostState::Live)).collect();
+    let mut forward = MemberTable::new(record("a", 1, 0, HostState::Live));
+    let mut backward = MemberTable::new(record("a", 1, 0, HostState::Live));
+    for idx in 0..20 {
+        forward.merge(records[idx].clone(), now);
+        backward.merge(records[19 - idx].clone(), now);
+    }
+    assert_eq!(forward.hash(), backward.hash());
+    backward.merge(record("x", 1, 0, HostState::Gone), now);
+    assert_eq!(forward.hash(), backward.hash());
+    backward.merge(record("h3", 99, 0, HostState::Live), now);
+    assert_ne!(forward.hash(), backward.hash());
+}
+
+#[test]
+fn probes_are_judged() {
+    use ProbeAnswer::{Alive, Silent};
+    check_judge(3, &[None, Some(Silent), Some(Alive)], Finding::Alive);
+    check_judge(3, &[Some(Silent), Some(Silent), Some(Silent)], Finding::Unreachable);
+    check_judge(3, &[None, Some(Silent), None], Finding::Unreachable);
+    check_judge(3, &[None, None, None], Finding::Unsure);
+    check_judge(0, &[], Finding::Unreachable);
+    assert_eq!(confirm_delay(0), confirm_delay(2));
+    assert!(confirm_delay(3) > confirm_delay(2));
+}
+
+/// Random changes, false suspicions and lost messages: all views become equal, and every host that
+/// runs is live in all of them.
+#[test]
+fn views_agree_in_the_end() {
+    for seed in 0..SEEDS {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut tables = introduce();
+        for _ in 0..HOSTS * 20 {
+            disturb(&mut tables, &mut random);
+            exchange(&mut tables, &mut random, 30);
+        }
+        let n_rounds = (0..SETTLE_ROUNDS).find(|_| {
+            for _ in 0..HOSTS {
+                exchange(&mut tables, &mut random, 0);
+            }
+            tables.iter().all(|it| it.hash() == tables[0].hash())
+        });
+        assert!(n_rounds.is_some(), "seed {seed}: the views differ");
+        for table in &tables {
+            let n_live = table.present().iter().filter(|it| it.state == HostState::Live).count();
+            assert_eq!(n_live, HOSTS, "seed {seed}: as {} sees it", table.own().host);
+        }
+    }
+}
+
+fn introduce() -> Vec<MemberTable> {
+    let records: Vec<MemberRecord> =
+        (0..HOSTS).map(|idx| record(&format!("h{idx}"), 1, 0, HostState::Live)).collect();
+    let mut tables: Vec<MemberTable> =
+        records.iter().map(|it| MemberTable::new(it.clone())).collect();
+    for table in &mut tables {
+        for record in &records {
+            table.merge(record.clone(), Instant::now());
+        }
+    }
+    tables
+}
+
+fn disturb(tables: &mut [MemberTable], random: &mut fastrand::Rng) {
+    let idx = random.usize(0..HOSTS);
+    match random.u8(0..10) {
+        0 => {
+            tables[idx].update_own(|it| it.weights.switch_number += 1);
+        }
+        1 => accuse(&mut tables[idx], random, HostState::Suspect),
+        2 => accuse(&mut tables[idx], random, HostState::Gone),
+        _ => {}
+    }
+}
+
+fn accuse(table: &mut MemberTable, random: &mut fastrand::Rng, state: HostState) {
+    let target = table.record(&format!("h{}", random.usize(0..HOSTS))).cloned();
+    if let Some(target) = target {
+        table.mark(&target, state, Instant::now());
+    }
+}
+
+/// One exchange as the gossip does it, with views compared whenever the hashes differ.
+fn exchange(tables: &mut [MemberTable], random: &mut fastrand::Rng, loss_percent: u8) {
+    let (from, to) = (random.usize(0..HOSTS), random.usize(0..HOSTS));
+    let now = Instant::now();
+    let events = tables[from].take_events(6);
+    if random.u8(0..100) < loss_percent || from == to {
+        return;
+    }
+    for event in events {
+        tables[to].merge(event, now);
+    }
+    for event in tables[to].take_events(6) {
+        tables[from].merge(event, now);
+    }
+    tell_accused(tables, from, to);
+    tell_accused(tables, to, from);
+    if tables[from].hash() != tables[to].hash() {
+        let hashes = tables[from].bucket_hashes();
+        for record in tables[to].differing(&hashes, 8, random) {
+            tables[from].merge(record, now);
+        }
+    }
+}
+
+fn tell_accused(tables: &mut [MemberTable], teller: usize, told: usize) {
+    let host = tables[told].own().host.clone();
+    let Some(record) = tables[teller].record(&host).cloned() else { return };
+    if matches!(record.state, HostState::Suspect | HostState::Gone) {
+        tables[told].merge((*record).clone(), Instant::now());
+    }
+}
+
+type Version = (u64, u64, HostState);
+
+fn check_merge(held: Version, event: Version, expected: Merged) {
+    let mut table = MemberTable::new(record("a", 1, 0, HostState::Live));
+    table.merge(record("b", held.0, held.1, held.2), Instant::now());
+    let merged = table.merge(record("b", event.0, event.1, event.2), Instant::now());
+    assert_eq!(merged, expected, "{held:?} {event:?}");
+    let kept = if expected == Merged::Taken { event } else { held };
+    let known = table.record("b").unwrap();
+    assert_eq!((known.incarnation, known.sequence, known.state), kept);
+}
+
+fn check_own(event: Version, expected: Merged, incarnation: u64) {
+    let mut table = MemberTable::new(record("a", 5, 3, HostState::Live));
+    let merged = table.merge(record("a", event.0, event.1, event.2), Instant::now());
+    assert_eq!(merged, expected, "{event:?}");
+    assert_eq!(table.own().incarnation, incarnation, "{event:?}");
+    assert_eq!(table.own().state, HostState::Live);
+}
+
+fn check_judge(n_third_hosts: usize, answers: &[Option<ProbeAnswer>], expected: Finding) {
+    assert_eq!(judge(n_third_hosts, answers), expected, "{answers:?}");
+}
+
+fn record(host: &str, incarnation: u64, sequence: u64, state: HostState) -> MemberRecord {
+    let address = ([127, 0, 0, 1], 1000).into();
+    MemberRecord {
+        host: host.to_owned(),
+        role: HostRole::Entry,
+        region: "r".to_owned(),
+        zone: "z".to_owned(),
+        peer_address: address,
+        request_address: address,
+        operator_address: address,
+        incarnation,
+        sequence,
+        state,
+        weights: WeightsStatus::default(),
+    }
+}
+
+fn minutes(n: u64) -> Duration {
+    Duration::from_secs(60 * n)
+}
