--- a/src/operator/handler.rs
+++ b/src/operator/handler.rs
@@ -14,6 +14,7 @@
         charter_routes, metrics_page,
         process_report::ProcessReport,
         process_view::ProcessView,
+        quarantine_routes,
     },
     verdict::Verdict,
 };
@@ -28,13 +29,13 @@
     })
 }
 
-async fn route(node: &Node, view: &ProcessView, request: Request) -> Response {
+async fn route(node: &Arc<Node>, view: &ProcessView, request: Request) -> Response {
     let path = request.url().path().trim_matches('/').to_owned();
     let parts: Vec<&str> = path.split('/').collect();
     match parts.as_slice() {
         ["healthz"] => return text_answer(StatusCode::Ok, "ok\n"),
         ["readyz"] => return readiness(node),
-        ["metrics"] => return text_answer(StatusCode::Ok, &metrics_page::render()),
+        ["metrics"] => return text_answer(StatusCode::Ok, &metrics_page::render(node, view)),
         _ => {}
     }
     if !is_operator(node, &request) {
@@ -49,7 +50,15 @@
         (Method::Get, ["v1", "hosts"]) => hosts(node),
         (Method::Post, ["v1", "hosts", "self", "leave"]) => leave(node, view),
         (Method::Get, ["v1", "pools"]) => pools(node),
-        (Method::Get, ["v1", "process"]) => json_answer(StatusCode::Ok, &ProcessReport::of(node)),
+        (Method::Get, ["v1", "process"]) => {
+            json_answer(StatusCode::Ok, &ProcessReport::of(node, view))
+        }
+        (Method::Get, ["v1", "burn"]) => burn(node, view),
+        (Method::Get, ["v1", "requests", id]) => requests(view, id),
+        (Method::Get, ["v1", "quarantine"]) => quarantine_routes::list(node),
+        (Method::Delete, ["v1", "quarantine", fingerprint]) => {
+            quarantine_routes::clear(node, fingerprint).await
+        }
         _ => not_found(&path),
     }
 }
@@ -103,3 +112,12 @@
     let pools: Vec<_> = charter.pools.keys().filter_map(|it| node.documents.pool(it)).collect();
     json_answer(StatusCode::Ok, &json!({ "pools": pools }))
 }
+
+fn burn(node: &Node, view: &ProcessView) -> Response {
+    let counts = view.accounts.burn_counts(&node.settings.host.id);
+    json_answer(StatusCode::Ok, &counts)
+}
+
+fn requests(view: &ProcessView, id_or_key: &str) -> Response {
+    json_answer(StatusCode::Ok, &json!({ "requests": view.accounts.find(id_or_key) }))
+}
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -1,23 +1,32 @@
 //! The pipeline of a slot: from an entry host's request to its backend server and back.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http_types::{Body, Request, Response, StatusCode, Url};
+use serde::Deserialize;
 
 use crate::{
+    charter::ServiceTerms,
     digest::Digest,
     ids::SwitchNumber,
     membership::HostState,
     net::Exchange,
     node::Node,
     request::{
+        backend_probe::{self, BACKEND_STATE_PATH},
+        claim_stage::{ClaimStage, ServiceAnswer},
         failure::Failure,
         headers,
         incoming::{check_framing, request_id_of, text_of, Incoming, IncomingLimits},
         relay,
         route::Route,
+        slot_gate::{GatePass, SlotGate, Work},
     },
     rollout::{Admission, Refusal, ServingState},
+    runtime,
     settings::{BackendKind, BackendSettings},
     verdict::Verdict,
 };
@@ -37,6 +46,8 @@
     node: Arc<Node>,
     backend: BackendSettings,
     serving: Arc<ServingState>,
+    gate: Arc<SlotGate>,
+    claims: Arc<ClaimStage>,
     weights: WeightsSource,
 }
 
@@ -44,6 +55,13 @@
 struct Envelope {
     customer: String,
     switch_number: Option<SwitchNumber>,
+    is_suspect: bool,
+}
+
+/// Leave to call the backend server; both parts end with the answer.
+struct Permit {
+    pass: GatePass,
+    admission: Admission,
 }
 
 impl SlotStage {
@@ -56,7 +74,9 @@
         weights: WeightsSource,
     ) -> Arc<SlotStage> {
         let backend = node.settings.backend.clone().expect("a slot's settings have [backend]");
-        Arc::new(SlotStage { node, backend, serving, weights })
+        let gate = SlotGate::new(backend.concurrency as usize, backend.max_queued as usize);
+        let claims = ClaimStage::new(node.clone());
+        Arc::new(SlotStage { node, backend, serving, gate, claims, weights })
     }
 
     /// Answers one request.
@@ -68,41 +88,126 @@
             Ok(id) => id,
             Err((id, failure)) => return failure.closing().into_response(&id),
         };
-        let mut response = match self.run(id.clone(), request).await {
+        let mut response = match self.clone().run(id.clone(), request).await {
             Ok(response) => response,
             Err(failure) => failure.into_response(&id),
         };
-        response.insert_header(headers::LOAD_QUEUED, "0");
-        response.insert_header(headers::LOAD_RUNNING, self.serving.n_admitted().to_string());
-        response.insert_header(headers::LOAD_WAIT_MS, "0");
+        let load = self.gate.load();
+        response.insert_header(headers::LOAD_QUEUED, load.n_queued.to_string());
+        response.insert_header(headers::LOAD_RUNNING, load.n_running.to_string());
+        response.insert_header(headers::LOAD_WAIT_MS, load.wait_ms.as_millis().to_string());
         response
     }
 
-    async fn run(&self, id: String, request: Request) -> Result<Response, Failure> {
+    async fn run(self: Arc<Self>, id: String, request: Request) -> Result<Response, Failure> {
         check_framing(&request)?;
+        if request.url().path() == BACKEND_STATE_PATH {
+            check_proof(&self.node, &id, &request)?;
+            return self.backend_state(&id).await;
+        }
         let envelope = self.envelope(&id, &request).map_err(Failure::closing)?;
         let limits = IncomingLimits {
             max_body_bytes: self.node.settings.limits.max_body_bytes,
-            request_timeout: self.node.settings.limits.request_timeout_ms,
+            request_timeout_ms: self.node.settings.limits.request_timeout_ms,
         };
         let incoming = Incoming::read(id, request, limits).await?;
         let route = Route::of(&incoming)?;
+        drop(self.admit(&route, &envelope)?);
+        let arrived = Instant::now();
+        let pass = self.gate.enter(self.work(&incoming, &route, &envelope)).await?;
         let admission = self.admit(&route, &envelope)?;
-        self.call(&incoming, &route, &envelope, admission).await
+        let permit = Permit { pass, admission };
+        let waited = arrived.elapsed().as_millis();
+        let mut response = match self.terms_of(&route)? {
+            Some(terms) if !terms.repeatable => {
+                self.call_once(incoming, route, envelope, terms, permit).await?
+            }
+            _ => self.call(&incoming, &route, &envelope, permit).await?,
+        };
+        response.insert_header(headers::WAIT_MS, waited.to_string());
+        Ok(response)
     }
 
-    fn envelope(&self, id: &str, request: &Request) -> Result<Envelope, Failure> {
-        let refuse = |message: &str| Failure::not_run(StatusCode::Unauthorized, message);
-        let proof = text_of(request, headers::PROOF).unwrap_or_default();
-        let proof = blake3::Hash::from_hex(proof)
-            .map_err(|_| refuse("X-Proof is missing or malformed; ask an entry host instead"))?;
-        if proof != self.node.settings.secrets.peer_key.sign(id.as_bytes()) {
-            return Err(refuse("X-Proof is wrong; check peer_key_file on both hosts"));
+    fn terms_of(&self, route: &Route) -> Result<Option<ServiceTerms>, Failure> {
+        let Route::Service { service, .. } = route else { return Ok(None) };
+        let charter = self.node.documents.charter();
+        let terms = charter.and_then(|it| it.services.get(service).cloned());
+        let terms = terms.ok_or_else(|| closed("the slot's charter does not name the service"))?;
+        Ok(Some(terms))
+    }
+
+    /// Runs a call at most once; it goes on when the entry host leaves, to record its outcome.
+    async fn call_once(
+        self: Arc<Self>,
+        incoming: Incoming,
+        route: Route,
+        envelope: Envelope,
+        terms: ServiceTerms,
+        permit: Permit,
+    ) -> Result<Response, Failure> {
+        let (sender, receiver) = async_channel::bounded(1);
+        runtime::spawn(async move {
+            let service = self.backend.name.clone();
+            let call = || self.call_whole(&incoming, &route, &envelope);
+            let run =
+                self.claims.clone().run(&incoming, &envelope.customer, &service, &terms, call);
+            let res = run.await.map(|it| it.into_response(&incoming.id));
+            drop(permit);
+            let _ = sender.try_send(res);
+        })
+        .detach();
+        let gone = |_| Failure::may_have_run(StatusCode::InternalServerError, "the slot failed");
+        receiver.recv().await.map_err(gone)?
+    }
+
+    async fn call_whole(
+        &self,
+        incoming: &Incoming,
+        route: &Route,
+        envelope: &Envelope,
+    ) -> Result<ServiceAnswer, Failure> {
+        let request = self.request(incoming, route, envelope);
+        let limit = incoming.time_left();
+        let sent = self.node.http.send(self.backend.address, request, limit).await;
+        let exchange = sent.map_err(|err| Failure::of_call(&err))?;
+        self.check_echo(&exchange.response, incoming, route)?;
+        let read = runtime::timeout(incoming.time_left(), exchange.read(MAX_ANSWER_BYTES));
+        let (head, body) = match read.await {
+            Ok(res) => res.map_err(|err| Failure::of_call(&err))?,
+            Err(_) => return Err(too_late()),
+        };
+        let content_type = head.header("Content-Type").map(|it| it.as_str().to_owned());
+        Ok(ServiceAnswer { status: head.status(), content_type, body })
+    }
+
+    fn work<'a>(&self, incoming: &Incoming, route: &Route, envelope: &'a Envelope) -> Work<'a> {
+        let charter = self.node.documents.charter();
+        let terms = charter.as_ref().and_then(|it| it.customers.get(&envelope.customer));
+        Work {
+            customer: &envelope.customer,
+            weight: terms.map_or(1, |it| it.weight),
+            cost_tokens: route.cost_tokens(),
+            is_alone: envelope.is_suspect,
+            deadline: incoming.deadline,
         }
+    }
+
+    fn envelope(&self, id: &str, request: &Request) -> Result<Envelope, Failure> {
+        check_proof(&self.node, id, request)?;
         let customer = text_of(request, headers::CUSTOMER)
             .ok_or_else(|| Failure::not_run(StatusCode::BadRequest, "X-Customer is missing"))?;
         let switch_number = text_of(request, headers::SWITCH).and_then(|it| it.parse().ok());
-        Ok(Envelope { customer, switch_number })
+        let is_suspect = request.header(headers::SUSPECT).is_some();
+        Ok(Envelope { customer, switch_number, is_suspect })
+    }
+
+    async fn backend_state(&self, id: &str) -> Result<Response, Failure> {
+        if !backend_probe::is_up(&self.node, &self.backend).await {
+            return Err(closed("the backend server is down"));
+        }
+        let mut response = Response::new(StatusCode::Ok);
+        response.insert_header(headers::REQUEST_ID, id);
+        Ok(response)
     }
 
     fn admit(&self, route: &Route, envelope: &Envelope) -> Result<Admission, Failure> {
@@ -143,14 +248,15 @@
         incoming: &Incoming,
         route: &Route,
         envelope: &Envelope,
-        admission: Admission,
+        mut permit: Permit,
     ) -> Result<Response, Failure> {
         let request = self.request(incoming, route, envelope);
         let limit = incoming.time_left();
         let sent = self.node.http.send(self.backend.address, request, limit).await;
         let exchange = sent.map_err(|err| Failure::of_call(&err))?;
         self.check_echo(&exchange.response, incoming, route)?;
-        self.relay(incoming, route, exchange, admission).await
+        permit.pass.measure(route.cost_tokens());
+        self.relay(incoming, route, exchange, permit).await
     }
 
     async fn relay(
@@ -158,24 +264,26 @@
         incoming: &Incoming,
         route: &Route,
         exchange: Exchange,
-        admission: Admission,
+        permit: Permit,
     ) -> Result<Response, Failure> {
         let mut response = Response::new(exchange.response.status());
         response.insert_header(headers::REQUEST_ID, incoming.id.as_str());
         response.insert_header(headers::VERDICT, Verdict::Ran.as_str());
         if matches!(route, Route::Chat { .. }) {
-            response.insert_header(headers::VERSION, admission.version.as_str());
-            response.insert_header(headers::SWITCH, admission.switch_number.to_string());
+            response.insert_header(headers::VERSION, permit.admission.version.as_str());
+            response.insert_header(headers::SWITCH, permit.admission.switch_number.to_string());
         }
         if relay::is_stream(&exchange.response) {
-            response.set_body(relay::stream_body(exchange, incoming.deadline, admission));
+            let on_end = Box::new(move |_| drop(permit));
+            response.set_body(relay::stream_body(exchange, incoming.deadline, on_end));
             return Ok(response);
         }
-        let read = crate::runtime::timeout(incoming.time_left(), exchange.read(MAX_ANSWER_BYTES));
+        let read = runtime::timeout(incoming.time_left(), exchange.read(MAX_ANSWER_BYTES));
         let (head, body) = match read.await {
             Ok(res) => res.map_err(|err| Failure::of_call(&err))?,
             Err(_) => return Err(too_late()),
         };
+        check_whole(route, head.status(), &body)?;
         response.set_body(body);
         if let Some(content_type) = head.header("Content-Type") {
             response.insert_header("Content-Type", content_type);
@@ -236,6 +344,36 @@
     }
 }
 
+/// Refuses senders that do not hold the shared key.
+fn check_proof(node: &Node, id: &str, request: &Request) -> Result<(), Failure> {
+    let refuse = |message: &str| Err(Failure::not_run(StatusCode::Unauthorized, message));
+    let text = text_of(request, headers::PROOF).unwrap_or_default();
+    let Ok(proof) = blake3::Hash::from_hex(text) else {
+        return refuse("X-Proof is missing or malformed; ask an entry host instead");
+    };
+    if proof != node.settings.secrets.peer_key.sign(id.as_bytes()) {
+        return refuse("X-Proof is wrong; check peer_key_file on both hosts");
+    }
+    Ok(())
+}
+
+/// Whether an engine's answer is a whole JSON object; a length alone does not show that.
+fn check_whole(route: &Route, status: StatusCode, body: &[u8]) -> Result<(), Failure> {
+    let is_chat = matches!(route, Route::Chat { .. });
+    if !is_chat || !status.is_success() || serde_json::from_slice::<ChatAnswer>(body).is_ok() {
+        return Ok(());
+    }
+    let message = "the engine's answer is not whole, so it was dropped";
+    Err(Failure::may_have_run(StatusCode::BadGateway, message))
+}
+
+/// The part of an engine's answer that every whole one has.
+#[derive(Deserialize)]
+struct ChatAnswer {
+    #[serde(rename = "choices")]
+    _choices: Vec<serde_json::Value>,
+}
+
 fn closed(message: &str) -> Failure {
     Failure::not_run(StatusCode::ServiceUnavailable, message).retry_after(CLOSED_PAUSE)
 }
--- /dev/null
+++ b/src/subcommand/quarantine.rs
@@ -0,0 +1,85 @@
+//! `crocustiller quarantine`: shows and clears requests that are refused.
+
+use argh::FromArgs;
+use http_types::Method;
+
+use crate::{
+    error::CommandError,
+    request::{Quarantine, Standing},
+    subcommand::{
+        operator_client::{OperatorClient, Order},
+        table::Table,
+    },
+};
+
+/// Shows and clears requests that are refused because they crash backend servers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "quarantine")]
+pub(crate) struct QuarantineCommand {
+    #[argh(subcommand)]
+    action: QuarantineAction,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum QuarantineAction {
+    List(ListQuarantine),
+    Clear(ClearQuarantine),
+}
+
+/// Lists the fingerprints of refused requests.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListQuarantine {}
+
+/// Lets the requests with one fingerprint through again.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "clear")]
+struct ClearQuarantine {
+    /// fingerprint as `quarantine list` shows it
+    #[argh(positional)]
+    fingerprint: String,
+}
+
+impl QuarantineCommand {
+    /// Runs the command.
+    pub(crate) async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        match self.action {
+            QuarantineAction::List(_) => list(client).await,
+            QuarantineAction::Clear(it) => it.run(client).await,
+        }
+    }
+}
+
+impl ClearQuarantine {
+    async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+        let path = format!("/v1/quarantine/{}", self.fingerprint);
+        let order = Order { method: Method::Delete, ..Order::get(&path) };
+        let answer = client.send(&order).await?;
+        if client.is_json {
+            println!("{answer}");
+        } else {
+            println!("fingerprint {}: cleared", self.fingerprint);
+        }
+        Ok(())
+    }
+}
+
+async fn list(client: &OperatorClient) -> Result<(), CommandError> {
+    let quarantine: Quarantine = client.read("/v1/quarantine").await?;
+    if client.is_json {
+        println!("{}", serde_json::json!(quarantine));
+        return Ok(());
+    }
+    let mut table = Table::new(&["FINGERPRINT", "STANDING", "CRASHED HOSTS"]);
+    for entry in &quarantine.entries {
+        let standing = match quarantine.standing(&entry.fingerprint) {
+            Standing::Clear => "clear",
+            Standing::Suspect => "suspect, runs alone",
+            Standing::Refused => "refused",
+        };
+        table.add(vec![entry.fingerprint.to_string(), standing.to_owned(), entry.hosts.join(", ")]);
+    }
+    table.print();
+    Ok(())
+}
