--- a/src/report/convergence_watch.rs
+++ b/src/report/convergence_watch.rs
@@ -69,8 +69,9 @@
     /// Asks the entry hosts, so it is done only while a number is on its way.
     async fn look_at_charter(&mut self, charter: &Charter) {
         let status = charter::charter_status(&self.node).await;
-        let behind = status.behind.iter().map(|it| it.charter_number);
-        let lowest = behind.min().unwrap_or(status.number);
+        let live = self.node.membership.live();
+        let numbers = live.iter().map(|it| status.number_on(&it.host));
+        let lowest = numbers.min().unwrap_or(status.number);
         let limit = charter.service_levels.charter_in_force_s;
         let now = self.started.elapsed();
         for took in self.charter.observe(now, charter.number, lowest, limit) {
--- a/src/subcommand/charter.rs
+++ b/src/subcommand/charter.rs
@@ -55,7 +55,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 struct CharterOrPatchStatus {
-    /// id of a patch
+    /// id of a patch; without it: on how many hosts the charter is in force
     #[argh(positional)]
     id: Option<PatchId>,
 }
