--- a/src/report/convergence.rs
+++ b/src/report/convergence.rs
@@ -19,7 +19,11 @@
 }
 
 impl Convergence {
+<<<<<<< HEAD
     /// Whether a number up to `newest` is still waited for, or `newest` was not taken yet.
+=======
+    /// Whether a number is waited for once `newest` is known.
+>>>>>>> product
     pub fn is_waiting(&self, newest: u64) -> bool {
         newest > self.newest || !self.pending.is_empty()
     }
