--- a/src/documents/document_store.rs
+++ b/src/documents/document_store.rs
@@ -178,8 +178,11 @@
 }
 
 fn check_number(document: &Document) -> Result<(), DocumentError> {
-    let numbered: Numbered = serde_json::from_slice(&document.json)
-        .map_err(|err| DocumentError::Malformed(document.name.clone(), err))?;
+    let malformed = |err| DocumentError::Malformed(document.name.clone(), err);
+    if !document.json.trim_ascii_start().starts_with(b"{") {
+        return Err(malformed(serde::de::Error::custom("a JSON object is needed")));
+    }
+    let numbered: Numbered = serde_json::from_slice(&document.json).map_err(malformed)?;
     if numbered.number != document.number {
         let name = document.name.clone();
         return Err(DocumentError::Number(name, document.number, numbered.number));
--- a/src/subcommand/charter.rs
+++ b/src/subcommand/charter.rs
@@ -28,6 +28,7 @@
     Show(ShowCharter),
     Patch(PatchCharter),
     Status(PatchStatus),
+    Spread(CharterSpread),
     History(CharterHistory),
 }
 
@@ -51,15 +52,20 @@
     id: Option<PatchId>,
 }
 
-/// Tells whether a patch was accepted, or how far the charter has spread.
+/// Tells whether a patch was accepted.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 struct PatchStatus {
-    /// id of the patch; without it: on how many hosts the charter is in force
+    /// id of the patch
     #[argh(positional)]
-    id: Option<PatchId>,
+    id: PatchId,
 }
 
+/// Tells on how many hosts the charter is in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "spread")]
+struct CharterSpread {}
+
 /// Lists the latest accepted patches, oldest first.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "history")]
@@ -72,6 +78,7 @@
             CharterAction::Show(_) => show(client).await,
             CharterAction::Patch(it) => it.run(client).await,
             CharterAction::Status(it) => it.run(client).await,
+            CharterAction::Spread(_) => print_spread(client).await,
             CharterAction::History(_) => history(client).await,
         }
     }
@@ -103,8 +110,7 @@
 
 impl PatchStatus {
     async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
-        let Some(id) = self.id else { return print_spread(client).await };
-        let path = format!("/v1/charter/patches/{id}");
+        let path = format!("/v1/charter/patches/{}", self.id);
         print_state(client, &client.send(&Order::get(&path)).await?)
     }
 }
