--- a/rig/src/deployment.rs
+++ b/rig/src/deployment.rs
@@ -18,7 +18,7 @@
 };
 
 /// Engines that one stand-in process holds.
-const ENGINES_PER_PROCESS: usize = 10;
+const ENGINES_PER_PROCESS: usize = 5;
 /// Time within which a deployment must be ready and serve its first version.
 const START_LIMIT: Duration = Duration::from_secs(120);
 /// Pause between two looks.
--- a/standins/src/engine/engine.rs
+++ b/standins/src/engine/engine.rs
@@ -228,6 +228,8 @@
             }
             hasher.update(&buffer[..n]);
             n_total += n;
+            // Other engines of the process answer requests meanwhile.
+            futures_lite::future::yield_now().await;
         }
         if announced.is_some_and(|it| it != n_total) {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
