--- a/src/error.rs
+++ b/src/error.rs
@@ -20,8 +20,12 @@
             display("{}: {err}; check the path and its permissions", path.display())
         }
         /// No entry host answered.
-        Unreachable(tried: Vec<SocketAddr>, last: String) {
-            display("none of {tried:?} answered ({last}); name live operator addresses with --entry")
+        Unreachable(attempts: Vec<Attempt>) {
+            display("no entry host took the order; name others with --entry, or send it again later{}", lines_of(attempts))
+        }
+        /// The answer to an order was lost.
+        Lost(reason: String) {
+            display("{reason}; the order may have taken effect, look before you send it again")
         }
         /// An entry host refused the order.
         Refused(status: u16, message: String, verdict: Verdict) {
@@ -34,6 +38,15 @@
     }
 }
 
+/// Why one process did not take an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Operator address of the process.
+    pub address: SocketAddr,
+    /// What went wrong.
+    pub reason: String,
+}
+
 /// Exit code for an order that was refused.
 pub const EXIT_REFUSED: u8 = 1;
 /// Exit code for wrong arguments or settings.
@@ -49,8 +62,14 @@
         ExitCode::from(match self {
             CommandError::Usage(_) | CommandError::File(..) => EXIT_USAGE,
             CommandError::Unreachable(..) => EXIT_UNREACHABLE,
-            CommandError::Refused(_, _, Verdict::MayHaveRun) => EXIT_MAY_HAVE_RUN,
+            CommandError::Lost(_) | CommandError::Refused(_, _, Verdict::MayHaveRun) => {
+                EXIT_MAY_HAVE_RUN
+            }
             CommandError::Refused(..) | CommandError::Answer(_) => EXIT_REFUSED,
         })
     }
 }
+
+fn lines_of(attempts: &[Attempt]) -> String {
+    attempts.iter().map(|it| format!("\n  {}: {}", it.address, it.reason)).collect()
+}
