Bounded connections, idle ends, the platform's list as a seed, short digests

A call's limit now bounds connecting too (a frozen host took 3 s of handshake); 64 connections a class at most, idle ones are not reused after 60 s and closed by the server after 180 s, as a vanished host sends no end. A process that knows nobody tries 16 addresses of the platform's list, which makes no host live by itself; test with a dead, a foreign and a live address.

--- a/src/digest.rs
+++ b/src/digest.rs
@@ -2,12 +2,10 @@
 
 use std::{fmt, str::FromStr};
 
-use serde_with::{DeserializeFromStr, SerializeDisplay};
+use serde::{de::Error, Deserialize, Deserializer, Serialize, Serializer};
 
-/// A BLAKE3 digest of 32 bytes; 64 hexadecimal digits in text and JSON.
-#[derive(
-    Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr,
-)]
+/// A BLAKE3 digest of 32 bytes; 64 hexadecimal digits in text and JSON, 32 bytes between processes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Digest([u8; 32]);
 
 impl Digest {
@@ -47,3 +45,22 @@
         blake3::Hash::from_hex(text).map(Digest::from)
     }
 }
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Digest, D::Error> {
+        if !deserializer.is_human_readable() {
+            return <[u8; 32]>::deserialize(deserializer).map(Digest);
+        }
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -340,11 +340,18 @@
         }
     }
 
+    /// Addresses to join by: those of the settings and of the platform's list.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        let mut seeds = self.join.clone();
+        seeds.extend(self.membership.listed());
+        seeds
+    }
+
     fn lost_addresses(&self) -> Vec<SocketAddr> {
         let present = self.membership.records();
         let gone = self.membership.gone();
         let mut addresses: Vec<SocketAddr> = gone.iter().map(|it| it.peer_address).collect();
-        addresses.extend(&self.join);
+        addresses.extend(self.seeds());
         addresses.retain(|it| present.iter().all(|record| record.peer_address != *it));
         addresses.sort_unstable();
         addresses.dedup();
--- a/src/membership/join.rs
+++ b/src/membership/join.rs
@@ -48,7 +48,7 @@
     let own = gossip.membership.own().peer_address;
     let records = gossip.membership.records();
     let mut addresses: Vec<SocketAddr> = records.iter().map(|it| it.peer_address).collect();
-    addresses.extend(&gossip.join);
+    addresses.extend(gossip.seeds());
     addresses.retain(|it| *it != own);
     fastrand::shuffle(&mut addresses);
     for address in addresses {
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -1,6 +1,7 @@
 //! One process's view of the hosts, shared by its tasks.
 
 use std::{
+    net::SocketAddr,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc, Mutex,
@@ -26,6 +27,7 @@
     table: Mutex<MemberTable>,
     reports: ReportTable,
     has_joined: AtomicBool,
+    listed: Mutex<Vec<SocketAddr>>,
     changed: Event,
 }
 
@@ -36,6 +38,7 @@
             table: Mutex::new(MemberTable::new(own)),
             reports: ReportTable::default(),
             has_joined: AtomicBool::new(false),
+            listed: Mutex::default(),
             changed: Event::new(),
         }
     }
@@ -135,6 +138,16 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Addresses of the platform's list of hosts, to join by when nobody else answers.
+    pub(crate) fn listed(&self) -> Vec<SocketAddr> {
+        self.listed.lock().unwrap().clone()
+    }
+
+    /// Notes addresses of the platform's list; it lags, so no host is taken for live by it.
+    pub(crate) fn set_listed(&self, addresses: Vec<SocketAddr>) {
+        *self.listed.lock().unwrap() = addresses;
+    }
+
     /// Listens for the next change; call before reading, then wait.
     pub fn listen(&self) -> EventListener {
         self.changed.listen()
--- a/src/peer/peer_pool.rs
+++ b/src/peer/peer_pool.rs
@@ -57,18 +57,29 @@
     }
 }
 
+/// Open connections of one class at most; the one used least recently is closed for a new one.
+const MAX_CONNECTIONS: usize = 64;
+/// Idle time after which a connection is not used again; the server closes it later.
+const MAX_IDLE: Duration = Duration::from_secs(60);
+
 /// Connections to other processes, one an address and class.
 #[derive(Debug)]
 pub struct PeerPool {
     key: PeerKey,
     counters: Arc<LinkCounters>,
-    clients: Mutex<HashMap<(SocketAddr, LinkClass), PeerClient>>,
+    connections: Mutex<HashMap<(SocketAddr, LinkClass), Connection>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    client: PeerClient,
+    last_used: Instant,
 }
 
 impl PeerPool {
     /// Makes a pool without connections.
     pub fn new(key: PeerKey, counters: Arc<LinkCounters>) -> PeerPool {
-        PeerPool { key, counters, clients: Mutex::default() }
+        PeerPool { key, counters, connections: Mutex::default() }
     }
 
     /// Bytes sent and received.
@@ -89,7 +100,9 @@
     where
         F: Future<Output = Result<T, RpcError>>,
     {
-        let client = self.client(address, class).await?;
+        let client = runtime::timeout(limit, self.client(address, class))
+            .await
+            .unwrap_or_else(|_| Err(PeerError::Connect(address, io::ErrorKind::TimedOut.into())))?;
         let mut context = context::current();
         context.deadline = Instant::now() + limit;
         let res = call(client, context).compat().await;
@@ -101,27 +114,50 @@
 
     /// Number of open connections.
     pub fn n_connections(&self) -> usize {
-        self.clients.lock().unwrap().len()
+        self.connections.lock().unwrap().len()
     }
 
     /// Closes the connections to `address`.
     pub fn forget_host(&self, address: SocketAddr) {
-        self.clients.lock().unwrap().retain(|(it, _), _| *it != address);
+        self.connections.lock().unwrap().retain(|(it, _), _| *it != address);
     }
 
     fn forget(&self, address: SocketAddr, class: LinkClass) {
-        self.clients.lock().unwrap().remove(&(address, class));
+        self.connections.lock().unwrap().remove(&(address, class));
     }
 
     async fn client(&self, address: SocketAddr, class: LinkClass) -> Result<PeerClient, PeerError> {
-        if let Some(client) = self.clients.lock().unwrap().get(&(address, class)) {
-            return Ok(client.clone());
+        if let Some(client) = self.open_client(address, class) {
+            return Ok(client);
         }
         let client = self.connect(address, class).await?;
-        self.clients.lock().unwrap().insert((address, class), client.clone());
+        self.keep(address, class, client.clone());
         Ok(client)
     }
 
+    fn open_client(&self, address: SocketAddr, class: LinkClass) -> Option<PeerClient> {
+        let mut connections = self.connections.lock().unwrap();
+        let connection = connections.get_mut(&(address, class))?;
+        if connection.last_used.elapsed() > MAX_IDLE {
+            return None;
+        }
+        connection.last_used = Instant::now();
+        Some(connection.client.clone())
+    }
+
+    /// Keeps a new connection; the idle ones and, above the limit, the oldest make room.
+    fn keep(&self, address: SocketAddr, class: LinkClass, client: PeerClient) {
+        let mut connections = self.connections.lock().unwrap();
+        connections.retain(|_, it| it.last_used.elapsed() <= MAX_IDLE);
+        let of_class = connections.iter().filter(|it| it.0 .1 == class);
+        if of_class.clone().count() >= MAX_CONNECTIONS {
+            let oldest = of_class.min_by_key(|it| it.1.last_used).map(|it| *it.0);
+            oldest.and_then(|it| connections.remove(&it));
+        }
+        let connection = Connection { client, last_used: Instant::now() };
+        connections.insert((address, class), connection);
+    }
+
     async fn connect(
         &self,
         address: SocketAddr,
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
+    pin::pin,
     sync::{
         atomic::{AtomicUsize, Ordering},
         Arc,
@@ -37,6 +38,8 @@
 
 /// Connections of other processes open at once; further ones are closed at once.
 const MAX_CONNECTIONS: usize = 1024;
+/// Time without a call after which a connection is closed.
+const MAX_IDLE: Duration = Duration::from_secs(180);
 /// Pause after a failed accept, so that a shortage of descriptors does not spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -129,8 +132,12 @@
     let framed = Framed::new(Compat::new(stream), codec());
     let transport = serde_transport::new(framed, Bincode::default());
     let requests = BaseChannel::with_defaults(transport).execute(service.serve());
-    let run = requests.for_each(|answer| async move {
-        runtime::spawn(answer.compat()).detach();
-    });
+    let run = async {
+        let mut requests = pin!(requests);
+        // A host that vanished sends no end; its connection must not stay for ever.
+        while let Ok(Some(answer)) = runtime::timeout(MAX_IDLE, requests.next()).await {
+            runtime::spawn(answer.compat()).detach();
+        }
+    };
     run.compat().await;
 }
--- a/src/platform/document_watch.rs
+++ b/src/platform/document_watch.rs
@@ -38,17 +38,23 @@
 /// Time after its start at which a process without a charter reads the platform itself.
 const START_READ_DELAY: Duration = Duration::from_secs(4);
 
+/// Pause between two reads of the list of hosts by a process that knows nobody.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// Addresses of the list that are tried.
+const MAX_LISTED: usize = 16;
+
 /// The watches of one process.
 #[derive(Debug)]
 pub struct DocumentWatch {
     node: Arc<Node>,
     watches: BTreeMap<DocumentName, Task<()>>,
+    list_read: Option<Instant>,
 }
 
 impl DocumentWatch {
     /// Watches until the task is dropped.
     pub async fn run(node: Arc<Node>) {
-        let mut watch = DocumentWatch { node, watches: BTreeMap::new() };
+        let mut watch = DocumentWatch { node, watches: BTreeMap::new(), list_read: None };
         let started = Instant::now();
         let start_delay = START_READ_DELAY.mul_f64(1.0 + fastrand::f64());
         loop {
@@ -58,10 +64,31 @@
             if is_late || watch.node.membership.has_joined() {
                 watch.update(is_late && !has_charter);
             }
+            if is_late && watch.node.membership.records().len() == 1 {
+                watch.read_host_list().await;
+            }
             runtime::sleep(CHECK_INTERVAL).await;
         }
     }
 
+    /// Looks for somebody to join by, as none of the addresses in the settings answers.
+    async fn read_host_list(&mut self) {
+        if self.list_read.is_some_and(|it| it.elapsed() < LIST_INTERVAL) {
+            return;
+        }
+        self.list_read = Some(Instant::now());
+        match self.node.platform.hosts().await {
+            Ok(hosts) => {
+                let mut addresses: Vec<_> = hosts.into_iter().map(|it| it.peer_address).collect();
+                fastrand::shuffle(&mut addresses);
+                addresses.truncate(MAX_LISTED);
+                log::info!("platform: list of hosts read hosts={}", addresses.len());
+                self.node.membership.set_listed(addresses);
+            }
+            Err(err) => log::warn!("platform: list of hosts not read error=\"{err}\""),
+        }
+    }
+
     fn update(&mut self, must_read_alone: bool) {
         let wanted = self.wanted(must_read_alone);
         self.watches.retain(|name, _| wanted.contains(name));
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,5 +5,5 @@
 
 pub use crate::platform::{
     document_watch::{choose_watchers, DocumentWatch},
-    platform_client::{Object, PlatformClient, PlatformError, Precondition},
+    platform_client::{ListedHost, Object, PlatformClient, PlatformError, Precondition},
 };
--- a/src/platform/platform_client.rs
+++ b/src/platform/platform_client.rs
@@ -4,9 +4,10 @@
 
 use http_types::{Method, Request, Response, Url};
 use quick_error::quick_error;
+use serde::Deserialize;
 
 use crate::{
-    ids::Revision,
+    ids::{HostId, Revision},
     net::{CallError, HttpClient},
     verdict::Verdict,
 };
@@ -23,6 +24,20 @@
     pub value: Vec<u8>,
 }
 
+/// One line of the platform's list of hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct ListedHost {
+    /// The host.
+    pub host: HostId,
+    /// Address for calls between processes.
+    pub peer_address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct HostList {
+    hosts: Vec<ListedHost>,
+}
+
 /// What must hold for a write to take effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Precondition {
@@ -86,6 +101,21 @@
         }
     }
 
+    /// Reads the list of hosts, which lags and may be wrong.
+    pub async fn hosts(&self) -> Result<Vec<ListedHost>, PlatformError> {
+        let request = |address: SocketAddr| {
+            let url = Url::parse(&format!("http://{address}/hosts"));
+            Request::new(Method::Get, url.expect("an address makes a URL"))
+        };
+        let (response, value) = self.call(request, self.timeout).await?;
+        match u16::from(response.status()) {
+            200 => serde_json::from_slice::<HostList>(&value)
+                .map(|it| it.hosts)
+                .map_err(|err| PlatformError::Unavailable(Verdict::Ran, err.to_string())),
+            status => Err(refused("hosts", status)),
+        }
+    }
+
     /// Waits at most `wait` for a revision greater than `known`.
     pub async fn watch(
         &self,
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -69,6 +69,12 @@
         self.processes.push(process);
     }
 
+    /// Starts one more process that knows only `join`.
+    pub async fn add_with(&mut self, id: &str, idx: usize, join: Vec<SocketAddr>) {
+        let settings = settings(id, idx, self.platform.address(), join);
+        self.processes.push(Process::start(settings).await);
+    }
+
     /// The node of one process.
     pub fn node(&self, idx: usize) -> &Arc<Node> {
         &self.processes[idx].node
--- a/tests/host_failure.rs
+++ b/tests/host_failure.rs
@@ -2,12 +2,16 @@
 
 mod cluster;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use crocustiller::{
     membership::{self, HostState},
     runtime,
 };
+use crocustiller_standins::HostEntry;
 
 use crate::cluster::{Cluster, Process, ENTRY_HOSTS};
 
@@ -105,6 +109,33 @@
     });
 }
 
+/// The platform's list names a dead host, something that is no process of ours, and one live host.
+#[test]
+fn wrong_list_is_a_seed_only() {
+    runtime::run_until(async {
+        let mut cluster = joined().await;
+        let dead: SocketAddr = ([127, 0, 0, 1], 9).into();
+        let right = cluster.node(3).membership.own().peer_address;
+        let listed = [("ghost", dead), ("other", cluster.platform.address()), ("host-3", right)];
+        let entry = |it: &(&str, SocketAddr)| HostEntry {
+            host: it.0.to_owned(),
+            role: "backend".to_owned(),
+            region: "region-0".to_owned(),
+            zone: "zone-0".to_owned(),
+            state: "live".to_owned(),
+            peer_address: it.1,
+        };
+        cluster.platform.set_hosts(listed.iter().map(entry).collect());
+        cluster.add_with("fresh", 9, vec![dead]).await;
+        assert!(cluster.wait_members(PROCESSES + 1, LIMIT).await.is_some());
+        for process in &cluster.processes {
+            assert_eq!(state_of(process, "ghost"), None);
+            assert_eq!(state_of(process, "other"), None);
+        }
+        cluster.close().await;
+    });
+}
+
 async fn joined() -> Cluster {
     let cluster = Cluster::start(PROCESSES).await;
     assert!(cluster.wait_members(PROCESSES, LIMIT).await.is_some(), "the processes did not join");
