--- a/src/report/convergence_watch.rs
+++ b/src/report/convergence_watch.rs
@@ -7,8 +7,8 @@
 };
 
 use crate::{
-    charter,
-    ids::{DocumentNumber, PoolId},
+    charter::{self, Charter},
+    ids::PoolId,
     membership::{HostRole, HostState, MemberRecord},
     node::Node,
     report::{convergence::Convergence, level::Level},
@@ -25,7 +25,6 @@
     node: Arc<Node>,
     started: Instant,
     charter: Convergence,
-    charter_in_force: DocumentNumber,
     pools: BTreeMap<PoolId, PoolConvergence>,
 }
 
@@ -43,7 +42,6 @@
             node,
             started: Instant::now(),
             charter: Convergence::default(),
-            charter_in_force: 0,
             pools: BTreeMap::new(),
         };
         loop {
@@ -54,13 +52,11 @@
 
     async fn look(&mut self) {
         let Some(charter) = self.node.documents.charter() else { return };
+        if self.charter.is_waiting(charter.number) {
+            self.look_at_charter(&charter).await;
+        }
         let now = self.started.elapsed();
         let live = self.node.membership.live();
-        let limit = charter.service_levels.charter_in_force_s;
-        let lowest = self.lowest_charter(charter.number, &live).await;
-        for took in self.charter.observe(now, charter.number, lowest, limit) {
-            self.node.accounts.record_event(Level::CharterInForce, took, limit);
-        }
         let limit = charter.service_levels.time_to_all_s;
         for pool in charter.pools.keys().filter_map(|it| self.node.documents.pool(it)) {
             let followed = self.pools.entry(pool.pool.clone()).or_default();
@@ -69,21 +65,18 @@
             }
         }
     }
-}
 
-impl ConvergenceWatch {
-    /// The lowest charter number in force on a live host; asked for only until it is `number`.
-    async fn lowest_charter(
-        &mut self,
-        number: DocumentNumber,
-        live: &[Arc<MemberRecord>],
-    ) -> DocumentNumber {
-        if self.charter_in_force < number {
-            let status = charter::charter_status(&self.node).await;
-            let lowest = live.iter().map(|it| status.number_on(&it.host)).min();
-            self.charter_in_force = lowest.unwrap_or(number).min(number);
+    /// Asks the entry hosts, so it is done only while a number is on its way.
+    async fn look_at_charter(&mut self, charter: &Charter) {
+        let status = charter::charter_status(&self.node).await;
+        let live = self.node.membership.live();
+        let numbers = live.iter().map(|it| status.number_on(&it.host));
+        let lowest = numbers.min().unwrap_or(status.number);
+        let limit = charter.service_levels.charter_in_force_s;
+        let now = self.started.elapsed();
+        for took in self.charter.observe(now, charter.number, lowest, limit) {
+            self.node.accounts.record_event(Level::CharterInForce, took, limit);
         }
-        self.charter_in_force
     }
 }
 
--- a/src/subcommand/charter.rs
+++ b/src/subcommand/charter.rs
@@ -27,8 +27,7 @@
 enum CharterAction {
     Show(ShowCharter),
     Patch(PatchCharter),
-    Status(PatchStatus),
-    Spread(CharterSpread),
+    Status(CharterOrPatchStatus),
     History(CharterHistory),
 }
 
@@ -52,20 +51,15 @@
     id: Option<PatchId>,
 }
 
-/// Tells whether a patch was accepted.
+/// Tells on how many hosts the charter is in force, or whether a patch was accepted.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
-struct PatchStatus {
-    /// id of the patch
+struct CharterOrPatchStatus {
+    /// id of a patch; without it: on how many hosts the charter is in force
     #[argh(positional)]
-    id: PatchId,
+    id: Option<PatchId>,
 }
 
-/// Tells on how many hosts the charter is in force.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "spread")]
-struct CharterSpread {}
-
 /// Lists the latest accepted patches, oldest first.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "history")]
@@ -78,7 +72,6 @@
             CharterAction::Show(_) => show(client).await,
             CharterAction::Patch(it) => it.run(client).await,
             CharterAction::Status(it) => it.run(client).await,
-            CharterAction::Spread(_) => print_spread(client).await,
             CharterAction::History(_) => history(client).await,
         }
     }
@@ -108,36 +101,39 @@
     }
 }
 
-impl PatchStatus {
+impl CharterOrPatchStatus {
     async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
-        let path = format!("/v1/charter/patches/{}", self.id);
+        let Some(id) = self.id else { return in_force(client).await };
+        let path = format!("/v1/charter/patches/{id}");
         print_state(client, &client.send(&Order::get(&path)).await?)
     }
 }
 
-async fn print_spread(client: &OperatorClient) -> Result<(), CommandError> {
-    let status = client.read::<CharterStatus>("/v1/charter/status").await?;
+async fn show(client: &OperatorClient) -> Result<(), CommandError> {
+    let charter = client.send(&Order::get("/v1/charter")).await?;
+    println!("{charter:#}");
+    Ok(())
+}
+
+async fn in_force(client: &OperatorClient) -> Result<(), CommandError> {
+    let status: CharterStatus = client.read("/v1/charter/status").await?;
     if client.is_json {
         println!("{}", serde_json::json!(status));
         return Ok(());
     }
-    let CharterStatus { number, n_hosts, n_in_force, .. } = status;
-    println!("charter {number} is in force on {n_in_force} of {n_hosts} hosts");
-    for report in &status.behind {
-        println!("  host {} has charter {}", report.host, report.charter_number);
+    println!(
+        "charter {}: in force on {} of {} hosts",
+        status.number, status.n_in_force, status.n_hosts
+    );
+    for behind in &status.behind {
+        println!("  behind: {} at {}", behind.host, behind.charter_number);
     }
     for host in &status.silent {
-        println!("  entry host {host} did not answer; reports to it may be missing");
+        println!("  silent entry host: {host}; its reports may be missing");
     }
     Ok(())
 }
 
-async fn show(client: &OperatorClient) -> Result<(), CommandError> {
-    let charter = client.send(&Order::get("/v1/charter")).await?;
-    println!("{charter:#}");
-    Ok(())
-}
-
 async fn history(client: &OperatorClient) -> Result<(), CommandError> {
     let charter = client.send(&Order::get("/v1/charter")).await?;
     let patches = &charter["recent_patches"];
