Claims ignore platform answers older than what this slot has seen

With lagging reads the record of an outcome was applied to an older copy that lacked the claim, changed nothing, and so counted as durable. Conclusion: each slot keeps the greatest revision seen of an object and takes an older answer as none.

--- a/src/request/claim_object.rs
+++ b/src/request/claim_object.rs
@@ -1,7 +1,10 @@
 //! Commits changes of claims to one platform object, many in one write.
 
 use std::{
-    sync::Mutex,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Mutex,
+    },
     time::{Duration, Instant},
 };
 
@@ -29,6 +32,8 @@
     max_age: Option<Duration>,
     pending: Mutex<Vec<Pending>>,
     known: AsyncMutex<Option<Known>>,
+    /// Greatest revision read or written here; reads of the platform may lag behind it.
+    newest: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -51,6 +56,7 @@
             max_age,
             pending: Mutex::default(),
             known: AsyncMutex::new(None),
+            newest: AtomicU64::new(0),
         }
     }
 
@@ -136,7 +142,9 @@
                 Some(it) => Precondition::Revision(it),
                 None => Precondition::Absent,
             };
-            revision = Some(platform.put(&self.name, &value, precondition).await?);
+            let written = platform.put(&self.name, &value, precondition).await?;
+            self.newest.fetch_max(written, Ordering::Relaxed);
+            revision = Some(written);
         }
         *known = Some(Known { revision, bucket });
         for (pending, answer) in batch.iter().zip(answers) {
@@ -145,8 +153,16 @@
         Ok(())
     }
 
+    /// Reads the object; an answer older than what was seen here counts as no answer, because a
+    /// change applied to it could look done without being durable.
     async fn read(&self, platform: &PlatformClient) -> Result<Known, PlatformError> {
-        let Some(object) = platform.get(&self.name).await? else {
+        let object = platform.get(&self.name).await?;
+        let revision = object.as_ref().map_or(0, |it| it.revision);
+        if self.newest.fetch_max(revision, Ordering::Relaxed) > revision {
+            let reason = format!("its answer about {} is old", self.name);
+            return Err(PlatformError::Unavailable(Verdict::NotRun, reason));
+        }
+        let Some(object) = object else {
             return Ok(Known { revision: None, bucket: ClaimBucket::default() });
         };
         let bucket = serde_json::from_slice(&object.value).map_err(|err| {
--- a/src/request/claim_stage.rs
+++ b/src/request/claim_stage.rs
@@ -102,7 +102,7 @@
             claimed_at_s: since_1970(),
             outcome: None,
         };
-        let _progress = ProgressGuard::new(&self, claim.id);
+        let progress = ProgressGuard::new(self.clone(), claim.id);
         let mut is_fresh = false;
         loop {
             match self.take(&object, &key, &claim, incoming.deadline).await? {
@@ -122,7 +122,7 @@
             }
         }
         let res = if incoming.time_left().is_zero() { Err(too_late()) } else { call().await };
-        self.settle(&object, &key, claim.id, &res).await;
+        self.settle(&object, &key, progress, &res).await;
         res
     }
 
@@ -139,7 +139,8 @@
         let res = object.commit(&self.node.platform, change, deadline).await;
         res.map_err(|err| {
             log::warn!("claims: no claim object={} error=\"{err}\"", key.object);
-            self.note(object, ClaimChange::Release { entry: key.entry.clone(), id: claim.id });
+            let release = ClaimChange::Release { entry: key.entry.clone(), id: claim.id };
+            self.note(object, release, None);
             not_claimed(&err)
         })
     }
@@ -149,10 +150,11 @@
         &self,
         object: &Arc<ClaimObject>,
         key: &ClaimKey,
-        id: Uuid,
+        progress: ProgressGuard,
         res: &Result<ServiceAnswer, Failure>,
     ) {
         let entry = key.entry.clone();
+        let id = progress.id;
         let change = match res {
             Ok(answer) => ClaimChange::Settle { entry, id, outcome: outcome_of(answer) },
             Err(failure) if failure.verdict == Verdict::NotRun => {
@@ -160,11 +162,19 @@
             }
             Err(_) => return,
         };
-        let _ = runtime::timeout(SETTLE_WAIT, self.note(object, change).recv()).await;
+        let _ =
+            runtime::timeout(SETTLE_WAIT, self.note(object, change, Some(progress)).recv()).await;
     }
 
     /// Commits `change` in the background; the channel ends with the commit.
-    fn note(&self, object: &Arc<ClaimObject>, change: ClaimChange) -> async_channel::Receiver<()> {
+    ///
+    /// The call counts as in progress until then, so that a second call waits for the outcome.
+    fn note(
+        &self,
+        object: &Arc<ClaimObject>,
+        change: ClaimChange,
+        progress: Option<ProgressGuard>,
+    ) -> async_channel::Receiver<()> {
         let (done, receiver) = async_channel::bounded(1);
         let (node, object) = (self.node.clone(), object.clone());
         runtime::spawn(async move {
@@ -172,6 +182,7 @@
             if let Err(err) = object.commit(&node.platform, change, deadline).await {
                 log::warn!("claims: outcome not recorded error=\"{err}\"");
             }
+            drop(progress);
             drop(done);
         })
         .detach();
@@ -223,19 +234,19 @@
 }
 
 /// Marks a claim as in progress here.
-struct ProgressGuard<'a> {
-    stage: &'a ClaimStage,
+struct ProgressGuard {
+    stage: Arc<ClaimStage>,
     id: Uuid,
 }
 
-impl ProgressGuard<'_> {
-    fn new(stage: &ClaimStage, id: Uuid) -> ProgressGuard<'_> {
+impl ProgressGuard {
+    fn new(stage: Arc<ClaimStage>, id: Uuid) -> ProgressGuard {
         stage.in_progress.lock().unwrap().push(id);
         ProgressGuard { stage, id }
     }
 }
 
-impl Drop for ProgressGuard<'_> {
+impl Drop for ProgressGuard {
     fn drop(&mut self) {
         self.stage.in_progress.lock().unwrap().retain(|it| *it != self.id);
     }
