--- a/tests/burn_report.rs
+++ b/tests/burn_report.rs
@@ -143,7 +143,7 @@
     for (percent, age_s) in unanswered_percent.into_iter().zip(ages_s) {
         let at = NOW - Duration::from_secs(age_s);
         // Few recent requests, so that they do not fill the window of an hour alone.
-        let n_requests = if age_s == 0 { 20 } else { 1000 };
+        let n_requests = if age_s == 0 { 20 } else { 2000 };
         host.unanswered(at, "weavers", n_requests * percent / 100);
         host.answered(at, "weavers", n_requests * (100 - percent) / 100);
     }
