--- /dev/null
+++ b/tests/operator_routes.rs
@@ -0,0 +1,150 @@
+//! The administration API: tokens, statuses, verdicts, and texts that say what to do.
+
+mod tool;
+
+use std::time::Duration;
+
+use crocustiller::net::HttpClient;
+use crocustiller_standins::PlatformBehaviour;
+use http_types::{Method, Request};
+
+use tool::{Deployment, TOKEN};
+
+const FIRST_PATCH: &str = r#"{"pools": {"lots": {"version": "v1", "customers": []}}}"#;
+
+/// One call: method, path, headers, body; expected status, verdict and text.
+struct Call {
+    method: Method,
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: &'static str,
+    status: u16,
+    verdict: &'static str,
+    text: &'static str,
+}
+
+const fn get(path: &'static str, status: u16, text: &'static str) -> Call {
+    Call { method: Method::Get, path, headers: &[], body: "", status, verdict: "", text }
+}
+
+const fn refused(path: &'static str, status: u16, text: &'static str) -> Call {
+    Call { verdict: "not-run", ..get(path, status, text) }
+}
+
+const fn patch(
+    headers: &'static [(&'static str, &'static str)],
+    body: &'static str,
+    status: u16,
+    verdict: &'static str,
+    text: &'static str,
+) -> Call {
+    Call { method: Method::Patch, path: "/v1/charter", headers, body, status, verdict, text }
+}
+
+const ORDER: &[(&str, &str)] = &[("If-Match", "0"), ("Idempotency-Key", "first")];
+const STALE: &[(&str, &str)] = &[("If-Match", "9"), ("Idempotency-Key", "stale")];
+const NEXT: &[(&str, &str)] = &[("If-Match", "1"), ("Idempotency-Key", "next")];
+const SHORT: &[(&str, &str)] =
+    &[("If-Match", "1"), ("Idempotency-Key", "short"), ("X-Deadline-Ms", "300")];
+
+/// Calls in their order; the fourth group needs the charter that the third one makes.
+const CALLS: &[Call] = &[
+    get("/healthz", 200, "ok"),
+    get("/readyz", 503, "not ready"),
+    get("/metrics", 200, "crocustiller_charter_number 0"),
+    refused("/v1/charter", 404, "make the first one"),
+    refused("/v1/pools", 404, "make the first one"),
+    refused("/v1/nowhere", 404, "docs/INTERFACES.md"),
+    refused("/v1/charter/patches", 404, "no route"),
+    Call { method: Method::Delete, ..refused("/v1/charter", 404, "no route") },
+    Call { method: Method::Delete, ..refused("/v1/quarantine/abc", 400, "64 hexadecimal digits") },
+    patch(&[], FIRST_PATCH, 428, "not-run", "If-Match"),
+    patch(&[("If-Match", "0")], FIRST_PATCH, 428, "not-run", "Idempotency-Key"),
+    patch(&[("If-Match", "one")], FIRST_PATCH, 428, "not-run", "If-Match"),
+    patch(ORDER, "{", 422, "not-run", "not JSON"),
+    patch(ORDER, r#"{"pools": {"lots": 5}}"#, 422, "not-run", "pools.lots"),
+    patch(ORDER, r#"{"rollout": {"origin_copies": 9}}"#, 422, "not-run", "rollout.origin_copies"),
+    patch(STALE, FIRST_PATCH, 412, "not-run", "builds on charter 9, but 0"),
+    patch(ORDER, FIRST_PATCH, 200, "", r#""number":1"#),
+    patch(ORDER, FIRST_PATCH, 200, "", r#""number":1"#),
+    get("/readyz", 200, "ready"),
+    get("/v1/charter", 200, r#""version":"v1""#),
+    get("/v1/charter/patches/first", 200, r#""state":"accepted""#),
+    get("/v1/charter/patches/unheard", 200, r#""state":"refused""#),
+    get("/v1/charter/status", 200, r#""n_in_force":1"#),
+    get("/v1/hosts", 200, r#""host":"entry-1""#),
+    get("/v1/pools", 200, r#""pools":[]"#),
+    get("/v1/process", 200, r#""control_sent_bytes":"#),
+    get("/v1/quarantine", 200, r#""entries":[]"#),
+    get("/v1/requests/r-9", 200, r#""requests":[]"#),
+    get("/v1/burn", 200, r#""host":"entry-1""#),
+];
+
+#[test]
+fn routes_answer_as_documented() {
+    crocustiller::runtime::run_until(async {
+        let deployment = Deployment::start().await;
+        for call in CALLS {
+            check(&deployment, call, Some(TOKEN)).await;
+        }
+        deployment.close().await;
+    });
+}
+
+#[test]
+fn token_is_asked_for() {
+    crocustiller::runtime::run_until(async {
+        let deployment = Deployment::start().await;
+        for token in [None, Some(""), Some("another"), Some("operator-token-of-the-tes")] {
+            for call in CALLS.iter().filter(|it| it.path.starts_with("/v1")) {
+                let refused = Call {
+                    status: 401,
+                    verdict: "not-run",
+                    text: "operator token is missing or wrong",
+                    headers: call.headers,
+                    ..*call
+                };
+                check(&deployment, &refused, token).await;
+            }
+        }
+        assert_eq!(deployment.node.documents.charter_number(), 0);
+        deployment.close().await;
+    });
+}
+
+#[test]
+fn outage_is_told_truly() {
+    crocustiller::runtime::run_until(async {
+        let deployment = Deployment::start().await;
+        check(&deployment, &patch(ORDER, FIRST_PATCH, 200, "", "accepted"), Some(TOKEN)).await;
+        let out = PlatformBehaviour { outage: true, ..PlatformBehaviour::default() };
+        deployment.platform.set_behaviour(out);
+        check(&deployment, &patch(SHORT, "{}", 503, "not-run", "again"), Some(TOKEN)).await;
+        check(&deployment, &get("/v1/charter", 200, "v1"), Some(TOKEN)).await;
+        deployment.platform.set_behaviour(PlatformBehaviour::default());
+        check(&deployment, &patch(NEXT, "{}", 200, "", "accepted"), Some(TOKEN)).await;
+        deployment.close().await;
+    });
+}
+
+async fn check(deployment: &Deployment, call: &Call, token: Option<&str>) {
+    let url = format!("http://{}{}", deployment.operator_address, call.path);
+    let mut request = Request::new(call.method, url.as_str());
+    if let Some(token) = token {
+        request.insert_header("Authorization", format!("Bearer {token}"));
+    }
+    for (name, value) in call.headers {
+        request.insert_header(*name, *value);
+    }
+    request.set_body(call.body);
+    let limit = Duration::from_secs(30);
+    let http = HttpClient::new();
+    let answer = http.fetch(deployment.operator_address, request, limit, 1 << 20);
+    let (response, body) = answer.await.unwrap();
+    let body = String::from_utf8(body).unwrap();
+    let name = format!("{} {} {:?}: {body}", call.method, call.path, call.headers);
+    assert_eq!(u16::from(response.status()), call.status, "{name}");
+    let verdict = response.header("X-Verdict").map_or("", |it| it.as_str());
+    assert_eq!(verdict, call.verdict, "{name}");
+    assert!(body.contains(call.text), "no {:?} in {name}", call.text);
+}
--- a/tests/tool/mod.rs
+++ b/tests/tool/mod.rs
@@ -1,4 +1,8 @@
 //! Runs the real command-line tool against one entry host in this process.
+//!
+//! Each test file uses a part of it.
+
+#![allow(dead_code)]
 
 use std::{
     net::SocketAddr,
@@ -19,7 +23,7 @@
 use crocustiller_standins::PlatformStandin;
 
 /// Token that the entry host accepts.
-const TOKEN: &str = "operator-token-of-the-test";
+pub const TOKEN: &str = "operator-token-of-the-test";
 /// An address on which nobody listens.
 pub const NOBODY: &str = "127.0.0.1:1";
 
@@ -30,7 +34,7 @@
     pub operator_address: SocketAddr,
     folder: tempfile::TempDir,
     server: HttpServer,
-    platform: PlatformStandin,
+    pub platform: PlatformStandin,
 }
 
 /// What the tool printed.
