Faults of a burst, each with a test; late joiners no longer wait

A late joiner now asks the hosts that may have taken its chunk over and goes on at once.

Also found by the new cases, each red before: a failed relay set back the takeover of the origin (one host of a zone left: 61 of 64 chunks after 90 s); chunks whose rank-0 host died in the home region were never taken from another region (63 of 64); a corrupting sole holder kept its chunks from being taken over (63 of 64); a relay waited ever longer at the wrong host.

Ruled out: a takeover deadline that grows with the time without news. It fed on itself (41 of 64 chunks after 90 s, deadline 35 s) and was reverted; the measured rate now moves the deadline by at most a factor of two.

--- a/src/weights/deadlines.rs
+++ b/src/weights/deadlines.rs
@@ -21,9 +21,15 @@
 /// Weight of the newest answer time in the running mean.
 const NEWEST_WEIGHT: f64 = 0.25;
 
-/// Time that rank 1 waits for a chunk whose turn has come; `chunk_time` is one chunk's at the present rate.
-pub fn takeover_base(chunk_time: Duration) -> Duration {
-    (chunk_time * TAKEOVER_CHUNK_TIMES).clamp(MIN_TAKEOVER, MAX_TAKEOVER)
+/// Time that rank 1 waits for a chunk whose turn has come.
+///
+/// `chunk_time` is that of one chunk at the host's present rate, `origin_time` the time in which the
+/// origin sends all chunks whose turn has come, at the rate seen so far. A stalled fetch lowers that
+/// rate, so its influence is bounded.
+pub fn takeover_base(chunk_time: Duration, origin_time: Duration) -> Duration {
+    let region_time = chunk_time * TAKEOVER_CHUNK_TIMES;
+    let expected = origin_time.clamp(region_time, region_time * 2);
+    expected.clamp(MIN_TAKEOVER, MAX_TAKEOVER)
 }
 
 /// Time that a host of `rank` waits; 0 for rank 0, then `base`, doubled with each rank.
--- a/src/weights/fetch_job.rs
+++ b/src/weights/fetch_job.rs
@@ -56,7 +56,7 @@
     pub(crate) before: Vec<Arc<MemberRecord>>,
     /// Hosts in other regions, by rank, that take the chunk from the origin.
     pub(crate) sources: Vec<Arc<MemberRecord>>,
-    /// Time that the first source is given; doubled with each further one.
+    /// Time that the first source is given to get the chunk, and each host to send it.
     pub(crate) wait: Duration,
 }
 
@@ -104,12 +104,15 @@
             if let Some(fetched) = ask_held(&context, chunk, &hosts).await {
                 return Ok(fetched);
             }
+            // Only the first source is waited for; the others hold the chunk or they do not.
             let mut wait = hosts.wait;
             for host in &hosts.sources {
-                if let Ok(fetched) = context.ask(host, chunk, wait).await {
+                // The time of the transfer comes on top of the wait.
+                let ask = runtime::timeout(wait + hosts.wait, context.ask(host, chunk, wait));
+                if let Ok(Ok(fetched)) = ask.await {
                     return Ok(fetched);
                 }
-                wait *= 2;
+                wait = HELD_WAIT;
             }
             Err(FetchFailure::Missing)
         };
--- a/src/weights/fetch_plan.rs
+++ b/src/weights/fetch_plan.rs
@@ -23,8 +23,6 @@
     pub relay_rank: u32,
     /// Whether the host of origin rank 0 is in the same region.
     pub is_home_region: bool,
-    /// Place of the chunk in the order in which chunks leave the origin.
-    pub turn: u32,
 }
 
 /// The duties of one host; a function of the manifest and the hosts that take part.
@@ -35,6 +33,7 @@
     own: usize,
     duties: Vec<ChunkDuty>,
     chunk_hashes: Vec<u64>,
+    by_turn: Vec<u32>,
 }
 
 impl FetchPlan {
@@ -42,10 +41,12 @@
     pub fn new(manifest: &Manifest, own: &str, hosts: Vec<PlanHost>) -> Option<FetchPlan> {
         let own = hosts.iter().position(|it| it.host == own)?;
         let host_hashes = hosts.iter().map(|it| rank::host_hash(&it.host)).collect();
-        let chunk_hashes = chunk_hashes(manifest);
+        let chunk_hashes: Vec<u64> = chunk_hashes(manifest);
+        let mut by_turn: Vec<u32> = (0..manifest.n_chunks()).collect();
+        by_turn.sort_by_key(|it| (chunk_hashes[*it as usize], *it));
         let duties = Vec::new();
-        let mut plan = FetchPlan { hosts, host_hashes, own, duties, chunk_hashes };
-        plan.duties = plan.all_duties();
+        let mut plan = FetchPlan { hosts, host_hashes, own, duties, chunk_hashes, by_turn };
+        plan.duties = plan.chunk_hashes.iter().map(|it| plan.duty_for(*it)).collect();
         Some(plan)
     }
 
@@ -54,6 +55,11 @@
         self.duties[chunk as usize]
     }
 
+    /// The chunks in the order in which they leave the origin.
+    pub fn by_turn(&self) -> &[u32] {
+        &self.by_turn
+    }
+
     /// The first `n` hosts by origin rank of a chunk.
     pub fn origin_hosts(&self, chunk: u32, n: usize) -> Vec<HostId> {
         self.ranked(chunk, n, |_| true)
@@ -83,19 +89,7 @@
         idxs.into_iter().take(n).map(|it| self.hosts[it].host.clone()).collect()
     }
 
-    fn all_duties(&self) -> Vec<ChunkDuty> {
-        let n_chunks = self.chunk_hashes.len();
-        let mut by_turn: Vec<usize> = (0..n_chunks).collect();
-        by_turn.sort_by_key(|it| (self.chunk_hashes[*it], *it));
-        let mut turns = vec![0; n_chunks];
-        for (turn, chunk) in (0u32..).zip(by_turn) {
-            turns[chunk] = turn;
-        }
-        let duty = |chunk: usize| self.duty_at(self.chunk_hashes[chunk], turns[chunk]);
-        (0..n_chunks).map(duty).collect()
-    }
-
-    fn duty_at(&self, item: u64, turn: u32) -> ChunkDuty {
+    fn duty_for(&self, item: u64) -> ChunkDuty {
         let own_score = rank::score(item, self.host_hashes[self.own]);
         let own_region = &self.hosts[self.own].region;
         let mut best = (own_score, self.own);
@@ -110,7 +104,7 @@
             best = best.max((score, idx));
         }
         let is_home_region = self.hosts[best.1].region == *own_region;
-        ChunkDuty { origin_rank, relay_rank, is_home_region, turn }
+        ChunkDuty { origin_rank, relay_rank, is_home_region }
     }
 }
 
--- a/src/weights/fetch_schedule.rs
+++ b/src/weights/fetch_schedule.rs
@@ -29,6 +29,8 @@
 const RELAY_SOURCES: usize = 3;
 /// Hosts of better rank that are asked before a takeover.
 const MAX_ASKED_BEFORE: usize = 4;
+/// Hosts, itself among them, that a late joiner asks beyond those of better rank.
+const ASKED_BY_LATE_JOINER: usize = 2;
 /// Longest pause between two looks at deadlines.
 const TICK: Duration = Duration::from_millis(100);
 /// Time given to neighbours to say what they hold before the origin is asked.
@@ -38,7 +40,11 @@
     /// Starts every request that is due; gives the time after which to look again.
     pub(crate) fn schedule(&mut self) -> Duration {
         let now = Instant::now();
+        if let Some(until) = self.paused_until.filter(|it| *it > now) {
+            return until - now;
+        }
         self.drop_overtaken(now);
+        self.drop_stalled(now);
         self.start_duties(now);
         self.start_hedges(now);
         let pause = self.start_neighbour_requests(now);
@@ -47,7 +53,7 @@
 
     /// Cancels requests for first copies that a neighbour turned out to hold meanwhile.
     fn drop_overtaken(&mut self, now: Instant) {
-        let limit = deadlines::takeover_base(self.chunk_time());
+        let limit = self.takeover_base();
         let is_seen = &self.is_seen;
         self.jobs.retain(|it| {
             let is_first_copy = matches!(it.kind, JobKind::Origin | JobKind::Relay);
@@ -56,6 +62,30 @@
         });
     }
 
+    /// Cancels requests that a neighbour does not answer, so that the chunk can come another way.
+    fn drop_stalled(&mut self, now: Instant) {
+        let limit = self.takeover_base();
+        let is_stalled = |it: &Job| {
+            matches!(it.kind, JobKind::Neighbour(_))
+                && now.saturating_duration_since(it.started) > limit
+        };
+        if !self.jobs.iter().any(is_stalled) {
+            return;
+        }
+        let jobs = std::mem::take(&mut self.jobs);
+        let (stalled, others) = jobs.into_iter().partition::<Vec<Job>, _>(is_stalled);
+        self.jobs = others;
+        for job in stalled {
+            self.release(&job);
+            let JobKind::Neighbour(host) = &job.kind else { continue };
+            log::debug!("weights: neighbour does not answer host={host} chunk={}", job.chunk);
+            if let Some(neighbour) = self.neighbours.get_mut(host) {
+                neighbour.rest(now + limit);
+            }
+            self.unsee(host, job.chunk);
+        }
+    }
+
     /// Asks the origin and other regions for the chunks that are this host's to take.
     fn start_duties(&mut self, now: Instant) {
         let has_news = self.neighbours.values().all(|it| it.has_answered);
@@ -65,17 +95,21 @@
         let mut n_origin = self.count_jobs(|it| matches!(it, JobKind::Origin | JobKind::Endgame));
         let mut n_relay = self.count_jobs(|it| *it == JobKind::Relay);
         let is_origin_open = self.context.origin.is_open();
-        for chunk in 0..self.is_held.len() as u32 {
-            if self.is_seen[chunk as usize] {
+        let n_turns = turns::n_open(self.n_seen);
+        for chunk in self.open_chunks(n_turns) {
+            let Some(kind) = self.due_duty(chunk, now) else { continue };
+            let is_asked = |it: &Job| it.chunk == chunk && it.kind != JobKind::Relay;
+            let is_relayed = |it: &Job| it.chunk == chunk && it.kind == JobKind::Relay;
+            if self.jobs.iter().any(is_asked) {
                 continue;
             }
-            let Some(kind) = self.due_duty(chunk, now) else { continue };
-            if self.jobs.iter().any(|it| it.chunk == chunk) {
+            if kind == JobKind::Relay && self.jobs.iter().any(is_relayed) {
                 continue;
             }
             match kind {
                 JobKind::Relay if n_relay < MAX_RELAY_REQUESTS => n_relay += 1,
                 JobKind::Origin if n_origin < MAX_ORIGIN_REQUESTS && is_origin_open => {
+                    self.jobs.retain(|it| !is_relayed(it));
                     n_origin += 1;
                 }
                 _ => continue,
@@ -84,38 +118,57 @@
         }
     }
 
+    /// The chunks whose turn has come and that nobody near is known to hold.
+    fn open_chunks(&self, n_turns: u32) -> Vec<u32> {
+        let Some(plan) = &self.plan else { return Vec::new() };
+        let open = plan.by_turn().iter().take(n_turns as usize);
+        open.filter(|it| !self.is_seen[**it as usize]).copied().collect()
+    }
+
     /// What the host does about a chunk that nobody near is known to hold.
     fn due_duty(&mut self, chunk: u32, now: Instant) -> Option<JobKind> {
         let duty = self.plan.as_ref()?.duty(chunk);
-        if !turns::has_turn(duty.turn, self.n_seen) {
+        let came = *self.turn_came[chunk as usize].get_or_insert(now);
+        if self.retry_at[chunk as usize].is_some_and(|it| it > now) {
             return None;
         }
-        let came = *self.turn_came[chunk as usize].get_or_insert(now);
         let waited = now.saturating_duration_since(came);
-        let base = deadlines::takeover_base(self.chunk_time());
-        let late = u32::from(self.is_late_joiner);
-        if waited >= deadlines::takeover_delay(base, duty.origin_rank + late) {
+        let base = self.takeover_base();
+        if waited >= deadlines::takeover_delay(base, duty.origin_rank) {
             return Some(JobKind::Origin);
         }
-        let is_relay_due = waited >= deadlines::takeover_delay(base, duty.relay_rank + late);
-        (!duty.is_home_region && is_relay_due).then_some(JobKind::Relay)
+        // In the region of origin rank 0, another region helps only when that host fails.
+        let relay_rank = duty.relay_rank + u32::from(duty.is_home_region);
+        let is_relay_due = waited >= deadlines::takeover_delay(base, relay_rank);
+        is_relay_due.then_some(JobKind::Relay)
+    }
+
+    /// The time that rank 1 waits, from the rate at which chunks became known so far.
+    fn takeover_base(&self) -> Duration {
+        let n_chunks = self.is_held.len() as u32;
+        let n_waiting = turns::n_open(self.n_seen).min(n_chunks).saturating_sub(self.n_seen);
+        let elapsed = self.last_seen.saturating_duration_since(self.started);
+        let origin_time = elapsed * n_waiting / self.n_seen.max(1);
+        deadlines::takeover_base(self.chunk_time(), origin_time)
     }
 
     fn start_duty(&mut self, chunk: u32, kind: JobKind) {
         let Some(plan) = &self.plan else { return };
         let duty = plan.duty(chunk);
-        let wait = deadlines::takeover_base(self.chunk_time());
-        let late = usize::from(self.is_late_joiner);
+        let wait = self.takeover_base();
+        // While this host was away, hosts of lower rank may have taken the chunk over.
+        let n_lower = if self.is_late_joiner { ASKED_BY_LATE_JOINER } else { 0 };
         let id = self.next_job_id();
         let Some(plan) = &self.plan else { return };
         let (context, events) = (self.context.clone(), self.events_sender.clone());
         let job = if kind == JobKind::Relay {
-            let n_before = (duty.relay_rank as usize + late).min(MAX_ASKED_BEFORE);
+            let n_before = (duty.relay_rank as usize + n_lower).min(MAX_ASKED_BEFORE);
             let before = self.records(&plan.relay_hosts(chunk, n_before));
-            let sources = self.records(&plan.origin_hosts(chunk, RELAY_SOURCES));
+            let mut sources = self.records(&plan.origin_hosts(chunk, RELAY_SOURCES));
+            sources.extend(self.random_far_host());
             Job::relay(id, chunk, JobHosts { before, sources, wait }, context, events)
         } else {
-            let n_before = (duty.origin_rank as usize + late).min(MAX_ASKED_BEFORE);
+            let n_before = (duty.origin_rank as usize + n_lower).min(MAX_ASKED_BEFORE);
             let before = self.records(&plan.origin_hosts(chunk, n_before));
             let hosts = JobHosts { before, sources: Vec::new(), wait };
             Job::origin(id, chunk, kind, hosts, context, events)
@@ -139,11 +192,11 @@
             if let Some(neighbour) = neighbour {
                 neighbour.is_late(elapsed, now);
             }
-            self.jobs[idx].is_hedged = true;
             let mut is_wanted = vec![false; self.is_held.len()];
             is_wanted[chunk as usize] = true;
             if self.start_one(&is_wanted, now) {
                 self.context.log.count(|it| it.hedged_requests += 1);
+                self.jobs[idx].is_hedged = true;
                 let last = self.jobs.len() - 1;
                 self.jobs[last].is_hedged = true;
             }
@@ -240,6 +293,13 @@
         others.filter_map(|it| self.members.get(it).cloned()).collect()
     }
 
+    /// A host of another region, which may hold a chunk that the hosts by rank do not.
+    fn random_far_host(&mut self) -> Option<Arc<MemberRecord>> {
+        let own = &self.context.node.settings.host.region;
+        let far = self.members.values().filter(|it| it.region != *own);
+        self.random.choice(far.collect::<Vec<_>>()).cloned()
+    }
+
     fn count_jobs(&self, is_counted: impl Fn(&JobKind) -> bool) -> usize {
         self.jobs.iter().filter(|it| is_counted(&it.kind)).count()
     }
--- a/src/weights/fetcher.rs
+++ b/src/weights/fetcher.rs
@@ -26,6 +26,10 @@
 
 /// Shortest pause between two changes of the neighbour set.
 const MEMBERSHIP_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a first copy could not be had; a random part of it is added.
+const DUTY_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Pause of a fetch that found no memory for a chunk.
+const MEMORY_PAUSE: Duration = Duration::from_secs(1);
 /// Pause of a neighbour after a failed call.
 const FAILURE_REST: Duration = Duration::from_secs(1);
 
@@ -48,15 +52,22 @@
     pub(crate) is_held: Vec<bool>,
     pub(crate) is_seen: Vec<bool>,
     pub(crate) n_seen: u32,
+    /// When the turn of each chunk came; an origin that fails lets it begin anew.
     pub(crate) turn_came: Vec<Option<Instant>>,
+    /// Before when the first copy of a chunk is not asked for again.
+    pub(crate) retry_at: Vec<Option<Instant>>,
     pub(crate) jobs: Vec<Job>,
     pub(crate) next_job: JobId,
     pub(crate) endgame: Endgame,
     pub(crate) random: fastrand::Rng,
     pub(crate) started: Instant,
+    /// When a chunk became known that was not known before.
+    pub(crate) last_seen: Instant,
     /// Whether the neighbours held chunks when the fetch began.
     pub(crate) is_late_joiner: bool,
     membership_read: Option<Instant>,
+    /// Until when nothing is asked for, for want of memory.
+    pub(crate) paused_until: Option<Instant>,
     events: Receiver<FetchEvent>,
     pub(crate) events_sender: Sender<FetchEvent>,
 }
@@ -75,13 +86,16 @@
             is_held,
             n_seen,
             turn_came: vec![None; n_chunks],
+            retry_at: vec![None; n_chunks],
             jobs: Vec::new(),
             next_job: 0,
             endgame: Endgame::default(),
             random: fastrand::Rng::new(),
             started: Instant::now(),
+            last_seen: Instant::now(),
             is_late_joiner: false,
             membership_read: None,
+            paused_until: None,
             events,
             events_sender,
             context,
@@ -174,6 +188,7 @@
             let neighbour = Neighbour::new(record, &self.context, self.events_sender.clone());
             self.neighbours.insert(host.clone(), neighbour);
         }
+        self.recount_seen();
     }
 
     fn take(&mut self, event: FetchEvent) {
@@ -186,19 +201,47 @@
     fn take_news(&mut self, host: &HostId, answer: Option<HaveAnswer>) {
         let Some(neighbour) = self.neighbours.get_mut(host) else { return };
         let is_first = !std::mem::replace(&mut neighbour.has_answered, true);
-        let Some(answer) = answer else { return };
+        let Some(answer) = answer else {
+            neighbour.forget_chunks();
+            return self.recount_seen();
+        };
         neighbour.learn(&answer);
         let has_begun = self.turn_came.iter().any(Option::is_some);
         self.is_late_joiner |= is_first && !has_begun && answer.total > 0;
+        if self.context.strikes.lock().unwrap().is_resting(host, Instant::now()) {
+            return;
+        }
         for idx in answer.since {
             self.see(idx);
         }
     }
 
+    /// Works out anew which chunks are known to be held.
+    fn recount_seen(&mut self) {
+        let now = Instant::now();
+        let strikes = self.context.strikes.lock().unwrap();
+        let trusted: Vec<&Neighbour> =
+            self.neighbours.values().filter(|it| !strikes.is_resting(it.host(), now)).collect();
+        for idx in 0..self.is_held.len() {
+            self.is_seen[idx] = self.is_held[idx] || trusted.iter().any(|it| it.holds[idx]);
+        }
+        self.n_seen = self.is_seen.iter().filter(|it| **it).count() as u32;
+    }
+
+    /// A neighbour did not send a chunk that it was known to hold.
+    pub(crate) fn unsee(&mut self, host: &HostId, chunk: u32) {
+        if let Some(neighbour) = self.neighbours.get_mut(host) {
+            neighbour.holds[chunk as usize] = false;
+        }
+        self.turn_came[chunk as usize] = None;
+        self.recount_seen();
+    }
+
     fn see(&mut self, idx: u32) {
         let Some(is_seen) = self.is_seen.get_mut(idx as usize) else { return };
         if !std::mem::replace(is_seen, true) {
             self.n_seen += 1;
+            self.last_seen = Instant::now();
         }
     }
 
@@ -213,6 +256,9 @@
         let kind = job.map(|it| it.kind);
         if let Some(JobKind::Neighbour(host)) = &kind {
             self.note_answer(host, &res, elapsed);
+            if matches!(res, Err(FetchFailure::Missing | FetchFailure::Corrupt)) {
+                self.unsee(host, chunk);
+            }
         }
         let is_neighbour = matches!(kind, Some(JobKind::Neighbour(_)));
         match res {
@@ -223,10 +269,17 @@
                 self.keep(fetched);
             }
             Err(_) if is_neighbour => self.refund(chunk),
-            Err(_) => {
-                // The takeover deadline runs anew, so that hosts of better rank go first.
-                self.turn_came[chunk as usize] = Some(Instant::now());
-            }
+            Err(_) => self.note_duty_failed(chunk, kind),
+        }
+    }
+
+    fn note_duty_failed(&mut self, chunk: u32, kind: Option<JobKind>) {
+        let pause = DUTY_RETRY_DELAY.mul_f64(1.0 + self.random.f64());
+        let retry_at = Instant::now() + pause;
+        self.retry_at[chunk as usize] = Some(retry_at);
+        if kind == Some(JobKind::Origin) {
+            // The takeover deadline runs anew, so that hosts of better rank go first.
+            self.turn_came[chunk as usize] = Some(retry_at);
         }
     }
 
@@ -259,6 +312,7 @@
             let problem = "no memory for a chunk; raise memory_limit_bytes".to_owned();
             log::error!("weights: {problem}");
             self.context.log.set_problem(Some(problem));
+            self.paused_until = Some(Instant::now() + MEMORY_PAUSE);
             return;
         }
         self.context.log.set_problem(None);
@@ -278,11 +332,16 @@
         let (ended, others) = jobs.into_iter().partition::<Vec<Job>, _>(|it| it.chunk == chunk);
         self.jobs = others;
         for job in ended {
-            let JobKind::Neighbour(host) = &job.kind else { continue };
-            self.refund(chunk);
-            if let Some(neighbour) = self.neighbours.get_mut(host) {
-                neighbour.n_requests = neighbour.n_requests.saturating_sub(1);
-            }
+            self.release(&job);
+        }
+    }
+
+    /// Gives back what a cancelled request to a neighbour took.
+    pub(crate) fn release(&mut self, job: &Job) {
+        let JobKind::Neighbour(host) = &job.kind else { return };
+        self.refund(job.chunk);
+        if let Some(neighbour) = self.neighbours.get_mut(host) {
+            neighbour.n_requests = neighbour.n_requests.saturating_sub(1);
         }
     }
 
--- a/src/weights/holding.rs
+++ b/src/weights/holding.rs
@@ -79,6 +79,14 @@
         self.got.lock().unwrap().order.len() as u32
     }
 
+    /// Bytes of the chunks that are not held; equal chunks count once.
+    pub fn missing_bytes(&self) -> u64 {
+        let got = self.got.lock().unwrap();
+        let firsts = self.indexes.values().filter_map(|it| it.first());
+        let missing = firsts.filter(|it| !got.is_held[**it as usize]);
+        missing.map(|it| self.manifest.byte_range(*it)).map(|it| it.end - it.start).sum()
+    }
+
     /// Whether each chunk is held.
     pub fn held(&self) -> Vec<bool> {
         self.got.lock().unwrap().is_held.clone()
--- a/src/weights/neighbour.rs
+++ b/src/weights/neighbour.rs
@@ -84,6 +84,12 @@
         self.n_known = answer.total;
     }
 
+    /// Forgets what the neighbour holds; its next answer tells all.
+    pub(crate) fn forget_chunks(&mut self) {
+        self.holds.fill(false);
+        self.n_known = 0;
+    }
+
     /// Notes how long an answer took and what waits at the neighbour.
     pub(crate) fn answered(&mut self, elapsed: Duration, queued: u32) {
         self.answer_time = Some(deadlines::mean_answer_time(self.answer_time, elapsed));
@@ -125,10 +131,8 @@
         let answer = context.ask_have(record.peer_address, n_known, wait).await;
         let is_reachable = answer.is_ok();
         let answer = answer.ok().flatten();
-        if let Some(answer) = &answer {
-            n_known = answer.total;
-        }
-        let is_first = std::mem::replace(&mut wait, NEWS_WAIT).is_zero();
+        n_known = answer.as_ref().map_or(0, |it| it.total);
+        wait = NEWS_WAIT;
         let news = FetchEvent::News { host: record.host.clone(), answer };
         if events.send(news).await.is_err() {
             return;
@@ -137,9 +141,7 @@
             delay = FIRST_RETRY_DELAY;
             continue;
         }
-        if !is_first || !is_reachable {
-            runtime::sleep(delay).await;
-            delay = (delay * 2).min(MAX_RETRY_DELAY);
-        }
+        runtime::sleep(delay).await;
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
 }
--- a/src/weights/turns.rs
+++ b/src/weights/turns.rs
@@ -5,10 +5,10 @@
 /// Further chunks that may leave the origin for each chunk that is seen.
 const CHUNKS_PER_SEEN: u32 = 2;
 
-/// Whether the chunk at place `turn` may be asked for when `n_seen` chunks are known to be held.
+/// How many chunks, in the order of turns, may have been asked for when `n_seen` are known to be held.
 ///
 /// The origin shares its rate among all who ask. Few chunks at first let the hosts begin to pass
 /// chunks on early; the number then grows with the chunks that are under way.
-pub fn has_turn(turn: u32, n_seen: u32) -> bool {
-    turn < FIRST_CHUNKS + CHUNKS_PER_SEEN * n_seen
+pub fn n_open(n_seen: u32) -> u32 {
+    n_seen.saturating_mul(CHUNKS_PER_SEEN).saturating_add(FIRST_CHUNKS)
 }
--- a/src/weights/weights_stage.rs
+++ b/src/weights/weights_stage.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashSet,
     sync::{Arc, Mutex, Weak},
+    time::Duration,
 };
 
 use event_listener::{Event, EventListener};
@@ -24,6 +25,9 @@
     },
 };
 
+/// Pause before memory is looked at again.
+const ROOM_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// The weights of one host.
 #[derive(Debug)]
 pub struct WeightsStage {
@@ -159,6 +163,7 @@
         self.drop_unused_chunks();
         self.server.add(holding.clone());
         self.changed.notify(usize::MAX);
+        self.wait_for_room(&holding, state).await;
         let mut weights = Weights::<Fetching>::new(holding);
         loop {
             Fetcher::new(self.context(weights.holding().clone(), state)).run().await;
@@ -174,6 +179,25 @@
         }
     }
 
+    /// Waits until the chunks that are missing fit beside those of the other targets.
+    async fn wait_for_room(&self, holding: &Holding, state: &TargetState) {
+        loop {
+            let needed_bytes = holding.missing_bytes();
+            let free_bytes = self.shelf.limit_bytes().saturating_sub(self.shelf.held_bytes());
+            if needed_bytes <= free_bytes {
+                return;
+            }
+            let problem = format!(
+                "{needed_bytes} bytes are needed and {free_bytes} are free; raise memory_limit_bytes"
+            );
+            if state.log.problem().as_ref() != Some(&problem) {
+                log::error!("weights: {problem} version={}", state.target.version);
+            }
+            state.log.set_problem(Some(problem));
+            runtime::sleep(ROOM_RETRY_DELAY).await;
+        }
+    }
+
     fn manifest_fetch(&self, state: &TargetState) -> ManifestFetch {
         ManifestFetch {
             node: self.node.clone(),
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "not every test uses all of it")]
 
+pub mod bad_link;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -25,6 +27,8 @@
 };
 use serde_bytes::ByteBuf;
 
+use bad_link::{BadLink, LinkFault};
+
 /// What the hosts of a fleet are told.
 #[derive(Clone, Debug)]
 pub struct FleetTerms {
@@ -35,6 +39,8 @@
     pub memory_limit_bytes: u64,
     pub mode: RolloutMode,
     pub origin_copies: u32,
+    /// A host that does not hold the shared key.
+    pub stranger: Option<usize>,
 }
 
 /// One host of a fleet.
@@ -61,6 +67,7 @@
             memory_limit_bytes: 1 << 30,
             mode: RolloutMode::OriginFirst,
             origin_copies: 2,
+            stranger: None,
         }
     }
 }
@@ -108,6 +115,28 @@
         }
     }
 
+    /// Puts a relay with a fault before what a host sends.
+    pub async fn spoil_link(&self, idx: usize, fault: LinkFault) -> BadLink {
+        let host = self.hosts[idx].as_ref().unwrap();
+        let link = BadLink::start(host.server.address(), fault).await;
+        host.node.membership.update_own(|it| it.peer_address = link.address);
+        self.introduce();
+        link
+    }
+
+    /// Waits until the hosts together hold `percent` of the chunks of `target`.
+    pub async fn wait_held(&self, target: &WeightsTarget, percent: u32) {
+        loop {
+            let all = self.progress(target);
+            let held: u32 = all.iter().map(|it| it.chunks_held).sum();
+            let total: u32 = all.iter().map(|it| it.chunks_total).sum();
+            if total > 0 && held * 100 >= total * percent {
+                return;
+            }
+            runtime::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     /// Starts a host anew, with empty memory, and tells the others.
     pub async fn restart(&mut self, idx: usize) {
         self.kill(idx).await;
@@ -193,6 +222,7 @@
     let any: SocketAddr = ([127, 0, 0, 1], 0).into();
     let region = idx % terms.n_regions;
     let zone = idx / terms.n_regions % 2;
+    let secret: &[u8] = if terms.stranger == Some(idx) { b"stranger" } else { b"fleet" };
     Settings {
         host: HostSettings {
             id: format!("host-{idx}"),
@@ -204,7 +234,7 @@
         platform: PlatformSettings { addresses: Vec::new(), timeout_ms: Duration::from_secs(1) },
         join: Vec::new(),
         secrets: SecretSettings {
-            peer_key: PeerKey::from_secret(b"fleet"),
+            peer_key: PeerKey::from_secret(secret),
             operator_token_digest: Digest::of(b"fleet"),
         },
         weights: WeightsSettings {
--- /dev/null
+++ b/tests/weights_faults.rs
@@ -0,0 +1,289 @@
+//! Every host ends with exactly the intended weights, whatever fails on the way.
+
+mod fleet;
+
+use std::{sync::Arc, time::Duration};
+
+use crocustiller::{
+    digest::Digest,
+    rollout::WeightsTarget,
+    runtime,
+    weights::{rank, Manifest},
+};
+use crocustiller_standins::{NewVersion, OriginBehaviour, OriginStandin};
+
+use fleet::{bad_link::LinkFault, Fleet, FleetTerms};
+
+/// Generous, so that a busy machine does not change the verdict.
+const LIMIT: Duration = Duration::from_secs(90);
+/// Length of the weights.
+const SIZE_BYTES: u64 = 4 << 20;
+/// Hosts of the fleet.
+const N_HOSTS: usize = 9;
+/// Copies that the origin may send in any case.
+const MAX_ORIGIN_COPIES: f64 = 4.0;
+
+/// What fails during a burst.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// The link of a host has a fault.
+    Link(usize, LinkFault),
+    /// The origin spoils this share of its answers, in percent, until half of the chunks are held.
+    OriginCorrupts(u32),
+    /// The origin answers 429 for a time longer than the takeover deadline.
+    OriginRefuses,
+    /// The origin is down for a time longer than the takeover deadline.
+    OriginDown,
+    /// The origin stops in the middle of each answer for a time.
+    OriginStalls,
+    /// The host that the most chunks have as rank 0 is dead from the start and nobody knows.
+    FirstRankDead,
+    /// Hosts die at 30 % of the transfer.
+    HostsDie(&'static [usize]),
+    /// A host restarts at 50 % of the transfer.
+    HostRestarts(usize),
+    /// A host does not hold the shared key.
+    Stranger(usize),
+    /// Another version becomes the target at so many percent.
+    TargetChanges(u32),
+}
+
+/// Faults that happen together in one burst.
+fn check(faults: &[Fault]) {
+    runtime::run_until(async move {
+        let origin = start_origin().await;
+        let manifest = origin.add_version(&version("v1", 1)).unwrap();
+        let mut fleet = Fleet::start(terms(&origin, faults)).await;
+        let mut target = target_of(&manifest);
+        let mut links = Vec::new();
+        for fault in faults {
+            links.extend(before(&mut fleet, &origin, &target, *fault).await);
+        }
+        fleet.set_targets(std::slice::from_ref(&target));
+        for fault in faults {
+            target = during(&mut fleet, &origin, target, *fault).await;
+        }
+        for fault in faults {
+            set_apart(&mut fleet, *fault).await;
+        }
+        let is_verified = fleet.wait_verified(&target, LIMIT).await;
+        assert!(is_verified, "{faults:?}: {}", summary(&fleet, &target));
+        let wanted = Digest::of(&origin.content(&target.version).unwrap());
+        for digest in fleet.content_digests(&target).await {
+            assert_eq!(digest, Some(wanted), "{faults:?}");
+        }
+        for (version, counts) in origin.counts().versions {
+            let copies = counts.content_bytes as f64 / SIZE_BYTES as f64;
+            assert!(copies <= MAX_ORIGIN_COPIES, "{faults:?}: {copies} copies of {version}");
+        }
+        for host in fleet.running() {
+            assert_eq!(host.stage.progress().len(), 1, "{faults:?}: no other target is held");
+        }
+    });
+}
+
+#[test]
+fn corrupting_peer() {
+    check(&[Fault::Link(0, LinkFault::Corrupt(100))]);
+    check(&[Fault::Link(0, LinkFault::Corrupt(30))]);
+}
+
+#[test]
+fn stalled_link() {
+    check(&[Fault::Link(1, LinkFault::StallAfter(0))]);
+    check(&[Fault::Link(1, LinkFault::StallAfter(700_000))]);
+}
+
+#[test]
+fn corrupting_origin() {
+    check(&[Fault::OriginCorrupts(30)]);
+}
+
+#[test]
+fn refusing_origin() {
+    check(&[Fault::OriginRefuses]);
+}
+
+#[test]
+fn origin_down() {
+    check(&[Fault::OriginDown]);
+}
+
+#[test]
+fn stalling_origin() {
+    check(&[Fault::OriginStalls]);
+}
+
+#[test]
+fn first_rank_dead() {
+    check(&[Fault::FirstRankDead]);
+}
+
+#[test]
+fn zone_dies() {
+    // Hosts 0 and 6 are zone 0 of region 0, host 3 is its zone 1.
+    check(&[Fault::HostsDie(&[0, 6])]);
+}
+
+#[test]
+fn host_restarts() {
+    check(&[Fault::HostRestarts(4)]);
+}
+
+#[test]
+fn stranger_is_refused() {
+    check(&[Fault::Stranger(5)]);
+}
+
+#[test]
+fn target_changes() {
+    check(&[Fault::TargetChanges(30)]);
+    check(&[Fault::TargetChanges(90)]);
+}
+
+#[test]
+fn two_faults_together() {
+    check(&[Fault::Link(2, LinkFault::Corrupt(30)), Fault::HostsDie(&[3])]);
+    check(&[Fault::FirstRankDead, Fault::TargetChanges(30)]);
+    check(&[Fault::Link(7, LinkFault::StallAfter(300_000)), Fault::OriginDown]);
+}
+
+async fn before(
+    fleet: &mut Fleet,
+    origin: &OriginStandin,
+    target: &WeightsTarget,
+    fault: Fault,
+) -> Option<fleet::bad_link::BadLink> {
+    match fault {
+        Fault::Link(idx, fault) => return Some(fleet.spoil_link(idx, fault).await),
+        Fault::FirstRankDead => {
+            let idx = first_rank(origin, target);
+            fleet.kill(idx).await;
+        }
+        Fault::OriginCorrupts(corrupt_percent) => {
+            origin.set_behaviour(OriginBehaviour { corrupt_percent, ..behaviour() });
+        }
+        _ => {}
+    }
+    None
+}
+
+async fn during(
+    fleet: &mut Fleet,
+    origin: &OriginStandin,
+    target: WeightsTarget,
+    fault: Fault,
+) -> WeightsTarget {
+    match fault {
+        Fault::OriginCorrupts(_) => fleet.wait_held(&target, 50).await,
+        Fault::OriginRefuses => {
+            fleet.wait_held(&target, 10).await;
+            origin.set_behaviour(OriginBehaviour { status_429: true, ..behaviour() });
+            runtime::sleep(Duration::from_secs(4)).await;
+        }
+        Fault::OriginDown => {
+            fleet.wait_held(&target, 10).await;
+            origin.set_behaviour(OriginBehaviour { down: true, ..behaviour() });
+            runtime::sleep(Duration::from_secs(4)).await;
+        }
+        Fault::OriginStalls => {
+            fleet.wait_held(&target, 10).await;
+            origin.set_behaviour(OriginBehaviour { stall: true, ..behaviour() });
+            runtime::sleep(Duration::from_secs(4)).await;
+        }
+        Fault::HostsDie(idxs) => {
+            fleet.wait_held(&target, 30).await;
+            for idx in idxs {
+                fleet.kill(*idx).await;
+            }
+        }
+        Fault::HostRestarts(idx) => {
+            fleet.wait_held(&target, 50).await;
+            fleet.restart(idx).await;
+            fleet.set_targets(std::slice::from_ref(&target));
+        }
+        Fault::TargetChanges(percent) => {
+            fleet.wait_held(&target, percent).await;
+            let changed = NewVersion {
+                similar_to: Some("v1".to_owned()),
+                changed_percent: 50,
+                ..version("v2", 2)
+            };
+            let manifest = origin.add_version(&changed).unwrap();
+            let target = target_of(&manifest);
+            fleet.set_targets(std::slice::from_ref(&target));
+            return target;
+        }
+        Fault::Link(..) | Fault::FirstRankDead | Fault::Stranger(_) => return target,
+    }
+    origin.set_behaviour(behaviour());
+    target
+}
+
+/// A stranger gets nothing from the others, and ends before the others are looked at.
+async fn set_apart(fleet: &mut Fleet, fault: Fault) {
+    let Fault::Stranger(idx) = fault else { return };
+    runtime::sleep(Duration::from_secs(4)).await;
+    for progress in fleet.hosts[idx].as_ref().unwrap().stage.progress() {
+        assert!(!progress.is_verified);
+        assert_eq!(progress.counts.peer_bytes, 0);
+    }
+    fleet.kill(idx).await;
+}
+
+fn summary(fleet: &Fleet, target: &WeightsTarget) -> String {
+    let all = fleet.progress(target);
+    let lines = all.iter().map(|it| {
+        let held = format!("{}/{}", it.chunks_held, it.chunks_total);
+        format!("\n  held {held} problem {:?} {:?}", it.problem, it.counts)
+    });
+    lines.collect()
+}
+
+/// The host that is rank 0 for the most chunks.
+fn first_rank(origin: &OriginStandin, target: &WeightsTarget) -> usize {
+    let bytes = origin.content(&target.version).unwrap();
+    let manifest = Manifest::build(&target.version, &bytes);
+    let n_first = |idx: usize| {
+        let score = |chunk: &Digest, idx: usize| {
+            rank::score(rank::digest_hash(chunk), rank::host_hash(&format!("host-{idx}")))
+        };
+        let is_first =
+            |chunk: &&Digest| (0..N_HOSTS).all(|other| score(chunk, other) <= score(chunk, idx));
+        manifest.chunks.iter().filter(is_first).count()
+    };
+    (0..N_HOSTS).max_by_key(|it| n_first(*it)).unwrap()
+}
+
+async fn start_origin() -> OriginStandin {
+    let origin = OriginStandin::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    origin.set_behaviour(behaviour());
+    origin
+}
+
+fn behaviour() -> OriginBehaviour {
+    OriginBehaviour { rate_bytes_per_s: SIZE_BYTES, ..OriginBehaviour::default() }
+}
+
+fn version(name: &str, seed: u64) -> NewVersion {
+    NewVersion { version: name.to_owned(), seed, size_bytes: SIZE_BYTES, ..NewVersion::default() }
+}
+
+fn terms(origin: &OriginStandin, faults: &[Fault]) -> FleetTerms {
+    let stranger = faults.iter().find_map(|it| match it {
+        Fault::Stranger(idx) => Some(*idx),
+        _ => None,
+    });
+    FleetTerms {
+        bytes_per_s: SIZE_BYTES / 2,
+        stranger,
+        ..FleetTerms::new(N_HOSTS, 3, origin.address())
+    }
+}
+
+fn target_of(manifest: &Arc<Manifest>) -> WeightsTarget {
+    WeightsTarget {
+        version: manifest.version.clone(),
+        manifest_digest: Digest::of(&manifest.to_json()),
+    }
+}
