--- a/src/operator/charter_routes.rs
+++ b/src/operator/charter_routes.rs
@@ -14,10 +14,12 @@
     verdict::Verdict,
 };
 
-/// Time within which a patch must be settled.
-const PATCH_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest patch.
 const MAX_PATCH_BYTES: usize = 1 << 20;
+/// Time for a patch whose operator names no deadline.
+const PATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest deadline that an operator may name.
+const MAX_PATCH_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// `GET /v1/charter`.
 pub(crate) fn show(node: &Node) -> Response {
@@ -35,75 +37,107 @@
 
 /// `PATCH /v1/charter`.
 pub(crate) async fn patch(node: &Node, mut request: Request) -> Response {
-    let Some(base_number) = number_header(&request, "If-Match") else {
-        let message = "send `If-Match: <number>` with the charter number that the patch builds on";
-        return error_answer(StatusCode::PreconditionRequired, message, Verdict::NotRun);
-    };
-    let Some(id) = request.header("Idempotency-Key").map(|it| it.as_str().to_owned()) else {
-        let message = "send `Idempotency-Key: <id>` so that the patch can be looked up";
-        return error_answer(StatusCode::PreconditionRequired, message, Verdict::NotRun);
+    let order = match read_order(&mut request).await {
+        Ok(order) => order,
+        Err(err) => return err.answer(),
     };
-    let body = match read_request_body(&mut request, MAX_PATCH_BYTES).await {
-        Ok(body) => body,
-        Err(err) => return bad_patch(&err.to_string()),
-    };
-    let patch = match serde_json::from_slice(&body) {
-        Ok(patch) => patch,
-        Err(err) => return bad_patch(&format!("the patch is not JSON: {err}")),
-    };
-    let deadline = Instant::now() + PATCH_TIMEOUT;
-    let order = PatchOrder { id, base_number, patch, deadline };
-    outcome_answer(&order, charter::patch(node, order.clone()).await)
+    let (id, base_number) = (order.id.clone(), order.base_number);
+    match charter::patch(node, order).await {
+        PatchOutcome::Accepted(number) => state_answer(&id, PatchState::Accepted(number)),
+        PatchOutcome::Stale { current } => stale(base_number, current),
+        PatchOutcome::Invalid(fields) => invalid(&fields),
+        PatchOutcome::Unavailable(reason) => {
+            let message = format!("{reason}; send the patch again");
+            error_answer(StatusCode::ServiceUnavailable, &message, Verdict::NotRun)
+        }
+        PatchOutcome::Unsettled(reason) => {
+            let message = format!(
+                "the patch may have taken effect ({reason}); ask `GET /v1/charter/patches/{id}`"
+            );
+            error_answer(StatusCode::GatewayTimeout, &message, Verdict::MayHaveRun)
+        }
+    }
 }
 
 /// `GET /v1/charter/patches/<id>`.
 pub(crate) async fn patch_state(node: &Node, id: &str) -> Response {
-    match charter::patch_state(node, id).await {
-        PatchState::Accepted(number) => accepted(id, number),
-        PatchState::Refused => {
-            json_answer(StatusCode::Ok, &json!({ "id": id, "state": "refused" }))
-        }
-        PatchState::Unknown => {
-            json_answer(StatusCode::Ok, &json!({ "id": id, "state": "unknown" }))
-        }
-    }
+    state_answer(id, charter::patch_state(node, id).await)
 }
 
-fn outcome_answer(order: &PatchOrder, outcome: PatchOutcome) -> Response {
-    let verdict = outcome.verdict();
-    match outcome {
-        PatchOutcome::Accepted(number) => accepted(&order.id, number),
-        PatchOutcome::Stale { current } => {
-            let message = format!(
-                "the patch builds on charter {}, but {current} is in force; read it and patch again",
-                order.base_number
-            );
-            let mut response = error_answer(StatusCode::PreconditionFailed, &message, verdict);
-            response.insert_header("ETag", current.to_string());
-            response
-        }
-        PatchOutcome::Invalid(errors) => {
-            let lines: Vec<String> = errors.iter().map(FieldError::to_string).collect();
-            error_answer(StatusCode::UnprocessableEntity, &lines.join("\n"), verdict)
-        }
-        PatchOutcome::Unavailable(reason) => {
-            error_answer(StatusCode::ServiceUnavailable, &reason, verdict)
-        }
-        PatchOutcome::Unsettled(reason) => {
-            error_answer(StatusCode::GatewayTimeout, &reason, verdict)
-        }
+/// What an order lacks.
+struct OrderError {
+    status: StatusCode,
+    message: String,
+}
+
+impl OrderError {
+    fn new(status: StatusCode, message: impl Into<String>) -> OrderError {
+        OrderError { status, message: message.into() }
+    }
+
+    fn answer(&self) -> Response {
+        error_answer(self.status, &self.message, Verdict::NotRun)
     }
 }
 
-fn accepted(id: &str, number: DocumentNumber) -> Response {
-    let body = json!({ "id": id, "state": "accepted", "number": number });
+async fn read_order(request: &mut Request) -> Result<PatchOrder, OrderError> {
+    let required = StatusCode::PreconditionRequired;
+    let Some(base_number) = number_header(request, "If-Match") else {
+        let message = "send `If-Match: <number>` with the charter number that the patch builds on";
+        return Err(OrderError::new(required, message));
+    };
+    let Some(id) = request.header("Idempotency-Key").map(|it| it.as_str().to_owned()) else {
+        let message = "send `Idempotency-Key: <id>` so that the patch can be looked up";
+        return Err(OrderError::new(required, message));
+    };
+    let wait = number_header(request, "X-Deadline-Ms").map(Duration::from_millis);
+    let deadline = Instant::now() + wait.unwrap_or(PATCH_TIMEOUT).min(MAX_PATCH_TIMEOUT);
+    let body = read_request_body(request, MAX_PATCH_BYTES)
+        .await
+        .map_err(|err| OrderError::new(StatusCode::BadRequest, err.to_string()))?;
+    let patch = serde_json::from_slice(&body).map_err(|err| {
+        let message = format!("the patch is not JSON: {err}; send a JSON merge patch (RFC 7396)");
+        OrderError::new(StatusCode::UnprocessableEntity, message)
+    })?;
+    Ok(PatchOrder { id, base_number, patch, deadline })
+}
+
+fn state_answer(id: &str, state: PatchState) -> Response {
+    let (name, number) = match state {
+        PatchState::Accepted(number) => ("accepted", Some(number)),
+        PatchState::Refused => ("refused", None),
+        PatchState::Unknown => ("unknown", None),
+    };
+    let body = json!({ "id": id, "state": name, "number": number });
     let mut response = json_answer(StatusCode::Ok, &body);
-    response.insert_header("ETag", number.to_string());
+    if let Some(number) = number {
+        response.insert_header("ETag", number.to_string());
+    }
     response
 }
 
-fn bad_patch(message: &str) -> Response {
-    error_answer(StatusCode::UnprocessableEntity, message, Verdict::NotRun)
+fn stale(base: DocumentNumber, current: DocumentNumber) -> Response {
+    let message = format!(
+        "the patch builds on charter {base}, but {current} is in force; read it and patch again"
+    );
+    let body = json!({
+        "error": { "message": message, "verdict": Verdict::NotRun, "current_number": current }
+    });
+    let mut response = json_answer(StatusCode::PreconditionFailed, &body);
+    response.insert_header("X-Verdict", Verdict::NotRun.as_str());
+    response.insert_header("ETag", current.to_string());
+    response
+}
+
+fn invalid(fields: &[FieldError]) -> Response {
+    let lines: Vec<String> = fields.iter().map(|it| format!("  {it}")).collect();
+    let message = format!("the patched charter is not valid:\n{}", lines.join("\n"));
+    let body = json!({
+        "error": { "message": message, "verdict": Verdict::NotRun, "fields": fields }
+    });
+    let mut response = json_answer(StatusCode::UnprocessableEntity, &body);
+    response.insert_header("X-Verdict", Verdict::NotRun.as_str());
+    response
 }
 
 fn number_header(request: &Request, name: &str) -> Option<u64> {
--- a/src/request/failure.rs
+++ b/src/request/failure.rs
@@ -22,13 +22,15 @@
     /// What happened and what to do.
     pub(crate) message: String,
     /// Time after which the request may be sent again.
-    pub(crate) retry_after: Option<Duration>,
+    pub(crate) retry_after_s: Option<Duration>,
     /// Switch number of the slot that refused.
     pub(crate) switch_number: Option<SwitchNumber>,
     /// Whether the connection ends with this answer.
     pub(crate) closes_connection: bool,
     /// Whether the backend server broke the connection while the request was in progress.
     pub(crate) is_crash: bool,
+    /// Whether the platform could not be asked, which another slot would meet as well.
+    pub(crate) is_platform_out: bool,
     /// Addresses of entry hosts to ask instead.
     pub(crate) entry_hosts: Vec<String>,
 }
@@ -58,6 +60,11 @@
         Failure::new(status, Verdict::MayHaveRun, message.into())
     }
 
+    /// A failure of a request that ran.
+    pub(crate) fn ran(status: StatusCode, message: impl Into<String>) -> Failure {
+        Failure::new(status, Verdict::Ran, message.into())
+    }
+
     /// The failure of a call to a slot or backend server.
     pub(crate) fn of_call(err: &CallError) -> Failure {
         let is_timeout = matches!(err, CallError::TimedOut(..));
@@ -88,7 +95,7 @@
 
     /// Names the time after which the request may be sent again.
     pub(crate) fn retry_after(mut self, pause: Duration) -> Failure {
-        self.retry_after = Some(pause);
+        self.retry_after_s = Some(pause);
         self
     }
 
@@ -97,7 +104,7 @@
         let mut response = Response::new(self.status);
         response.insert_header(headers::REQUEST_ID, request_id);
         response.insert_header(headers::VERDICT, self.verdict.as_str());
-        if let Some(pause) = self.retry_after {
+        if let Some(pause) = self.retry_after_s {
             let whole_s = pause.as_millis().div_ceil(1000).max(1);
             response.insert_header(headers::RETRY_AFTER, whole_s.to_string());
         }
@@ -110,6 +117,9 @@
         if self.is_crash {
             response.insert_header(headers::CRASHED, "1");
         }
+        if self.is_platform_out {
+            response.insert_header(headers::PLATFORM_OUT, "1");
+        }
         let detail = ErrorDetail {
             message: &self.message,
             verdict: self.verdict,
@@ -125,10 +135,11 @@
             status,
             verdict,
             message,
-            retry_after: None,
+            retry_after_s: None,
             switch_number: None,
             closes_connection: false,
             is_crash: false,
+            is_platform_out: false,
             entry_hosts: Vec::new(),
         }
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,15 +1,26 @@
 //! Live requests: from a caller through an entry host and a slot to a backend server and back.
 
+mod account;
 mod attempt;
+mod backend_probe;
+mod claim_bucket;
+mod claim_key;
+mod claim_object;
+mod claim_stage;
 mod entry_hosts;
 mod entry_stage;
 mod failure;
+mod fair_queue;
 mod headers;
 mod in_progress;
 mod incoming;
+mod places;
+mod quarantine;
+mod quarantine_stage;
 mod relay;
 mod retry_budget;
 mod route;
+mod slot_gate;
 mod slot_loads;
 mod slot_picker;
 mod slot_stage;
@@ -17,14 +28,19 @@
 use std::sync::Arc;
 
 use crate::{
+    digest::Digest,
     net::Handler,
     node::Node,
-    request::{entry_stage::EntryStage, slot_stage::SlotStage},
+    request::{entry_stage::EntryStage, quarantine_stage::QuarantineStage, slot_stage::SlotStage},
     rollout::ServingState,
 };
 
 pub use crate::request::{
+    claim_bucket::{CallOutcome, Claim, ClaimAnswer, ClaimBucket, ClaimChange},
+    claim_key::{shard_decision, ClaimKey, KeyError, BUCKET_SPAN, MAX_CLOCK_SKEW},
     entry_hosts::choose_entry_hosts,
+    fair_queue::{Enqueued, FairQueue, Started, Ticket},
+    quarantine::{Quarantine, QuarantineChange, QuarantineEntry, Standing, MAX_CRASHED_HOSTS},
     retry_budget::RetryBudget,
     slot_picker::{SlotLoad, SlotPicker},
     slot_stage::WeightsSource,
@@ -53,3 +69,9 @@
         Box::pin(async move { Ok(stage.answer(request).await) })
     })
 }
+
+/// Lets requests with `fingerprint` through again on all entry hosts; the documents show the result.
+pub(crate) async fn clear_quarantine(node: &Arc<Node>, fingerprint: Digest) {
+    let stage = QuarantineStage::new(node.clone());
+    stage.note(QuarantineChange::Cleared { fingerprint }).await;
+}
--- a/src/subcommand/operator_client.rs
+++ b/src/subcommand/operator_client.rs
@@ -3,15 +3,18 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http_types::{Method, Request, Url};
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::{
-    error::CommandError, net::HttpClient, runtime, subcommand::common_options::CommonOptions,
+    error::{Attempt, CommandError},
+    net::HttpClient,
+    subcommand::common_options::CommonOptions,
     verdict::Verdict,
 };
 
 /// Time limit of one order at one entry host.
-const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest answer.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -47,7 +50,7 @@
 
 impl OperatorClient {
     /// Makes a client from the options; opens no connection.
-    pub(crate) fn new(options: CommonOptions) -> Result<OperatorClient, CommandError> {
+    pub(crate) fn new(options: &CommonOptions) -> Result<OperatorClient, CommandError> {
         Ok(OperatorClient {
             entry_hosts: options.entry_hosts()?,
             token: options.token()?,
@@ -56,18 +59,27 @@
         })
     }
 
+    /// The entry hosts that the operator named.
+    pub(crate) fn entry_hosts(&self) -> &[SocketAddr] {
+        &self.entry_hosts
+    }
+
     /// Sends `order` to the entry hosts in turn until one answers or may have run it.
-    pub(crate) fn send(&self, order: &Order) -> Result<Value, CommandError> {
-        runtime::run_until(async {
-            let mut last = String::new();
-            for address in &self.entry_hosts {
-                match self.send_to(*address, order).await {
-                    Err(CommandError::Unreachable(_, reason)) => last = reason,
-                    res => return res,
-                }
+    pub(crate) async fn send(&self, order: &Order) -> Result<Value, CommandError> {
+        let mut failed = Vec::new();
+        for address in &self.entry_hosts {
+            match self.send_to(*address, order, ORDER_TIMEOUT).await {
+                Err(CommandError::Unreachable(attempts)) => failed.extend(attempts),
+                res => return res,
             }
-            Err(CommandError::Unreachable(self.entry_hosts.clone(), last))
-        })
+        }
+        Err(CommandError::Unreachable(failed))
+    }
+
+    /// Reads `path` at the first entry host that answers.
+    pub(crate) async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, CommandError> {
+        let value = self.send(&Order::get(path)).await?;
+        serde_json::from_value(value).map_err(|err| CommandError::Answer(err.to_string()))
     }
 
     /// Sends `order` to one process.
@@ -75,15 +87,14 @@
         &self,
         address: SocketAddr,
         order: &Order,
+        limit: Duration,
     ) -> Result<Value, CommandError> {
         let request = self.request(address, order);
-        let res = self.http.fetch(address, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await;
+        let res = self.http.fetch(address, request, limit, MAX_ANSWER_BYTES).await;
         let is_read = order.method == Method::Get;
         let (response, body) = res.map_err(|err| match err.verdict() {
-            Verdict::MayHaveRun if !is_read => {
-                CommandError::Refused(0, err.to_string(), Verdict::MayHaveRun)
-            }
-            _ => CommandError::Unreachable(vec![address], err.to_string()),
+            Verdict::MayHaveRun if !is_read => CommandError::Lost(err.to_string()),
+            _ => unreachable(address, &err.to_string()),
         })?;
         let status = u16::from(response.status());
         let value: Value = serde_json::from_slice(&body)
@@ -112,7 +123,11 @@
     let message = value["error"]["message"].as_str().unwrap_or("refused").to_owned();
     let verdict = Verdict::from_header(value["error"]["verdict"].as_str().unwrap_or(""));
     if status == 503 && verdict == Verdict::NotRun {
-        return CommandError::Unreachable(vec![address], message);
+        return unreachable(address, &message);
     }
     CommandError::Refused(status, message, verdict)
 }
+
+fn unreachable(address: SocketAddr, reason: &str) -> CommandError {
+    CommandError::Unreachable(vec![Attempt { address, reason: reason.to_owned() }])
+}
