Links cut and frozen at each step; a lagging read never replaces a newer one

Cause: a second call had the object read again, a lagging answer replaced what the slot itself had written, and the outcome was then recorded nowhere.

--- a/src/request/claim_object.rs
+++ b/src/request/claim_object.rs
@@ -28,7 +28,15 @@
     /// Age at which claims are dropped from the object; `None` where the whole object is deleted.
     max_age: Option<Duration>,
     pending: Mutex<Vec<Pending>>,
-    known: AsyncMutex<Option<Known>>,
+    state: AsyncMutex<ObjectState>,
+}
+
+/// What is known of the object.
+#[derive(Debug, Default)]
+struct ObjectState {
+    known: Option<Known>,
+    /// Greatest revision seen; an answer with a smaller one lags and is not used.
+    newest: Revision,
 }
 
 #[derive(Debug)]
@@ -50,7 +58,7 @@
             name: name.to_owned(),
             max_age,
             pending: Mutex::default(),
-            known: AsyncMutex::new(None),
+            state: AsyncMutex::default(),
         }
     }
 
@@ -64,7 +72,7 @@
         let (sender, receiver) = async_channel::bounded(1);
         self.pending.lock().unwrap().push(Pending { change, answer: sender.clone() });
         let left = deadline.saturating_duration_since(Instant::now());
-        let Ok(mut known) = runtime::timeout(left, self.known.lock()).await else {
+        let Ok(mut state) = runtime::timeout(left, self.state.lock()).await else {
             self.pending.lock().unwrap().retain(|it| !it.answer.same_channel(&sender));
             return answered(&receiver).ok_or_else(|| lost(&self.name));
         };
@@ -72,7 +80,7 @@
             return Ok(answer);
         }
         let batch = std::mem::take(&mut *self.pending.lock().unwrap());
-        let res = self.write(platform, &mut known, &batch, deadline).await;
+        let res = self.write(platform, &mut state, &batch, deadline).await;
         if let Err(err) = res {
             let own = |it: &Pending| it.answer.same_channel(&sender);
             self.pending.lock().unwrap().extend(batch.into_iter().filter(|it| !own(it)));
@@ -83,29 +91,34 @@
 
     /// Reads the object again before the next answer.
     pub(crate) async fn refresh(&self) {
-        *self.known.lock().await = None;
+        self.state.lock().await.known = None;
     }
 
     async fn write(
         &self,
         platform: &PlatformClient,
-        known: &mut Option<Known>,
+        state: &mut ObjectState,
         batch: &[Pending],
         deadline: Instant,
     ) -> Result<(), PlatformError> {
+        let mut is_first = true;
         loop {
-            let err = match self.write_once(platform, known, batch).await {
+            let err = match self.write_once(platform, state, batch).await {
                 Ok(()) => return Ok(()),
                 Err(err) => err,
             };
-            *known = None;
+            state.known = None;
             let is_final = matches!(err, PlatformError::Refused(..));
             if is_final || Instant::now() + RETRY_PAUSE >= deadline {
                 return Err(err);
             }
-            if !matches!(err, PlatformError::Conflict(_)) {
-                runtime::sleep(RETRY_PAUSE).await;
-            }
+            let pause = if matches!(err, PlatformError::Conflict(_)) && is_first {
+                Duration::ZERO
+            } else {
+                RETRY_PAUSE
+            };
+            is_first = false;
+            runtime::sleep(pause).await;
         }
     }
 
@@ -113,12 +126,12 @@
     async fn write_once(
         &self,
         platform: &PlatformClient,
-        known: &mut Option<Known>,
+        state: &mut ObjectState,
         batch: &[Pending],
     ) -> Result<(), PlatformError> {
-        let current = match known.take() {
+        let current = match state.known.take() {
             Some(current) => current,
-            None => self.read(platform).await?,
+            None => self.read(platform, state.newest).await?,
         };
         let mut bucket = current.bucket.clone();
         if let Some(max_age) = self.max_age {
@@ -129,7 +142,7 @@
         if bucket != current.bucket {
             let value = serde_json::to_vec(&bucket).expect("claims have only string keys");
             if value.len() > MAX_VALUE_BYTES {
-                *known = Some(current);
+                state.known = Some(current);
                 return Err(PlatformError::Refused(self.name.clone(), 413));
             }
             let precondition = match revision {
@@ -138,22 +151,33 @@
             };
             revision = Some(platform.put(&self.name, &value, precondition).await?);
         }
-        *known = Some(Known { revision, bucket });
+        state.newest = revision.unwrap_or(0).max(state.newest);
+        state.known = Some(Known { revision, bucket });
         for (pending, answer) in batch.iter().zip(answers) {
             let _ = pending.answer.try_send(answer);
         }
         Ok(())
     }
 
-    async fn read(&self, platform: &PlatformClient) -> Result<Known, PlatformError> {
-        let Some(object) = platform.get(&self.name).await? else {
+    async fn read(
+        &self,
+        platform: &PlatformClient,
+        newest: Revision,
+    ) -> Result<Known, PlatformError> {
+        let object = platform.get(&self.name).await?;
+        let revision = object.as_ref().map(|it| it.revision);
+        if revision.unwrap_or(0) < newest {
+            let reason = format!("the answer about {} lags", self.name);
+            return Err(PlatformError::Unavailable(Verdict::NotRun, reason));
+        }
+        let Some(object) = object else {
             return Ok(Known { revision: None, bucket: ClaimBucket::default() });
         };
         let bucket = serde_json::from_slice(&object.value).map_err(|err| {
             log::error!("claims: object can't be read object={} error=\"{err}\"", self.name);
             PlatformError::Refused(self.name.clone(), 422)
         })?;
-        Ok(Known { revision: Some(object.revision), bucket })
+        Ok(Known { revision, bucket })
     }
 }
 
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -6,7 +6,7 @@
 
 use crocustiller::{membership::HostState, runtime, verdict::Verdict};
 use crocustiller_standins::{PlatformBehaviour, ServiceBehaviour};
-use deployment::{Answer, Deployment, Plan};
+use deployment::{wire::WireState, Answer, Deployment, Plan};
 use futures_util::future::{join, join_all};
 
 #[test]
@@ -90,6 +90,25 @@
     }
 }
 
+/// Each link is cut, frozen for a while or frozen beyond the deadline, before, during or after the
+/// run; then the caller sends again through the other entry host.
+#[test]
+fn links_at_each_step() {
+    runtime::run_until(async {
+        let mut rows = Vec::new();
+        for link in ["entry host to slot", "slot to service", "slot to platform"] {
+            for (fault, lasts_ms) in
+                [(WireState::Cut, 300), (WireState::Frozen, 400), (WireState::Frozen, 3000)]
+            {
+                for step_ms in [0, 60, 250, 450] {
+                    rows.push(check_link(link, fault, lasts_ms, step_ms));
+                }
+            }
+        }
+        join_all(rows).await;
+    });
+}
+
 /// Two slots that both think that they own the shard are settled by the conditional update.
 #[test]
 fn two_owners_run_once() {
@@ -207,6 +226,37 @@
     });
 }
 
+async fn check_link(link: &str, fault: WireState, lasts_ms: u64, step_ms: u64) {
+    let name = format!("{link}: {fault:?} for {lasts_ms} ms at {step_ms} ms");
+    let deployment = start().await;
+    let slow = ServiceBehaviour { delay_ms: 200, answer_delay_ms: 200, ..Default::default() };
+    deployment.services.iter().for_each(|it| it.set_behaviour(slow.clone()));
+    let latency = PlatformBehaviour { latency_ms: 40, ..PlatformBehaviour::default() };
+    deployment.platform.set_behaviour(latency);
+    let set = |state| match link {
+        "entry host to slot" => deployment.slot_wires.iter().for_each(|it| it.set(state)),
+        "slot to service" => deployment.service_wires.iter().for_each(|it| it.set(state)),
+        _ => deployment.platform_wire.set(state),
+    };
+    let key = dated_key();
+    let path = "/v1/services/ledger/reservations";
+    let headers = [("Idempotency-Key", key.as_str()), ("X-Deadline-Ms", "2000")];
+    let call = deployment.send(0, deployment::TOKEN, path, "lot 4", &headers);
+    let break_link = async {
+        runtime::sleep(Duration::from_millis(step_ms)).await;
+        set(fault);
+        runtime::sleep(Duration::from_millis(lasts_ms)).await;
+        set(WireState::Open);
+        runtime::sleep(Duration::from_millis(500)).await;
+    };
+    let (first, ()) = join(call, break_link).await;
+    check_truth(&name, &deployment, &key, &first);
+    for entry in [1, 0] {
+        let again = deployment.reserve(entry, &key, "lot 4").await;
+        check_truth(&name, &deployment, &key, &again);
+    }
+}
+
 async fn kill(deployment: &mut Deployment, victim: &str) {
     match victim {
         "entry host" => deployment.entry_hosts.remove(0).kill().await,
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "not every test uses all of it")]
 
+#[path = "../wire/mod.rs"]
+pub mod wire;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_net::TcpStream;
@@ -25,6 +28,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_types::{Method, Request, Response, Url};
 use serde_bytes::ByteBuf;
+use wire::Wire;
 
 /// Token of the customer `a`; that of `b` is `token-b` and so on.
 pub const TOKEN: &str = "token-a";
@@ -73,6 +77,12 @@
     pub engines: Vec<EngineStandin>,
     pub service_slots: Vec<Host>,
     pub services: Vec<ServiceStandin>,
+    /// Between slots and the platform.
+    pub platform_wire: Wire,
+    /// Between entry hosts and the slots of services.
+    pub slot_wires: Vec<Wire>,
+    /// Between slots and services.
+    pub service_wires: Vec<Wire>,
 }
 
 /// An answer to a caller.
@@ -88,7 +98,11 @@
     /// Starts everything; all hosts are live and know each other.
     pub async fn start(plan: Plan) -> Deployment {
         let platform = PlatformStandin::start(any()).await.unwrap();
+        let platform_wire = Wire::start(platform.address()).await.unwrap();
         let mut deployment = Deployment {
+            platform_wire,
+            slot_wires: Vec::new(),
+            service_wires: Vec::new(),
             platform,
             entry_hosts: Vec::new(),
             engine_slots: Vec::new(),
@@ -111,8 +125,13 @@
         }
         for idx in 0..plan.n_services {
             let service = ServiceStandin::start(any()).await.unwrap();
-            let backend = backend(&plan, BackendKind::Service, "ledger", service.address());
+            let wire = Wire::start(service.address()).await.unwrap();
+            let backend = backend(&plan, BackendKind::Service, "ledger", wire.address());
+            deployment.service_wires.push(wire);
             let host = deployment.start_host(&plan, &format!("service-{idx}"), Some(backend)).await;
+            let wire = Wire::start(host.server.address()).await.unwrap();
+            host.node.membership.update_own(|it| it.request_address = wire.address());
+            deployment.slot_wires.push(wire);
             host.serving.open("", 0);
             deployment.services.push(service);
             deployment.service_slots.push(host);
@@ -221,7 +240,7 @@
     }
 
     async fn start_host(&self, plan: &Plan, id: &str, backend: Option<BackendSettings>) -> Host {
-        let node = Node::new(settings(plan, id, backend, self.platform.address()));
+        let node = Node::new(settings(plan, id, backend, self.platform_wire.address()));
         let peer_server = peer_server(&node).await;
         let serving = ServingState::new();
         let handler = match node.settings.backend {
