--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -112,11 +112,13 @@
             last_round = Instant::now();
             self.choose_neighbours(round % RENEW_ROUNDS == 0);
             let may_be_far = round % 2 == 1;
+            // Beside the rounds, as a peer that does not answer takes the whole time limit.
             if let Some(address) = self.choose_peer(may_be_far) {
-                self.exchange_with(address).await;
+                self.start_exchange(address);
             }
             if round % REACH_ROUNDS == REACH_ROUNDS - 1 {
-                self.reach_lost().await;
+                let gossip = self.clone();
+                runtime::spawn(async move { gossip.reach_lost().await }).detach();
             }
             self.wait_for_round().await;
         }
@@ -147,6 +149,11 @@
         Ok(())
     }
 
+    fn start_exchange(self: &Arc<Self>, address: SocketAddr) {
+        let gossip = self.clone();
+        runtime::spawn(async move { gossip.exchange_with(address).await }).detach();
+    }
+
     async fn exchange(&self, address: SocketAddr) -> Result<GossipReply, PeerError> {
         let own = self.membership.own();
         let events = self.membership.with_table(|it| it.take_events(MAX_EVENTS));
@@ -283,9 +290,9 @@
                 return;
             }
             for idx in 0..NEWS_PEERS {
-                let Some(address) = self.choose_peer(idx == 1) else { continue };
-                let gossip = self.clone();
-                runtime::spawn(async move { gossip.exchange_with(address).await }).detach();
+                if let Some(address) = self.choose_peer(idx == 1) {
+                    self.start_exchange(address);
+                }
             }
         }
     }
--- a/src/membership/report_table.rs
+++ b/src/membership/report_table.rs
@@ -47,6 +47,11 @@
         held.iter().map(report).collect()
     }
 
+    /// Number of hosts that reported.
+    pub(crate) fn n_hosts(&self) -> usize {
+        self.0.lock().unwrap().len()
+    }
+
     /// Drops the reports of hosts that are not among `present`.
     pub fn retain(&self, is_present: impl Fn(&str) -> bool) {
         self.0.lock().unwrap().retain(|host, _| is_present(host));
--- a/src/membership/reporter.rs
+++ b/src/membership/reporter.rs
@@ -4,7 +4,7 @@
 //! these go to them and not through gossip, which would bring each change to every host.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -68,9 +68,10 @@
         if own.role == HostRole::Entry {
             self.note_own(charter_number, &records);
         }
-        self.told.lock().unwrap().retain(|host, _| records.iter().any(|it| it.host == *host));
         let is_asked = |it: &&Arc<MemberRecord>| it.role == HostRole::Entry && it.host != own.host;
-        for entry_host in records.iter().filter(is_asked) {
+        let entry_hosts: Vec<&Arc<MemberRecord>> = records.iter().filter(is_asked).collect();
+        self.told.lock().unwrap().retain(|host, _| entry_hosts.iter().any(|it| it.host == *host));
+        for entry_host in entry_hosts {
             let told = Told {
                 entry_incarnation: entry_host.incarnation,
                 incarnation: own.incarnation,
@@ -88,7 +89,10 @@
 
     fn note_own(&self, charter_number: DocumentNumber, records: &[Arc<MemberRecord>]) {
         let reports = self.gossip.membership.reports();
-        reports.retain(|host| records.iter().any(|it| it.host == host));
+        if reports.n_hosts() > records.len() {
+            let present: HashSet<&str> = records.iter().map(|it| it.host.as_str()).collect();
+            reports.retain(|host| present.contains(host));
+        }
         reports.take(&self.gossip.membership.own().host, charter_number);
     }
 
