--- a/tests/tool/mod.rs
+++ b/tests/tool/mod.rs
@@ -1,8 +1,6 @@
 //! Runs the real command-line tool against one entry host in this process.
-//!
-//! Each test file uses a part of it.
 
-#![allow(dead_code)]
+#![allow(dead_code, reason = "not every test uses all of it")]
 
 use std::{
     net::SocketAddr,
