--- a/rig/src/live_load.rs
+++ b/rig/src/live_load.rs
@@ -152,7 +152,13 @@
     }
 }
 
-fn chat_request(address: SocketAddr, id: &str, customer: &str, is_stream: bool) -> Request {
+/// A chat request of a customer.
+pub(crate) fn chat_request(
+    address: SocketAddr,
+    id: &str,
+    customer: &str,
+    is_stream: bool,
+) -> Request {
     let url = format!("http://{address}/v1/chat/completions");
     let mut request = Request::new(Method::Post, url.as_str());
     request.insert_header("Authorization", format!("Bearer {}", token(customer)));
@@ -172,7 +178,12 @@
     format!("Describe lot {id}.")
 }
 
-async fn judge(id: &str, is_stream: bool, exchange: Exchange) -> (Outcome, Option<String>) {
+/// What became of a request whose answer has begun, and the fingerprint of its weights.
+pub(crate) async fn judge(
+    id: &str,
+    is_stream: bool,
+    exchange: Exchange,
+) -> (Outcome, Option<String>) {
     let status = u16::from(exchange.response.status());
     let body = match runtime::timeout(LIMIT, read(exchange)).await {
         Ok(Ok(body)) => body,
--- /dev/null
+++ b/rig/src/load.rs
@@ -0,0 +1,331 @@
+//! One customer's overload beside the others, with first come, first served as the baseline.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use crocustiller::{
+    net::{Exchange, HttpClient},
+    runtime,
+};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{
+    deployment::{customer, Deployment, N_CUSTOMERS},
+    live_load::{chat_request, judge, Outcome},
+    options::{BurstOptions, LoadOptions},
+};
+
+/// Time limit of one request.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Time that a caller waits, in milliseconds, as it tells the entry host.
+const DEADLINE_MS: &str = "5000";
+/// Requests that an engine runs at once; the default of the slots' settings.
+const CONCURRENCY: f64 = 8.0;
+/// Time of a request until its first token, in milliseconds.
+const FIRST_TOKEN_MS: u64 = 100;
+/// Time between the eight tokens of an answer, in milliseconds.
+const TOKEN_MS: u64 = 20;
+/// Time that an engine needs for one answer, in seconds.
+const ANSWER_S: f64 = 0.24;
+/// Greatest stated ratio of the others' p99 with the overload to that without it.
+const MAX_P99_RATIO: f64 = 1.2;
+/// Pause before a phase, in which the queues run empty.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Figures of a run.
+#[derive(Debug, Serialize)]
+pub(crate) struct LoadFigures {
+    hosts: usize,
+    overload: f64,
+    seed: u64,
+    capacity_per_s: f64,
+    phases: Vec<PhaseFigures>,
+    /// p99 of the others' times with the overload over that without it.
+    others_p99_ratio: Option<f64>,
+    /// The same ratio under first come, first served.
+    baseline_p99_ratio: Option<f64>,
+    max_runs_per_id: u64,
+    not_run_that_ran: u64,
+    /// Promises that broke.
+    pub(crate) broken: Vec<String>,
+}
+
+/// Figures of one phase.
+#[derive(Debug, Serialize)]
+struct PhaseFigures {
+    name: &'static str,
+    customers: BTreeMap<String, CustomerFigures>,
+    others_p99_ms: Option<f64>,
+}
+
+/// What one customer saw.
+#[derive(Clone, Debug, Default, Serialize)]
+struct CustomerFigures {
+    requests: u64,
+    answered: u64,
+    refused_by_verdict: BTreeMap<String, u64>,
+    wrong_answers: u64,
+    cut: u64,
+    wait_p50_ms: Option<f64>,
+    wait_p99_ms: Option<f64>,
+    first_token_p50_ms: Option<f64>,
+    first_token_p99_ms: Option<f64>,
+    answer_p99_ms: Option<f64>,
+}
+
+/// One request as its caller saw it.
+#[derive(Debug)]
+struct LoadSample {
+    id: String,
+    customer: usize,
+    outcome: Outcome,
+    verdict: String,
+    wait_ms: f64,
+    first_token_ms: f64,
+    answer_ms: f64,
+}
+
+/// One phase: requests a second of each customer, and whether all share one queue.
+#[derive(Clone, Copy, Debug)]
+struct Phase {
+    name: &'static str,
+    rates: [f64; N_CUSTOMERS],
+    is_first_come: bool,
+}
+
+/// Runs the phases one after the other on one deployment.
+pub(crate) async fn run(options: &LoadOptions) -> io::Result<LoadFigures> {
+    let mut plan = BurstOptions::at_rest(options.hosts, options.seed);
+    plan.entry_hosts = options.entry_hosts;
+    let deployment = Deployment::start(&plan).await?;
+    slow_engines(&deployment).await?;
+    let capacity = options.hosts as f64 * CONCURRENCY / ANSWER_S;
+    let quiet = capacity * options.load;
+    let busy = capacity * options.overload;
+    let mut phases = Vec::new();
+    let mut samples = Vec::new();
+    for phase in [
+        Phase { name: "calm", rates: [quiet; N_CUSTOMERS], is_first_come: false },
+        Phase { name: "overload", rates: [busy, quiet, quiet], is_first_come: false },
+        Phase { name: "baseline", rates: [busy, quiet, quiet], is_first_come: true },
+    ] {
+        runtime::sleep(SETTLE).await;
+        eprintln!("rig: phase {}", phase.name);
+        let seen = run_phase(&deployment, phase, options).await;
+        phases.push(figures_of(phase.name, &seen));
+        samples.extend(seen);
+    }
+    let runs = runs_by_id(&deployment).await?;
+    deployment.close();
+    let ratio = |phase: &PhaseFigures| Some(phase.others_p99_ms? / phases[0].others_p99_ms?);
+    let not_run = samples.iter().filter(|it| it.verdict == "not-run");
+    let mut figures = LoadFigures {
+        hosts: options.hosts,
+        overload: options.overload,
+        seed: options.seed,
+        capacity_per_s: capacity,
+        others_p99_ratio: ratio(&phases[1]),
+        baseline_p99_ratio: ratio(&phases[2]),
+        max_runs_per_id: runs.values().copied().max().unwrap_or(0),
+        not_run_that_ran: not_run.filter(|it| runs.contains_key(&it.id)).count() as u64,
+        phases,
+        broken: Vec::new(),
+    };
+    figures.judge(options.kill.is_some());
+    Ok(figures)
+}
+
+async fn slow_engines(deployment: &Deployment) -> io::Result<()> {
+    let behaviour = json!({
+        "first_token_ms": FIRST_TOKEN_MS, "token_ms": TOKEN_MS, "concurrency": CONCURRENCY as u64,
+    });
+    for address in deployment.backends.iter().filter_map(|it| it.engine) {
+        deployment.api.post(address, "/faults", &behaviour).await?;
+    }
+    Ok(())
+}
+
+async fn runs_by_id(deployment: &Deployment) -> io::Result<BTreeMap<String, u64>> {
+    let mut runs = BTreeMap::new();
+    for address in deployment.backends.iter().filter_map(|it| it.engine) {
+        let counts = deployment.api.get(address, "/counts").await?;
+        for (id, n) in counts["runs"].as_object().into_iter().flatten() {
+            *runs.entry(id.clone()).or_default() += n.as_u64().unwrap_or(0);
+        }
+    }
+    Ok(runs)
+}
+
+/// Sends the arrivals of a phase at their times, whatever became of the earlier ones.
+async fn run_phase(
+    deployment: &Deployment,
+    phase: Phase,
+    options: &LoadOptions,
+) -> Vec<LoadSample> {
+    let entries: Arc<Vec<SocketAddr>> =
+        Arc::new(deployment.entries.iter().map(|it| it.request).collect());
+    let http = HttpClient::new();
+    let samples = Arc::new(Mutex::new(Vec::new()));
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    let mut is_killed = options.kill.is_none();
+    for (number, (at_s, customer)) in arrivals(phase, options).into_iter().enumerate() {
+        runtime::sleep_until(started + Duration::from_secs_f64(at_s)).await;
+        if !is_killed && phase.name == "overload" && at_s > options.seconds / 2.0 {
+            is_killed = true;
+            deployment.children.kill(options.kill.as_deref().unwrap_or_default());
+        }
+        let id = format!("load-{}-{}-{number}", options.seed, phase.name);
+        let (entries, http, samples) = (entries.clone(), http.clone(), samples.clone());
+        tasks.push(runtime::spawn(async move {
+            let entry = entries[number % entries.len()];
+            let sample = send(&http, entry, id, customer, phase.is_first_come).await;
+            samples.lock().unwrap().push(sample);
+        }));
+    }
+    for task in tasks {
+        task.await;
+    }
+    let mut samples = samples.lock().unwrap();
+    std::mem::take(&mut *samples)
+}
+
+/// Poisson arrivals of each customer: seconds from the phase's start, and the customer.
+fn arrivals(phase: Phase, options: &LoadOptions) -> Vec<(f64, usize)> {
+    let mut all = Vec::new();
+    for (customer, rate) in phase.rates.iter().enumerate() {
+        let mut random = fastrand::Rng::with_seed(options.seed * 10 + customer as u64);
+        let mut at_s = 0.0;
+        loop {
+            at_s += -(1.0 - random.f64()).ln() / rate;
+            if at_s >= options.seconds {
+                break;
+            }
+            all.push((at_s, customer));
+        }
+    }
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    all
+}
+
+/// Sends one request; in the baseline all use one customer's queue.
+async fn send(
+    http: &HttpClient,
+    entry: SocketAddr,
+    id: String,
+    number: usize,
+    is_first_come: bool,
+) -> LoadSample {
+    let name = customer(if is_first_come { 0 } else { number });
+    let mut request = chat_request(entry, &id, &name, true);
+    request.insert_header("X-Deadline-Ms", DEADLINE_MS);
+    let sent = Instant::now();
+    let mut sample = LoadSample {
+        id: id.clone(),
+        customer: number,
+        outcome: Outcome::Lost(String::new()),
+        verdict: String::new(),
+        wait_ms: 0.0,
+        first_token_ms: 0.0,
+        answer_ms: 0.0,
+    };
+    match http.send(entry, request, LIMIT).await {
+        Ok(exchange) => {
+            sample.first_token_ms = ms_since(sent);
+            sample.verdict = header(&exchange, "X-Verdict").unwrap_or_default();
+            let wait = header(&exchange, "X-Wait-Ms").and_then(|it| it.parse().ok());
+            sample.wait_ms = wait.unwrap_or(0.0);
+            sample.outcome = judge(&id, true, exchange).await.0;
+        }
+        Err(err) => {
+            sample.verdict = err.verdict().as_str().to_owned();
+            sample.outcome = Outcome::Lost(err.to_string());
+        }
+    }
+    sample.answer_ms = ms_since(sent);
+    sample
+}
+
+fn figures_of(name: &'static str, samples: &[LoadSample]) -> PhaseFigures {
+    let mut customers = BTreeMap::new();
+    for number in 0..N_CUSTOMERS {
+        let own: Vec<&LoadSample> = samples.iter().filter(|it| it.customer == number).collect();
+        customers.insert(customer(number), customer_figures(&own));
+    }
+    let is_other = |it: &&LoadSample| it.customer > 0 && it.outcome == Outcome::Answered;
+    let others: Vec<&LoadSample> = samples.iter().filter(is_other).collect();
+    let others_p99_ms = percentile(&others, 99, |it| it.answer_ms);
+    PhaseFigures { name, customers, others_p99_ms }
+}
+
+fn customer_figures(own: &[&LoadSample]) -> CustomerFigures {
+    let mut figures = CustomerFigures { requests: own.len() as u64, ..Default::default() };
+    for sample in own {
+        match &sample.outcome {
+            Outcome::Answered => figures.answered += 1,
+            Outcome::Lost(_) => {
+                *figures.refused_by_verdict.entry(sample.verdict.clone()).or_default() += 1;
+            }
+            Outcome::Cut(_) => figures.cut += 1,
+            Outcome::Wrong(_) => figures.wrong_answers += 1,
+        }
+    }
+    let answered = own.iter().filter(|it| it.outcome == Outcome::Answered);
+    let answered: Vec<&LoadSample> = answered.copied().collect();
+    figures.wait_p50_ms = percentile(&answered, 50, |it| it.wait_ms);
+    figures.wait_p99_ms = percentile(&answered, 99, |it| it.wait_ms);
+    figures.first_token_p50_ms = percentile(&answered, 50, |it| it.first_token_ms);
+    figures.first_token_p99_ms = percentile(&answered, 99, |it| it.first_token_ms);
+    figures.answer_p99_ms = percentile(&answered, 99, |it| it.answer_ms);
+    figures
+}
+
+impl LoadFigures {
+    /// Notes every promise that the figures break; the baseline is only shown.
+    fn judge(&mut self, kills: bool) {
+        let mut broken = Vec::new();
+        let mut expect = |is_kept: bool, text: &str| {
+            if !is_kept {
+                broken.push(text.to_owned());
+            }
+        };
+        for phase in &self.phases {
+            let all = phase.customers.values();
+            expect(all.clone().all(|it| it.wrong_answers == 0), "an answer was wrong");
+            expect(kills || all.clone().all(|it| it.cut == 0), "an answer was cut");
+        }
+        for phase in &self.phases[..2] {
+            let others = phase.customers.iter().filter(|(name, _)| **name != customer(0));
+            let lost: u64 = others.map(|(_, it)| it.requests - it.answered).sum();
+            expect(kills || lost == 0, "a request of a customer under its share was refused");
+        }
+        let ratio = self.others_p99_ratio.unwrap_or(f64::INFINITY);
+        expect(ratio <= MAX_P99_RATIO, "the overload delays the other customers");
+        expect(self.not_run_that_ran == 0, "a request that ran was called not run");
+        self.broken = broken;
+    }
+}
+
+fn percentile(
+    samples: &[&LoadSample],
+    percent: usize,
+    value: impl Fn(&LoadSample) -> f64,
+) -> Option<f64> {
+    let mut values: Vec<f64> = samples.iter().map(|it| value(it)).collect();
+    values.sort_by(f64::total_cmp);
+    values.get((values.len() * percent).div_ceil(100).checked_sub(1)?).copied()
+}
+
+fn header(exchange: &Exchange, name: &str) -> Option<String> {
+    exchange.response.header(name).map(|it| it.as_str().to_owned())
+}
+
+fn ms_since(start: Instant) -> f64 {
+    start.elapsed().as_secs_f64() * 1e3
+}
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -8,6 +8,7 @@
 mod figures;
 mod host_plan;
 mod live_load;
+mod load;
 mod options;
 mod process_sample;
 mod scale;
@@ -46,6 +47,11 @@
             print(&figures, options.json)?;
             Ok(figures.broken.is_empty())
         }
+        Command::Load(options) => {
+            let figures = load::run(&options).await?;
+            print(&figures, options.json)?;
+            Ok(figures.broken.is_empty())
+        }
         Command::Scale(options) => {
             let all = scale::run(&options).await?;
             if !options.json {
--- a/rig/src/options.rs
+++ b/rig/src/options.rs
@@ -20,6 +20,37 @@
 pub(crate) enum Command {
     Burst(BurstOptions),
     Scale(ScaleOptions),
+    Load(LoadOptions),
+}
+
+/// Lets one customer overload a pool beside the others, and compares with first come, first served.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub(crate) struct LoadOptions {
+    /// backend server hosts (default 3)
+    #[argh(option, default = "3")]
+    pub(crate) hosts: usize,
+    /// entry hosts (default 3)
+    #[argh(option, default = "3")]
+    pub(crate) entry_hosts: usize,
+    /// load of each quiet customer as a share of the capacity (default 0.15)
+    #[argh(option, default = "0.15")]
+    pub(crate) load: f64,
+    /// load of the busy customer as a multiple of the capacity (default 3)
+    #[argh(option, default = "3.0")]
+    pub(crate) overload: f64,
+    /// seconds of each of the three phases (default 20)
+    #[argh(option, default = "20.0")]
+    pub(crate) seconds: f64,
+    /// seed of the arrivals (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// process that is killed half way through the overload, such as entry-0 or backend-1
+    #[argh(option)]
+    pub(crate) kill: Option<String>,
+    /// print one JSON object as the last line
+    #[argh(switch)]
+    pub(crate) json: bool,
 }
 
 /// Brings one new version to every backend server host while live requests are answered.
