--- a/src/report/convergence.rs
+++ b/src/report/convergence.rs
@@ -19,7 +19,7 @@
 }
 
 impl Convergence {
-    /// Whether a number up to `newest` is still waited for, or `newest` was not taken yet.
+    /// Whether a number is waited for once `newest` is known.
     pub fn is_waiting(&self, newest: u64) -> bool {
         newest > self.newest || !self.pending.is_empty()
     }
--- a/src/report/convergence_watch.rs
+++ b/src/report/convergence_watch.rs
@@ -7,8 +7,8 @@
 };
 
 use crate::{
-    charter::charter_status,
-    ids::{DocumentNumber, PoolId},
+    charter::{self, Charter},
+    ids::PoolId,
     membership::{HostRole, HostState, MemberRecord},
     node::Node,
     report::{convergence::Convergence, level::Level},
@@ -52,13 +52,11 @@
 
     async fn look(&mut self) {
         let Some(charter) = self.node.documents.charter() else { return };
+        if self.charter.is_waiting(charter.number) {
+            self.look_at_charter(&charter).await;
+        }
         let now = self.started.elapsed();
         let live = self.node.membership.live();
-        let limit = charter.service_levels.charter_in_force_s;
-        let lowest = self.lowest_in_force(charter.number, &live).await;
-        for took in self.charter.observe(now, charter.number, lowest, limit) {
-            self.node.accounts.record_event(Level::CharterInForce, took, limit);
-        }
         let limit = charter.service_levels.time_to_all_s;
         for pool in charter.pools.keys().filter_map(|it| self.node.documents.pool(it)) {
             let followed = self.pools.entry(pool.pool.clone()).or_default();
@@ -67,22 +65,18 @@
             }
         }
     }
-}
 
-impl ConvergenceWatch {
-    /// Lowest charter number on any live host; asks the entry hosts only while it is waited for.
-    async fn lowest_in_force(
-        &self,
-        number: DocumentNumber,
-        live: &[Arc<MemberRecord>],
-    ) -> DocumentNumber {
-        if !self.charter.is_waiting(number) {
-            return number;
+    /// Asks the entry hosts, so it is done only while a number is on its way.
+    async fn look_at_charter(&mut self, charter: &Charter) {
+        let status = charter::charter_status(&self.node).await;
+        let live = self.node.membership.live();
+        let numbers = live.iter().map(|it| status.number_on(&it.host));
+        let lowest = numbers.min().unwrap_or(status.number);
+        let limit = charter.service_levels.charter_in_force_s;
+        let now = self.started.elapsed();
+        for took in self.charter.observe(now, charter.number, lowest, limit) {
+            self.node.accounts.record_event(Level::CharterInForce, took, limit);
         }
-        let status = charter_status(&self.node).await;
-        let is_live = |host: &str| live.iter().any(|it| it.host == host);
-        let behind = status.behind.iter().filter(|it| is_live(&it.host));
-        behind.map(|it| it.charter_number).min().unwrap_or(number)
     }
 }
 
