--- a/benches/chunk_path.rs
+++ b/benches/chunk_path.rs
@@ -1,1 +1,92 @@
-fn main() {}
+//! Rate of verified chunks from one host to another without limits, beside plain TCP.
+//!
+//! `cargo bench --bench chunk_path`; medians of 5, loopback.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::{
+    io::{Read, Write},
+    net::{TcpListener, TcpStream},
+    time::{Duration, Instant},
+};
+
+use crocustiller::{
+    charter::RolloutMode, digest::Digest, rollout::WeightsTarget, runtime, weights::Manifest,
+};
+use crocustiller_standins::{NewVersion, OriginStandin};
+
+use fleet::{Fleet, FleetTerms};
+
+/// Length of the weights that go from one host to the other.
+const SIZE_BYTES: u64 = 512 << 20;
+/// Runs of which the median is printed.
+const N_RUNS: usize = 5;
+
+fn main() {
+    let mut tcp: Vec<f64> = (0..N_RUNS).map(|_| plain_tcp()).collect();
+    let mut chunks: Vec<f64> = (0..N_RUNS).map(|_| runtime::run_until(verified_chunks())).collect();
+    tcp.sort_by(f64::total_cmp);
+    chunks.sort_by(f64::total_cmp);
+    println!("plain TCP, one connection, MB/s: median {:.0} of {tcp:.0?}", tcp[N_RUNS / 2]);
+    println!(
+        "verified chunks, host to host, MB/s: median {:.0} of {chunks:.0?}",
+        chunks[N_RUNS / 2]
+    );
+}
+
+fn plain_tcp() -> f64 {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let sender = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let piece = vec![7; 1 << 20];
+        for _ in 0..SIZE_BYTES >> 20 {
+            stream.write_all(&piece).unwrap();
+        }
+    });
+    let mut stream = TcpStream::connect(address).unwrap();
+    let started = Instant::now();
+    let mut piece = vec![0; 1 << 20];
+    while stream.read(&mut piece).unwrap() > 0 {}
+    let rate = SIZE_BYTES as f64 / started.elapsed().as_secs_f64() / 1e6;
+    sender.join().unwrap();
+    rate
+}
+
+/// The first host takes the weights from the origin; then the second takes them from the first.
+async fn verified_chunks() -> f64 {
+    let origin = OriginStandin::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let new_version = NewVersion {
+        version: "v1".to_owned(),
+        seed: 7,
+        size_bytes: SIZE_BYTES,
+        ..NewVersion::default()
+    };
+    let manifest = origin.add_version(&new_version).unwrap();
+    let target = WeightsTarget {
+        version: manifest.version.clone(),
+        manifest_digest: Digest::of(&manifest.to_json()),
+    };
+    let terms = FleetTerms {
+        bytes_per_s: 100_000_000_000,
+        mode: RolloutMode::OriginFirst,
+        ..FleetTerms::new(1, 1, origin.address())
+    };
+    let limit = Duration::from_secs(120);
+    let mut fleet = Fleet::start(terms).await;
+    fleet.set_targets(std::slice::from_ref(&target));
+    assert!(fleet.wait_verified(&target, limit).await);
+    fleet.add_host().await;
+    let started = Instant::now();
+    fleet.set_targets(std::slice::from_ref(&target));
+    assert!(fleet.wait_verified(&target, limit).await);
+    let rate = SIZE_BYTES as f64 / started.elapsed().as_secs_f64() / 1e6;
+    let counts = origin.counts().versions["v1"].content_bytes;
+    assert_eq!(counts, Manifest::clone(&manifest).size_bytes, "nothing more came from the origin");
+    for idx in 0..2 {
+        fleet.kill(idx).await;
+    }
+    origin.close().await;
+    rate
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -84,6 +84,13 @@
         fleet
     }
 
+    /// Starts one more host and tells the others.
+    pub async fn add_host(&mut self) {
+        let idx = self.hosts.len();
+        self.hosts.push(Some(start_host(&self.terms, idx).await));
+        self.introduce();
+    }
+
     /// The hosts that run.
     pub fn running(&self) -> impl Iterator<Item = &FleetHost> {
         self.hosts.iter().flatten()
--- /dev/null
+++ b/tests/weights_deciders.rs
@@ -0,0 +1,257 @@
+//! The pure decisions of a burst, over many seeds.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use crocustiller::{
+    charter::RolloutMode,
+    ids::HostId,
+    weights::{
+        chunk_picker::{next_chunk, PeerView},
+        deadlines::{hedge_delay, takeover_base, takeover_delay},
+        endgame::{Endgame, EndgameTerms},
+        fetch_plan::{FetchPlan, PlanHost},
+        link_share::LinkShare,
+        neighbour_set::choose_neighbours,
+        origin_gate::OriginGate,
+        strikes::Strikes,
+        token_bucket::TokenBucket,
+        Manifest,
+    },
+};
+
+#[test]
+fn each_chunk_has_one_first_host() {
+    for seed in 0..50 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let hosts = hosts(random.usize(1..40), random.usize(1..4));
+        let manifest = manifest(seed);
+        let plan = |host: &PlanHost| FetchPlan::new(&manifest, &host.host, hosts.clone()).unwrap();
+        let plans: Vec<FetchPlan> = hosts.iter().map(plan).collect();
+        for chunk in 0..manifest.n_chunks() {
+            let ranks = plans.iter().map(|it| it.duty(chunk).origin_rank);
+            let ranks: BTreeSet<u32> = ranks.collect();
+            assert!(ranks.into_iter().eq(0..hosts.len() as u32), "seed {seed} chunk {chunk}");
+            check_relays(&plans, &hosts, chunk);
+        }
+    }
+}
+
+/// Every region has one relay of rank 0, and one region is at home.
+fn check_relays(plans: &[FetchPlan], hosts: &[PlanHost], chunk: u32) {
+    let mut relays = BTreeSet::new();
+    let mut homes = BTreeSet::new();
+    for (plan, host) in plans.iter().zip(hosts) {
+        let duty = plan.duty(chunk);
+        if duty.relay_rank == 0 {
+            assert!(relays.insert(&host.region), "two relays in {}", host.region);
+        }
+        if duty.is_home_region {
+            homes.insert(&host.region);
+        }
+    }
+    let regions: BTreeSet<_> = hosts.iter().map(|it| &it.region).collect();
+    assert_eq!((relays, homes.len()), (regions, 1));
+}
+
+#[test]
+fn unknown_host_has_no_plan() {
+    assert!(FetchPlan::new(&manifest(1), "host-9", hosts(3, 1)).is_none());
+}
+
+#[test]
+fn neighbours_are_bounded_and_mutual() {
+    for n_hosts in 1..120 {
+        let hosts: Vec<HostId> = (0..n_hosts).map(|it| format!("host-{it}")).collect();
+        let chosen: BTreeMap<&HostId, Vec<HostId>> =
+            hosts.iter().map(|it| (it, choose_neighbours(it, &hosts, 12))).collect();
+        for (host, neighbours) in &chosen {
+            let different: BTreeSet<_> = neighbours.iter().collect();
+            assert_eq!(neighbours.len(), (n_hosts - 1).min(12));
+            assert_eq!(different.len(), neighbours.len());
+            assert!(!neighbours.contains(host));
+            for neighbour in neighbours {
+                assert!(chosen[neighbour].contains(host), "{n_hosts} hosts: not mutual");
+            }
+        }
+        assert_eq!(n_reached(&hosts[0], &chosen), n_hosts);
+    }
+}
+
+fn n_reached(first: &HostId, chosen: &BTreeMap<&HostId, Vec<HostId>>) -> usize {
+    let mut reached = BTreeSet::from([first.clone()]);
+    let mut open = vec![first.clone()];
+    while let Some(host) = open.pop() {
+        open.extend(chosen[&host].iter().filter(|it| reached.insert((*it).clone())).cloned());
+    }
+    reached.len()
+}
+
+#[test]
+fn rarest_chunk_goes_first() {
+    let first = [true, true, false, true];
+    let second = [true, false, false, true];
+    let peers = [view(&first, 0, true), view(&second, 0, true)];
+    for seed in 0..100 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let pick = next_chunk(&[true; 4], &peers, &mut random).unwrap();
+        assert_eq!((pick.chunk, pick.peer), (1, 0), "seed {seed}");
+    }
+}
+
+#[test]
+fn picks_are_wanted_held_and_least_loaded() {
+    for seed in 0..2_000 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let n_chunks = random.usize(1..20);
+        let bools = |random: &mut fastrand::Rng| -> Vec<bool> {
+            (0..n_chunks).map(|_| random.bool()).collect()
+        };
+        let is_wanted = bools(&mut random);
+        let holds: Vec<Vec<bool>> = (0..random.usize(0..6)).map(|_| bools(&mut random)).collect();
+        let peers: Vec<PeerView<'_>> =
+            holds.iter().map(|it| view(it, random.u32(0..4), random.u8(0..4) > 0)).collect();
+        let can_give = |peer: &PeerView<'_>, chunk: usize| peer.is_available && peer.holds[chunk];
+        let Some(pick) = next_chunk(&is_wanted, &peers, &mut random) else {
+            let any =
+                (0..n_chunks).any(|it| is_wanted[it] && peers.iter().any(|p| can_give(p, it)));
+            assert!(!any, "seed {seed}: a chunk could be asked for");
+            continue;
+        };
+        let chunk = pick.chunk as usize;
+        assert!(is_wanted[chunk] && can_give(&peers[pick.peer], chunk), "seed {seed}");
+        let least = peers.iter().filter(|it| can_give(it, chunk)).map(|it| it.load).min();
+        assert_eq!(Some(peers[pick.peer].load), least, "seed {seed}");
+    }
+}
+
+#[test]
+fn ties_are_broken_at_random() {
+    let holds = [true; 8];
+    let peers = [view(&holds, 0, true)];
+    let pick = |seed| next_chunk(&[true; 8], &peers, &mut fastrand::Rng::with_seed(seed)).unwrap();
+    let chunks: BTreeSet<u32> = (0..200).map(|it| pick(it).chunk).collect();
+    assert_eq!(chunks.len(), 8);
+}
+
+#[test]
+fn takeover_doubles_with_each_rank() {
+    let base = takeover_base(Duration::from_millis(10), Duration::ZERO);
+    assert_eq!(takeover_delay(base, 0), Duration::ZERO);
+    for rank in 1..6 {
+        let (one, next) = (takeover_delay(base, rank), takeover_delay(base, rank + 1));
+        assert_eq!(next, one * 2 + base);
+    }
+    assert!(takeover_delay(base, u32::MAX) > takeover_delay(base, 100));
+}
+
+#[test]
+fn stalled_fetch_does_not_stretch_the_takeover() {
+    let chunk_time = Duration::from_millis(40);
+    let usual = takeover_base(chunk_time, Duration::ZERO);
+    assert!(takeover_base(chunk_time, Duration::from_secs(3600)) <= usual * 2);
+}
+
+#[test]
+fn slow_peers_get_more_time() {
+    let chunk_time = Duration::from_millis(40);
+    let slow = hedge_delay(Some(Duration::from_secs(1)), chunk_time);
+    assert!(slow > hedge_delay(Some(Duration::from_millis(50)), chunk_time));
+    assert!(slow > hedge_delay(None, chunk_time));
+}
+
+#[test]
+fn three_strikes_rest_a_host() {
+    let now = Instant::now();
+    let mut strikes = Strikes::default();
+    assert!(!strikes.add("host-1", now) && !strikes.add("host-1", now));
+    assert!(!strikes.is_resting("host-1", now));
+    assert!(strikes.add("host-1", now));
+    assert!(strikes.is_resting("host-1", now) && !strikes.is_resting("host-2", now));
+    assert!(!strikes.is_resting("host-1", now + Duration::from_secs(3600)));
+}
+
+#[test]
+fn origin_pauses_are_obeyed() {
+    let now = Instant::now();
+    for random in [0.0, 0.5, 0.99] {
+        let mut gate = OriginGate::default();
+        gate.refused(Duration::from_secs(7), now, random);
+        assert!(!gate.is_open(now + Duration::from_millis(6_999)));
+        assert!(gate.is_open(now + Duration::from_secs(11)));
+        // A failure in between does not shorten the pause.
+        gate.failed(now, random);
+        assert!(!gate.is_open(now + Duration::from_millis(6_999)));
+    }
+}
+
+#[test]
+fn endgame_stays_within_the_copies() {
+    for (mode, origin_copies, most) in [
+        (RolloutMode::OriginFirst, 4, 0),
+        (RolloutMode::TimeFirst, 1, 0),
+        (RolloutMode::TimeFirst, 2, 256),
+        (RolloutMode::TimeFirst, 4, 3 * 256),
+    ] {
+        for n_hosts in [1, 7, 60, 300] {
+            let terms = EndgameTerms { mode, origin_copies, n_chunks: 256, n_hosts };
+            let mut endgame = Endgame::default();
+            let mut n_taken = 0;
+            while endgame.may_take(&terms) {
+                endgame.taken();
+                n_taken += 1;
+            }
+            assert!(n_taken * n_hosts <= most, "{terms:?}: {n_taken} a host");
+        }
+    }
+}
+
+#[test]
+fn weights_yield_and_never_stop() {
+    let start = Instant::now();
+    let mut share = LinkShare::new(20, start);
+    let mut now = start;
+    for _ in 0..100 {
+        now += Duration::from_secs(1);
+        share.report(true, now);
+        assert!(share.at(now) >= 0.2);
+    }
+    assert!(share.at(now) < 0.5, "late live requests shrink the share");
+    let recovered = share.at(now + Duration::from_secs(2));
+    assert!(recovered > share.at(now) - 1e-9 && recovered < 1.0, "the share recovers slowly");
+    assert!((share.at(now + Duration::from_secs(60)) - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn bucket_keeps_the_rate() {
+    let start = Instant::now();
+    let mut bucket = TokenBucket::new(start);
+    let (mut now, mut sent) = (start, 0);
+    while now < start + Duration::from_secs(10) {
+        match bucket.take(50_000, 1_000_000.0, now) {
+            Ok(()) => sent += 50_000,
+            Err(debt) => now += debt.max(Duration::from_nanos(1)),
+        }
+    }
+    assert!((9_900_000..=10_200_000).contains(&sent), "{sent} bytes in 10 s");
+}
+
+fn view(holds: &[bool], load: u32, is_available: bool) -> PeerView<'_> {
+    PeerView { holds, load, is_available }
+}
+
+fn hosts(n_hosts: usize, n_regions: usize) -> Vec<PlanHost> {
+    let host = |idx: usize| PlanHost {
+        host: format!("host-{idx}"),
+        region: format!("region-{}", idx % n_regions),
+    };
+    (0..n_hosts).map(host).collect()
+}
+
+fn manifest(seed: u64) -> Manifest {
+    let mut bytes = vec![0; 300 << 10];
+    fastrand::Rng::with_seed(seed).fill(&mut bytes);
+    Manifest::build("v1", &bytes)
+}
