--- a/rig/src/burst.rs
+++ b/rig/src/burst.rs
@@ -21,6 +21,8 @@
 const AFTER: Duration = Duration::from_secs(2);
 /// Pause between two looks.
 const POLL: Duration = Duration::from_millis(500);
+/// Hosts for which the pause between two looks is long enough.
+const HOSTS_PER_POLL: usize = 60;
 /// A burst is given up after this many windows.
 const LIMIT_WINDOWS: f64 = 6.0;
 /// Copies that the origin may send under any fault.
@@ -112,7 +114,8 @@
                 self.progress.finish_and_clear();
                 return Ok(true);
             }
-            runtime::sleep(POLL).await;
+            runtime::sleep(POLL * self.deployment.options.hosts.div_ceil(HOSTS_PER_POLL) as u32)
+                .await;
         }
         self.progress.finish_and_clear();
         Ok(false)
--- a/rig/src/deployment.rs
+++ b/rig/src/deployment.rs
@@ -42,7 +42,24 @@
     pub(crate) entries: Vec<HostPlan>,
     pub(crate) backends: Vec<HostPlan>,
     pub(crate) children: Children,
-    folder: PathBuf,
+    folder: RunFolder,
+}
+
+/// Folder of settings and logs; dropping the value removes it unless it is to be kept.
+#[derive(Debug)]
+struct RunFolder {
+    path: PathBuf,
+    is_kept: bool,
+}
+
+impl Drop for RunFolder {
+    fn drop(&mut self) {
+        if self.is_kept {
+            eprintln!("settings and logs: {}", self.path.display());
+            return;
+        }
+        let _ = fs::remove_dir_all(&self.path);
+    }
 }
 
 impl Deployment {
@@ -59,7 +76,7 @@
             entries: Vec::new(),
             backends: Vec::new(),
             children: Children::new(&folder),
-            folder,
+            folder: RunFolder { path: folder, is_kept: options.keep_logs },
         };
         for idx in 0..options.entry_hosts {
             deployment.entries.push(HostPlan::entry(idx, options.regions, &mut ports)?);
@@ -68,7 +85,7 @@
             deployment.backends.push(HostPlan::backend(idx, options.regions, &mut ports)?);
         }
         deployment.start_standins().await?;
-        fs::write(deployment.folder.join("peer.key"), "rig-peer-key-of-loopback")?;
+        fs::write(deployment.folder.path.join("peer.key"), "rig-peer-key-of-loopback")?;
         for host in deployment.entries.iter().chain(&deployment.backends) {
             deployment.start_host(host)?;
         }
@@ -89,7 +106,7 @@
 
     /// Starts the daemon of a host, also again.
     pub(crate) fn start_host(&self, host: &HostPlan) -> io::Result<()> {
-        let path = self.folder.join(format!("{}.ini", host.id));
+        let path = self.folder.path.join(format!("{}.ini", host.id));
         fs::write(&path, self.settings_text(host))?;
         let args = ["--settings".to_owned(), path.display().to_string()];
         self.children.spawn(&host.id, "crocustillerd", &args)
@@ -130,14 +147,9 @@
         futures_util::future::join_all(asked).await
     }
 
-    /// Ends every process and removes settings and logs unless they are to be kept.
+    /// Ends every process.
     pub(crate) fn close(self) {
-        drop(self.children);
-        if self.options.keep_logs {
-            eprintln!("settings and logs: {}", self.folder.display());
-            return;
-        }
-        let _ = fs::remove_dir_all(&self.folder);
+        drop(self);
     }
 
     async fn start_standins(&self) -> io::Result<()> {
@@ -214,7 +226,7 @@
                 return Ok(());
             }
             if let Some(name) = self.children.ended().first() {
-                let log = fs::read_to_string(self.folder.join(format!("{name}.log")));
+                let log = fs::read_to_string(self.folder.path.join(format!("{name}.log")));
                 let log = log.unwrap_or_default();
                 return Err(io::Error::other(format!("{name} ended at its start:\n{log}")));
             }
--- a/rig/src/figures.rs
+++ b/rig/src/figures.rs
@@ -30,6 +30,10 @@
     pub(crate) wrong_answers: u64,
     pub(crate) live_p99_ms_without: Option<f64>,
     pub(crate) live_p99_ms_with: Option<f64>,
+    /// The part of `live_p99_ms_with` until the last host has the target verified.
+    pub(crate) live_p99_ms_transfer: Option<f64>,
+    /// The part of `live_p99_ms_with` from then on, while engines load.
+    pub(crate) live_p99_ms_load: Option<f64>,
     pub(crate) live_p99_ratio: Option<f64>,
     pub(crate) skew_s: Option<f64>,
     pub(crate) platform_calls_per_s: Option<f64>,
@@ -58,9 +62,13 @@
         }
         let answered = |it: &&Sample| it.outcome == Outcome::Answered;
         let without = samples.iter().filter(answered).filter(|it| it.ended < burst.start);
-        let with = samples.iter().filter(answered).filter(|it| burst.contains(&it.ended));
         self.live_p99_ms_without = p99_ms(without);
-        self.live_p99_ms_with = p99_ms(with);
+        let transfer_s = self.time_to_all_s.unwrap_or(f64::MAX).min(1e6);
+        let verified_at = burst.start + Duration::from_secs_f64(transfer_s);
+        let during = || samples.iter().filter(answered).filter(|it| burst.contains(&it.ended));
+        self.live_p99_ms_with = p99_ms(during());
+        self.live_p99_ms_transfer = p99_ms(during().filter(|it| it.ended < verified_at));
+        self.live_p99_ms_load = p99_ms(during().filter(|it| it.ended >= verified_at));
         let pair = self.live_p99_ms_with.zip(self.live_p99_ms_without);
         self.live_p99_ratio = pair.map(|(with, without)| with / without);
         self.skew_s = skew(samples, digests).map(|it| it.as_secs_f64());
