Have news are gathered longer in the middle of a transfer

Cause: calls for news were about ten times as many as chunks (60 hosts: 12 neighbours, one call a chunk time each) and took processor time that a busy machine did not have. In the middle of a transfer a host knows many chunks that it may ask for, so news are gathered for up to four chunk times there, and for one at the beginning and the end.

--- a/src/weights/chunk_server.rs
+++ b/src/weights/chunk_server.rs
@@ -24,7 +24,11 @@
 /// Shortest time for which news of chunks are gathered before they are sent.
 const MIN_NEWS_DELAY: Duration = Duration::from_millis(10);
 /// Longest time for which news of chunks are gathered.
-const MAX_NEWS_DELAY: Duration = Duration::from_millis(250);
+const MAX_NEWS_DELAY: Duration = Duration::from_millis(500);
+/// Chunk times for which news are gathered at most.
+const MAX_NEWS_CHUNK_TIMES: u32 = 4;
+/// Chunks that are held, or missing, for each chunk time.
+const CHUNKS_PER_CHUNK_TIME: u32 = 8;
 
 /// Gives out what this host holds, within its upload slots and its send rate.
 #[derive(Debug)]
@@ -138,9 +142,14 @@
         runtime::timeout(wait, known).await.ok()
     }
 
+    /// News are most wanted at the beginning and at the end, where few chunks can be asked for.
     fn news_delay(&self, holding: &Holding) -> Duration {
-        let chunk_time = self.budget.receive_time(u64::from(holding.manifest().chunk_bytes));
-        chunk_time.clamp(MIN_NEWS_DELAY, MAX_NEWS_DELAY)
+        let manifest = holding.manifest();
+        let n_held = holding.n_held();
+        let n_near_end = n_held.min(manifest.n_chunks() - n_held);
+        let n_times = (n_near_end / CHUNKS_PER_CHUNK_TIME).clamp(1, MAX_NEWS_CHUNK_TIMES);
+        let chunk_time = self.budget.receive_time(u64::from(manifest.chunk_bytes));
+        (chunk_time * n_times).clamp(MIN_NEWS_DELAY, MAX_NEWS_DELAY)
     }
 }
 
