--- a/src/weights/fetch_schedule.rs
+++ b/src/weights/fetch_schedule.rs
@@ -82,6 +82,7 @@
             if let Some(neighbour) = self.neighbours.get_mut(host) {
                 neighbour.rest(now + limit);
             }
+            self.context.log.count(|it| it.stalled_requests += 1);
             self.unsee(host, job.chunk);
         }
     }
--- a/src/weights/weights_progress.rs
+++ b/src/weights/weights_progress.rs
@@ -50,6 +50,8 @@
     pub bad_chunks: u64,
     /// Second requests for a chunk that was late.
     pub hedged_requests: u64,
+    /// Requests given up because a neighbour did not answer them.
+    pub stalled_requests: u64,
     /// Requests that a neighbour refused because its upload slots were taken.
     pub busy_answers: u64,
 }
--- a/tests/weights_burst.rs
+++ b/tests/weights_burst.rs
@@ -5,6 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crocustiller::{
+    charter::RolloutMode,
     digest::Digest,
     rollout::WeightsTarget,
     runtime,
@@ -19,18 +20,32 @@
 
 #[test]
 fn every_host_verifies_the_same_bytes() {
-    runtime::run_until(async {
+    for (n_hosts, n_regions) in [(1, 1), (2, 2), (5, 1), (9, 3), (20, 2)] {
+        check(n_hosts, n_regions, RolloutMode::OriginFirst, 1.0);
+    }
+}
+
+#[test]
+fn time_first_stays_within_the_copies() {
+    check(9, 3, RolloutMode::TimeFirst, 2.0);
+}
+
+/// A burst without faults, in which the origin sends at most `max_copies`.
+fn check(n_hosts: usize, n_regions: usize, mode: RolloutMode, max_copies: f64) {
+    runtime::run_until(async move {
         let (origin, manifest) = origin_with("v1", 4 << 20).await;
-        let fleet = Fleet::start(FleetTerms::new(9, 3, origin.address())).await;
+        let terms = FleetTerms { mode, ..FleetTerms::new(n_hosts, n_regions, origin.address()) };
+        let fleet = Fleet::start(terms).await;
         let node = &fleet.running().next().unwrap().node;
         let target = resolve_target(node, "v1").await.unwrap();
         assert_eq!(target, target_of(&manifest));
         fleet.set_targets(std::slice::from_ref(&target));
         assert!(fleet.wait_verified(&target, LIMIT).await, "{:#?}", fleet.progress(&target));
         let digests = fleet.content_digests(&target).await;
-        assert_eq!(digests, vec![Some(manifest.content_digest); 9]);
+        assert_eq!(digests, vec![Some(manifest.content_digest); n_hosts]);
         let sent = origin.counts().versions["v1"].content_bytes;
-        assert_eq!(sent, manifest.size_bytes, "the origin sends each chunk once");
+        let copies = sent as f64 / manifest.size_bytes as f64;
+        assert!((1.0..=max_copies).contains(&copies), "{copies} copies to {n_hosts} hosts");
     });
 }
 
--- a/tests/weights_faults.rs
+++ b/tests/weights_faults.rs
@@ -8,7 +8,7 @@
     digest::Digest,
     rollout::WeightsTarget,
     runtime,
-    weights::{rank, Manifest},
+    weights::{rank, FetchCounts, Manifest},
 };
 use crocustiller_standins::{NewVersion, OriginBehaviour, OriginStandin};
 
@@ -76,6 +76,9 @@
             let copies = counts.content_bytes as f64 / SIZE_BYTES as f64;
             assert!(copies <= MAX_ORIGIN_COPIES, "{faults:?}: {copies} copies of {version}");
         }
+        for fault in faults {
+            check_counts(&fleet, &target, *fault);
+        }
         for host in fleet.running() {
             assert_eq!(host.stage.progress().len(), 1, "{faults:?}: no other target is held");
         }
@@ -231,6 +234,20 @@
     fleet.kill(idx).await;
 }
 
+/// A fault that was noticed is counted.
+fn check_counts(fleet: &Fleet, target: &WeightsTarget, fault: Fault) {
+    let all = fleet.progress(target);
+    let sum = |count: fn(&FetchCounts) -> u64| all.iter().map(|it| count(&it.counts)).sum::<u64>();
+    let n_noticed = match fault {
+        Fault::Link(_, LinkFault::Corrupt(_)) | Fault::OriginCorrupts(_) => sum(|it| it.bad_chunks),
+        Fault::Link(_, LinkFault::StallAfter(1..)) => {
+            sum(|it| it.hedged_requests + it.stalled_requests)
+        }
+        _ => return,
+    };
+    assert!(n_noticed > 0, "{fault:?}: {}", summary(fleet, target));
+}
+
 fn summary(fleet: &Fleet, target: &WeightsTarget) -> String {
     let all = fleet.progress(target);
     let lines = all.iter().map(|it| {
