Slots report late first tokens to the link budget

The budget's yield to live requests had no caller. It now belongs to the node, and the slot stage reports each chat answer's time from the call of the engine to its head, against `first_token_ms` of the charter. Time in the queue is left out: it comes from other requests, not from the link.

The call from the slot has no test of its own yet.

--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -13,6 +13,7 @@
     platform::PlatformClient,
     report::RequestAccounts,
     settings::{BackendKind, Settings},
+    weights::LinkBudget,
 };
 
 /// Shared handles of one process.
@@ -28,6 +29,8 @@
     pub peers: Arc<PeerPool>,
     /// Bytes sent to and received from other processes.
     pub counters: Arc<LinkCounters>,
+    /// Share of the machine's link that weights may use.
+    pub link_budget: Arc<LinkBudget>,
     /// Client for backend servers, slots and the origin.
     pub http: HttpClient,
     /// The platform's service.
@@ -54,6 +57,7 @@
             membership: Arc::new(Membership::new(own_record(&settings))),
             peers: Arc::new(PeerPool::new(key, counters.clone())),
             counters,
+            link_budget: Arc::new(link_budget(&settings)),
             http,
             platform,
             settings,
@@ -61,6 +65,15 @@
     }
 }
 
+fn link_budget(settings: &Settings) -> LinkBudget {
+    let weights = &settings.weights;
+    LinkBudget::new(
+        weights.send_bytes_per_s,
+        weights.receive_bytes_per_s,
+        weights.min_share_percent,
+    )
+}
+
 fn own_record(settings: &Settings) -> MemberRecord {
     MemberRecord {
         host: settings.host.id.clone(),
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -128,6 +128,14 @@
         Ok(response)
     }
 
+    /// Weights yield the link when an engine's first token is late; waiting in the queue does not count.
+    fn report_first_token(&self, route: &Route, waited: Duration) {
+        let Route::Chat { .. } = route else { return };
+        let charter = self.node.documents.charter();
+        let Some(limit) = charter.map(|it| it.service_levels.first_token_ms) else { return };
+        self.node.link_budget.report_first_token(waited, limit);
+    }
+
     fn terms_of(&self, route: &Route) -> Result<Option<ServiceTerms>, Failure> {
         let Route::Service { service, .. } = route else { return Ok(None) };
         let charter = self.node.documents.charter();
@@ -252,8 +260,10 @@
     ) -> Result<Response, Failure> {
         let request = self.request(incoming, route, envelope);
         let limit = incoming.time_left();
+        let began = Instant::now();
         let sent = self.node.http.send(self.backend.address, request, limit).await;
         let exchange = sent.map_err(|err| Failure::of_call(&err))?;
+        self.report_first_token(route, began.elapsed());
         self.check_echo(&exchange.response, incoming, route)?;
         permit.pass.measure(route.cost_tokens());
         self.relay(incoming, route, exchange, permit).await
--- a/src/weights/weights_stage.rs
+++ b/src/weights/weights_stage.rs
@@ -47,11 +47,7 @@
     pub fn new(node: Arc<Node>) -> Arc<WeightsStage> {
         let settings = &node.settings.weights;
         let shelf = Arc::new(ChunkShelf::new(settings.memory_limit_bytes));
-        let budget = Arc::new(LinkBudget::new(
-            settings.send_bytes_per_s,
-            settings.receive_bytes_per_s,
-            settings.min_share_percent,
-        ));
+        let budget = node.link_budget.clone();
         let server = ChunkServer::new(shelf.clone(), budget.clone(), settings.upload_slots);
         let origin = Arc::new(OriginClient::new(settings.origin.clone(), node.http.clone()));
         Arc::new_cyclic(|own| WeightsStage {
@@ -72,11 +68,6 @@
         self.server.clone()
     }
 
-    /// The link budget, which is to be told how long live requests wait.
-    pub fn link_budget(&self) -> Arc<LinkBudget> {
-        self.budget.clone()
-    }
-
     /// Keeps the own membership record up to date until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         loop {
