--- a/rig/src/burst.rs
+++ b/rig/src/burst.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 use crate::{
-    deployment::Deployment, fault::FaultName, figures::BurstFigures, host_plan::HostPlan,
+    baseline, deployment::Deployment, fault::FaultName, figures::BurstFigures, host_plan::HostPlan,
     live_load::LiveLoad, options::BurstOptions, process_sample,
 };
 
@@ -25,6 +25,10 @@
 const HOSTS_PER_POLL: usize = 60;
 /// A burst is given up after this many windows.
 const LIMIT_WINDOWS: f64 = 6.0;
+/// Copies of the weights that a machine's link carries in a window, each way.
+pub(crate) const LINK_COPIES: f64 = 2.0;
+/// Copies of the weights that the origin's link carries in a window.
+pub(crate) const ORIGIN_COPIES: f64 = 4.0;
 /// Copies that the origin may send under any fault.
 const ORIGIN_COPIES_MAX: f64 = 4.0;
 
@@ -194,6 +198,7 @@
                 .max(),
             hosts_at_target: self.n_at_target().await,
             hosts_live: live.len(),
+            baselines: baseline::all(options.hosts, options.regions, options.window_s, bound_s),
             ..BurstFigures::default()
         }
     }
@@ -240,8 +245,6 @@
 
 /// Least time for `n_hosts` hosts with links of 2 copies a window each way and an origin of 4.
 fn bound_s(n_hosts: usize, window_s: f64) -> f64 {
-    const LINK_COPIES: f64 = 2.0;
-    const ORIGIN_COPIES: f64 = 4.0;
     let n = n_hosts as f64;
     let copies = [1.0 / LINK_COPIES, 1.0 / ORIGIN_COPIES, n / (ORIGIN_COPIES + n * LINK_COPIES)];
     copies.into_iter().fold(0.0, f64::max) * window_s
--- a/rig/src/deployment.rs
+++ b/rig/src/deployment.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     api::{Api, OPERATOR_TOKEN},
+    burst::{LINK_COPIES, ORIGIN_COPIES},
     children::Children,
     host_plan::{HostPlan, Ports},
     options::BurstOptions,
@@ -178,7 +179,7 @@
         self.api.put_new(self.platform, "charter", &self.first_charter()).await?;
         let first = json!({"version": "v1", "seed": 0, "size_bytes": FIRST_SIZE_BYTES});
         self.register_body(&first).await?;
-        let rate = json!({"rate_bytes_per_s": self.rate(4.0)});
+        let rate = json!({"rate_bytes_per_s": self.rate(ORIGIN_COPIES)});
         self.api.post(self.origin, "/faults", &rate).await.map(|_| ())
     }
 
@@ -258,7 +259,7 @@
     fn settings_text(&self, host: &HostPlan) -> String {
         let join: Vec<String> =
             self.entries.iter().take(N_JOIN).map(|it| it.peer.to_string()).collect();
-        let machine_rate = self.rate(2.0);
+        let machine_rate = self.rate(LINK_COPIES);
         let mut text = format!(
             "[host]\nid = {}\nrole = {}\nregion = {}\nzone = {}\n\
              [listen]\nrequest = {}\npeer = {}\noperator = {}\n\
--- a/rig/src/figures.rs
+++ b/rig/src/figures.rs
@@ -4,7 +4,10 @@
 
 use serde::Serialize;
 
-use crate::live_load::{Outcome, Sample};
+use crate::{
+    baseline::Baseline,
+    live_load::{Outcome, Sample},
+};
 
 /// Figures of one burst; `None` is printed as null and means not measured.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -40,6 +43,8 @@
     pub(crate) peak_rss_max_bytes: Option<u64>,
     pub(crate) hosts_at_target: usize,
     pub(crate) hosts_live: usize,
+    /// Other ways over the same links.
+    pub(crate) baselines: Vec<Baseline>,
     /// Reasons of requests that were not answered, with their number.
     pub(crate) failures: BTreeMap<String, u64>,
     /// Promises that broke.
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,6 +1,7 @@
 //! Starts the processes of a deployment on loopback, applies faults and prints figures.
 
 mod api;
+mod baseline;
 mod burst;
 mod children;
 mod deployment;
