--- a/rig/src/figures.rs
+++ b/rig/src/figures.rs
@@ -51,6 +51,8 @@
     pub(crate) broken: Vec<String>,
 }
 
+/// Longest time for which customers of a pool may be on different versions.
+const SKEW_MAX_S: f64 = 2.0;
 /// Failure reasons that are kept apart.
 const MAX_FAILURES: usize = 20;
 
@@ -128,6 +130,8 @@
         expect(self.lost == 0, "a live request was lost");
         expect(kills_hosts || self.cut == 0, "an answer was cut");
         expect(self.answered > 0, "no live request was answered");
+        let skew_s = self.skew_s.unwrap_or(0.0);
+        expect(skew_s <= SKEW_MAX_S, "customers were on different versions for too long");
         let copies = self.origin_copies.unwrap_or(f64::INFINITY);
         expect(copies <= origin_copies_max, "the origin sent too many copies");
         self.broken.extend(broken);
