--- a/tests/charter_spread.rs
+++ b/tests/charter_spread.rs
@@ -18,6 +18,8 @@
 const JOIN_LIMIT: Duration = Duration::from_secs(60);
 /// Time over which the platform's calls are counted.
 const COUNT_TIME: Duration = Duration::from_secs(20);
+/// Time in which processes that read the platform alone, for want of a charter, stop doing so.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Patches of one run.
 const PATCHES: u64 = 15;
 
@@ -37,6 +39,8 @@
     assert!(joined.is_some(), "{n_processes} processes did not join");
     let outcome = cluster.patch(0, "first", 0, json!({ "pools": {} })).await;
     assert_eq!(outcome, PatchOutcome::Accepted(1));
+    assert!(cluster.wait_charter(1, IN_FORCE_LIMIT).await.is_some());
+    runtime::sleep(SETTLE_TIME).await;
     let started = Instant::now();
     let calls_before = cluster.platform.counts().calls();
     for number in 1..=PATCHES {
