--- a/src/request/fair_queue.rs
+++ b/src/request/fair_queue.rs
@@ -15,7 +15,7 @@
 /// Factor that keeps fractions when tokens are divided by weights.
 const SCALE: u64 = 1 << 16;
 /// One of so many places is kept free for customers under their share.
-const PLACES_PER_RESERVED: usize = 4;
+const PLACES_PER_RESERVED: usize = 8;
 /// Time over which the places that a customer holds are averaged.
 const MEAN_SPAN: Duration = Duration::from_secs(10);
 /// Factor by which the mean may exceed the share before a customer counts as over it.
--- a/src/request/slot_gate.rs
+++ b/src/request/slot_gate.rs
@@ -100,7 +100,7 @@
         let (ticket, receiver) = self.enqueue(work)?;
         let mut place = QueuePlace { gate: self, ticket: Some(ticket) };
         self.dispatch();
-        let left = work.deadline.saturating_duration_since(Instant::now());
+        let left = self.latest_start(work).saturating_duration_since(Instant::now());
         let grant = crate::runtime::timeout(left, receiver.recv()).await;
         match grant {
             Ok(Ok(Grant::Pass(pass))) => {
@@ -125,12 +125,19 @@
         }
     }
 
+    /// The instant from which on the answer would come after the deadline.
+    fn latest_start(&self, work: Work<'_>) -> Instant {
+        let service = self.state.lock().unwrap().service_time(work.cost_tokens);
+        work.deadline.checked_sub(service).unwrap_or(work.deadline)
+    }
+
     fn enqueue(&self, work: Work<'_>) -> Result<(Ticket, async_channel::Receiver<Grant>), Failure> {
         let mut state = self.state.lock().unwrap();
         let ahead = state.queue.tokens_ahead(work.customer, work.weight);
         let is_waiting = state.queue.n_running() >= self.concurrency;
         let wait = self.expected_wait(&state, ahead);
-        if is_waiting && Instant::now() + wait > work.deadline {
+        let service = state.service_time(work.cost_tokens);
+        if is_waiting && Instant::now() + wait + service > work.deadline {
             return Err(late(wait));
         }
         let now = self.opened.elapsed();
@@ -204,6 +211,12 @@
 }
 
 impl GateState {
+    /// Time that the backend server is expected to need for a request.
+    fn service_time(&self, cost_tokens: u64) -> Duration {
+        let seconds = cost_tokens as f64 * self.seconds_per_token;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
     /// The waiter that may run now, with the place that it got.
     ///
     /// One that must run alone holds its place until the others have ended; nothing starts then.
