--- a/rig/src/figures.rs
+++ b/rig/src/figures.rs
@@ -4,7 +4,10 @@
 
 use serde::Serialize;
 
-use crate::live_load::{Outcome, Sample};
+use crate::{
+    baseline::Baseline,
+    live_load::{Outcome, Sample},
+};
 
 /// Figures of one burst; `None` is printed as null and means not measured.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -30,18 +33,26 @@
     pub(crate) wrong_answers: u64,
     pub(crate) live_p99_ms_without: Option<f64>,
     pub(crate) live_p99_ms_with: Option<f64>,
+    /// The part of `live_p99_ms_with` until the last host has the target verified.
+    pub(crate) live_p99_ms_transfer: Option<f64>,
+    /// The part of `live_p99_ms_with` from then on, while engines load.
+    pub(crate) live_p99_ms_load: Option<f64>,
     pub(crate) live_p99_ratio: Option<f64>,
     pub(crate) skew_s: Option<f64>,
     pub(crate) platform_calls_per_s: Option<f64>,
     pub(crate) peak_rss_max_bytes: Option<u64>,
     pub(crate) hosts_at_target: usize,
     pub(crate) hosts_live: usize,
+    /// Other ways over the same links.
+    pub(crate) baselines: Vec<Baseline>,
     /// Reasons of requests that were not answered, with their number.
     pub(crate) failures: BTreeMap<String, u64>,
     /// Promises that broke.
     pub(crate) broken: Vec<String>,
 }
 
+/// Longest time for which customers of a pool may be on different versions.
+const SKEW_MAX_S: f64 = 2.0;
 /// Failure reasons that are kept apart.
 const MAX_FAILURES: usize = 20;
 
@@ -58,9 +69,13 @@
         }
         let answered = |it: &&Sample| it.outcome == Outcome::Answered;
         let without = samples.iter().filter(answered).filter(|it| it.ended < burst.start);
-        let with = samples.iter().filter(answered).filter(|it| burst.contains(&it.ended));
         self.live_p99_ms_without = p99_ms(without);
-        self.live_p99_ms_with = p99_ms(with);
+        let transfer_s = self.time_to_all_s.unwrap_or(f64::MAX).min(1e6);
+        let verified_at = burst.start + Duration::from_secs_f64(transfer_s);
+        let during = || samples.iter().filter(answered).filter(|it| burst.contains(&it.ended));
+        self.live_p99_ms_with = p99_ms(during());
+        self.live_p99_ms_transfer = p99_ms(during().filter(|it| it.ended < verified_at));
+        self.live_p99_ms_load = p99_ms(during().filter(|it| it.ended >= verified_at));
         let pair = self.live_p99_ms_with.zip(self.live_p99_ms_without);
         self.live_p99_ratio = pair.map(|(with, without)| with / without);
         self.skew_s = skew(samples, digests).map(|it| it.as_secs_f64());
@@ -115,6 +130,8 @@
         expect(self.lost == 0, "a live request was lost");
         expect(kills_hosts || self.cut == 0, "an answer was cut");
         expect(self.answered > 0, "no live request was answered");
+        let skew_s = self.skew_s.unwrap_or(0.0);
+        expect(skew_s <= SKEW_MAX_S, "customers were on different versions for too long");
         let copies = self.origin_copies.unwrap_or(f64::INFINITY);
         expect(copies <= origin_copies_max, "the origin sent too many copies");
         self.broken.extend(broken);
