--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -1,12 +1,11 @@
 //! One request's tries at the slots of its pool or service.
 
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use http_types::{Request, Response, StatusCode, Url};
+use http_types::{Response, StatusCode};
 
 use crate::{
     digest::Digest,
@@ -26,7 +25,9 @@
         quarantine::{QuarantineChange, Standing, MAX_CRASHED_HOSTS},
         relay::{self, StreamEnd},
         route::Route,
+        slot_answer::{as_unavailable, duration_of, message_of, not_a_slot, too_late},
         slot_loads::SlotGuard,
+        slot_request::SlotRequest,
     },
     runtime,
     verdict::Verdict,
@@ -120,7 +121,14 @@
         self.tried.push(slot.host.clone());
         let record = places.slots.iter().find(|it| it.host == slot.host);
         let record = record.expect("the picked slot is one of the places");
-        let request = self.request(record.request_address, places.switch_number, standing);
+        let slot_request = SlotRequest {
+            incoming: self.incoming,
+            customer: self.customer,
+            switch_number: places.switch_number,
+            standing,
+        };
+        let key = &node.settings.secrets.peer_key;
+        let request = slot_request.build(record.request_address, key);
         let limit = self.incoming.time_left() + ANSWER_MARGIN;
         let sent = Instant::now();
         let exchange = match node.http.send(record.request_address, request, limit).await {
@@ -386,71 +394,8 @@
     fn no_place(&self) -> AttemptError {
         no_place(self.route.target())
     }
-
-    fn request(
-        &self,
-        address: SocketAddr,
-        switch_number: Option<SwitchNumber>,
-        standing: Standing,
-    ) -> Request {
-        let url = format!("http://{address}{}", self.incoming.path);
-        let url = Url::parse(&url).expect("an address and a checked path make a URL");
-        let mut request = Request::new(self.incoming.method, url);
-        request.set_body(self.incoming.body.clone());
-        let id = self.incoming.id.as_str();
-        let proof = self.stage.node.settings.secrets.peer_key.sign(id.as_bytes());
-        let left = self.incoming.time_left().as_millis().max(1);
-        request.insert_header(headers::REQUEST_ID, id);
-        request.insert_header(headers::PROOF, proof.to_hex().as_str());
-        request.insert_header(headers::CUSTOMER, self.customer);
-        request.insert_header(headers::DEADLINE_MS, left.to_string());
-        if let Some(number) = switch_number {
-            request.insert_header(headers::SWITCH, number.to_string());
-        }
-        if standing == Standing::Suspect {
-            request.insert_header(headers::SUSPECT, "1");
-        }
-        let passed_on = [
-            ("Content-Type", &self.incoming.content_type),
-            (headers::IDEMPOTENCY_KEY, &self.incoming.idempotency_key),
-            (headers::PRIORITY, &self.incoming.priority),
-        ];
-        for (name, value) in passed_on {
-            if let Some(value) = value {
-                request.insert_header(name, value.as_str());
-            }
-        }
-        request
-    }
 }
 
 fn never(failure: Failure) -> AttemptError {
     AttemptError { failure, retry: Retry::Never }
 }
-
-fn as_unavailable(mut failure: Failure) -> Failure {
-    failure.status = StatusCode::ServiceUnavailable;
-    failure.retry_after_s = Some(Duration::from_secs(1));
-    failure
-}
-
-fn too_late() -> Failure {
-    let message = "the answer did not arrive in time; send it again only if it may run twice";
-    Failure::may_have_run(StatusCode::GatewayTimeout, message)
-}
-
-fn not_a_slot(address: SocketAddr) -> Failure {
-    let message = format!("the host at {address} answered without a verdict");
-    Failure::may_have_run(StatusCode::BadGateway, message)
-}
-
-fn duration_of(response: &Response, name: &str) -> Duration {
-    let text = response.header(name).map(|it| it.as_str());
-    Duration::from_millis(text.and_then(|it| it.parse().ok()).unwrap_or(0))
-}
-
-fn message_of(body: &[u8]) -> String {
-    let json: Option<serde_json::Value> = serde_json::from_slice(body).ok();
-    let message = json.as_ref().and_then(|it| it["error"]["message"].as_str());
-    message.unwrap_or("the slot refused the request").to_owned()
-}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod attempt;
 mod backend_probe;
+mod chat_answer;
 mod claim_bucket;
 mod claim_key;
 mod claim_object;
@@ -20,9 +21,11 @@
 mod relay;
 mod retry_budget;
 mod route;
+mod slot_answer;
 mod slot_gate;
 mod slot_loads;
 mod slot_picker;
+mod slot_request;
 mod slot_stage;
 
 use std::sync::Arc;
--- /dev/null
+++ b/src/request/slot_request.rs
@@ -0,0 +1,58 @@
+//! The request that an entry host sends to a slot.
+
+use std::net::SocketAddr;
+
+use http_types::{Request, Url};
+
+use crate::{
+    ids::SwitchNumber,
+    peer::PeerKey,
+    request::{headers, incoming::Incoming, quarantine::Standing},
+};
+
+/// What goes to a slot beside the caller's request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotRequest<'a> {
+    /// The caller's request.
+    pub(crate) incoming: &'a Incoming,
+    /// Whose request it is.
+    pub(crate) customer: &'a str,
+    /// Switch number that the request is admitted under.
+    pub(crate) switch_number: Option<SwitchNumber>,
+    /// Whether the request must run alone.
+    pub(crate) standing: Standing,
+}
+
+impl SlotRequest<'_> {
+    /// The HTTP request to the slot at `address`, with a proof of `key`.
+    pub(crate) fn build(&self, address: SocketAddr, key: &PeerKey) -> Request {
+        let incoming = self.incoming;
+        let url = format!("http://{address}{}", incoming.path);
+        let url = Url::parse(&url).expect("an address and a checked path make a URL");
+        let mut request = Request::new(incoming.method, url);
+        request.set_body(incoming.body.clone());
+        let proof = key.sign(incoming.id.as_bytes());
+        let left = incoming.time_left().as_millis().max(1);
+        request.insert_header(headers::REQUEST_ID, incoming.id.as_str());
+        request.insert_header(headers::PROOF, proof.to_hex().as_str());
+        request.insert_header(headers::CUSTOMER, self.customer);
+        request.insert_header(headers::DEADLINE_MS, left.to_string());
+        if let Some(number) = self.switch_number {
+            request.insert_header(headers::SWITCH, number.to_string());
+        }
+        if self.standing == Standing::Suspect {
+            request.insert_header(headers::SUSPECT, "1");
+        }
+        let passed_on = [
+            ("Content-Type", &incoming.content_type),
+            (headers::IDEMPOTENCY_KEY, &incoming.idempotency_key),
+            (headers::PRIORITY, &incoming.priority),
+        ];
+        for (name, value) in passed_on {
+            if let Some(value) = value {
+                request.insert_header(name, value.as_str());
+            }
+        }
+        request
+    }
+}
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -9,7 +9,6 @@
 };
 
 use http_types::{Body, Request, Response, StatusCode, Url};
-use serde::Deserialize;
 
 use crate::{
     charter::ServiceTerms,
@@ -20,6 +19,7 @@
     node::Node,
     request::{
         backend_probe::{self, BACKEND_STATE_PATH},
+        chat_answer::check_whole,
         claim_stage::{ClaimStage, ServiceAnswer},
         failure::Failure,
         headers,
@@ -404,23 +404,6 @@
     Ok(())
 }
 
-/// Whether an engine's answer is a whole JSON object; a length alone does not show that.
-fn check_whole(route: &Route, status: StatusCode, body: &[u8]) -> Result<(), Failure> {
-    let is_chat = matches!(route, Route::Chat { .. });
-    if !is_chat || !status.is_success() || serde_json::from_slice::<ChatAnswer>(body).is_ok() {
-        return Ok(());
-    }
-    let message = "the engine's answer is not whole, so it was dropped";
-    Err(Failure::may_have_run(StatusCode::BadGateway, message))
-}
-
-/// The part of an engine's answer that every whole one has.
-#[derive(Deserialize)]
-struct ChatAnswer {
-    #[serde(rename = "choices")]
-    _choices: Vec<serde_json::Value>,
-}
-
 fn closed(message: &str) -> Failure {
     Failure::not_run(StatusCode::ServiceUnavailable, message).retry_after(CLOSED_PAUSE)
 }
