--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -1,6 +1,6 @@
 //! The commands of the tool `crocustiller`.
 
-use std::process::ExitCode;
+use std::{ffi::OsString, process::ExitCode};
 
 use argh::FromArgs;
 
@@ -60,8 +60,7 @@
 
 /// Runs the command that the process's arguments name.
 pub fn run() -> ExitCode {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    let (args, options) = match CommonOptions::split(args) {
+    let (args, options) = match arguments().and_then(CommonOptions::split) {
         Ok(split) => split,
         Err(err) => return report(&err),
     };
@@ -84,6 +83,14 @@
     }
 }
 
+fn arguments() -> Result<Vec<String>, CommandError> {
+    let to_text = |it: OsString| {
+        let message = |it: OsString| format!("{} is not UTF-8; write it so", it.to_string_lossy());
+        it.into_string().map_err(|it| CommandError::Usage(message(it)))
+    };
+    std::env::args_os().skip(1).map(to_text).collect()
+}
+
 impl Command {
     async fn run(self, options: CommonOptions) -> Result<(), CommandError> {
         let client = || OperatorClient::new(&options);
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -2,7 +2,7 @@
 
 mod tool;
 
-use std::time::Duration;
+use std::{ffi::OsStr, os::unix::ffi::OsStrExt, process::Command, time::Duration};
 
 use crocustiller::{
     digest::Digest,
@@ -196,6 +196,14 @@
     });
 }
 
+#[test]
+fn argument_that_is_no_text_is_named() {
+    let tool = env!("CARGO_BIN_EXE_crocustiller");
+    let output = Command::new(tool).arg(OsStr::from_bytes(b"\xff")).output().unwrap();
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    assert!(String::from_utf8_lossy(&output.stderr).contains("is not UTF-8"), "{output:?}");
+}
+
 #[test]
 fn help_names_the_exit_codes() {
     runtime::run_until(async {
