--- a/rig/src/figures.rs
+++ b/rig/src/figures.rs
@@ -4,7 +4,10 @@
 
 use serde::Serialize;
 
-use crate::live_load::{Outcome, Sample};
+use crate::{
+    baseline::Baseline,
+    live_load::{Outcome, Sample},
+};
 
 /// Figures of one burst; `None` is printed as null and means not measured.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -40,12 +43,16 @@
     pub(crate) peak_rss_max_bytes: Option<u64>,
     pub(crate) hosts_at_target: usize,
     pub(crate) hosts_live: usize,
+    /// Other ways over the same links.
+    pub(crate) baselines: Vec<Baseline>,
     /// Reasons of requests that were not answered, with their number.
     pub(crate) failures: BTreeMap<String, u64>,
     /// Promises that broke.
     pub(crate) broken: Vec<String>,
 }
 
+/// Longest time for which customers of a pool may be on different versions.
+const SKEW_MAX_S: f64 = 2.0;
 /// Failure reasons that are kept apart.
 const MAX_FAILURES: usize = 20;
 
@@ -123,6 +130,8 @@
         expect(self.lost == 0, "a live request was lost");
         expect(kills_hosts || self.cut == 0, "an answer was cut");
         expect(self.answered > 0, "no live request was answered");
+        let skew_s = self.skew_s.unwrap_or(0.0);
+        expect(skew_s <= SKEW_MAX_S, "customers were on different versions for too long");
         let copies = self.origin_copies.unwrap_or(f64::INFINITY);
         expect(copies <= origin_copies_max, "the origin sent too many copies");
         self.broken.extend(broken);
