The number of claim shards of a service can't be changed

Cause: a key's claim is looked for in the shard that its hash gives; another number of shards hides the claims made before, so a call could run twice. Ruled out: reading all shards of the old number (a platform read a shard for every unknown key). Not covered: removing a service and adding it again under its name. Test: charter_merge claim_shards_stay; with the check switched off it failed with 'was not refused'.

--- a/src/charter/charter.rs
+++ b/src/charter/charter.rs
@@ -170,7 +170,7 @@
     50
 }
 
-fn default_claim_shards() -> u32 {
+pub(crate) fn default_claim_shards() -> u32 {
     8
 }
 
--- a/src/charter/charter_patch.rs
+++ b/src/charter/charter_patch.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     charter::{
+        charter::default_claim_shards,
         charter_check,
         patch_order::{FieldError, PatchOrder},
         RECENT_PATCHES,
@@ -69,9 +70,10 @@
     if !errors.is_empty() {
         return Err(Refusal::Invalid(errors));
     }
-    let mut next = current;
+    let mut next = current.clone();
     json_patch::merge(&mut next, &order.patch);
-    let errors = charter_check::check(&next, &order.patch);
+    let mut errors = charter_check::check(&next, &order.patch);
+    errors.extend(check_fixed(&current, &next));
     if !errors.is_empty() {
         return Err(Refusal::Invalid(errors));
     }
@@ -96,6 +98,27 @@
     refused.is_some_and(|ids| ids.iter().any(|it| it == id))
 }
 
+/// Names the services whose number of claim shards would change.
+///
+/// A key's claim is looked for in the shard that its hash gives, so another number of shards would
+/// hide the claims made before, and a call could run twice.
+fn check_fixed(current: &Value, next: &Value) -> Vec<FieldError> {
+    let Some(services) = current["services"].as_object() else { return Vec::new() };
+    let is_changed = |service: &&String| {
+        let after = &next["services"][service.as_str()];
+        after.is_object() && claim_shards(after) != claim_shards(&services[service.as_str()])
+    };
+    let error = |service: &String| {
+        let reason = "can't change while keys are remembered; add a service with another name";
+        FieldError::new(format!("services.{service}.claim_shards"), reason)
+    };
+    services.keys().filter(is_changed).map(error).collect()
+}
+
+fn claim_shards(service: &Value) -> u64 {
+    service["claim_shards"].as_u64().unwrap_or(u64::from(default_claim_shards()))
+}
+
 fn recent_patch<'a>(charter: &'a Value, id: &str) -> Option<&'a Value> {
     charter["recent_patches"].as_array()?.iter().find(|it| it["id"] == id)
 }
--- a/tests/charter_merge.rs
+++ b/tests/charter_merge.rs
@@ -81,6 +81,15 @@
     );
 }
 
+#[test]
+fn claim_shards_stay() {
+    check_accepted(json!({ "services": { "booking": { "claim_shards": 8 } } }));
+    check_accepted(json!({ "services": { "other": { "repeatable": false, "claim_shards": 2 } } }));
+    check_accepted(json!({ "services": { "booking": { "claim_window_s": 3600 } } }));
+    let field = ["services.booking.claim_shards"];
+    check_refused(json!({ "services": { "booking": { "claim_shards": 4 } } }), &field);
+}
+
 #[test]
 fn stale_number_never_takes_effect() {
     for base_number in [0, 6, 8, u64::MAX] {
@@ -164,5 +173,6 @@
         "number": 7,
         "customers": { "weaver": { "token_digest": TOKEN } },
         "pools": { "chat": { "version": "v1", "customers": ["weaver"] } },
+        "services": { "booking": { "repeatable": false } },
     })
 }
