--- a/src/daemon/arguments.rs
+++ b/src/daemon/arguments.rs
@@ -4,7 +4,12 @@
 
 use argh::FromArgs;
 
-use crate::{daemon::daemon::Daemon, logging, runtime, settings::Settings};
+use crate::{
+    daemon::daemon::Daemon,
+    entry, logging, runtime,
+    settings::{DeployedRole, DeployedSettings, Settings},
+    slot,
+};
 
 /// Exit code for settings or a command line that can't be used.
 const EXIT_BAD_SETTINGS: u8 = 2;
@@ -19,6 +24,9 @@
     /// the INI file with the settings
     #[argh(option)]
     settings: PathBuf,
+    /// the settings are those of a deployment on the platform
+    #[argh(switch)]
+    platform: bool,
     /// only check the settings, then exit
     #[argh(switch)]
     check: bool,
@@ -27,6 +35,9 @@
 /// Runs the daemon with the arguments of the process.
 pub fn run() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    if arguments.platform {
+        return run_on_platform(&arguments);
+    }
     let settings = match Settings::load(&arguments.settings) {
         Ok(settings) => settings,
         Err(err) => {
@@ -38,7 +49,7 @@
         println!("{}: the settings are good", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(err) = logging::init(&settings) {
+    if let Err(err) = logging::init(settings.log.level) {
         eprintln!("logs can't be written: {err}");
         return ExitCode::from(EXIT_START_FAILED);
     }
@@ -51,6 +62,37 @@
     }
 }
 
+/// Runs a process on the platform, whose settings have other sections.
+fn run_on_platform(arguments: &Arguments) -> ExitCode {
+    let settings = match DeployedSettings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("{err}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("{}: the settings are good", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(err) = logging::init(settings.log.level) {
+        eprintln!("logs can't be written: {err}");
+        return ExitCode::from(EXIT_START_FAILED);
+    }
+    let role = settings.role.clone();
+    let res = match role {
+        DeployedRole::Entry(listen) => runtime::run_local(entry::run(settings, listen)),
+        DeployedRole::Backend(engine) => runtime::run_local(slot::run(settings, engine)),
+    };
+    match res {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("daemon: start failed error=\"{err}\"");
+            ExitCode::from(EXIT_START_FAILED)
+        }
+    }
+}
+
 async fn live(settings: Settings) -> Result<(), crate::daemon::StartError> {
     let serving = Daemon::start(settings).await?.serve().await?;
     let leaving = serving.wait_for_leave().await;
--- /dev/null
+++ b/src/entry/beliefs.rs
@@ -0,0 +1,117 @@
+//! Keeps the beliefs of an entry host up to date from the store.
+
+use std::{rc::Rc, time::Instant};
+
+use async_executor::Task;
+
+use crate::{
+    entry::entry_host::EntryHost,
+    fleet::{KindUpdate, KindWatch},
+    platform::{
+        store::{Change, Store, StoredObject},
+        wire_config, wire_server,
+    },
+    routing::{BackendServer, RoutingCharter},
+    runtime,
+};
+
+/// Starts to follow everything that an entry host goes by.
+pub(crate) fn follow(host: &Rc<EntryHost>, store: &Store) -> Vec<Task<()>> {
+    let charter = {
+        let host = host.clone();
+        let watch = KindWatch::new(store.clone(), wire_config::KIND);
+        runtime::spawn_local(watch.run(move |update| take_charters(&host, update)))
+    };
+    let servers = {
+        let host = host.clone();
+        let watch = KindWatch::new(store.clone(), wire_server::SERVER_KIND);
+        runtime::spawn_local(watch.run(move |update| take_servers(&host, update)))
+    };
+    let versions = {
+        let host = host.clone();
+        let watch = KindWatch::new(store.clone(), wire_server::VERSION_KIND);
+        runtime::spawn_local(watch.run(move |update| take_versions(&host, update)))
+    };
+    vec![charter, servers, versions]
+}
+
+fn take_charters(host: &EntryHost, update: KindUpdate) {
+    let objects = match update {
+        KindUpdate::Listed { objects, .. } => objects,
+        KindUpdate::Changed(changes) => changes.into_iter().map(|it| it.object).collect(),
+    };
+    for object in objects {
+        match wire_config::decode(&object) {
+            Ok(Some(charter)) => take_charter(host, charter),
+            Ok(None) => {}
+            Err(err) => log::error!("charter: not readable error=\"{err}\""),
+        }
+    }
+}
+
+/// Takes a charter unless one with a greater number is in force.
+fn take_charter(host: &EntryHost, charter: RoutingCharter) {
+    let mut held = host.charter.borrow_mut();
+    let before = held.as_ref().map_or(0, |it| it.number);
+    if charter.number <= before && held.is_some() {
+        return;
+    }
+    log::info!("charter: in force number={} before={before}", charter.number);
+    *held = Some(Rc::new(charter));
+}
+
+fn take_servers(host: &EntryHost, update: KindUpdate) {
+    let now = Instant::now();
+    match update {
+        KindUpdate::Listed { objects, is_after_outage } => {
+            let servers: Vec<BackendServer> = objects.iter().filter_map(readable_server).collect();
+            log::info!("fleet: backend servers listed n={}", servers.len());
+            host.backends.borrow_mut().list(servers, is_after_outage, now);
+            host.has_backends.set(true);
+        }
+        KindUpdate::Changed(changes) => take_server_changes(host, changes, now),
+    }
+    host.update_homes();
+}
+
+fn take_server_changes(host: &EntryHost, changes: Vec<Change>, now: Instant) {
+    let mut backends = host.backends.borrow_mut();
+    let mut gone = Vec::new();
+    for change in changes {
+        let id = change.object.metadata.name.clone();
+        gone.retain(|it| *it != id);
+        match readable_server(&change.object) {
+            _ if change.deleted => gone.push(id),
+            Some(server) => backends.set(server),
+            // An entry that has become unreadable names no backend server to use.
+            None => gone.push(id),
+        }
+    }
+    backends.remove_all(gone, now);
+}
+
+fn readable_server(object: &StoredObject) -> Option<BackendServer> {
+    match wire_server::decode_server(object) {
+        Ok(server) => Some(server),
+        Err(err) => {
+            log::warn!("fleet: entry left out backend={} error=\"{err}\"", object.metadata.name);
+            None
+        }
+    }
+}
+
+fn take_versions(host: &EntryHost, update: KindUpdate) {
+    let (objects, is_fresh) = match update {
+        KindUpdate::Listed { objects, .. } => (objects, false),
+        KindUpdate::Changed(changes) => (changes.into_iter().map(|it| it.object).collect(), true),
+    };
+    for object in objects {
+        match wire_server::decode_version(&object) {
+            Ok(target) => {
+                log::info!("versions: named model={} version={}", target.model, target.version);
+                host.versions.borrow_mut().set(&target, is_fresh, Instant::now());
+            }
+            Err(err) => log::error!("versions: not readable error=\"{err}\""),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/entry_host.rs
@@ -0,0 +1,165 @@
+//! What all tasks of an entry host share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use event_listener::Event;
+
+use crate::{
+    fleet::{BackendTable, Beacon, EngineLoad, EngineNotice, EntryState, PeerTable, VersionTable},
+    ids::{BackendId, HostId, ServiceId, ZoneId},
+    placement::{assign_homes, AttemptBudget, BackendHealth, HomelessEngine, LoadTable},
+    relay::BackendConnections,
+    routing::RoutingCharter,
+    settings::{DeployedSettings, EntryListenSettings},
+};
+
+/// Beliefs, loads and connections of one entry host.
+pub(crate) struct EntryHost {
+    pub(crate) settings: DeployedSettings,
+    pub(crate) listen: EntryListenSettings,
+    pub(crate) charter: RefCell<Option<Rc<RoutingCharter>>>,
+    pub(crate) backends: RefCell<BackendTable>,
+    pub(crate) has_backends: Cell<bool>,
+    pub(crate) versions: RefCell<VersionTable>,
+    pub(crate) peers: RefCell<PeerTable>,
+    pub(crate) loads: RefCell<LoadTable>,
+    pub(crate) health: RefCell<BackendHealth>,
+    pub(crate) connections: BackendConnections,
+    /// Told when a place may have become free.
+    pub(crate) places_changed: Event,
+    /// Exchanges between a whole request and the end of its answer.
+    pub(crate) n_exchanges: Cell<usize>,
+    /// Open connections of callers.
+    pub(crate) n_connections: Cell<usize>,
+    homes: RefCell<BTreeMap<BackendId, HostId>>,
+    budgets: RefCell<HashMap<ServiceId, AttemptBudget>>,
+    leaving_since: Cell<Option<Instant>>,
+    started_ms: u64,
+    beacon_number: Cell<u64>,
+}
+
+impl EntryHost {
+    /// Makes the state of a process that knows nothing yet.
+    pub(crate) fn new(settings: DeployedSettings, listen: EntryListenSettings) -> Rc<EntryHost> {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let bound = settings.bounds.version;
+        Rc::new(EntryHost {
+            settings,
+            listen,
+            charter: RefCell::default(),
+            backends: RefCell::default(),
+            has_backends: Cell::new(false),
+            versions: RefCell::new(VersionTable::new(bound)),
+            peers: RefCell::default(),
+            loads: RefCell::new(LoadTable::default()),
+            health: RefCell::default(),
+            connections: BackendConnections::default(),
+            places_changed: Event::new(),
+            n_exchanges: Cell::new(0),
+            n_connections: Cell::new(0),
+            homes: RefCell::default(),
+            budgets: RefCell::default(),
+            leaving_since: Cell::new(None),
+            started_ms: since_epoch.as_millis() as u64,
+            beacon_number: Cell::new(0),
+        })
+    }
+
+    /// State that callers and peers are told.
+    pub(crate) fn state(&self) -> EntryState {
+        match self.leaving_since.get() {
+            Some(_) => EntryState::Leaving,
+            None if self.charter.borrow().is_some() && self.has_backends.get() => EntryState::Ready,
+            None => EntryState::Starting,
+        }
+    }
+
+    /// Begins to leave.
+    pub(crate) fn leave(&self) {
+        self.leaving_since.set(Some(Instant::now()));
+    }
+
+    /// Since when the process is leaving.
+    pub(crate) fn leaving_since(&self) -> Option<Instant> {
+        self.leaving_since.get()
+    }
+
+    /// The next beacon.
+    pub(crate) fn beacon(&self) -> Beacon {
+        self.beacon_number.set(self.beacon_number.get() + 1);
+        let loads = self.loads.borrow();
+        let loads = loads.iter().map(|(engine, load)| EngineLoad {
+            engine: *engine,
+            n_requests: load.n_requests.min(u32::from(u16::MAX)) as u16,
+            unread_tokens: load.unread_tokens,
+        });
+        Beacon {
+            host: self.settings.host.id.clone(),
+            started_ms: self.started_ms,
+            number: self.beacon_number.get(),
+            state: self.state(),
+            callers: self.listen.callers,
+            region: self.settings.host.region.clone(),
+            zone: self.settings.host.zone.clone(),
+            loads: loads.collect(),
+        }
+    }
+
+    /// Whether this host is the home of an engine.
+    pub(crate) fn is_home_of(&self, backend: &BackendId) -> bool {
+        self.homes.borrow().get(backend) == Some(&self.settings.host.id)
+    }
+
+    /// Works out the homes anew, after a change of entry hosts or engines.
+    pub(crate) fn update_homes(&self) {
+        let own = (self.settings.host.id.clone(), self.settings.host.zone.clone());
+        let mut entry_hosts: BTreeMap<HostId, ZoneId> = BTreeMap::from([own]);
+        for peer in self.peers.borrow().alive(Instant::now()) {
+            if peer.state == EntryState::Ready {
+                entry_hosts.insert(peer.host.clone(), peer.zone.clone());
+            }
+        }
+        let backends = self.backends.borrow();
+        let engines = backends.iter().filter(|it| !it.weights.is_empty());
+        let engines = engines.map(|it| HomelessEngine {
+            started_ms: it.started_ms,
+            id: it.id.clone(),
+            zone: it.zone.clone(),
+        });
+        *self.homes.borrow_mut() = assign_homes(engines.collect(), &entry_hosts);
+        self.places_changed.notify(usize::MAX);
+    }
+
+    /// Takes what a slot process tells of its engine.
+    pub(crate) fn take_notice(&self, notice: &EngineNotice) {
+        if self.backends.borrow_mut().take_notice(notice) {
+            log::info!("fleet: engine={} serves={:?}", notice.engine, notice.serves);
+            self.places_changed.notify(usize::MAX);
+        }
+    }
+
+    /// Counts a request for a pool or service.
+    pub(crate) fn count_request(&self, service: &ServiceId) {
+        self.with_budget(service, |it| it.count_request(Instant::now()));
+    }
+
+    /// Takes one attempt beyond the first from the budget of a pool or service.
+    pub(crate) fn take_repeat(&self, service: &ServiceId) -> bool {
+        let n_hosts = 1 + self.peers.borrow().alive(Instant::now()).count();
+        self.with_budget(service, |it| it.take_repeat(n_hosts, Instant::now()))
+    }
+
+    fn with_budget<T>(&self, service: &ServiceId, act: impl FnOnce(&mut AttemptBudget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            AttemptBudget::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window)
+        });
+        act(budget)
+    }
+}
--- /dev/null
+++ b/src/entry/life.rs
@@ -0,0 +1,172 @@
+//! The life of an entry host as a typestate: starting, serving, leaving.
+
+use std::{
+    io,
+    net::TcpListener,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use async_executor::Task;
+use async_io::Async;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+
+use crate::{
+    entry::{
+        beacon_exchange, beliefs,
+        caller_connection::CallerConnection,
+        directory::{answer_directory, answer_readiness},
+        entry_host::EntryHost,
+    },
+    http1::{Connection, Responder},
+    platform::store::Store,
+    runtime,
+    settings::{DeployedSettings, EntryListenSettings},
+};
+
+/// Time before the end of the grace period at which the process ends.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Least time for which a leaving host goes on to take connections of callers that know it.
+const MIN_LEAVE_TIME: Duration = Duration::from_secs(4);
+/// Pause between two looks at what is in progress.
+const LEAVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two looks at entries that lapsed.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// An entry host that serves.
+struct Serving {
+    host: Rc<EntryHost>,
+    signals: Signals,
+    tasks: Vec<Task<()>>,
+    responders: Vec<Responder>,
+}
+
+/// An entry host that finishes what is in progress.
+struct Leaving {
+    host: Rc<EntryHost>,
+    tasks: Vec<Task<()>>,
+    responders: Vec<Responder>,
+}
+
+/// Runs an entry host until it is stopped.
+pub(crate) async fn run(settings: DeployedSettings, listen: EntryListenSettings) -> io::Result<()> {
+    let serving = Serving::start(settings, listen)?;
+    serving.wait_for_stop().await.close().await;
+    Ok(())
+}
+
+impl Serving {
+    fn start(settings: DeployedSettings, listen: EntryListenSettings) -> io::Result<Serving> {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+        let store = Store::new(settings.store);
+        let host = EntryHost::new(settings, listen.clone());
+        let listener = Async::<TcpListener>::bind(listen.callers)?;
+        let mut tasks = beliefs::follow(&host, &store);
+        tasks.extend(beacon_exchange::start(&host, &store)?);
+        tasks.push(runtime::spawn_local(accept(host.clone(), listener)));
+        tasks.push(runtime::spawn_local(expire(host.clone())));
+        let directory = {
+            let host = host.clone();
+            Responder::listen(listen.directory, move |it| answer_directory(&host, &it.target))?
+        };
+        let readiness = {
+            let host = host.clone();
+            Responder::listen(listen.readiness, move |_| answer_readiness(&host))?
+        };
+        log::info!("daemon: started host={} role=entry", host.settings.host.id);
+        Ok(Serving { host, signals, tasks, responders: vec![directory, readiness] })
+    }
+
+    async fn wait_for_stop(mut self) -> Leaving {
+        while let Some(signal) = self.signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => log::info!("daemon: settings are read at the next start"),
+                Ok(_) => break,
+                Err(err) => log::warn!("daemon: signal not read error=\"{err}\""),
+            }
+        }
+        log::info!("daemon: leaving in_progress={}", self.host.n_exchanges.get());
+        self.host.leave();
+        // The signals stay caught while the process leaves.
+        let mut signals = self.signals;
+        self.tasks
+            .push(runtime::spawn_local(async move { while signals.next().await.is_some() {} }));
+        Leaving { host: self.host, tasks: self.tasks, responders: self.responders }
+    }
+}
+
+impl Leaving {
+    /// Finishes what is in progress within the grace period.
+    async fn close(self) {
+        let since = Instant::now();
+        let grace = self.host.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
+        while since.elapsed() < grace {
+            runtime::sleep(LEAVE_CHECK_INTERVAL).await;
+            if since.elapsed() > MIN_LEAVE_TIME && self.host.n_connections.get() == 0 {
+                break;
+            }
+        }
+        log::info!("daemon: ended in_progress={}", self.host.n_exchanges.get());
+        for responder in self.responders {
+            responder.close().await;
+        }
+        for task in self.tasks {
+            task.cancel().await;
+        }
+    }
+}
+
+async fn accept(host: Rc<EntryHost>, listener: Async<TcpListener>) {
+    loop {
+        let accepted = match listener.accept().await {
+            Ok((stream, _)) => Connection::new(stream),
+            Err(err) => Err(err),
+        };
+        match accepted {
+            Ok(connection) => {
+                let counted = CountedConnection::new(host.clone());
+                let serve = CallerConnection::new(connection, host.clone()).serve();
+                let serve = async move {
+                    serve.await;
+                    drop(counted);
+                };
+                runtime::spawn_local(serve).detach();
+            }
+            Err(err) => {
+                log::warn!("callers: connection not accepted error=\"{err}\"");
+                runtime::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+/// Drops entries that lapsed in an outage and did not come back.
+async fn expire(host: Rc<EntryHost>) {
+    loop {
+        runtime::sleep(EXPIRE_INTERVAL).await;
+        let gone = host.backends.borrow_mut().expire(Instant::now());
+        if !gone.is_empty() {
+            log::info!("fleet: lapsed entries dropped n={}", gone.len());
+            host.update_homes();
+        }
+    }
+}
+
+/// Counts a caller's connection for as long as it lives.
+struct CountedConnection {
+    host: Rc<EntryHost>,
+}
+
+impl CountedConnection {
+    fn new(host: Rc<EntryHost>) -> CountedConnection {
+        host.n_connections.set(host.n_connections.get() + 1);
+        CountedConnection { host }
+    }
+}
+
+impl Drop for CountedConnection {
+    fn drop(&mut self) {
+        self.host.n_connections.set(self.host.n_connections.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,15 @@
+//! An entry host on the platform: takes callers, finds backend servers, relays answers.
+
+mod beacon_exchange;
+mod beliefs;
+mod caller_connection;
+mod directory;
+mod entry_host;
+mod exchange;
+mod life;
+mod place;
+mod refusal;
+mod stream_relay;
+
+pub(crate) use crate::entry::beacon_exchange::KIND as ENTRY_HOST_KIND;
+pub(crate) use crate::entry::life::run;
--- /dev/null
+++ b/src/entry/refusal.rs
@@ -0,0 +1,88 @@
+//! Answers that the system gives itself.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::{
+    http1::{ConnectionWriter, HttpError, ResponseHead},
+    verdict::Verdict,
+};
+
+/// An answer of the system's own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    /// Status code.
+    pub(crate) status: u16,
+    /// What the caller may conclude.
+    pub(crate) verdict: Verdict,
+    /// What happened and what to do.
+    pub(crate) message: &'static str,
+    /// When to come again.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// The request did not run and never will.
+    pub(crate) fn not_run(status: u16, message: &'static str) -> Refusal {
+        Refusal { status, verdict: Verdict::NotRun, message, retry_after: None }
+    }
+
+    /// The request may have run.
+    pub(crate) fn may_have_run(status: u16, message: &'static str) -> Refusal {
+        Refusal { status, verdict: Verdict::MayHaveRun, message, retry_after: None }
+    }
+
+    /// Tells the caller when to come again.
+    pub(crate) fn with_retry_after(self, wait: Duration) -> Refusal {
+        Refusal { retry_after: Some(wait), ..self }
+    }
+
+    /// Sends the answer.
+    pub(crate) async fn send(
+        &self,
+        caller: &ConnectionWriter,
+        request_id: &str,
+        closes: bool,
+    ) -> Result<(), HttpError> {
+        let error = json!({
+            "error": {
+                "message": self.message,
+                "verdict": self.verdict.as_str(),
+                "request_id": request_id,
+            }
+        });
+        let body = error.to_string();
+        let mut head = ResponseHead::new(self.status, reason_of(self.status));
+        head.headers.push("Content-Type", "application/json");
+        head.headers.push("Content-Length", body.len().to_string());
+        head.headers.push("X-Verdict", self.verdict.as_str());
+        if !request_id.is_empty() {
+            head.headers.push("X-Request-Id", request_id);
+        }
+        if let Some(wait) = self.retry_after {
+            head.headers.push("Retry-After", format!("{:.3}", wait.as_secs_f64()));
+        }
+        if closes {
+            head.headers.push("Connection", "close");
+        }
+        let mut bytes = head.to_bytes();
+        bytes.extend_from_slice(body.as_bytes());
+        caller.write(&bytes).await
+    }
+}
+
+fn reason_of(status: u16) -> &'static str {
+    match status {
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
--- /dev/null
+++ b/src/entry/stream_relay.rs
@@ -0,0 +1,139 @@
+//! Relays a stream of events, whole events only.
+
+use std::time::Duration;
+
+use crate::{
+    entry::{
+        exchange::{AttemptEnd, Exchange, ExchangeEnd},
+        place::Place,
+    },
+    http1::HttpError,
+    relay::{Attempt, BackendAnswer, Event, EventSplitter},
+    routing::Route,
+    runtime,
+    verdict::Verdict,
+};
+
+/// Time for the head and first event when the stream may begin elsewhere.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1500);
+/// Pause between events after which a stream goes on elsewhere.
+const PAUSE_LIMIT: Duration = Duration::from_millis(1000);
+/// Pause that is borne when the stream can't go on elsewhere.
+const NO_LIMIT: Duration = Duration::from_secs(3600);
+
+/// Sends the request and passes events on as they come.
+pub(crate) async fn relay(
+    exchange: &Exchange,
+    route: &Route,
+    attempt: &Attempt<'_>,
+    place: &Place,
+    is_last: bool,
+) -> AttemptEnd {
+    let may_move = route.is_repeatable() && !is_last;
+    let limit = |limit: Duration| if may_move { limit } else { NO_LIMIT };
+    let send = attempt.send(&exchange.host.connections);
+    let mut answer = match runtime::timeout(limit(FIRST_EVENT_LIMIT), send).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(err)) if err.verdict == Verdict::NotRun => {
+            return exchange.unreachable(attempt.backend, &err.err);
+        }
+        Ok(Err(err)) => return exchange.lost(attempt.backend, &err.err.to_string()),
+        Err(_) => return exchange.lost(attempt.backend, "no answer in time"),
+    };
+    let is_success = (200..300).contains(&answer.head.status);
+    if !is_success {
+        return exchange.end_whole(answer, attempt.backend).await;
+    }
+    let facts = &answer.facts;
+    if !facts.is_event_stream || facts.is_encoded || !facts.has_receipt {
+        return exchange.lost(attempt.backend, "no stream of events");
+    }
+    let mut splitter = EventSplitter::default();
+    let mut is_first = true;
+    loop {
+        let mut bytes = Vec::new();
+        let pause = limit(if is_first { FIRST_EVENT_LIMIT } else { PAUSE_LIMIT });
+        match runtime::timeout(pause, answer.read(&mut bytes)).await {
+            Ok(Ok(true)) => {}
+            Ok(Ok(false)) if splitter.is_between_events() => break,
+            Ok(Ok(false)) => return exchange.lost(attempt.backend, "ended inside an event"),
+            Ok(Err(err)) => return exchange.lost(attempt.backend, &err.to_string()),
+            Err(_) => return exchange.lost(attempt.backend, "no event in time"),
+        }
+        let events = splitter.push(&bytes);
+        if events.is_empty() {
+            continue;
+        }
+        if is_first {
+            is_first = false;
+            place.first_event_came();
+        }
+        if let Err(err) = pass_on(exchange, &answer, events).await {
+            log::debug!("relay: caller lost request={} error=\"{err}\"", exchange.request.id);
+            return AttemptEnd::Done(ExchangeEnd::Close);
+        }
+    }
+    exchange.host.health.borrow_mut().succeeded(attempt.backend);
+    if let Err(err) = finish(exchange, &answer).await {
+        log::debug!("relay: caller lost request={} error=\"{err}\"", exchange.request.id);
+        return AttemptEnd::Done(ExchangeEnd::Close);
+    }
+    answer.close(&exchange.host.connections);
+    AttemptEnd::Done(if exchange.closes { ExchangeEnd::Close } else { ExchangeEnd::Reusable })
+}
+
+/// Writes events that the caller doesn't have yet.
+async fn pass_on(
+    exchange: &Exchange,
+    answer: &BackendAnswer,
+    events: Vec<Event>,
+) -> Result<(), HttpError> {
+    let mut data = Vec::new();
+    for event in events {
+        if !is_after(event.id.as_deref(), exchange.last_event.borrow().as_deref()) {
+            continue;
+        }
+        data.extend_from_slice(&event.bytes);
+        if event.id.is_some() {
+            *exchange.last_event.borrow_mut() = event.id;
+        }
+    }
+    if data.is_empty() {
+        return Ok(());
+    }
+    let mut bytes = head_if_due(exchange, answer);
+    bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    bytes.extend_from_slice(&data);
+    bytes.extend_from_slice(b"\r\n");
+    exchange.caller.write(&bytes).await
+}
+
+async fn finish(exchange: &Exchange, answer: &BackendAnswer) -> Result<(), HttpError> {
+    let mut bytes = head_if_due(exchange, answer);
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    exchange.caller.write(&bytes).await
+}
+
+/// The head of the caller's answer, the first time; it is that of the first engine.
+fn head_if_due(exchange: &Exchange, answer: &BackendAnswer) -> Vec<u8> {
+    if exchange.is_head_sent.replace(true) {
+        return Vec::new();
+    }
+    let mut head = answer.head.clone();
+    head.headers.remove_hop_by_hop();
+    head.headers.remove("Content-Length");
+    head.headers.push("Transfer-Encoding", "chunked");
+    if exchange.closes {
+        head.headers.push("Connection", "close");
+    }
+    head.to_bytes()
+}
+
+/// Whether an event comes after the last one that the caller has.
+fn is_after(id: Option<&str>, last: Option<&str>) -> bool {
+    let (Some(id), Some(last)) = (id, last) else { return true };
+    match (id.parse::<u64>(), last.parse::<u64>()) {
+        (Ok(id), Ok(last)) => id > last,
+        _ => id != last,
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! What one process believes of the deployment, learned from the store and from peers.
+
+mod backend_table;
+mod beacon;
+mod kind_watch;
+mod peer_table;
+mod version_table;
+
+pub use crate::fleet::{
+    backend_table::BackendTable,
+    beacon::{Beacon, EngineLoad, EngineNotice, EntryState, PeerMessage, PiecesHeld},
+    kind_watch::{KindUpdate, KindWatch},
+    peer_table::{Nearness, Peer, PeerTable},
+    version_table::VersionTable,
+};
--- /dev/null
+++ b/src/fleet/peer_table.rs
@@ -0,0 +1,82 @@
+//! The other entry hosts, as their beacons tell.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    fleet::beacon::{Beacon, EntryState},
+    ids::HostId,
+};
+
+/// Silence after which an entry host is no longer named to callers.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Another entry host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// Its newest beacon.
+    pub beacon: Beacon,
+    /// When that came.
+    pub heard: Instant,
+}
+
+/// Entry hosts by id.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<HostId, Peer>,
+}
+
+impl PeerTable {
+    /// Takes a beacon; one that is older than what is known changes nothing.
+    pub fn hear(&mut self, beacon: Beacon, now: Instant) {
+        let is_newer = |it: &Peer| {
+            (it.beacon.started_ms, it.beacon.number) < (beacon.started_ms, beacon.number)
+        };
+        if self.peers.get(&beacon.host).is_some_and(|it| !is_newer(it)) {
+            return;
+        }
+        let before = self.peers.get(&beacon.host).map(|it| it.beacon.state);
+        if before != Some(beacon.state) {
+            log::info!("fleet: entry host peer={} state={:?}", beacon.host, beacon.state);
+        }
+        self.peers.insert(beacon.host.clone(), Peer { beacon, heard: now });
+    }
+
+    /// The peers that were heard lately.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Beacon> {
+        let is_alive = move |it: &&Peer| now.duration_since(it.heard) < SILENCE_LIMIT;
+        self.peers.values().filter(is_alive).map(|it| &it.beacon)
+    }
+
+    /// Addresses of the ready entry hosts, with `own` if it is ready; the nearest that there are.
+    pub fn addresses(&self, own: &Beacon, near: Nearness<'_>, now: Instant) -> Vec<SocketAddr> {
+        let ready: Vec<&Beacon> = std::iter::once(own)
+            .chain(self.alive(now))
+            .filter(|it| it.state == EntryState::Ready)
+            .collect();
+        let of = |is_near: &dyn Fn(&Beacon) -> bool| -> Vec<SocketAddr> {
+            ready.iter().filter(|it| is_near(it)).map(|it| it.callers).collect()
+        };
+        let in_zone = of(&|it| it.zone == near.zone);
+        if !in_zone.is_empty() {
+            return in_zone;
+        }
+        let in_region = of(&|it| it.region == near.region);
+        if !in_region.is_empty() {
+            return in_region;
+        }
+        of(&|_| true)
+    }
+}
+
+/// Where a caller is.
+#[derive(Clone, Copy, Debug)]
+pub struct Nearness<'a> {
+    /// Region.
+    pub region: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+}
--- /dev/null
+++ b/src/http1/chunk_decoder.rs
@@ -0,0 +1,88 @@
+//! Decodes the chunked transfer coding as its bytes come.
+
+use crate::http1::HttpError;
+
+/// Longest line of a chunk's size or of a trailer field.
+const MAX_LINE_BYTES: usize = 4096;
+
+/// Decoder of one body.
+#[derive(Clone, Debug, Default)]
+pub struct ChunkDecoder {
+    state: State,
+    line: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum State {
+    #[default]
+    Size,
+    Data(u64),
+    DataEnd,
+    Trailer,
+    Done,
+}
+
+impl ChunkDecoder {
+    /// Takes bytes from the front of `input`, appends decoded data to `out`; gives the bytes taken.
+    pub fn decode(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, HttpError> {
+        let mut pos = 0;
+        while pos < input.len() && self.state != State::Done {
+            match self.state {
+                State::Data(left) => {
+                    let n_bytes = (input.len() - pos).min(left as usize);
+                    out.extend_from_slice(&input[pos..pos + n_bytes]);
+                    pos += n_bytes;
+                    let left = left - n_bytes as u64;
+                    self.state = if left == 0 { State::DataEnd } else { State::Data(left) };
+                }
+                _ => {
+                    let byte = input[pos];
+                    pos += 1;
+                    self.take_line_byte(byte)?;
+                }
+            }
+        }
+        Ok(pos)
+    }
+
+    /// Whether the body came to its end.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    fn take_line_byte(&mut self, byte: u8) -> Result<(), HttpError> {
+        if byte != b'\n' {
+            self.line.push(byte);
+            return match self.line.len() {
+                0..=MAX_LINE_BYTES => Ok(()),
+                _ => Err(HttpError::Malformed("a chunk line that is too long")),
+            };
+        }
+        let Some(line) = self.line.strip_suffix(b"\r") else {
+            return Err(HttpError::Malformed("a chunk line without a carriage return"));
+        };
+        self.state = match self.state {
+            State::Size => match parse_size(line)? {
+                0 => State::Trailer,
+                size => State::Data(size),
+            },
+            State::DataEnd if line.is_empty() => State::Size,
+            State::DataEnd => return Err(HttpError::Malformed("a chunk longer than its size")),
+            State::Trailer if line.is_empty() => State::Done,
+            other => other,
+        };
+        self.line.clear();
+        Ok(())
+    }
+}
+
+fn parse_size(line: &[u8]) -> Result<u64, HttpError> {
+    let bad = HttpError::Malformed("a chunk size that is no number");
+    let digits = line.split(|it| *it == b';').next().unwrap_or(line);
+    let digits = digits.trim_ascii();
+    if digits.is_empty() || digits.len() > 15 || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return Err(bad);
+    }
+    let text = std::str::from_utf8(digits).unwrap_or("");
+    u64::from_str_radix(text, 16).map_err(|_| bad)
+}
--- /dev/null
+++ b/src/http1/client.rs
@@ -0,0 +1,124 @@
+//! Calls with a whole body each way: the store, the origin, reports and orders.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http1::{
+        body::{BodyLength, BodyReader},
+        connection::Connection,
+        head::RequestHead,
+        HttpError, ResponseHead,
+    },
+    runtime,
+};
+
+/// Time within which a connection must be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Age at which an idle connection is no longer used.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+/// Idle connections kept to one address.
+const MAX_IDLE_CONNECTIONS: usize = 4;
+/// Longest head of an answer.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// A call to be made.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Head without `Host` and length.
+    pub head: RequestHead,
+    /// Body; empty for none.
+    pub body: Vec<u8>,
+    /// Time for the whole exchange.
+    pub timeout: Duration,
+    /// Longest body of the answer.
+    pub limit_bytes: usize,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Head.
+    pub head: ResponseHead,
+    /// Whole body.
+    pub body: Vec<u8>,
+}
+
+/// A client with connections that are kept between calls.
+#[derive(Debug, Default)]
+pub struct Client {
+    idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Client {
+    /// Makes a call; its answer is whole or the call failed.
+    pub async fn call(&self, address: SocketAddr, call: &Call) -> Result<Answer, HttpError> {
+        let exchange = self.exchange(address, call);
+        runtime::timeout(call.timeout, exchange).await.map_err(|_| HttpError::TimedOut)?
+    }
+
+    async fn exchange(&self, address: SocketAddr, call: &Call) -> Result<Answer, HttpError> {
+        let mut connection = match self.take_idle(address) {
+            Some(connection) => connection,
+            None => Connection::open(address, CONNECT_TIMEOUT).await?,
+        };
+        connection.write(&bytes_of(address, call)).await?;
+        let head = connection.read_response_head(MAX_HEAD_BYTES).await?;
+        let mut reader = BodyReader::new(BodyLength::of_response(&head, &call.head.method)?);
+        let body = reader.read_all(&mut connection, call.limit_bytes).await?;
+        if !head.closes() && !connection.is_stale() {
+            self.put_idle(address, connection);
+        }
+        Ok(Answer { head, body })
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        kept.retain(|it| it.since.elapsed() < MAX_IDLE && !it.connection.is_stale());
+        kept.pop().map(|it| it.connection)
+    }
+
+    fn put_idle(&self, address: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < MAX_IDLE_CONNECTIONS {
+            kept.push(IdleConnection { connection, since: Instant::now() });
+        }
+    }
+}
+
+impl Call {
+    /// A call without a body.
+    pub fn get(target: &str, timeout: Duration, limit_bytes: usize) -> Call {
+        Call { head: RequestHead::new("GET", target), body: Vec::new(), timeout, limit_bytes }
+    }
+
+    /// A call with a JSON body.
+    pub fn json(method: &str, target: &str, body: Vec<u8>, timeout: Duration) -> Call {
+        let mut head = RequestHead::new(method, target);
+        head.headers.push("Content-Type", "application/json");
+        Call { head, body, timeout, limit_bytes: 1 << 20 }
+    }
+}
+
+fn bytes_of(address: SocketAddr, call: &Call) -> Vec<u8> {
+    let mut head = call.head.clone();
+    head.headers.push("Host", address.to_string());
+    if !call.body.is_empty() || call.head.method != "GET" {
+        head.headers.push("Content-Length", call.body.len().to_string());
+    }
+    let mut bytes = head.to_bytes();
+    bytes.extend_from_slice(&call.body);
+    bytes
+}
--- /dev/null
+++ b/src/http1/connection.rs
@@ -0,0 +1,198 @@
+//! One TCP connection with the bytes that were read ahead.
+
+use std::{
+    io::{self, Read},
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::Arc,
+    time::Duration,
+};
+
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use socket2::{SockRef, TcpKeepalive};
+
+use crate::{
+    http1::{HttpError, RequestHead, ResponseHead},
+    runtime,
+};
+
+/// Bytes read at once.
+const READ_BYTES: usize = 16 << 10;
+/// Bytes of a next request that are read ahead while an answer is awaited.
+const MAX_AHEAD_BYTES: usize = 64 << 10;
+/// Pause after which a silent connection is probed, and between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection counts as broken.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Time after which unacknowledged bytes count a connection as broken.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A connection; dropping it closes it.
+#[derive(Debug)]
+pub struct Connection {
+    stream: Arc<Async<TcpStream>>,
+    buffer: Vec<u8>,
+    start: usize,
+    is_ended: bool,
+}
+
+/// The writing half of a connection.
+#[derive(Clone, Debug)]
+pub struct ConnectionWriter {
+    stream: Arc<Async<TcpStream>>,
+}
+
+impl ConnectionWriter {
+    /// Writes all of `bytes`.
+    pub async fn write(&self, bytes: &[u8]) -> Result<(), HttpError> {
+        (&*self.stream).write_all(bytes).await?;
+        Ok(())
+    }
+}
+
+impl Connection {
+    /// Takes an open stream.
+    pub fn new(stream: Async<TcpStream>) -> io::Result<Connection> {
+        stream.get_ref().set_nodelay(true)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_INTERVAL)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_PROBES);
+        let socket = SockRef::from(stream.get_ref());
+        socket.set_tcp_keepalive(&keepalive)?;
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        Ok(Connection { stream: Arc::new(stream), buffer: Vec::new(), start: 0, is_ended: false })
+    }
+
+    /// Opens a connection within `limit`.
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Connection, HttpError> {
+        let connect = Async::<TcpStream>::connect(address);
+        let stream = runtime::timeout(limit, connect).await.map_err(|_| HttpError::TimedOut)??;
+        Ok(Connection::new(stream)?)
+    }
+
+    /// Bytes that were read and not yet consumed.
+    pub fn buffered(&self) -> &[u8] {
+        &self.buffer[self.start..]
+    }
+
+    /// Drops `n_bytes` from the front of the buffered bytes.
+    pub fn consume(&mut self, n_bytes: usize) {
+        self.start += n_bytes;
+        if self.start == self.buffer.len() {
+            self.buffer.clear();
+            self.start = 0;
+        }
+    }
+
+    /// Waits for more bytes; `false` when the other side ended its direction.
+    pub async fn fill(&mut self) -> Result<bool, HttpError> {
+        if self.is_ended {
+            return Ok(false);
+        }
+        if self.start > 0 {
+            self.buffer.drain(..self.start);
+            self.start = 0;
+        }
+        let stream = self.stream.clone();
+        let n_read = stream.read_with(|mut it| read_into(&mut it, &mut self.buffer)).await?;
+        self.is_ended = n_read == 0;
+        Ok(n_read > 0)
+    }
+
+    /// Reads ahead until the other side ends or breaks the connection.
+    pub async fn wait_until_left(&mut self) {
+        while self.buffered().len() < MAX_AHEAD_BYTES {
+            match self.fill().await {
+                Ok(true) => continue,
+                Ok(false) => return,
+                Err(err) => {
+                    log::debug!("http: connection broken error=\"{err}\"");
+                    return;
+                }
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Whether an idle connection has ended or got bytes that nobody asked for.
+    pub fn is_stale(&self) -> bool {
+        let mut byte = [0; 1];
+        let res = self.stream.get_ref().peek(&mut byte);
+        let is_quiet = matches!(&res, Err(err) if err.kind() == io::ErrorKind::WouldBlock);
+        self.is_ended || !self.buffered().is_empty() || !is_quiet
+    }
+
+    /// The writing half, for use while the connection is read.
+    pub fn writer(&self) -> ConnectionWriter {
+        ConnectionWriter { stream: self.stream.clone() }
+    }
+
+    /// Writes all of `bytes`.
+    pub async fn write(&self, bytes: &[u8]) -> Result<(), HttpError> {
+        self.writer().write(bytes).await
+    }
+
+    /// Reads the head of a request of at most `limit_bytes`.
+    pub async fn read_request_head(
+        &mut self,
+        limit_bytes: usize,
+    ) -> Result<RequestHead, HttpError> {
+        loop {
+            if let Some((head, length)) = RequestHead::parse(self.buffered())? {
+                if length > limit_bytes {
+                    return Err(HttpError::HeadTooLong);
+                }
+                self.consume(length);
+                return Ok(head);
+            }
+            self.fill_head(limit_bytes).await?;
+        }
+    }
+
+    /// Reads the head of a response of at most `limit_bytes`, after any interim responses.
+    pub async fn read_response_head(
+        &mut self,
+        limit_bytes: usize,
+    ) -> Result<ResponseHead, HttpError> {
+        loop {
+            if let Some((head, length)) = ResponseHead::parse(self.buffered())? {
+                self.consume(length);
+                if (100..200).contains(&head.status) {
+                    continue;
+                }
+                return Ok(head);
+            }
+            self.fill_head(limit_bytes).await?;
+        }
+    }
+
+    /// Ends the own direction, so that the other side reads all that was written.
+    pub fn end_writing(&self) {
+        if let Err(err) = self.stream.get_ref().shutdown(Shutdown::Write) {
+            log::debug!("http: connection not ended error=\"{err}\"");
+        }
+    }
+
+    async fn fill_head(&mut self, limit_bytes: usize) -> Result<(), HttpError> {
+        if self.buffered().len() > limit_bytes {
+            return Err(HttpError::HeadTooLong);
+        }
+        if self.fill().await? {
+            return Ok(());
+        }
+        match self.buffered().is_empty() {
+            true => Err(HttpError::Ended),
+            false => Err(HttpError::Truncated),
+        }
+    }
+}
+
+/// Appends what can be read now; the buffer is as before when nothing can.
+fn read_into(stream: &mut &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
+    let before = buffer.len();
+    buffer.resize(before + READ_BYTES, 0);
+    let res = stream.read(&mut buffer[before..]);
+    buffer.truncate(before + res.as_ref().map_or(0, |it| *it));
+    res
+}
--- /dev/null
+++ b/src/http1/headers.rs
@@ -0,0 +1,91 @@
+//! The header fields of one message, in their order.
+
+/// Header fields that concern only one connection.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Header fields with their values as they came.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers {
+    fields: Vec<Field>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Field {
+    name: String,
+    value: Vec<u8>,
+}
+
+impl Headers {
+    /// Appends a field.
+    pub fn push(&mut self, name: &str, value: impl Into<Vec<u8>>) {
+        self.fields.push(Field { name: name.to_owned(), value: value.into() });
+    }
+
+    /// Removes all fields of `name` and appends one.
+    pub fn set(&mut self, name: &str, value: impl Into<Vec<u8>>) {
+        self.remove(name);
+        self.push(name, value);
+    }
+
+    /// Removes all fields of `name`.
+    pub fn remove(&mut self, name: &str) {
+        self.fields.retain(|it| !it.name.eq_ignore_ascii_case(name));
+    }
+
+    /// The values of all fields of `name`.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> + 'a {
+        let of_name = move |it: &&Field| it.name.eq_ignore_ascii_case(name);
+        self.fields.iter().filter(of_name).map(|it| it.value.as_slice())
+    }
+
+    /// The value of the first field of `name`, if it is text.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let field = self.fields.iter().find(|it| it.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(&field.value).ok().map(str::trim)
+    }
+
+    /// The value of the first field of `name` as a number.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.get(name)?.parse().ok()
+    }
+
+    /// Whether a comma-separated field of `name` has this member.
+    pub fn has_member(&self, name: &str, member: &str) -> bool {
+        let texts = self.all(name).filter_map(|it| std::str::from_utf8(it).ok());
+        texts.flat_map(|it| it.split(',')).any(|it| it.trim().eq_ignore_ascii_case(member))
+    }
+
+    /// Removes the fields that concern only one connection, with those that `Connection` names.
+    pub fn remove_hop_by_hop(&mut self) {
+        let named: Vec<String> = self
+            .all("connection")
+            .filter_map(|it| std::str::from_utf8(it).ok())
+            .flat_map(|it| it.split(','))
+            .map(|it| it.trim().to_ascii_lowercase())
+            .collect();
+        self.fields.retain(|it| {
+            let name = it.name.to_ascii_lowercase();
+            !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(&name)
+        });
+    }
+
+    /// Writes the fields as they stand in a head.
+    pub(crate) fn write_to(&self, out: &mut Vec<u8>) {
+        for field in &self.fields {
+            out.extend_from_slice(field.name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(&field.value);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+}
--- /dev/null
+++ b/src/http1/mod.rs
@@ -0,0 +1,24 @@
+//! HTTP/1.1 connections whose framing is kept exactly.
+//!
+//! The relay has to know whether a body was whole, whether bytes follow it, and how a connection
+//! ended. `async-h1` hides all three, so heads are parsed by `httparse` and bodies are framed here.
+
+mod body;
+mod chunk_decoder;
+mod client;
+mod connection;
+mod error;
+mod head;
+mod headers;
+mod responder;
+
+pub use crate::http1::{
+    body::{BodyLength, BodyReader},
+    chunk_decoder::ChunkDecoder,
+    client::{Answer, Call, Client},
+    connection::{Connection, ConnectionWriter},
+    error::HttpError,
+    head::{RequestHead, ResponseHead},
+    headers::Headers,
+    responder::{Responder, SmallAnswer},
+};
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -26,3 +26,7 @@
 pub type Revision = u64;
 /// Start number of a host; rises when the host restarts or refutes a suspicion.
 pub type Incarnation = u64;
+/// Names one start of a backend server.
+pub type BackendId = String;
+/// Number of a version of model weights; a greater number is newer.
+pub type WeightsVersion = u64;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -10,21 +10,19 @@
 
 use log::{Level, LevelFilter, Log, Metadata, Record, SetLoggerError};
 
-use crate::settings::Settings;
-
 mod repeat_limiter;
 
 pub use crate::logging::repeat_limiter::{Admittance, RepeatLimiter};
 
-/// Starts logging at the level that the settings name; fails when a logger is set already.
-pub fn init(settings: &Settings) -> Result<(), SetLoggerError> {
+/// Starts logging at `level`; fails when a logger is set already.
+pub fn init(level: LevelFilter) -> Result<(), SetLoggerError> {
     let (max_level, lines) = fern::Dispatch::new()
         .format(|out, message, record| {
             let now = humantime::format_rfc3339_millis(SystemTime::now());
             out.finish(format_args!("{now} {:5} {message}", record.level()));
         })
         .level(LevelFilter::Warn)
-        .level_for("crocustiller", settings.log.level)
+        .level_for("crocustiller", level)
         .chain(std::io::stderr())
         .into_log();
     log::set_boxed_logger(Box::new(LimitedLog { lines, limiter: Mutex::default() }))?;
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,15 @@
+//! Decisions on where a request goes and whether it goes at all. Time and draws are passed in.
+
+mod attempt_budget;
+mod backend_health;
+mod engine_choice;
+mod homes;
+mod load_table;
+
+pub use crate::placement::{
+    attempt_budget::AttemptBudget,
+    backend_health::BackendHealth,
+    engine_choice::{choose_engine, choose_plain, Candidate},
+    homes::{assign_homes, HomelessEngine},
+    load_table::{Load, LoadTable},
+};
--- /dev/null
+++ b/src/platform/wire_config.rs
@@ -0,0 +1,210 @@
+//! The operator's configuration, decoded into the charter in force.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use serde::Deserialize;
+use serde_with::{serde_as, DurationMilliSeconds, DurationSecondsWithFrac};
+
+use crate::{
+    ids::ServiceId,
+    platform::store::StoredObject,
+    routing::{
+        CallerLimits, EngineFigures, ModelFigures, Origin, Route, RouteKind, RouteTarget,
+        RoutingCharter, Service,
+    },
+};
+
+/// Kind of the object that holds the configuration.
+pub const KIND: &str = "config";
+/// Name of that object.
+const NAME: &str = "main";
+
+/// Decodes the configuration; `None` for another object of its kind.
+pub fn decode(object: &StoredObject) -> Result<Option<RoutingCharter>, serde_json::Error> {
+    if object.metadata.name != NAME {
+        return Ok(None);
+    }
+    let config = Config::deserialize(&object.spec)?;
+    Ok(Some(config.into_charter()))
+}
+
+#[derive(Deserialize)]
+struct Config {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    limits: WireLimits,
+    /// Absent where callers need no key.
+    tenants: Option<Vec<Tenant>>,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireRoute {
+    host: String,
+    path_prefix: String,
+    route_type: String,
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    timeout_ms: Duration,
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    goal_ms: Duration,
+    #[serde(default)]
+    priority: u32,
+    /// The only service of the route; `backends` stands in its place on a split route.
+    service: Option<String>,
+    #[serde(default)]
+    backends: Vec<WireTarget>,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct WireTarget {
+    service: String,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    name: String,
+    engine: Option<WireEngine>,
+    /// Address of an origin of weights, which is on no list.
+    origin: Option<SocketAddr>,
+}
+
+/// The separators of these names are mixed on the wire.
+#[derive(Deserialize)]
+struct WireEngine {
+    slots: u32,
+    models: Vec<WireModel>,
+    /// Milliseconds.
+    #[serde(default)]
+    step_ms: f64,
+    /// Tokens of a prompt in a second.
+    #[serde(default)]
+    read_per_s: f64,
+    #[serde(default)]
+    layers: u32,
+    #[serde(default)]
+    chunks: u32,
+    #[serde(default, rename = "chunk-bytes")]
+    chunk_bytes: u32,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireModel {
+    name: String,
+    /// Time to load staged weights; `load-s`, beside it, is for weights from elsewhere.
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    #[serde(default)]
+    warm_s: Duration,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    header_timeout_ms: Duration,
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    idle_timeout_ms: Duration,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Tenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+impl Config {
+    fn into_charter(self) -> RoutingCharter {
+        let mut routes: HashMap<String, Vec<Route>> = HashMap::new();
+        for route in self.routes.into_iter().map(WireRoute::into_route) {
+            routes.entry(route.host.clone()).or_default().push(route);
+        }
+        for of_host in routes.values_mut() {
+            of_host.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
+        }
+        let services: BTreeMap<ServiceId, Service> =
+            self.services.into_iter().map(WireService::into_service).collect();
+        let customers = self.tenants.map(|tenants| {
+            let keys = |it: Tenant| it.api_keys.into_iter().map(move |key| (key, it.name.clone()));
+            tenants.into_iter().flat_map(keys).collect()
+        });
+        let limits = CallerLimits {
+            max_head_bytes: self.limits.max_header_bytes,
+            max_body_bytes: self.limits.max_body_bytes,
+            head_timeout: self.limits.header_timeout_ms,
+            idle_timeout: self.limits.idle_timeout_ms,
+        };
+        RoutingCharter { number: self.version, routes, services, customers, limits }
+    }
+}
+
+impl WireRoute {
+    fn into_route(self) -> Route {
+        let kind = match self.route_type.as_str() {
+            "idempotent" => RouteKind::Idempotent,
+            "streaming" => RouteKind::Stream { is_resumable: self.resumable },
+            _ => RouteKind::NonIdempotent,
+        };
+        let mut targets: Vec<RouteTarget> = self
+            .backends
+            .into_iter()
+            .map(|it| RouteTarget { service: it.service, weight: it.weight })
+            .collect();
+        if let Some(service) = self.service {
+            targets.push(RouteTarget { service, weight: 1 });
+        }
+        Route {
+            host: self.host.to_ascii_lowercase(),
+            prefix: self.path_prefix,
+            kind,
+            timeout: self.timeout_ms,
+            goal: self.goal_ms,
+            priority: self.priority,
+            targets,
+            max_attempts: self.max_attempts,
+            is_public: self.public,
+        }
+    }
+}
+
+impl WireService {
+    fn into_service(self) -> (ServiceId, Service) {
+        let engine = self.engine.map(|it| EngineFigures {
+            slots: it.slots,
+            models: it
+                .models
+                .into_iter()
+                .map(|it| ModelFigures { name: it.name, load: it.warm_s })
+                .collect(),
+            n_layers: it.layers,
+            n_pieces: it.chunks,
+            piece_bytes: it.chunk_bytes,
+            step: Duration::from_secs_f64(it.step_ms / 1000.0),
+            read_tokens_per_s: it.read_per_s,
+        });
+        let origin = self.origin.map(|address| Origin { address });
+        (self.name, Service { engine, origin })
+    }
+}
--- /dev/null
+++ b/src/platform/wire_server.rs
@@ -0,0 +1,129 @@
+//! Entries of backend servers and of named versions, decoded.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::{
+    platform::store::StoredObject,
+    routing::{BackendServer, BackendState, HeldWeights, TargetVersion},
+};
+
+/// Kind of the entries of backend servers.
+pub const SERVER_KIND: &str = "servers";
+/// Kind of the entries that name new weights.
+pub const VERSION_KIND: &str = "versions";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Entry {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    #[serde(default)]
+    slots: u32,
+    state: String,
+    #[serde(flatten)]
+    weights: WireWeights,
+    /// Orders accepted, not a number of the entry.
+    #[serde(default)]
+    sequence: u64,
+    /// Millisecond of the engine's start.
+    #[serde(default)]
+    born: u64,
+}
+
+/// What an engine says of its weights, in its entry and in its report.
+#[derive(Debug, Deserialize)]
+pub(crate) struct WireWeights {
+    #[serde(default)]
+    models: Vec<WireModel>,
+    #[serde(default)]
+    layers: Value,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireModel {
+    name: String,
+    version: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireLayers {
+    from: u32,
+    /// Layer after the last one, despite its name.
+    target: u32,
+    version: u64,
+}
+
+/// Decodes the entry of a backend server; an entry that names none to use is an error.
+pub fn decode_server(object: &StoredObject) -> Result<BackendServer, serde_json::Error> {
+    let entry = Entry::deserialize(&object.spec)?;
+    let state = match entry.state.as_str() {
+        "ready" => BackendState::Ready,
+        "draining" => BackendState::Draining,
+        other => {
+            let message = format!("unknown state '{other}'");
+            return Err(serde::de::Error::custom(message));
+        }
+    };
+    Ok(BackendServer {
+        id: object.metadata.name.clone(),
+        service: entry.service,
+        address: entry.address,
+        zone: entry.zone,
+        slots: entry.slots,
+        state,
+        weights: entry.weights.decode(),
+        n_orders: entry.sequence,
+        started_ms: entry.born,
+    })
+}
+
+/// Decodes the entry that names a model's newest weights.
+pub fn decode_version(object: &StoredObject) -> Result<TargetVersion, serde_json::Error> {
+    #[derive(Deserialize)]
+    struct Named {
+        model: String,
+        version: u64,
+    }
+    let named = Named::deserialize(&object.spec)?;
+    Ok(TargetVersion {
+        model: named.model,
+        version: named.version,
+        revision: object.metadata.revision,
+    })
+}
+
+impl WireWeights {
+    /// The layers that are held; a model without layers is in memory only in part or not at all.
+    pub(crate) fn decode(self) -> Vec<HeldWeights> {
+        let ranges: Vec<WireLayers> = match self.layers {
+            Value::Null => Vec::new(),
+            Value::Array(items) => items.into_iter().filter_map(readable).collect(),
+            item => readable(item).into_iter().collect(),
+        };
+        let held = |model: &WireModel, range: &WireLayers| HeldWeights {
+            model: model.name.clone(),
+            version: range.version,
+            first_layer: range.from,
+            end_layer: range.target,
+        };
+        let of_model = |model: &WireModel| {
+            let ranges = ranges.iter().filter(|it| it.version == model.version);
+            ranges.map(|it| held(model, it)).collect::<Vec<HeldWeights>>()
+        };
+        self.models.iter().flat_map(of_model).collect()
+    }
+}
+
+fn readable(item: Value) -> Option<WireLayers> {
+    match serde_json::from_value(item) {
+        Ok(layers) => Some(layers),
+        Err(err) => {
+            log::warn!("platform: layers left out error=\"{err}\"");
+            None
+        }
+    }
+}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use async_executor::{StaticExecutor, Task};
+use async_executor::{LocalExecutor, StaticExecutor, Task};
 use async_io::Timer;
 use futures_lite::FutureExt;
 
@@ -36,6 +36,22 @@
     EXECUTOR.spawn(future)
 }
 
+thread_local! {
+    /// Executor of a process that runs on one thread; leaked, so that its tasks may spawn others.
+    static LOCAL: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+}
+
+/// Runs `future` and the tasks of `spawn_local` on the calling thread until `future` ends.
+pub fn run_local<T>(future: impl Future<Output = T>) -> T {
+    let executor = LOCAL.with(|it| *it);
+    async_io::block_on(executor.run(Box::pin(future)))
+}
+
+/// Starts a task on the calling thread; dropping the handle cancels it, `detach` lets it run.
+pub fn spawn_local<T: 'static>(future: impl Future<Output = T> + 'static) -> Task<T> {
+    LOCAL.with(|it| it.spawn(future))
+}
+
 /// Waits for `duration`.
 pub async fn sleep(duration: Duration) {
     Timer::after(duration).await;
--- /dev/null
+++ b/src/settings/deployed_settings.rs
@@ -0,0 +1,144 @@
+//! What a process is told at its start on the users' platform.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use crate::settings::{
+    reader::{Reader, SettingsError},
+    settings::{read_host, read_log},
+    HostSettings, LogSettings, RoleSettings,
+};
+
+/// All settings of one process on the platform.
+#[derive(Clone, Debug)]
+pub struct DeployedSettings {
+    /// `[host]`: who the process is.
+    pub host: HostSettings,
+    /// `[store] address`: the platform's metadata store.
+    pub store: SocketAddr,
+    /// `[listen] peers`: messages and pieces between processes of the system.
+    pub peers: SocketAddr,
+    /// What belongs to the role alone.
+    pub role: DeployedRole,
+    /// `[bounds]`: what operators promise their callers.
+    pub bounds: BoundSettings,
+    /// `[log]`: what is logged.
+    pub log: LogSettings,
+}
+
+/// What belongs to one role.
+#[derive(Clone, Debug)]
+pub enum DeployedRole {
+    /// Takes requests from callers.
+    Entry(EntryListenSettings),
+    /// Runs beside the engine of a backend server host.
+    Backend(EngineSettings),
+}
+
+/// Where an entry host listens.
+#[derive(Clone, Debug)]
+pub struct EntryListenSettings {
+    /// `callers`: requests.
+    pub callers: SocketAddr,
+    /// `readiness`: the platform's question whether the host is ready.
+    pub readiness: SocketAddr,
+    /// `directory`: callers' questions for addresses.
+    pub directory: SocketAddr,
+    /// `metrics`: counters and histograms.
+    pub metrics: SocketAddr,
+}
+
+/// The engine beside a slot process.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// `service`: its pool.
+    pub service: String,
+    /// `address`.
+    pub address: SocketAddr,
+}
+
+/// Bounds that the operators set for all hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BoundSettings {
+    /// `grace_s`: time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// `version_ms`: time from the naming of a version until no request begins on an older one.
+    pub version: Duration,
+    /// `retry_ratio`: attempts beyond the first, as a share of the requests.
+    pub retry_ratio: f64,
+    /// `retry_slack`: attempts beyond that share, in one window, over all hosts.
+    pub retry_slack: u64,
+    /// `retry_window_s`: the window in which attempts are counted.
+    pub retry_window: Duration,
+}
+
+impl DeployedSettings {
+    /// Reads and checks the file at `path`.
+    pub fn load(path: &Path) -> Result<DeployedSettings, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|err| SettingsError::Unreadable(path.to_owned(), err))?;
+        DeployedSettings::parse(&text, path)
+    }
+
+    /// Checks `text`, which stands in the file at `path`.
+    pub fn parse(text: &str, path: &Path) -> Result<DeployedSettings, SettingsError> {
+        let mut reader = Reader::new(text, path)?;
+        let settings = read(&mut reader);
+        reader.finish()?;
+        Ok(settings.expect("a reader without problems gives every value"))
+    }
+}
+
+fn read(reader: &mut Reader) -> Option<DeployedSettings> {
+    let host = read_host(reader);
+    let store = reader.address("store", "address");
+    let peers = reader.address("listen", "peers");
+    let role = match host.as_ref()?.role {
+        RoleSettings::Entry => read_entry(reader).map(DeployedRole::Entry),
+        RoleSettings::Backend => read_engine(reader).map(DeployedRole::Backend),
+    };
+    let bounds = read_bounds(reader);
+    let log = read_log(reader);
+    Some(DeployedSettings {
+        host: host?,
+        store: store?,
+        peers: peers?,
+        role: role?,
+        bounds: bounds?,
+        log: log?,
+    })
+}
+
+fn read_entry(reader: &mut Reader) -> Option<EntryListenSettings> {
+    let callers = reader.address("listen", "callers");
+    let readiness = reader.address("listen", "readiness");
+    let directory = reader.address("listen", "directory");
+    let metrics = reader.address("listen", "metrics");
+    Some(EntryListenSettings {
+        callers: callers?,
+        readiness: readiness?,
+        directory: directory?,
+        metrics: metrics?,
+    })
+}
+
+fn read_engine(reader: &mut Reader) -> Option<EngineSettings> {
+    let service = reader.name("engine", "service");
+    let address = reader.address("engine", "address");
+    Some(EngineSettings { service: service?, address: address? })
+}
+
+fn read_bounds(reader: &mut Reader) -> Option<BoundSettings> {
+    const SECTION: &str = "bounds";
+    let grace = reader.number(SECTION, "grace_s", 1..=3_600, 8);
+    let version = reader.milliseconds(SECTION, "version_ms", 100..=3_600_000, 8_000);
+    let retry_ratio = reader.fraction(SECTION, "retry_ratio", 0.2);
+    let retry_slack = reader.number(SECTION, "retry_slack", 0..=1_000_000, 100);
+    let retry_window = reader.number(SECTION, "retry_window_s", 1..=3_600, 10);
+    Some(BoundSettings {
+        grace: Duration::from_secs(grace?),
+        version: version?,
+        retry_ratio: retry_ratio?,
+        retry_slack: retry_slack?,
+        retry_window: Duration::from_secs(retry_window?),
+    })
+}
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -173,6 +173,15 @@
         self.number(section, key, range, default).map(Duration::from_millis)
     }
 
+    /// A number from 0 to 1.
+    pub(crate) fn fraction(&mut self, section: &str, key: &str, default: f64) -> Option<f64> {
+        let Some(text) = self.value(section, key) else { return Some(default) };
+        match text.parse() {
+            Ok(value) if (0.0..=1.0).contains(&value) => Some(value),
+            _ => self.refuse(section, key, &text, "a number from 0 to 1"),
+        }
+    }
+
     pub(crate) fn flag(&mut self, section: &str, key: &str, default: bool) -> Option<bool> {
         let Some(text) = self.value(section, key) else { return Some(default) };
         match text.as_str() {
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -190,7 +190,7 @@
     })
 }
 
-fn read_host(reader: &mut Reader) -> Option<HostSettings> {
+pub(crate) fn read_host(reader: &mut Reader) -> Option<HostSettings> {
     let id = reader.name("host", "id");
     let role = reader.choice(
         "host",
@@ -298,7 +298,7 @@
     })
 }
 
-fn read_log(reader: &mut Reader) -> Option<LogSettings> {
+pub(crate) fn read_log(reader: &mut Reader) -> Option<LogSettings> {
     use log::LevelFilter;
     let levels = [
         ("info", LevelFilter::Info),
--- /dev/null
+++ b/src/slot/life.rs
@@ -0,0 +1,144 @@
+//! The life of a slot process.
+
+use std::{io, rc::Rc, time::Duration};
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+
+use crate::{
+    entry,
+    fleet::{KindUpdate, KindWatch},
+    platform::{
+        store::{Store, StoredObject},
+        wire_config, wire_server,
+    },
+    runtime,
+    settings::{DeployedSettings, EngineSettings},
+    slot::{
+        messages, piece_server,
+        slot_state::{PoolFacts, SlotState},
+        switcher::Switcher,
+    },
+};
+
+/// Pause between two reads of the lists after a failure.
+const READ_RETRY: Duration = Duration::from_millis(400);
+/// Pause between two reads of the lists.
+const READ_INTERVAL: Duration = Duration::from_secs(12);
+
+/// Runs a slot process until it is stopped.
+pub(crate) async fn run(settings: DeployedSettings, engine: EngineSettings) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let slot = SlotState::new(settings, engine)?;
+    let server = piece_server::listen(&slot)?;
+    log::info!("daemon: started host={} role=backend", slot.settings.host.id);
+    let watch = KindWatch::new(slot.store.clone(), wire_server::VERSION_KIND);
+    let versions = {
+        let slot = slot.clone();
+        runtime::spawn_local(watch.run(move |update| take_versions(&slot, update)))
+    };
+    let tasks = [
+        versions,
+        runtime::spawn_local(read_lists(slot.clone())),
+        runtime::spawn_local(messages::receive(slot.clone())),
+        runtime::spawn_local(Switcher::new(slot).run()),
+    ];
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => log::info!("daemon: settings are read at the next start"),
+            Ok(_) => break,
+            Err(err) => log::warn!("daemon: signal not read error=\"{err}\""),
+        }
+    }
+    server.close().await;
+    for task in tasks {
+        task.cancel().await;
+    }
+    log::info!("daemon: ended");
+    Ok(())
+}
+
+fn take_versions(slot: &SlotState, update: KindUpdate) {
+    let (objects, is_fresh) = match update {
+        KindUpdate::Listed { objects, .. } => (objects, false),
+        KindUpdate::Changed(changes) => (changes.into_iter().map(|it| it.object).collect(), true),
+    };
+    for object in objects {
+        match wire_server::decode_version(&object) {
+            Ok(target) => {
+                let now = std::time::Instant::now();
+                if slot.versions.borrow_mut().set(&target, is_fresh, now) {
+                    log::info!("versions: named model={} version={}", target.model, target.version);
+                }
+            }
+            Err(err) => log::error!("versions: not readable error=\"{err}\""),
+        }
+    }
+    slot.changed.notify(usize::MAX);
+}
+
+/// Reads the charter and the lists of backend servers and entry hosts from time to time.
+async fn read_lists(slot: Rc<SlotState>) {
+    loop {
+        let is_read =
+            read_pool(&slot).await & read_members(&slot).await & read_entries(&slot).await;
+        slot.changed.notify(usize::MAX);
+        let pause = if is_read { READ_INTERVAL } else { READ_RETRY };
+        runtime::sleep(pause.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+    }
+}
+
+async fn objects_of(store: &Store, kind: &str) -> Option<Vec<StoredObject>> {
+    match store.list(kind).await {
+        Ok(listing) => Some(listing.objects),
+        Err(err) => {
+            log::warn!("store: list failed kind={kind} error=\"{err}\"");
+            None
+        }
+    }
+}
+
+async fn read_pool(slot: &SlotState) -> bool {
+    let Some(objects) = objects_of(&slot.store, wire_config::KIND).await else { return false };
+    let charter = objects.iter().find_map(|it| match wire_config::decode(it) {
+        Ok(charter) => charter,
+        Err(err) => {
+            log::error!("charter: not readable error=\"{err}\"");
+            None
+        }
+    });
+    let Some(charter) = charter else { return false };
+    let service = charter.services.get(&slot.engine_settings.service);
+    let Some(figures) = service.and_then(|it| it.engine.clone()) else { return false };
+    let Some(model) = figures.models.first().map(|it| it.name.clone()) else { return false };
+    let origin = charter.origin().cloned();
+    *slot.pool.borrow_mut() = Some(PoolFacts { model, figures, origin });
+    true
+}
+
+async fn read_members(slot: &SlotState) -> bool {
+    let Some(objects) = objects_of(&slot.store, wire_server::SERVER_KIND).await else {
+        return false;
+    };
+    let port = slot.settings.peers.port();
+    let mut members = slot.members.borrow_mut();
+    members.clear();
+    members.insert(slot.settings.peers, slot.settings.host.zone.clone());
+    for object in &objects {
+        match wire_server::decode_server(object) {
+            Ok(server) if server.service == slot.engine_settings.service => {
+                members.insert((server.address.ip(), port).into(), server.zone);
+            }
+            Ok(_) => {}
+            Err(err) => log::debug!("fleet: entry left out error=\"{err}\""),
+        }
+    }
+    true
+}
+
+async fn read_entries(slot: &SlotState) -> bool {
+    let Some(objects) = objects_of(&slot.store, entry::ENTRY_HOST_KIND).await else { return false };
+    let texts = objects.iter().filter_map(|it| it.spec["peers"].as_str());
+    *slot.entry_hosts.borrow_mut() = texts.filter_map(|it| it.parse().ok()).collect();
+    true
+}
--- /dev/null
+++ b/src/slot/messages.rs
@@ -0,0 +1,48 @@
+//! Takes datagrams of other slot processes.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use crate::{
+    fleet::{PeerMessage, PiecesHeld},
+    runtime,
+    slot::{slot_state::SlotState, Holder},
+};
+
+/// Longest datagram.
+const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Pause after a failed read.
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes datagrams until the task is dropped.
+pub(crate) async fn receive(slot: Rc<SlotState>) {
+    let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (n_bytes, from) = match slot.socket.recv_from(&mut bytes).await {
+            Ok(it) => it,
+            Err(err) => {
+                log::debug!("slot: message not received error=\"{err}\"");
+                runtime::sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        };
+        match bincode::deserialize(&bytes[..n_bytes]) {
+            Ok(PeerMessage::PiecesHeld(held)) => take(&slot, held, from).await,
+            Ok(_) => log::debug!("slot: message not for slots from={from}"),
+            Err(err) => log::warn!("slot: message not readable from={from} error=\"{err}\""),
+        }
+    }
+}
+
+async fn take(slot: &SlotState, held: PiecesHeld, from: SocketAddr) {
+    slot.members.borrow_mut().insert(from, held.zone.clone());
+    let is_current = slot.target() == Some((held.model, held.version));
+    if is_current {
+        let pieces = held.pieces.into_iter().collect();
+        let holder = Holder { zone: held.zone, pieces, is_available: true };
+        slot.holders.borrow_mut().insert(from, holder);
+        slot.changed.notify(usize::MAX);
+    }
+    if held.asks {
+        slot.announce(&[from], false).await;
+    }
+}
--- /dev/null
+++ b/src/slot/piece_fetch.rs
@@ -0,0 +1,316 @@
+//! Fetches the manifest and the pieces of one version.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeSet,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use async_executor::Task;
+use futures_lite::FutureExt;
+
+use crate::{
+    http1::{Call, Client},
+    ids::WeightsVersion,
+    platform::{
+        engine_api::EngineError,
+        origin_api::{decode_manifest, OriginApi},
+    },
+    runtime,
+    slot::{
+        piece_server::{manifest_path, piece_path},
+        slot_state::SlotState,
+        Fetch, Holder, Manifest, PiecePlan, Shelf, Source,
+    },
+};
+
+/// Pieces on their way at once.
+const N_WORKERS: usize = 3;
+/// Time limit of a piece from another slot.
+const PEER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time for which a source that failed is not asked.
+const REST: Duration = Duration::from_millis(700);
+/// Pause between two looks at what to fetch.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two tries to get a manifest.
+const MANIFEST_RETRY: Duration = Duration::from_millis(150);
+/// Time in which holders answer before the origin is asked for a manifest.
+const ASK_TIME: Duration = Duration::from_millis(60);
+/// Pause between two questions for what others hold.
+const ASK_INTERVAL: Duration = Duration::from_millis(800);
+/// Longest answer of another slot.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Pieces that don't match after which the manifest is read anew.
+const MAX_MISMATCHES: u32 = 3;
+
+/// The fetch of one version.
+struct PieceFetch {
+    slot: Rc<SlotState>,
+    model: String,
+    version: WeightsVersion,
+    started: Instant,
+    client: Client,
+    origin: OriginApi,
+    on_their_way: RefCell<BTreeSet<u32>>,
+    busy_peers: RefCell<BTreeSet<SocketAddr>>,
+    origin_rests_until: RefCell<Option<Instant>>,
+    n_mismatches: RefCell<u32>,
+}
+
+/// Fetches a version into the shelf; the shelf is whole when the future ends.
+pub(crate) async fn fetch(slot: Rc<SlotState>, model: String, version: WeightsVersion) {
+    let fetch = Rc::new(PieceFetch {
+        slot,
+        model,
+        version,
+        started: Instant::now(),
+        client: Client::default(),
+        origin: OriginApi::default(),
+        on_their_way: RefCell::default(),
+        busy_peers: RefCell::default(),
+        origin_rests_until: RefCell::default(),
+        n_mismatches: RefCell::default(),
+    });
+    let asks = runtime::spawn_local(ask_regularly(fetch.slot.clone()));
+    fetch.load_manifest().await;
+    fetch.take_staged().await;
+    let workers: Vec<Task<()>> = (0..N_WORKERS)
+        .map(|_| {
+            let fetch = fetch.clone();
+            runtime::spawn_local(async move { fetch.work().await })
+        })
+        .collect();
+    for worker in workers {
+        worker.await;
+    }
+    drop(asks);
+    let took_ms = fetch.started.elapsed().as_millis();
+    log::info!("weights: whole model={} version={} took_ms={took_ms}", fetch.model, version);
+}
+
+async fn ask_regularly(slot: Rc<SlotState>) {
+    loop {
+        slot.announce(&slot.near_members(), true).await;
+        runtime::sleep(ASK_INTERVAL).await;
+    }
+}
+
+impl PieceFetch {
+    /// Gets the manifest from a holder, or from the origin, and makes the shelf.
+    async fn load_manifest(&self) {
+        runtime::sleep(ASK_TIME).await;
+        loop {
+            if let Some(manifest) = self.read_manifest().await {
+                let shelf = Shelf::new(&self.model, self.version, manifest);
+                *self.slot.shelf.borrow_mut() = Some(shelf);
+                return;
+            }
+            runtime::sleep(MANIFEST_RETRY).await;
+        }
+    }
+
+    async fn read_manifest(&self) -> Option<Manifest> {
+        let mut holders: Vec<SocketAddr> = self.slot.holders.borrow().keys().copied().collect();
+        fastrand::shuffle(&mut holders);
+        for holder in holders.into_iter().take(2) {
+            let call = Call::get(
+                &manifest_path(&self.model, self.version),
+                PEER_TIMEOUT,
+                MAX_ANSWER_BYTES,
+            );
+            match self.client.call(holder, &call).await {
+                Ok(answer) if answer.head.status == 200 => {
+                    let manifest = decode_manifest(self.version, &answer.body);
+                    if manifest.is_some() {
+                        return manifest;
+                    }
+                }
+                Ok(_) => {}
+                Err(err) => log::info!("weights: no manifest from={holder} error=\"{err}\""),
+            }
+        }
+        let origin = self.slot.pool.borrow().as_ref().and_then(|it| it.origin.clone())?;
+        match self.origin.manifest(&origin, &self.model, self.version).await {
+            Ok(text) => {
+                let manifest = decode_manifest(self.version, &text);
+                if manifest.is_none() {
+                    log::warn!("weights: manifest not readable version={}", self.version);
+                }
+                manifest
+            }
+            Err(err) => {
+                log::warn!("weights: no manifest from the origin error=\"{err}\"");
+                None
+            }
+        }
+    }
+
+    /// Takes what lies in the engine's staging area already.
+    async fn take_staged(&self) {
+        let staged = match self.slot.engine.staged(&self.model).await {
+            Ok(staged) => staged,
+            Err(err) => return log::warn!("weights: staging area not read error=\"{err}\""),
+        };
+        let mut n_taken = 0;
+        for number in staged {
+            match self.slot.engine.staged_piece(&self.model, number).await {
+                Ok(bytes) => n_taken += u32::from(self.put(number, bytes)),
+                Err(err) => log::warn!("weights: staged piece not read error=\"{err}\""),
+            }
+            // All pieces are of one version, so one that doesn't match ends the search early.
+            if n_taken == 0 && number > 2 {
+                break;
+            }
+        }
+        if n_taken > 0 {
+            log::info!("weights: staged pieces taken n={n_taken} version={}", self.version);
+        }
+    }
+
+    fn put(&self, number: u32, bytes: Vec<u8>) -> bool {
+        let mut shelf = self.slot.shelf.borrow_mut();
+        shelf.as_mut().is_some_and(|it| it.put(number, bytes))
+    }
+
+    /// Fetches one piece after the other until the shelf is whole.
+    async fn work(&self) {
+        while !self.is_whole() {
+            let listener = self.slot.changed.listen();
+            let Some(fetch) = self.choose() else {
+                let look = runtime::sleep(LOOK_INTERVAL);
+                listener.or(look).await;
+                continue;
+            };
+            self.on_their_way.borrow_mut().insert(fetch.number);
+            if let Source::Peer(peer) = fetch.source {
+                self.busy_peers.borrow_mut().insert(peer);
+            }
+            let res = self.read_piece(fetch).await;
+            if let Source::Peer(peer) = fetch.source {
+                self.busy_peers.borrow_mut().remove(&peer);
+            }
+            self.on_their_way.borrow_mut().remove(&fetch.number);
+            self.take(fetch, res).await;
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        self.slot.shelf.borrow().as_ref().is_some_and(Shelf::is_whole)
+    }
+
+    fn choose(&self) -> Option<Fetch> {
+        let shelf = self.slot.shelf.borrow();
+        let shelf = shelf.as_ref()?;
+        let on_their_way = self.on_their_way.borrow();
+        let is_wanted = |it: &u32| shelf.get(*it).is_none() && !on_their_way.contains(it);
+        let wanted: Vec<u32> = (0..shelf.manifest.n_pieces()).filter(is_wanted).collect();
+        let now = Instant::now();
+        let rests = self.slot.rests.borrow();
+        let busy = self.busy_peers.borrow();
+        let mut holders = self.slot.holders.borrow().clone();
+        for (address, holder) in &mut holders {
+            let rests = rests.get(address).is_some_and(|it| *it > now);
+            holder.is_available = !rests && !busy.contains(address);
+        }
+        let plan = PiecePlan {
+            own: self.slot.settings.peers,
+            zone: &self.slot.settings.host.zone,
+            members: &self.slot.members.borrow(),
+            holders: &holders,
+            wanted: &wanted,
+            elapsed: self.started.elapsed(),
+            is_origin_available: self.origin_rests_until.borrow().is_none_or(|it| it <= now),
+        };
+        plan.next(&mut fastrand::Rng::new())
+    }
+
+    async fn read_piece(&self, fetch: Fetch) -> Result<Vec<u8>, EngineError> {
+        match fetch.source {
+            Source::Peer(peer) => {
+                let path = piece_path(&self.model, self.version, fetch.number);
+                let call = Call::get(&path, PEER_TIMEOUT, MAX_ANSWER_BYTES);
+                let answer = self.client.call(peer, &call).await?;
+                match answer.head.status {
+                    200 => Ok(answer.body),
+                    status => Err(EngineError::Refused(status)),
+                }
+            }
+            Source::Origin => {
+                let origin = self.slot.pool.borrow().as_ref().and_then(|it| it.origin.clone());
+                let Some(origin) = origin else { return Err(EngineError::Refused(404)) };
+                self.origin.piece(&origin, &self.model, self.version, fetch.number).await
+            }
+        }
+    }
+
+    /// Keeps a piece that matches, tells others and stages it; rests a source that failed.
+    async fn take(&self, fetch: Fetch, res: Result<Vec<u8>, EngineError>) {
+        let number = fetch.number;
+        let problem = match res {
+            Ok(bytes) => {
+                if self.put(number, bytes) {
+                    return self.share(fetch).await;
+                }
+                *self.n_mismatches.borrow_mut() += 1;
+                "a piece that doesn't match".to_owned()
+            }
+            Err(err) => err.to_string(),
+        };
+        log::info!("weights: piece={number} source={:?} failed error=\"{problem}\"", fetch.source);
+        let until = Instant::now() + REST;
+        match fetch.source {
+            Source::Origin => *self.origin_rests_until.borrow_mut() = Some(until),
+            Source::Peer(peer) => {
+                self.slot.rests.borrow_mut().insert(peer, until);
+            }
+        }
+        if *self.n_mismatches.borrow() >= MAX_MISMATCHES {
+            *self.n_mismatches.borrow_mut() = 0;
+            self.check_manifest().await;
+        }
+    }
+
+    /// Reads the manifest anew, as it may be the one that is wrong.
+    async fn check_manifest(&self) {
+        let Some(manifest) = self.read_manifest().await else { return };
+        let mut shelf = self.slot.shelf.borrow_mut();
+        if shelf.as_ref().is_some_and(|it| it.manifest != manifest) {
+            log::warn!("weights: another manifest version={}", self.version);
+            let mut fresh = Shelf::new(&self.model, self.version, manifest);
+            for number in 0..fresh.manifest.n_pieces() {
+                let held = shelf.as_ref().and_then(|it| it.get(number));
+                held.map(|it| fresh.put(number, it.to_vec()));
+            }
+            *shelf = Some(fresh);
+        }
+    }
+
+    async fn share(&self, fetch: Fetch) {
+        let mut targets = self.slot.near_members();
+        if fetch.source == Source::Origin {
+            targets.extend(self.importers(fetch.number));
+        }
+        self.slot.announce(&targets, false).await;
+        self.slot.changed.notify(usize::MAX);
+        let piece = self.slot.shelf.borrow().as_ref().and_then(|it| it.get(fetch.number));
+        let Some(piece) = piece else { return };
+        if let Err(err) = self.slot.engine.stage(&self.model, fetch.number, &piece).await {
+            log::warn!("weights: piece not staged number={} error=\"{err}\"", fetch.number);
+        }
+    }
+
+    fn importers(&self, number: u32) -> Vec<SocketAddr> {
+        let plan = PiecePlan {
+            own: self.slot.settings.peers,
+            zone: &self.slot.settings.host.zone,
+            members: &self.slot.members.borrow(),
+            holders: &std::collections::BTreeMap::<SocketAddr, Holder>::new(),
+            wanted: &[],
+            elapsed: Duration::ZERO,
+            is_origin_available: false,
+        };
+        plan.importers(number)
+    }
+}
--- /dev/null
+++ b/src/slot/shelf.rs
@@ -0,0 +1,49 @@
+//! The verified pieces of one version of a model.
+
+use std::rc::Rc;
+
+use crate::{ids::WeightsVersion, slot::Manifest};
+
+/// Pieces that match their manifest.
+#[derive(Clone, Debug)]
+pub struct Shelf {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: WeightsVersion,
+    /// Digests of all pieces.
+    pub manifest: Manifest,
+    pieces: Vec<Option<Rc<Vec<u8>>>>,
+}
+
+impl Shelf {
+    /// An empty shelf.
+    pub fn new(model: &str, version: WeightsVersion, manifest: Manifest) -> Shelf {
+        let pieces = vec![None; manifest.digests.len()];
+        Shelf { model: model.to_owned(), version, manifest, pieces }
+    }
+
+    /// Keeps a piece if it matches the manifest; says whether it does.
+    pub fn put(&mut self, number: u32, bytes: Vec<u8>) -> bool {
+        if !self.manifest.matches(number, &bytes) {
+            return false;
+        }
+        self.pieces[number as usize] = Some(Rc::new(bytes));
+        true
+    }
+
+    /// A piece that is held.
+    pub fn get(&self, number: u32) -> Option<Rc<Vec<u8>>> {
+        self.pieces.get(number as usize)?.clone()
+    }
+
+    /// Numbers of the pieces that are held.
+    pub fn held(&self) -> Vec<u16> {
+        (0..self.pieces.len()).filter(|it| self.pieces[*it].is_some()).map(|it| it as u16).collect()
+    }
+
+    /// Whether every piece is held.
+    pub fn is_whole(&self) -> bool {
+        self.pieces.iter().all(Option::is_some)
+    }
+}
--- /dev/null
+++ b/src/slot/slot_state.rs
@@ -0,0 +1,121 @@
+//! What all tasks of a slot process share.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+    time::Instant,
+};
+
+use async_io::Async;
+use event_listener::Event;
+
+use crate::{
+    fleet::{PeerMessage, PiecesHeld, VersionTable},
+    ids::{WeightsVersion, ZoneId},
+    platform::{engine_api::EngineApi, store::Store},
+    routing::{EngineFigures, Origin},
+    settings::{DeployedSettings, EngineSettings},
+    slot::{Holder, Shelf},
+};
+
+/// Beliefs and pieces of one slot process.
+pub(crate) struct SlotState {
+    pub(crate) settings: DeployedSettings,
+    pub(crate) engine_settings: EngineSettings,
+    pub(crate) engine: EngineApi,
+    pub(crate) store: Store,
+    pub(crate) socket: Async<UdpSocket>,
+    pub(crate) versions: RefCell<VersionTable>,
+    pub(crate) pool: RefCell<Option<PoolFacts>>,
+    pub(crate) members: RefCell<BTreeMap<SocketAddr, ZoneId>>,
+    pub(crate) entry_hosts: RefCell<Vec<SocketAddr>>,
+    /// The newest version that is being fetched or held.
+    pub(crate) shelf: RefCell<Option<Shelf>>,
+    /// What others hold of the shelf's version.
+    pub(crate) holders: RefCell<BTreeMap<SocketAddr, Holder>>,
+    /// Peers that failed and are not asked before a time.
+    pub(crate) rests: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Told of new versions, pieces and holders.
+    pub(crate) changed: Event,
+}
+
+/// What the charter says of the own pool.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct PoolFacts {
+    /// The model that the pool serves.
+    pub(crate) model: String,
+    /// Published figures of its engines.
+    pub(crate) figures: EngineFigures,
+    /// Where new weights come from.
+    pub(crate) origin: Option<Origin>,
+}
+
+impl SlotState {
+    /// Makes the state of a process that knows nothing yet.
+    pub(crate) fn new(
+        settings: DeployedSettings,
+        engine_settings: EngineSettings,
+    ) -> std::io::Result<Rc<SlotState>> {
+        let socket = Async::<UdpSocket>::bind(settings.peers)?;
+        let bound = settings.bounds.version;
+        Ok(Rc::new(SlotState {
+            engine: EngineApi::new(engine_settings.address),
+            store: Store::new(settings.store),
+            settings,
+            engine_settings,
+            socket,
+            versions: RefCell::new(VersionTable::new(bound)),
+            pool: RefCell::default(),
+            members: RefCell::default(),
+            entry_hosts: RefCell::default(),
+            shelf: RefCell::default(),
+            holders: RefCell::default(),
+            rests: RefCell::default(),
+            changed: Event::new(),
+        }))
+    }
+
+    /// The version that the engine is to serve.
+    pub(crate) fn target(&self) -> Option<(String, WeightsVersion)> {
+        let pool = self.pool.borrow();
+        let model = &pool.as_ref()?.model;
+        Some((model.clone(), self.versions.borrow().newest(model)))
+    }
+
+    /// Tells `targets` which pieces are held.
+    pub(crate) async fn announce(&self, targets: &[SocketAddr], asks: bool) {
+        let Some(message) = self.pieces_held(asks) else { return };
+        self.send(targets, &PeerMessage::PiecesHeld(message)).await;
+    }
+
+    /// Sends a datagram to `targets`; one that is lost is made good by a later one.
+    pub(crate) async fn send(&self, targets: &[SocketAddr], message: &PeerMessage) {
+        let bytes = match bincode::serialize(message) {
+            Ok(bytes) => bytes,
+            Err(err) => return log::error!("slot: message not encoded error=\"{err}\""),
+        };
+        for target in targets.iter().filter(|it| **it != self.settings.peers) {
+            if let Err(err) = self.socket.send_to(&bytes, *target).await {
+                log::debug!("slot: message not sent to={target} error=\"{err}\"");
+            }
+        }
+    }
+
+    /// The other slot processes of the own zone.
+    pub(crate) fn near_members(&self) -> Vec<SocketAddr> {
+        let zone = &self.settings.host.zone;
+        let members = self.members.borrow();
+        let near = members.iter().filter(|it| it.1 == zone && *it.0 != self.settings.peers);
+        near.map(|it| *it.0).collect()
+    }
+
+    fn pieces_held(&self, asks: bool) -> Option<PiecesHeld> {
+        let (model, version) = self.target()?;
+        let shelf = self.shelf.borrow();
+        let shelf = shelf.as_ref().filter(|it| it.version == version && it.model == model);
+        let pieces = shelf.map(Shelf::held).unwrap_or_default();
+        Some(PiecesHeld { zone: self.settings.host.zone.clone(), model, version, pieces, asks })
+    }
+}
