--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! (`POST /faults` with the fields to change, `GET /counts`).
 
 mod behaviour;
+pub mod deployed;
 mod engine;
 mod origin;
 mod piece_body;
