--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     rc::Rc,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use event_listener::Event;
@@ -18,6 +18,9 @@
     settings::{DeployedSettings, EntryListenSettings},
 };
 
+/// Time before the end of the grace period at which a leaving process ends.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
 /// Beliefs, loads and connections of one entry host.
 pub(crate) struct EntryHost {
     pub(crate) settings: DeployedSettings,
@@ -89,6 +92,12 @@
         self.leaving_since.get()
     }
 
+    /// Time until a leaving process ends; absent while it serves.
+    pub(crate) fn time_to_end(&self) -> Option<Duration> {
+        let grace = self.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
+        self.leaving_since.get().map(|it| grace.saturating_sub(it.elapsed()))
+    }
+
     /// The next beacon.
     pub(crate) fn beacon(&self) -> Beacon {
         self.beacon_number.set(self.beacon_number.get() + 1);
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -15,6 +15,7 @@
     },
     http1::{ConnectionWriter, HttpError, RequestHead, ResponseHead},
     ids::{BackendId, CustomerId, ServiceId},
+    placement::may_take,
     platform::wire_headers,
     relay::{Attempt, BackendAnswer, CallerRequest, EngineCall},
     routing::{Route, RouteKind},
@@ -120,6 +121,11 @@
                 }
             }
         };
+        let time_limit = self.time_left(route);
+        if self.host.time_to_end().is_some_and(|it| !may_take(it, time_limit)) {
+            let refusal = Refusal::not_run(503, "this host is about to end; send it elsewhere");
+            return self.refuse(refusal.with_retry_after(Duration::ZERO)).await;
+        }
         let Some(service) = route.choose_service(fastrand::f64()) else {
             return self.refuse(Refusal::not_run(503, "the route leads nowhere")).await;
         };
--- a/src/entry/life.rs
+++ b/src/entry/life.rs
@@ -25,8 +25,6 @@
     settings::{DeployedSettings, EntryListenSettings},
 };
 
-/// Time before the end of the grace period at which the process ends.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Least time for which a leaving host goes on to take connections of callers that know it.
 const MIN_LEAVE_TIME: Duration = Duration::from_secs(4);
 /// Pause between two looks at what is in progress.
@@ -100,8 +98,7 @@
     /// Finishes what is in progress within the grace period.
     async fn close(self) {
         let since = Instant::now();
-        let grace = self.host.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
-        while since.elapsed() < grace {
+        while self.host.time_to_end().is_some_and(|it| !it.is_zero()) {
             runtime::sleep(LEAVE_CHECK_INTERVAL).await;
             if since.elapsed() > MIN_LEAVE_TIME && self.host.n_connections.get() == 0 {
                 break;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod backend_health;
 mod engine_choice;
 mod homes;
+mod leave_gate;
 mod load_table;
 
 pub use crate::placement::{
@@ -11,5 +12,6 @@
     backend_health::BackendHealth,
     engine_choice::{choose_engine, choose_plain, Candidate},
     homes::{assign_homes, HomelessEngine},
+    leave_gate::may_take,
     load_table::{Load, LoadTable},
 };
