Pieces leave a slot below its link's rate, one after the other

Change: uploads go one at a time in 8 KiB slices at 0.8 of the link; importers have equal shares of the pieces; pieces leave the origin in order; a slot fetches before its engine answers; one watch of a process probes a store that is away.

--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -1,12 +1,15 @@
 //! Keeps the beliefs of an entry host up to date from the store.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use async_executor::Task;
 
 use crate::{
     entry::entry_host::EntryHost,
-    fleet::{KindUpdate, KindWatch},
+    fleet::{KindUpdate, KindWatch, Outage},
     platform::{
         store::{Change, Store, StoredObject},
         wire_config, wire_server,
@@ -15,21 +18,25 @@
     runtime,
 };
 
+/// Longest pause between two calls of a store that is away.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
+
 /// Starts to follow everything that an entry host goes by.
 pub(crate) fn follow(host: &Rc<EntryHost>, store: &Store) -> Vec<Task<()>> {
+    let outage = Outage::new(MAX_RETRY_DELAY);
     let charter = {
         let host = host.clone();
-        let watch = KindWatch::new(store.clone(), wire_config::KIND);
+        let watch = KindWatch::new(store.clone(), wire_config::KIND, outage.clone());
         runtime::spawn_local(watch.run(move |update| take_charters(&host, update)))
     };
     let servers = {
         let host = host.clone();
-        let watch = KindWatch::new(store.clone(), wire_server::SERVER_KIND);
+        let watch = KindWatch::new(store.clone(), wire_server::SERVER_KIND, outage.clone());
         runtime::spawn_local(watch.run(move |update| take_servers(&host, update)))
     };
     let versions = {
         let host = host.clone();
-        let watch = KindWatch::new(store.clone(), wire_server::VERSION_KIND);
+        let watch = KindWatch::new(store.clone(), wire_server::VERSION_KIND, outage);
         runtime::spawn_local(watch.run(move |update| take_versions(&host, update)))
     };
     vec![charter, servers, versions]
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -3,17 +3,12 @@
 use std::time::{Duration, Instant};
 
 use crate::{
+    fleet::Outage,
     platform::store::{Change, Store, StoreError, StoredObject},
-    runtime,
 };
 
 /// Time after which a watch without news is asked anew.
-const WATCH_WAIT: Duration = Duration::from_secs(6);
-/// First pause after a failed call.
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Longest pause between failed calls.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
-
+const WATCH_WAIT: Duration = Duration::from_secs(15);
 /// What a watch has learned.
 #[derive(Debug)]
 pub enum KindUpdate {
@@ -33,12 +28,13 @@
 pub struct KindWatch {
     store: Store,
     kind: &'static str,
+    outage: Outage,
 }
 
 impl KindWatch {
     /// Makes a watch of `kind`.
-    pub fn new(store: Store, kind: &'static str) -> KindWatch {
-        KindWatch { store, kind }
+    pub fn new(store: Store, kind: &'static str, outage: Outage) -> KindWatch {
+        KindWatch { store, kind, outage }
     }
 
     /// Hands every update to `apply` until the task is dropped.
@@ -49,11 +45,9 @@
             let mut at = listing.at;
             apply(KindUpdate::Listed { objects: listing.objects, is_after_outage });
             is_after_outage = false;
-            let mut delay = FIRST_RETRY_DELAY;
             loop {
                 match self.store.watch(self.kind, at, WATCH_WAIT).await {
                     Ok(changes) => {
-                        delay = FIRST_RETRY_DELAY;
                         at = changes.at;
                         if !changes.events.is_empty() {
                             apply(KindUpdate::Changed(changes.events));
@@ -67,7 +61,7 @@
                         // An outage may have removed entries that come back, so list again.
                         log::warn!("store: watch failed kind={} error=\"{err}\"", self.kind);
                         is_after_outage = true;
-                        pause(&mut delay).await;
+                        self.outage.wait().await;
                         break;
                     }
                 }
@@ -76,11 +70,11 @@
     }
 
     async fn list(&self, is_after_outage: &mut bool) -> crate::platform::store::Listing {
-        let mut delay = FIRST_RETRY_DELAY;
         let since = Instant::now();
         loop {
             match self.store.list(self.kind).await {
                 Ok(listing) => {
+                    self.outage.end();
                     if *is_after_outage {
                         let away_ms = since.elapsed().as_millis();
                         log::info!("store: back kind={} away_ms={away_ms}", self.kind);
@@ -90,15 +84,9 @@
                 Err(err) => {
                     log::warn!("store: list failed kind={} error=\"{err}\"", self.kind);
                     *is_after_outage = true;
-                    pause(&mut delay).await;
+                    self.outage.wait().await;
                 }
             }
         }
     }
 }
-
-/// Waits with jitter and doubles the delay.
-async fn pause(delay: &mut Duration) {
-    runtime::sleep(delay.mul_f64(0.5 + fastrand::f64())).await;
-    *delay = (*delay * 2).min(MAX_RETRY_DELAY);
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod backend_table;
 mod beacon;
 mod kind_watch;
+mod outage;
 mod peer_table;
 mod version_table;
 
@@ -10,6 +11,7 @@
     backend_table::BackendTable,
     beacon::{Beacon, EngineLoad, EngineNotice, EntryState, PeerMessage, PiecesHeld},
     kind_watch::{KindUpdate, KindWatch},
+    outage::Outage,
     peer_table::{Nearness, Peer, PeerTable},
     version_table::VersionTable,
 };
--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -20,6 +20,8 @@
 
 /// Kind of the object that holds the configuration.
 pub const KIND: &str = "config";
+/// Bytes of a megabit.
+const BYTES_PER_MBIT: f64 = 125_000.0;
 /// Name of that object.
 const NAME: &str = "main";
 
@@ -79,6 +81,9 @@
     engine: Option<WireEngine>,
     /// Address of an origin of weights, which is on no list.
     origin: Option<SocketAddr>,
+    /// Rate of the origin's link in Mbit/s.
+    #[serde(default, rename = "link-mbps")]
+    link_mbps: f64,
 }
 
 /// The separators of these names are mixed on the wire.
@@ -204,7 +209,10 @@
             step: Duration::from_secs_f64(it.step_ms / 1000.0),
             read_tokens_per_s: it.read_per_s,
         });
-        let origin = self.origin.map(|address| Origin { address });
+        let origin = self.origin.map(|address| {
+            let bytes_per_s = self.link_mbps * BYTES_PER_MBIT;
+            Origin { address, bytes_per_s }
+        });
         (self.name, Service { engine, origin })
     }
 }
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -12,10 +12,12 @@
 }
 
 /// Where new weights come from.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Origin {
     /// Address.
     pub address: SocketAddr,
+    /// Bytes that its link carries in a second; 0 if unknown.
+    pub bytes_per_s: f64,
 }
 
 /// What is published of the engines of a pool.
--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -8,6 +8,9 @@
     HostSettings, LogSettings, RoleSettings,
 };
 
+/// Bytes of a megabit.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
 /// All settings of one process on the platform.
 #[derive(Clone, Debug)]
 pub struct DeployedSettings {
@@ -54,6 +57,8 @@
     pub service: String,
     /// `address`.
     pub address: SocketAddr,
+    /// `link_mbps`: rate of the machine's link each way, here in bytes a second.
+    pub link_bytes_per_s: u64,
 }
 
 /// Bounds that the operators set for all hosts.
@@ -124,7 +129,9 @@
 fn read_engine(reader: &mut Reader) -> Option<EngineSettings> {
     let service = reader.name("engine", "service");
     let address = reader.address("engine", "address");
-    Some(EngineSettings { service: service?, address: address? })
+    let link_mbps = reader.positive("engine", "link_mbps", 1000.0);
+    let link_bytes_per_s = (link_mbps? * BYTES_PER_MBIT) as u64;
+    Some(EngineSettings { service: service?, address: address?, link_bytes_per_s })
 }
 
 fn read_bounds(reader: &mut Reader) -> Option<BoundSettings> {
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -182,6 +182,15 @@
         }
     }
 
+    /// A number above 0, with or without a fraction.
+    pub(crate) fn positive(&mut self, section: &str, key: &str, default: f64) -> Option<f64> {
+        let Some(text) = self.value(section, key) else { return Some(default) };
+        match text.parse::<f64>() {
+            Ok(value) if value.is_finite() && value > 0.0 => Some(value),
+            _ => self.refuse(section, key, &text, "a number above 0"),
+        }
+    }
+
     pub(crate) fn flag(&mut self, section: &str, key: &str, default: bool) -> Option<bool> {
         let Some(text) = self.value(section, key) else { return Some(default) };
         match text.as_str() {
--- a/src/slot/life.rs
+++ b/src/slot/life.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     entry,
-    fleet::{KindUpdate, KindWatch},
+    fleet::{KindUpdate, KindWatch, Outage},
     platform::{
         store::{Store, StoredObject},
         wire_config, wire_server,
@@ -15,14 +15,15 @@
     runtime,
     settings::{DeployedSettings, EngineSettings},
     slot::{
-        messages, piece_server,
+        messages,
+        piece_server::PieceServer,
         slot_state::{PoolFacts, SlotState},
         switcher::Switcher,
     },
 };
 
-/// Pause between two reads of the lists after a failure.
-const READ_RETRY: Duration = Duration::from_millis(400);
+/// Longest pause between two calls of a store that is away.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1200);
 /// Pause between two reads of the lists.
 const READ_INTERVAL: Duration = Duration::from_secs(12);
 
@@ -30,16 +31,17 @@
 pub(crate) async fn run(settings: DeployedSettings, engine: EngineSettings) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let slot = SlotState::new(settings, engine)?;
-    let server = piece_server::listen(&slot)?;
+    let server = PieceServer::listen(&slot)?;
     log::info!("daemon: started host={} role=backend", slot.settings.host.id);
-    let watch = KindWatch::new(slot.store.clone(), wire_server::VERSION_KIND);
+    let outage = Outage::new(MAX_RETRY_DELAY);
+    let watch = KindWatch::new(slot.store.clone(), wire_server::VERSION_KIND, outage.clone());
     let versions = {
         let slot = slot.clone();
         runtime::spawn_local(watch.run(move |update| take_versions(&slot, update)))
     };
     let tasks = [
         versions,
-        runtime::spawn_local(read_lists(slot.clone())),
+        runtime::spawn_local(read_lists(slot.clone(), outage)),
         runtime::spawn_local(messages::receive(slot.clone())),
         runtime::spawn_local(Switcher::new(slot).run()),
     ];
@@ -78,13 +80,17 @@
 }
 
 /// Reads the charter and the lists of backend servers and entry hosts from time to time.
-async fn read_lists(slot: Rc<SlotState>) {
+async fn read_lists(slot: Rc<SlotState>, outage: Outage) {
     loop {
         let is_read =
-            read_pool(&slot).await & read_members(&slot).await & read_entries(&slot).await;
+            read_pool(&slot).await && read_members(&slot).await && read_entries(&slot).await;
         slot.changed.notify(usize::MAX);
-        let pause = if is_read { READ_INTERVAL } else { READ_RETRY };
-        runtime::sleep(pause.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        if !is_read {
+            outage.wait().await;
+            continue;
+        }
+        outage.end();
+        runtime::sleep(READ_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
     }
 }
 
@@ -133,6 +139,8 @@
             Err(err) => log::debug!("fleet: entry left out error=\"{err}\""),
         }
     }
+    drop(members);
+    slot.update_ranks();
     true
 }
 
--- a/src/slot/messages.rs
+++ b/src/slot/messages.rs
@@ -34,7 +34,10 @@
 }
 
 async fn take(slot: &SlotState, held: PiecesHeld, from: SocketAddr) {
-    slot.members.borrow_mut().insert(from, held.zone.clone());
+    let before = slot.members.borrow_mut().insert(from, held.zone.clone());
+    if before.is_none() {
+        slot.update_ranks();
+    }
     let is_current = slot.target() == Some((held.model, held.version));
     if is_current {
         let pieces = held.pieces.into_iter().collect();
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -5,6 +5,7 @@
 mod messages;
 mod piece_fetch;
 mod piece_plan;
+mod piece_ranks;
 mod piece_server;
 mod shelf;
 mod slot_state;
@@ -15,6 +16,7 @@
 pub use crate::slot::{
     manifest::{Manifest, PieceDigest},
     piece_plan::{Fetch, Holder, PiecePlan, Source},
+    piece_ranks::PieceRanks,
     shelf::Shelf,
     switch_turn::switch_delay,
 };
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches the manifest and the pieces of one version.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
@@ -22,12 +22,12 @@
     slot::{
         piece_server::{manifest_path, piece_path},
         slot_state::SlotState,
-        Fetch, Holder, Manifest, PiecePlan, Shelf, Source,
+        Fetch, Manifest, PiecePlan, Shelf, Source,
     },
 };
 
 /// Pieces on their way at once.
-const N_WORKERS: usize = 3;
+const N_WORKERS: usize = 2;
 /// Time limit of a piece from another slot.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time for which a source that failed is not asked.
@@ -37,7 +37,7 @@
 /// Pause between two tries to get a manifest.
 const MANIFEST_RETRY: Duration = Duration::from_millis(150);
 /// Time in which holders answer before the origin is asked for a manifest.
-const ASK_TIME: Duration = Duration::from_millis(60);
+const ASK_TIME: Duration = Duration::from_millis(25);
 /// Pause between two questions for what others hold.
 const ASK_INTERVAL: Duration = Duration::from_millis(800);
 /// Longest answer of another slot.
@@ -57,10 +57,19 @@
     busy_peers: RefCell<BTreeSet<SocketAddr>>,
     origin_rests_until: RefCell<Option<Instant>>,
     n_mismatches: RefCell<u32>,
+    /// Whether what lies in the staging area is known.
+    is_staging_read: Cell<bool>,
 }
 
 /// Fetches a version into the shelf; the shelf is whole when the future ends.
-pub(crate) async fn fetch(slot: Rc<SlotState>, model: String, version: WeightsVersion) {
+///
+/// Pieces `may_be_staged` in the engine already when this is the first fetch of the process.
+pub(crate) async fn fetch(
+    slot: Rc<SlotState>,
+    model: String,
+    version: WeightsVersion,
+    may_be_staged: bool,
+) {
     let fetch = Rc::new(PieceFetch {
         slot,
         model,
@@ -72,10 +81,14 @@
         busy_peers: RefCell::default(),
         origin_rests_until: RefCell::default(),
         n_mismatches: RefCell::default(),
+        is_staging_read: Cell::new(!may_be_staged),
     });
     let asks = runtime::spawn_local(ask_regularly(fetch.slot.clone()));
     fetch.load_manifest().await;
-    fetch.take_staged().await;
+    let staged = {
+        let fetch = fetch.clone();
+        runtime::spawn_local(async move { fetch.take_staged().await })
+    };
     let workers: Vec<Task<()>> = (0..N_WORKERS)
         .map(|_| {
             let fetch = fetch.clone();
@@ -86,6 +99,7 @@
         worker.await;
     }
     drop(asks);
+    drop(staged);
     let took_ms = fetch.started.elapsed().as_millis();
     log::info!("weights: whole model={} version={} took_ms={took_ms}", fetch.model, version);
 }
@@ -147,11 +161,17 @@
         }
     }
 
-    /// Takes what lies in the engine's staging area already.
+    /// Takes what lies in the engine's staging area already, once the engine answers.
     async fn take_staged(&self) {
-        let staged = match self.slot.engine.staged(&self.model).await {
-            Ok(staged) => staged,
-            Err(err) => return log::warn!("weights: staging area not read error=\"{err}\""),
+        if self.is_staging_read.get() {
+            return;
+        }
+        let staged = loop {
+            match self.slot.engine.staged(&self.model).await {
+                Ok(staged) => break staged,
+                Err(err) => log::debug!("weights: staging area not read error=\"{err}\""),
+            }
+            runtime::sleep(MANIFEST_RETRY).await;
         };
         let mut n_taken = 0;
         for number in staged {
@@ -159,14 +179,10 @@
                 Ok(bytes) => n_taken += u32::from(self.put(number, bytes)),
                 Err(err) => log::warn!("weights: staged piece not read error=\"{err}\""),
             }
-            // All pieces are of one version, so one that doesn't match ends the search early.
-            if n_taken == 0 && number > 2 {
-                break;
-            }
-        }
-        if n_taken > 0 {
-            log::info!("weights: staged pieces taken n={n_taken} version={}", self.version);
         }
+        log::info!("weights: staged pieces taken n={n_taken} version={}", self.version);
+        self.is_staging_read.set(true);
+        self.slot.changed.notify(usize::MAX);
     }
 
     fn put(&self, number: u32, bytes: Vec<u8>) -> bool {
@@ -217,15 +233,28 @@
         let plan = PiecePlan {
             own: self.slot.settings.peers,
             zone: &self.slot.settings.host.zone,
-            members: &self.slot.members.borrow(),
+            ranks: &self.slot.ranks.borrow(),
             holders: &holders,
             wanted: &wanted,
             elapsed: self.started.elapsed(),
-            is_origin_available: self.origin_rests_until.borrow().is_none_or(|it| it <= now),
+            origin_pace: self.origin_pace(),
+            is_origin_available: self.is_staging_read.get()
+                && self.origin_rests_until.borrow().is_none_or(|it| it <= now),
         };
         plan.next(&mut fastrand::Rng::new())
     }
 
+    /// Time that one piece takes on the origin's link.
+    fn origin_pace(&self) -> Duration {
+        let pool = self.slot.pool.borrow();
+        let Some(pool) = pool.as_ref() else { return Duration::ZERO };
+        let rate = pool.origin.as_ref().map_or(0.0, |it| it.bytes_per_s);
+        match rate > 0.0 {
+            true => Duration::from_secs_f64(f64::from(pool.figures.piece_bytes) / rate),
+            false => Duration::ZERO,
+        }
+    }
+
     async fn read_piece(&self, fetch: Fetch) -> Result<Vec<u8>, EngineError> {
         match fetch.source {
             Source::Peer(peer) => {
@@ -290,7 +319,8 @@
     async fn share(&self, fetch: Fetch) {
         let mut targets = self.slot.near_members();
         if fetch.source == Source::Origin {
-            targets.extend(self.importers(fetch.number));
+            let zone = &self.slot.settings.host.zone;
+            targets.extend(self.slot.ranks.borrow().importers(fetch.number, zone));
         }
         self.slot.announce(&targets, false).await;
         self.slot.changed.notify(usize::MAX);
@@ -300,17 +330,4 @@
             log::warn!("weights: piece not staged number={} error=\"{err}\"", fetch.number);
         }
     }
-
-    fn importers(&self, number: u32) -> Vec<SocketAddr> {
-        let plan = PiecePlan {
-            own: self.slot.settings.peers,
-            zone: &self.slot.settings.host.zone,
-            members: &self.slot.members.borrow(),
-            holders: &std::collections::BTreeMap::<SocketAddr, Holder>::new(),
-            wanted: &[],
-            elapsed: Duration::ZERO,
-            is_origin_available: false,
-        };
-        plan.importers(number)
-    }
 }
--- a/src/slot/piece_plan.rs
+++ b/src/slot/piece_plan.rs
@@ -2,7 +2,8 @@
 //!
 //! Each piece leaves the origin once: the slot that ranks first for it fetches it there. One slot in
 //! each other availability zone takes it from that zone, and everyone else from a slot of the own
-//! zone. When the slot whose turn it is fails, the next in rank takes over after a delay.
+//! zone. When the slot whose turn it is fails, the next in rank takes over after a delay. Pieces
+//! leave the origin one after the other at its rate, so that the first ones travel on early.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,13 +11,10 @@
     time::Duration,
 };
 
-use crate::{
-    ids::ZoneId,
-    weights::rank::{digest_hash, score},
-};
+use crate::{ids::ZoneId, slot::PieceRanks};
 
 /// Time in which slots that hold pieces answer a newcomer.
-const ASK_TIME: Duration = Duration::from_millis(100);
+const ASK_TIME: Duration = Duration::from_millis(40);
 /// Time after which the next slot in rank takes over.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(900);
 /// Time after which a zone no longer waits for a piece from another zone.
@@ -58,14 +56,16 @@
     pub own: SocketAddr,
     /// Its availability zone.
     pub zone: &'a ZoneId,
-    /// All slot processes of the pool with their zones, this one included.
-    pub members: &'a BTreeMap<SocketAddr, ZoneId>,
+    /// Whose turn it is.
+    pub ranks: &'a PieceRanks,
     /// What others hold.
     pub holders: &'a BTreeMap<SocketAddr, Holder>,
     /// Pieces that are neither held nor on their way.
     pub wanted: &'a [u32],
     /// Time since the fetch of this version began.
     pub elapsed: Duration,
+    /// Time that one piece takes on the origin's link.
+    pub origin_pace: Duration,
     /// Whether the origin may be asked now.
     pub is_origin_available: bool,
 }
@@ -85,13 +85,6 @@
         })
     }
 
-    /// The slots outside the own zone that take a piece over for their zones.
-    pub fn importers(&self, number: u32) -> Vec<SocketAddr> {
-        let zones: BTreeSet<&ZoneId> =
-            self.members.values().filter(|it| *it != self.zone).collect();
-        zones.into_iter().filter_map(|it| self.ranked(number, Some(it)).first().copied()).collect()
-    }
-
     fn source(&self, number: u32, random: &mut fastrand::Rng) -> Option<Source> {
         let near: Vec<&SocketAddr> = self.near_holders(number).collect();
         if !near.is_empty() {
@@ -99,43 +92,35 @@
                 near.into_iter().filter(|it| self.holders[*it].is_available).collect();
             return random.choice(free).map(|it| Source::Peer(*it));
         }
-        if self.elapsed < ASK_TIME {
+        let zone_rank = self.ranks.zone_rank(number, self.zone, self.own);
+        let turn = ASK_TIME + TAKEOVER_DELAY * zone_rank;
+        if self.elapsed < turn {
             return None;
         }
-        let waits = self.elapsed.saturating_sub(TAKEOVER_DELAY * self.zone_rank(number));
-        if waits.is_zero() {
-            return None;
+        let mut far = self.holders.iter().filter(|it| it.1.holds(number)).peekable();
+        if far.peek().is_some() {
+            return far.find(|it| it.1.is_available).map(|it| Source::Peer(*it.0));
         }
-        let far = self.holders.iter().filter(|it| it.1.holds(number));
-        let far: Vec<(&SocketAddr, &Holder)> = far.collect();
-        if let Some(holder) = far.iter().find(|it| it.1.is_available) {
-            return Some(Source::Peer(*holder.0));
-        }
-        let root = self.ranked(number, None).first().copied();
-        let is_in_root_zone = root.is_none_or(|it| self.members.get(&it) == Some(self.zone));
-        let is_due = is_in_root_zone || waits > CROSS_ZONE_DELAY;
-        (is_due && self.is_origin_available && far.is_empty()).then_some(Source::Origin)
+        let is_root = self.ranks.root(number) == Some(self.own);
+        let is_in_root_zone =
+            self.ranks.root(number).is_none_or(|it| !self.is_importer_elsewhere(number, it));
+        let origin_turn = match (is_root, is_in_root_zone) {
+            (true, _) => turn + self.origin_pace * number,
+            (false, true) => turn + TAKEOVER_DELAY,
+            (false, false) => turn + CROSS_ZONE_DELAY,
+        };
+        let is_due = self.elapsed >= origin_turn && self.is_origin_available;
+        is_due.then_some(Source::Origin)
+    }
+
+    fn is_importer_elsewhere(&self, number: u32, member: SocketAddr) -> bool {
+        self.ranks.importers(number, self.zone).contains(&member)
     }
 
     fn near_holders(&self, number: u32) -> impl Iterator<Item = &SocketAddr> {
         let holders = self.holders.iter();
         holders.filter(move |it| it.1.zone == *self.zone && it.1.holds(number)).map(|it| it.0)
     }
-
-    /// Rank of this slot for a piece among those of its zone.
-    fn zone_rank(&self, number: u32) -> u32 {
-        let ranked = self.ranked(number, Some(self.zone));
-        ranked.iter().position(|it| *it == self.own).unwrap_or(0) as u32
-    }
-
-    fn ranked(&self, number: u32, zone: Option<&ZoneId>) -> Vec<SocketAddr> {
-        let of_zone = |it: &(&SocketAddr, &ZoneId)| zone.is_none_or(|zone| it.1 == zone);
-        let members = self.members.iter().filter(of_zone).map(|it| *it.0);
-        let mut ranked: Vec<(u64, SocketAddr)> =
-            members.map(|it| (score(u64::from(number), address_hash(&it)), it)).collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().map(|it| it.1).collect()
-    }
 }
 
 impl Holder {
@@ -143,8 +128,3 @@
         self.pieces.contains(&(number as u16))
     }
 }
-
-/// Hash of an address for the ranking.
-pub(crate) fn address_hash(address: &SocketAddr) -> u64 {
-    digest_hash(&crate::digest::Digest::of(address.to_string().as_bytes()))
-}
--- /dev/null
+++ b/src/slot/piece_ranks.rs
@@ -0,0 +1,87 @@
+//! Which slot process brings which piece into which availability zone.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use crate::{
+    digest::Digest,
+    ids::ZoneId,
+    weights::rank::{digest_hash, score},
+};
+
+/// Ranks of all slot processes for all pieces; every process works out the same from the same list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PieceRanks {
+    /// Slot processes by zone and piece, the one whose turn it is first.
+    zones: BTreeMap<ZoneId, Vec<Vec<SocketAddr>>>,
+    /// The slot process that fetches each piece from the origin.
+    roots: Vec<SocketAddr>,
+}
+
+impl PieceRanks {
+    /// Ranks `members` for `n_pieces` pieces.
+    pub fn new(members: &BTreeMap<SocketAddr, ZoneId>, n_pieces: u32) -> PieceRanks {
+        let hashes: HashMap<SocketAddr, u64> =
+            members.keys().map(|it| (*it, address_hash(it))).collect();
+        let mut by_zone: BTreeMap<&ZoneId, Vec<SocketAddr>> = BTreeMap::new();
+        for (address, zone) in members {
+            by_zone.entry(zone).or_default().push(*address);
+        }
+        let zones: BTreeMap<ZoneId, Vec<Vec<SocketAddr>>> = by_zone
+            .into_iter()
+            .map(|(zone, members)| (zone.clone(), rank_zone(&members, &hashes, n_pieces)))
+            .collect();
+        let root = |number: u32| {
+            let firsts = zones.values().filter_map(|it| it[number as usize].first());
+            firsts.max_by_key(|it| score(u64::from(number), hashes[*it])).copied()
+        };
+        let roots = (0..n_pieces).filter_map(root).collect();
+        PieceRanks { zones, roots }
+    }
+
+    /// The slot process that fetches a piece from the origin.
+    pub fn root(&self, number: u32) -> Option<SocketAddr> {
+        self.roots.get(number as usize).copied()
+    }
+
+    /// The slot processes that bring a piece into the zones other than `zone`.
+    pub fn importers(&self, number: u32, zone: &ZoneId) -> Vec<SocketAddr> {
+        let others = self.zones.iter().filter(|it| it.0 != zone);
+        others.filter_map(|it| it.1.get(number as usize)?.first()).copied().collect()
+    }
+
+    /// Rank of a slot process for a piece within its zone.
+    pub fn zone_rank(&self, number: u32, zone: &ZoneId, member: SocketAddr) -> u32 {
+        let ranked = self.zones.get(zone).and_then(|it| it.get(number as usize));
+        ranked.and_then(|it| it.iter().position(|it| *it == member)).unwrap_or(0) as u32
+    }
+}
+
+/// Ranks the members of one zone; each comes first for about the same number of pieces.
+fn rank_zone(
+    members: &[SocketAddr],
+    hashes: &HashMap<SocketAddr, u64>,
+    n_pieces: u32,
+) -> Vec<Vec<SocketAddr>> {
+    let most = n_pieces.div_ceil(members.len().max(1) as u32);
+    let mut n_first: HashMap<SocketAddr, u32> = HashMap::new();
+    let rank = |number: u32| {
+        let mut ranked = members.to_vec();
+        ranked.sort_by_key(|it| std::cmp::Reverse((score(u64::from(number), hashes[it]), *it)));
+        let is_free = |it: &SocketAddr| n_first.get(it).copied().unwrap_or(0) < most;
+        if let Some(pos) = ranked.iter().position(is_free) {
+            let first = ranked.remove(pos);
+            ranked.insert(0, first);
+            *n_first.entry(first).or_default() += 1;
+        }
+        ranked
+    };
+    (0..n_pieces).map(rank).collect()
+}
+
+/// Hash of an address for a ranking.
+pub(crate) fn address_hash(address: &SocketAddr) -> u64 {
+    digest_hash(&Digest::of(address.to_string().as_bytes()))
+}
--- a/src/slot/piece_server.rs
+++ b/src/slot/piece_server.rs
@@ -1,18 +1,70 @@
-//! Serves manifests and verified pieces to other slot processes.
+//! Serves manifests and verified pieces to other slot processes, one piece after the other.
+//!
+//! The engine's streams share the machine's link, so pieces leave in small slices below its rate:
+//! a queue on the link would delay every event of every stream.
 
-use std::rc::Rc;
+use std::{
+    io,
+    net::TcpListener,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use async_executor::Task;
+use async_io::Async;
 
 use crate::{
-    http1::{Responder, SmallAnswer},
+    http1::{Connection, HttpError, ResponseHead},
     platform::origin_api::encode_manifest,
+    runtime,
     slot::{slot_state::SlotState, Shelf},
+    weights::LinkBudget,
 };
 
-/// Starts to serve.
-pub(crate) fn listen(slot: &Rc<SlotState>) -> std::io::Result<Responder> {
-    let address = slot.settings.peers;
-    let slot = slot.clone();
-    Responder::listen(address, move |head| answer(&slot, &head.target))
+/// Share of the machine's link that pieces may use.
+const LINK_SHARE: f64 = 0.8;
+/// Bytes that are sent at once.
+const SLICE_BYTES: usize = 8 << 10;
+/// Longest head of a question.
+const MAX_HEAD_BYTES: usize = 4 << 10;
+/// Time that a connection may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Time after which an asker has given up.
+const MAX_WAIT: Duration = Duration::from_millis(2000);
+/// Share of the link that pieces keep in any case, in percent.
+const MIN_SHARE_PERCENT: u32 = 100;
+
+/// Serves pieces at the address for peers.
+pub(crate) struct PieceServer {
+    task: Task<()>,
+}
+
+/// What all connections share.
+struct Uploads {
+    slot: Rc<SlotState>,
+    /// One piece is sent at a time, in the order in which they are asked for.
+    turn: async_lock::Mutex<()>,
+    budget: LinkBudget,
+}
+
+impl PieceServer {
+    /// Starts to serve.
+    pub(crate) fn listen(slot: &Rc<SlotState>) -> io::Result<PieceServer> {
+        let listener = Async::<TcpListener>::bind(slot.settings.peers)?;
+        let rate = (slot.engine_settings.link_bytes_per_s as f64 * LINK_SHARE) as u64;
+        let uploads = Rc::new(Uploads {
+            slot: slot.clone(),
+            turn: async_lock::Mutex::new(()),
+            budget: LinkBudget::new(rate, rate, MIN_SHARE_PERCENT),
+        });
+        let task = runtime::spawn_local(accept(uploads, listener));
+        Ok(PieceServer { task })
+    }
+
+    /// Stops listening.
+    pub(crate) async fn close(self) {
+        self.task.cancel().await;
+    }
 }
 
 /// The path of a manifest.
@@ -25,12 +77,60 @@
     format!("/piece/{model}/{version}/{number}")
 }
 
-fn answer(slot: &SlotState, target: &str) -> SmallAnswer {
-    let shelf = slot.shelf.borrow();
-    let Some(shelf) = shelf.as_ref() else { return SmallAnswer::status(404) };
-    match held_bytes(shelf, target) {
-        Some(body) => SmallAnswer { status: 200, content_type: "application/octet-stream", body },
-        None => SmallAnswer::status(404),
+async fn accept(uploads: Rc<Uploads>, listener: Async<TcpListener>) {
+    loop {
+        let accepted = match listener.accept().await {
+            Ok((stream, _)) => Connection::new(stream),
+            Err(err) => Err(err),
+        };
+        match accepted {
+            Ok(connection) => {
+                let uploads = uploads.clone();
+                let serve = async move {
+                    if let Err(err) = uploads.serve(connection).await {
+                        log::debug!("weights: connection ended error=\"{err}\"");
+                    }
+                };
+                runtime::spawn_local(serve).detach();
+            }
+            Err(err) => {
+                log::warn!("weights: connection not accepted error=\"{err}\"");
+                runtime::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+impl Uploads {
+    async fn serve(&self, mut connection: Connection) -> Result<(), HttpError> {
+        loop {
+            let head = connection.read_request_head(MAX_HEAD_BYTES);
+            let head = match runtime::timeout(IDLE_LIMIT, head).await {
+                Ok(Err(HttpError::Ended)) | Err(_) => return Ok(()),
+                Ok(res) => res?,
+            };
+            let asked = Instant::now();
+            let _turn = self.turn.lock().await;
+            // Nobody waits for this answer any more, and its bytes would delay the next one.
+            if asked.elapsed() > MAX_WAIT {
+                return Ok(());
+            }
+            let body = self.held_bytes(&head.target);
+            let status = if body.is_some() { 200 } else { 404 };
+            let body = body.unwrap_or_default();
+            let mut head = ResponseHead::new(status, "-");
+            head.headers.push("Content-Length", body.len().to_string());
+            connection.write(&head.to_bytes()).await?;
+            for slice in body.chunks(SLICE_BYTES) {
+                self.budget.send(slice.len() as u64).await;
+                connection.write(slice).await?;
+            }
+        }
+    }
+
+    fn held_bytes(&self, target: &str) -> Option<Vec<u8>> {
+        let shelf = self.slot.shelf.borrow();
+        held_bytes(shelf.as_ref()?, target)
     }
 }
 
--- a/src/slot/slot_state.rs
+++ b/src/slot/slot_state.rs
@@ -17,7 +17,7 @@
     platform::{engine_api::EngineApi, store::Store},
     routing::{EngineFigures, Origin},
     settings::{DeployedSettings, EngineSettings},
-    slot::{Holder, Shelf},
+    slot::{Holder, PieceRanks, Shelf},
 };
 
 /// Beliefs and pieces of one slot process.
@@ -30,6 +30,7 @@
     pub(crate) versions: RefCell<VersionTable>,
     pub(crate) pool: RefCell<Option<PoolFacts>>,
     pub(crate) members: RefCell<BTreeMap<SocketAddr, ZoneId>>,
+    pub(crate) ranks: RefCell<PieceRanks>,
     pub(crate) entry_hosts: RefCell<Vec<SocketAddr>>,
     /// The newest version that is being fetched or held.
     pub(crate) shelf: RefCell<Option<Shelf>>,
@@ -69,6 +70,7 @@
             versions: RefCell::new(VersionTable::new(bound)),
             pool: RefCell::default(),
             members: RefCell::default(),
+            ranks: RefCell::default(),
             entry_hosts: RefCell::default(),
             shelf: RefCell::default(),
             holders: RefCell::default(),
@@ -84,6 +86,12 @@
         Some((model.clone(), self.versions.borrow().newest(model)))
     }
 
+    /// Works out the ranks anew, after a change of members.
+    pub(crate) fn update_ranks(&self) {
+        let n_pieces = self.pool.borrow().as_ref().map_or(0, |it| it.figures.n_pieces);
+        *self.ranks.borrow_mut() = PieceRanks::new(&self.members.borrow(), n_pieces);
+    }
+
     /// Tells `targets` which pieces are held.
     pub(crate) async fn announce(&self, targets: &[SocketAddr], asks: bool) {
         let Some(message) = self.pieces_held(asks) else { return };
--- a/src/slot/switcher.rs
+++ b/src/slot/switcher.rs
@@ -16,7 +16,7 @@
     runtime,
     slot::{
         piece_fetch,
-        piece_plan::address_hash,
+        piece_ranks::address_hash,
         slot_state::{PoolFacts, SlotState},
         switch_delay, Shelf,
     },
@@ -36,6 +36,7 @@
     fetch: Option<RunningFetch>,
     /// What entry hosts were told last.
     told: Option<EngineNotice>,
+    is_engine_up: bool,
 }
 
 struct RunningFetch {
@@ -46,7 +47,7 @@
 impl Switcher {
     /// Makes a driver.
     pub(crate) fn new(slot: Rc<SlotState>) -> Switcher {
-        Switcher { slot, fetch: None, told: None }
+        Switcher { slot, fetch: None, told: None, is_engine_up: false }
     }
 
     /// Looks at the engine again and again.
@@ -62,14 +63,8 @@
     async fn look(&mut self) -> Duration {
         let Some(pool) = self.slot.pool.borrow().clone() else { return BUSY_INTERVAL };
         let target = self.slot.versions.borrow().newest(&pool.model);
-        let report = match self.slot.engine.report().await {
-            Ok(report) => report,
-            Err(err) => {
-                log::info!("slot: engine does not report error=\"{err}\"");
-                return BUSY_INTERVAL;
-            }
-        };
         self.fetch_if_due(&pool, target);
+        let Some(report) = self.read_report().await else { return BUSY_INTERVAL };
         let serves = whole_version(&report, &pool);
         if report.is_busy {
             self.tell(&pool, &report, None).await;
@@ -86,6 +81,19 @@
         BUSY_INTERVAL
     }
 
+    /// Reads the engine's state; logs when the engine stops or begins to answer.
+    async fn read_report(&mut self) -> Option<EngineReport> {
+        let res = self.slot.engine.report().await;
+        if res.is_ok() != self.is_engine_up {
+            self.is_engine_up = res.is_ok();
+            match &res {
+                Ok(report) => log::info!("slot: engine up started_ms={}", report.started_ms),
+                Err(err) => log::info!("slot: engine does not report error=\"{err}\""),
+            }
+        }
+        res.ok()
+    }
+
     fn fetch_if_due(&mut self, pool: &PoolFacts, target: WeightsVersion) {
         if self.fetch.as_ref().is_some_and(|it| it.version == target) {
             return;
@@ -93,7 +101,8 @@
         log::info!("weights: fetching model={} version={target}", pool.model);
         *self.slot.shelf.borrow_mut() = None;
         self.slot.holders.borrow_mut().clear();
-        let fetch = piece_fetch::fetch(self.slot.clone(), pool.model.clone(), target);
+        let fetch =
+            piece_fetch::fetch(self.slot.clone(), pool.model.clone(), target, self.fetch.is_none());
         self.fetch = Some(RunningFetch { version: target, _task: runtime::spawn_local(fetch) });
     }
 
