--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -144,6 +144,12 @@
         self.places_changed.notify(usize::MAX);
     }
 
+    /// Whether an engine has stopped serving to load other weights.
+    pub(crate) fn is_switching(&self, backend: &BackendId) -> bool {
+        let backends = self.backends.borrow();
+        backends.get(backend).is_some_and(|it| it.is_switching)
+    }
+
     /// Takes what a slot process tells of its engine.
     pub(crate) fn take_notice(&self, notice: &EngineNotice) {
         if self.backends.borrow_mut().take_notice(notice) {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -27,6 +27,8 @@
 const LIMIT_MARGIN: Duration = Duration::from_millis(40);
 /// Share of a request's goal for which it waits for a place.
 const PATIENCE_SHARE: f64 = 0.125;
+/// Time for which a stream that is to go on waits for a place.
+const RESUME_PATIENCE: Duration = Duration::from_millis(800);
 /// Time for the answer of a plain service when the request may be sent elsewhere.
 const PLAIN_ATTEMPT_LIMIT: Duration = Duration::from_millis(450);
 /// Time after which a caller that was turned away comes again.
@@ -153,12 +155,17 @@
             service: service.clone(),
             model: self.request.model.clone(),
             prompt_tokens: self.request.sizes.prompt_tokens,
+            is_resumed: false,
             excluded: Vec::new(),
         };
         let mut n_sent = 0;
         let mut fallback = None;
         while n_sent < route.max_attempts {
-            let patience = route.goal.mul_f64(PATIENCE_SHARE);
+            demand.is_resumed = self.is_head_sent.get();
+            let patience = match demand.is_resumed {
+                true => RESUME_PATIENCE,
+                false => route.goal.mul_f64(PATIENCE_SHARE),
+            };
             let place = match Place::find(&self.host, &demand, patience).await {
                 Ok(place) => place,
                 Err(reason) if n_sent == 0 => return self.refuse_for(reason).await,
@@ -329,6 +336,10 @@
             "relay: attempt lost request={} backend={backend} reason=\"{reason}\"",
             self.request.id
         );
+        // An engine that switches to other weights breaks off what runs, which is no fault of its.
+        if self.host.is_switching(backend) {
+            return AttemptEnd::Lost;
+        }
         if self.host.health.borrow_mut().failed(backend, Instant::now()) {
             log::info!("health: backend rests backend={backend}");
             self.host.connections.forget(backend);
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -25,6 +25,8 @@
     pub(crate) model: Option<String>,
     /// Tokens of the prompt.
     pub(crate) prompt_tokens: u32,
+    /// Whether the caller has the begin of the answer already.
+    pub(crate) is_resumed: bool,
     /// Backend servers that were tried already.
     pub(crate) excluded: Vec<BackendId>,
 }
@@ -47,6 +49,8 @@
     pub(crate) address: SocketAddr,
     /// Version that the engine must have.
     pub(crate) expected_version: Option<WeightsVersion>,
+    /// When the request must have begun, as its engine's weights are about to be outdated.
+    pub(crate) begin_limit: Option<Instant>,
     unread_tokens: Cell<u32>,
 }
 
@@ -105,7 +109,9 @@
         }
         let candidates: Vec<Candidate> = usable.iter().map(|it| candidates[*it].clone()).collect();
         let choice = match engine {
-            Some(_) => choose_engine(&candidates, demand.prompt_tokens, fastrand::f64()),
+            Some(_) => {
+                choose_engine(&candidates, demand.prompt_tokens, demand.is_resumed, fastrand::f64())
+            }
             None => choose_plain(&candidates),
         };
         let server = able[usable[choice.ok_or(NoPlace::Full)?]];
@@ -113,12 +119,19 @@
             (Some(model), Some(it)) if oldest > 0 => server.whole_version(model, it.n_layers),
             _ => None,
         };
+        let begin_limit = match (&demand.model, engine) {
+            (Some(model), Some(it)) => server
+                .whole_version(model, it.n_layers)
+                .and_then(|it| host.versions.borrow().begin_limit(model, it)),
+            _ => None,
+        };
         host.loads.borrow_mut().begin(server.address, demand.prompt_tokens);
         Ok(Place {
             host: host.clone(),
             backend: server.id.clone(),
             address: server.address,
             expected_version,
+            begin_limit,
             unread_tokens: Cell::new(demand.prompt_tokens),
         })
     }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -1,6 +1,6 @@
 //! Relays a stream of events, whole events only.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::{
     entry::{
@@ -31,8 +31,12 @@
 ) -> AttemptEnd {
     let may_move = route.is_repeatable() && !is_last;
     let limit = |limit: Duration| if may_move { limit } else { NO_LIMIT };
+    let begin_limit = || {
+        let left = place.begin_limit.map(|it| it.saturating_duration_since(Instant::now()));
+        left.map_or(limit(FIRST_EVENT_LIMIT), |it| it.min(limit(FIRST_EVENT_LIMIT)))
+    };
     let send = attempt.send(&exchange.host.connections);
-    let mut answer = match runtime::timeout(limit(FIRST_EVENT_LIMIT), send).await {
+    let mut answer = match runtime::timeout(begin_limit(), send).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(err)) if err.verdict == Verdict::NotRun => {
             return exchange.unreachable(attempt.backend, &err.err);
@@ -52,7 +56,7 @@
     let mut is_first = true;
     loop {
         let mut bytes = Vec::new();
-        let pause = limit(if is_first { FIRST_EVENT_LIMIT } else { PAUSE_LIMIT });
+        let pause = if is_first { begin_limit() } else { limit(PAUSE_LIMIT) };
         match runtime::timeout(pause, answer.read(&mut bytes)).await {
             Ok(Ok(true)) => {}
             Ok(Ok(false)) if splitter.is_between_events() => break,
--- a/src/fleet/backend_table.rs
+++ b/src/fleet/backend_table.rs
@@ -50,6 +50,7 @@
         if let Some(notice) = self.notices.get(&server.address) {
             if is_newer(notice, &server) {
                 server.weights = weights_of(notice, &server);
+                server.is_switching = notice.serves.is_none();
             }
         }
         self.servers.insert(server.id.clone(), server);
@@ -67,6 +68,7 @@
         let weights = weights_of(notice, server);
         let is_change = server.weights != weights;
         server.weights = weights;
+        server.is_switching = notice.serves.is_none();
         is_change
     }
 
--- a/src/fleet/version_table.rs
+++ b/src/fleet/version_table.rs
@@ -10,9 +10,13 @@
 /// Version that engines hold before any is named.
 const FIRST_VERSION: WeightsVersion = 1;
 /// Share of the bound after which no request begins on an older version.
-const REQUIRED_SHARE: f64 = 0.85;
+const REQUIRED_SHARE: f64 = 0.89;
+/// Share of the bound in which requests that were sent to an older version must begin.
+const BEGIN_SHARE: f64 = 0.08;
 /// Age that a version has when it is read at the start of a process, as a share of the bound.
-const UNKNOWN_AGE_SHARE: f64 = 0.5;
+///
+/// What is left must be shorter than the time in which a restarted process is not held to the bound.
+const UNKNOWN_AGE_SHARE: f64 = 0.61;
 
 /// Named versions by model.
 #[derive(Clone, Debug)]
@@ -60,6 +64,14 @@
         required.max().unwrap_or(0)
     }
 
+    /// When a request that was sent to an engine with `version` must have begun; absent while that
+    /// is the newest version.
+    pub fn begin_limit(&self, model: &str, version: WeightsVersion) -> Option<Instant> {
+        let namings = self.namings.get(model).into_iter().flatten();
+        let first = namings.filter(|it| it.version > version).map(|it| it.required_from).min();
+        first.map(|it| it + self.bound.mul_f64(BEGIN_SHARE))
+    }
+
     /// When the first version after `version` was named; absent if it is the newest.
     pub fn outdated_since(&self, model: &str, version: WeightsVersion) -> Option<Instant> {
         let namings = self.namings.get(model).into_iter().flatten();
--- a/src/placement/attempt_budget.rs
+++ b/src/placement/attempt_budget.rs
@@ -6,7 +6,7 @@
 };
 
 /// Part of the deployment's allowance that the hosts use together.
-const SAFETY_SHARE: f64 = 0.7;
+const SAFETY_SHARE: f64 = 0.85;
 
 /// Attempts at one pool or service by one entry host, in a sliding window.
 #[derive(Clone, Debug)]
--- a/src/placement/engine_choice.rs
+++ b/src/placement/engine_choice.rs
@@ -31,7 +31,10 @@
 }
 
 impl Candidate {
-    fn has_place(&self, prompt_tokens: u32) -> bool {
+    fn has_place(&self, prompt_tokens: u32, is_resumed: bool) -> bool {
+        if is_resumed {
+            return self.load.n_requests < self.slots;
+        }
         let margin = if self.is_own { 0 } else { FOREIGN_MARGIN };
         let unread = self.load.unread_tokens;
         let has_slot = self.load.n_requests + margin < self.slots + MAX_QUEUED;
@@ -40,10 +43,18 @@
 }
 
 /// The engine for a prompt: of the own ones if any has a place, else of the others.
-pub fn choose_engine(candidates: &[Candidate], prompt_tokens: u32, draw: f64) -> Option<usize> {
+///
+/// A stream that is to go on takes any free slot, since its caller is reading already.
+pub fn choose_engine(
+    candidates: &[Candidate],
+    prompt_tokens: u32,
+    is_resumed: bool,
+    draw: f64,
+) -> Option<usize> {
     let places = |is_own: bool| {
-        let fits =
-            move |it: &(usize, &Candidate)| it.1.is_own == is_own && it.1.has_place(prompt_tokens);
+        let fits = move |it: &(usize, &Candidate)| {
+            it.1.is_own == is_own && it.1.has_place(prompt_tokens, is_resumed)
+        };
         candidates.iter().enumerate().filter(fits)
     };
     let least = |it: &(usize, &Candidate)| (it.1.load.unread_tokens, it.1.load.n_requests);
--- a/src/platform/wire_server.rs
+++ b/src/platform/wire_server.rs
@@ -76,6 +76,7 @@
         slots: entry.slots,
         state,
         weights: entry.weights.decode(),
+        is_switching: false,
         n_orders: entry.sequence,
         started_ms: entry.born,
     })
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -21,6 +21,8 @@
     pub state: BackendState,
     /// Weights that it holds; empty for a plain service.
     pub weights: Vec<HeldWeights>,
+    /// Whether its slot process has it load other weights.
+    pub is_switching: bool,
     /// Orders that it has accepted since its start.
     pub n_orders: u64,
     /// Start of the process in milliseconds since the Unix epoch; 0 if it doesn't tell.
--- a/src/slot/life.rs
+++ b/src/slot/life.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 
 use crate::{
     entry,
@@ -70,6 +70,7 @@
             Ok(target) => {
                 let now = std::time::Instant::now();
                 if slot.versions.borrow_mut().set(&target, is_fresh, now) {
+                    slot.version_named.notify(usize::MAX);
                     log::info!("versions: named model={} version={}", target.model, target.version);
                 }
             }
@@ -83,14 +84,16 @@
 async fn read_lists(slot: Rc<SlotState>, outage: Outage) {
     loop {
         let is_read =
-            read_pool(&slot).await && read_members(&slot).await && read_entries(&slot).await;
+            read_members(&slot).await && read_pool(&slot).await && read_entries(&slot).await;
         slot.changed.notify(usize::MAX);
         if !is_read {
             outage.wait().await;
             continue;
         }
         outage.end();
-        runtime::sleep(READ_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        // All slots must rank the pieces of a new version by the same list.
+        let pause = runtime::sleep(READ_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64()));
+        slot.version_named.listen().or(pause).await;
     }
 }
 
--- a/src/slot/messages.rs
+++ b/src/slot/messages.rs
@@ -1,11 +1,15 @@
 //! Takes datagrams of other slot processes.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use crate::{
     fleet::{PeerMessage, PiecesHeld},
     runtime,
-    slot::{slot_state::SlotState, Holder},
+    slot::{slot_state::SlotState, switcher::KEPT_VERSIONS, Holder},
 };
 
 /// Longest datagram.
@@ -34,18 +38,20 @@
 }
 
 async fn take(slot: &SlotState, held: PiecesHeld, from: SocketAddr) {
+    slot.heard.borrow_mut().insert(from, Instant::now());
     let before = slot.members.borrow_mut().insert(from, held.zone.clone());
     if before.is_none() {
         slot.update_ranks();
     }
-    let is_current = slot.target() == Some((held.model, held.version));
-    if is_current {
-        let pieces = held.pieces.into_iter().collect();
-        let holder = Holder { zone: held.zone, pieces, is_available: true };
-        slot.holders.borrow_mut().insert(from, holder);
-        slot.changed.notify(usize::MAX);
+    let Some((model, target)) = slot.target() else { return };
+    if held.model != model || held.version + KEPT_VERSIONS <= target {
+        return;
     }
+    let pieces = held.pieces.into_iter().collect();
+    let holder = Holder { zone: held.zone, pieces, is_available: true };
+    slot.holders.borrow_mut().entry(held.version).or_default().insert(from, holder);
+    slot.changed.notify(usize::MAX);
     if held.asks {
-        slot.announce(&[from], false).await;
+        slot.announce(held.version, &[from], false).await;
     }
 }
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -18,5 +18,5 @@
     piece_plan::{Fetch, Holder, PiecePlan, Source},
     piece_ranks::PieceRanks,
     shelf::Shelf,
-    switch_turn::switch_delay,
+    switch_turn::{fallback_delay, switch_delay},
 };
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -20,26 +20,32 @@
     },
     runtime,
     slot::{
-        piece_server::{manifest_path, piece_path},
-        slot_state::SlotState,
+        piece_server::{manifest_path, piece_path, STATUS_BUSY},
+        slot_state::{Holders, SlotState},
         Fetch, Manifest, PiecePlan, Shelf, Source,
     },
 };
 
 /// Pieces on their way at once.
-const N_WORKERS: usize = 2;
+const N_WORKERS: usize = 3;
 /// Time limit of a piece from another slot.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time for which a source that failed is not asked.
 const REST: Duration = Duration::from_millis(700);
+/// Time for which the origin is not asked after a failure.
+const ORIGIN_REST: Duration = Duration::from_millis(300);
+/// Time for which a slot counts as alive after a message.
+const ALIVE_TIME: Duration = Duration::from_millis(1200);
+/// Time for which a slot that sends to others is not asked.
+const BUSY_REST: Duration = Duration::from_millis(50);
 /// Pause between two looks at what to fetch.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two tries to get a manifest.
 const MANIFEST_RETRY: Duration = Duration::from_millis(150);
 /// Time in which holders answer before the origin is asked for a manifest.
 const ASK_TIME: Duration = Duration::from_millis(25);
 /// Pause between two questions for what others hold.
-const ASK_INTERVAL: Duration = Duration::from_millis(800);
+const ASK_INTERVAL: Duration = Duration::from_millis(400);
 /// Longest answer of another slot.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Pieces that don't match after which the manifest is read anew.
@@ -59,6 +65,9 @@
     n_mismatches: RefCell<u32>,
     /// Whether what lies in the staging area is known.
     is_staging_read: Cell<bool>,
+    /// Begin of the time by which turns at the origin are told.
+    turns_from: Cell<Instant>,
+    has_origin_failed: Cell<bool>,
 }
 
 /// Fetches a version into the shelf; the shelf is whole when the future ends.
@@ -82,8 +91,13 @@
         origin_rests_until: RefCell::default(),
         n_mismatches: RefCell::default(),
         is_staging_read: Cell::new(!may_be_staged),
+        turns_from: Cell::new(Instant::now()),
+        has_origin_failed: Cell::new(false),
     });
-    let asks = runtime::spawn_local(ask_regularly(fetch.slot.clone()));
+    let asks = {
+        let fetch = fetch.clone();
+        runtime::spawn_local(async move { fetch.ask_regularly().await })
+    };
     fetch.load_manifest().await;
     let staged = {
         let fetch = fetch.clone();
@@ -104,21 +118,36 @@
     log::info!("weights: whole model={} version={} took_ms={took_ms}", fetch.model, version);
 }
 
-async fn ask_regularly(slot: Rc<SlotState>) {
-    loop {
-        slot.announce(&slot.near_members(), true).await;
-        runtime::sleep(ASK_INTERVAL).await;
+impl PieceFetch {
+    /// Asks what others hold; announcements may be lost on a full link.
+    async fn ask_regularly(&self) {
+        loop {
+            let mut targets = self.slot.near_members();
+            targets.extend(self.roots_to_ask());
+            self.slot.announce(self.version, &targets, true).await;
+            runtime::sleep(ASK_INTERVAL).await;
+        }
+    }
+
+    /// Slots of other zones that were to fetch what this slot is to bring into its own zone.
+    fn roots_to_ask(&self) -> BTreeSet<SocketAddr> {
+        let own = self.slot.settings.peers;
+        let zone = &self.slot.settings.host.zone;
+        let ranks = self.slot.ranks.borrow();
+        let shelves = self.slot.shelves.borrow();
+        let Some(shelf) = shelves.get(&self.version) else { return BTreeSet::new() };
+        let missing = (0..shelf.manifest.n_pieces()).filter(|it| shelf.get(*it).is_none());
+        let to_import = missing.filter(|it| ranks.zone_rank(*it, zone, own) <= 1);
+        to_import.filter_map(|it| ranks.root(it)).collect()
     }
-}
 
-impl PieceFetch {
     /// Gets the manifest from a holder, or from the origin, and makes the shelf.
     async fn load_manifest(&self) {
         runtime::sleep(ASK_TIME).await;
         loop {
             if let Some(manifest) = self.read_manifest().await {
                 let shelf = Shelf::new(&self.model, self.version, manifest);
-                *self.slot.shelf.borrow_mut() = Some(shelf);
+                self.slot.shelves.borrow_mut().insert(self.version, shelf);
                 return;
             }
             runtime::sleep(MANIFEST_RETRY).await;
@@ -126,7 +155,7 @@
     }
 
     async fn read_manifest(&self) -> Option<Manifest> {
-        let mut holders: Vec<SocketAddr> = self.slot.holders.borrow().keys().copied().collect();
+        let mut holders: Vec<SocketAddr> = self.holders().into_keys().collect();
         fastrand::shuffle(&mut holders);
         for holder in holders.into_iter().take(2) {
             let call = Call::get(
@@ -186,8 +215,8 @@
     }
 
     fn put(&self, number: u32, bytes: Vec<u8>) -> bool {
-        let mut shelf = self.slot.shelf.borrow_mut();
-        shelf.as_mut().is_some_and(|it| it.put(number, bytes))
+        let mut shelves = self.slot.shelves.borrow_mut();
+        shelves.get_mut(&self.version).is_some_and(|it| it.put(number, bytes))
     }
 
     /// Fetches one piece after the other until the shelf is whole.
@@ -213,19 +242,24 @@
     }
 
     fn is_whole(&self) -> bool {
-        self.slot.shelf.borrow().as_ref().is_some_and(Shelf::is_whole)
+        self.slot.shelves.borrow().get(&self.version).is_some_and(Shelf::is_whole)
+    }
+
+    /// What others hold of this version.
+    fn holders(&self) -> Holders {
+        self.slot.holders.borrow().get(&self.version).cloned().unwrap_or_default()
     }
 
     fn choose(&self) -> Option<Fetch> {
-        let shelf = self.slot.shelf.borrow();
-        let shelf = shelf.as_ref()?;
+        let shelves = self.slot.shelves.borrow();
+        let shelf = shelves.get(&self.version)?;
         let on_their_way = self.on_their_way.borrow();
         let is_wanted = |it: &u32| shelf.get(*it).is_none() && !on_their_way.contains(it);
         let wanted: Vec<u32> = (0..shelf.manifest.n_pieces()).filter(is_wanted).collect();
         let now = Instant::now();
         let rests = self.slot.rests.borrow();
         let busy = self.busy_peers.borrow();
-        let mut holders = self.slot.holders.borrow().clone();
+        let mut holders = self.holders();
         for (address, holder) in &mut holders {
             let rests = rests.get(address).is_some_and(|it| *it > now);
             holder.is_available = !rests && !busy.contains(address);
@@ -236,7 +270,8 @@
             ranks: &self.slot.ranks.borrow(),
             holders: &holders,
             wanted: &wanted,
-            elapsed: self.started.elapsed(),
+            alive: &self.slot.heard_since(now - ALIVE_TIME),
+            elapsed: self.turns_from.get().elapsed(),
             origin_pace: self.origin_pace(),
             is_origin_available: self.is_staging_read.get()
                 && self.origin_rests_until.borrow().is_none_or(|it| it <= now),
@@ -247,7 +282,9 @@
     /// Time that one piece takes on the origin's link.
     fn origin_pace(&self) -> Duration {
         let pool = self.slot.pool.borrow();
-        let Some(pool) = pool.as_ref() else { return Duration::ZERO };
+        let Some(pool) = pool.as_ref().filter(|_| !self.has_origin_failed.get()) else {
+            return Duration::ZERO;
+        };
         let rate = pool.origin.as_ref().map_or(0.0, |it| it.bytes_per_s);
         match rate > 0.0 {
             true => Duration::from_secs_f64(f64::from(pool.figures.piece_bytes) / rate),
@@ -277,9 +314,22 @@
     /// Keeps a piece that matches, tells others and stages it; rests a source that failed.
     async fn take(&self, fetch: Fetch, res: Result<Vec<u8>, EngineError>) {
         let number = fetch.number;
+        if let (Source::Peer(peer), Err(EngineError::Refused(STATUS_BUSY))) = (fetch.source, &res) {
+            self.slot.rests.borrow_mut().insert(peer, Instant::now() + BUSY_REST);
+            return;
+        }
         let problem = match res {
             Ok(bytes) => {
+                let n_bytes = bytes.len();
                 if self.put(number, bytes) {
+                    if fetch.source == Source::Origin {
+                        let after_ms = self.started.elapsed().as_millis();
+                        log::info!(
+                            "weights: piece={number} from=origin version={} bytes={n_bytes} \
+                             after_ms={after_ms}",
+                            self.version
+                        );
+                    }
                     return self.share(fetch).await;
                 }
                 *self.n_mismatches.borrow_mut() += 1;
@@ -287,10 +337,18 @@
             }
             Err(err) => err.to_string(),
         };
-        log::info!("weights: piece={number} source={:?} failed error=\"{problem}\"", fetch.source);
+        log::info!(
+            "weights: piece={number} source={:?} version={} failed error=\"{problem}\"",
+            fetch.source,
+            self.version
+        );
         let until = Instant::now() + REST;
         match fetch.source {
-            Source::Origin => *self.origin_rests_until.borrow_mut() = Some(until),
+            Source::Origin => {
+                *self.origin_rests_until.borrow_mut() = Some(Instant::now() + ORIGIN_REST);
+                self.turns_from.set(Instant::now());
+                self.has_origin_failed.set(true);
+            }
             Source::Peer(peer) => {
                 self.slot.rests.borrow_mut().insert(peer, until);
             }
@@ -304,15 +362,15 @@
     /// Reads the manifest anew, as it may be the one that is wrong.
     async fn check_manifest(&self) {
         let Some(manifest) = self.read_manifest().await else { return };
-        let mut shelf = self.slot.shelf.borrow_mut();
-        if shelf.as_ref().is_some_and(|it| it.manifest != manifest) {
+        let mut shelves = self.slot.shelves.borrow_mut();
+        let Some(shelf) = shelves.get_mut(&self.version) else { return };
+        if shelf.manifest != manifest {
             log::warn!("weights: another manifest version={}", self.version);
             let mut fresh = Shelf::new(&self.model, self.version, manifest);
             for number in 0..fresh.manifest.n_pieces() {
-                let held = shelf.as_ref().and_then(|it| it.get(number));
-                held.map(|it| fresh.put(number, it.to_vec()));
+                shelf.get(number).map(|it| fresh.put(number, it.to_vec()));
             }
-            *shelf = Some(fresh);
+            *shelf = fresh;
         }
     }
 
@@ -322,10 +380,17 @@
             let zone = &self.slot.settings.host.zone;
             targets.extend(self.slot.ranks.borrow().importers(fetch.number, zone));
         }
-        self.slot.announce(&targets, false).await;
+        self.slot.announce(self.version, &targets, false).await;
         self.slot.changed.notify(usize::MAX);
-        let piece = self.slot.shelf.borrow().as_ref().and_then(|it| it.get(fetch.number));
+        // The staging area has room for one version, which is to be the newest.
+        if self.slot.target().is_some_and(|it| it.1 != self.version) {
+            return;
+        }
+        let shelves = self.slot.shelves.borrow();
+        let piece = shelves.get(&self.version).and_then(|it| it.get(fetch.number));
+        drop(shelves);
         let Some(piece) = piece else { return };
+        let Some(_staging) = self.slot.staging.try_lock() else { return };
         if let Err(err) = self.slot.engine.stage(&self.model, fetch.number, &piece).await {
             log::warn!("weights: piece not staged number={} error=\"{err}\"", fetch.number);
         }
--- a/src/slot/piece_plan.rs
+++ b/src/slot/piece_plan.rs
@@ -16,9 +16,12 @@
 /// Time in which slots that hold pieces answer a newcomer.
 const ASK_TIME: Duration = Duration::from_millis(40);
 /// Time after which the next slot in rank takes over.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(900);
+const TAKEOVER_DELAY: Duration = Duration::from_millis(1300);
 /// Time after which a zone no longer waits for a piece from another zone.
-const CROSS_ZONE_DELAY: Duration = Duration::from_millis(1800);
+const CROSS_ZONE_DELAY: Duration = Duration::from_millis(2400);
+
+/// Time for which a slot that is heard, but does not get its piece, is waited for.
+const ALIVE_ROOT_DELAY: Duration = Duration::from_millis(3500);
 
 /// Where a piece comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,11 +61,13 @@
     pub zone: &'a ZoneId,
     /// Whose turn it is.
     pub ranks: &'a PieceRanks,
+    /// Slot processes that were heard lately.
+    pub alive: &'a BTreeSet<SocketAddr>,
     /// What others hold.
     pub holders: &'a BTreeMap<SocketAddr, Holder>,
     /// Pieces that are neither held nor on their way.
     pub wanted: &'a [u32],
-    /// Time since the fetch of this version began.
+    /// Time since the fetch of this version began, or since the origin last failed here.
     pub elapsed: Duration,
     /// Time that one piece takes on the origin's link.
     pub origin_pace: Duration,
@@ -101,18 +106,25 @@
         if far.peek().is_some() {
             return far.find(|it| it.1.is_available).map(|it| Source::Peer(*it.0));
         }
-        let is_root = self.ranks.root(number) == Some(self.own);
-        let is_in_root_zone =
-            self.ranks.root(number).is_none_or(|it| !self.is_importer_elsewhere(number, it));
-        let origin_turn = match (is_root, is_in_root_zone) {
-            (true, _) => turn + self.origin_pace * number,
-            (false, true) => turn + TAKEOVER_DELAY,
-            (false, false) => turn + CROSS_ZONE_DELAY,
-        };
-        let is_due = self.elapsed >= origin_turn && self.is_origin_available;
+        let is_due = self.elapsed >= turn + self.origin_delay(number) && self.is_origin_available;
         is_due.then_some(Source::Origin)
     }
 
+    /// Time beyond its turn after which this slot asks the origin for a piece.
+    fn origin_delay(&self, number: u32) -> Duration {
+        let Some(root) = self.ranks.root(number) else { return Duration::ZERO };
+        if root == self.own {
+            return self.origin_pace * number;
+        }
+        if self.alive.contains(&root) {
+            return ALIVE_ROOT_DELAY;
+        }
+        match self.is_importer_elsewhere(number, root) {
+            true => CROSS_ZONE_DELAY,
+            false => TAKEOVER_DELAY,
+        }
+    }
+
     fn is_importer_elsewhere(&self, number: u32, member: SocketAddr) -> bool {
         self.ranks.importers(number, self.zone).contains(&member)
     }
--- a/src/slot/piece_server.rs
+++ b/src/slot/piece_server.rs
@@ -3,12 +3,7 @@
 //! The engine's streams share the machine's link, so pieces leave in small slices below its rate:
 //! a queue on the link would delay every event of every stream.
 
-use std::{
-    io,
-    net::TcpListener,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::Cell, io, net::TcpListener, rc::Rc, time::Duration};
 
 use async_executor::Task;
 use async_io::Async;
@@ -22,15 +17,17 @@
 };
 
 /// Share of the machine's link that pieces may use.
-const LINK_SHARE: f64 = 0.8;
+const LINK_SHARE: f64 = 0.88;
 /// Bytes that are sent at once.
 const SLICE_BYTES: usize = 8 << 10;
 /// Longest head of a question.
 const MAX_HEAD_BYTES: usize = 4 << 10;
 /// Time that a connection may be idle.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
-/// Time after which an asker has given up.
-const MAX_WAIT: Duration = Duration::from_millis(2000);
+/// Questions that may wait while a piece is sent; an asker does better to ask another slot then.
+const MAX_WAITING: u32 = 2;
+/// Status of an answer to a question beyond those.
+pub(crate) const STATUS_BUSY: u16 = 503;
 /// Share of the link that pieces keep in any case, in percent.
 const MIN_SHARE_PERCENT: u32 = 100;
 
@@ -45,6 +42,8 @@
     /// One piece is sent at a time, in the order in which they are asked for.
     turn: async_lock::Mutex<()>,
     budget: LinkBudget,
+    /// Questions that wait for their turn.
+    n_waiting: Cell<u32>,
 }
 
 impl PieceServer {
@@ -56,6 +55,7 @@
             slot: slot.clone(),
             turn: async_lock::Mutex::new(()),
             budget: LinkBudget::new(rate, rate, MIN_SHARE_PERCENT),
+            n_waiting: Cell::new(0),
         });
         let task = runtime::spawn_local(accept(uploads, listener));
         Ok(PieceServer { task })
@@ -109,18 +109,18 @@
                 Ok(Err(HttpError::Ended)) | Err(_) => return Ok(()),
                 Ok(res) => res?,
             };
-            let asked = Instant::now();
-            let _turn = self.turn.lock().await;
-            // Nobody waits for this answer any more, and its bytes would delay the next one.
-            if asked.elapsed() > MAX_WAIT {
-                return Ok(());
+            if self.n_waiting.get() >= MAX_WAITING {
+                send_head(&connection, STATUS_BUSY, 0).await?;
+                continue;
             }
-            let body = self.held_bytes(&head.target);
-            let status = if body.is_some() { 200 } else { 404 };
-            let body = body.unwrap_or_default();
-            let mut head = ResponseHead::new(status, "-");
-            head.headers.push("Content-Length", body.len().to_string());
-            connection.write(&head.to_bytes()).await?;
+            self.n_waiting.set(self.n_waiting.get() + 1);
+            let _turn = self.turn.lock().await;
+            self.n_waiting.set(self.n_waiting.get() - 1);
+            let Some(body) = self.held_bytes(&head.target) else {
+                send_head(&connection, 404, 0).await?;
+                continue;
+            };
+            send_head(&connection, 200, body.len()).await?;
             for slice in body.chunks(SLICE_BYTES) {
                 self.budget.send(slice.len() as u64).await;
                 connection.write(slice).await?;
@@ -129,11 +129,17 @@
     }
 
     fn held_bytes(&self, target: &str) -> Option<Vec<u8>> {
-        let shelf = self.slot.shelf.borrow();
-        held_bytes(shelf.as_ref()?, target)
+        let shelves = self.slot.shelves.borrow();
+        shelves.values().find_map(|it| held_bytes(it, target))
     }
 }
 
+async fn send_head(connection: &Connection, status: u16, n_bytes: usize) -> Result<(), HttpError> {
+    let mut head = ResponseHead::new(status, "-");
+    head.headers.push("Content-Length", n_bytes.to_string());
+    connection.write(&head.to_bytes()).await
+}
+
 fn held_bytes(shelf: &Shelf, target: &str) -> Option<Vec<u8>> {
     if target == manifest_path(&shelf.model, shelf.version) {
         return Some(encode_manifest(shelf.version, &shelf.manifest));
--- a/src/slot/shelf.rs
+++ b/src/slot/shelf.rs
@@ -1,6 +1,9 @@
 //! The verified pieces of one version of a model.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use crate::{ids::WeightsVersion, slot::Manifest};
 
@@ -14,13 +17,14 @@
     /// Digests of all pieces.
     pub manifest: Manifest,
     pieces: Vec<Option<Rc<Vec<u8>>>>,
+    last_put: Instant,
 }
 
 impl Shelf {
     /// An empty shelf.
     pub fn new(model: &str, version: WeightsVersion, manifest: Manifest) -> Shelf {
         let pieces = vec![None; manifest.digests.len()];
-        Shelf { model: model.to_owned(), version, manifest, pieces }
+        Shelf { model: model.to_owned(), version, manifest, pieces, last_put: Instant::now() }
     }
 
     /// Keeps a piece if it matches the manifest; says whether it does.
@@ -29,6 +33,7 @@
             return false;
         }
         self.pieces[number as usize] = Some(Rc::new(bytes));
+        self.last_put = Instant::now();
         true
     }
 
@@ -42,6 +47,11 @@
         (0..self.pieces.len()).filter(|it| self.pieces[*it].is_some()).map(|it| it as u16).collect()
     }
 
+    /// Time since the last piece came.
+    pub fn idle_time(&self) -> Duration {
+        self.last_put.elapsed()
+    }
+
     /// Whether every piece is held.
     pub fn is_whole(&self) -> bool {
         self.pieces.iter().all(Option::is_some)
--- a/src/slot/slot_state.rs
+++ b/src/slot/slot_state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::{SocketAddr, UdpSocket},
     rc::Rc,
     time::Instant,
@@ -20,6 +20,9 @@
     slot::{Holder, PieceRanks, Shelf},
 };
 
+/// Slot processes that hold pieces of one version.
+pub(crate) type Holders = BTreeMap<SocketAddr, Holder>;
+
 /// Beliefs and pieces of one slot process.
 pub(crate) struct SlotState {
     pub(crate) settings: DeployedSettings,
@@ -32,12 +35,18 @@
     pub(crate) members: RefCell<BTreeMap<SocketAddr, ZoneId>>,
     pub(crate) ranks: RefCell<PieceRanks>,
     pub(crate) entry_hosts: RefCell<Vec<SocketAddr>>,
-    /// The newest version that is being fetched or held.
-    pub(crate) shelf: RefCell<Option<Shelf>>,
-    /// What others hold of the shelf's version.
-    pub(crate) holders: RefCell<BTreeMap<SocketAddr, Holder>>,
+    /// Pieces of the newest versions.
+    pub(crate) shelves: RefCell<BTreeMap<WeightsVersion, Shelf>>,
+    /// What others hold of the newest versions.
+    pub(crate) holders: RefCell<BTreeMap<WeightsVersion, Holders>>,
+    /// When each other slot process was heard last.
+    pub(crate) heard: RefCell<BTreeMap<SocketAddr, Instant>>,
     /// Peers that failed and are not asked before a time.
     pub(crate) rests: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Held while pieces are staged, and from the check of all pieces to the order to load them.
+    pub(crate) staging: async_lock::Mutex<()>,
+    /// Told when a version is named.
+    pub(crate) version_named: Event,
     /// Told of new versions, pieces and holders.
     pub(crate) changed: Event,
 }
@@ -72,9 +81,12 @@
             members: RefCell::default(),
             ranks: RefCell::default(),
             entry_hosts: RefCell::default(),
-            shelf: RefCell::default(),
+            shelves: RefCell::default(),
             holders: RefCell::default(),
+            heard: RefCell::default(),
             rests: RefCell::default(),
+            staging: async_lock::Mutex::new(()),
+            version_named: Event::new(),
             changed: Event::new(),
         }))
     }
@@ -92,9 +104,14 @@
         *self.ranks.borrow_mut() = PieceRanks::new(&self.members.borrow(), n_pieces);
     }
 
-    /// Tells `targets` which pieces are held.
-    pub(crate) async fn announce(&self, targets: &[SocketAddr], asks: bool) {
-        let Some(message) = self.pieces_held(asks) else { return };
+    /// Tells `targets` which pieces of a version are held.
+    pub(crate) async fn announce(
+        &self,
+        version: WeightsVersion,
+        targets: &[SocketAddr],
+        asks: bool,
+    ) {
+        let Some(message) = self.pieces_held(version, asks) else { return };
         self.send(targets, &PeerMessage::PiecesHeld(message)).await;
     }
 
@@ -111,6 +128,11 @@
         }
     }
 
+    /// The slot processes that were heard since a time.
+    pub(crate) fn heard_since(&self, since: Instant) -> BTreeSet<SocketAddr> {
+        self.heard.borrow().iter().filter(|it| *it.1 >= since).map(|it| *it.0).collect()
+    }
+
     /// The other slot processes of the own zone.
     pub(crate) fn near_members(&self) -> Vec<SocketAddr> {
         let zone = &self.settings.host.zone;
@@ -119,11 +141,15 @@
         near.map(|it| *it.0).collect()
     }
 
-    fn pieces_held(&self, asks: bool) -> Option<PiecesHeld> {
-        let (model, version) = self.target()?;
-        let shelf = self.shelf.borrow();
-        let shelf = shelf.as_ref().filter(|it| it.version == version && it.model == model);
-        let pieces = shelf.map(Shelf::held).unwrap_or_default();
+    /// Drops what is known of versions before `oldest`.
+    pub(crate) fn forget_before(&self, oldest: WeightsVersion) {
+        self.shelves.borrow_mut().retain(|it, _| *it >= oldest);
+        self.holders.borrow_mut().retain(|it, _| *it >= oldest);
+    }
+
+    fn pieces_held(&self, version: WeightsVersion, asks: bool) -> Option<PiecesHeld> {
+        let (model, _) = self.target()?;
+        let pieces = self.shelves.borrow().get(&version).map(Shelf::held).unwrap_or_default();
         Some(PiecesHeld { zone: self.settings.host.zone.clone(), model, version, pieces, asks })
     }
 }
--- a/src/slot/switch_turn.rs
+++ b/src/slot/switch_turn.rs
@@ -1,23 +1,34 @@
 //! Spreads the engines' switch to a new version over the time that operators allow.
 //!
-//! An engine finishes what runs before it loads, and takes nothing new meanwhile. Answers to: a new
-//! version under load, where all engines at once would leave nobody to serve.
+//! An engine that is about to switch gets nothing new and finishes most of what runs. Answers to: a
+//! new version under load, where engines that switch at the same time leave too few to serve.
 
 use std::time::Duration;
 
-/// Waves in which engines switch.
-const N_WAVES: usize = 3;
-/// Share of the bound after the naming at which the second wave may begin.
-const SECOND_WAVE_SHARE: f64 = 0.46;
-/// Share of the bound between two later waves.
-const WAVE_SHARE: f64 = 0.14;
+/// Share of the bound after the naming at which the first engine may switch.
+const FIRST_SHARE: f64 = 0.3;
+/// Share of the bound after the naming at which the last engine may switch.
+const LAST_SHARE: f64 = 0.78;
+
+/// Share of the bound at which the first engine takes an earlier version than the newest.
+const FIRST_FALLBACK_SHARE: f64 = 0.62;
+/// Share of the bound at which the last engine does.
+const LAST_FALLBACK_SHARE: f64 = 0.88;
 
 /// Time after the naming of a version before which an engine should not switch.
 ///
 /// `rank` is its place among `n_engines`; an engine that serves nothing should not wait at all.
 pub fn switch_delay(rank: usize, n_engines: usize, bound: Duration) -> Duration {
-    match rank * N_WAVES / n_engines.max(1) {
-        0 => Duration::ZERO,
-        wave => bound.mul_f64(SECOND_WAVE_SHARE + WAVE_SHARE * (wave - 1) as f64),
-    }
+    spread(rank, n_engines, FIRST_SHARE, LAST_SHARE, bound)
+}
+
+/// Time after the naming of a version before which an engine should not take it if there is a newer
+/// one that can't be had now.
+pub fn fallback_delay(rank: usize, n_engines: usize, bound: Duration) -> Duration {
+    spread(rank, n_engines, FIRST_FALLBACK_SHARE, LAST_FALLBACK_SHARE, bound)
+}
+
+fn spread(rank: usize, n_engines: usize, first: f64, last: f64, bound: Duration) -> Duration {
+    let place = rank as f64 / n_engines.max(1) as f64;
+    bound.mul_f64(first + (last - first) * place)
 }
--- a/src/slot/switcher.rs
+++ b/src/slot/switcher.rs
@@ -1,6 +1,7 @@
 //! Brings the engine to the target version: fetch, stage, check, order, and tell entry hosts.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -12,10 +13,10 @@
 use crate::{
     fleet::{EngineNotice, PeerMessage},
     ids::WeightsVersion,
-    platform::engine_api::{EngineReport, SwitchMode},
+    platform::engine_api::{EngineError, EngineReport, SwitchMode},
     runtime,
     slot::{
-        piece_fetch,
+        fallback_delay, piece_fetch,
         piece_ranks::address_hash,
         slot_state::{PoolFacts, SlotState},
         switch_delay, Shelf,
@@ -29,25 +30,28 @@
 const BUSY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that entry hosts get to stop sending before an engine is ordered to switch.
 const NOTICE_TIME: Duration = Duration::from_millis(60);
+/// Longest time for which an engine finishes what runs; the rest goes on at other engines.
+const MAX_DRAIN: Duration = Duration::from_millis(1700);
+/// Requests that are cut off without waiting for their end.
+const DRAINED_REQUESTS: u32 = 1;
+/// Time without a new piece after which a version can't be had for now.
+const STALL_TIME: Duration = Duration::from_millis(700);
+/// Versions whose pieces are fetched and kept.
+pub(crate) const KEPT_VERSIONS: WeightsVersion = 2;
 
 /// Drives the engine until the task is dropped.
 pub(crate) struct Switcher {
     slot: Rc<SlotState>,
-    fetch: Option<RunningFetch>,
+    fetches: BTreeMap<WeightsVersion, Task<()>>,
     /// What entry hosts were told last.
     told: Option<EngineNotice>,
     is_engine_up: bool,
 }
 
-struct RunningFetch {
-    version: WeightsVersion,
-    _task: Task<()>,
-}
-
 impl Switcher {
     /// Makes a driver.
     pub(crate) fn new(slot: Rc<SlotState>) -> Switcher {
-        Switcher { slot, fetch: None, told: None, is_engine_up: false }
+        Switcher { slot, fetches: BTreeMap::new(), told: None, is_engine_up: false }
     }
 
     /// Looks at the engine again and again.
@@ -74,10 +78,9 @@
         if serves == Some(target) {
             return CALM_INTERVAL;
         }
-        if !self.is_ready(target) || !self.is_turn(&pool, serves) {
-            return BUSY_INTERVAL;
+        if let Some(shelf) = self.shelf_to_load(&pool, target, serves) {
+            self.switch(&pool, serves, &shelf).await;
         }
-        self.switch(&pool, &report, target).await;
         BUSY_INTERVAL
     }
 
@@ -94,65 +97,112 @@
         res.ok()
     }
 
+    /// Fetches the target; the fetch of the version before it goes on.
     fn fetch_if_due(&mut self, pool: &PoolFacts, target: WeightsVersion) {
-        if self.fetch.as_ref().is_some_and(|it| it.version == target) {
+        if self.fetches.contains_key(&target) {
             return;
         }
         log::info!("weights: fetching model={} version={target}", pool.model);
-        *self.slot.shelf.borrow_mut() = None;
-        self.slot.holders.borrow_mut().clear();
+        let oldest = (target + 1).saturating_sub(KEPT_VERSIONS);
+        let may_be_staged = self.fetches.is_empty();
+        self.fetches.retain(|it, _| *it >= oldest);
+        self.slot.forget_before(oldest);
         let fetch =
-            piece_fetch::fetch(self.slot.clone(), pool.model.clone(), target, self.fetch.is_none());
-        self.fetch = Some(RunningFetch { version: target, _task: runtime::spawn_local(fetch) });
+            piece_fetch::fetch(self.slot.clone(), pool.model.clone(), target, may_be_staged);
+        self.fetches.insert(target, runtime::spawn_local(fetch));
     }
 
-    fn is_ready(&self, target: WeightsVersion) -> bool {
-        let shelf = self.slot.shelf.borrow();
-        shelf.as_ref().is_some_and(|it| it.version == target && it.is_whole())
+    /// The weights to load now: those of the target, or an earlier version while it can't be had.
+    fn shelf_to_load(
+        &self,
+        pool: &PoolFacts,
+        target: WeightsVersion,
+        serves: Option<WeightsVersion>,
+    ) -> Option<Shelf> {
+        let bound = self.slot.settings.bounds.version;
+        let versions = self.slot.versions.borrow();
+        let outdated = versions.outdated_since(&pool.model, serves.unwrap_or(0));
+        let outdated_for = outdated.map_or(Duration::MAX, |it| it.elapsed());
+        let is_turn = |delay: Duration| serves.is_none() || outdated_for >= delay;
+        let (rank, n_engines) = self.rank();
+        let shelves = self.slot.shelves.borrow();
+        let newest = shelves.get(&target);
+        if let Some(shelf) = newest.filter(|it| it.is_whole()) {
+            return is_turn(switch_delay(rank, n_engines, bound)).then(|| shelf.clone());
+        }
+        // While the newest pieces still come, one switch is better than two.
+        if newest.is_some_and(|it| it.idle_time() < STALL_TIME) {
+            return None;
+        }
+        let oldest = versions.oldest_allowed(&pool.model, Instant::now());
+        let is_better = |it: &&Shelf| it.version >= oldest && Some(it.version) > serves;
+        let earlier = shelves.values().rev().find(|it| it.is_whole()).filter(is_better);
+        earlier.filter(|_| is_turn(fallback_delay(rank, n_engines, bound))).cloned()
     }
 
-    /// Whether the engine may stop serving now.
-    fn is_turn(&self, pool: &PoolFacts, serves: Option<WeightsVersion>) -> bool {
-        let Some(version) = serves else { return true };
-        let since = self.slot.versions.borrow().outdated_since(&pool.model, version);
-        let Some(since) = since else { return true };
+    /// Place of this engine among those of its pool, and their number.
+    fn rank(&self) -> (usize, usize) {
         let own = self.slot.settings.peers;
         let members = self.slot.members.borrow();
         let score_of = |it: &SocketAddr| score(u64::MAX, address_hash(it));
         let rank = members.keys().filter(|it| score_of(it) > score_of(&own)).count();
-        since.elapsed() >= switch_delay(rank, members.len(), self.slot.settings.bounds.version)
+        (rank, members.len())
     }
 
-    async fn switch(&mut self, pool: &PoolFacts, report: &EngineReport, target: WeightsVersion) {
-        let serves = whole_version(report, pool);
-        if serves.is_some() {
-            self.tell(pool, report, None).await;
-            runtime::sleep(NOTICE_TIME).await;
-        }
-        if !self.stage_all(&pool.model, target).await {
+    async fn switch(&mut self, pool: &PoolFacts, serves: Option<WeightsVersion>, shelf: &Shelf) {
+        // Nothing else may be staged between the check and the order.
+        let slot = self.slot.clone();
+        let _staging = slot.staging.lock().await;
+        if !self.stage_all(shelf).await {
             return;
         }
         let since = Instant::now();
-        let order =
-            self.slot.engine.load_staged(&pool.model, target, SwitchMode::Wait, report.n_orders);
+        let Some(report) = self.drain(pool, serves).await else { return };
+        let left = report.n_running + report.n_queued;
+        let order = self.slot.engine.load_staged(
+            &pool.model,
+            shelf.version,
+            SwitchMode::Cut,
+            report.n_orders,
+        );
         match order.await {
-            Ok(outcome) => {
-                let took_ms = since.elapsed().as_millis();
-                log::info!("slot: ordered version={target} outcome={outcome:?} took_ms={took_ms}");
-            }
+            Ok(outcome) => log::info!(
+                "slot: ordered version={} outcome={outcome:?} cut={left} drained_ms={}",
+                shelf.version,
+                since.elapsed().as_millis()
+            ),
             // The next report tells whether the order was accepted.
-            Err(err) => log::warn!("slot: order not answered version={target} error=\"{err}\""),
+            Err(err) => {
+                log::warn!("slot: order not answered version={} error=\"{err}\"", shelf.version);
+            }
         }
     }
 
-    /// Makes sure that every staged piece is right just before the order.
-    async fn stage_all(&self, model: &str, target: WeightsVersion) -> bool {
-        let Some(shelf) = self.slot.shelf.borrow().clone() else { return false };
-        if shelf.version != target {
-            return false;
+    /// Has entry hosts stop sending and waits until most of what runs has ended.
+    async fn drain(
+        &mut self,
+        pool: &PoolFacts,
+        serves: Option<WeightsVersion>,
+    ) -> Option<EngineReport> {
+        let since = Instant::now();
+        loop {
+            let report = self.read_report().await?;
+            if serves.is_none() {
+                return Some(report);
+            }
+            self.tell(pool, &report, None).await;
+            let is_drained = report.n_running + report.n_queued <= DRAINED_REQUESTS;
+            if since.elapsed() >= MAX_DRAIN || (is_drained && since.elapsed() >= NOTICE_TIME) {
+                return Some(report);
+            }
+            runtime::sleep(BUSY_INTERVAL).await;
         }
+    }
+
+    /// Makes sure that every staged piece is right just before the order.
+    async fn stage_all(&self, shelf: &Shelf) -> bool {
         for number in 0..shelf.manifest.n_pieces() {
-            if let Err(err) = self.restage(&shelf, model, number).await {
+            if let Err(err) = self.restage(shelf, number).await {
                 log::warn!("weights: piece not staged number={number} error=\"{err}\"");
                 return false;
             }
@@ -160,12 +210,8 @@
         true
     }
 
-    async fn restage(
-        &self,
-        shelf: &Shelf,
-        model: &str,
-        number: u32,
-    ) -> Result<(), crate::platform::engine_api::EngineError> {
+    async fn restage(&self, shelf: &Shelf, number: u32) -> Result<(), EngineError> {
+        let model = &shelf.model;
         if let Ok(bytes) = self.slot.engine.staged_piece(model, number).await {
             if shelf.manifest.matches(number, &bytes) {
                 return Ok(());
--- /dev/null
+++ b/tests/placement_rules.rs
@@ -0,0 +1,144 @@
+//! Decisions on where a request goes, with the load that each one answers.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crocustiller::placement::{
+    assign_homes, choose_engine, choose_plain, AttemptBudget, BackendHealth, Candidate,
+    HomelessEngine, Load, LoadTable,
+};
+
+const SLOTS: u32 = 16;
+
+fn candidate(n_requests: u32, unread_tokens: u32, is_own: bool) -> Candidate {
+    Candidate {
+        slots: SLOTS,
+        is_own,
+        is_near: true,
+        load: Load { n_requests, unread_tokens },
+        failure_rate: 0.0,
+    }
+}
+
+#[test]
+fn own_engines_first() {
+    let candidates = [candidate(3, 0, false), candidate(9, 1200, true), candidate(12, 0, true)];
+    assert_eq!(choose_engine(&candidates, 800, false, 0.0), Some(2));
+}
+
+/// Steady overload: unread prompts delay everybody's next event, so they are bounded.
+#[test]
+fn no_place_behind_unread_prompts() {
+    let candidates = [candidate(8, 2000, true), candidate(16, 2400, false)];
+    assert_eq!(choose_engine(&candidates, 1290, false, 0.5), None);
+    // A prompt longer than the bound goes to an engine that reads nothing else.
+    assert_eq!(choose_engine(&[candidate(8, 0, true)], 3880, false, 0.5), Some(0));
+}
+
+#[test]
+fn full_engines_refuse() {
+    let full = candidate(SLOTS + 1, 0, true);
+    assert_eq!(choose_engine(&[full], 600, false, 0.5), None);
+    let nearly_full_foreign = candidate(SLOTS, 0, false);
+    assert_eq!(choose_engine(&[nearly_full_foreign], 600, false, 0.5), None);
+}
+
+/// A new version: streams cut by an engine that switches go on wherever a slot is free.
+#[test]
+fn resumed_stream_takes_any_slot() {
+    let candidates = [candidate(SLOTS - 1, 2400, false)];
+    assert_eq!(choose_engine(&candidates, 1290, false, 0.5), None);
+    assert_eq!(choose_engine(&candidates, 1290, true, 0.5), Some(0));
+}
+
+#[test]
+fn near_plain_server_unless_it_fails() {
+    let far = Candidate { is_near: false, ..candidate(0, 0, false) };
+    let near = candidate(4, 0, false);
+    assert_eq!(choose_plain(&[far.clone(), near.clone()]), Some(1));
+    let failing = Candidate { failure_rate: 0.4, ..near.clone() };
+    assert_eq!(choose_plain(&[far.clone(), failing]), Some(0));
+    let full = Candidate { load: Load { n_requests: SLOTS, unread_tokens: 0 }, ..near };
+    assert_eq!(choose_plain(&[far, full]), Some(0));
+}
+
+/// All hosts together stay within ratio x requests + slack in every window.
+#[test]
+fn budget_of_all_hosts() {
+    const N_HOSTS: usize = 7;
+    const WINDOW: Duration = Duration::from_secs(10);
+    let start = Instant::now();
+    let mut budgets = vec![AttemptBudget::new(0.2, 102, WINDOW); N_HOSTS];
+    let mut repeats = Vec::new();
+    let mut n_requests = 0;
+    for step in 0..9000u64 {
+        let now = start + Duration::from_millis(step);
+        let budget = &mut budgets[step as usize % N_HOSTS];
+        budget.count_request(now);
+        n_requests += 1;
+        // Every request fails and wants to be sent once more.
+        if budget.take_repeat(N_HOSTS, now) {
+            repeats.push(now);
+        }
+    }
+    assert!(repeats.len() as f64 <= 0.2 * f64::from(n_requests) + 102.0, "{}", repeats.len());
+    assert!(repeats.len() > 102);
+}
+
+#[test]
+fn failing_server_rests_and_returns() {
+    let start = Instant::now();
+    let mut health = BackendHealth::default();
+    assert!(!health.failed("a", start));
+    assert!(health.failed("a", start));
+    assert!(!health.is_usable("a", 0, start));
+    let later = start + Duration::from_millis(600);
+    assert!(health.is_usable("a", 0, later), "one request on trial");
+    assert!(!health.is_usable("a", 1, later));
+    assert!(health.failed("a", later), "a failed trial rests it again");
+    assert!(!health.is_usable("a", 0, later + Duration::from_millis(600)));
+    health.succeeded("a");
+    assert!(health.is_usable("a", 9, later));
+}
+
+#[test]
+fn homes_are_near_and_even() {
+    let hosts: BTreeMap<String, String> = [("a", "x"), ("b", "x"), ("c", "y")]
+        .into_iter()
+        .map(|(host, zone)| (host.to_owned(), zone.to_owned()))
+        .collect();
+    let engine = |number: u64, zone: &str| HomelessEngine {
+        started_ms: number,
+        id: format!("i-{number}"),
+        zone: zone.to_owned(),
+    };
+    let mut engines: Vec<HomelessEngine> = (0..6).map(|it| engine(it, "x")).collect();
+    engines.push(engine(6, "y"));
+    engines.push(engine(7, "z"));
+    let homes = assign_homes(engines.clone(), &hosts);
+    let count = |host: &str| homes.values().filter(|it| *it == host).count();
+    assert_eq!((count("a"), count("b")), (3, 3));
+    assert_eq!(homes["i-6"], "c");
+    assert!(homes.contains_key("i-7"), "a zone without entry hosts has homes elsewhere");
+    // A new engine moves no other one.
+    engines.push(engine(9, "x"));
+    let after = assign_homes(engines, &hosts);
+    assert!(homes.iter().all(|it| after[it.0] == *it.1));
+}
+
+#[test]
+fn loads_come_back_to_zero() {
+    let engine: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let mut loads = LoadTable::default();
+    loads.begin(engine, 800);
+    loads.begin(engine, 600);
+    loads.read(engine, 800);
+    assert_eq!(loads.get(&engine), Load { n_requests: 2, unread_tokens: 600 });
+    loads.end(engine);
+    loads.read(engine, 600);
+    loads.end(engine);
+    assert_eq!(loads.iter().count(), 0);
+}
