--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     entry::entry_host::EntryHost,
-    fleet::{KindUpdate, KindWatch, Outage},
+    fleet::{Canary, KindUpdate, KindWatch, Outage},
     platform::{
         store::{Change, Store, StoredObject},
         wire_config, wire_server,
@@ -21,6 +21,9 @@
 /// Longest pause between two calls of a store that is away.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Pause between two questions whether the store answers.
+const CANARY_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// Starts to follow everything that an entry host goes by.
 pub(crate) fn follow(host: &Rc<EntryHost>, store: &Store) -> Vec<Task<()>> {
     let outage = Outage::new(MAX_RETRY_DELAY);
@@ -36,10 +39,12 @@
     };
     let versions = {
         let host = host.clone();
-        let watch = KindWatch::new(store.clone(), wire_server::VERSION_KIND, outage);
+        let watch = KindWatch::new(store.clone(), wire_server::VERSION_KIND, outage.clone());
         runtime::spawn_local(watch.run(move |update| take_versions(&host, update)))
     };
-    vec![charter, servers, versions]
+    let canary = Canary::new(store.clone(), wire_server::VERSION_KIND, CANARY_INTERVAL, outage);
+    let canary = runtime::spawn_local(canary.run());
+    vec![charter, servers, versions, canary]
 }
 
 fn take_charters(host: &EntryHost, update: KindUpdate) {
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use futures_lite::FutureExt;
+
 use crate::{
     fleet::Outage,
     platform::store::{Change, Store, StoreError, StoredObject},
@@ -46,7 +48,16 @@
             apply(KindUpdate::Listed { objects: listing.objects, is_after_outage });
             is_after_outage = false;
             loop {
-                match self.store.watch(self.kind, at, WATCH_WAIT).await {
+                let watch = async { Some(self.store.watch(self.kind, at, WATCH_WAIT).await) };
+                let gap = async {
+                    self.outage.interrupted().await;
+                    None
+                };
+                let Some(res) = watch.or(gap).await else {
+                    is_after_outage = true;
+                    break;
+                };
+                match res {
                     Ok(changes) => {
                         at = changes.at;
                         if !changes.events.is_empty() {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend_table;
 mod beacon;
+mod canary;
 mod kind_watch;
 mod outage;
 mod peer_table;
@@ -10,6 +11,7 @@
 pub use crate::fleet::{
     backend_table::BackendTable,
     beacon::{Beacon, EngineLoad, EngineNotice, EntryState, PeerMessage, PiecesHeld},
+    canary::Canary,
     kind_watch::{KindUpdate, KindWatch},
     outage::Outage,
     peer_table::{Nearness, Peer, PeerTable},
--- a/src/fleet/outage.rs
+++ b/src/fleet/outage.rs
@@ -28,13 +28,19 @@
     delay: RefCell<Duration>,
     is_probed: Cell<bool>,
     ended: Event,
+    interrupted: Event,
 }
 
 impl Outage {
     /// Makes an outage that is not on; calls are at most `max_delay` apart while it is.
     pub fn new(max_delay: Duration) -> Outage {
         let delay = RefCell::new(FIRST_RETRY_DELAY);
-        let shared = Shared { delay, is_probed: Cell::new(false), ended: Event::new() };
+        let shared = Shared {
+            delay,
+            is_probed: Cell::new(false),
+            ended: Event::new(),
+            interrupted: Event::new(),
+        };
         Outage { max_delay, shared: Rc::new(shared) }
     }
 
@@ -51,6 +57,16 @@
         self.shared.is_probed.set(false);
     }
 
+    /// Has all watches begin anew, after a gap that they did not see.
+    pub fn interrupt(&self) {
+        self.shared.interrupted.notify(usize::MAX);
+    }
+
+    /// Waits until the watches are to begin anew.
+    pub async fn interrupted(&self) {
+        self.shared.interrupted.listen().await;
+    }
+
     /// Tells the other watches that the store answers.
     pub fn end(&self) {
         *self.shared.delay.borrow_mut() = FIRST_RETRY_DELAY;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,6 +13,8 @@
 
 /// Time limit of a call that does not wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time limit of a call that may be answered by old data.
+const STALE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for the answer of a watch beyond its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(1500);
 /// Longest answer: a page of a list and a margin.
@@ -140,6 +142,15 @@
         Ok(Listing { objects, at: first_at.unwrap_or(0) })
     }
 
+    /// Reads the first page of a kind as it was seconds ago, which costs little.
+    pub async fn list_stale(&self, kind: &str) -> Result<Listing, StoreError> {
+        let target = format!("/v1/objects/{kind}?allow-stale=1");
+        let call = Call::get(&target, STALE_TIMEOUT, MAX_ANSWER_BYTES);
+        let page: Page = serde_json::from_slice(&self.call(&call).await?.body)?;
+        let objects = page.items.into_iter().filter_map(|it| readable(kind, it)).collect();
+        Ok(Listing { objects, at: page.at })
+    }
+
     /// Waits at most `wait` for changes of a kind after revision `at`.
     pub async fn watch(
         &self,
--- a/src/slot/life.rs
+++ b/src/slot/life.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     entry,
-    fleet::{KindUpdate, KindWatch, Outage},
+    fleet::{Canary, KindUpdate, KindWatch, Outage},
     platform::{
         store::{Store, StoredObject},
         wire_config, wire_server,
@@ -24,6 +24,8 @@
 
 /// Longest pause between two calls of a store that is away.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1200);
+/// Pause between two questions whether the store answers.
+const CANARY_INTERVAL: Duration = Duration::from_millis(2000);
 /// Pause between two reads of the lists.
 const READ_INTERVAL: Duration = Duration::from_secs(12);
 
@@ -39,7 +41,10 @@
         let slot = slot.clone();
         runtime::spawn_local(watch.run(move |update| take_versions(&slot, update)))
     };
+    let canary =
+        Canary::new(slot.store.clone(), wire_server::VERSION_KIND, CANARY_INTERVAL, outage.clone());
     let tasks = [
+        runtime::spawn_local(canary.run()),
         versions,
         runtime::spawn_local(read_lists(slot.clone(), outage)),
         runtime::spawn_local(messages::receive(slot.clone())),
--- /dev/null
+++ b/tests/fleet_tables.rs
@@ -0,0 +1,129 @@
+//! What an entry host believes of backend servers and peers, through outages.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crocustiller::{
+    fleet::{BackendTable, Beacon, EngineNotice, EntryState, Nearness, PeerTable},
+    routing::{BackendServer, BackendState},
+};
+
+fn server(number: u8, state: BackendState) -> BackendServer {
+    BackendServer {
+        id: format!("i-{number}"),
+        service: "pool".to_owned(),
+        address: format!("10.0.0.{number}:80").parse().unwrap(),
+        zone: "depot".to_owned(),
+        slots: 16,
+        state,
+        weights: Vec::new(),
+        is_switching: false,
+        n_orders: 0,
+        started_ms: 1000,
+    }
+}
+
+fn ready(n_servers: u8) -> Vec<BackendServer> {
+    (1..=n_servers).map(|it| server(it, BackendState::Ready)).collect()
+}
+
+fn n_ready(table: &BackendTable) -> usize {
+    table.ready_of(&"pool".to_owned()).count()
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn removed_entry_gets_no_work() {
+    let now = Instant::now();
+    let mut table = BackendTable::default();
+    table.list(ready(9), false, now);
+    table.remove_all(vec!["i-1".to_owned()], now);
+    table.set(server(2, BackendState::Draining));
+    assert_eq!(n_ready(&table), 7);
+}
+
+/// Entries that lapsed while the store was away come back within about two seconds.
+#[test]
+fn lapsed_entries_are_kept_for_two_seconds() {
+    let now = Instant::now();
+    let mut table = BackendTable::default();
+    table.list(ready(9), false, now);
+    table.list(Vec::new(), true, now);
+    assert_eq!(n_ready(&table), 9);
+    table.set(server(1, BackendState::Ready));
+    assert!(table.expire(now + ms(1900)).is_empty());
+    table.expire(now + ms(2300));
+    assert_eq!(n_ready(&table), 1);
+}
+
+/// A silent outage shows only as many removals at once.
+#[test]
+fn mass_removal_is_a_lapse() {
+    let now = Instant::now();
+    let mut table = BackendTable::default();
+    table.list(ready(9), false, now);
+    table.remove_all((1..=9).map(|it| format!("i-{it}")).collect(), now);
+    assert_eq!(n_ready(&table), 9);
+    table.expire(now + ms(2300));
+    assert_eq!(n_ready(&table), 0);
+}
+
+/// A notice of the slot process is newer than the list, until the engine starts anew.
+#[test]
+fn notice_before_the_list() {
+    let mut table = BackendTable::default();
+    table.set(server(1, BackendState::Ready));
+    let address: SocketAddr = "10.0.0.1:80".parse().unwrap();
+    let mut notice = EngineNotice {
+        engine: address,
+        started_ms: 1000,
+        n_orders: 1,
+        model: "lots".to_owned(),
+        serves: Some(2),
+    };
+    assert!(table.take_notice(&notice));
+    assert_eq!(table.get("i-1").unwrap().whole_version("lots", 16), Some(2));
+    // The list lags and still tells of no weights.
+    table.set(server(1, BackendState::Ready));
+    assert_eq!(table.get("i-1").unwrap().whole_version("lots", 16), Some(2));
+    notice.serves = None;
+    assert!(table.take_notice(&notice));
+    assert!(table.get("i-1").unwrap().is_switching);
+    let restarted = BackendServer { started_ms: 2000, ..server(1, BackendState::Ready) };
+    table.set(restarted);
+    assert!(!table.get("i-1").unwrap().is_switching);
+}
+
+#[test]
+fn callers_get_ready_hosts_near_them() {
+    let now = Instant::now();
+    let beacon = |host: &str, zone: &str, state: EntryState, number: u64| Beacon {
+        host: host.to_owned(),
+        started_ms: 1,
+        number,
+        state,
+        callers: format!("10.0.1.{}:80", host.as_bytes()[0]).parse().unwrap(),
+        region: zone.to_owned(),
+        zone: zone.to_owned(),
+        loads: Vec::new(),
+    };
+    let own = beacon("a", "x", EntryState::Ready, 1);
+    let near = Nearness { region: "x", zone: "x" };
+    let mut peers = PeerTable::default();
+    peers.hear(beacon("b", "x", EntryState::Ready, 1), now);
+    peers.hear(beacon("c", "y", EntryState::Ready, 1), now);
+    assert_eq!(peers.addresses(&own, near, now).len(), 2);
+    // A host that leaves is left out at once, and an older beacon does not bring it back.
+    peers.hear(beacon("b", "x", EntryState::Leaving, 3), now);
+    peers.hear(beacon("b", "x", EntryState::Ready, 2), now);
+    assert_eq!(peers.addresses(&own, near, now), [own.callers]);
+    // A host that falls silent is left out too; callers of its zone get others.
+    let far = Nearness { region: "y", zone: "y" };
+    assert_eq!(peers.addresses(&own, far, now).len(), 1);
+    assert_eq!(peers.addresses(&own, far, now + ms(1100)), [own.callers]);
+}
--- /dev/null
+++ b/tests/piece_rules.rs
@@ -0,0 +1,140 @@
+//! Who fetches which piece from where, over many members and under failure.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use crocustiller::slot::{Fetch, Holder, PiecePlan, PieceRanks, Source};
+
+const N_PIECES: u32 = 48;
+const PACE: Duration = Duration::from_millis(26);
+
+fn members(n_members: u8) -> BTreeMap<SocketAddr, String> {
+    let member =
+        |it: u8| (format!("10.0.0.{it}:7700").parse().unwrap(), format!("zone-{}", it % 3));
+    (1..=n_members).map(member).collect()
+}
+
+/// A view of one slot, to be changed by a test.
+struct View {
+    own: SocketAddr,
+    zone: String,
+    ranks: PieceRanks,
+    alive: BTreeSet<SocketAddr>,
+    holders: BTreeMap<SocketAddr, Holder>,
+    wanted: Vec<u32>,
+    elapsed: Duration,
+}
+
+impl View {
+    fn new(own: SocketAddr) -> View {
+        let members = members(27);
+        View {
+            own,
+            zone: members[&own].clone(),
+            ranks: PieceRanks::new(&members, N_PIECES),
+            alive: members.keys().copied().collect(),
+            holders: BTreeMap::new(),
+            wanted: (0..N_PIECES).collect(),
+            elapsed: Duration::from_millis(60),
+        }
+    }
+
+    fn next(&self) -> Option<Fetch> {
+        let plan = PiecePlan {
+            own: self.own,
+            zone: &self.zone,
+            ranks: &self.ranks,
+            alive: &self.alive,
+            holders: &self.holders,
+            wanted: &self.wanted,
+            elapsed: self.elapsed,
+            origin_pace: PACE,
+            is_origin_available: true,
+        };
+        plan.next(&mut fastrand::Rng::with_seed(7))
+    }
+
+    fn hold(&mut self, holder: SocketAddr, zone: &str, number: u32) {
+        let pieces = BTreeSet::from([number as u16]);
+        let holder_of = Holder { zone: zone.to_owned(), pieces, is_available: true };
+        self.holders.insert(holder, holder_of);
+    }
+}
+
+/// Without failures every piece leaves the origin once, and each slot has an equal share.
+#[test]
+fn one_copy_leaves_the_origin() {
+    let mut fetched = BTreeMap::<u32, u32>::new();
+    for own in members(27).into_keys() {
+        let mut view = View::new(own);
+        view.elapsed = Duration::from_millis(40) + PACE * N_PIECES;
+        while let Some(fetch) = view.next() {
+            assert_eq!(fetch.source, Source::Origin);
+            *fetched.entry(fetch.number).or_default() += 1;
+            view.wanted.retain(|it| *it != fetch.number);
+        }
+    }
+    assert_eq!(fetched.len() as u32, N_PIECES);
+    assert!(fetched.values().all(|it| *it == 1), "{fetched:?}");
+}
+
+#[test]
+fn importers_have_equal_shares() {
+    let members = members(27);
+    let ranks = PieceRanks::new(&members, N_PIECES);
+    let mut shares = BTreeMap::<SocketAddr, u32>::new();
+    for number in 0..N_PIECES {
+        for importer in ranks.importers(number, &"nowhere".to_owned()) {
+            *shares.entry(importer).or_default() += 1;
+        }
+    }
+    // Nine slots of a zone share 48 pieces.
+    assert!(shares.values().all(|it| *it <= N_PIECES.div_ceil(9)), "{shares:?}");
+}
+
+/// Nothing crosses zones that lies in the own zone.
+#[test]
+fn own_zone_first() {
+    let all = members(27);
+    let own: SocketAddr = "10.0.0.3:7700".parse().unwrap();
+    let near = *all.iter().find(|it| it.1 == &all[&own] && *it.0 != own).unwrap().0;
+    let far = *all.iter().find(|it| it.1 != &all[&own]).unwrap().0;
+    let mut view = View::new(own);
+    view.wanted = vec![5];
+    let far_zone = all[&far].clone();
+    view.hold(far, &far_zone, 5);
+    let near_zone = all[&near].clone();
+    view.hold(near, &near_zone, 5);
+    assert_eq!(view.next(), Some(Fetch { number: 5, source: Source::Peer(near) }));
+    view.holders.get_mut(&near).unwrap().is_available = false;
+    assert_eq!(view.next(), None, "a busy slot of the own zone is waited for");
+}
+
+/// A newcomer asks before it turns to the origin.
+#[test]
+fn newcomer_asks_first() {
+    let own = *members(27).keys().next().unwrap();
+    let mut view = View::new(own);
+    view.elapsed = Duration::from_millis(10);
+    assert_eq!(view.next(), None);
+}
+
+/// A slot that died is replaced; one that is alive and waits for the origin is not.
+#[test]
+fn takeover_of_the_dead() {
+    let all = members(27);
+    let ranks = PieceRanks::new(&all, N_PIECES);
+    let root = ranks.root(0).unwrap();
+    let zone = &all[&root];
+    let second =
+        *all.keys().find(|it| all[*it] == *zone && ranks.zone_rank(0, zone, **it) == 1).unwrap();
+    let mut view = View::new(second);
+    view.wanted = vec![0];
+    view.elapsed = Duration::from_millis(3000);
+    assert_eq!(view.next(), None, "the slot whose turn it is was heard");
+    view.alive.remove(&root);
+    assert_eq!(view.next(), Some(Fetch { number: 0, source: Source::Origin }));
+}
