Explaining failures, crashing requests, Retry-After by load, fewer calls of the store

A request lost at three backend servers without success since is refused; hosts share counts. Callers that are turned away come back soon in calm, far apart in an overload. Changes of backend servers gather for 0.4 s; slots tell the urgent ones.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Short names for the commands of docs/DEVELOPING.md.
+# Short names for the commands of DEVELOPERS.md.
 
 .PHONY: help check test lint burst scale
 
--- a/src/daemon/arguments.rs
+++ b/src/daemon/arguments.rs
@@ -75,7 +75,7 @@
         println!("{}: the settings are good", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(err) = logging::init(settings.log.level) {
+    if let Err(err) = logging::init_stdout(settings.log.level) {
         eprintln!("logs can't be written: {err}");
         return ExitCode::from(EXIT_START_FAILED);
     }
--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -21,6 +21,8 @@
 /// Longest pause between two calls of a store that is away.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Pause in which changes of backend servers gather; slot processes tell the urgent ones.
+const SERVER_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two questions whether the store answers.
 const CANARY_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -34,7 +36,8 @@
     };
     let servers = {
         let host = host.clone();
-        let watch = KindWatch::new(store.clone(), wire_server::SERVER_KIND, outage.clone());
+        let watch = KindWatch::new(store.clone(), wire_server::SERVER_KIND, outage.clone())
+            .gathering(SERVER_PAUSE);
         runtime::spawn_local(watch.run(move |update| take_servers(&host, update)))
     };
     let versions = {
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -10,9 +10,15 @@
 use event_listener::Event;
 
 use crate::{
-    fleet::{BackendTable, Beacon, EngineLoad, EngineNotice, EntryState, PeerTable, VersionTable},
+    fleet::{
+        BackendTable, Beacon, EngineLoad, EngineNotice, EntryState, LossCount, PeerTable,
+        VersionTable,
+    },
     ids::{BackendId, HostId, ServiceId, ZoneId},
-    placement::{assign_homes, AttemptBudget, BackendHealth, HomelessEngine, LoadTable},
+    placement::{
+        assign_homes, AttemptBudget, BackendHealth, CrashSuspects, Fingerprint, HomelessEngine,
+        LoadTable, RetryAdvice,
+    },
     relay::BackendConnections,
     routing::RoutingCharter,
     settings::{DeployedSettings, EntryListenSettings},
@@ -32,6 +38,8 @@
     pub(crate) peers: RefCell<PeerTable>,
     pub(crate) loads: RefCell<LoadTable>,
     pub(crate) health: RefCell<BackendHealth>,
+    pub(crate) crash_suspects: RefCell<CrashSuspects>,
+    pub(crate) retry_advice: RefCell<RetryAdvice>,
     pub(crate) connections: BackendConnections,
     /// Told when a place may have become free.
     pub(crate) places_changed: Event,
@@ -61,6 +69,8 @@
             peers: RefCell::default(),
             loads: RefCell::new(LoadTable::default()),
             health: RefCell::default(),
+            crash_suspects: RefCell::default(),
+            retry_advice: RefCell::default(),
             connections: BackendConnections::default(),
             places_changed: Event::new(),
             n_exchanges: Cell::new(0),
@@ -107,6 +117,9 @@
             n_requests: load.n_requests.min(u32::from(u16::MAX)) as u16,
             unread_tokens: load.unread_tokens,
         });
+        let suspects = self.crash_suspects.borrow();
+        let losses = suspects.counts();
+        let losses = losses.map(|it| LossCount { fingerprint: it.0, n_backends: it.1 });
         Beacon {
             host: self.settings.host.id.clone(),
             started_ms: self.started_ms,
@@ -116,6 +129,7 @@
             region: self.settings.host.region.clone(),
             zone: self.settings.host.zone.clone(),
             loads: loads.collect(),
+            losses: losses.collect(),
         }
     }
 
@@ -158,6 +172,14 @@
         }
     }
 
+    /// Whether a request has been lost at too many backend servers, here and at other hosts.
+    pub(crate) fn is_crash_suspect(&self, fingerprint: Fingerprint) -> bool {
+        let peers = self.peers.borrow();
+        let losses = peers.alive(Instant::now()).flat_map(|it| &it.losses);
+        let elsewhere = losses.filter(|it| it.fingerprint == fingerprint).map(|it| it.n_backends);
+        self.crash_suspects.borrow().is_refused(fingerprint, elsewhere.sum())
+    }
+
     /// Counts a request for a pool or service.
     pub(crate) fn count_request(&self, service: &ServiceId) {
         self.with_budget(service, |it| it.count_request(Instant::now()));
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -8,16 +8,18 @@
 
 use crate::{
     entry::{
+        attempt_end::AttemptEnd,
         entry_host::EntryHost,
         place::{Demand, NoPlace, Place},
         refusal::Refusal,
-        stream_relay,
+        request_trace::{RequestOutcome, RequestTrace},
+        stream_relay, whole_relay,
     },
     http1::{ConnectionWriter, HttpError, RequestHead, ResponseHead},
-    ids::{BackendId, CustomerId, ServiceId},
-    placement::may_take,
+    ids::{CustomerId, ServiceId},
+    placement::{may_take, Fingerprint},
     platform::wire_headers,
-    relay::{Attempt, BackendAnswer, CallerRequest, EngineCall},
+    relay::{Attempt, CallerRequest, EngineCall},
     routing::{Route, RouteKind},
     runtime,
     verdict::Verdict,
@@ -31,7 +33,7 @@
 const RESUME_PATIENCE: Duration = Duration::from_millis(800);
 /// Time for the answer of a plain service when the request may be sent elsewhere.
 const PLAIN_ATTEMPT_LIMIT: Duration = Duration::from_millis(450);
-/// Time after which a caller that was turned away comes again.
+/// Time after which a caller comes again that no backend server could serve.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Whether the caller's connection may be used further.
@@ -43,20 +45,6 @@
     Close,
 }
 
-/// How one attempt ended.
-pub(crate) enum AttemptEnd {
-    /// The caller has a whole answer, or has left.
-    Done(ExchangeEnd),
-    /// The backend server answered that the request did not run.
-    Refused(ResponseHead, Vec<u8>),
-    /// No connection could be opened.
-    Unreachable,
-    /// The backend server ran the request and answered with a failure of its own.
-    Failed(ResponseHead, Vec<u8>),
-    /// The answer was lost or can't be used.
-    Lost,
-}
-
 /// A request whose bytes are whole.
 pub(crate) struct Exchange {
     pub(crate) host: Rc<EntryHost>,
@@ -73,6 +61,8 @@
     verdict: Cell<Verdict>,
     /// Whether a backend server has the request now.
     is_sent: Cell<bool>,
+    pub(crate) trace: RequestTrace,
+    pub(crate) fingerprint: Cell<Fingerprint>,
 }
 
 impl Exchange {
@@ -87,6 +77,7 @@
     ) -> Exchange {
         let request = wire_headers::decode_request(&head);
         let last_event = RefCell::new(request.last_event.clone());
+        let trace = RequestTrace::new(&request.id, received);
         Exchange {
             host,
             caller,
@@ -99,6 +90,8 @@
             last_event,
             verdict: Cell::new(Verdict::NotRun),
             is_sent: Cell::new(false),
+            trace,
+            fingerprint: Cell::new(0),
         }
     }
 
@@ -108,6 +101,7 @@
             let refusal = Refusal::not_run(503, "no charter yet; send the request elsewhere");
             return self.refuse(refusal.with_retry_after(RETRY_AFTER)).await;
         };
+        self.trace.judged_by(charter.number);
         let Some(route) = charter.route(&self.request.host, self.head.path()) else {
             return self.refuse(Refusal::not_run(404, "no route; check host and path")).await;
         };
@@ -131,6 +125,11 @@
         let Some(service) = route.choose_service(fastrand::f64()) else {
             return self.refuse(Refusal::not_run(503, "the route leads nowhere")).await;
         };
+        self.fingerprint.set(self.fingerprint_for(&customer));
+        if self.host.is_crash_suspect(self.fingerprint.get()) {
+            let message = "backend servers crashed while they ran this request";
+            return self.refuse(Refusal::not_run(503, message)).await;
+        }
         self.host.count_request(service);
         let limit = self.time_left(route) + LIMIT_MARGIN;
         match runtime::timeout(limit, self.attempts(route, service, &customer)).await {
@@ -139,6 +138,19 @@
         }
     }
 
+    /// Digest by which the request is known when it comes again.
+    fn fingerprint_for(&self, customer: &Option<CustomerId>) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(customer.as_deref().unwrap_or("").as_bytes());
+        hasher.update(&[0]);
+        hasher.update(self.head.target.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(&self.body);
+        let mut first = [0; 8];
+        hasher.finalize_xof().fill(&mut first);
+        u64::from_le_bytes(first)
+    }
+
     /// Time that is left for the caller and for the route.
     fn time_left(&self, route: &Route) -> Duration {
         let limit = self.request.time_left.unwrap_or(route.timeout).min(route.timeout);
@@ -156,7 +168,7 @@
             model: self.request.model.clone(),
             prompt_tokens: self.request.sizes.prompt_tokens,
             is_resumed: false,
-            excluded: Vec::new(),
+            excluded: self.host.crash_suspects.borrow().lost_at(self.fingerprint.get()),
         };
         let mut n_sent = 0;
         let mut fallback = None;
@@ -166,8 +178,16 @@
                 true => RESUME_PATIENCE,
                 false => route.goal.mul_f64(PATIENCE_SHARE),
             };
-            let place = match Place::find(&self.host, &demand, patience).await {
+            let found = Place::find(&self.host, &demand, patience).await;
+            if n_sent == 0 && route.is_stream() {
+                self.host.retry_advice.borrow_mut().count(found.is_ok(), Instant::now());
+            }
+            let place = match found {
                 Ok(place) => place,
+                Err(NoPlace::NoBackend) if n_sent == 0 && !demand.excluded.is_empty() => {
+                    demand.excluded.clear();
+                    continue;
+                }
                 Err(reason) if n_sent == 0 => return self.refuse_for(reason).await,
                 Err(_) => break,
             };
@@ -175,6 +195,7 @@
                 break;
             }
             demand.excluded.push(place.backend.clone());
+            self.trace.attempted(&place.backend, (place.load.n_requests, place.load.unread_tokens));
             let is_last = n_sent + 1 >= route.max_attempts;
             match self.attempt(route, &place, customer, is_last).await {
                 AttemptEnd::Done(end) => return end,
@@ -207,7 +228,7 @@
     /// Ends a request that no further attempt can help.
     async fn conclude(&self, fallback: Option<(ResponseHead, Vec<u8>)>) -> ExchangeEnd {
         if self.is_head_sent.get() {
-            log::info!("relay: stream cut request={}", self.request.id);
+            self.trace.ended(RequestOutcome::Cut);
             return ExchangeEnd::Close;
         }
         // A refusal by a backend server is true only if no other attempt may have run.
@@ -220,7 +241,6 @@
             }
             _ if self.verdict.get() == Verdict::NotRun => self.refuse_for(NoPlace::NoBackend).await,
             _ => {
-                log::info!("relay: answer lost request={}", self.request.id);
                 self.refuse(Refusal::may_have_run(502, "the backend server's answer was lost"))
                     .await
             }
@@ -255,100 +275,20 @@
         let end = if route.is_stream() {
             stream_relay::relay(self, route, &attempt, place, is_last).await
         } else if route.is_repeatable() && !is_last {
-            let relay = self.relay_whole(&attempt);
+            let relay = whole_relay::relay(self, &attempt);
             match runtime::timeout(PLAIN_ATTEMPT_LIMIT, relay).await {
                 Ok(end) => end,
-                Err(_) => self.lost(&place.backend, "time-out"),
+                Err(_) => AttemptEnd::lost(self, &place.backend, "time-out"),
             }
         } else {
-            self.relay_whole(&attempt).await
+            whole_relay::relay(self, &attempt).await
         };
         self.is_sent.set(false);
         end
     }
 
-    async fn relay_whole(&self, attempt: &Attempt<'_>) -> AttemptEnd {
-        let answer = match attempt.send(&self.host.connections).await {
-            Ok(answer) => answer,
-            Err(err) if err.verdict == Verdict::NotRun => {
-                return self.unreachable(attempt.backend, &err.err);
-            }
-            Err(err) => return self.lost(attempt.backend, &err.err.to_string()),
-        };
-        self.end_whole(answer, attempt.backend).await
-    }
-
-    /// Reads a whole answer and passes it on unless another attempt may do better.
-    pub(crate) async fn end_whole(
-        &self,
-        mut answer: BackendAnswer,
-        backend: &BackendId,
-    ) -> AttemptEnd {
-        let body = match self.read_whole(&mut answer, backend).await {
-            Ok(body) => body,
-            Err(end) => return end,
-        };
-        let head = answer.head.clone();
-        let is_not_run = answer.facts.is_not_run;
-        answer.close(&self.host.connections);
-        match head.status {
-            _ if is_not_run => AttemptEnd::Refused(head, body),
-            500.. => AttemptEnd::Failed(head, body),
-            _ => AttemptEnd::Done(self.pass_on(head, &body).await),
-        }
-    }
-
-    async fn read_whole(
-        &self,
-        answer: &mut BackendAnswer,
-        backend: &BackendId,
-    ) -> Result<Vec<u8>, AttemptEnd> {
-        let body = match answer.read_whole().await {
-            Ok(body) => body,
-            Err(err) => return Err(self.lost(backend, &err.to_string())),
-        };
-        let is_success = (200..300).contains(&answer.head.status);
-        let facts = &answer.facts;
-        if facts.is_encoded || (is_success && !facts.has_receipt) {
-            return Err(self.lost(backend, "no answer of a backend server"));
-        }
-        if facts.is_other_backend {
-            log::info!("fleet: another backend server at the address backend={backend}");
-            self.host.connections.forget(backend);
-            self.host.health.borrow_mut().failed(backend, Instant::now());
-        } else if answer.head.status < 500 || facts.is_not_run {
-            self.host.health.borrow_mut().succeeded(backend);
-        }
-        Ok(body)
-    }
-
-    pub(crate) fn unreachable(&self, backend: &BackendId, err: &HttpError) -> AttemptEnd {
-        log::info!(
-            "relay: unreachable request={} backend={backend} error=\"{err}\"",
-            self.request.id
-        );
-        self.host.health.borrow_mut().failed(backend, Instant::now());
-        AttemptEnd::Unreachable
-    }
-
-    pub(crate) fn lost(&self, backend: &BackendId, reason: &str) -> AttemptEnd {
-        log::info!(
-            "relay: attempt lost request={} backend={backend} reason=\"{reason}\"",
-            self.request.id
-        );
-        // An engine that switches to other weights breaks off what runs, which is no fault of its.
-        if self.host.is_switching(backend) {
-            return AttemptEnd::Lost;
-        }
-        if self.host.health.borrow_mut().failed(backend, Instant::now()) {
-            log::info!("health: backend rests backend={backend}");
-            self.host.connections.forget(backend);
-        }
-        AttemptEnd::Lost
-    }
-
     /// Passes a whole answer on as it came.
-    async fn pass_on(&self, mut head: ResponseHead, body: &[u8]) -> ExchangeEnd {
+    pub(crate) async fn pass_on(&self, mut head: ResponseHead, body: &[u8]) -> ExchangeEnd {
         head.headers.remove_hop_by_hop();
         head.headers.set("Content-Length", body.len().to_string());
         if self.closes {
@@ -357,6 +297,9 @@
         let mut bytes = head.to_bytes();
         bytes.extend_from_slice(body);
         self.is_head_sent.set(true);
+        self.trace.first_bytes();
+        self.trace.ended(RequestOutcome::Answered(head.status));
+        self.host.crash_suspects.borrow_mut().succeeded(self.fingerprint.get());
         self.end_of(self.caller.write(&bytes).await)
     }
 
@@ -365,12 +308,20 @@
             NoPlace::NoBackend => "no backend server can take the request now",
             NoPlace::Full => "all backend servers are busy",
         };
-        log::debug!("admission: refused request={} reason={reason:?}", self.request.id);
-        self.refuse(Refusal::not_run(503, message).with_retry_after(RETRY_AFTER)).await
+        let wait = match reason {
+            NoPlace::Full => self.host.retry_advice.borrow().wait(fastrand::f64()),
+            NoPlace::NoBackend => RETRY_AFTER,
+        };
+        self.refuse(Refusal::not_run(503, message).with_retry_after(wait)).await
     }
 
     async fn refuse(&self, refusal: Refusal) -> ExchangeEnd {
         self.is_head_sent.set(true);
+        self.trace.ended(RequestOutcome::Refused {
+            status: refusal.status,
+            verdict: refusal.verdict,
+            reason: refusal.message,
+        });
         let res = refusal.send(&self.caller, &self.request.id, self.closes).await;
         self.end_of(res)
     }
@@ -378,7 +329,7 @@
     /// Ends a request whose time is over.
     async fn end_late(&self) -> ExchangeEnd {
         if self.is_head_sent.get() {
-            log::info!("relay: stream over its time limit request={}", self.request.id);
+            self.trace.ended(RequestOutcome::Cut);
             return ExchangeEnd::Close;
         }
         let has_not_run = self.verdict.get() == Verdict::NotRun && !self.is_sent.get();
@@ -386,7 +337,6 @@
             true => Refusal::not_run(503, "the time limit passed before the request was sent"),
             false => Refusal::may_have_run(504, "the time limit passed"),
         };
-        log::info!("relay: time limit request={} verdict={}", self.request.id, refusal.verdict);
         self.refuse(refusal).await
     }
 
--- a/src/entry/life.rs
+++ b/src/entry/life.rs
@@ -18,6 +18,7 @@
         caller_connection::CallerConnection,
         directory::{answer_directory, answer_readiness},
         entry_host::EntryHost,
+        metrics_page::{self, answer_metrics},
     },
     http1::{Connection, Responder},
     platform::store::Store,
@@ -72,8 +73,13 @@
             let host = host.clone();
             Responder::listen(listen.readiness, move |_| answer_readiness(&host))?
         };
+        let metrics = {
+            let host = host.clone();
+            metrics_page::install_recorder();
+            Responder::listen(listen.metrics, move |_| answer_metrics(&host))?
+        };
         log::info!("daemon: started host={} role=entry", host.settings.host.id);
-        Ok(Serving { host, signals, tasks, responders: vec![directory, readiness] })
+        Ok(Serving { host, signals, tasks, responders: vec![directory, readiness, metrics] })
     }
 
     async fn wait_for_stop(mut self) -> Leaving {
--- /dev/null
+++ b/src/entry/metrics_page.rs
@@ -0,0 +1,47 @@
+//! The metrics of an entry host as text.
+
+use std::{collections::BTreeMap, rc::Rc, sync::OnceLock};
+
+use metrics::gauge;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::{
+    entry::entry_host::EntryHost, http1::SmallAnswer, metric_names, routing::BackendState,
+};
+
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder on first use.
+pub(crate) fn install_recorder() {
+    if HANDLE.get().is_some() {
+        return;
+    }
+    match PrometheusBuilder::new().install_recorder() {
+        Ok(handle) => drop(HANDLE.set(handle)),
+        Err(err) => log::error!("metrics: no recorder error=\"{err}\""),
+    }
+}
+
+/// All metrics in the Prometheus text format.
+pub(crate) fn answer_metrics(host: &Rc<EntryHost>) -> SmallAnswer {
+    let Some(handle) = HANDLE.get() else { return SmallAnswer::status(503) };
+    set_gauges(host);
+    handle.run_upkeep();
+    SmallAnswer { status: 200, content_type: "text/plain", body: handle.render().into_bytes() }
+}
+
+fn set_gauges(host: &EntryHost) {
+    let charter = host.charter.borrow().as_ref().map_or(0, |it| it.number);
+    gauge!(metric_names::CHARTER_NUMBER).set(charter as f64);
+    gauge!(metric_names::ENTRY_CONNECTIONS).set(host.n_connections.get() as f64);
+    let in_progress: u32 = host.loads.borrow().iter().map(|it| it.1.n_requests).sum();
+    gauge!(metric_names::IN_PROGRESS).set(f64::from(in_progress));
+    let mut ready: BTreeMap<String, u32> = BTreeMap::new();
+    for server in host.backends.borrow().iter() {
+        let n_ready = ready.entry(server.service.clone()).or_default();
+        *n_ready += u32::from(server.state == BackendState::Ready);
+    }
+    for (service, n_ready) in ready {
+        gauge!(metric_names::READY_BACKENDS, "service" => service).set(f64::from(n_ready));
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! An entry host on the platform: takes callers, finds backend servers, relays answers.
 
+mod attempt_end;
 mod beacon_exchange;
 mod beliefs;
 mod caller_connection;
@@ -7,9 +8,12 @@
 mod entry_host;
 mod exchange;
 mod life;
+mod metrics_page;
 mod place;
 mod refusal;
+mod request_trace;
 mod stream_relay;
+mod whole_relay;
 
 pub(crate) use crate::entry::beacon_exchange::KIND as ENTRY_HOST_KIND;
 pub(crate) use crate::entry::life::run;
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -47,6 +47,8 @@
     pub(crate) backend: BackendId,
     /// Its address.
     pub(crate) address: SocketAddr,
+    /// Its load as it was known when it was chosen.
+    pub(crate) load: Load,
     /// Version that the engine must have.
     pub(crate) expected_version: Option<WeightsVersion>,
     /// When the request must have begun, as its engine's weights are about to be outdated.
@@ -114,7 +116,9 @@
             }
             None => choose_plain(&candidates),
         };
-        let server = able[usable[choice.ok_or(NoPlace::Full)?]];
+        let choice = choice.ok_or(NoPlace::Full)?;
+        let load = candidates[choice].load;
+        let server = able[usable[choice]];
         let expected_version = match (&demand.model, engine) {
             (Some(model), Some(it)) if oldest > 0 => server.whole_version(model, it.n_layers),
             _ => None,
@@ -130,6 +134,7 @@
             host: host.clone(),
             backend: server.id.clone(),
             address: server.address,
+            load,
             expected_version,
             begin_limit,
             unread_tokens: Cell::new(demand.prompt_tokens),
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -4,8 +4,11 @@
 
 use crate::{
     entry::{
-        exchange::{AttemptEnd, Exchange, ExchangeEnd},
+        attempt_end::AttemptEnd,
+        exchange::{Exchange, ExchangeEnd},
         place::Place,
+        request_trace::RequestOutcome,
+        whole_relay,
     },
     http1::HttpError,
     relay::{Attempt, BackendAnswer, Event, EventSplitter},
@@ -39,18 +42,18 @@
     let mut answer = match runtime::timeout(begin_limit(), send).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(err)) if err.verdict == Verdict::NotRun => {
-            return exchange.unreachable(attempt.backend, &err.err);
+            return AttemptEnd::unreachable(exchange, attempt.backend, &err.err);
         }
-        Ok(Err(err)) => return exchange.lost(attempt.backend, &err.err.to_string()),
-        Err(_) => return exchange.lost(attempt.backend, "no answer in time"),
+        Ok(Err(err)) => return AttemptEnd::broken_off(exchange, attempt.backend, &err.err),
+        Err(_) => return AttemptEnd::lost(exchange, attempt.backend, "no answer in time"),
     };
     let is_success = (200..300).contains(&answer.head.status);
     if !is_success {
-        return exchange.end_whole(answer, attempt.backend).await;
+        return whole_relay::end_whole(exchange, answer, attempt.backend).await;
     }
     let facts = &answer.facts;
     if !facts.is_event_stream || facts.is_encoded || !facts.has_receipt {
-        return exchange.lost(attempt.backend, "no stream of events");
+        return AttemptEnd::lost(exchange, attempt.backend, "no stream of events");
     }
     let mut splitter = EventSplitter::default();
     let mut is_first = true;
@@ -60,9 +63,11 @@
         match runtime::timeout(pause, answer.read(&mut bytes)).await {
             Ok(Ok(true)) => {}
             Ok(Ok(false)) if splitter.is_between_events() => break,
-            Ok(Ok(false)) => return exchange.lost(attempt.backend, "ended inside an event"),
-            Ok(Err(err)) => return exchange.lost(attempt.backend, &err.to_string()),
-            Err(_) => return exchange.lost(attempt.backend, "no event in time"),
+            Ok(Ok(false)) => {
+                return AttemptEnd::lost(exchange, attempt.backend, "ended inside an event")
+            }
+            Ok(Err(err)) => return AttemptEnd::broken_off(exchange, attempt.backend, &err),
+            Err(_) => return AttemptEnd::lost(exchange, attempt.backend, "no event in time"),
         }
         let events = splitter.push(&bytes);
         if events.is_empty() {
@@ -71,6 +76,7 @@
         if is_first {
             is_first = false;
             place.first_event_came();
+            exchange.trace.first_bytes();
         }
         if let Err(err) = pass_on(exchange, &answer, events).await {
             log::debug!("relay: caller lost request={} error=\"{err}\"", exchange.request.id);
@@ -82,6 +88,8 @@
         log::debug!("relay: caller lost request={} error=\"{err}\"", exchange.request.id);
         return AttemptEnd::Done(ExchangeEnd::Close);
     }
+    exchange.trace.ended(RequestOutcome::Answered(answer.head.status));
+    exchange.host.crash_suspects.borrow_mut().succeeded(exchange.fingerprint.get());
     answer.close(&exchange.host.connections);
     AttemptEnd::Done(if exchange.closes { ExchangeEnd::Close } else { ExchangeEnd::Reusable })
 }
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -77,6 +77,17 @@
     pub zone: ZoneId,
     /// Requests in progress at engines, sent by the sender.
     pub loads: Vec<EngineLoad>,
+    /// Requests that were lost at backend servers.
+    pub losses: Vec<LossCount>,
+}
+
+/// Backend servers at which one entry host has lost a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossCount {
+    /// Digest of the request.
+    pub fingerprint: u64,
+    /// Backend servers.
+    pub n_backends: u32,
 }
 
 /// What one entry host has in progress at one engine.
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -7,6 +7,7 @@
 use crate::{
     fleet::Outage,
     platform::store::{Change, Store, StoreError, StoredObject},
+    runtime,
 };
 
 /// Time after which a watch without news is asked anew.
@@ -31,12 +32,19 @@
     store: Store,
     kind: &'static str,
     outage: Outage,
+    /// Pause after a change, in which further ones gather.
+    pause: Duration,
 }
 
 impl KindWatch {
     /// Makes a watch of `kind`.
     pub fn new(store: Store, kind: &'static str, outage: Outage) -> KindWatch {
-        KindWatch { store, kind, outage }
+        KindWatch { store, kind, outage, pause: Duration::ZERO }
+    }
+
+    /// Gathers changes for `pause` before it asks for more, where many come and none is urgent.
+    pub fn gathering(self, pause: Duration) -> KindWatch {
+        KindWatch { pause, ..self }
     }
 
     /// Hands every update to `apply` until the task is dropped.
@@ -62,6 +70,7 @@
                         at = changes.at;
                         if !changes.events.is_empty() {
                             apply(KindUpdate::Changed(changes.events));
+                            runtime::sleep(self.pause).await;
                         }
                     }
                     Err(StoreError::HistoryGone) => {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 
 pub use crate::fleet::{
     backend_table::BackendTable,
-    beacon::{Beacon, EngineLoad, EngineNotice, EntryState, PeerMessage, PiecesHeld},
+    beacon::{Beacon, EngineLoad, EngineNotice, EntryState, LossCount, PeerMessage, PiecesHeld},
     canary::Canary,
     kind_watch::{KindUpdate, KindWatch},
     outage::Outage,
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -1,4 +1,4 @@
-//! Names of the metrics; docs/OPERATING.md explains each.
+//! Names of the metrics; docs/OPERATIONS.md explains each.
 
 /// Counter: requests that ended, by `customer`, `pool`, `verdict` and `answered`.
 pub const REQUESTS: &str = "crocustiller_requests_total";
@@ -6,6 +6,20 @@
 pub const FIRST_TOKEN_SECONDS: &str = "crocustiller_first_token_seconds";
 /// Summary: time that a request waited before it went to a backend server, by `customer`.
 pub const WAIT_SECONDS: &str = "crocustiller_wait_seconds";
+/// Counter: requests that ended at an entry host on the platform, by `outcome`.
+pub const ENTRY_REQUESTS: &str = "crocustiller_entry_requests_total";
+/// Counter: attempts at backend servers.
+pub const ENTRY_ATTEMPTS: &str = "crocustiller_entry_attempts_total";
+/// Summary: time from a request's arrival to the first bytes of its answer.
+pub const ENTRY_FIRST_BYTES_SECONDS: &str = "crocustiller_entry_first_bytes_seconds";
+/// Summary: time from a request's arrival until it was sent to a backend server.
+pub const ENTRY_WAIT_SECONDS: &str = "crocustiller_entry_wait_seconds";
+/// Gauge: open connections of callers.
+pub const ENTRY_CONNECTIONS: &str = "crocustiller_entry_connections";
+/// Gauge: backend servers that take new work, by `service`.
+pub const READY_BACKENDS: &str = "crocustiller_ready_backends";
+/// Gauge: requests in progress at backend servers, sent by this host.
+pub const IN_PROGRESS: &str = "crocustiller_in_progress";
 /// Gauge: charter number in force.
 pub const CHARTER_NUMBER: &str = "crocustiller_charter_number";
 /// Gauge: switch number of a pool, by `pool`.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,16 +2,20 @@
 
 mod attempt_budget;
 mod backend_health;
+mod crash_suspects;
 mod engine_choice;
 mod homes;
 mod leave_gate;
 mod load_table;
+mod retry_advice;
 
 pub use crate::placement::{
     attempt_budget::AttemptBudget,
     backend_health::BackendHealth,
+    crash_suspects::{CrashSuspects, Fingerprint},
     engine_choice::{choose_engine, choose_plain, Candidate},
     homes::{assign_homes, HomelessEngine},
     leave_gate::may_take,
     load_table::{Load, LoadTable},
+    retry_advice::RetryAdvice,
 };
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -11,6 +11,7 @@
 mod count_ring;
 mod counts;
 mod level;
+mod log_story;
 mod request_accounts;
 mod request_outcome;
 mod windows;
@@ -26,6 +27,7 @@
     count_ring::CountRing,
     counts::Counts,
     level::Level,
+    log_story::{LogStory, StoryLine},
     request_accounts::RequestAccounts,
     request_outcome::RequestOutcome,
     windows::Window,
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -245,6 +245,10 @@
         self.slot.shelves.borrow().get(&self.version).is_some_and(Shelf::is_whole)
     }
 
+    fn piece(&self, number: u32) -> Option<Rc<Vec<u8>>> {
+        self.slot.shelves.borrow().get(&self.version)?.get(number)
+    }
+
     /// What others hold of this version.
     fn holders(&self) -> Holders {
         self.slot.holders.borrow().get(&self.version).cloned().unwrap_or_default()
@@ -386,10 +390,7 @@
         if self.slot.target().is_some_and(|it| it.1 != self.version) {
             return;
         }
-        let shelves = self.slot.shelves.borrow();
-        let piece = shelves.get(&self.version).and_then(|it| it.get(fetch.number));
-        drop(shelves);
-        let Some(piece) = piece else { return };
+        let Some(piece) = self.piece(fetch.number) else { return };
         let Some(_staging) = self.slot.staging.try_lock() else { return };
         if let Err(err) = self.slot.engine.stage(&self.model, fetch.number, &piece).await {
             log::warn!("weights: piece not staged number={} error=\"{err}\"", fetch.number);
--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -99,7 +99,7 @@
             Command::Hosts(it) => it.run(&client()?).await,
             Command::Pools(it) => it.run(&client()?).await,
             Command::Rollout(it) => it.run(&client()?).await,
-            Command::Requests(it) => it.run(&client()?).await,
+            Command::Requests(it) => it.run(&options).await,
             Command::Quarantine(it) => it.run(&client()?).await,
             Command::Burn(it) => it.run(&client()?).await,
             Command::Token(it) => it.run(&options),
--- a/src/subcommand/requests.rs
+++ b/src/subcommand/requests.rs
@@ -1,12 +1,15 @@
 //! `crocustiller requests`: tells what became of a request.
 
+use std::path::PathBuf;
+
 use argh::FromArgs;
 use serde::Deserialize;
 
 use crate::{
     error::CommandError,
-    report::RequestOutcome,
+    report::{LogStory, RequestOutcome, StoryLine},
     subcommand::{
+        common_options::CommonOptions,
         fleet::{self, Gathered},
         operator_client::OperatorClient,
         table::Table,
@@ -26,6 +29,19 @@
 #[argh(subcommand)]
 enum RequestsAction {
     Lookup(LookUpRequest),
+    Explain(ExplainRequest),
+}
+
+/// Puts what log files tell of a request in order, with the beliefs that were in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct ExplainRequest {
+    /// request id
+    #[argh(positional)]
+    id: String,
+    /// log files of the processes
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
 }
 
 /// Asks every entry host for the latest requests with an id or idempotency key.
@@ -45,10 +61,59 @@
 
 impl RequestsCommand {
     /// Runs the command.
-    pub(crate) async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
-        let RequestsAction::Lookup(it) = self.action;
+    pub(crate) async fn run(self, options: &CommonOptions) -> Result<(), CommandError> {
+        match self.action {
+            RequestsAction::Lookup(it) => it.run(&OperatorClient::new(options)?).await,
+            RequestsAction::Explain(it) => it.run(options.is_json),
+        }
+    }
+}
+
+impl ExplainRequest {
+    fn run(self, is_json: bool) -> Result<(), CommandError> {
+        if self.logs.is_empty() {
+            let message = "no log files named; give those of the entry hosts after the id";
+            return Err(CommandError::Usage(message.to_owned()));
+        }
+        let mut logs = Vec::new();
+        for path in self.logs {
+            let text = std::fs::read(&path).map_err(|err| CommandError::File(path.clone(), err))?;
+            let name = path.file_name().map(|it| it.to_string_lossy().into_owned());
+            logs.push((name.unwrap_or_default(), String::from_utf8_lossy(&text).into_owned()));
+        }
+        let story = LogStory::read(&self.id, &logs);
+        if story.lines.is_empty() {
+            let message = format!("no line names {}; give the logs of all entry hosts", self.id);
+            return Err(CommandError::Refused(404, message, Verdict::NotRun));
+        }
+        print_story(&story, is_json);
+        Ok(())
+    }
+}
+
+fn print_story(story: &LogStory, is_json: bool) {
+    if is_json {
+        let line = |it: &StoryLine| serde_json::json!({ "time": it.time, "source": it.source, "text": it.text });
+        let lines = |it: &[StoryLine]| it.iter().map(line).collect::<Vec<serde_json::Value>>();
+        let json =
+            serde_json::json!({ "beliefs": lines(&story.beliefs), "lines": lines(&story.lines) });
+        println!("{json}");
+        return;
+    }
+    println!("what the processes believed before:");
+    story.beliefs.iter().for_each(print_line);
+    println!("what was done with the request:");
+    story.lines.iter().for_each(print_line);
+}
+
+fn print_line(line: &StoryLine) {
+    println!("  {} {} {}", line.time, line.source, line.text);
+}
+
+impl LookUpRequest {
+    async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
         let targets = fleet::entry_hosts(client).await?;
-        let path = format!("/v1/requests/{}", it.id_or_key);
+        let path = format!("/v1/requests/{}", self.id_or_key);
         let gathered: Gathered<RequestList> = fleet::gather(client, &targets, &path).await;
         if client.is_json {
             print_json(&gathered);
@@ -60,7 +125,7 @@
         }
         let message = format!(
             "no entry host remembers {}; each keeps its latest requests only",
-            it.id_or_key
+            self.id_or_key
         );
         Err(CommandError::Refused(404, message, Verdict::NotRun))
     }
--- /dev/null
+++ b/tests/explained_requests.rs
@@ -0,0 +1,88 @@
+//! From the id of a request to its cause, by logs alone.
+
+use std::{io::Write, process::Command};
+
+use crocustiller::{
+    logging::{LineTurn, LineWriter, RateLimit},
+    report::LogStory,
+};
+
+const ENTRY_1: &str = "\
+2026-12-04T08:00:01.000Z INFO  charter: in force number=6 before=0
+2026-12-04T08:00:02.000Z INFO  charter: in force number=7 before=6
+2026-12-04T08:00:02.100Z INFO  fleet: engine=10.0.0.3:80 serves=None
+2026-12-04T08:00:03.000Z INFO  relay: attempt lost request=r-1 backend=i-3 reason=\"the message was cut off\"
+2026-12-04T08:00:03.100Z INFO  request: ended request=r-1 outcome=cut charter=7 attempts=i-3,i-4
+2026-12-04T08:00:04.000Z INFO  charter: in force number=8 before=7
+";
+const ENTRY_2: &str = "\
+2026-12-04T08:00:03.400Z INFO  request: ended request=r-1 outcome=answered status=200 charter=7
+2026-12-04T08:00:03.500Z INFO  request: ended request=r-12 outcome=answered status=200 charter=7
+";
+
+fn logs() -> Vec<(String, String)> {
+    vec![("entry-2.log".into(), ENTRY_2.into()), ("entry-1.log".into(), ENTRY_1.into())]
+}
+
+#[test]
+fn lines_in_order() {
+    let story = LogStory::read("r-1", &logs());
+    let texts: Vec<&str> = story.lines.iter().map(|it| it.source.as_str()).collect();
+    assert_eq!(texts, ["entry-1.log", "entry-1.log", "entry-2.log"]);
+    let beliefs: Vec<&str> = story.beliefs.iter().map(|it| it.text.as_str()).collect();
+    assert_eq!(
+        beliefs,
+        [
+            "INFO  charter: in force number=7 before=6",
+            "INFO  fleet: engine=10.0.0.3:80 serves=None"
+        ]
+    );
+}
+
+#[test]
+fn command() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("entry-1.log");
+    std::fs::write(&path, ENTRY_1).unwrap();
+    let run = |id: &str| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_crocustiller"));
+        command.args(["requests", "explain", id]).arg(&path).output().unwrap()
+    };
+    let found = run("r-1");
+    assert!(found.status.success(), "{found:?}");
+    assert!(String::from_utf8_lossy(&found.stdout).contains("outcome=cut"));
+    let missing = run("r-9");
+    assert_eq!(missing.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("no line names r-9"));
+}
+
+#[test]
+fn bounded_lines() {
+    let limit = RateLimit::new(3);
+    let now = std::time::Instant::now();
+    let n_written = (0..50).filter(|_| limit.turn(now) != LineTurn::LeaveOut).count();
+    assert_eq!(n_written, 3);
+    let later = now + std::time::Duration::from_secs(1);
+    assert_eq!(limit.turn(later), LineTurn::Write { n_left_out: 47 });
+}
+
+/// An output that takes nothing never stops the one who logs.
+#[test]
+fn blocked_output() {
+    struct Blocked;
+    impl Write for Blocked {
+        fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+            std::thread::sleep(std::time::Duration::from_secs(60));
+            Ok(0)
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+    let writer = LineWriter::start(Blocked).unwrap();
+    let since = std::time::Instant::now();
+    for number in 0..100_000 {
+        writer.put(format!("line {number}\n"));
+    }
+    assert!(since.elapsed() < std::time::Duration::from_secs(5));
+}
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -111,6 +111,7 @@
         region: zone.to_owned(),
         zone: zone.to_owned(),
         loads: Vec::new(),
+        losses: Vec::new(),
     };
     let own = beacon("a", "x", EntryState::Ready, 1);
     let near = Nearness { region: "x", zone: "x" };
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -215,6 +215,28 @@
     assert!(left <= 2500, "{left}");
 }
 
+/// A request that crashes each backend server that runs it reaches three of them at most.
+#[test]
+fn crashing_request() {
+    let script = |request: &RawRequest| match request.target.as_str() {
+        "/stock/crash" => vec![Step::Reset],
+        _ => answers_whole("x")(request),
+    };
+    let ledgers = [(); 5].map(|()| ScriptedServer::start(script).unwrap());
+    let deployed = Deployed::start("ledger", &ledgers.each_ref());
+    for number in 0..12 {
+        let id = format!("crash-{number}");
+        let status = deployed.entry.exchange(&request("GET", "/stock/crash", &id, "")).status();
+        assert!(matches!(status, 502 | 503), "{status}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let all: Vec<RawRequest> = ledgers.iter().flat_map(|it| it.requests()).collect();
+    let n_sent = all.iter().filter(|it| it.target == "/stock/crash").count();
+    assert!((1..=4).contains(&n_sent), "{n_sent}");
+    // Other requests of the same caller go on.
+    assert_eq!(deployed.entry.exchange(&request("GET", "/stock/1", "calm", "")).status(), 200);
+}
+
 fn draft(id: &str) -> Vec<u8> {
     let more = "X-Model: lots\r\nX-Token-Counts: 200,260\r\n";
     request("POST", "/draft/1", id, more)
