platform/ only translates; one accept loop, one count guard, one registry of entry hosts

The object service of the product's own frame moves to src/objects. Logic that stood twice is shared (accepting, counting, versions, registrations, checked settings); the manifest's source has a file of its own. tests/deployed: each process gets a loopback address of its own, since graceful_stop open_connections failed once when a port that was free a moment before was taken.

--- a/src/charter/patch.rs
+++ b/src/charter/patch.rs
@@ -17,8 +17,8 @@
     },
     ids::DocumentNumber,
     node::Node,
+    objects::{Object, PlatformClient, PlatformError},
     peer::{Document, DocumentName},
-    platform::{Object, PlatformClient, PlatformError},
     runtime,
     verdict::Verdict,
 };
--- a/src/charter/patch_attempt.rs
+++ b/src/charter/patch_attempt.rs
@@ -14,7 +14,7 @@
         RECENT_PATCHES,
     },
     ids::{DocumentNumber, Revision},
-    platform::{Object, Precondition},
+    objects::{Object, Precondition},
 };
 
 /// Reads that are older than the operator's number before the number counts as wrong.
--- a/src/daemon/arguments.rs
+++ b/src/daemon/arguments.rs
@@ -7,7 +7,7 @@
 use crate::{
     daemon::daemon::Daemon,
     entry, logging, runtime,
-    settings::{DeployedRole, DeployedSettings, Settings},
+    settings::{DeployedRole, DeployedSettings, Settings, SettingsError},
     slot,
 };
 
@@ -38,17 +38,10 @@
     if arguments.platform {
         return run_on_platform(&arguments);
     }
-    let settings = match Settings::load(&arguments.settings) {
+    let settings = match checked(&arguments, Settings::load(&arguments.settings)) {
         Ok(settings) => settings,
-        Err(err) => {
-            eprintln!("{err}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
-        }
+        Err(exit) => return exit,
     };
-    if arguments.check {
-        println!("{}: the settings are good", arguments.settings.display());
-        return ExitCode::SUCCESS;
-    }
     if let Err(err) = logging::init(settings.log.level) {
         eprintln!("logs can't be written: {err}");
         return ExitCode::from(EXIT_START_FAILED);
@@ -62,19 +55,25 @@
     }
 }
 
+/// The settings, unless they are bad or were only to be checked.
+fn checked<T>(arguments: &Arguments, res: Result<T, SettingsError>) -> Result<T, ExitCode> {
+    let settings = res.map_err(|err| {
+        eprintln!("{err}");
+        ExitCode::from(EXIT_BAD_SETTINGS)
+    })?;
+    if arguments.check {
+        println!("{}: the settings are good", arguments.settings.display());
+        return Err(ExitCode::SUCCESS);
+    }
+    Ok(settings)
+}
+
 /// Runs a process on the platform, whose settings have other sections.
 fn run_on_platform(arguments: &Arguments) -> ExitCode {
-    let settings = match DeployedSettings::load(&arguments.settings) {
+    let settings = match checked(arguments, DeployedSettings::load(&arguments.settings)) {
         Ok(settings) => settings,
-        Err(err) => {
-            eprintln!("{err}");
-            return ExitCode::from(EXIT_BAD_SETTINGS);
-        }
+        Err(exit) => return exit,
     };
-    if arguments.check {
-        println!("{}: the settings are good", arguments.settings.display());
-        return ExitCode::SUCCESS;
-    }
     if let Err(err) = logging::init_stdout(settings.log.level) {
         eprintln!("logs can't be written: {err}");
         return ExitCode::from(EXIT_START_FAILED);
--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -11,17 +11,14 @@
 
 use async_executor::Task;
 use async_io::Async;
-use serde_json::json;
 
 use crate::{
     entry::entry_host::EntryHost,
-    fleet::{Beacon, PeerMessage},
-    platform::store::{Store, StoreError},
+    fleet::{entry_registry, Beacon, PeerMessage},
+    platform::store::Store,
     runtime,
 };
 
-/// Kind of the objects by which entry hosts find each other.
-pub(crate) const KIND: &str = "entry-hosts";
 /// Pause between two beacons of a small deployment.
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Entry hosts up to which that pause holds; it grows in proportion beyond.
@@ -49,16 +46,17 @@
     store: Store,
     addresses: Rc<RefCell<BTreeSet<SocketAddr>>>,
 ) {
-    while let Err(err) = register(&host, &store).await {
+    while let Err(err) =
+        entry_registry::register(&store, &host.settings.host.id, host.settings.peers).await
+    {
         log::warn!("fleet: not registered error=\"{err}\"");
         runtime::sleep(REGISTER_RETRY.mul_f64(0.5 + fastrand::f64())).await;
     }
     loop {
-        match store.list(KIND).await {
-            Ok(listing) => {
-                let texts = listing.objects.iter().filter_map(|it| it.spec["peers"].as_str());
-                addresses.borrow_mut().extend(texts.filter_map(|it| it.parse::<SocketAddr>().ok()));
-                log::info!("fleet: entry hosts listed n={}", listing.objects.len());
+        match entry_registry::list(&store).await {
+            Ok(listed) => {
+                log::info!("fleet: entry hosts listed n={}", listed.len());
+                addresses.borrow_mut().extend(listed);
             }
             Err(err) => log::warn!("fleet: entry hosts not listed error=\"{err}\""),
         }
@@ -69,14 +67,6 @@
     }
 }
 
-async fn register(host: &EntryHost, store: &Store) -> Result<(), StoreError> {
-    let spec = json!({ "peers": host.settings.peers });
-    match store.create(KIND, &host.settings.host.id, spec.clone()).await {
-        Err(StoreError::Conflict) => store.replace(KIND, &host.settings.host.id, spec).await,
-        res => res,
-    }
-}
-
 async fn send_all(
     host: Rc<EntryHost>,
     socket: Rc<Async<UdpSocket>>,
--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     entry::entry_host::EntryHost,
-    fleet::{Canary, KindUpdate, KindWatch, Outage},
+    fleet::{take_versions, Canary, KindUpdate, KindWatch, Outage},
     platform::{
         store::{Change, Store, StoredObject},
         wire_config, wire_server,
@@ -43,7 +43,7 @@
     let versions = {
         let host = host.clone();
         let watch = KindWatch::new(store.clone(), wire_server::VERSION_KIND, outage.clone());
-        runtime::spawn_local(watch.run(move |update| take_versions(&host, update)))
+        runtime::spawn_local(watch.run(move |update| follow_versions(&host, update)))
     };
     let canary = Canary::new(store.clone(), wire_server::VERSION_KIND, CANARY_INTERVAL, outage);
     let canary = runtime::spawn_local(canary.run());
@@ -115,18 +115,9 @@
     }
 }
 
-fn take_versions(host: &EntryHost, update: KindUpdate) {
-    let (objects, is_fresh) = match update {
-        KindUpdate::Listed { objects, .. } => (objects, false),
-        KindUpdate::Changed(changes) => (changes.into_iter().map(|it| it.object).collect(), true),
-    };
-    for object in objects {
-        match wire_server::decode_version(&object) {
-            Ok(target) => {
-                log::info!("versions: named model={} version={}", target.model, target.version);
-                host.versions.borrow_mut().set(&target, is_fresh, Instant::now());
-            }
-            Err(err) => log::error!("versions: not readable error=\"{err}\""),
-        }
+/// Takes named versions; requests may have to go to other engines from now on.
+fn follow_versions(host: &EntryHost, update: KindUpdate) {
+    if take_versions(&host.versions, update) {
+        host.places_changed.notify(usize::MAX);
     }
 }
--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     entry::{
+        counted::Counted,
         entry_host::EntryHost,
         exchange::{Exchange, ExchangeEnd},
         refusal::Refusal,
@@ -68,7 +69,7 @@
             self.host.leaving_since().is_some() || head.headers.has_member("connection", "close");
         let writer = self.connection.writer();
         let host = self.host.clone();
-        let _counted = CountedExchange::new(host.clone());
+        let _counted = Counted::new(host.clone(), |it| &it.n_exchanges);
         let exchange = Exchange::new(host, writer, head, body, received, closes);
         let left = async {
             self.connection.wait_until_left().await;
@@ -161,21 +162,3 @@
         }
     }
 }
-
-/// Counts an exchange for as long as it lives.
-struct CountedExchange {
-    host: Rc<EntryHost>,
-}
-
-impl CountedExchange {
-    fn new(host: Rc<EntryHost>) -> CountedExchange {
-        host.n_exchanges.set(host.n_exchanges.get() + 1);
-        CountedExchange { host }
-    }
-}
-
-impl Drop for CountedExchange {
-    fn drop(&mut self) {
-        self.host.n_exchanges.set(self.host.n_exchanges.get() - 1);
-    }
-}
--- a/src/entry/life.rs
+++ b/src/entry/life.rs
@@ -16,11 +16,12 @@
     entry::{
         beacon_exchange, beliefs,
         caller_connection::CallerConnection,
+        counted::Counted,
         directory::{answer_directory, answer_readiness},
         entry_host::EntryHost,
         metrics_page::{self, answer_metrics},
     },
-    http1::{Connection, Responder},
+    http1::{accept_all, Connection, Responder},
     platform::store::Store,
     runtime,
     settings::{DeployedSettings, EntryListenSettings},
@@ -63,7 +64,9 @@
         let listener = Async::<TcpListener>::bind(listen.callers)?;
         let mut tasks = beliefs::follow(&host, &store);
         tasks.extend(beacon_exchange::start(&host, &store)?);
-        tasks.push(runtime::spawn_local(accept(host.clone(), listener)));
+        let callers = host.clone();
+        let accept = accept_all(listener, move |it| serve(callers.clone(), it));
+        tasks.push(runtime::spawn_local(accept));
         tasks.push(runtime::spawn_local(expire(host.clone())));
         let directory = {
             let host = host.clone();
@@ -120,28 +123,9 @@
     }
 }
 
-async fn accept(host: Rc<EntryHost>, listener: Async<TcpListener>) {
-    loop {
-        let accepted = match listener.accept().await {
-            Ok((stream, _)) => Connection::new(stream),
-            Err(err) => Err(err),
-        };
-        match accepted {
-            Ok(connection) => {
-                let counted = CountedConnection::new(host.clone());
-                let serve = CallerConnection::new(connection, host.clone()).serve();
-                let serve = async move {
-                    serve.await;
-                    drop(counted);
-                };
-                runtime::spawn_local(serve).detach();
-            }
-            Err(err) => {
-                log::warn!("callers: connection not accepted error=\"{err}\"");
-                runtime::sleep(Duration::from_millis(5)).await;
-            }
-        }
-    }
+async fn serve(host: Rc<EntryHost>, connection: Connection) {
+    let _counted = Counted::new(host.clone(), |it| &it.n_connections);
+    CallerConnection::new(connection, host).serve().await;
 }
 
 /// Drops entries that lapsed in an outage and did not come back.
@@ -155,21 +139,3 @@
         }
     }
 }
-
-/// Counts a caller's connection for as long as it lives.
-struct CountedConnection {
-    host: Rc<EntryHost>,
-}
-
-impl CountedConnection {
-    fn new(host: Rc<EntryHost>) -> CountedConnection {
-        host.n_connections.set(host.n_connections.get() + 1);
-        CountedConnection { host }
-    }
-}
-
-impl Drop for CountedConnection {
-    fn drop(&mut self) {
-        self.host.n_connections.set(self.host.n_connections.get() - 1);
-    }
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod beacon_exchange;
 mod beliefs;
 mod caller_connection;
+mod counted;
 mod directory;
 mod entry_host;
 mod exchange;
@@ -15,5 +16,4 @@
 mod stream_relay;
 mod whole_relay;
 
-pub(crate) use crate::entry::beacon_exchange::KIND as ENTRY_HOST_KIND;
 pub(crate) use crate::entry::life::run;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,11 +3,14 @@
 mod backend_table;
 mod beacon;
 mod canary;
+pub(crate) mod entry_registry;
 mod kind_watch;
+mod named_versions;
 mod outage;
 mod peer_table;
 mod version_table;
 
+pub(crate) use crate::fleet::named_versions::take_versions;
 pub use crate::fleet::{
     backend_table::BackendTable,
     beacon::{Beacon, EngineLoad, EngineNotice, EntryState, LossCount, PeerMessage, PiecesHeld},
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -3,6 +3,7 @@
 //! The relay has to know whether a body was whole, whether bytes follow it, and how a connection
 //! ended. `async-h1` hides all three, so heads are parsed by `httparse` and bodies are framed here.
 
+mod acceptor;
 mod body;
 mod chunk_decoder;
 mod client;
@@ -12,6 +13,7 @@
 mod headers;
 mod responder;
 
+pub(crate) use crate::http1::acceptor::accept_all;
 pub use crate::http1::{
     body::{BodyLength, BodyReader},
     chunk_decoder::ChunkDecoder,
--- a/src/http1/responder.rs
+++ b/src/http1/responder.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     http1::{
+        acceptor::accept_all,
         body::{BodyLength, BodyReader},
         connection::Connection,
         head::RequestHead,
@@ -54,25 +55,15 @@
     ) -> io::Result<Responder> {
         let listener = Async::<std::net::TcpListener>::bind(address)?;
         let answer = Rc::new(answer);
-        let task = runtime::spawn_local(async move {
-            loop {
-                let stream = match listener.accept().await {
-                    Ok((stream, _)) => stream,
-                    Err(err) => {
-                        log::warn!("http: connection not accepted error=\"{err}\"");
-                        runtime::sleep(Duration::from_millis(10)).await;
-                        continue;
-                    }
-                };
-                let answer = answer.clone();
-                let serve = async move {
-                    if let Err(err) = serve(stream, &*answer).await {
-                        log::debug!("http: question not answered error=\"{err}\"");
-                    }
-                };
-                runtime::spawn_local(serve).detach();
+        let serve_one = move |connection| {
+            let answer = answer.clone();
+            async move {
+                if let Err(err) = serve(connection, &*answer).await {
+                    log::debug!("http: question not answered error=\"{err}\"");
+                }
             }
-        });
+        };
+        let task = runtime::spawn_local(accept_all(listener, serve_one));
         Ok(Responder { task })
     }
 
@@ -83,10 +74,9 @@
 }
 
 async fn serve(
-    stream: Async<std::net::TcpStream>,
+    mut connection: Connection,
     answer: &dyn Fn(&RequestHead) -> SmallAnswer,
 ) -> Result<(), HttpError> {
-    let mut connection = Connection::new(stream)?;
     loop {
         let head = connection.read_request_head(MAX_HEAD_BYTES);
         let head = match runtime::timeout(IDLE_LIMIT, head).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metric_names;
 pub mod net;
 pub mod node;
+pub mod objects;
 pub mod operator;
 pub mod peer;
 pub mod placement;
--- a/src/platform/document_watch.rs
+++ b/src/objects/document_watch.rs
@@ -18,8 +18,8 @@
     ids::{HostId, Revision},
     membership::{self, HostRole, HostState, MemberRecord},
     node::Node,
+    objects::{Object, PlatformError},
     peer::{Document, DocumentName},
-    platform::{Object, PlatformError},
     runtime,
 };
 
--- a/src/request/claim_object.rs
+++ b/src/request/claim_object.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     ids::Revision,
-    platform::{PlatformClient, PlatformError, Precondition},
+    objects::{PlatformClient, PlatformError, Precondition},
     request::claim_bucket::{ClaimAnswer, ClaimBucket, ClaimChange},
     runtime,
     verdict::Verdict,
--- a/src/request/claim_stage.rs
+++ b/src/request/claim_stage.rs
@@ -17,7 +17,7 @@
     charter::ServiceTerms,
     digest::Digest,
     node::Node,
-    platform::PlatformError,
+    objects::PlatformError,
     request::{
         claim_bucket::{CallOutcome, Claim, ClaimAnswer, ClaimChange},
         claim_key::ClaimKey,
--- a/src/request/quarantine_stage.rs
+++ b/src/request/quarantine_stage.rs
@@ -10,8 +10,8 @@
     digest::Digest,
     ids::DocumentNumber,
     node::Node,
+    objects::{PlatformError, Precondition},
     peer::{Document, DocumentName},
-    platform::{PlatformError, Precondition},
     request::quarantine::{Quarantine, QuarantineChange, Standing},
 };
 
--- a/src/rollout/rollout_decider.rs
+++ b/src/rollout/rollout_decider.rs
@@ -16,8 +16,8 @@
     ids::{DocumentNumber, HostId, PoolId},
     membership::{rank, HostRole, HostState, MemberRecord},
     node::Node,
+    objects::{Object, PlatformError, Precondition},
     peer::{Document, DocumentName},
-    platform::{Object, PlatformError, Precondition},
     rollout::{
         next_step::{next_step, PoolView},
         pool_document::{PoolDocument, RolloutStep, WeightsTarget},
--- a/src/slot/life.rs
+++ b/src/slot/life.rs
@@ -6,8 +6,7 @@
 use futures_lite::{FutureExt, StreamExt};
 
 use crate::{
-    entry,
-    fleet::{Canary, KindUpdate, KindWatch, Outage},
+    fleet::{entry_registry, take_versions, Canary, KindUpdate, KindWatch, Outage},
     platform::{
         store::{Store, StoredObject},
         wire_config, wire_server,
@@ -39,7 +38,7 @@
     let watch = KindWatch::new(slot.store.clone(), wire_server::VERSION_KIND, outage.clone());
     let versions = {
         let slot = slot.clone();
-        runtime::spawn_local(watch.run(move |update| take_versions(&slot, update)))
+        runtime::spawn_local(watch.run(move |update| follow_versions(&slot, update)))
     };
     let canary =
         Canary::new(slot.store.clone(), wire_server::VERSION_KIND, CANARY_INTERVAL, outage.clone());
@@ -65,22 +64,9 @@
     Ok(())
 }
 
-fn take_versions(slot: &SlotState, update: KindUpdate) {
-    let (objects, is_fresh) = match update {
-        KindUpdate::Listed { objects, .. } => (objects, false),
-        KindUpdate::Changed(changes) => (changes.into_iter().map(|it| it.object).collect(), true),
-    };
-    for object in objects {
-        match wire_server::decode_version(&object) {
-            Ok(target) => {
-                let now = std::time::Instant::now();
-                if slot.versions.borrow_mut().set(&target, is_fresh, now) {
-                    slot.version_named.notify(usize::MAX);
-                    log::info!("versions: named model={} version={}", target.model, target.version);
-                }
-            }
-            Err(err) => log::error!("versions: not readable error=\"{err}\""),
-        }
+fn follow_versions(slot: &SlotState, update: KindUpdate) {
+    if take_versions(&slot.versions, update) {
+        slot.version_named.notify(usize::MAX);
     }
     slot.changed.notify(usize::MAX);
 }
@@ -153,8 +139,14 @@
 }
 
 async fn read_entries(slot: &SlotState) -> bool {
-    let Some(objects) = objects_of(&slot.store, entry::ENTRY_HOST_KIND).await else { return false };
-    let texts = objects.iter().filter_map(|it| it.spec["peers"].as_str());
-    *slot.entry_hosts.borrow_mut() = texts.filter_map(|it| it.parse().ok()).collect();
-    true
+    match entry_registry::list(&slot.store).await {
+        Ok(addresses) => {
+            *slot.entry_hosts.borrow_mut() = addresses;
+            true
+        }
+        Err(err) => {
+            log::warn!("store: entry hosts not listed error=\"{err}\"");
+            false
+        }
+    }
 }
--- /dev/null
+++ b/src/slot/manifest_source.rs
@@ -0,0 +1,82 @@
+//! Reads the manifest of a version from a slot that holds it, or from the origin.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use crate::{
+    http1::{Call, Client},
+    ids::WeightsVersion,
+    platform::origin_api::{decode_manifest, OriginApi},
+    slot::{piece_server::manifest_path, slot_state::SlotState, Manifest},
+};
+
+/// Time limit of another slot's answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest manifest.
+const MAX_MANIFEST_BYTES: usize = 4 << 20;
+/// Slots that are asked before the origin.
+const MAX_ASKED_SLOTS: usize = 2;
+
+/// Where the manifest of one version may be had.
+pub(crate) struct ManifestSource {
+    slot: Rc<SlotState>,
+    model: String,
+    version: WeightsVersion,
+    client: Client,
+    origin: OriginApi,
+}
+
+impl ManifestSource {
+    /// Makes a source for one version.
+    pub(crate) fn new(slot: Rc<SlotState>, model: &str, version: WeightsVersion) -> ManifestSource {
+        ManifestSource {
+            slot,
+            model: model.to_owned(),
+            version,
+            client: Client::default(),
+            origin: OriginApi::default(),
+        }
+    }
+
+    /// Reads the manifest once; `None` when nobody gives a whole one.
+    pub(crate) async fn read(&self) -> Option<Manifest> {
+        let held = self.slot.holders.borrow().get(&self.version).cloned().unwrap_or_default();
+        let mut holders: Vec<SocketAddr> = held.into_keys().collect();
+        fastrand::shuffle(&mut holders);
+        for holder in holders.into_iter().take(MAX_ASKED_SLOTS) {
+            if let Some(manifest) = self.read_from_slot(holder).await {
+                return Some(manifest);
+            }
+        }
+        self.read_from_origin().await
+    }
+
+    async fn read_from_slot(&self, holder: SocketAddr) -> Option<Manifest> {
+        let path = manifest_path(&self.model, self.version);
+        let call = Call::get(&path, PEER_TIMEOUT, MAX_MANIFEST_BYTES);
+        match self.client.call(holder, &call).await {
+            Ok(answer) if answer.head.status == 200 => decode_manifest(self.version, &answer.body),
+            Ok(_) => None,
+            Err(err) => {
+                log::info!("weights: no manifest from={holder} error=\"{err}\"");
+                None
+            }
+        }
+    }
+
+    async fn read_from_origin(&self) -> Option<Manifest> {
+        let origin = self.slot.pool.borrow().as_ref().and_then(|it| it.origin.clone())?;
+        match self.origin.manifest(&origin, &self.model, self.version).await {
+            Ok(text) => {
+                let manifest = decode_manifest(self.version, &text);
+                if manifest.is_none() {
+                    log::warn!("weights: manifest not readable version={}", self.version);
+                }
+                manifest
+            }
+            Err(err) => {
+                log::warn!("weights: no manifest from the origin error=\"{err}\"");
+                None
+            }
+        }
+    }
+}
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -2,6 +2,7 @@
 
 mod life;
 mod manifest;
+mod manifest_source;
 mod messages;
 mod piece_fetch;
 mod piece_plan;
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -14,15 +14,13 @@
 use crate::{
     http1::{Call, Client},
     ids::WeightsVersion,
-    platform::{
-        engine_api::EngineError,
-        origin_api::{decode_manifest, OriginApi},
-    },
+    platform::{engine_api::EngineError, origin_api::OriginApi},
     runtime,
     slot::{
-        piece_server::{manifest_path, piece_path, STATUS_BUSY},
+        manifest_source::ManifestSource,
+        piece_server::{piece_path, STATUS_BUSY},
         slot_state::{Holders, SlotState},
-        Fetch, Manifest, PiecePlan, Shelf, Source,
+        Fetch, PiecePlan, Shelf, Source,
     },
 };
 
@@ -59,6 +57,7 @@
     started: Instant,
     client: Client,
     origin: OriginApi,
+    manifests: ManifestSource,
     on_their_way: RefCell<BTreeSet<u32>>,
     busy_peers: RefCell<BTreeSet<SocketAddr>>,
     origin_rests_until: RefCell<Option<Instant>>,
@@ -80,6 +79,7 @@
     may_be_staged: bool,
 ) {
     let fetch = Rc::new(PieceFetch {
+        manifests: ManifestSource::new(slot.clone(), &model, version),
         slot,
         model,
         version,
@@ -145,7 +145,7 @@
     async fn load_manifest(&self) {
         runtime::sleep(ASK_TIME).await;
         loop {
-            if let Some(manifest) = self.read_manifest().await {
+            if let Some(manifest) = self.manifests.read().await {
                 let shelf = Shelf::new(&self.model, self.version, manifest);
                 self.slot.shelves.borrow_mut().insert(self.version, shelf);
                 return;
@@ -154,42 +154,6 @@
         }
     }
 
-    async fn read_manifest(&self) -> Option<Manifest> {
-        let mut holders: Vec<SocketAddr> = self.holders().into_keys().collect();
-        fastrand::shuffle(&mut holders);
-        for holder in holders.into_iter().take(2) {
-            let call = Call::get(
-                &manifest_path(&self.model, self.version),
-                PEER_TIMEOUT,
-                MAX_ANSWER_BYTES,
-            );
-            match self.client.call(holder, &call).await {
-                Ok(answer) if answer.head.status == 200 => {
-                    let manifest = decode_manifest(self.version, &answer.body);
-                    if manifest.is_some() {
-                        return manifest;
-                    }
-                }
-                Ok(_) => {}
-                Err(err) => log::info!("weights: no manifest from={holder} error=\"{err}\""),
-            }
-        }
-        let origin = self.slot.pool.borrow().as_ref().and_then(|it| it.origin.clone())?;
-        match self.origin.manifest(&origin, &self.model, self.version).await {
-            Ok(text) => {
-                let manifest = decode_manifest(self.version, &text);
-                if manifest.is_none() {
-                    log::warn!("weights: manifest not readable version={}", self.version);
-                }
-                manifest
-            }
-            Err(err) => {
-                log::warn!("weights: no manifest from the origin error=\"{err}\"");
-                None
-            }
-        }
-    }
-
     /// Takes what lies in the engine's staging area already, once the engine answers.
     async fn take_staged(&self) {
         if self.is_staging_read.get() {
@@ -374,7 +338,7 @@
 
     /// Reads the manifest anew, as it may be the one that is wrong.
     async fn check_manifest(&self) {
-        let Some(manifest) = self.read_manifest().await else { return };
+        let Some(manifest) = self.manifests.read().await else { return };
         let mut shelves = self.slot.shelves.borrow_mut();
         let Some(shelf) = shelves.get_mut(&self.version) else { return };
         if shelf.manifest != manifest {
--- a/src/slot/piece_server.rs
+++ b/src/slot/piece_server.rs
@@ -9,7 +9,7 @@
 use async_io::Async;
 
 use crate::{
-    http1::{Connection, HttpError, ResponseHead},
+    http1::{accept_all, Connection, HttpError, ResponseHead},
     platform::origin_api::encode_manifest,
     runtime,
     slot::{slot_state::SlotState, Shelf},
@@ -57,7 +57,7 @@
             budget: LinkBudget::new(rate, rate, MIN_SHARE_PERCENT),
             n_waiting: Cell::new(0),
         });
-        let task = runtime::spawn_local(accept(uploads, listener));
+        let task = runtime::spawn_local(accept_all(listener, move |it| serve(uploads.clone(), it)));
         Ok(PieceServer { task })
     }
 
@@ -77,27 +77,9 @@
     format!("/piece/{model}/{version}/{number}")
 }
 
-async fn accept(uploads: Rc<Uploads>, listener: Async<TcpListener>) {
-    loop {
-        let accepted = match listener.accept().await {
-            Ok((stream, _)) => Connection::new(stream),
-            Err(err) => Err(err),
-        };
-        match accepted {
-            Ok(connection) => {
-                let uploads = uploads.clone();
-                let serve = async move {
-                    if let Err(err) = uploads.serve(connection).await {
-                        log::debug!("weights: connection ended error=\"{err}\"");
-                    }
-                };
-                runtime::spawn_local(serve).detach();
-            }
-            Err(err) => {
-                log::warn!("weights: connection not accepted error=\"{err}\"");
-                runtime::sleep(Duration::from_millis(10)).await;
-            }
-        }
+async fn serve(uploads: Rc<Uploads>, connection: Connection) {
+    if let Err(err) = uploads.serve(connection).await {
+        log::debug!("weights: connection ended error=\"{err}\"");
     }
 }
 
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -14,8 +14,8 @@
     digest::Digest,
     membership::{Detector, Gossip, HostState},
     node::Node,
+    objects::DocumentWatch,
     peer::{PeerKey, PeerServer, PeerService},
-    platform::DocumentWatch,
     runtime,
     settings::{
         BackendKind, BackendSettings, HostSettings, LimitSettings, ListenSettings, LogSettings,
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -7,8 +7,8 @@
 use crocustiller::{
     digest::Digest,
     membership::{HostRole, HostState, MemberRecord},
+    objects::Precondition,
     peer::{Document, DocumentName},
-    platform::Precondition,
     report::RequestOutcome,
     request::{Quarantine, QuarantineEntry},
     rollout::{PoolDocument, RolloutStep, WeightsTarget},
--- a/tests/deployed/mod.rs
+++ b/tests/deployed/mod.rs
@@ -3,8 +3,9 @@
 
 use std::{
     io::{ErrorKind, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -60,7 +61,9 @@
 impl EntryProcess {
     /// Starts a process with settings of its own.
     pub fn start(store: &StoreStandin, id: &str) -> EntryProcess {
-        let [callers, readiness, directory, peers, metrics] = [(); 5].map(|()| free_address());
+        let ip = own_ip();
+        let [callers, readiness, directory, peers, metrics] =
+            [9101, 9102, 9103, 9104, 9105].map(|port| SocketAddr::from((ip, port)));
         let text = format!(
             "[host]\nid = {id}\nrole = entry\nregion = south\nzone = depot\n\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\ndirectory = {directory}\n\
@@ -71,16 +74,17 @@
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("entry.ini");
         std::fs::write(&path, text).unwrap();
+        // What the process says of a failed start belongs to the output of the test.
         let child = Command::new(env!("CARGO_BIN_EXE_crocustillerd"))
             .args(["--platform", "--settings"])
             .arg(&path)
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let entry = EntryProcess { child, callers, readiness, directory };
+        let mut entry = EntryProcess { child, callers, readiness, directory };
         let started = Instant::now();
         while TcpStream::connect(entry.readiness).is_err() {
+            assert!(!entry.has_ended(), "the process has ended; its reason stands above");
             assert!(started.elapsed() < START_LIMIT, "the process does not listen");
             thread::sleep(Duration::from_millis(10));
         }
@@ -278,7 +282,13 @@
     text.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0)
 }
 
-/// An address that was free a moment ago.
-pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// A loopback address that no other process of any test listens on.
+///
+/// Ports that were free a moment ago won't do: tests that run beside this one take them.
+fn own_ip() -> Ipv4Addr {
+    static N_PROCESSES: AtomicU8 = AtomicU8::new(0);
+    let number = N_PROCESSES.fetch_add(1, Ordering::Relaxed);
+    assert!(number < 250, "too many processes in one test file");
+    let pid = std::process::id();
+    Ipv4Addr::new(127, 1 + (pid >> 8) as u8 % 250, pid as u8, number + 1)
 }
--- a/tests/host_rank.rs
+++ b/tests/host_rank.rs
@@ -7,7 +7,7 @@
     membership::{
         rank, CharterReport, HostRole, HostState, MemberRecord, Neighbours, WeightsStatus,
     },
-    platform::choose_watchers,
+    objects::choose_watchers,
 };
 
 const SEEDS: u64 = 1000;
--- a/tests/patch_settling.rs
+++ b/tests/patch_settling.rs
@@ -6,7 +6,7 @@
     charter::{
         charter_patch, CharterWrite, PatchAttempt, PatchOrder, PatchOutcome, PatchStep, WriteResult,
     },
-    platform::{Object, Precondition},
+    objects::{Object, Precondition},
 };
 use serde_json::{json, Value};
 
--- a/tests/platform_contract.rs
+++ b/tests/platform_contract.rs
@@ -4,7 +4,7 @@
 
 use crocustiller::{
     net::HttpClient,
-    platform::{PlatformClient, PlatformError, Precondition},
+    objects::{PlatformClient, PlatformError, Precondition},
     runtime,
     verdict::Verdict,
 };
