--- a/src/entry/life.rs
+++ b/src/entry/life.rs
@@ -2,7 +2,6 @@
 
 use std::{
     io,
-    net::TcpListener,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -22,6 +21,7 @@
         metrics_page::{self, answer_metrics},
     },
     http1::{accept_all, Connection, Responder},
+    net::listen::listen as net_listen,
     platform::store::Store,
     runtime,
     settings::{DeployedSettings, EntryListenSettings},
@@ -61,7 +61,7 @@
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         let store = Store::new(settings.store);
         let host = EntryHost::new(settings, listen.clone());
-        let listener = Async::<TcpListener>::bind(listen.callers)?;
+        let listener = Async::new(net_listen(listen.callers)?)?;
         let mut tasks = beliefs::follow(&host, &store);
         tasks.extend(beacon_exchange::start(&host, &store)?);
         let callers = host.clone();
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -70,7 +70,7 @@
         limits: ServerLimits,
         handler: Handler,
     ) -> io::Result<HttpServer> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = TcpListener::try_from(crate::net::listen::listen(address)?)?;
         let address = listener.local_addr()?;
         let counts = Arc::new(ServerCounts::default());
         let accept_task = runtime::spawn(accept_loop(listener, limits, handler, counts.clone()));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod byte_stream;
 mod http_client;
 mod http_server;
+pub(crate) mod listen;
 mod server_connection;
 
 pub use crate::net::{
