Slots keep no connection to the origin while they wait for their turn

The logs show 41 of 48 pieces within 1.8 s, and every try of four slots at the origin reset until the origin died at 20.5 s. The origin accepts 48 connections of all callers. Each slot kept up to four idle ones, one of them only for the manifest, for as long as its fetch was not whole. Ruled out: a cut of these slots, since they went on to fetch pieces from others.

Change: the client of the origin closes its connection after each call.

Test: slot_weights no_idle_connections failed before (two connections held), passes now.

--- a/src/http1/client.rs
+++ b/src/http1/client.rs
@@ -48,10 +48,11 @@
     pub body: Vec<u8>,
 }
 
-/// A client with connections that are kept between calls.
+/// A client whose connections are kept between calls, unless it was told to close them.
 #[derive(Debug, Default)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    closes: bool,
 }
 
 #[derive(Debug)]
@@ -61,6 +62,11 @@
 }
 
 impl Client {
+    /// Makes a client that closes its connection after each call, for servers that accept few.
+    pub fn closing() -> Client {
+        Client { closes: true, ..Client::default() }
+    }
+
     /// Makes a call; its answer is whole or the call failed.
     pub async fn call(&self, address: SocketAddr, call: &Call) -> Result<Answer, HttpError> {
         let exchange = self.exchange(address, call);
@@ -76,7 +82,7 @@
         let head = connection.read_response_head(MAX_HEAD_BYTES).await?;
         let mut reader = BodyReader::new(BodyLength::of_response(&head, &call.head.method)?);
         let body = reader.read_all(&mut connection, call.limit_bytes).await?;
-        if !head.closes() && !connection.is_stale() {
+        if !self.closes && !head.closes() && !connection.is_stale() {
             self.put_idle(address, connection);
         }
         Ok(Answer { head, body })
--- a/src/platform/origin_api.rs
+++ b/src/platform/origin_api.rs
@@ -27,12 +27,18 @@
     digests: Vec<String>,
 }
 
-/// A client of the origin.
-#[derive(Clone, Debug, Default)]
+/// A client of the origin; it keeps no connection, as the origin accepts few from all slots.
+#[derive(Clone, Debug)]
 pub struct OriginApi {
     client: Rc<Client>,
 }
 
+impl Default for OriginApi {
+    fn default() -> OriginApi {
+        OriginApi { client: Rc::new(Client::closing()) }
+    }
+}
+
 impl OriginApi {
     /// Reads the manifest of a version.
     pub async fn manifest(
--- a/standins/src/deployed/scripted_server.rs
+++ b/standins/src/deployed/scripted_server.rs
@@ -34,6 +34,7 @@
     address: SocketAddr,
     requests: Arc<Mutex<Vec<RawRequest>>>,
     n_broken: Arc<AtomicU32>,
+    n_open: Arc<AtomicU32>,
 }
 
 impl ScriptedServer {
@@ -43,17 +44,25 @@
     ) -> io::Result<ScriptedServer> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let server = ScriptedServer { address, requests: Arc::default(), n_broken: Arc::default() };
+        let server = ScriptedServer {
+            address,
+            requests: Arc::default(),
+            n_broken: Arc::default(),
+            n_open: Arc::default(),
+        };
         let (requests, n_broken) = (server.requests.clone(), server.n_broken.clone());
+        let n_open = server.n_open.clone();
         let script: Arc<Script> = Arc::new(script);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (requests, script) = (requests.clone(), script.clone());
-                let n_broken = n_broken.clone();
+                let (n_broken, n_open) = (n_broken.clone(), n_open.clone());
                 thread::spawn(move || {
+                    n_open.fetch_add(1, Ordering::Relaxed);
                     if serve(stream, &requests, &*script).is_err() {
                         n_broken.fetch_add(1, Ordering::Relaxed);
                     }
+                    n_open.fetch_sub(1, Ordering::Relaxed);
                 });
             }
         });
@@ -70,6 +79,11 @@
         self.n_broken.load(Ordering::Relaxed)
     }
 
+    /// Connections that are open.
+    pub fn n_open(&self) -> u32 {
+        self.n_open.load(Ordering::Relaxed)
+    }
+
     /// The requests that have come, in order.
     pub fn requests(&self) -> Vec<RawRequest> {
         self.requests.lock().unwrap().clone()
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -184,6 +184,31 @@
     assert_eq!(origin.requests().len() as u32, 1 + N_PIECES);
 }
 
+/// A slot that still fetches keeps no connection to the origin, which accepts fewer than all slots
+/// would hold.
+///
+/// Seen in the incident inc-f6f9 (Habimana): connections of slots that waited for their turn took
+/// all that the origin accepts, the others were reset until it died, and the version was 10 s late.
+#[test]
+fn no_idle_connections() {
+    let origin = origin_server(|target, _, body| match target.contains("num=3&") {
+        true => reply(503, b""),
+        false => reply(200, &body),
+    });
+    let _slot = Slot::start(&origin, EngineState::default());
+    let started = Instant::now();
+    while origin.requests().len() < 8 {
+        assert!(started.elapsed() < LIMIT, "the origin is not asked again");
+        thread::sleep(Duration::from_millis(10));
+    }
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(1) {
+        // The one that asks again for the last piece.
+        assert!(origin.n_open() <= 1, "{} connections", origin.n_open());
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// Wrong bytes, cut answers and refusals of the origin never reach the engine.
 #[test]
 fn origin_misbehaves() {
