A slot that the origin does not answer passes its turns there on

Change: the message on held pieces tells whether the origin answered the sender's last call. A slot whose call failed says so to all at once; the others go by rank as if it were silent.

Tests: slot_weights turns_pass_on (failed before: not loaded in 2 s) and origin_out_of_reach.

--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -43,6 +43,8 @@
     pub version: WeightsVersion,
     /// Numbers of the pieces.
     pub pieces: Vec<u16>,
+    /// Whether the origin answered the sender's last call.
+    pub reaches_origin: bool,
     /// Whether the sender asks for an answer of the same kind.
     pub asks: bool,
 }
--- a/src/slot/messages.rs
+++ b/src/slot/messages.rs
@@ -39,6 +39,10 @@
 
 async fn take(slot: &SlotState, held: PiecesHeld, from: SocketAddr) {
     slot.heard.borrow_mut().insert(from, Instant::now());
+    match held.reaches_origin {
+        true => slot.without_origin.borrow_mut().remove(&from),
+        false => slot.without_origin.borrow_mut().insert(from),
+    };
     let before = slot.members.borrow_mut().insert(from, held.zone.clone());
     if before.is_none() {
         slot.update_ranks();
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -246,7 +246,7 @@
             ranks: &self.slot.ranks.borrow(),
             holders: &holders,
             wanted: &wanted,
-            alive: &self.slot.heard_since(now - ALIVE_TIME),
+            able: &self.slot.able_since(now - ALIVE_TIME),
             elapsed: self.turns_from.get().elapsed(),
             origin_pace: self.origin_pace(),
             is_origin_available: self.is_staging_read.get()
@@ -300,6 +300,7 @@
                 if self.put(number, bytes) {
                     *self.n_mismatches.borrow_mut() = 0;
                     if fetch.source == Source::Origin {
+                        self.slot.reaches_origin.set(true);
                         let after_ms = self.started.elapsed().as_millis();
                         log::info!(
                             "weights: piece={number} from=origin version={} bytes={n_bytes} \
@@ -312,7 +313,12 @@
                 *self.n_mismatches.borrow_mut() += 1;
                 "a piece that doesn't match".to_owned()
             }
-            Err(err) => err.to_string(),
+            Err(err) => {
+                if fetch.source == Source::Origin {
+                    self.pass_turns_on().await;
+                }
+                err.to_string()
+            }
         };
         log::info!(
             "weights: piece={number} source={:?} version={} failed error=\"{problem}\"",
@@ -336,6 +342,14 @@
         }
     }
 
+    /// Tells all slots, once, that the origin does not answer this one.
+    async fn pass_turns_on(&self) {
+        if self.slot.reaches_origin.replace(false) {
+            let members: Vec<SocketAddr> = self.slot.members.borrow().keys().copied().collect();
+            self.slot.announce(self.version, &members, false).await;
+        }
+    }
+
     /// Reads the manifest anew, as it may be the one that is wrong.
     async fn check_manifest(&self) {
         let Some(manifest) = self.manifests.read_again().await else { return };
--- a/src/slot/piece_plan.rs
+++ b/src/slot/piece_plan.rs
@@ -20,8 +20,9 @@
 /// Time after which a zone no longer waits for a piece from another zone.
 const CROSS_ZONE_DELAY: Duration = Duration::from_millis(1600);
 
-/// Time for which a slot that is heard, but does not get its piece, is waited for.
-const ALIVE_ROOT_DELAY: Duration = Duration::from_millis(3500);
+/// Time for which a slot that is heard and reaches the origin, but does not get its piece, is
+/// waited for.
+const ABLE_ROOT_DELAY: Duration = Duration::from_millis(3500);
 
 /// Where a piece comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,8 +62,8 @@
     pub zone: &'a ZoneId,
     /// Whose turn it is.
     pub ranks: &'a PieceRanks,
-    /// Slot processes that were heard lately.
-    pub alive: &'a BTreeSet<SocketAddr>,
+    /// Slot processes that were heard lately and reach the origin as far as known.
+    pub able: &'a BTreeSet<SocketAddr>,
     /// What others hold.
     pub holders: &'a BTreeMap<SocketAddr, Holder>,
     /// Pieces that are neither held nor on their way.
@@ -116,8 +117,8 @@
         if root == self.own {
             return self.origin_pace * number;
         }
-        if self.alive.contains(&root) {
-            return ALIVE_ROOT_DELAY;
+        if self.able.contains(&root) {
+            return ABLE_ROOT_DELAY;
         }
         match self.is_importer_elsewhere(number, root) {
             true => CROSS_ZONE_DELAY,
--- a/src/slot/slot_state.rs
+++ b/src/slot/slot_state.rs
@@ -1,7 +1,7 @@
 //! What all tasks of a slot process share.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, HashMap},
     net::{SocketAddr, UdpSocket},
     rc::Rc,
@@ -41,6 +41,10 @@
     pub(crate) holders: RefCell<BTreeMap<WeightsVersion, Holders>>,
     /// When each other slot process was heard last.
     pub(crate) heard: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// Slot processes that the origin does not answer; their turns there pass to others.
+    pub(crate) without_origin: RefCell<BTreeSet<SocketAddr>>,
+    /// Whether the origin answered the last call of this process.
+    pub(crate) reaches_origin: Cell<bool>,
     /// Peers that failed and are not asked before a time.
     pub(crate) rests: RefCell<HashMap<SocketAddr, Instant>>,
     /// Held while pieces are staged, and from the check of all pieces to the order to load them.
@@ -84,6 +88,8 @@
             shelves: RefCell::default(),
             holders: RefCell::default(),
             heard: RefCell::default(),
+            without_origin: RefCell::default(),
+            reaches_origin: Cell::new(true),
             rests: RefCell::default(),
             staging: async_lock::Mutex::new(()),
             version_named: Event::new(),
@@ -128,9 +134,12 @@
         }
     }
 
-    /// The slot processes that were heard since a time.
-    pub(crate) fn heard_since(&self, since: Instant) -> BTreeSet<SocketAddr> {
-        self.heard.borrow().iter().filter(|it| *it.1 >= since).map(|it| *it.0).collect()
+    /// The slot processes that were heard since a time and reach the origin as far as known.
+    pub(crate) fn able_since(&self, since: Instant) -> BTreeSet<SocketAddr> {
+        let without_origin = self.without_origin.borrow();
+        let heard = self.heard.borrow();
+        let able = heard.iter().filter(|it| *it.1 >= since && !without_origin.contains(it.0));
+        able.map(|it| *it.0).collect()
     }
 
     /// The other slot processes of the own zone.
@@ -150,6 +159,8 @@
     fn pieces_held(&self, version: WeightsVersion, asks: bool) -> Option<PiecesHeld> {
         let (model, _) = self.target()?;
         let pieces = self.shelves.borrow().get(&version).map(Shelf::held).unwrap_or_default();
-        Some(PiecesHeld { zone: self.settings.host.zone.clone(), model, version, pieces, asks })
+        let zone = self.settings.host.zone.clone();
+        let reaches_origin = self.reaches_origin.get();
+        Some(PiecesHeld { zone, model, version, pieces, reaches_origin, asks })
     }
 }
--- a/tests/piece_rules.rs
+++ b/tests/piece_rules.rs
@@ -22,7 +22,7 @@
     own: SocketAddr,
     zone: String,
     ranks: PieceRanks,
-    alive: BTreeSet<SocketAddr>,
+    able: BTreeSet<SocketAddr>,
     holders: BTreeMap<SocketAddr, Holder>,
     wanted: Vec<u32>,
     elapsed: Duration,
@@ -35,7 +35,7 @@
             own,
             zone: members[&own].clone(),
             ranks: PieceRanks::new(&members, N_PIECES),
-            alive: members.keys().copied().collect(),
+            able: members.keys().copied().collect(),
             holders: BTreeMap::new(),
             wanted: (0..N_PIECES).collect(),
             elapsed: Duration::from_millis(60),
@@ -47,7 +47,7 @@
             own: self.own,
             zone: &self.zone,
             ranks: &self.ranks,
-            alive: &self.alive,
+            able: &self.able,
             holders: &self.holders,
             wanted: &self.wanted,
             elapsed: self.elapsed,
@@ -122,7 +122,7 @@
     assert_eq!(view.next(), None);
 }
 
-/// A slot that died is replaced; one that is alive and waits for the origin is not.
+/// A slot that died or does not reach the origin is replaced; one that waits for it is not.
 #[test]
 fn takeover_of_the_dead() {
     let all = members(27);
@@ -137,6 +137,6 @@
     assert_eq!(view.next(), None, "the slot whose turn it is was heard");
     // Seen on the day trouble-1 (SENARC): the only holder of a piece left, and nobody took over.
     view.elapsed = Duration::from_millis(1500);
-    view.alive.remove(&root);
+    view.able.remove(&root);
     assert_eq!(view.next(), Some(Fetch { number: 0, source: Source::Origin }));
 }
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -167,6 +167,20 @@
     }
 }
 
+/// Tells a slot process, as another one of its zone, that no piece is held.
+fn tell(socket: &UdpSocket, slot: &Slot, reaches_origin: bool) {
+    let held = PiecesHeld {
+        zone: "depot".to_owned(),
+        model: "lots".to_owned(),
+        version: 1,
+        pieces: Vec::new(),
+        reaches_origin,
+        asks: false,
+    };
+    let message = bincode::serialize(&PeerMessage::PiecesHeld(held)).unwrap();
+    socket.send_to(&message, slot.peers).unwrap();
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         // The process may have ended already.
@@ -252,22 +266,53 @@
     });
     let slot = Slot::start(&origin, EngineState::default());
     let socket = UdpSocket::bind(peer.address()).unwrap();
-    let held = PiecesHeld {
-        zone: "depot".to_owned(),
-        model: "lots".to_owned(),
-        version: 1,
-        pieces: Vec::new(),
-        asks: false,
-    };
-    let message = bincode::serialize(&PeerMessage::PiecesHeld(held)).unwrap();
     for _ in 0..100 {
-        socket.send_to(&message, slot.peers).unwrap();
+        tell(&socket, &slot, true);
         thread::sleep(Duration::from_millis(2));
     }
     slot.check_holds(1);
     assert!(peer.requests().iter().any(|it| it.target.starts_with("/manifest/")), "not asked");
 }
 
+/// The pieces that a slot without the origin was to fetch there are fetched by the next in rank.
+#[test]
+fn turns_pass_on() {
+    let origin = origin_server(|_, _, body| reply(200, &body));
+    let slot = Slot::start(&origin, EngineState::default());
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let started = Instant::now();
+    while slot.engine.lock().unwrap().holds.is_none() {
+        // A second for the turn of the first in rank, and one for the fetch.
+        assert!(started.elapsed() < Duration::from_secs(2), "the turns do not pass on");
+        tell(&socket, &slot, false);
+        thread::sleep(Duration::from_millis(20));
+    }
+    slot.check_holds(1);
+}
+
+/// A slot that the origin does not answer says so to the others.
+#[test]
+fn origin_out_of_reach() {
+    let origin = origin_server(|target, _, body| match target.starts_with("/v1/manifest") {
+        true => reply(200, &body),
+        false => vec![Step::Reset],
+    });
+    let slot = Slot::start(&origin, EngineState::default());
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    let started = Instant::now();
+    let mut bytes = [0; 4096];
+    loop {
+        assert!(started.elapsed() < LIMIT, "not told");
+        tell(&socket, &slot, true);
+        let Ok(n_bytes) = socket.recv(&mut bytes) else { continue };
+        match bincode::deserialize(&bytes[..n_bytes]).unwrap() {
+            PeerMessage::PiecesHeld(held) if !held.reaches_origin => return,
+            _ => {}
+        }
+    }
+}
+
 /// Pieces that lie in the staging area are used; those that have turned bad are replaced.
 #[test]
 fn staged_pieces() {
