One slot asks the origin for a manifest; turns at a slow origin are not taken early

The log shows 98 manifests at once (0.3 s of its link), and other zones that fetched pieces whose turn came after 1.6 s, before the slot whose turn it was.

Change: the first in rank for the first piece asks for the manifest, the others wait for its copy for at most 0.6 s; every takeover is counted from the turn of the piece. A slot without the origin yields only to slots that reach it.

Tests: piece_rules late_turns_at_a_slow_origin (failed before), one_manifest_leaves_the_origin.

--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -41,6 +41,8 @@
     pub model: String,
     /// The version.
     pub version: WeightsVersion,
+    /// Whether the sender has the manifest.
+    pub has_manifest: bool,
     /// Numbers of the pieces.
     pub pieces: Vec<u16>,
     /// Whether the origin answered the sender's last call.
--- a/src/slot/manifest_source.rs
+++ b/src/slot/manifest_source.rs
@@ -37,17 +37,22 @@
         }
     }
 
-    /// Reads the manifest once; `None` when nobody gives a whole one.
-    pub(crate) async fn read(&self) -> Option<Manifest> {
+    /// Reads the manifest once, from the origin only if `may_ask_origin`; `None` when nobody gives
+    /// a whole one.
+    pub(crate) async fn read(&self, may_ask_origin: bool) -> Option<Manifest> {
         let held = self.slot.holders.borrow().get(&self.version).cloned().unwrap_or_default();
-        let mut holders: Vec<SocketAddr> = held.into_keys().collect();
+        let mut holders: Vec<SocketAddr> =
+            held.into_iter().filter(|it| it.1.has_manifest).map(|it| it.0).collect();
         fastrand::shuffle(&mut holders);
         for holder in holders.into_iter().take(MAX_ASKED_SLOTS) {
             if let Some(manifest) = self.read_from_slot(holder).await {
                 return Some(manifest);
             }
         }
-        self.read_from_origin().await
+        match may_ask_origin {
+            true => self.read_from_origin().await,
+            false => None,
+        }
     }
 
     /// Reads the manifest again when pieces don't match it; other slots may have copied the same
@@ -55,7 +60,7 @@
     pub(crate) async fn read_again(&self) -> Option<Manifest> {
         match self.read_from_origin().await {
             Some(manifest) => Some(manifest),
-            None => self.read().await,
+            None => self.read(false).await,
         }
     }
 
--- a/src/slot/messages.rs
+++ b/src/slot/messages.rs
@@ -41,7 +41,7 @@
     slot.heard.borrow_mut().insert(from, Instant::now());
     match held.reaches_origin {
         true => slot.without_origin.borrow_mut().remove(&from),
-        false => slot.without_origin.borrow_mut().insert(from),
+        false => slot.without_origin.borrow_mut().insert(from, Instant::now()),
     };
     let before = slot.members.borrow_mut().insert(from, held.zone.clone());
     if before.is_none() {
@@ -52,7 +52,8 @@
         return;
     }
     let pieces = held.pieces.into_iter().collect();
-    let holder = Holder { zone: held.zone, pieces, is_available: true };
+    let has_manifest = held.has_manifest;
+    let holder = Holder { zone: held.zone, has_manifest, pieces, is_available: true };
     slot.holders.borrow_mut().entry(held.version).or_default().insert(from, holder);
     slot.changed.notify(usize::MAX);
     if held.asks {
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -34,12 +34,16 @@
 const ORIGIN_REST: Duration = Duration::from_millis(300);
 /// Time for which a slot counts as alive after a message.
 const ALIVE_TIME: Duration = Duration::from_millis(1200);
+/// Pause between two messages that the origin does not answer; shorter than `ALIVE_TIME`.
+const TELL_INTERVAL: Duration = Duration::from_millis(900);
 /// Time for which a slot that sends to others is not asked.
 const BUSY_REST: Duration = Duration::from_millis(50);
 /// Pause between two looks at what to fetch.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two tries to get a manifest.
 const MANIFEST_RETRY: Duration = Duration::from_millis(150);
+/// Least pause between two tries to get a manifest.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which holders answer before the origin is asked for a manifest.
 const ASK_TIME: Duration = Duration::from_millis(25);
 /// Pause between two questions for what others hold.
@@ -67,6 +71,8 @@
     /// Begin of the time by which turns at the origin are told.
     turns_from: Cell<Instant>,
     has_origin_failed: Cell<bool>,
+    /// When the others were told last that the origin does not answer.
+    told_at: Cell<Option<Instant>>,
 }
 
 /// Fetches a version into the shelf; the shelf is whole when the future ends.
@@ -93,6 +99,7 @@
         is_staging_read: Cell::new(!may_be_staged),
         turns_from: Cell::new(Instant::now()),
         has_origin_failed: Cell::new(false),
+        told_at: Cell::new(None),
     });
     let asks = {
         let fetch = fetch.clone();
@@ -141,17 +148,24 @@
         to_import.filter_map(|it| ranks.root(it)).collect()
     }
 
-    /// Gets the manifest from a holder, or from the origin, and makes the shelf.
+    /// Gets the manifest from a holder, or from the origin, makes the shelf and tells the others.
     async fn load_manifest(&self) {
         runtime::sleep(ASK_TIME).await;
         loop {
-            if let Some(manifest) = self.manifests.read().await {
+            let listener = self.slot.changed.listen();
+            let delay = self.slot.manifest_delay();
+            let is_turn = self.started.elapsed() >= ASK_TIME + delay;
+            if let Some(manifest) = self.manifests.read(is_turn).await {
                 let shelf = Shelf::new(&self.model, self.version, manifest);
                 self.slot.shelves.borrow_mut().insert(self.version, shelf);
-                return;
+                break;
             }
-            runtime::sleep(MANIFEST_RETRY).await;
+            listener.or(runtime::sleep(MANIFEST_RETRY)).await;
+            runtime::sleep(MANIFEST_PAUSE).await;
         }
+        let mut targets = self.slot.near_members();
+        targets.extend(self.slot.ranks.borrow().importers(0, &self.slot.settings.host.zone));
+        self.slot.announce(self.version, &targets, false).await;
     }
 
     /// Takes what lies in the engine's staging area already, once the engine answers.
@@ -342,12 +356,15 @@
         }
     }
 
-    /// Tells all slots, once, that the origin does not answer this one.
+    /// Tells all slots, from time to time, that the origin does not answer this one.
     async fn pass_turns_on(&self) {
-        if self.slot.reaches_origin.replace(false) {
-            let members: Vec<SocketAddr> = self.slot.members.borrow().keys().copied().collect();
-            self.slot.announce(self.version, &members, false).await;
+        self.slot.reaches_origin.set(false);
+        if self.told_at.get().is_some_and(|it| it.elapsed() < TELL_INTERVAL) {
+            return;
         }
+        self.told_at.set(Some(Instant::now()));
+        let members: Vec<SocketAddr> = self.slot.members.borrow().keys().copied().collect();
+        self.slot.announce(self.version, &members, false).await;
     }
 
     /// Reads the manifest anew, as it may be the one that is wrong.
--- a/src/slot/piece_plan.rs
+++ b/src/slot/piece_plan.rs
@@ -47,6 +47,8 @@
 pub struct Holder {
     /// Its availability zone.
     pub zone: ZoneId,
+    /// Whether it has the manifest.
+    pub has_manifest: bool,
     /// Pieces that it holds.
     pub pieces: BTreeSet<u16>,
     /// Whether it may be asked now.
@@ -114,15 +116,16 @@
     /// Time beyond its turn after which this slot asks the origin for a piece.
     fn origin_delay(&self, number: u32) -> Duration {
         let Some(root) = self.ranks.root(number) else { return Duration::ZERO };
+        let turn_of_root = self.origin_pace * number;
         if root == self.own {
-            return self.origin_pace * number;
+            return turn_of_root;
         }
         if self.able.contains(&root) {
-            return ABLE_ROOT_DELAY;
+            return turn_of_root + ABLE_ROOT_DELAY;
         }
         match self.is_importer_elsewhere(number, root) {
-            true => CROSS_ZONE_DELAY,
-            false => Duration::ZERO,
+            true => turn_of_root + CROSS_ZONE_DELAY,
+            false => turn_of_root,
         }
     }
 
--- a/src/slot/piece_ranks.rs
+++ b/src/slot/piece_ranks.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    time::Duration,
 };
 
 use crate::{
@@ -11,6 +12,11 @@
     weights::rank::{digest_hash, score},
 };
 
+/// Time after which the next slot process of a zone asks the origin for a manifest.
+const MANIFEST_TURN: Duration = Duration::from_millis(150);
+/// Turns after which a slot process waits no longer.
+const MAX_MANIFEST_TURNS: u32 = 4;
+
 /// Ranks of all slot processes for all pieces; every process works out the same from the same list.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PieceRanks {
@@ -52,6 +58,17 @@
         others.filter_map(|it| it.1.get(number as usize)?.first()).copied().collect()
     }
 
+    /// Time for which a slot process waits for others before it asks the origin for a manifest.
+    ///
+    /// The root of the first piece asks at once; answers to: all slots of a large fleet that ask at
+    /// the same time, when the manifests take the origin longer than many pieces.
+    pub fn manifest_delay(&self, zone: &ZoneId, member: SocketAddr) -> Duration {
+        if self.root(0).is_none_or(|it| it == member) {
+            return Duration::ZERO;
+        }
+        MANIFEST_TURN * (self.zone_rank(0, zone, member) + 1).min(MAX_MANIFEST_TURNS)
+    }
+
     /// Rank of a slot process for a piece within its zone.
     pub fn zone_rank(&self, number: u32, zone: &ZoneId, member: SocketAddr) -> u32 {
         let ranked = self.zones.get(zone).and_then(|it| it.get(number as usize));
--- a/src/slot/slot_state.rs
+++ b/src/slot/slot_state.rs
@@ -5,7 +5,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     net::{SocketAddr, UdpSocket},
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use async_io::Async;
@@ -41,8 +41,8 @@
     pub(crate) holders: RefCell<BTreeMap<WeightsVersion, Holders>>,
     /// When each other slot process was heard last.
     pub(crate) heard: RefCell<BTreeMap<SocketAddr, Instant>>,
-    /// Slot processes that the origin does not answer; their turns there pass to others.
-    pub(crate) without_origin: RefCell<BTreeSet<SocketAddr>>,
+    /// Slot processes that the origin does not answer, and when they said so.
+    pub(crate) without_origin: RefCell<BTreeMap<SocketAddr, Instant>>,
     /// Whether the origin answered the last call of this process.
     pub(crate) reaches_origin: Cell<bool>,
     /// Peers that failed and are not asked before a time.
@@ -134,14 +134,22 @@
         }
     }
 
-    /// The slot processes that were heard since a time and reach the origin as far as known.
+    /// The slot processes that were heard since a time and reach the origin no worse than this one.
     pub(crate) fn able_since(&self, since: Instant) -> BTreeSet<SocketAddr> {
         let without_origin = self.without_origin.borrow();
+        let is_unable = |it: &SocketAddr| {
+            self.reaches_origin.get() && without_origin.get(it).is_some_and(|it| *it >= since)
+        };
         let heard = self.heard.borrow();
-        let able = heard.iter().filter(|it| *it.1 >= since && !without_origin.contains(it.0));
+        let able = heard.iter().filter(|it| *it.1 >= since && !is_unable(it.0));
         able.map(|it| *it.0).collect()
     }
 
+    /// Time for which this slot waits for others before it asks the origin for a manifest.
+    pub(crate) fn manifest_delay(&self) -> Duration {
+        self.ranks.borrow().manifest_delay(&self.settings.host.zone, self.settings.peers)
+    }
+
     /// The other slot processes of the own zone.
     pub(crate) fn near_members(&self) -> Vec<SocketAddr> {
         let zone = &self.settings.host.zone;
@@ -158,9 +166,12 @@
 
     fn pieces_held(&self, version: WeightsVersion, asks: bool) -> Option<PiecesHeld> {
         let (model, _) = self.target()?;
-        let pieces = self.shelves.borrow().get(&version).map(Shelf::held).unwrap_or_default();
+        let shelves = self.shelves.borrow();
+        let shelf = shelves.get(&version);
+        let pieces = shelf.map(Shelf::held).unwrap_or_default();
+        let has_manifest = shelf.is_some();
         let zone = self.settings.host.zone.clone();
         let reaches_origin = self.reaches_origin.get();
-        Some(PiecesHeld { zone, model, version, pieces, reaches_origin, asks })
+        Some(PiecesHeld { zone, model, version, has_manifest, pieces, reaches_origin, asks })
     }
 }
--- a/tests/piece_rules.rs
+++ b/tests/piece_rules.rs
@@ -26,6 +26,7 @@
     holders: BTreeMap<SocketAddr, Holder>,
     wanted: Vec<u32>,
     elapsed: Duration,
+    pace: Duration,
 }
 
 impl View {
@@ -39,6 +40,7 @@
             holders: BTreeMap::new(),
             wanted: (0..N_PIECES).collect(),
             elapsed: Duration::from_millis(60),
+            pace: PACE,
         }
     }
 
@@ -51,7 +53,7 @@
             holders: &self.holders,
             wanted: &self.wanted,
             elapsed: self.elapsed,
-            origin_pace: PACE,
+            origin_pace: self.pace,
             is_origin_available: true,
         };
         plan.next(&mut fastrand::Rng::with_seed(7))
@@ -59,7 +61,8 @@
 
     fn hold(&mut self, holder: SocketAddr, zone: &str, number: u32) {
         let pieces = BTreeSet::from([number as u16]);
-        let holder_of = Holder { zone: zone.to_owned(), pieces, is_available: true };
+        let holder_of =
+            Holder { zone: zone.to_owned(), has_manifest: true, pieces, is_available: true };
         self.holders.insert(holder, holder_of);
     }
 }
@@ -140,3 +143,32 @@
     view.able.remove(&root);
     assert_eq!(view.next(), Some(Fetch { number: 0, source: Source::Origin }));
 }
+
+/// At a slow origin the last pieces leave late; nobody takes over a turn that has not come yet.
+///
+/// Seen on the day scale-1 of the grown Habimana: three slots fetched one piece, and the origin died
+/// before it had sent the last ones.
+#[test]
+fn late_turns_at_a_slow_origin() {
+    let last = N_PIECES - 1;
+    let ranks = PieceRanks::new(&members(27), N_PIECES);
+    for own in members(27).into_keys().filter(|it| ranks.root(last) != Some(*it)) {
+        let mut view = View::new(own);
+        view.wanted = vec![last];
+        view.able.clear();
+        view.pace = Duration::from_millis(44);
+        view.elapsed = view.pace * last;
+        assert_eq!(view.next(), None, "{own} takes over too early");
+    }
+}
+
+/// One slot asks the origin for a manifest at once; the others wait for its copy for a while.
+#[test]
+fn one_manifest_leaves_the_origin() {
+    let members = members(27);
+    let ranks = PieceRanks::new(&members, N_PIECES);
+    let delays: Vec<Duration> =
+        members.iter().map(|(member, zone)| ranks.manifest_delay(zone, *member)).collect();
+    assert_eq!(delays.iter().filter(|it| it.is_zero()).count(), 1);
+    assert!(delays.iter().all(|it| *it <= Duration::from_secs(1)), "{delays:?}");
+}
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -167,12 +167,13 @@
     }
 }
 
-/// Tells a slot process, as another one of its zone, that no piece is held.
-fn tell(socket: &UdpSocket, slot: &Slot, reaches_origin: bool) {
+/// Tells a slot process, as another one of its zone, what it knows; it holds no piece.
+fn tell(socket: &UdpSocket, slot: &Slot, has_manifest: bool, reaches_origin: bool) {
     let held = PiecesHeld {
         zone: "depot".to_owned(),
         model: "lots".to_owned(),
         version: 1,
+        has_manifest,
         pieces: Vec::new(),
         reaches_origin,
         asks: false,
@@ -267,7 +268,7 @@
     let slot = Slot::start(&origin, EngineState::default());
     let socket = UdpSocket::bind(peer.address()).unwrap();
     for _ in 0..100 {
-        tell(&socket, &slot, true);
+        tell(&socket, &slot, true, true);
         thread::sleep(Duration::from_millis(2));
     }
     slot.check_holds(1);
@@ -284,7 +285,7 @@
     while slot.engine.lock().unwrap().holds.is_none() {
         // A second for the turn of the first in rank, and one for the fetch.
         assert!(started.elapsed() < Duration::from_secs(2), "the turns do not pass on");
-        tell(&socket, &slot, false);
+        tell(&socket, &slot, false, false);
         thread::sleep(Duration::from_millis(20));
     }
     slot.check_holds(1);
@@ -304,7 +305,7 @@
     let mut bytes = [0; 4096];
     loop {
         assert!(started.elapsed() < LIMIT, "not told");
-        tell(&socket, &slot, true);
+        tell(&socket, &slot, false, true);
         let Ok(n_bytes) = socket.recv(&mut bytes) else { continue };
         match bincode::deserialize(&bytes[..n_bytes]).unwrap() {
             PeerMessage::PiecesHeld(held) if !held.reaches_origin => return,
