--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -1,8 +1,6 @@
 //! Sends beacons to the other entry hosts and takes theirs.
 
 use std::{
-    cell::RefCell,
-    collections::BTreeSet,
     io,
     net::{SocketAddr, UdpSocket},
     rc::Rc,
@@ -27,53 +25,34 @@
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Pause between two tries to register.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
-/// Pause between two reads of the list of entry hosts by a process that hears nobody.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Starts to exchange beacons.
 pub(crate) fn start(host: &Rc<EntryHost>, store: &Store) -> io::Result<Vec<Task<()>>> {
     let socket = Rc::new(Async::<UdpSocket>::bind(host.settings.peers)?);
-    let addresses = Rc::new(RefCell::new(BTreeSet::new()));
-    let find = find_peers(host.clone(), store.clone(), addresses.clone());
-    let send = send_all(host.clone(), socket.clone(), addresses.clone());
-    let receive = receive_all(host.clone(), socket, addresses);
-    Ok(vec![runtime::spawn_local(find), runtime::spawn_local(send), runtime::spawn_local(receive)])
+    let register = register(host.clone(), store.clone());
+    let send = send_all(host.clone(), socket.clone());
+    let receive = receive_all(host.clone(), socket);
+    Ok(vec![
+        runtime::spawn_local(register),
+        runtime::spawn_local(send),
+        runtime::spawn_local(receive),
+    ])
 }
 
-/// Registers this host and reads who else there is.
-async fn find_peers(
-    host: Rc<EntryHost>,
-    store: Store,
-    addresses: Rc<RefCell<BTreeSet<SocketAddr>>>,
-) {
+/// Registers this host, so that others find it.
+async fn register(host: Rc<EntryHost>, store: Store) {
+    let own = &host.settings.host;
     while let Err(err) =
-        entry_registry::register(&store, &host.settings.host.id, host.settings.peers).await
+        entry_registry::register(&store, &own.id, host.settings.peers, &own.zone).await
     {
         log::warn!("fleet: not registered error=\"{err}\"");
         runtime::sleep(REGISTER_RETRY.mul_f64(0.5 + fastrand::f64())).await;
     }
-    loop {
-        match entry_registry::list(&store).await {
-            Ok(listed) => {
-                log::info!("fleet: entry hosts listed n={}", listed.len());
-                addresses.borrow_mut().extend(listed);
-            }
-            Err(err) => log::warn!("fleet: entry hosts not listed error=\"{err}\""),
-        }
-        runtime::sleep(LIST_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
-        while host.peers.borrow().alive(Instant::now()).next().is_some() {
-            runtime::sleep(LIST_INTERVAL).await;
-        }
-    }
 }
 
-async fn send_all(
-    host: Rc<EntryHost>,
-    socket: Rc<Async<UdpSocket>>,
-    addresses: Rc<RefCell<BTreeSet<SocketAddr>>>,
-) {
+async fn send_all(host: Rc<EntryHost>, socket: Rc<Async<UdpSocket>>) {
     loop {
-        let targets: Vec<SocketAddr> = addresses.borrow().iter().copied().collect();
+        let targets: Vec<SocketAddr> = host.beacon_targets.borrow().iter().copied().collect();
         match bincode::serialize(&PeerMessage::Beacon(host.beacon())) {
             Ok(bytes) => {
                 for target in targets.iter().filter(|it| **it != host.settings.peers) {
@@ -89,11 +68,7 @@
     }
 }
 
-async fn receive_all(
-    host: Rc<EntryHost>,
-    socket: Rc<Async<UdpSocket>>,
-    addresses: Rc<RefCell<BTreeSet<SocketAddr>>>,
-) {
+async fn receive_all(host: Rc<EntryHost>, socket: Rc<Async<UdpSocket>>) {
     let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let (n_bytes, from) = match socket.recv_from(&mut bytes).await {
@@ -105,28 +80,18 @@
             }
         };
         match bincode::deserialize(&bytes[..n_bytes]) {
-            Ok(PeerMessage::Beacon(beacon)) => take(&host, &addresses, beacon, from),
+            Ok(PeerMessage::Beacon(beacon)) => take(&host, beacon, from),
             Ok(PeerMessage::EngineNotice(notice)) => host.take_notice(&notice),
-            Ok(PeerMessage::PiecesHeld(_)) => log::debug!("fleet: message not for entry hosts"),
+            Ok(PeerMessage::PiecesHeld(_) | PeerMessage::Manifest(_)) => {
+                log::debug!("fleet: message not for entry hosts")
+            }
             Err(err) => log::warn!("fleet: beacon not readable from={from} error=\"{err}\""),
         }
     }
 }
 
-fn take(
-    host: &EntryHost,
-    addresses: &RefCell<BTreeSet<SocketAddr>>,
-    beacon: Beacon,
-    from: SocketAddr,
-) {
-    addresses.borrow_mut().insert(from);
-    let now = Instant::now();
-    let known = |host: &EntryHost| -> Vec<_> {
-        host.peers.borrow().alive(now).map(|it| (it.host.clone(), it.state)).collect()
-    };
-    let before = known(host);
-    host.peers.borrow_mut().hear(beacon, now);
-    if known(host) != before {
-        host.update_homes();
-    }
+fn take(host: &EntryHost, beacon: Beacon, from: SocketAddr) {
+    host.beacon_targets.borrow_mut().insert(from);
+    host.peers.borrow_mut().hear(beacon, Instant::now());
+    host.refresh_peers();
 }
--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -9,9 +9,9 @@
 
 use crate::{
     entry::entry_host::EntryHost,
-    fleet::{take_versions, Canary, KindUpdate, KindWatch, Outage},
+    fleet::{entry_registry, take_versions, Canary, KindUpdate, KindWatch, Outage},
     platform::{
-        store::{Change, Store, StoredObject},
+        store::{Change, StoredObject},
         wire_config, wire_server,
     },
     routing::{BackendServer, RoutingCharter},
@@ -24,30 +24,50 @@
 /// Pause in which changes of backend servers gather; slot processes tell the urgent ones.
 const SERVER_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two questions whether the store answers.
-const CANARY_INTERVAL: Duration = Duration::from_millis(1000);
+const CANARY_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Starts to follow everything that an entry host goes by.
-pub(crate) fn follow(host: &Rc<EntryHost>, store: &Store) -> Vec<Task<()>> {
+pub(crate) fn follow(host: &Rc<EntryHost>) -> Vec<Task<()>> {
     let outage = Outage::new(MAX_RETRY_DELAY);
     let charter = {
         let host = host.clone();
-        let watch = KindWatch::new(store.clone(), wire_config::KIND, outage.clone());
+        let watch = watch(&host, wire_config::KIND, &outage);
         runtime::spawn_local(watch.run(move |update| take_charters(&host, update)))
     };
     let servers = {
         let host = host.clone();
-        let watch = KindWatch::new(store.clone(), wire_server::SERVER_KIND, outage.clone())
-            .gathering(SERVER_PAUSE);
+        let watch = watch(&host, wire_server::SERVER_KIND, &outage).gathering(SERVER_PAUSE);
         runtime::spawn_local(watch.run(move |update| take_servers(&host, update)))
     };
     let versions = {
         let host = host.clone();
-        let watch = KindWatch::new(store.clone(), wire_server::VERSION_KIND, outage.clone());
+        let watch = watch(&host, wire_server::VERSION_KIND, &outage);
         runtime::spawn_local(watch.run(move |update| follow_versions(&host, update)))
     };
-    let canary = Canary::new(store.clone(), wire_server::VERSION_KIND, CANARY_INTERVAL, outage);
+    let entries = {
+        let host = host.clone();
+        let watch = watch(&host, entry_registry::KIND, &outage);
+        runtime::spawn_local(watch.run(move |update| take_entry_hosts(&host, update)))
+    };
+    let sources = host.sources.clone();
+    let canary = Canary::new(sources, wire_server::VERSION_KIND, CANARY_INTERVAL, outage);
     let canary = runtime::spawn_local(canary.run());
-    vec![charter, servers, versions, canary]
+    vec![charter, servers, versions, entries, canary]
+}
+
+fn watch(host: &EntryHost, kind: &'static str, outage: &Outage) -> KindWatch {
+    KindWatch::new(host.sources.clone(), kind, outage.clone()).keeping(host.cache.clone())
+}
+
+/// Takes the addresses at which beacons reach entry hosts; those that are gone included.
+fn take_entry_hosts(host: &EntryHost, update: KindUpdate) {
+    let objects: Vec<StoredObject> = match update {
+        KindUpdate::Listed { objects, .. } => objects,
+        KindUpdate::Changed(changes) => changes.into_iter().map(|it| it.object).collect(),
+    };
+    let listed = objects.iter().filter_map(entry_registry::address_of);
+    host.beacon_targets.borrow_mut().extend(listed);
+    log::info!("fleet: entry hosts listed n={}", host.beacon_targets.borrow().len());
 }
 
 fn take_charters(host: &EntryHost, update: KindUpdate) {
@@ -78,7 +98,7 @@
 fn take_servers(host: &EntryHost, update: KindUpdate) {
     let now = Instant::now();
     match update {
-        KindUpdate::Listed { objects, is_after_outage } => {
+        KindUpdate::Listed { objects, is_after_outage, .. } => {
             let servers: Vec<BackendServer> = objects.iter().filter_map(readable_server).collect();
             log::info!("fleet: backend servers listed n={}", servers.len());
             host.backends.borrow_mut().list(servers, is_after_outage, now);
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -2,7 +2,8 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -10,23 +11,32 @@
 use event_listener::Event;
 
 use crate::{
+    digest::Digest,
     fleet::{
-        BackendTable, Beacon, EngineLoad, EngineNotice, EntryState, LossCount, PeerTable,
-        VersionTable,
+        entry_registry, BackendTable, Beacon, EngineLoad, EngineNotice, EntryState, KindCache,
+        LossCount, PeerTable, Source, Sources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     placement::{
         assign_homes, AttemptBudget, BackendHealth, CrashSuspects, Fingerprint, HomelessEngine,
         LoadTable,
     },
+    platform::{store::Store, wire_config, wire_server},
     relay::BackendConnections,
     routing::RoutingCharter,
     settings::{DeployedSettings, EntryListenSettings},
+    weights::rank::digest_hash,
 };
 
 /// Time before the end of the grace period at which a leaving process ends.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Entry hosts of one availability zone that follow the store themselves; the others follow them.
+const MAX_FOLLOWERS_PER_ZONE: usize = 3;
+/// Kinds that a host follows before others follow it.
+const FOLLOWED_KINDS: [&str; 4] =
+    [wire_config::KIND, wire_server::SERVER_KIND, wire_server::VERSION_KIND, entry_registry::KIND];
+
 /// Beliefs, loads and connections of one entry host.
 pub(crate) struct EntryHost {
     pub(crate) settings: DeployedSettings,
@@ -40,12 +50,20 @@
     pub(crate) health: RefCell<BackendHealth>,
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
     pub(crate) connections: BackendConnections,
+    /// Where beacons are sent.
+    pub(crate) beacon_targets: RefCell<BTreeSet<SocketAddr>>,
+    /// How this host follows the store.
+    pub(crate) sources: Sources,
+    /// What the store told this host, for those who follow it.
+    pub(crate) cache: Rc<KindCache>,
     /// Told when a place may have become free.
     pub(crate) places_changed: Event,
     /// Exchanges between a whole request and the end of its answer.
     pub(crate) n_exchanges: Cell<usize>,
     /// Open connections of callers.
     pub(crate) n_connections: Cell<usize>,
+    /// Other entry hosts as homes and sources were worked out for.
+    known_peers: RefCell<Vec<(HostId, EntryState, bool)>>,
     homes: RefCell<BTreeMap<BackendId, HostId>>,
     budgets: RefCell<HashMap<ServiceId, AttemptBudget>>,
     leaving_since: Cell<Option<Instant>>,
@@ -58,6 +76,7 @@
     pub(crate) fn new(settings: DeployedSettings, listen: EntryListenSettings) -> Rc<EntryHost> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let bound = settings.bounds.version;
+        let sources = Sources::new(Store::new(settings.store));
         Rc::new(EntryHost {
             settings,
             listen,
@@ -70,6 +89,10 @@
             health: RefCell::default(),
             crash_suspects: RefCell::default(),
             connections: BackendConnections::default(),
+            beacon_targets: RefCell::default(),
+            sources,
+            known_peers: RefCell::default(),
+            cache: Rc::default(),
             places_changed: Event::new(),
             n_exchanges: Cell::new(0),
             n_connections: Cell::new(0),
@@ -124,6 +147,8 @@
             number: self.beacon_number.get(),
             state: self.state(),
             callers: self.listen.callers,
+            peers: self.settings.peers,
+            follows_store: self.follows_store(),
             region: self.settings.host.region.clone(),
             zone: self.settings.host.zone.clone(),
             loads: loads.collect(),
@@ -156,6 +181,41 @@
         self.places_changed.notify(usize::MAX);
     }
 
+    /// Whether this host follows the store itself, without a gap.
+    fn follows_store(&self) -> bool {
+        let is_direct = self.sources.choose(Instant::now()) == Source::Store;
+        is_direct && self.cache.is_current(&FOLLOWED_KINDS)
+    }
+
+    /// Takes note of entry hosts that came, changed or fell silent.
+    pub(crate) fn refresh_peers(&self) {
+        let known: Vec<(HostId, EntryState, bool)> = {
+            let peers = self.peers.borrow();
+            let alive = peers.alive(Instant::now());
+            alive.map(|it| (it.host.clone(), it.state, it.follows_store)).collect()
+        };
+        if *self.known_peers.borrow() != known {
+            *self.known_peers.borrow_mut() = known;
+            self.update_homes();
+            self.update_sources();
+        }
+    }
+
+    /// Works out anew through whom this host follows the store.
+    fn update_sources(&self) {
+        let host = &self.settings.host;
+        let peers = self.peers.borrow();
+        let now = Instant::now();
+        let is_before = |it: &&Beacon| {
+            it.state == EntryState::Ready && it.zone == host.zone && it.host < host.id
+        };
+        let n_before = peers.alive(now).filter(is_before).count();
+        let mut relays: Vec<&Beacon> = peers.alive(now).filter(|it| it.follows_store).collect();
+        relays.sort_by_key(|it| (it.zone != host.zone, relay_order(&host.id, &it.host)));
+        let relays = relays.into_iter().map(|it| it.peers).collect();
+        self.sources.update(n_before < MAX_FOLLOWERS_PER_ZONE, relays);
+    }
+
     /// Whether an engine has stopped serving to load other weights.
     pub(crate) fn is_switching(&self, backend: &BackendId) -> bool {
         let backends = self.backends.borrow();
@@ -198,3 +258,9 @@
         act(budget)
     }
 }
+
+/// Spreads the hosts that follow others over these.
+fn relay_order(follower: &HostId, relay: &HostId) -> u64 {
+    let digest = Digest::of(format!("{follower} {relay}").as_bytes());
+    digest_hash(&digest)
+}
--- a/src/entry/life.rs
+++ b/src/entry/life.rs
@@ -19,10 +19,11 @@
         directory::{answer_directory, answer_readiness},
         entry_host::EntryHost,
         metrics_page::{self, answer_metrics},
+        news_server,
     },
+    fleet::Source,
     http1::{accept_all, Connection, Responder},
     net::listen::listen as net_listen,
-    platform::store::Store,
     runtime,
     settings::{DeployedSettings, EntryListenSettings},
 };
@@ -59,10 +60,11 @@
 impl Serving {
     fn start(settings: DeployedSettings, listen: EntryListenSettings) -> io::Result<Serving> {
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-        let store = Store::new(settings.store);
         let host = EntryHost::new(settings, listen.clone());
+        let store = host.sources.client(Source::Store);
         let listener = Async::new(net_listen(listen.callers)?)?;
-        let mut tasks = beliefs::follow(&host, &store);
+        let mut tasks = beliefs::follow(&host);
+        tasks.push(news_server::start(&host)?);
         tasks.extend(beacon_exchange::start(&host, &store)?);
         let callers = host.clone();
         let accept = accept_all(listener, move |it| serve(callers.clone(), it));
@@ -128,10 +130,11 @@
     CallerConnection::new(connection, host).serve().await;
 }
 
-/// Drops entries that lapsed in an outage and did not come back.
+/// Drops entries that lapsed in an outage and did not come back, and entry hosts that are silent.
 async fn expire(host: Rc<EntryHost>) {
     loop {
         runtime::sleep(EXPIRE_INTERVAL).await;
+        host.refresh_peers();
         let gone = host.backends.borrow_mut().expire(Instant::now());
         if !gone.is_empty() {
             log::info!("fleet: lapsed entries dropped n={}", gone.len());
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod life;
 mod metrics_page;
+mod news_server;
 mod place;
 mod refusal;
 mod request_trace;
--- /dev/null
+++ b/src/entry/news_server.rs
@@ -0,0 +1,61 @@
+//! Answers the processes that follow the store through this host.
+
+use std::{io, rc::Rc, time::Duration};
+
+use async_executor::Task;
+use async_io::Async;
+
+use crate::{
+    entry::entry_host::EntryHost,
+    http1::{accept_all, Connection, HttpError, SmallAnswer},
+    net::listen::listen,
+    platform::wire_objects,
+    runtime,
+};
+
+/// Longest head of a question.
+const MAX_HEAD_BYTES: usize = 4 << 10;
+/// Time that a connection may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Longest wait for a change.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// Starts to answer at the address for peers.
+pub(crate) fn start(host: &Rc<EntryHost>) -> io::Result<Task<()>> {
+    let listener = Async::new(listen(host.settings.peers)?)?;
+    let host = host.clone();
+    Ok(runtime::spawn_local(accept_all(listener, move |it| serve_logged(host.clone(), it))))
+}
+
+async fn serve_logged(host: Rc<EntryHost>, connection: Connection) {
+    if let Err(err) = serve(&host, connection).await {
+        log::debug!("fleet: follower lost error=\"{err}\"");
+    }
+}
+
+async fn serve(host: &EntryHost, mut connection: Connection) -> Result<(), HttpError> {
+    loop {
+        let head = connection.read_request_head(MAX_HEAD_BYTES);
+        let head = match runtime::timeout(IDLE_LIMIT, head).await {
+            Ok(Err(HttpError::Ended)) | Err(_) => return Ok(()),
+            Ok(res) => res?,
+        };
+        let answer = answer(host, &head.target).await;
+        connection.write(&answer.to_bytes()).await?;
+    }
+}
+
+async fn answer(host: &EntryHost, target: &str) -> SmallAnswer {
+    let Some(question) = wire_objects::decode_question(target) else {
+        return SmallAnswer::status(404);
+    };
+    let cache = &host.cache;
+    let res = match question.changes_after {
+        None => cache.listing(&question.kind).map(|it| wire_objects::encode_listing(&it)),
+        Some((at, wait)) => {
+            let changes = cache.changes(&question.kind, at, wait.min(MAX_WAIT)).await;
+            changes.map(|it| wire_objects::encode_changes(&it))
+        }
+    };
+    res.unwrap_or_else(|err| wire_objects::encode_failure(&err))
+}
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -15,6 +15,8 @@
     EngineNotice(EngineNotice),
     /// A slot process tells others which pieces it holds.
     PiecesHeld(PiecesHeld),
+    /// A slot process passes on the manifest of a version.
+    Manifest(ManifestCopy),
 }
 
 /// What the engine of a slot process serves.
@@ -32,6 +34,17 @@
     pub serves: Option<WeightsVersion>,
 }
 
+/// The manifest of one version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ManifestCopy {
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: WeightsVersion,
+    /// SHA-256 of each piece.
+    pub digests: Vec<[u8; 32]>,
+}
+
 /// The pieces of one version that a slot process holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PiecesHeld {
@@ -45,6 +58,8 @@
     pub has_manifest: bool,
     /// Numbers of the pieces.
     pub pieces: Vec<u16>,
+    /// Pieces that the sender is fetching from the origin.
+    pub fetching: Vec<u16>,
     /// Whether the origin answered the sender's last call.
     pub reaches_origin: bool,
     /// Whether the sender asks for an answer of the same kind.
@@ -75,6 +90,10 @@
     pub state: EntryState,
     /// Where callers connect.
     pub callers: SocketAddr,
+    /// Where other processes of the system connect.
+    pub peers: SocketAddr,
+    /// Whether the sender follows the store itself, without a gap.
+    pub follows_store: bool,
     /// Region of the sender.
     pub region: RegionId,
     /// Availability zone of the sender.
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -1,17 +1,19 @@
 //! Follows one kind of objects in the store, through outages and lost history.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures_lite::FutureExt;
 
 use crate::{
-    fleet::Outage,
-    platform::store::{Change, Store, StoreError, StoredObject},
+    fleet::{KindCache, Outage, Source, Sources},
+    ids::Revision,
+    platform::store::{Change, Changes, Listing, StoreError, StoredObject},
     runtime,
 };
 
-/// Time after which a watch without news is asked anew.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
 /// What a watch has learned.
 #[derive(Debug)]
 pub enum KindUpdate {
@@ -21,6 +23,8 @@
         objects: Vec<StoredObject>,
         /// Whether the store could not be reached or asked before this list.
         is_after_outage: bool,
+        /// Longest time since any change in it; absent at the start of a process.
+        max_age: Option<Duration>,
     },
     /// Changes, oldest first.
     Changed(Vec<Change>),
@@ -29,17 +33,28 @@
 /// Follows one kind.
 #[derive(Debug)]
 pub struct KindWatch {
-    store: Store,
+    sources: Sources,
     kind: &'static str,
     outage: Outage,
     /// Pause after a change, in which further ones gather.
     pause: Duration,
+    cache: Option<Rc<KindCache>>,
+}
+
+/// How far the kind is known.
+#[derive(Debug, Default)]
+struct Progress {
+    at: Revision,
+    needs_list: bool,
+    is_after_outage: bool,
+    /// When everything was known last.
+    known: Option<Instant>,
 }
 
 impl KindWatch {
     /// Makes a watch of `kind`.
-    pub fn new(store: Store, kind: &'static str, outage: Outage) -> KindWatch {
-        KindWatch { store, kind, outage, pause: Duration::ZERO }
+    pub fn new(sources: Sources, kind: &'static str, outage: Outage) -> KindWatch {
+        KindWatch { sources, kind, outage, pause: Duration::ZERO, cache: None }
     }
 
     /// Gathers changes for `pause` before it asks for more, where many come and none is urgent.
@@ -47,66 +62,121 @@
         KindWatch { pause, ..self }
     }
 
+    /// Keeps what the store tells for the processes that follow this one.
+    pub fn keeping(self, cache: Rc<KindCache>) -> KindWatch {
+        KindWatch { cache: Some(cache), ..self }
+    }
+
     /// Hands every update to `apply` until the task is dropped.
     pub async fn run(self, mut apply: impl FnMut(KindUpdate)) {
-        let mut is_after_outage = false;
+        let mut progress = Progress { needs_list: true, ..Progress::default() };
         loop {
-            let listing = self.list(&mut is_after_outage).await;
-            let mut at = listing.at;
-            apply(KindUpdate::Listed { objects: listing.objects, is_after_outage });
-            is_after_outage = false;
-            loop {
-                let watch = async { Some(self.store.watch(self.kind, at, WATCH_WAIT).await) };
-                let gap = async {
-                    self.outage.interrupted().await;
-                    None
-                };
-                let Some(res) = watch.or(gap).await else {
-                    is_after_outage = true;
-                    break;
-                };
-                match res {
-                    Ok(changes) => {
-                        at = changes.at;
-                        if !changes.events.is_empty() {
-                            apply(KindUpdate::Changed(changes.events));
-                            runtime::sleep(self.pause).await;
-                        }
-                    }
-                    Err(StoreError::HistoryGone) => {
-                        log::info!("store: history gone kind={} at={at}", self.kind);
-                        break;
-                    }
-                    Err(err) => {
-                        // An outage may have removed entries that come back, so list again.
-                        log::warn!("store: watch failed kind={} error=\"{err}\"", self.kind);
-                        is_after_outage = true;
-                        self.outage.wait().await;
-                        break;
-                    }
-                }
+            let source = self.sources.choose(Instant::now());
+            let res = match progress.needs_list {
+                true => self.list(source, &mut progress, &mut apply).await,
+                false => self.watch(source, &mut progress, &mut apply).await,
+            };
+            match res {
+                Ok(()) => self.sources.answered(source),
+                Err(err) => self.fail(source, &err, &mut progress).await,
             }
         }
     }
 
-    async fn list(&self, is_after_outage: &mut bool) -> crate::platform::store::Listing {
-        let since = Instant::now();
-        loop {
-            match self.store.list(self.kind).await {
-                Ok(listing) => {
-                    self.outage.end();
-                    if *is_after_outage {
-                        let away_ms = since.elapsed().as_millis();
-                        log::info!("store: back kind={} away_ms={away_ms}", self.kind);
-                    }
-                    return listing;
-                }
-                Err(err) => {
-                    log::warn!("store: list failed kind={} error=\"{err}\"", self.kind);
-                    *is_after_outage = true;
-                    self.outage.wait().await;
-                }
+    async fn list(
+        &self,
+        source: Source,
+        progress: &mut Progress,
+        apply: &mut impl FnMut(KindUpdate),
+    ) -> Result<(), StoreError> {
+        let Listing { objects, at } = self.sources.client(source).list(self.kind).await?;
+        if at < progress.at {
+            // An entry host that is behind; another one knows more.
+            return Err(StoreError::HistoryGone);
+        }
+        let listing = Listing { objects, at };
+        if source == Source::Store {
+            self.outage.end();
+        }
+        self.keep(|it| it.list(self.kind, &listing));
+        if progress.is_after_outage {
+            let away_ms = progress.known.map_or(0, |it| it.elapsed().as_millis());
+            log::info!("store: back kind={} away_ms={away_ms} source={source:?}", self.kind);
+        }
+        apply(KindUpdate::Listed {
+            objects: listing.objects,
+            is_after_outage: progress.is_after_outage,
+            max_age: progress.known.map(|it| it.elapsed()),
+        });
+        let known = Some(Instant::now());
+        *progress = Progress { at, known, ..Progress::default() };
+        Ok(())
+    }
+
+    async fn watch(
+        &self,
+        source: Source,
+        progress: &mut Progress,
+        apply: &mut impl FnMut(KindUpdate),
+    ) -> Result<(), StoreError> {
+        let client = self.sources.client(source);
+        let watch = async { Some(client.watch(self.kind, progress.at, source.wait()).await) };
+        let gap = async {
+            self.outage.interrupted().await;
+            None
+        };
+        let Some(res) = watch.or(gap).await else {
+            self.lose();
+            progress.needs_list = true;
+            progress.is_after_outage = true;
+            return Ok(());
+        };
+        let changes: Changes = res?;
+        self.keep(|it| it.change(self.kind, &changes));
+        progress.at = changes.at;
+        progress.known = Some(Instant::now());
+        if !changes.events.is_empty() {
+            apply(KindUpdate::Changed(changes.events));
+            runtime::sleep(self.pause).await;
+        }
+        Ok(())
+    }
+
+    /// Goes on from a failure: with another source if there is one, else after a pause.
+    async fn fail(&self, source: Source, err: &StoreError, progress: &mut Progress) {
+        if matches!(err, StoreError::HistoryGone) {
+            log::info!(
+                "store: history gone kind={} at={} source={source:?}",
+                self.kind,
+                progress.at
+            );
+            if progress.needs_list {
+                self.sources.failed(source, Instant::now());
             }
+            progress.needs_list = true;
+            return;
+        }
+        log::warn!("store: call failed kind={} source={source:?} error=\"{err}\"", self.kind);
+        self.sources.failed(source, Instant::now());
+        self.lose();
+        if source != Source::Store {
+            return;
+        }
+        // An outage may have removed entries that come back, so list again.
+        progress.needs_list = true;
+        progress.is_after_outage = true;
+        if self.sources.choose(Instant::now()) == Source::Store {
+            self.outage.wait().await;
         }
     }
+
+    fn keep(&self, act: impl FnOnce(&KindCache)) {
+        if let Some(cache) = &self.cache {
+            act(cache);
+        }
+    }
+
+    fn lose(&self) {
+        self.keep(|it| it.lose(self.kind));
+    }
 }
--- a/src/fleet/named_versions.rs
+++ b/src/fleet/named_versions.rs
@@ -1,6 +1,9 @@
 //! Takes what the store tells of named versions.
 
-use std::{cell::RefCell, time::Instant};
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
 
 use crate::{
     fleet::{KindUpdate, VersionTable},
@@ -9,15 +12,17 @@
 
 /// Enters an update into a table; says whether a newer version was named.
 pub(crate) fn take_versions(table: &RefCell<VersionTable>, update: KindUpdate) -> bool {
-    let (objects, is_fresh): (Vec<StoredObject>, bool) = match update {
-        KindUpdate::Listed { objects, .. } => (objects, false),
-        KindUpdate::Changed(changes) => (changes.into_iter().map(|it| it.object).collect(), true),
+    let (objects, max_age): (Vec<StoredObject>, Option<Duration>) = match update {
+        KindUpdate::Listed { objects, max_age, .. } => (objects, max_age),
+        KindUpdate::Changed(changes) => {
+            (changes.into_iter().map(|it| it.object).collect(), Some(Duration::ZERO))
+        }
     };
     let mut is_newer = false;
     for object in objects {
         match wire_server::decode_version(&object) {
             Ok(target) => {
-                if table.borrow_mut().set(&target, is_fresh, Instant::now()) {
+                if table.borrow_mut().set(&target, max_age, Instant::now()) {
                     log::info!("versions: named model={} version={}", target.model, target.version);
                     is_newer = true;
                 }
--- a/src/fleet/version_table.rs
+++ b/src/fleet/version_table.rs
@@ -13,7 +13,7 @@
 const REQUIRED_SHARE: f64 = 0.89;
 /// Share of the bound in which requests that were sent to an older version must begin.
 const BEGIN_SHARE: f64 = 0.08;
-/// Age that a version has when it is read at the start of a process, as a share of the bound.
+/// Greatest age that a version has when it is read after a gap, as a share of the bound.
 ///
 /// What is left must be shorter than the time in which a restarted process is not held to the bound.
 const UNKNOWN_AGE_SHARE: f64 = 0.61;
@@ -39,13 +39,15 @@
         VersionTable { bound, namings: HashMap::new() }
     }
 
-    /// Takes a naming; `is_fresh` says that it was made just now. An older version changes nothing.
-    pub fn set(&mut self, target: &TargetVersion, is_fresh: bool, now: Instant) -> bool {
+    /// Takes a naming that is at most `max_age` old, if that is known. An older version changes
+    /// nothing.
+    pub fn set(&mut self, target: &TargetVersion, max_age: Option<Duration>, now: Instant) -> bool {
         if self.newest(&target.model) >= target.version {
             return false;
         }
-        let age = if is_fresh { 0.0 } else { UNKNOWN_AGE_SHARE };
-        let required_from = now + self.bound.mul_f64((REQUIRED_SHARE - age).max(0.0));
+        let unknown_age = self.bound.mul_f64(UNKNOWN_AGE_SHARE);
+        let age = max_age.map_or(unknown_age, |it| it.min(unknown_age));
+        let required_from = now + self.bound.mul_f64(REQUIRED_SHARE).saturating_sub(age);
         let naming = Naming { version: target.version, named: now, required_from };
         self.namings.entry(target.model.clone()).or_default().push(naming);
         true
--- a/src/http1/responder.rs
+++ b/src/http1/responder.rs
@@ -39,6 +39,18 @@
     pub fn status(status: u16) -> SmallAnswer {
         SmallAnswer { status, content_type: "text/plain", body: Vec::new() }
     }
+
+    /// The bytes on the wire.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let SmallAnswer { status, content_type, body } = self;
+        let reason = if *status == 200 { "OK" } else { "Unavailable" };
+        let length = body.len();
+        let head = format!(
+            "HTTP/1.1 {status} {reason}\r\nContent-Type: {content_type}\r\n\
+             Content-Length: {length}\r\n\r\n"
+        );
+        [head.as_bytes(), body].concat()
+    }
 }
 
 /// Answers questions at one address until it is closed.
@@ -86,15 +98,7 @@
         BodyReader::new(BodyLength::of_request(&head)?)
             .read_all(&mut connection, MAX_BODY_BYTES)
             .await?;
-        let SmallAnswer { status, content_type, body } = answer(&head);
-        let reason = if status == 200 { "OK" } else { "Unavailable" };
-        let mut bytes = format!(
-            "HTTP/1.1 {status} {reason}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        )
-        .into_bytes();
-        bytes.extend_from_slice(&body);
-        connection.write(&bytes).await?;
+        connection.write(&answer(&head).to_bytes()).await?;
         if head.headers.has_member("connection", "close") {
             connection.end_writing();
             return Ok(());
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,4 +6,5 @@
 pub mod wire_config;
 pub mod wire_directory;
 pub mod wire_headers;
+pub mod wire_objects;
 pub mod wire_server;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use quick_error::quick_error;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
 use crate::{
@@ -54,7 +54,7 @@
 }
 
 /// An object as the store holds it.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoredObject {
     /// Name, revision and marks.
     pub metadata: Metadata,
@@ -64,7 +64,7 @@
 }
 
 /// What the store keeps of every object.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Metadata {
     /// Name within its kind.
@@ -83,7 +83,7 @@
 }
 
 /// Changes of a kind.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
     /// The changes, oldest first.
     pub events: Vec<Change>,
@@ -92,7 +92,7 @@
 }
 
 /// One change.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
     /// The object after the change, or before its removal.
     pub object: StoredObject,
--- a/src/slot/life.rs
+++ b/src/slot/life.rs
@@ -1,30 +1,35 @@
 //! The life of a slot process.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 
 use crate::{
-    fleet::{entry_registry, take_versions, Canary, KindUpdate, KindWatch, Outage},
-    platform::{
-        store::{Store, StoredObject},
-        wire_config, wire_server,
-    },
+    fleet::{entry_registry, take_versions, Canary, KindUpdate, KindWatch, Outage, Source},
+    platform::{store::StoredObject, wire_config, wire_server},
     runtime,
     settings::{DeployedSettings, EngineSettings},
     slot::{
         messages,
+        piece_ranks::address_hash,
         piece_server::PieceServer,
         slot_state::{PoolFacts, SlotState},
         switcher::Switcher,
     },
+    weights::rank::score,
 };
 
 /// Longest pause between two calls of a store that is away.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1200);
 /// Pause between two questions whether the store answers.
 const CANARY_INTERVAL: Duration = Duration::from_millis(2000);
+/// Sources that are asked for one list, the store last.
+const MAX_SOURCES: usize = 4;
 /// Pause between two reads of the lists.
 const READ_INTERVAL: Duration = Duration::from_secs(12);
 
@@ -35,13 +40,13 @@
     let server = PieceServer::listen(&slot)?;
     log::info!("daemon: started host={} role=backend", slot.settings.host.id);
     let outage = Outage::new(MAX_RETRY_DELAY);
-    let watch = KindWatch::new(slot.store.clone(), wire_server::VERSION_KIND, outage.clone());
+    let sources = slot.sources.clone();
+    let watch = KindWatch::new(sources.clone(), wire_server::VERSION_KIND, outage.clone());
     let versions = {
         let slot = slot.clone();
         runtime::spawn_local(watch.run(move |update| follow_versions(&slot, update)))
     };
-    let canary =
-        Canary::new(slot.store.clone(), wire_server::VERSION_KIND, CANARY_INTERVAL, outage.clone());
+    let canary = Canary::new(sources, wire_server::VERSION_KIND, CANARY_INTERVAL, outage.clone());
     let tasks = [
         runtime::spawn_local(canary.run()),
         versions,
@@ -75,7 +80,7 @@
 async fn read_lists(slot: Rc<SlotState>, outage: Outage) {
     loop {
         let is_read =
-            read_members(&slot).await && read_pool(&slot).await && read_entries(&slot).await;
+            read_entries(&slot).await && read_members(&slot).await && read_pool(&slot).await;
         slot.changed.notify(usize::MAX);
         if !is_read {
             outage.wait().await;
@@ -88,18 +93,29 @@
     }
 }
 
-async fn objects_of(store: &Store, kind: &str) -> Option<Vec<StoredObject>> {
-    match store.list(kind).await {
-        Ok(listing) => Some(listing.objects),
-        Err(err) => {
-            log::warn!("store: list failed kind={kind} error=\"{err}\"");
-            None
+/// Reads a list, from the next source when one does not answer.
+async fn objects_of(slot: &SlotState, kind: &str) -> Option<Vec<StoredObject>> {
+    for _ in 0..MAX_SOURCES {
+        let source = slot.sources.choose(Instant::now());
+        match slot.sources.client(source).list(kind).await {
+            Ok(listing) => {
+                slot.sources.answered(source);
+                return Some(listing.objects);
+            }
+            Err(err) => {
+                log::warn!("store: list failed kind={kind} source={source:?} error=\"{err}\"");
+                slot.sources.failed(source, Instant::now());
+            }
+        }
+        if source == Source::Store {
+            break;
         }
     }
+    None
 }
 
 async fn read_pool(slot: &SlotState) -> bool {
-    let Some(objects) = objects_of(&slot.store, wire_config::KIND).await else { return false };
+    let Some(objects) = objects_of(slot, wire_config::KIND).await else { return false };
     let charter = objects.iter().find_map(|it| match wire_config::decode(it) {
         Ok(charter) => charter,
         Err(err) => {
@@ -117,7 +133,7 @@
 }
 
 async fn read_members(slot: &SlotState) -> bool {
-    let Some(objects) = objects_of(&slot.store, wire_server::SERVER_KIND).await else {
+    let Some(objects) = objects_of(slot, wire_server::SERVER_KIND).await else {
         return false;
     };
     let port = slot.settings.peers.port();
@@ -138,15 +154,16 @@
     true
 }
 
+/// Reads the list of entry hosts; each slot follows the store through another one.
 async fn read_entries(slot: &SlotState) -> bool {
-    match entry_registry::list(&slot.store).await {
-        Ok(addresses) => {
-            *slot.entry_hosts.borrow_mut() = addresses;
-            true
-        }
-        Err(err) => {
-            log::warn!("store: entry hosts not listed error=\"{err}\"");
-            false
-        }
-    }
+    let Some(objects) = objects_of(slot, entry_registry::KIND).await else { return false };
+    let zone = &slot.settings.host.zone;
+    let (near, far) = entry_registry::addresses_of(&objects, zone);
+    *slot.entry_hosts.borrow_mut() = [near.clone(), far.clone()].concat();
+    let relays = [near, far].map(|mut it| {
+        it.sort_by_key(|it| score(address_hash(&slot.settings.peers), address_hash(it)));
+        it
+    });
+    slot.sources.update(false, relays.concat());
+    true
 }
--- a/src/slot/manifest_source.rs
+++ b/src/slot/manifest_source.rs
@@ -2,15 +2,20 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use futures_lite::FutureExt;
+
 use crate::{
     http1::{Call, Client},
     ids::WeightsVersion,
     platform::origin_api::{decode_manifest, OriginApi},
+    runtime,
     slot::{piece_server::manifest_path, slot_state::SlotState, Manifest},
 };
 
 /// Time limit of another slot's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause after which holders are looked for again.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Longest manifest.
 const MAX_MANIFEST_BYTES: usize = 4 << 20;
 /// Slots that are asked before the origin.
@@ -40,19 +45,25 @@
     /// Reads the manifest once, from the origin only if `may_ask_origin`; `None` when nobody gives
     /// a whole one.
     pub(crate) async fn read(&self, may_ask_origin: bool) -> Option<Manifest> {
+        self.ask(may_ask_origin).or(self.passed_on()).await
+    }
+
+    async fn ask(&self, may_ask_origin: bool) -> Option<Manifest> {
         let held = self.slot.holders.borrow().get(&self.version).cloned().unwrap_or_default();
         let mut holders: Vec<SocketAddr> =
             held.into_iter().filter(|it| it.1.has_manifest).map(|it| it.0).collect();
         fastrand::shuffle(&mut holders);
         for holder in holders.into_iter().take(MAX_ASKED_SLOTS) {
             if let Some(manifest) = self.read_from_slot(holder).await {
+                log::info!("weights: manifest from={holder} version={}", self.version);
                 return Some(manifest);
             }
         }
-        match may_ask_origin {
-            true => self.read_from_origin().await,
-            false => None,
+        if may_ask_origin {
+            return self.read_from_origin().await;
         }
+        runtime::sleep(RETRY_PAUSE).await;
+        None
     }
 
     /// Reads the manifest again when pieces don't match it; other slots may have copied the same
@@ -64,6 +75,19 @@
         }
     }
 
+    /// Waits for a manifest that another slot passes on; it is used once, as it may be wrong.
+    async fn passed_on(&self) -> Option<Manifest> {
+        loop {
+            let listener = self.slot.changed.listen();
+            let copy = self.slot.manifest_copies.borrow_mut().remove(&self.version);
+            if let Some(copy) = copy.filter(|it| it.model == self.model && !it.digests.is_empty()) {
+                log::info!("weights: manifest passed on version={}", self.version);
+                return Some(Manifest { digests: copy.digests });
+            }
+            listener.await;
+        }
+    }
+
     async fn read_from_slot(&self, holder: SocketAddr) -> Option<Manifest> {
         let path = manifest_path(&self.model, self.version);
         let call = Call::get(&path, PEER_TIMEOUT, MAX_MANIFEST_BYTES);
@@ -82,8 +106,9 @@
         match self.origin.manifest(&origin, &self.model, self.version).await {
             Ok(text) => {
                 let manifest = decode_manifest(self.version, &text);
-                if manifest.is_none() {
-                    log::warn!("weights: manifest not readable version={}", self.version);
+                match manifest {
+                    Some(_) => log::info!("weights: manifest from=origin version={}", self.version),
+                    None => log::warn!("weights: manifest not readable version={}", self.version),
                 }
                 manifest
             }
--- a/src/slot/messages.rs
+++ b/src/slot/messages.rs
@@ -7,13 +7,19 @@
 };
 
 use crate::{
-    fleet::{PeerMessage, PiecesHeld},
+    fleet::{ManifestCopy, PeerMessage, PiecesHeld},
     runtime,
-    slot::{slot_state::SlotState, switcher::KEPT_VERSIONS, Holder},
+    slot::{
+        slot_state::{Claim, SlotState},
+        switcher::KEPT_VERSIONS,
+        Holder,
+    },
 };
 
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Manifests that are kept for versions of which this process has not heard yet.
+const MAX_MANIFEST_COPIES: usize = 3;
 /// Pause after a failed read.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -31,12 +37,25 @@
         };
         match bincode::deserialize(&bytes[..n_bytes]) {
             Ok(PeerMessage::PiecesHeld(held)) => take(&slot, held, from).await,
+            Ok(PeerMessage::Manifest(copy)) => take_manifest(&slot, copy),
             Ok(_) => log::debug!("slot: message not for slots from={from}"),
             Err(err) => log::warn!("slot: message not readable from={from} error=\"{err}\""),
         }
     }
 }
 
+/// Keeps a manifest until its version is fetched.
+fn take_manifest(slot: &SlotState, copy: ManifestCopy) {
+    let mut copies = slot.manifest_copies.borrow_mut();
+    if !copies.contains_key(&copy.version) {
+        copies.insert(copy.version, copy);
+        while copies.len() > MAX_MANIFEST_COPIES {
+            copies.pop_first();
+        }
+        slot.changed.notify(usize::MAX);
+    }
+}
+
 async fn take(slot: &SlotState, held: PiecesHeld, from: SocketAddr) {
     slot.heard.borrow_mut().insert(from, Instant::now());
     match held.reaches_origin {
@@ -51,6 +70,9 @@
     if held.model != model || held.version + KEPT_VERSIONS <= target {
         return;
     }
+    let fetching = held.fetching.into_iter().collect();
+    let claim = Claim { fetching, heard: Instant::now() };
+    slot.claims.borrow_mut().insert((held.version, from), claim);
     let pieces = held.pieces.into_iter().collect();
     let has_manifest = held.has_manifest;
     let holder = Holder { zone: held.zone, has_manifest, pieces, is_available: true };
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -12,6 +12,7 @@
 use futures_lite::FutureExt;
 
 use crate::{
+    fleet::{ManifestCopy, PeerMessage},
     http1::{Call, Client},
     ids::WeightsVersion,
     platform::{engine_api::EngineError, origin_api::OriginApi},
@@ -20,7 +21,7 @@
         manifest_source::ManifestSource,
         piece_server::{piece_path, STATUS_BUSY},
         slot_state::{Holders, SlotState},
-        Fetch, PiecePlan, Shelf, Source,
+        Fetch, PieceDigest, PiecePlan, Shelf, Source,
     },
 };
 
@@ -34,6 +35,9 @@
 const ORIGIN_REST: Duration = Duration::from_millis(300);
 /// Time for which a slot counts as alive after a message.
 const ALIVE_TIME: Duration = Duration::from_millis(1200);
+/// Share of the time that a piece takes on the origin's link after which the next one is asked
+/// for, so that the link is never idle.
+const PACE_SHARE: f64 = 0.9;
 /// Pause between two messages that the origin does not answer; shorter than `ALIVE_TIME`.
 const TELL_INTERVAL: Duration = Duration::from_millis(900);
 /// Time for which a slot that sends to others is not asked.
@@ -42,8 +46,12 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two tries to get a manifest.
 const MANIFEST_RETRY: Duration = Duration::from_millis(150);
-/// Least pause between two tries to get a manifest.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(10);
+/// Longest manifest that is passed on in a datagram.
+const MAX_MANIFEST_DATAGRAM_BYTES: usize = 7 << 10;
+/// Pause between two tries to get a manifest.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(20);
+/// Share of the pieces that a holder has when a slot that begins now has come late.
+const LATE_SHARE: f64 = 0.15;
 /// Time in which holders answer before the origin is asked for a manifest.
 const ASK_TIME: Duration = Duration::from_millis(25);
 /// Pause between two questions for what others hold.
@@ -71,6 +79,8 @@
     /// Begin of the time by which turns at the origin are told.
     turns_from: Cell<Instant>,
     has_origin_failed: Cell<bool>,
+    /// Whether the turns of this slot are over already.
+    is_late: Cell<bool>,
     /// When the others were told last that the origin does not answer.
     told_at: Cell<Option<Instant>>,
 }
@@ -99,6 +109,7 @@
         is_staging_read: Cell::new(!may_be_staged),
         turns_from: Cell::new(Instant::now()),
         has_origin_failed: Cell::new(false),
+        is_late: Cell::new(false),
         told_at: Cell::new(None),
     });
     let asks = {
@@ -152,7 +163,6 @@
     async fn load_manifest(&self) {
         runtime::sleep(ASK_TIME).await;
         loop {
-            let listener = self.slot.changed.listen();
             let delay = self.slot.manifest_delay();
             let is_turn = self.started.elapsed() >= ASK_TIME + delay;
             if let Some(manifest) = self.manifests.read(is_turn).await {
@@ -160,12 +170,45 @@
                 self.slot.shelves.borrow_mut().insert(self.version, shelf);
                 break;
             }
-            listener.or(runtime::sleep(MANIFEST_RETRY)).await;
             runtime::sleep(MANIFEST_PAUSE).await;
         }
-        let mut targets = self.slot.near_members();
-        targets.extend(self.slot.ranks.borrow().importers(0, &self.slot.settings.host.zone));
-        self.slot.announce(self.version, &targets, false).await;
+        self.is_late.set(self.is_spread_already());
+        self.pass_manifest_on().await;
+    }
+
+    /// Whether others hold so many pieces that this slot has come to their spread late.
+    fn is_spread_already(&self) -> bool {
+        let n_pieces = self.slot.pool.borrow().as_ref().map_or(0, |it| it.figures.n_pieces);
+        let holders = self.holders();
+        holders.values().any(|it| it.pieces.len() as f64 > LATE_SHARE * f64::from(n_pieces))
+    }
+
+    /// Passes the manifest on: the first in rank to the first of each other zone, and these to all
+    /// slots of their own zone.
+    async fn pass_manifest_on(&self) {
+        let own = self.slot.settings.peers;
+        let zone = &self.slot.settings.host.zone;
+        let digests = {
+            let shelves = self.slot.shelves.borrow();
+            shelves.get(&self.version).map(|it| it.manifest.digests.clone()).unwrap_or_default()
+        };
+        let (is_root, is_first, mut targets) = {
+            let ranks = self.slot.ranks.borrow();
+            let is_root = ranks.root(0) == Some(own);
+            (is_root, ranks.zone_rank(0, zone, own) == 0, ranks.importers(0, zone))
+        };
+        if !is_root {
+            targets.clear();
+        }
+        if is_first {
+            targets.extend(self.slot.near_members());
+        }
+        let fits = digests.len() * size_of::<PieceDigest>() <= MAX_MANIFEST_DATAGRAM_BYTES;
+        if fits && !targets.is_empty() {
+            let copy = ManifestCopy { model: self.model.clone(), version: self.version, digests };
+            self.slot.send(&targets, &PeerMessage::Manifest(copy)).await;
+        }
+        self.slot.announce(self.version, &self.slot.near_members(), false).await;
     }
 
     /// Takes what lies in the engine's staging area already, once the engine answers.
@@ -260,6 +303,7 @@
             ranks: &self.slot.ranks.borrow(),
             holders: &holders,
             wanted: &wanted,
+            claimed: &self.slot.claimed(self.version, now),
             able: &self.slot.able_since(now - ALIVE_TIME),
             elapsed: self.turns_from.get().elapsed(),
             origin_pace: self.origin_pace(),
@@ -272,12 +316,13 @@
     /// Time that one piece takes on the origin's link.
     fn origin_pace(&self) -> Duration {
         let pool = self.slot.pool.borrow();
-        let Some(pool) = pool.as_ref().filter(|_| !self.has_origin_failed.get()) else {
-            return Duration::ZERO;
-        };
+        let is_in_turn = !self.has_origin_failed.get() && !self.is_late.get();
+        let Some(pool) = pool.as_ref().filter(|_| is_in_turn) else { return Duration::ZERO };
         let rate = pool.origin.as_ref().map_or(0.0, |it| it.bytes_per_s);
         match rate > 0.0 {
-            true => Duration::from_secs_f64(f64::from(pool.figures.piece_bytes) / rate),
+            true => {
+                Duration::from_secs_f64(PACE_SHARE * f64::from(pool.figures.piece_bytes) / rate)
+            }
             false => Duration::ZERO,
         }
     }
@@ -296,7 +341,12 @@
             Source::Origin => {
                 let origin = self.slot.pool.borrow().as_ref().and_then(|it| it.origin.clone());
                 let Some(origin) = origin else { return Err(EngineError::Refused(404)) };
-                self.origin.piece(&origin, &self.model, self.version, fetch.number).await
+                let id = (self.version, fetch.number as u16);
+                self.slot.fetching.borrow_mut().insert(id);
+                self.slot.announce(self.version, &self.slot.other_members(), false).await;
+                let res = self.origin.piece(&origin, &self.model, self.version, fetch.number).await;
+                self.slot.fetching.borrow_mut().remove(&id);
+                res
             }
         }
     }
@@ -363,8 +413,7 @@
             return;
         }
         self.told_at.set(Some(Instant::now()));
-        let members: Vec<SocketAddr> = self.slot.members.borrow().keys().copied().collect();
-        self.slot.announce(self.version, &members, false).await;
+        self.slot.announce(self.version, &self.slot.other_members(), false).await;
     }
 
     /// Reads the manifest anew, as it may be the one that is wrong.
--- a/src/slot/piece_plan.rs
+++ b/src/slot/piece_plan.rs
@@ -16,9 +16,9 @@
 /// Time in which slots that hold pieces answer a newcomer.
 const ASK_TIME: Duration = Duration::from_millis(40);
 /// Time after which the next slot in rank takes over.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(1000);
+const TAKEOVER_DELAY: Duration = Duration::from_millis(600);
 /// Time after which a zone no longer waits for a piece from another zone.
-const CROSS_ZONE_DELAY: Duration = Duration::from_millis(1600);
+const CROSS_ZONE_DELAY: Duration = Duration::from_millis(1000);
 
 /// Time for which a slot that is heard and reaches the origin, but does not get its piece, is
 /// waited for.
@@ -66,6 +66,8 @@
     pub ranks: &'a PieceRanks,
     /// Slot processes that were heard lately and reach the origin as far as known.
     pub able: &'a BTreeSet<SocketAddr>,
+    /// Pieces that others are fetching from the origin.
+    pub claimed: &'a BTreeSet<u32>,
     /// What others hold.
     pub holders: &'a BTreeMap<SocketAddr, Holder>,
     /// Pieces that are neither held nor on their way.
@@ -110,7 +112,7 @@
             return far.find(|it| it.1.is_available).map(|it| Source::Peer(*it.0));
         }
         let is_due = self.elapsed >= turn + self.origin_delay(number) && self.is_origin_available;
-        is_due.then_some(Source::Origin)
+        (is_due && !self.claimed.contains(&number)).then_some(Source::Origin)
     }
 
     /// Time beyond its turn after which this slot asks the origin for a piece.
--- a/src/slot/piece_server.rs
+++ b/src/slot/piece_server.rs
@@ -91,6 +91,11 @@
                 Ok(Err(HttpError::Ended)) | Err(_) => return Ok(()),
                 Ok(res) => res?,
             };
+            if let Some(manifest) = self.manifest_bytes(&head.target) {
+                send_head(&connection, 200, manifest.len()).await?;
+                connection.write(&manifest).await?;
+                continue;
+            }
             if self.n_waiting.get() >= MAX_WAITING {
                 send_head(&connection, STATUS_BUSY, 0).await?;
                 continue;
@@ -98,7 +103,7 @@
             self.n_waiting.set(self.n_waiting.get() + 1);
             let _turn = self.turn.lock().await;
             self.n_waiting.set(self.n_waiting.get() - 1);
-            let Some(body) = self.held_bytes(&head.target) else {
+            let Some(body) = self.held_piece(&head.target) else {
                 send_head(&connection, 404, 0).await?;
                 continue;
             };
@@ -110,9 +115,16 @@
         }
     }
 
-    fn held_bytes(&self, target: &str) -> Option<Vec<u8>> {
+    /// A manifest, which is short and goes before pieces.
+    fn manifest_bytes(&self, target: &str) -> Option<Vec<u8>> {
+        let shelves = self.slot.shelves.borrow();
+        let shelf = shelves.values().find(|it| target == manifest_path(&it.model, it.version))?;
+        Some(encode_manifest(shelf.version, &shelf.manifest))
+    }
+
+    fn held_piece(&self, target: &str) -> Option<Vec<u8>> {
         let shelves = self.slot.shelves.borrow();
-        shelves.values().find_map(|it| held_bytes(it, target))
+        shelves.values().find_map(|it| held_piece(it, target))
     }
 }
 
@@ -122,10 +134,7 @@
     connection.write(&head.to_bytes()).await
 }
 
-fn held_bytes(shelf: &Shelf, target: &str) -> Option<Vec<u8>> {
-    if target == manifest_path(&shelf.model, shelf.version) {
-        return Some(encode_manifest(shelf.version, &shelf.manifest));
-    }
+fn held_piece(shelf: &Shelf, target: &str) -> Option<Vec<u8>> {
     let (_, number) = target.rsplit_once('/')?;
     let number = number.parse().ok()?;
     if target != piece_path(&shelf.model, shelf.version, number) {
--- a/src/slot/slot_state.rs
+++ b/src/slot/slot_state.rs
@@ -12,7 +12,7 @@
 use event_listener::Event;
 
 use crate::{
-    fleet::{PeerMessage, PiecesHeld, VersionTable},
+    fleet::{ManifestCopy, PeerMessage, PiecesHeld, Sources, VersionTable},
     ids::{WeightsVersion, ZoneId},
     platform::{engine_api::EngineApi, store::Store},
     routing::{EngineFigures, Origin},
@@ -20,6 +20,12 @@
     slot::{Holder, PieceRanks, Shelf},
 };
 
+/// Time for which a slot process that said so is fetching a piece, unless it says otherwise.
+const CLAIM_TIME: Duration = Duration::from_secs(3);
+
+/// A piece of a version.
+pub(crate) type PieceId = (WeightsVersion, u16);
+
 /// Slot processes that hold pieces of one version.
 pub(crate) type Holders = BTreeMap<SocketAddr, Holder>;
 
@@ -28,7 +34,8 @@
     pub(crate) settings: DeployedSettings,
     pub(crate) engine_settings: EngineSettings,
     pub(crate) engine: EngineApi,
-    pub(crate) store: Store,
+    /// How this process follows the store.
+    pub(crate) sources: Sources,
     pub(crate) socket: Async<UdpSocket>,
     pub(crate) versions: RefCell<VersionTable>,
     pub(crate) pool: RefCell<Option<PoolFacts>>,
@@ -39,8 +46,14 @@
     pub(crate) shelves: RefCell<BTreeMap<WeightsVersion, Shelf>>,
     /// What others hold of the newest versions.
     pub(crate) holders: RefCell<BTreeMap<WeightsVersion, Holders>>,
+    /// Manifests that other slot processes have passed on.
+    pub(crate) manifest_copies: RefCell<BTreeMap<WeightsVersion, ManifestCopy>>,
     /// When each other slot process was heard last.
     pub(crate) heard: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// Pieces that this process is fetching from the origin.
+    pub(crate) fetching: RefCell<BTreeSet<PieceId>>,
+    /// Pieces that others fetch from the origin, by version and slot process.
+    pub(crate) claims: RefCell<BTreeMap<(WeightsVersion, SocketAddr), Claim>>,
     /// Slot processes that the origin does not answer, and when they said so.
     pub(crate) without_origin: RefCell<BTreeMap<SocketAddr, Instant>>,
     /// Whether the origin answered the last call of this process.
@@ -55,6 +68,15 @@
     pub(crate) changed: Event,
 }
 
+/// Pieces that another slot process is fetching from the origin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Claim {
+    /// Numbers of the pieces.
+    pub(crate) fetching: BTreeSet<u16>,
+    /// When it said so last.
+    pub(crate) heard: Instant,
+}
+
 /// What the charter says of the own pool.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct PoolFacts {
@@ -76,7 +98,7 @@
         let bound = settings.bounds.version;
         Ok(Rc::new(SlotState {
             engine: EngineApi::new(engine_settings.address),
-            store: Store::new(settings.store),
+            sources: Sources::new(Store::new(settings.store)),
             settings,
             engine_settings,
             socket,
@@ -87,7 +109,10 @@
             entry_hosts: RefCell::default(),
             shelves: RefCell::default(),
             holders: RefCell::default(),
+            manifest_copies: RefCell::default(),
             heard: RefCell::default(),
+            fetching: RefCell::default(),
+            claims: RefCell::default(),
             without_origin: RefCell::default(),
             reaches_origin: Cell::new(true),
             rests: RefCell::default(),
@@ -150,6 +175,21 @@
         self.ranks.borrow().manifest_delay(&self.settings.host.zone, self.settings.peers)
     }
 
+    /// Pieces of a version that others are fetching from the origin as far as known.
+    pub(crate) fn claimed(&self, version: WeightsVersion, now: Instant) -> BTreeSet<u32> {
+        let claims = self.claims.borrow();
+        let valid = claims
+            .iter()
+            .filter(|it| it.0 .0 == version && now.duration_since(it.1.heard) < CLAIM_TIME);
+        valid.flat_map(|it| &it.1.fetching).map(|it| u32::from(*it)).collect()
+    }
+
+    /// All other slot processes of the pool.
+    pub(crate) fn other_members(&self) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        members.keys().filter(|it| **it != self.settings.peers).copied().collect()
+    }
+
     /// The other slot processes of the own zone.
     pub(crate) fn near_members(&self) -> Vec<SocketAddr> {
         let zone = &self.settings.host.zone;
@@ -162,6 +202,8 @@
     pub(crate) fn forget_before(&self, oldest: WeightsVersion) {
         self.shelves.borrow_mut().retain(|it, _| *it >= oldest);
         self.holders.borrow_mut().retain(|it, _| *it >= oldest);
+        self.claims.borrow_mut().retain(|it, _| it.0 >= oldest);
+        self.fetching.borrow_mut().retain(|it| it.0 >= oldest);
     }
 
     fn pieces_held(&self, version: WeightsVersion, asks: bool) -> Option<PiecesHeld> {
@@ -171,7 +213,19 @@
         let pieces = shelf.map(Shelf::held).unwrap_or_default();
         let has_manifest = shelf.is_some();
         let zone = self.settings.host.zone.clone();
+        let fetching = self.fetching.borrow();
+        let fetching = fetching.iter().filter(|it| it.0 == version).map(|it| it.1).collect();
         let reaches_origin = self.reaches_origin.get();
-        Some(PiecesHeld { zone, model, version, has_manifest, pieces, reaches_origin, asks })
+        let held = PiecesHeld {
+            zone,
+            model,
+            version,
+            has_manifest,
+            pieces,
+            fetching,
+            reaches_origin,
+            asks,
+        };
+        Some(held)
     }
 }
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -120,6 +120,8 @@
         number,
         state,
         callers: format!("10.0.1.{}:80", host.as_bytes()[0]).parse().unwrap(),
+        peers: format!("10.0.1.{}:7700", host.as_bytes()[0]).parse().unwrap(),
+        follows_store: true,
         region: zone.to_owned(),
         zone: zone.to_owned(),
         loads: Vec::new(),
--- a/tests/piece_rules.rs
+++ b/tests/piece_rules.rs
@@ -23,6 +23,7 @@
     zone: String,
     ranks: PieceRanks,
     able: BTreeSet<SocketAddr>,
+    claimed: BTreeSet<u32>,
     holders: BTreeMap<SocketAddr, Holder>,
     wanted: Vec<u32>,
     elapsed: Duration,
@@ -37,6 +38,7 @@
             zone: members[&own].clone(),
             ranks: PieceRanks::new(&members, N_PIECES),
             able: members.keys().copied().collect(),
+            claimed: BTreeSet::new(),
             holders: BTreeMap::new(),
             wanted: (0..N_PIECES).collect(),
             elapsed: Duration::from_millis(60),
@@ -50,6 +52,7 @@
             zone: &self.zone,
             ranks: &self.ranks,
             able: &self.able,
+            claimed: &self.claimed,
             holders: &self.holders,
             wanted: &self.wanted,
             elapsed: self.elapsed,
@@ -172,3 +175,20 @@
     assert_eq!(delays.iter().filter(|it| it.is_zero()).count(), 1);
     assert!(delays.iter().all(|it| *it <= Duration::from_secs(1)), "{delays:?}");
 }
+
+/// A piece that another slot is fetching from the origin already is not fetched there again.
+///
+/// Seen on the day scale-1 of the grown Habimana: after the origin's return nine slots fetched the
+/// piece of a slot that had died, and its link was busy with copies.
+#[test]
+fn claimed_pieces() {
+    let ranks = PieceRanks::new(&members(27), N_PIECES);
+    let own = members(27).into_keys().find(|it| ranks.root(0) != Some(*it)).unwrap();
+    let mut view = View::new(own);
+    view.wanted = vec![0];
+    view.able.clear();
+    view.elapsed = Duration::from_secs(30);
+    assert_eq!(view.next(), Some(Fetch { number: 0, source: Source::Origin }));
+    view.claimed.insert(0);
+    assert_eq!(view.next(), None);
+}
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -175,6 +175,7 @@
         version: 1,
         has_manifest,
         pieces: Vec::new(),
+        fetching: Vec::new(),
         reaches_origin,
         asks: false,
     };
--- a/tests/version_rules.rs
+++ b/tests/version_rules.rs
@@ -9,6 +9,9 @@
 /// Time after a restart in which a process is not held to the bound.
 const CONTACT: Duration = Duration::from_secs(3);
 
+/// Age of a version that was named just now.
+const FRESH: Option<Duration> = Some(Duration::ZERO);
+
 fn named(version: u64) -> TargetVersion {
     TargetVersion { model: "lots".to_owned(), version, revision: version }
 }
@@ -21,7 +24,7 @@
 fn old_version_ends_before_the_bound() {
     let now = Instant::now();
     let mut table = VersionTable::new(BOUND);
-    assert!(table.set(&named(2), true, now));
+    assert!(table.set(&named(2), FRESH, now));
     assert_eq!(table.oldest_allowed("lots", now + ms(5000)), 0);
     // A request that is sent may wait for half a second before it begins.
     assert_eq!(table.oldest_allowed("lots", now + BOUND - ms(500)), 2);
@@ -31,8 +34,8 @@
 fn each_naming_keeps_its_own_bound() {
     let now = Instant::now();
     let mut table = VersionTable::new(BOUND);
-    table.set(&named(2), true, now);
-    table.set(&named(3), true, now + ms(2000));
+    table.set(&named(2), FRESH, now);
+    table.set(&named(3), FRESH, now + ms(2000));
     assert_eq!(table.newest("lots"), 3);
     assert_eq!(table.oldest_allowed("lots", now + BOUND - ms(500)), 2);
     assert_eq!(table.oldest_allowed("lots", now + BOUND + ms(1500)), 3);
@@ -42,8 +45,8 @@
 fn never_back() {
     let now = Instant::now();
     let mut table = VersionTable::new(BOUND);
-    table.set(&named(3), true, now);
-    assert!(!table.set(&named(2), true, now + ms(100)));
+    table.set(&named(3), FRESH, now);
+    assert!(!table.set(&named(2), FRESH, now + ms(100)));
     assert_eq!(table.newest("lots"), 3);
 }
 
@@ -53,7 +56,7 @@
 fn restarted_process() {
     let now = Instant::now();
     let mut table = VersionTable::new(BOUND);
-    table.set(&named(3), false, now);
+    table.set(&named(3), None, now);
     assert_eq!(table.oldest_allowed("lots", now + CONTACT - ms(400)), 3);
 }
 
@@ -71,7 +74,7 @@
 fn sent_requests_begin_in_time() {
     let now = Instant::now();
     let mut table = VersionTable::new(BOUND);
-    table.set(&named(2), true, now);
+    table.set(&named(2), FRESH, now);
     let limit = table.begin_limit("lots", 1).unwrap();
     assert!(limit < now + BOUND, "the limit lies before the bound");
     assert!(limit > now + ms(6000));
