Few fetches at the origin at once; turns count from the manifest; a wider spread of switches

Change: at most ten pieces are on their way from the origin, as claims tell; a slot that got no answer only probes; paced turns begin when the manifest is there; claims hold for a second and are renewed. Engines switch between 0.30 and 0.82 of the bound, to a fallback between 0.45 and 0.86.

--- a/src/slot/manifest_source.rs
+++ b/src/slot/manifest_source.rs
@@ -16,11 +16,20 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Pause after which holders are looked for again.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Mean further pause after a failed call of the origin.
+const ORIGIN_RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest manifest.
 const MAX_MANIFEST_BYTES: usize = 4 << 20;
 /// Slots that are asked before the origin.
 const MAX_ASKED_SLOTS: usize = 2;
 
+/// A manifest and where it was found.
+pub(crate) struct FoundManifest {
+    pub(crate) manifest: Manifest,
+    /// Whether the origin itself gave it.
+    pub(crate) is_from_origin: bool,
+}
+
 /// Where the manifest of one version may be had.
 pub(crate) struct ManifestSource {
     slot: Rc<SlotState>,
@@ -44,11 +53,11 @@
 
     /// Reads the manifest once, from the origin only if `may_ask_origin`; `None` when nobody gives
     /// a whole one.
-    pub(crate) async fn read(&self, may_ask_origin: bool) -> Option<Manifest> {
+    pub(crate) async fn read(&self, may_ask_origin: bool) -> Option<FoundManifest> {
         self.ask(may_ask_origin).or(self.passed_on()).await
     }
 
-    async fn ask(&self, may_ask_origin: bool) -> Option<Manifest> {
+    async fn ask(&self, may_ask_origin: bool) -> Option<FoundManifest> {
         let held = self.slot.holders.borrow().get(&self.version).cloned().unwrap_or_default();
         let mut holders: Vec<SocketAddr> =
             held.into_iter().filter(|it| it.1.has_manifest).map(|it| it.0).collect();
@@ -56,11 +65,14 @@
         for holder in holders.into_iter().take(MAX_ASKED_SLOTS) {
             if let Some(manifest) = self.read_from_slot(holder).await {
                 log::info!("weights: manifest from={holder} version={}", self.version);
-                return Some(manifest);
+                return Some(FoundManifest { manifest, is_from_origin: false });
             }
         }
         if may_ask_origin {
-            return self.read_from_origin().await;
+            if let Some(manifest) = self.read_from_origin().await {
+                return Some(FoundManifest { manifest, is_from_origin: true });
+            }
+            runtime::sleep(ORIGIN_RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
         runtime::sleep(RETRY_PAUSE).await;
         None
@@ -71,18 +83,19 @@
     pub(crate) async fn read_again(&self) -> Option<Manifest> {
         match self.read_from_origin().await {
             Some(manifest) => Some(manifest),
-            None => self.read(false).await,
+            None => self.read(false).await.map(|it| it.manifest),
         }
     }
 
     /// Waits for a manifest that another slot passes on; it is used once, as it may be wrong.
-    async fn passed_on(&self) -> Option<Manifest> {
+    async fn passed_on(&self) -> Option<FoundManifest> {
         loop {
             let listener = self.slot.changed.listen();
             let copy = self.slot.manifest_copies.borrow_mut().remove(&self.version);
             if let Some(copy) = copy.filter(|it| it.model == self.model && !it.digests.is_empty()) {
                 log::info!("weights: manifest passed on version={}", self.version);
-                return Some(Manifest { digests: copy.digests });
+                let manifest = Manifest { digests: copy.digests };
+                return Some(FoundManifest { manifest, is_from_origin: false });
             }
             listener.await;
         }
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -48,8 +48,6 @@
 const MANIFEST_RETRY: Duration = Duration::from_millis(150);
 /// Longest manifest that is passed on in a datagram.
 const MAX_MANIFEST_DATAGRAM_BYTES: usize = 7 << 10;
-/// Pause between two tries to get a manifest.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(20);
 /// Share of the pieces that a holder has when a slot that begins now has come late.
 const LATE_SHARE: f64 = 0.15;
 /// Time in which holders answer before the origin is asked for a manifest.
@@ -143,10 +141,19 @@
             let mut targets = self.slot.near_members();
             targets.extend(self.roots_to_ask());
             self.slot.announce(self.version, &targets, true).await;
+            self.renew_claims().await;
             runtime::sleep(ASK_INTERVAL).await;
         }
     }
 
+    /// Tells all slots again which pieces this one is fetching from the origin.
+    async fn renew_claims(&self) {
+        let is_fetching = self.slot.fetching.borrow().iter().any(|it| it.0 == self.version);
+        if is_fetching && self.slot.reaches_origin.get() {
+            self.slot.announce(self.version, &self.slot.other_members(), false).await;
+        }
+    }
+
     /// Slots of other zones that were to fetch what this slot is to bring into its own zone.
     fn roots_to_ask(&self) -> BTreeSet<SocketAddr> {
         let own = self.slot.settings.peers;
@@ -165,15 +172,14 @@
         loop {
             let delay = self.slot.manifest_delay();
             let is_turn = self.started.elapsed() >= ASK_TIME + delay;
-            if let Some(manifest) = self.manifests.read(is_turn).await {
-                let shelf = Shelf::new(&self.model, self.version, manifest);
+            if let Some(found) = self.manifests.read(is_turn).await {
+                let shelf = Shelf::new(&self.model, self.version, found.manifest);
                 self.slot.shelves.borrow_mut().insert(self.version, shelf);
-                break;
+                self.turns_from.set(Instant::now());
+                self.is_late.set(self.is_spread_already());
+                return self.pass_manifest_on(found.is_from_origin).await;
             }
-            runtime::sleep(MANIFEST_PAUSE).await;
         }
-        self.is_late.set(self.is_spread_already());
-        self.pass_manifest_on().await;
     }
 
     /// Whether others hold so many pieces that this slot has come to their spread late.
@@ -183,24 +189,21 @@
         holders.values().any(|it| it.pieces.len() as f64 > LATE_SHARE * f64::from(n_pieces))
     }
 
-    /// Passes the manifest on: the first in rank to the first of each other zone, and these to all
-    /// slots of their own zone.
-    async fn pass_manifest_on(&self) {
+    /// Passes the manifest on: who has it from the origin to the first in rank of each other zone
+    /// and to the own zone, and these first ones to all slots of their zone.
+    async fn pass_manifest_on(&self, is_from_origin: bool) {
         let own = self.slot.settings.peers;
         let zone = &self.slot.settings.host.zone;
         let digests = {
             let shelves = self.slot.shelves.borrow();
             shelves.get(&self.version).map(|it| it.manifest.digests.clone()).unwrap_or_default()
         };
-        let (is_root, is_first, mut targets) = {
-            let ranks = self.slot.ranks.borrow();
-            let is_root = ranks.root(0) == Some(own);
-            (is_root, ranks.zone_rank(0, zone, own) == 0, ranks.importers(0, zone))
-        };
-        if !is_root {
-            targets.clear();
+        let is_first = self.slot.ranks.borrow().zone_rank(0, zone, own) == 0;
+        let mut targets = Vec::new();
+        if is_from_origin {
+            targets.extend(self.slot.ranks.borrow().importers(0, zone));
         }
-        if is_first {
+        if is_from_origin || is_first {
             targets.extend(self.slot.near_members());
         }
         let fits = digests.len() * size_of::<PieceDigest>() <= MAX_MANIFEST_DATAGRAM_BYTES;
@@ -343,7 +346,10 @@
                 let Some(origin) = origin else { return Err(EngineError::Refused(404)) };
                 let id = (self.version, fetch.number as u16);
                 self.slot.fetching.borrow_mut().insert(id);
-                self.slot.announce(self.version, &self.slot.other_members(), false).await;
+                // A slot that the origin did not answer last only probes.
+                if self.slot.reaches_origin.get() {
+                    self.slot.announce(self.version, &self.slot.other_members(), false).await;
+                }
                 let res = self.origin.piece(&origin, &self.model, self.version, fetch.number).await;
                 self.slot.fetching.borrow_mut().remove(&id);
                 res
@@ -432,11 +438,10 @@
     }
 
     async fn share(&self, fetch: Fetch) {
-        let mut targets = self.slot.near_members();
-        if fetch.source == Source::Origin {
-            let zone = &self.slot.settings.host.zone;
-            targets.extend(self.slot.ranks.borrow().importers(fetch.number, zone));
-        }
+        let targets = match fetch.source {
+            Source::Origin => self.slot.other_members(),
+            Source::Peer(_) => self.slot.near_members(),
+        };
         self.slot.announce(self.version, &targets, false).await;
         self.slot.changed.notify(usize::MAX);
         // The staging area has room for one version, which is to be the newest.
--- a/src/slot/piece_plan.rs
+++ b/src/slot/piece_plan.rs
@@ -24,6 +24,9 @@
 /// waited for.
 const ABLE_ROOT_DELAY: Duration = Duration::from_millis(3500);
 
+/// Pieces that all slots together fetch from the origin at once; more would only share its link.
+const MAX_ORIGIN_FETCHES: usize = 10;
+
 /// Where a piece comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -112,7 +115,8 @@
             return far.find(|it| it.1.is_available).map(|it| Source::Peer(*it.0));
         }
         let is_due = self.elapsed >= turn + self.origin_delay(number) && self.is_origin_available;
-        (is_due && !self.claimed.contains(&number)).then_some(Source::Origin)
+        let is_free = !self.claimed.contains(&number) && self.claimed.len() < MAX_ORIGIN_FETCHES;
+        (is_due && is_free).then_some(Source::Origin)
     }
 
     /// Time beyond its turn after which this slot asks the origin for a piece.
--- a/src/slot/slot_state.rs
+++ b/src/slot/slot_state.rs
@@ -21,7 +21,7 @@
 };
 
 /// Time for which a slot process that said so is fetching a piece, unless it says otherwise.
-const CLAIM_TIME: Duration = Duration::from_secs(3);
+const CLAIM_TIME: Duration = Duration::from_secs(1);
 
 /// A piece of a version.
 pub(crate) type PieceId = (WeightsVersion, u16);
--- a/src/slot/switch_turn.rs
+++ b/src/slot/switch_turn.rs
@@ -8,12 +8,12 @@
 /// Share of the bound after the naming at which the first engine may switch.
 const FIRST_SHARE: f64 = 0.3;
 /// Share of the bound after the naming at which the last engine may switch.
-const LAST_SHARE: f64 = 0.78;
+const LAST_SHARE: f64 = 0.82;
 
 /// Share of the bound at which the first engine takes an earlier version than the newest.
-const FIRST_FALLBACK_SHARE: f64 = 0.62;
+const FIRST_FALLBACK_SHARE: f64 = 0.45;
 /// Share of the bound at which the last engine does.
-const LAST_FALLBACK_SHARE: f64 = 0.88;
+const LAST_FALLBACK_SHARE: f64 = 0.86;
 
 /// Time after the naming of a version before which an engine should not switch.
 ///
--- a/tests/piece_rules.rs
+++ b/tests/piece_rules.rs
@@ -192,3 +192,17 @@
     view.claimed.insert(0);
     assert_eq!(view.next(), None);
 }
+
+/// After the origin's return not all slots ask at the same time.
+#[test]
+fn few_fetches_at_once() {
+    let ranks = PieceRanks::new(&members(27), N_PIECES);
+    let last = N_PIECES - 1;
+    let mut view = View::new(ranks.root(last).unwrap());
+    view.wanted = vec![last];
+    view.elapsed = Duration::from_secs(30);
+    view.claimed = (0..3).collect();
+    assert_eq!(view.next(), Some(Fetch { number: last, source: Source::Origin }));
+    view.claimed = (0..20).collect();
+    assert_eq!(view.next(), None);
+}
