--- a/standins/src/deployed/mod.rs
+++ b/standins/src/deployed/mod.rs
@@ -10,5 +10,5 @@
 pub use crate::deployed::{
     raw_request::RawRequest,
     scripted_server::{ScriptedServer, Step},
-    store_standin::{StoreFault, StoreStandin},
+    store_standin::{StoreDoor, StoreFault, StoreStandin},
 };
--- a/standins/src/deployed/store_standin.rs
+++ b/standins/src/deployed/store_standin.rs
@@ -30,6 +30,16 @@
     Silent,
 }
 
+impl StoreFault {
+    /// This fault, or `other` if it is none.
+    fn or(self, other: StoreFault) -> StoreFault {
+        match self {
+            StoreFault::None => other,
+            fault => fault,
+        }
+    }
+}
+
 /// A store that any number of threads share.
 #[derive(Clone)]
 pub struct StoreStandin {
@@ -55,6 +65,27 @@
     n_calls: u64,
 }
 
+/// An address of a store for some of its callers.
+#[derive(Clone)]
+pub struct StoreDoor {
+    address: SocketAddr,
+    fault: Arc<Mutex<StoreFault>>,
+    store: StoreStandin,
+}
+
+impl StoreDoor {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Misbehaves towards its callers from now on; watches that wait are cut off.
+    pub fn set_fault(&self, fault: StoreFault) {
+        *self.fault.lock().unwrap() = fault;
+        self.store.shared.changed.notify_all();
+    }
+}
+
 /// Status and body of an answer.
 type Reply = (u16, Value);
 
@@ -64,17 +95,19 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let store = StoreStandin { address: listener.local_addr()?, shared: Arc::default() };
         store.shared.state.lock().unwrap().revision = 1;
-        let shared = store.shared.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = shared.clone();
-                // A caller may end its connection at any moment.
-                thread::spawn(move || drop(shared.serve(stream)));
-            }
-        });
+        serve_all(listener, store.shared.clone(), Arc::default());
         Ok(store)
     }
 
+    /// Opens another address of the same store, which may misbehave by itself.
+    pub fn open_door(&self) -> io::Result<StoreDoor> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let door = StoreDoor { address, fault: Arc::default(), store: self.clone() };
+        serve_all(listener, self.shared.clone(), door.fault.clone());
+        Ok(door)
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -169,13 +202,24 @@
     }
 }
 
+/// Serves every connection in a thread of its own.
+fn serve_all(listener: TcpListener, shared: Arc<Shared>, door: Arc<Mutex<StoreFault>>) {
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (shared, door) = (shared.clone(), door.clone());
+            // A caller may end its connection at any moment.
+            thread::spawn(move || drop(shared.serve(stream, &door)));
+        }
+    });
+}
+
 impl Shared {
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream, door: &Mutex<StoreFault>) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(request) = RawRequest::read(&mut reader)? {
-            let Some((status, body)) = self.answer(&request) else { return Ok(()) };
+            let Some((status, body)) = self.answer(&request, door) else { return Ok(()) };
             let body = body.to_string();
             let head = format!(
                 "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
@@ -187,10 +231,11 @@
     }
 
     /// The answer to a call; `None` ends the connection.
-    fn answer(&self, request: &RawRequest) -> Option<Reply> {
+    fn answer(&self, request: &RawRequest, door: &Mutex<StoreFault>) -> Option<Reply> {
         let mut state = self.state.lock().unwrap();
         state.n_calls += 1;
-        match state.fault {
+        let fault = state.fault.or(*door.lock().unwrap());
+        match fault {
             StoreFault::None => {}
             StoreFault::Status(status) => return Some((status, Value::Null)),
             StoreFault::Reset => return None,
@@ -212,7 +257,8 @@
             ("GET", Some(since)) => {
                 drop(state);
                 let wait = field("wait-ms").and_then(|it| it.parse().ok()).unwrap_or(0);
-                return self.watch(kind, since.parse().unwrap_or(0), Duration::from_millis(wait));
+                let wait = Duration::from_millis(wait);
+                return self.watch(kind, since.parse().unwrap_or(0), wait, door);
             }
             ("GET", None) => state.list(kind, field("after").unwrap_or("")),
             ("POST", _) => state.create(kind, &body),
@@ -228,11 +274,17 @@
         Some(reply)
     }
 
-    fn watch(&self, kind: &str, since: u64, wait: Duration) -> Option<Reply> {
+    fn watch(
+        &self,
+        kind: &str,
+        since: u64,
+        wait: Duration,
+        door: &Mutex<StoreFault>,
+    ) -> Option<Reply> {
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
-            if state.fault != StoreFault::None {
+            if state.fault.or(*door.lock().unwrap()) != StoreFault::None {
                 return None;
             }
             if since < state.compacted {
--- a/tests/deployed/mod.rs
+++ b/tests/deployed/mod.rs
@@ -61,6 +61,11 @@
 impl EntryProcess {
     /// Starts a process with settings of its own.
     pub fn start(store: &StoreStandin, id: &str) -> EntryProcess {
+        EntryProcess::start_at(store.address(), id)
+    }
+
+    /// Starts a process that finds its store at an address.
+    pub fn start_at(store: SocketAddr, id: &str) -> EntryProcess {
         let ip = own_ip();
         let [callers, readiness, directory, peers, metrics] =
             [9101, 9102, 9103, 9104, 9105].map(|port| SocketAddr::from((ip, port)));
@@ -69,7 +74,7 @@
              [listen]\ncallers = {callers}\nreadiness = {readiness}\ndirectory = {directory}\n\
              peers = {peers}\nmetrics = {metrics}\n\n[store]\naddress = {}\n\n\
              [bounds]\ngrace_s = 4\n",
-            store.address()
+            store
         );
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("entry.ini");
--- /dev/null
+++ b/tests/news_relays.rs
@@ -0,0 +1,115 @@
+//! Processes that follow the store through an entry host.
+
+mod deployed;
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use crocustiller::{
+    fleet::{KindCache, Source, Sources},
+    platform::store::{Change, Changes, Listing, Store, StoreError, StoredObject},
+};
+use crocustiller_standins::deployed::{ScriptedServer, StoreFault, StoreStandin};
+use deployed::{answers_whole, charter, request, server_entry, EntryProcess};
+use serde_json::json;
+
+/// Time from a change until a host that the store turns away goes by it.
+const NEWS_LIMIT: Duration = Duration::from_secs(4);
+
+fn object(name: &str, revision: u64) -> StoredObject {
+    let metadata = json!({ "name": name, "revision": revision });
+    serde_json::from_value(json!({ "metadata": metadata, "spec": {} })).unwrap()
+}
+
+fn sources() -> (Sources, [SocketAddr; 2]) {
+    let address = |it: u8| SocketAddr::from(([127, 0, 0, it], 7000));
+    (Sources::new(Store::new(address(1))), [address(2), address(3)])
+}
+
+#[test]
+fn source_rules() {
+    let (sources, [first, second]) = sources();
+    let now = Instant::now();
+    assert_eq!(sources.choose(now), Source::Store, "nobody else is known");
+    sources.update(true, vec![first, second]);
+    assert_eq!(sources.choose(now), Source::Store);
+    sources.failed(Source::Store, now);
+    let later = now + Duration::from_secs(60);
+    assert_eq!(sources.choose(later), Source::Relay(first), "the store did not answer again");
+    sources.answered(Source::Store);
+    assert_eq!(sources.choose(later), Source::Store);
+    sources.update(false, vec![first, second]);
+    assert_eq!(sources.choose(now), Source::Relay(first));
+    sources.failed(Source::Relay(first), now);
+    assert_eq!(sources.choose(now), Source::Relay(second));
+    sources.failed(Source::Relay(second), now);
+    assert_eq!(sources.choose(now), Source::Store, "the last resort");
+    assert_eq!(sources.choose(later), Source::Relay(first));
+}
+
+#[test]
+fn cached_kinds() {
+    let cache = KindCache::default();
+    let names = |listing: Listing| -> Vec<String> {
+        listing.objects.into_iter().map(|it| it.metadata.name).collect()
+    };
+    assert!(cache.listing("servers").is_err(), "nothing is known yet");
+    cache.list("servers", &Listing { objects: vec![object("a", 3)], at: 5 });
+    let removal = Change { object: object("a", 3), deleted: true };
+    let addition = Change { object: object("b", 6), deleted: false };
+    cache.change("servers", &Changes { events: vec![addition, removal], at: 7 });
+    assert_eq!(names(cache.listing("servers").unwrap()), ["b"]);
+    let changes = |at: u64| {
+        futures_lite::future::block_on(cache.changes("servers", at, Duration::from_millis(5)))
+    };
+    assert_eq!(changes(5).unwrap().events.len(), 2);
+    assert_eq!(changes(5).unwrap().at, 7);
+    assert!(matches!(changes(4), Err(StoreError::HistoryGone)));
+    // A follower that is ahead is never led back.
+    assert_eq!(changes(9).unwrap().at, 9);
+    cache.lose("servers");
+    assert!(changes(5).is_err(), "others must not go by what may be old");
+}
+
+/// A key is taken away while the store turns one of two hosts away: the other one tells it.
+#[test]
+fn turned_away_host() {
+    let faults = [StoreFault::Status(503), StoreFault::Reset, StoreFault::Silent];
+    for fault in faults {
+        let ledger = ScriptedServer::start(answers_whole("x")).unwrap();
+        let store = StoreStandin::start().unwrap();
+        let door = store.open_door().unwrap();
+        store.put("config", "main", charter(1));
+        store.put("servers", "ledger-0", server_entry("ledger", ledger.address(), "ready"));
+        let hosts =
+            [EntryProcess::start(&store, "entry-1"), EntryProcess::start_at(door.address(), "b")];
+        let status =
+            |it: &EntryProcess| it.exchange(&request("GET", "/stock/1", "probe", "")).status();
+        for host in &hosts {
+            host.wait_until_ready();
+            assert_eq!(status(host), 200);
+        }
+        // Time for the two to hear of each other.
+        thread::sleep(Duration::from_millis(600));
+        door.set_fault(fault);
+        let mut revoked = charter(4);
+        revoked["tenants"][0]["api-keys"] = json!([]);
+        store.put("config", "main", revoked);
+        let since = Instant::now();
+        while status(&hosts[1]) != 401 {
+            assert!(since.elapsed() < NEWS_LIMIT, "{fault:?}: the key is still served");
+            thread::sleep(Duration::from_millis(20));
+        }
+        // Back at the store, it goes on by itself.
+        door.set_fault(StoreFault::None);
+        store.put("config", "main", charter(5));
+        let since = Instant::now();
+        while status(&hosts[1]) != 200 {
+            assert!(since.elapsed() < NEWS_LIMIT, "{fault:?}: the key is not served again");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
