All watches of a process wake when one of them is followed again, whatever the source

After an outage of the store one of its watches went on through another host; the other three still waited for the watch that asks the store, for up to 4 s.

Change: a list from any source ends the wait; so does the canary's first answer.

Test: news_relays turned_away_after_an_outage failed before (not in force after 2.5 s), passes now.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -12,15 +12,13 @@
 
 use crate::{
     entry::entry_host::EntryHost,
-    fleet::{entry_registry, Beacon, PeerMessage},
+    fleet::{beacon_interval, entry_registry, Beacon, PeerMessage},
     platform::store::Store,
     runtime,
 };
 
-/// Pause between two beacons of a small deployment.
-const INTERVAL: Duration = Duration::from_millis(100);
-/// Entry hosts up to which that pause holds; it grows in proportion beyond.
-const SMALL_DEPLOYMENT: usize = 8;
+/// Pause after a failed read.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Pause between two tries to register.
@@ -50,21 +48,32 @@
     }
 }
 
+/// Sends beacons: to the hosts of the own zone often, as their engines are used first, to all others
+/// the more seldom the more hosts there are.
 async fn send_all(host: Rc<EntryHost>, socket: Rc<Async<UdpSocket>>) {
+    let mut all_sent: Option<Instant> = None;
     loop {
-        let targets: Vec<SocketAddr> = host.beacon_targets.borrow().iter().copied().collect();
-        match bincode::serialize(&PeerMessage::Beacon(host.beacon())) {
-            Ok(bytes) => {
-                for target in targets.iter().filter(|it| **it != host.settings.peers) {
-                    if let Err(err) = socket.send_to(&bytes, *target).await {
-                        log::debug!("fleet: beacon not sent to={target} error=\"{err}\"");
-                    }
-                }
-            }
-            Err(err) => log::error!("fleet: beacon not encoded error=\"{err}\""),
+        let all: Vec<SocketAddr> = host.beacon_targets.borrow().iter().copied().collect();
+        let near = host.peers.borrow().peers_of_zone(&host.settings.host.zone, Instant::now());
+        let is_all_due = all_sent.is_none_or(|it| it.elapsed() >= beacon_interval(all.len()));
+        let targets = if is_all_due { &all } else { &near };
+        send(&host, &socket, targets).await;
+        if is_all_due {
+            all_sent = Some(Instant::now());
+        }
+        runtime::sleep(beacon_interval(near.len() + 1).min(beacon_interval(all.len()))).await;
+    }
+}
+
+async fn send(host: &EntryHost, socket: &Async<UdpSocket>, targets: &[SocketAddr]) {
+    let bytes = match bincode::serialize(&PeerMessage::Beacon(host.beacon())) {
+        Ok(bytes) => bytes,
+        Err(err) => return log::error!("fleet: beacon not encoded error=\"{err}\""),
+    };
+    for target in targets.iter().filter(|it| **it != host.settings.peers) {
+        if let Err(err) = socket.send_to(&bytes, *target).await {
+            log::debug!("fleet: beacon not sent to={target} error=\"{err}\"");
         }
-        let growth = (targets.len() as f64 / SMALL_DEPLOYMENT as f64).max(1.0);
-        runtime::sleep(INTERVAL.mul_f64(growth)).await;
     }
 }
 
@@ -75,7 +84,7 @@
             Ok(it) => it,
             Err(err) => {
                 log::debug!("fleet: beacon not received error=\"{err}\"");
-                runtime::sleep(INTERVAL).await;
+                runtime::sleep(FAILURE_PAUSE).await;
                 continue;
             }
         };
--- a/src/fleet/canary.rs
+++ b/src/fleet/canary.rs
@@ -37,6 +37,7 @@
                     is_away = false;
                     log::info!("store: answers again");
                     self.sources.answered(Source::Store);
+                    self.outage.end();
                     if is_followed {
                         self.outage.interrupt();
                     }
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -95,9 +95,8 @@
             return Err(StoreError::HistoryGone);
         }
         let listing = Listing { objects, at };
-        if source == Source::Store {
-            self.outage.end();
-        }
+        // The other watches of the process need not wait either, whatever the source.
+        self.outage.end();
         self.keep(|it| it.list(self.kind, &listing));
         if progress.is_after_outage {
             let away_ms = progress.known.map_or(0, |it| it.elapsed().as_millis());
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,7 +23,7 @@
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
     outage::Outage,
-    peer_table::{Nearness, Peer, PeerTable},
+    peer_table::{beacon_interval, Nearness, Peer, PeerTable},
     sources::{Source, Sources},
     version_table::VersionTable,
 };
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -11,8 +11,15 @@
     ids::HostId,
 };
 
-/// Silence after which an entry host is no longer named to callers.
+/// Silence after which an entry host of a small deployment is no longer named to callers.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1000);
+/// Pauses between beacons after which a host counts as silent where these are longer.
+const MISSED_BEACONS: f64 = 2.5;
+
+/// Pause between two beacons of a small deployment.
+const BEACON_INTERVAL: Duration = Duration::from_millis(100);
+/// Entry hosts up to which that pause holds.
+const SMALL_DEPLOYMENT: usize = 8;
 
 /// Another entry host.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,10 +54,17 @@
 
     /// The peers that were heard lately.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Beacon> {
-        let is_alive = move |it: &&Peer| now.duration_since(it.heard) < SILENCE_LIMIT;
+        let limit = beacon_interval(self.peers.len() + 1).mul_f64(MISSED_BEACONS);
+        let limit = limit.max(SILENCE_LIMIT);
+        let is_alive = move |it: &&Peer| now.duration_since(it.heard) < limit;
         self.peers.values().filter(is_alive).map(|it| &it.beacon)
     }
 
+    /// Where the peers of a zone that were heard lately take datagrams.
+    pub fn peers_of_zone(&self, zone: &str, now: Instant) -> Vec<SocketAddr> {
+        self.alive(now).filter(|it| it.zone == zone).map(|it| it.peers).collect()
+    }
+
     /// Addresses of the ready entry hosts, with `own` if it is ready; the nearest that there are.
     pub fn addresses(&self, own: &Beacon, near: Nearness<'_>, now: Instant) -> Vec<SocketAddr> {
         let ready: Vec<&Beacon> = std::iter::once(own)
@@ -72,6 +86,12 @@
     }
 }
 
+/// Pause between two beacons of a host to `n_hosts` hosts; it grows so that the beacons that a host
+/// gets in a second do not.
+pub fn beacon_interval(n_hosts: usize) -> Duration {
+    BEACON_INTERVAL.mul_f64((n_hosts as f64 / SMALL_DEPLOYMENT as f64).max(1.0))
+}
+
 /// Where a caller is.
 #[derive(Clone, Copy, Debug)]
 pub struct Nearness<'a> {
--- a/src/slot/switcher.rs
+++ b/src/slot/switcher.rs
@@ -34,6 +34,8 @@
 const MAX_DRAIN: Duration = Duration::from_millis(1700);
 /// Requests that are cut off without waiting for their end.
 const DRAINED_REQUESTS: u32 = 1;
+/// Times that entry hosts are told of a change.
+const MAX_NOTICES: u32 = 2;
 /// Time without a new piece after which a version can't be had for now.
 const STALL_TIME: Duration = Duration::from_millis(700);
 /// Versions whose pieces are fetched and kept.
@@ -45,13 +47,15 @@
     fetches: BTreeMap<WeightsVersion, Task<()>>,
     /// What entry hosts were told last.
     told: Option<EngineNotice>,
+    /// How often they were told that.
+    n_told: u32,
     is_engine_up: bool,
 }
 
 impl Switcher {
     /// Makes a driver.
     pub(crate) fn new(slot: Rc<SlotState>) -> Switcher {
-        Switcher { slot, fetches: BTreeMap::new(), told: None, is_engine_up: false }
+        Switcher { slot, fetches: BTreeMap::new(), told: None, n_told: 0, is_engine_up: false }
     }
 
     /// Looks at the engine again and again.
@@ -222,7 +226,8 @@
         self.slot.engine.stage(model, number, &piece).await
     }
 
-    /// Tells entry hosts what the engine serves, when that has changed.
+    /// Tells entry hosts what the engine serves, when that has changed, and once more in case a
+    /// datagram was lost.
     async fn tell(
         &mut self,
         pool: &PoolFacts,
@@ -236,9 +241,13 @@
             model: pool.model.clone(),
             serves,
         };
-        if self.told.as_ref() == Some(&notice) {
+        if self.told.as_ref() != Some(&notice) {
+            self.n_told = 0;
+        }
+        if self.n_told >= MAX_NOTICES {
             return;
         }
+        self.n_told += 1;
         let targets = self.slot.entry_hosts.borrow().clone();
         self.slot.send(&targets, &PeerMessage::EngineNotice(notice.clone())).await;
         self.told = Some(notice);
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -6,7 +6,7 @@
 };
 
 use crocustiller::{
-    fleet::{BackendTable, Beacon, EngineNotice, EntryState, Nearness, PeerTable},
+    fleet::{beacon_interval, BackendTable, Beacon, EngineNotice, EntryState, Nearness, PeerTable},
     routing::{BackendServer, BackendState},
 };
 
@@ -111,10 +111,8 @@
     assert!(!table.get("i-1").unwrap().is_switching);
 }
 
-#[test]
-fn callers_get_ready_hosts_near_them() {
-    let now = Instant::now();
-    let beacon = |host: &str, zone: &str, state: EntryState, number: u64| Beacon {
+fn beacon(host: &str, zone: &str, state: EntryState, number: u64) -> Beacon {
+    Beacon {
         host: host.to_owned(),
         started_ms: 1,
         number,
@@ -126,7 +124,12 @@
         zone: zone.to_owned(),
         loads: Vec::new(),
         losses: Vec::new(),
-    };
+    }
+}
+
+#[test]
+fn callers_get_ready_hosts_near_them() {
+    let now = Instant::now();
     let own = beacon("a", "x", EntryState::Ready, 1);
     let near = Nearness { region: "x", zone: "x" };
     let mut peers = PeerTable::default();
@@ -142,3 +145,17 @@
     assert_eq!(peers.addresses(&own, far, now).len(), 1);
     assert_eq!(peers.addresses(&own, far, now + ms(1100)), [own.callers]);
 }
+
+/// In a large deployment beacons come seldom, and no host counts as silent between two of them.
+#[test]
+fn silence_in_a_large_deployment() {
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    for idx in 0..119 {
+        peers.hear(beacon(&format!("host-{idx}"), "x", EntryState::Ready, 1), now);
+    }
+    let pause = beacon_interval(120);
+    assert_eq!(pause, Duration::from_millis(1500));
+    assert_eq!(peers.alive(now + pause * 2).count(), 119);
+    assert_eq!(peers.alive(now + pause * 3).count(), 0);
+}
--- a/tests/news_relays.rs
+++ b/tests/news_relays.rs
@@ -74,6 +74,43 @@
     assert!(changes(5).is_err(), "others must not go by what may be old");
 }
 
+/// After an outage for all, a host that the store still turns away goes by another one at once, in
+/// every kind that it follows.
+///
+/// Seen in hunt-b648-19 (Habimana): three kinds waited for the store while the fourth was followed
+/// through another host, and a route was refused 3.5 s after it was added.
+#[test]
+fn turned_away_after_an_outage() {
+    let ledger = ScriptedServer::start(answers_whole("x")).unwrap();
+    let store = StoreStandin::start().unwrap();
+    let door = store.open_door().unwrap();
+    store.put("config", "main", charter(1));
+    store.put("servers", "ledger-0", server_entry("ledger", ledger.address(), "ready"));
+    let hosts =
+        [EntryProcess::start(&store, "entry-1"), EntryProcess::start_at(door.address(), "b")];
+    let status = |it: &EntryProcess| it.exchange(&request("GET", "/stock/1", "probe", "")).status();
+    hosts.iter().for_each(EntryProcess::wait_until_ready);
+    thread::sleep(Duration::from_millis(600));
+    for round in 0..3 {
+        door.set_fault(StoreFault::Reset);
+        store.set_fault(StoreFault::Reset);
+        thread::sleep(Duration::from_millis(700));
+        let mut changed = charter(10 + round);
+        let expected = if round % 2 == 0 { 401 } else { 200 };
+        if expected == 401 {
+            changed["tenants"][0]["api-keys"] = json!([]);
+        }
+        store.put("config", "main", changed);
+        store.set_fault(StoreFault::None);
+        let limit = Duration::from_millis(2500);
+        let since = Instant::now();
+        while status(&hosts[1]) != expected {
+            assert!(since.elapsed() < limit, "round {round}: not in force after {limit:?}");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
 /// A key is taken away while the store turns one of two hosts away: the other one tells it.
 #[test]
 fn turned_away_host() {
