--- a/src/slot/messages.rs
+++ b/src/slot/messages.rs
@@ -47,13 +47,11 @@
 /// Keeps a manifest until its version is fetched.
 fn take_manifest(slot: &SlotState, copy: ManifestCopy) {
     let mut copies = slot.manifest_copies.borrow_mut();
-    if !copies.contains_key(&copy.version) {
-        copies.insert(copy.version, copy);
-        while copies.len() > MAX_MANIFEST_COPIES {
-            copies.pop_first();
-        }
-        slot.changed.notify(usize::MAX);
+    copies.entry(copy.version).or_insert(copy);
+    while copies.len() > MAX_MANIFEST_COPIES {
+        copies.pop_first();
     }
+    slot.changed.notify(usize::MAX);
 }
 
 async fn take(slot: &SlotState, held: PiecesHeld, from: SocketAddr) {
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -3,7 +3,9 @@
 mod life;
 mod manifest;
 mod manifest_source;
+mod manifest_spread;
 mod messages;
+mod origin_turns;
 mod piece_fetch;
 mod piece_plan;
 mod piece_ranks;
--- a/src/slot/piece_fetch.rs
+++ b/src/slot/piece_fetch.rs
@@ -12,16 +12,16 @@
 use futures_lite::FutureExt;
 
 use crate::{
-    fleet::{ManifestCopy, PeerMessage},
     http1::{Call, Client},
     ids::WeightsVersion,
-    platform::{engine_api::EngineError, origin_api::OriginApi},
+    platform::engine_api::EngineError,
     runtime,
     slot::{
-        manifest_source::ManifestSource,
+        manifest_spread::ManifestSpread,
+        origin_turns::OriginTurns,
         piece_server::{piece_path, STATUS_BUSY},
         slot_state::{Holders, SlotState},
-        Fetch, PieceDigest, PiecePlan, Shelf, Source,
+        Fetch, PiecePlan, Shelf, Source,
     },
 };
 
@@ -31,27 +31,14 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time for which a source that failed is not asked.
 const REST: Duration = Duration::from_millis(700);
-/// Time for which the origin is not asked after a failure.
-const ORIGIN_REST: Duration = Duration::from_millis(300);
 /// Time for which a slot counts as alive after a message.
 const ALIVE_TIME: Duration = Duration::from_millis(1200);
-/// Share of the time that a piece takes on the origin's link after which the next one is asked
-/// for, so that the link is never idle.
-const PACE_SHARE: f64 = 0.9;
-/// Pause between two messages that the origin does not answer; shorter than `ALIVE_TIME`.
-const TELL_INTERVAL: Duration = Duration::from_millis(900);
 /// Time for which a slot that sends to others is not asked.
 const BUSY_REST: Duration = Duration::from_millis(50);
 /// Pause between two looks at what to fetch.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two tries to get a manifest.
 const MANIFEST_RETRY: Duration = Duration::from_millis(150);
-/// Longest manifest that is passed on in a datagram.
-const MAX_MANIFEST_DATAGRAM_BYTES: usize = 7 << 10;
-/// Share of the pieces that a holder has when a slot that begins now has come late.
-const LATE_SHARE: f64 = 0.15;
-/// Time in which holders answer before the origin is asked for a manifest.
-const ASK_TIME: Duration = Duration::from_millis(25);
 /// Pause between two questions for what others hold.
 const ASK_INTERVAL: Duration = Duration::from_millis(400);
 /// Longest answer of another slot.
@@ -66,21 +53,13 @@
     version: WeightsVersion,
     started: Instant,
     client: Client,
-    origin: OriginApi,
-    manifests: ManifestSource,
+    origin: OriginTurns,
+    manifests: ManifestSpread,
     on_their_way: RefCell<BTreeSet<u32>>,
     busy_peers: RefCell<BTreeSet<SocketAddr>>,
-    origin_rests_until: RefCell<Option<Instant>>,
     n_mismatches: RefCell<u32>,
     /// Whether what lies in the staging area is known.
     is_staging_read: Cell<bool>,
-    /// Begin of the time by which turns at the origin are told.
-    turns_from: Cell<Instant>,
-    has_origin_failed: Cell<bool>,
-    /// Whether the turns of this slot are over already.
-    is_late: Cell<bool>,
-    /// When the others were told last that the origin does not answer.
-    told_at: Cell<Option<Instant>>,
 }
 
 /// Fetches a version into the shelf; the shelf is whole when the future ends.
@@ -93,28 +72,24 @@
     may_be_staged: bool,
 ) {
     let fetch = Rc::new(PieceFetch {
-        manifests: ManifestSource::new(slot.clone(), &model, version),
+        manifests: ManifestSpread::new(slot.clone(), &model, version),
+        origin: OriginTurns::new(slot.clone(), &model, version),
         slot,
         model,
         version,
         started: Instant::now(),
         client: Client::default(),
-        origin: OriginApi::default(),
         on_their_way: RefCell::default(),
         busy_peers: RefCell::default(),
-        origin_rests_until: RefCell::default(),
         n_mismatches: RefCell::default(),
         is_staging_read: Cell::new(!may_be_staged),
-        turns_from: Cell::new(Instant::now()),
-        has_origin_failed: Cell::new(false),
-        is_late: Cell::new(false),
-        told_at: Cell::new(None),
     });
     let asks = {
         let fetch = fetch.clone();
         runtime::spawn_local(async move { fetch.ask_regularly().await })
     };
-    fetch.load_manifest().await;
+    let has_come_late = fetch.manifests.load().await;
+    fetch.origin.begin(has_come_late);
     let staged = {
         let fetch = fetch.clone();
         runtime::spawn_local(async move { fetch.take_staged().await })
@@ -141,19 +116,11 @@
             let mut targets = self.slot.near_members();
             targets.extend(self.roots_to_ask());
             self.slot.announce(self.version, &targets, true).await;
-            self.renew_claims().await;
+            self.origin.renew_claims().await;
             runtime::sleep(ASK_INTERVAL).await;
         }
     }
 
-    /// Tells all slots again which pieces this one is fetching from the origin.
-    async fn renew_claims(&self) {
-        let is_fetching = self.slot.fetching.borrow().iter().any(|it| it.0 == self.version);
-        if is_fetching && self.slot.reaches_origin.get() {
-            self.slot.announce(self.version, &self.slot.other_members(), false).await;
-        }
-    }
-
     /// Slots of other zones that were to fetch what this slot is to bring into its own zone.
     fn roots_to_ask(&self) -> BTreeSet<SocketAddr> {
         let own = self.slot.settings.peers;
@@ -166,54 +133,6 @@
         to_import.filter_map(|it| ranks.root(it)).collect()
     }
 
-    /// Gets the manifest from a holder, or from the origin, makes the shelf and tells the others.
-    async fn load_manifest(&self) {
-        runtime::sleep(ASK_TIME).await;
-        loop {
-            let delay = self.slot.manifest_delay();
-            let is_turn = self.started.elapsed() >= ASK_TIME + delay;
-            if let Some(found) = self.manifests.read(is_turn).await {
-                let shelf = Shelf::new(&self.model, self.version, found.manifest);
-                self.slot.shelves.borrow_mut().insert(self.version, shelf);
-                self.turns_from.set(Instant::now());
-                self.is_late.set(self.is_spread_already());
-                return self.pass_manifest_on(found.is_from_origin).await;
-            }
-        }
-    }
-
-    /// Whether others hold so many pieces that this slot has come to their spread late.
-    fn is_spread_already(&self) -> bool {
-        let n_pieces = self.slot.pool.borrow().as_ref().map_or(0, |it| it.figures.n_pieces);
-        let holders = self.holders();
-        holders.values().any(|it| it.pieces.len() as f64 > LATE_SHARE * f64::from(n_pieces))
-    }
-
-    /// Passes the manifest on: who has it from the origin to the first in rank of each other zone
-    /// and to the own zone, and these first ones to all slots of their zone.
-    async fn pass_manifest_on(&self, is_from_origin: bool) {
-        let own = self.slot.settings.peers;
-        let zone = &self.slot.settings.host.zone;
-        let digests = {
-            let shelves = self.slot.shelves.borrow();
-            shelves.get(&self.version).map(|it| it.manifest.digests.clone()).unwrap_or_default()
-        };
-        let is_first = self.slot.ranks.borrow().zone_rank(0, zone, own) == 0;
-        let mut targets = Vec::new();
-        if is_from_origin {
-            targets.extend(self.slot.ranks.borrow().importers(0, zone));
-        }
-        if is_from_origin || is_first {
-            targets.extend(self.slot.near_members());
-        }
-        let fits = digests.len() * size_of::<PieceDigest>() <= MAX_MANIFEST_DATAGRAM_BYTES;
-        if fits && !targets.is_empty() {
-            let copy = ManifestCopy { model: self.model.clone(), version: self.version, digests };
-            self.slot.send(&targets, &PeerMessage::Manifest(copy)).await;
-        }
-        self.slot.announce(self.version, &self.slot.near_members(), false).await;
-    }
-
     /// Takes what lies in the engine's staging area already, once the engine answers.
     async fn take_staged(&self) {
         if self.is_staging_read.get() {
@@ -308,28 +227,13 @@
             wanted: &wanted,
             claimed: &self.slot.claimed(self.version, now),
             able: &self.slot.able_since(now - ALIVE_TIME),
-            elapsed: self.turns_from.get().elapsed(),
-            origin_pace: self.origin_pace(),
-            is_origin_available: self.is_staging_read.get()
-                && self.origin_rests_until.borrow().is_none_or(|it| it <= now),
+            elapsed: self.origin.elapsed(),
+            origin_pace: self.origin.pace(),
+            is_origin_available: self.is_staging_read.get() && self.origin.is_available(now),
         };
         plan.next(&mut fastrand::Rng::new())
     }
 
-    /// Time that one piece takes on the origin's link.
-    fn origin_pace(&self) -> Duration {
-        let pool = self.slot.pool.borrow();
-        let is_in_turn = !self.has_origin_failed.get() && !self.is_late.get();
-        let Some(pool) = pool.as_ref().filter(|_| is_in_turn) else { return Duration::ZERO };
-        let rate = pool.origin.as_ref().map_or(0.0, |it| it.bytes_per_s);
-        match rate > 0.0 {
-            true => {
-                Duration::from_secs_f64(PACE_SHARE * f64::from(pool.figures.piece_bytes) / rate)
-            }
-            false => Duration::ZERO,
-        }
-    }
-
     async fn read_piece(&self, fetch: Fetch) -> Result<Vec<u8>, EngineError> {
         match fetch.source {
             Source::Peer(peer) => {
@@ -341,19 +245,7 @@
                     status => Err(EngineError::Refused(status)),
                 }
             }
-            Source::Origin => {
-                let origin = self.slot.pool.borrow().as_ref().and_then(|it| it.origin.clone());
-                let Some(origin) = origin else { return Err(EngineError::Refused(404)) };
-                let id = (self.version, fetch.number as u16);
-                self.slot.fetching.borrow_mut().insert(id);
-                // A slot that the origin did not answer last only probes.
-                if self.slot.reaches_origin.get() {
-                    self.slot.announce(self.version, &self.slot.other_members(), false).await;
-                }
-                let res = self.origin.piece(&origin, &self.model, self.version, fetch.number).await;
-                self.slot.fetching.borrow_mut().remove(&id);
-                res
-            }
+            Source::Origin => self.origin.read(fetch.number).await,
         }
     }
 
@@ -370,7 +262,7 @@
                 if self.put(number, bytes) {
                     *self.n_mismatches.borrow_mut() = 0;
                     if fetch.source == Source::Origin {
-                        self.slot.reaches_origin.set(true);
+                        self.origin.answered();
                         let after_ms = self.started.elapsed().as_millis();
                         log::info!(
                             "weights: piece={number} from=origin version={} bytes={n_bytes} \
@@ -385,7 +277,7 @@
             }
             Err(err) => {
                 if fetch.source == Source::Origin {
-                    self.pass_turns_on().await;
+                    self.origin.pass_turns_on().await;
                 }
                 err.to_string()
             }
@@ -397,43 +289,14 @@
         );
         let until = Instant::now() + REST;
         match fetch.source {
-            Source::Origin => {
-                *self.origin_rests_until.borrow_mut() = Some(Instant::now() + ORIGIN_REST);
-                self.turns_from.set(Instant::now());
-                self.has_origin_failed.set(true);
-            }
+            Source::Origin => self.origin.failed(),
             Source::Peer(peer) => {
                 self.slot.rests.borrow_mut().insert(peer, until);
                 self.forget_holder(peer);
             }
         }
         if *self.n_mismatches.borrow() >= MAX_MISMATCHES {
-            self.check_manifest().await;
-        }
-    }
-
-    /// Tells all slots, from time to time, that the origin does not answer this one.
-    async fn pass_turns_on(&self) {
-        self.slot.reaches_origin.set(false);
-        if self.told_at.get().is_some_and(|it| it.elapsed() < TELL_INTERVAL) {
-            return;
-        }
-        self.told_at.set(Some(Instant::now()));
-        self.slot.announce(self.version, &self.slot.other_members(), false).await;
-    }
-
-    /// Reads the manifest anew, as it may be the one that is wrong.
-    async fn check_manifest(&self) {
-        let Some(manifest) = self.manifests.read_again().await else { return };
-        let mut shelves = self.slot.shelves.borrow_mut();
-        let Some(shelf) = shelves.get_mut(&self.version) else { return };
-        if shelf.manifest != manifest {
-            log::warn!("weights: another manifest version={}", self.version);
-            let mut fresh = Shelf::new(&self.model, self.version, manifest);
-            for number in 0..fresh.manifest.n_pieces() {
-                shelf.get(number).map(|it| fresh.put(number, it.to_vec()));
-            }
-            *shelf = fresh;
+            self.manifests.check().await;
         }
     }
 
