A host that is back at the store lists anew; at an entry host it goes on by its revision

When all watches were cut, every entry host refused to be followed, and that host went on at the store by a watch from its old revision, which hears nothing after the history is dropped. Found beside it: after a failure of the store a host asked an entry host for a list, and refused the list of one that had not heard of a quiet kind for a while, until that kind changed.

Change: whoever comes to the store lists first. At an entry host changes are asked for by revision; it answers that the history is gone where it has a gap.

Test: news_relays return_to_the_store failed without the first change, passes with it.

--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -49,6 +49,8 @@
     is_after_outage: bool,
     /// When everything was known last.
     known: Option<Instant>,
+    /// Source of the latest answer.
+    source: Option<Source>,
 }
 
 impl KindWatch {
@@ -72,7 +74,10 @@
         let mut progress = Progress { needs_list: true, ..Progress::default() };
         loop {
             let source = self.sources.choose(Instant::now());
-            let res = match progress.needs_list {
+            // After a gap the store may have dropped the history, which a waiting watch would not
+            // tell. An entry host tells, and without that its changes have no gap.
+            let is_back = source == Source::Store && progress.source != Some(Source::Store);
+            let res = match progress.needs_list || is_back {
                 true => self.list(source, &mut progress, &mut apply).await,
                 false => self.watch(source, &mut progress, &mut apply).await,
             };
@@ -108,7 +113,7 @@
             max_age: progress.known.map(|it| it.elapsed()),
         });
         let known = Some(Instant::now());
-        *progress = Progress { at, known, ..Progress::default() };
+        *progress = Progress { at, known, source: Some(source), ..Progress::default() };
         Ok(())
     }
 
@@ -126,7 +131,7 @@
         };
         let Some(res) = watch.or(gap).await else {
             self.lose();
-            progress.needs_list = true;
+            progress.source = None;
             progress.is_after_outage = true;
             return Ok(());
         };
@@ -134,6 +139,9 @@
         self.keep(|it| it.change(self.kind, &changes));
         progress.at = changes.at;
         progress.known = Some(Instant::now());
+        progress.source = Some(source);
+        progress.is_after_outage = false;
+        self.outage.end();
         if !changes.events.is_empty() {
             apply(KindUpdate::Changed(changes.events));
             runtime::sleep(self.pause).await;
@@ -158,11 +166,11 @@
         log::warn!("store: call failed kind={} source={source:?} error=\"{err}\"", self.kind);
         self.sources.failed(source, Instant::now());
         self.lose();
+        progress.source = None;
         if source != Source::Store {
             return;
         }
-        // An outage may have removed entries that come back, so list again.
-        progress.needs_list = true;
+        // An outage may have removed entries that come back.
         progress.is_after_outage = true;
         if self.sources.choose(Instant::now()) == Source::Store {
             self.outage.wait().await;
--- a/standins/src/deployed/store_standin.rs
+++ b/standins/src/deployed/store_standin.rs
@@ -69,10 +69,18 @@
 #[derive(Clone)]
 pub struct StoreDoor {
     address: SocketAddr,
-    fault: Arc<Mutex<StoreFault>>,
+    state: Arc<Mutex<DoorState>>,
     store: StoreStandin,
 }
 
+/// How an address misbehaves, and what was asked there.
+#[derive(Default)]
+struct DoorState {
+    fault: StoreFault,
+    /// Kinds whose lists were given, in order.
+    lists: Vec<String>,
+}
+
 impl StoreDoor {
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
@@ -81,9 +89,14 @@
 
     /// Misbehaves towards its callers from now on; watches that wait are cut off.
     pub fn set_fault(&self, fault: StoreFault) {
-        *self.fault.lock().unwrap() = fault;
+        self.state.lock().unwrap().fault = fault;
         self.store.shared.changed.notify_all();
     }
+
+    /// Lists of a kind that were given here.
+    pub fn n_lists(&self, kind: &str) -> usize {
+        self.state.lock().unwrap().lists.iter().filter(|it| *it == kind).count()
+    }
 }
 
 /// Status and body of an answer.
@@ -103,8 +116,8 @@
     pub fn open_door(&self) -> io::Result<StoreDoor> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let door = StoreDoor { address, fault: Arc::default(), store: self.clone() };
-        serve_all(listener, self.shared.clone(), door.fault.clone());
+        let door = StoreDoor { address, state: Arc::default(), store: self.clone() };
+        serve_all(listener, self.shared.clone(), door.state.clone());
         Ok(door)
     }
 
@@ -203,7 +216,7 @@
 }
 
 /// Serves every connection in a thread of its own.
-fn serve_all(listener: TcpListener, shared: Arc<Shared>, door: Arc<Mutex<StoreFault>>) {
+fn serve_all(listener: TcpListener, shared: Arc<Shared>, door: Arc<Mutex<DoorState>>) {
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (shared, door) = (shared.clone(), door.clone());
@@ -214,7 +227,7 @@
 }
 
 impl Shared {
-    fn serve(&self, stream: TcpStream, door: &Mutex<StoreFault>) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream, door: &Mutex<DoorState>) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
@@ -231,10 +244,10 @@
     }
 
     /// The answer to a call; `None` ends the connection.
-    fn answer(&self, request: &RawRequest, door: &Mutex<StoreFault>) -> Option<Reply> {
+    fn answer(&self, request: &RawRequest, door: &Mutex<DoorState>) -> Option<Reply> {
         let mut state = self.state.lock().unwrap();
         state.n_calls += 1;
-        let fault = state.fault.or(*door.lock().unwrap());
+        let fault = state.fault.or(door.lock().unwrap().fault);
         match fault {
             StoreFault::None => {}
             StoreFault::Status(status) => return Some((status, Value::Null)),
@@ -260,7 +273,12 @@
                 let wait = Duration::from_millis(wait);
                 return self.watch(kind, since.parse().unwrap_or(0), wait, door);
             }
-            ("GET", None) => state.list(kind, field("after").unwrap_or("")),
+            ("GET", None) => {
+                if field("allow-stale").is_none() {
+                    door.lock().unwrap().lists.push(kind.to_owned());
+                }
+                state.list(kind, field("after").unwrap_or(""))
+            }
             ("POST", _) => state.create(kind, &body),
             ("PUT", _) => state.replace(kind, name, &body),
             ("DELETE", _) => {
@@ -279,12 +297,12 @@
         kind: &str,
         since: u64,
         wait: Duration,
-        door: &Mutex<StoreFault>,
+        door: &Mutex<DoorState>,
     ) -> Option<Reply> {
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
-            if state.fault.or(*door.lock().unwrap()) != StoreFault::None {
+            if state.fault.or(door.lock().unwrap().fault) != StoreFault::None {
                 return None;
             }
             if since < state.compacted {
--- a/tests/news_relays.rs
+++ b/tests/news_relays.rs
@@ -111,6 +111,30 @@
     }
 }
 
+/// A host that is back at the store lists anew, as the history may be gone.
+///
+/// Seen in a hunted scale-2 (SENARC): a watch that went on after a loss of history heard nothing for
+/// 5 s, and an added route was refused.
+#[test]
+fn return_to_the_store() {
+    let store = StoreStandin::start().unwrap();
+    let door = store.open_door().unwrap();
+    store.put("config", "main", charter(1));
+    let hosts =
+        [EntryProcess::start(&store, "entry-1"), EntryProcess::start_at(door.address(), "b")];
+    hosts.iter().for_each(EntryProcess::wait_until_ready);
+    thread::sleep(Duration::from_millis(600));
+    door.set_fault(StoreFault::Reset);
+    thread::sleep(Duration::from_millis(1500));
+    let before = door.n_lists("config");
+    door.set_fault(StoreFault::None);
+    let since = Instant::now();
+    while door.n_lists("config") == before {
+        assert!(since.elapsed() < Duration::from_secs(2), "no list of the store");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// A key is taken away while the store turns one of two hosts away: the other one tells it.
 #[test]
 fn turned_away_host() {
