Slots tell a bounded number of neighbours about their pieces

Cause: each of 53 slots of a zone told the 52 others about each of 48 pieces, some 660,000 datagrams a version at the size of the large site, and each made the receiver choose anew. Now each slot exchanges lists with 12 neighbours. After a naming a slot reads only the list of backend servers, not the charter, whose transfer can take a tenth of a second of its link; a naming during a read is no longer missed.

--- a/src/slot/lifecycle.rs
+++ b/src/slot/lifecycle.rs
@@ -83,22 +83,32 @@
     slot.changed.notify(usize::MAX);
 }
 
-/// Reads the charter and the lists of backend servers and entry hosts at intervals, and after each
-/// new version.
+/// Reads the charter and the lists of backend servers and entry hosts at intervals, and the list of
+/// backend servers also after each new version.
 async fn read_lists(slot: Rc<SlotState>, store_retry: StoreRetry) {
+    let mut next_full_read = Instant::now();
     loop {
-        let has_read_all =
-            read_entry_hosts(&slot).await && read_members(&slot).await && read_pool(&slot).await;
+        let published = slot.version_published.listen();
+        let is_full_read = Instant::now() >= next_full_read;
+        let has_read = match is_full_read {
+            true => {
+                read_entry_hosts(&slot).await && read_members(&slot).await && read_pool(&slot).await
+            }
+            false => read_members(&slot).await,
+        };
         slot.changed.notify(usize::MAX);
-        if !has_read_all {
+        if !has_read {
             store_retry.wait().await;
             continue;
         }
         store_retry.reset();
+        if is_full_read {
+            next_full_read = Instant::now() + READ_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64());
+        }
         // A new version ends the pause, as all slots must rank its pieces by the same list of
-        // members.
-        let pause = runtime::sleep(READ_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64()));
-        slot.version_published.listen().or(pause).await;
+        // members. The charter can be long, and its transfer would delay the first pieces.
+        let pause = runtime::sleep_until(next_full_read);
+        published.or(pause).await;
     }
 }
 
--- a/src/slot/manifest_distributor.rs
+++ b/src/slot/manifest_distributor.rs
@@ -74,8 +74,7 @@
         holders.any(|it| it.pieces.len() as f64 > LATE_JOIN_SHARE * f64::from(n_pieces))
     }
 
-    /// Forwards the manifest to other slots and announces to those of the own zone that this slot
-    /// has it.
+    /// Forwards the manifest to other slots and announces to its neighbours that this slot has it.
     ///
     /// A slot that got it from the origin sends it to the first-ranked slot of each other zone and
     /// to all slots of its own zone; a first-ranked slot sends it to all slots of its zone.
@@ -102,7 +101,8 @@
             let copy = ManifestCopy { model: self.model.clone(), version: self.version, digests };
             self.slot.send(&targets, &PeerMessage::Manifest(copy)).await;
         }
-        self.slot.announce(self.version, &self.slot.same_zone_members(), false).await;
+        let neighbours = self.slot.neighbours.borrow().clone();
+        self.slot.announce(self.version, &neighbours, false).await;
     }
 
     /// Reads the manifest again and replaces it if it differs, as mismatches may be due to a wrong
--- a/src/slot/mod.rs
+++ b/src/slot/mod.rs
@@ -6,6 +6,7 @@
 mod manifest;
 mod manifest_distributor;
 mod manifest_source;
+mod neighbours;
 mod origin_schedule;
 mod peer_messages;
 mod piece_plan;
@@ -19,6 +20,7 @@
 pub(crate) use crate::slot::lifecycle::run;
 pub use crate::slot::{
     manifest::{Manifest, PieceDigest},
+    neighbours::choose_neighbours,
     piece_plan::{PieceHolder, PiecePlan, PieceRequest, PieceSource},
     piece_ranks::PieceRanks,
     piece_store::PieceStore,
--- a/src/slot/slot_state.rs
+++ b/src/slot/slot_state.rs
@@ -17,7 +17,7 @@
     platform::{engine_api::EngineApi, store::Store},
     routing::{EngineSpec, Origin},
     settings::{DeployedSettings, EngineSettings},
-    slot::{PieceHolder, PieceRanks, PieceStore},
+    slot::{choose_neighbours, PieceHolder, PieceRanks, PieceStore},
 };
 
 /// Time for which a claim is valid unless its slot process renews or withdraws it.
@@ -41,6 +41,8 @@
     pub(crate) pool: RefCell<Option<OwnPool>>,
     pub(crate) members: RefCell<BTreeMap<SocketAddr, ZoneId>>,
     pub(crate) ranks: RefCell<PieceRanks>,
+    /// Slot processes with which this one exchanges the lists of its pieces.
+    pub(crate) neighbours: RefCell<Vec<SocketAddr>>,
     /// The entry hosts that are notified of changes of the engine.
     pub(crate) entry_hosts: RefCell<Vec<SocketAddr>>,
     /// The stored pieces of the newest versions.
@@ -107,6 +109,7 @@
             pool: RefCell::default(),
             members: RefCell::default(),
             ranks: RefCell::default(),
+            neighbours: RefCell::default(),
             entry_hosts: RefCell::default(),
             piece_stores: RefCell::default(),
             holders: RefCell::default(),
@@ -131,8 +134,10 @@
         Some((model.clone(), self.versions.borrow().newest(model)))
     }
 
-    /// Recomputes the ranks after a change of members.
+    /// Recomputes the ranks and the neighbours after a change of members.
     pub(crate) fn update_ranks(&self) {
+        let same_zone = self.same_zone_members();
+        *self.neighbours.borrow_mut() = choose_neighbours(self.settings.peers, same_zone);
         let n_pieces = self.pool.borrow().as_ref().map_or(0, |it| it.engine_spec.n_pieces);
         *self.ranks.borrow_mut() = PieceRanks::new(&self.members.borrow(), n_pieces);
     }
--- a/src/slot/version_fetch.rs
+++ b/src/slot/version_fetch.rs
@@ -120,7 +120,7 @@
     /// on a full link.
     async fn query_peers(&self) {
         loop {
-            let mut targets = self.slot.same_zone_members();
+            let mut targets = self.slot.neighbours.borrow().clone();
             targets.extend(self.origin_fetchers_to_query());
             self.slot.announce(self.version, &targets, true).await;
             self.origin_schedule.renew_claims().await;
@@ -318,7 +318,7 @@
     async fn announce_and_stage(&self, request: PieceRequest) {
         let targets = match request.source {
             PieceSource::Origin => self.slot.other_members(),
-            PieceSource::Peer(_) => self.slot.same_zone_members(),
+            PieceSource::Peer(_) => self.slot.neighbours.borrow().clone(),
         };
         self.slot.announce(self.version, &targets, false).await;
         self.slot.changed.notify(usize::MAX);
--- a/tests/piece_rules.rs
+++ b/tests/piece_rules.rs
@@ -6,7 +6,9 @@
     time::Duration,
 };
 
-use crocustiller::slot::{PieceHolder, PiecePlan, PieceRanks, PieceRequest, PieceSource};
+use crocustiller::slot::{
+    choose_neighbours, PieceHolder, PiecePlan, PieceRanks, PieceRequest, PieceSource,
+};
 
 const N_PIECES: u32 = 48;
 const PACING_INTERVAL: Duration = Duration::from_millis(26);
@@ -216,3 +218,24 @@
     view.claimed = (0..20).collect();
     assert_eq!(view.next_request(), None);
 }
+
+/// Load pattern: a new version on hundreds of hosts. Each slot tells a bounded number of others
+/// about its pieces, and yet each piece can reach every slot of the zone.
+#[test]
+fn few_neighbours_reach_all() {
+    let zone: Vec<SocketAddr> =
+        (1..=120).map(|it| format!("10.0.1.{it}:7700").parse().unwrap()).collect();
+    let others = |own: SocketAddr| zone.iter().copied().filter(move |it| *it != own).collect();
+    let mut reached = BTreeSet::from([zone[0]]);
+    let mut n_steps = 0;
+    while reached.len() < zone.len() && n_steps < 5 {
+        let next: Vec<SocketAddr> =
+            reached.iter().flat_map(|it| choose_neighbours(*it, others(*it))).collect();
+        reached.extend(next);
+        n_steps += 1;
+    }
+    assert_eq!(reached.len(), zone.len(), "after {n_steps} steps");
+    assert!(zone.iter().all(|it| choose_neighbours(*it, others(*it)).len() == 12));
+    // In a small zone all slots are neighbours.
+    assert_eq!(choose_neighbours(zone[0], zone[1..9].to_vec()).len(), 8);
+}
