Replace idle origin fetchers, batch charters, prefer hosts with more processor time

Watchers of the charter got every version of a storm, 300 kB each, and the cache kept 512 of them: now the newest only, each 250 ms. Followers of the store and owners of cells were chosen by id, half of them small hosts: now by processor time.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -79,7 +79,7 @@
 /// or it suspects requests of crashing backend servers.
 fn informs_other_zones(host: &EntryHost) -> bool {
     let has_suspects = host.crash_suspects.borrow().crash_counts().next().is_some();
-    has_suspects || host.n_lower_ids_in_zone() < MAX_REPRESENTATIVES
+    has_suspects || host.n_preferred_in_zone() < MAX_REPRESENTATIVES
 }
 
 fn send(host: &EntryHost, targets: &[SocketAddr], interval: Duration) {
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     io,
     net::{SocketAddr, UdpSocket},
     rc::Rc,
@@ -20,7 +20,8 @@
     },
     ids::{BackendId, HostId, ServiceId, WeightsVersion, ZoneId},
     placement::{
-        BackendHealth, CellMap, CrashSuspects, Fingerprint, RequestCounts, WindowedRetryBudget,
+        BackendHealth, CellMap, CrashSuspects, Fingerprint, OwnerCandidate, RequestCounts,
+        WindowedRetryBudget,
     },
     platform::{store::Store, wire_config, wire_server},
     relay::BackendConnections,
@@ -32,9 +33,11 @@
 /// Time before the end of the grace period at which a leaving process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
-/// Maximum number of entry hosts per availability zone that watch the store directly; the others
-/// watch it through these.
-const MAX_DIRECT_WATCHERS_PER_ZONE: usize = 3;
+/// Number of entry hosts that watch the store directly, in all zones together; the others watch it
+/// through these.
+const N_DIRECT_WATCHERS: usize = 9;
+/// Minimum number of entry hosts of each zone that watch the store directly.
+const MIN_DIRECT_WATCHERS_PER_ZONE: usize = 2;
 /// The kinds that a host must watch without a gap before other processes watch the store through
 /// it.
 const WATCHED_KINDS: [&str; 4] = [
@@ -168,6 +171,7 @@
             state: self.state(),
             callers: self.listen.callers,
             peers: self.settings.peers,
+            processor_permille: self.processor_permille(),
             follows_store: self.follows_store(),
             region: self.settings.host.region.clone(),
             zone: self.settings.host.zone.clone(),
@@ -267,13 +271,10 @@
 
     /// Recomputes the owner of each engine, after a change of engines or entry hosts.
     pub(crate) fn update_cells(&self) {
-        let own = (self.settings.host.id.clone(), self.settings.host.zone.clone());
-        let mut entry_hosts: BTreeMap<HostId, ZoneId> = BTreeMap::from([own]);
-        for peer in self.peers.borrow().live_beacons(Instant::now()) {
-            if peer.state == EntryState::Ready {
-                entry_hosts.insert(peer.host.clone(), peer.zone.clone());
-            }
-        }
+        let mut entry_hosts = vec![self.own_candidate()];
+        let peers = self.peers.borrow();
+        let ready = peers.live_beacons(Instant::now()).filter(|it| it.state == EntryState::Ready);
+        entry_hosts.extend(ready.map(owner_candidate));
         let engines: BTreeMap<BackendId, ZoneId> = {
             let servers = self.backends.borrow();
             let engines = servers.iter().filter(|it| self.n_layers(&it.service).is_some());
@@ -307,13 +308,26 @@
         }
     }
 
-    /// Returns the number of ready entry hosts of the own zone with a smaller id.
-    pub(crate) fn n_lower_ids_in_zone(&self) -> usize {
-        let host = &self.settings.host;
-        let has_lower_id = |it: &&Beacon| {
-            it.state == EntryState::Ready && it.zone == host.zone && it.host < host.id
-        };
-        self.peers.borrow().live_beacons(Instant::now()).filter(has_lower_id).count()
+    /// Returns the number of ready entry hosts of the own zone that are preferred to this one for
+    /// common tasks.
+    pub(crate) fn n_preferred_in_zone(&self) -> usize {
+        let own = self.own_candidate();
+        let peers = self.peers.borrow();
+        let ready = peers.live_beacons(Instant::now()).filter(|it| it.state == EntryState::Ready);
+        let same_zone = ready.filter(|it| it.zone == own.zone).map(owner_candidate);
+        same_zone.filter(|it| it.preference() < own.preference()).count()
+    }
+
+    fn own_candidate(&self) -> OwnerCandidate {
+        OwnerCandidate {
+            host: self.settings.host.id.clone(),
+            zone: self.settings.host.zone.clone(),
+            processor_permille: self.processor_permille(),
+        }
+    }
+
+    fn processor_permille(&self) -> u32 {
+        (self.settings.processor_share * 1000.0) as u32
     }
 
     /// Updates the store sources: whether this host prefers to watch the store directly, and the
@@ -321,12 +335,16 @@
     fn update_sources(&self) {
         let host = &self.settings.host;
         let peers = self.peers.borrow();
+        let targets = self.beacon_targets.borrow();
         let now = Instant::now();
         let mut relays: Vec<&Beacon> =
             peers.live_beacons(now).filter(|it| it.follows_store).collect();
         relays.sort_by_key(|it| (it.zone != host.zone, relay_order(&host.id, &it.host)));
         let relays = relays.into_iter().map(|it| it.peers).collect();
-        let prefers_store = self.n_lower_ids_in_zone() < MAX_DIRECT_WATCHERS_PER_ZONE;
+        let zones: BTreeSet<&ZoneId> = targets.values().collect();
+        let per_zone = N_DIRECT_WATCHERS / zones.len().max(1);
+        let per_zone = per_zone.max(MIN_DIRECT_WATCHERS_PER_ZONE);
+        let prefers_store = self.n_preferred_in_zone() < per_zone;
         self.sources.update(prefers_store, relays);
     }
 
@@ -386,3 +404,11 @@
     let digest = Digest::of(format!("{client} {relay}").as_bytes());
     digest_hash(&digest)
 }
+
+fn owner_candidate(beacon: &Beacon) -> OwnerCandidate {
+    OwnerCandidate {
+        host: beacon.host.clone(),
+        zone: beacon.zone.clone(),
+        processor_permille: beacon.processor_permille,
+    }
+}
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -25,6 +25,9 @@
 /// Time over which changes of backend servers are batched; slot processes report the urgent ones
 /// directly.
 const SERVER_BATCH_INTERVAL: Duration = Duration::from_millis(400);
+/// Time over which changes of the charter are batched, as its transfer may occupy the link of a
+/// small host for a tenth of a second.
+const CHARTER_BATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Mean interval between two probes of the store.
 const STORE_PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -33,7 +36,8 @@
     let retry = StoreRetry::new(MAX_RETRY_DELAY);
     let charter = {
         let host = host.clone();
-        let watch = watch(&host, wire_config::CONFIG_KIND, &retry);
+        let watch =
+            watch(&host, wire_config::CONFIG_KIND, &retry).with_batch_delay(CHARTER_BATCH_INTERVAL);
         runtime::spawn_local(watch.run(move |update| apply_charters(&host, update)))
     };
     let servers = {
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -103,6 +103,8 @@
     pub callers: SocketAddr,
     /// Address at which other processes of the system connect.
     pub peers: SocketAddr,
+    /// Processor time that the sender gets, in thousandths of a core.
+    pub processor_permille: u32,
     /// Whether the sender watches the store directly and has missed no change.
     pub follows_store: bool,
     /// Region of the sender.
--- a/src/fleet/kind_cache.rs
+++ b/src/fleet/kind_cache.rs
@@ -61,6 +61,9 @@
         let Some(cached) = kinds.get_mut(kind) else { return };
         for change in &changes.events {
             let name = change.object.metadata.name.clone();
+            // Watchers need only the newest change of an object. Load pattern: many versions of a
+            // large charter in quick succession, to hundreds of watchers.
+            cached.changes.retain(|it| it.1.object.metadata.name != name);
             match change.deleted {
                 true => drop(cached.objects.remove(&name)),
                 false => drop(cached.objects.insert(name, change.object.clone())),
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -145,7 +145,8 @@
             progress.is_after_outage = true;
             return Ok(());
         };
-        let changes: Changes = res?;
+        let mut changes: Changes = res?;
+        changes.retain_newest();
         self.update_cache(|it| it.apply(self.kind, &changes));
         progress.at = changes.at;
         progress.last_up_to_date = Some(Instant::now());
--- a/src/placement/cell_map.rs
+++ b/src/placement/cell_map.rs
@@ -5,7 +5,7 @@
 //! is admitted to another one without a further message. The number of engines per owner is
 //! bounded on average, so its work does not grow with the deployment.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use crate::{
     ids::{BackendId, HostId, ZoneId},
@@ -17,6 +17,25 @@
 /// The number of cells of the own zone that a request is sent to, one after the other.
 const MAX_NEAR_CELLS: usize = 2;
 
+/// An entry host that may own engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerCandidate {
+    /// The entry host.
+    pub host: HostId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Processor time that it gets, in thousandths of a core.
+    pub processor_permille: u32,
+}
+
+impl OwnerCandidate {
+    /// Returns the key by which entry hosts of a zone are preferred for common tasks: those with the
+    /// most processor time first.
+    pub fn preference(&self) -> (Reverse<u32>, &HostId) {
+        (Reverse(self.processor_permille), &self.host)
+    }
+}
+
 /// The owner of each engine, and the owners of each availability zone.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CellMap {
@@ -29,10 +48,7 @@
     /// entry host.
     ///
     /// The owner is found by rendezvous hashing, so a change of engines or owners moves few engines.
-    pub fn new(
-        engines: &BTreeMap<BackendId, ZoneId>,
-        entry_hosts: &BTreeMap<HostId, ZoneId>,
-    ) -> CellMap {
+    pub fn new(engines: &BTreeMap<BackendId, ZoneId>, entry_hosts: &[OwnerCandidate]) -> CellMap {
         let owners_by_zone = owners_by_zone(engines, entry_hosts);
         let hashed = |hosts: &mut dyn Iterator<Item = &HostId>| -> Vec<(u64, HostId)> {
             hosts.map(|it| (host_hash(it), it.clone())).collect()
@@ -75,22 +91,23 @@
     }
 }
 
-/// Returns the owners of each zone that has entry hosts: as many as its engines need, those with
-/// the smallest ids.
+/// Returns the owners of each zone that has entry hosts: as many as its engines need.
 fn owners_by_zone(
     engines: &BTreeMap<BackendId, ZoneId>,
-    entry_hosts: &BTreeMap<HostId, ZoneId>,
+    entry_hosts: &[OwnerCandidate],
 ) -> BTreeMap<ZoneId, Vec<HostId>> {
     let mut n_engines: BTreeMap<&ZoneId, usize> = BTreeMap::new();
     for zone in engines.values() {
         *n_engines.entry(zone).or_default() += 1;
     }
+    let mut by_preference: Vec<&OwnerCandidate> = entry_hosts.iter().collect();
+    by_preference.sort_by_key(|it| it.preference());
     let mut owners: BTreeMap<ZoneId, Vec<HostId>> = BTreeMap::new();
-    for (host, zone) in entry_hosts {
-        let n_engines = n_engines.get(zone).copied().unwrap_or_default();
-        let owners = owners.entry(zone.clone()).or_default();
+    for candidate in by_preference {
+        let n_engines = n_engines.get(&candidate.zone).copied().unwrap_or_default();
+        let owners = owners.entry(candidate.zone.clone()).or_default();
         if owners.len() < n_engines.div_ceil(MAX_ENGINES_PER_CELL).max(1) {
-            owners.push(host.clone());
+            owners.push(candidate.host.clone());
         }
     }
     owners
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -19,7 +19,7 @@
 pub use crate::placement::{
     admission_cell::{Admission, AdmissionCell, CellEngine, HeldReservation},
     backend_health::BackendHealth,
-    cell_map::CellMap,
+    cell_map::{CellMap, OwnerCandidate},
     crash_suspects::{CrashSuspects, Fingerprint},
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,7 +2,7 @@
 //!
 //! Every change gets a revision, and a watch returns the changes after a revision.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -93,6 +93,16 @@
     pub at: Revision,
 }
 
+impl Changes {
+    /// Keeps only the newest change of each object, in order.
+    pub fn retain_newest(&mut self) {
+        let mut seen = BTreeSet::new();
+        self.events.reverse();
+        self.events.retain(|it| seen.insert(it.object.metadata.name.clone()));
+        self.events.reverse();
+    }
+}
+
 /// A change of one object.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -20,6 +20,8 @@
     pub store: SocketAddr,
     /// `[listen] peers`: address for messages and pieces between processes of the system.
     pub peers: SocketAddr,
+    /// `[host] processor_share`: processor time that the process gets, in cores.
+    pub processor_share: f64,
     /// Settings that depend on the role.
     pub role: DeployedRole,
     /// `[bounds]`: limits on shutdown time, version changes and retries.
@@ -96,6 +98,7 @@
 
 fn read(reader: &mut IniReader) -> Option<DeployedSettings> {
     let host = read_host(reader);
+    let processor_share = reader.positive_number("host", "processor_share", 1.0);
     let store = reader.address("store", "address");
     let peers = reader.address("listen", "peers");
     let role = match host.as_ref()?.role {
@@ -108,6 +111,7 @@
         host: host?,
         store: store?,
         peers: peers?,
+        processor_share: processor_share?,
         role: role?,
         bounds: bounds?,
         log: log?,
--- a/src/slot/lifecycle.rs
+++ b/src/slot/lifecycle.rs
@@ -46,7 +46,11 @@
     let watch = KindWatch::new(sources.clone(), wire_server::VERSION_KIND, store_retry.clone());
     let versions = {
         let slot = slot.clone();
-        runtime::spawn_local(watch.run(move |update| apply_version_update(&slot, update)))
+        runtime::spawn_local(async move {
+            // The versions are then watched through an entry host, not at the store.
+            slot.wait_for_entry_hosts().await;
+            watch.run(move |update| apply_version_update(&slot, update)).await;
+        })
     };
     let store_probe = StoreProbe::new(
         sources,
@@ -193,5 +197,7 @@
         it
     });
     slot.sources.update(false, relays.concat());
+    slot.has_entry_hosts.set(true);
+    slot.changed.notify(usize::MAX);
     true
 }
--- a/src/slot/piece_plan.rs
+++ b/src/slot/piece_plan.rs
@@ -21,9 +21,12 @@
 /// Additional delay before slots of other zones replace an origin fetcher that has failed.
 const CROSS_ZONE_DELAY: Duration = Duration::from_millis(1000);
 
-/// Delay before other slots replace an origin fetcher that is alive and reaches the origin but
-/// does not get its piece.
-const HEALTHY_FETCHER_DELAY: Duration = Duration::from_millis(3500);
+/// Delay, after its scheduled time, before other slots replace an origin fetcher that is alive but
+/// claims its piece neither then nor later. While it claims it, no other slot fetches it.
+const HEALTHY_FETCHER_DELAY: Duration = Duration::from_millis(800);
+/// Additional delay for each slot of another zone that comes before this one, so that they do not
+/// replace the fetcher at the same time.
+const HEALTHY_FETCHER_STEP: Duration = Duration::from_millis(250);
 
 /// The maximum number of pieces that all slots together fetch from the origin at once; more would
 /// only share its link.
@@ -135,7 +138,8 @@
             return scheduled_time;
         }
         if self.healthy_members.contains(&fetcher) {
-            return scheduled_time + HEALTHY_FETCHER_DELAY;
+            let order = self.ranks.takeover_order(number, self.own) as u32;
+            return scheduled_time + HEALTHY_FETCHER_DELAY + HEALTHY_FETCHER_STEP * order;
         }
         match self.is_zone_fetcher_elsewhere(number, fetcher) {
             true => scheduled_time + CROSS_ZONE_DELAY,
--- a/src/slot/piece_ranks.rs
+++ b/src/slot/piece_ranks.rs
@@ -62,6 +62,18 @@
         others.filter_map(|it| it.1.get(number as usize)?.first()).copied().collect()
     }
 
+    /// Returns the position of a slot process among the first-ranked ones of all zones, in the order
+    /// in which they replace the origin fetcher of a piece, whose position is 0.
+    pub fn takeover_order(&self, number: u32, member: SocketAddr) -> usize {
+        let first_ranked = self.ranked_by_zone.values().filter_map(|it| {
+            let ranked = it.get(number as usize)?;
+            ranked.first().copied()
+        });
+        let score_of = |it: &SocketAddr| score(u64::from(number), address_hash(it));
+        let own_score = score_of(&member);
+        first_ranked.filter(|it| score_of(it) > own_score).count()
+    }
+
     /// Returns the time for which a slot process waits for a manifest from other slots before it
     /// requests one from the origin.
     ///
--- a/src/slot/slot_state.rs
+++ b/src/slot/slot_state.rs
@@ -43,6 +43,8 @@
     pub(crate) ranks: RefCell<PieceRanks>,
     /// Slot processes with which this one exchanges the lists of its pieces.
     pub(crate) neighbours: RefCell<Vec<SocketAddr>>,
+    /// Whether the entry hosts have been listed.
+    pub(crate) has_entry_hosts: Cell<bool>,
     /// The entry hosts that are notified of changes of the engine.
     pub(crate) entry_hosts: RefCell<Vec<SocketAddr>>,
     /// The stored pieces of the newest versions.
@@ -110,6 +112,7 @@
             members: RefCell::default(),
             ranks: RefCell::default(),
             neighbours: RefCell::default(),
+            has_entry_hosts: Cell::new(false),
             entry_hosts: RefCell::default(),
             piece_stores: RefCell::default(),
             holders: RefCell::default(),
@@ -134,6 +137,17 @@
         Some((model.clone(), self.versions.borrow().newest(model)))
     }
 
+    /// Waits until the entry hosts have been listed.
+    pub(crate) async fn wait_for_entry_hosts(&self) {
+        loop {
+            let listener = self.changed.listen();
+            if self.has_entry_hosts.get() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Recomputes the ranks and the neighbours after a change of members.
     pub(crate) fn update_ranks(&self) {
         let same_zone = self.same_zone_members();
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -169,6 +169,7 @@
         state,
         callers: format!("10.0.1.{}:80", host.as_bytes()[0]).parse().unwrap(),
         peers: format!("10.0.1.{}:7700", host.as_bytes()[0]).parse().unwrap(),
+        processor_permille: 250,
         follows_store: true,
         region: zone.to_owned(),
         zone: zone.to_owned(),
--- a/tests/store_relays.rs
+++ b/tests/store_relays.rs
@@ -78,6 +78,32 @@
     assert!(changes(5).is_err(), "stale objects must not be served to others");
 }
 
+/// Load pattern: many versions of a large charter in quick succession. A watcher gets the newest
+/// one only, and the cache does not grow.
+#[test]
+fn only_newest_versions_are_sent() {
+    let cache = KindCache::default();
+    cache.replace("config", &Listing { objects: vec![object("main", 1)], at: 1 });
+    for revision in 2..=25 {
+        let change = Change { object: object("main", revision), deleted: false };
+        cache.apply("config", &Changes { events: vec![change], at: revision });
+    }
+    let wait = Duration::from_millis(5);
+    let changes = futures_lite::future::block_on(cache.changes("config", 1, wait)).unwrap();
+    assert_eq!(changes.at, 25);
+    assert_eq!(changes.events.len(), 1);
+    assert_eq!(changes.events[0].object.metadata.revision, 25);
+    let mut many = Changes {
+        events: [("a", 3), ("b", 4), ("a", 5)]
+            .map(|it| Change { object: object(it.0, it.1), deleted: false })
+            .to_vec(),
+        at: 5,
+    };
+    many.retain_newest();
+    let kept: Vec<u64> = many.events.iter().map(|it| it.object.metadata.revision).collect();
+    assert_eq!(kept, [4, 5]);
+}
+
 /// After an outage, a host that the store still refuses watches every kind through another host.
 /// Seen in hunt-b648-19 (Habimana): three kinds waited for the store while the fourth was watched
 /// through another host, and requests to a route were refused 3.5 s after it was added.
