--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -22,6 +22,8 @@
 /// Time after this host became the owner of an engine until it admits requests to all of its slots.
 /// By then the other hosts have reported what runs there.
 const LEARNING_TIME: Duration = Duration::from_millis(400);
+/// Time without a turn of this process after which it may have been suspended.
+const MAX_TURN_INTERVAL: Duration = Duration::from_millis(1000);
 /// Interval at which expired reservations are removed.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -45,6 +47,11 @@
         }
     }
 
+    /// Starts to learn again what runs at the engines, as this process may have missed reports.
+    fn relearn(&self, now: Instant) {
+        self.owned_since.borrow_mut().values_mut().for_each(|it| *it = now);
+    }
+
     /// Handles a message of an entry host that holds, or asks for, reservations.
     pub(crate) fn handle(&self, host: &EntryHost, from: SocketAddr, message: AdmissionMessage) {
         let now = Instant::now();
@@ -116,27 +123,30 @@
 /// Refuses requests whose wait has ended and removes expired reservations, until the task is
 /// dropped.
 pub(crate) async fn run(host: Rc<EntryHost>) {
-    let mut last_expired = Instant::now();
+    let owner = &host.cell_owner;
+    let mut last_turn = Instant::now();
+    let mut next_expiry = last_turn + EXPIRE_INTERVAL;
     loop {
-        let listener = host.cell_owner.has_waiting.listen();
-        let next_deadline = host.cell_owner.cell.borrow().next_deadline();
-        let wake = (last_expired + EXPIRE_INTERVAL).min(next_deadline.unwrap_or_else(far_future));
+        let listener = owner.has_waiting.listen();
+        let next_deadline = owner.cell.borrow().next_deadline();
+        let wake = next_deadline.map_or(next_expiry, |it| it.min(next_expiry));
         listener.or(runtime::sleep_until(wake)).await;
-        if last_expired.elapsed() >= EXPIRE_INTERVAL {
-            last_expired = Instant::now();
-            let n_expired = host.cell_owner.cell.borrow_mut().expire(last_expired);
+        let now = Instant::now();
+        if now.duration_since(std::mem::replace(&mut last_turn, now)) > MAX_TURN_INTERVAL {
+            log::info!("cell: the process was suspended, learning the loads again");
+            owner.relearn(now);
+        }
+        if now >= next_expiry {
+            next_expiry = now + EXPIRE_INTERVAL;
+            let n_expired = owner.cell.borrow_mut().expire(now);
             if n_expired > 0 {
                 log::info!("cell: reservations lapsed n={n_expired}");
             }
         }
-        host.cell_owner.decide_waiting(&host);
+        owner.decide_waiting(&host);
     }
 }
 
-fn far_future() -> Instant {
-    Instant::now() + EXPIRE_INTERVAL
-}
-
 fn record_outcome(host: &EntryHost, engine: &BackendId, outcome: ServiceOutcome) {
     match outcome {
         ServiceOutcome::Succeeded => host.health.borrow_mut().record_success(engine),
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -33,6 +33,8 @@
 /// Time before the end of the grace period at which a leaving process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time for which a leaving host still owns its engines, until the other hosts know that it leaves.
+const HANDOVER_TIME: Duration = Duration::from_secs(1);
 /// Number of entry hosts that watch the store directly, in all zones together; the others watch it
 /// through these.
 const N_DIRECT_WATCHERS: usize = 9;
@@ -271,10 +273,16 @@
 
     /// Recomputes the owner of each engine, after a change of engines or entry hosts.
     pub(crate) fn update_cells(&self) {
-        let mut entry_hosts = vec![self.own_candidate()];
-        let peers = self.peers.borrow();
-        let ready = peers.live_beacons(Instant::now()).filter(|it| it.state == EntryState::Ready);
-        entry_hosts.extend(ready.map(owner_candidate));
+        let mut entry_hosts: Vec<OwnerCandidate> = {
+            let peers = self.peers.borrow();
+            let live = peers.live_beacons(Instant::now());
+            live.filter(|it| it.state == EntryState::Ready).map(owner_candidate).collect()
+        };
+        let leaving_for = self.leaving_since.get().map(|it| it.elapsed());
+        let has_handed_over = leaving_for.is_some_and(|it| it >= HANDOVER_TIME);
+        if !has_handed_over || entry_hosts.is_empty() {
+            entry_hosts.push(self.own_candidate());
+        }
         let engines: BTreeMap<BackendId, ZoneId> = {
             let servers = self.backends.borrow();
             let engines = servers.iter().filter(|it| self.n_layers(&it.service).is_some());
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -147,6 +147,8 @@
         let expired = host.backends.borrow_mut().expire(Instant::now());
         if !expired.is_empty() {
             log::info!("fleet: removed expired backend servers n={}", expired.len());
+        }
+        if !expired.is_empty() || host.leaving_since().is_some() {
             host.update_cells();
         }
     }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -98,7 +98,13 @@
                 )
             }
         }
-        let events = splitter.push(&bytes);
+        let events = match splitter.push(&bytes) {
+            Ok(events) => events,
+            Err(err) => {
+                let reason = err.to_string();
+                return AttemptOutcome::from_lost_response(exchange, attempt.backend, &reason);
+            }
+        };
         if events.is_empty() {
             continue;
         }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -15,7 +15,7 @@
 /// Maximum length of a response head.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum length of a response body that is buffered before it is relayed.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
+const MAX_BUFFERED_BYTES: usize = 4 << 20;
 /// Maximum number of late responses to earlier requests that are skipped on a connection.
 const MAX_STALE_RESPONSES: usize = 2;
 
--- a/src/relay/event_splitter.rs
+++ b/src/relay/event_splitter.rs
@@ -1,5 +1,10 @@
 //! Splits a byte stream into server-sent events.
 
+use crate::http1::HttpError;
+
+/// Maximum length of one event. A faulty engine may send bytes without end.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
 /// A complete event, including the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -19,7 +24,11 @@
 
 impl EventSplitter {
     /// Appends bytes and returns the events that are complete now.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<Event> {
+    ///
+    /// # Errors
+    ///
+    /// Returns `HttpError::Malformed` if an event is longer than 64 KiB.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, HttpError> {
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
         while let Some(length) = first_event_length(&self.pending) {
@@ -28,7 +37,10 @@
             let id = event_id(&bytes);
             events.push(Event { bytes, id });
         }
-        events
+        if self.pending.len() > MAX_EVENT_BYTES {
+            return Err(HttpError::Malformed("an event is too long"));
+        }
+        Ok(events)
     }
 
     /// Returns `true` if no part of an incomplete event is buffered.
--- a/standins/src/raw_http/scripted_server.rs
+++ b/standins/src/raw_http/scripted_server.rs
@@ -18,6 +18,8 @@
 pub enum Step {
     /// Sends these bytes.
     Send(Vec<u8>),
+    /// Sends these bytes again and again until the client closes the connection.
+    SendEndlessly(Vec<u8>),
     /// Waits for this time.
     Pause(Duration),
     /// Closes the connection in an orderly way.
@@ -104,6 +106,9 @@
         for step in script(&request) {
             match step {
                 Step::Send(bytes) => writer.write_all(&bytes)?,
+                Step::SendEndlessly(bytes) => loop {
+                    writer.write_all(&bytes)?;
+                },
                 Step::Pause(pause) => thread::sleep(pause),
                 Step::Close => return Ok(()),
                 Step::Reset => return reset(writer),
--- /dev/null
+++ b/tests/cell_owners.rs
@@ -0,0 +1,126 @@
+//! Several entry hosts as processes that send requests to the same engines.
+
+mod entry_process;
+
+use std::{
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crocustiller_standins::raw_http::{ScriptedServer, Step, StoreStandin};
+use entry_process::{
+    charter, event_chunk, request, server_entry, stream_head, CallerResponse, EntryProcess,
+};
+
+/// Slots of the only engine.
+const SLOTS: u32 = 2;
+/// Requests beyond the slots that an engine may have.
+const MAX_QUEUED: u32 = 1;
+
+/// An engine that counts its requests in progress.
+struct CountingEngine {
+    server: ScriptedServer,
+    max_in_progress: Arc<AtomicU32>,
+}
+
+impl CountingEngine {
+    /// Starts an engine that takes `duration` for each request.
+    fn start(duration: Duration) -> CountingEngine {
+        let in_progress = Arc::new(AtomicU32::new(0));
+        let max_in_progress = Arc::new(AtomicU32::new(0));
+        let max = max_in_progress.clone();
+        let server = ScriptedServer::start(move |request| {
+            let n_now = in_progress.fetch_add(1, Ordering::SeqCst) + 1;
+            max.fetch_max(n_now, Ordering::SeqCst);
+            thread::sleep(duration);
+            in_progress.fetch_sub(1, Ordering::SeqCst);
+            let mut bytes = stream_head(request);
+            bytes.extend(event_chunk(1));
+            bytes.extend_from_slice(b"0\r\n\r\n");
+            vec![Step::Send(bytes)]
+        });
+        CountingEngine { server: server.unwrap(), max_in_progress }
+    }
+}
+
+/// Starts entry hosts in front of one engine and waits until they know each other.
+fn start(engine: &CountingEngine, ids: &[&str]) -> (StoreStandin, Vec<EntryProcess>) {
+    let store = StoreStandin::start().unwrap();
+    store.put("config", "main", charter(1));
+    let mut entry = server_entry("pool", engine.server.address(), "ready");
+    entry["slots"] = SLOTS.into();
+    store.put("servers", "pool-0", entry);
+    let hosts: Vec<EntryProcess> = ids.iter().map(|it| EntryProcess::start(&store, it)).collect();
+    hosts.iter().for_each(EntryProcess::wait_until_ready);
+    thread::sleep(Duration::from_millis(800));
+    (store, hosts)
+}
+
+fn send(host: &EntryProcess, id: &str) -> CallerResponse {
+    let headers = "X-Model: lots\r\nX-Token-Counts: 100,20\r\n";
+    host.exchange(&request("POST", "/draft/1", id, headers))
+}
+
+/// Load pattern: many callers at once at several entry hosts. The engine never has more requests
+/// than its slots and one in its queue; the others are refused, and none is lost.
+#[test]
+fn hosts_share_engine_limit() {
+    let engine = CountingEngine::start(Duration::from_millis(120));
+    let (_store, hosts) = start(&engine, &["entry-1", "entry-2", "entry-3"]);
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let calls: Vec<_> = (0..24)
+            .map(|it| {
+                let host = &hosts[it % hosts.len()];
+                scope.spawn(move || {
+                    thread::sleep(Duration::from_millis(15 * (it as u64 / 3)));
+                    send(host, &format!("shared-{it}")).status()
+                })
+            })
+            .collect();
+        calls.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+    assert!(statuses.iter().all(|it| matches!(it, 200 | 503)), "{statuses:?}");
+    assert!(statuses.contains(&200) && statuses.contains(&503), "{statuses:?}");
+    let max = engine.max_in_progress.load(Ordering::SeqCst);
+    assert!(max <= SLOTS + MAX_QUEUED, "{max} requests in progress");
+    assert!(max >= SLOTS, "{max} requests in progress");
+}
+
+/// The owner of the engine is killed: the other hosts go on to serve, without a pause until its
+/// beacons have timed out.
+#[test]
+fn killed_owner_stops_nobody() {
+    let engine = CountingEngine::start(Duration::from_millis(5));
+    let (_store, mut hosts) = start(&engine, &["entry-1", "entry-2", "entry-3"]);
+    assert_eq!(send(&hosts[1], "before").status(), 200);
+    // The host with the smallest id owns the engine, as all get the same processor time.
+    drop(hosts.remove(0));
+    let killed = Instant::now();
+    let mut number = 0;
+    while killed.elapsed() < Duration::from_millis(2500) {
+        number += 1;
+        let started = Instant::now();
+        let response = send(&hosts[number % 2], &format!("after-{number}"));
+        assert_eq!(response.status(), 200, "{:?}: {}", killed.elapsed(), response.text());
+        assert!(started.elapsed() < Duration::from_millis(400), "{:?}", started.elapsed());
+    }
+}
+
+/// The owner leaves by plan: nobody's request is refused or cut meanwhile.
+#[test]
+fn leaving_owner_hands_over() {
+    let engine = CountingEngine::start(Duration::from_millis(5));
+    let (_store, hosts) = start(&engine, &["entry-1", "entry-2"]);
+    hosts[0].terminate();
+    let left = Instant::now();
+    let mut number = 0;
+    while left.elapsed() < Duration::from_millis(2000) {
+        number += 1;
+        let response = send(&hosts[1], &format!("leaving-{number}"));
+        assert_eq!(response.status(), 200, "{:?}: {}", left.elapsed(), response.text());
+    }
+}
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -137,6 +137,13 @@
         assert!(status.success());
     }
 
+    /// Returns the largest resident memory of the process so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Returns `true` if the process has exited.
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().unwrap().is_some()
