Replace idle origin fetchers sooner; plan pieces without copying lists; batch registrations

An idle fetcher is now replaced after 0.5 s, each further zone 0.15 s later. Each plan copied the lists of all holders; now it borrows them. Watchers of the store got each of 149 registrations by itself; now batched over 0.4 s.

--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -25,6 +25,9 @@
 /// Time over which changes of backend servers are batched; slot processes report the urgent ones
 /// directly.
 const SERVER_BATCH_INTERVAL: Duration = Duration::from_millis(400);
+/// Time over which registrations of entry hosts are batched, as all of a deployment may start at
+/// once.
+const REGISTRATION_BATCH_INTERVAL: Duration = Duration::from_millis(400);
 /// Time over which changes of the charter are batched, as its transfer may occupy the link of a
 /// small host for a tenth of a second.
 const CHARTER_BATCH_INTERVAL: Duration = Duration::from_millis(250);
@@ -53,7 +56,8 @@
     };
     let entries = {
         let host = host.clone();
-        let watch = watch(&host, entry_registry::KIND, &retry);
+        let watch = watch(&host, entry_registry::KIND, &retry)
+            .with_batch_delay(REGISTRATION_BATCH_INTERVAL);
         runtime::spawn_local(watch.run(move |update| apply_entry_hosts(&host, update)))
     };
     let sources = host.sources.clone();
--- a/src/slot/peer_messages.rs
+++ b/src/slot/peer_messages.rs
@@ -74,7 +74,7 @@
     slot.claims.borrow_mut().insert((message.version, from), claim);
     let pieces = message.pieces.into_iter().collect();
     let has_manifest = message.has_manifest;
-    let holder = PieceHolder { zone: message.zone, has_manifest, pieces, is_available: true };
+    let holder = PieceHolder { zone: message.zone, has_manifest, pieces };
     slot.holders.borrow_mut().entry(message.version).or_default().insert(from, holder);
     slot.changed.notify(usize::MAX);
     if message.asks {
--- a/src/slot/piece_plan.rs
+++ b/src/slot/piece_plan.rs
@@ -23,10 +23,10 @@
 
 /// Delay, after its scheduled time, before other slots replace an origin fetcher that is alive but
 /// claims its piece neither then nor later. While it claims it, no other slot fetches it.
-const HEALTHY_FETCHER_DELAY: Duration = Duration::from_millis(800);
+const HEALTHY_FETCHER_DELAY: Duration = Duration::from_millis(500);
 /// Additional delay for each slot of another zone that comes before this one, so that they do not
 /// replace the fetcher at the same time.
-const HEALTHY_FETCHER_STEP: Duration = Duration::from_millis(250);
+const HEALTHY_FETCHER_STEP: Duration = Duration::from_millis(150);
 
 /// The maximum number of pieces that all slots together fetch from the origin at once; more would
 /// only share its link.
@@ -59,8 +59,6 @@
     pub has_manifest: bool,
     /// The numbers of the pieces that it has.
     pub pieces: BTreeSet<u16>,
-    /// Whether a request may be sent to it now.
-    pub is_available: bool,
 }
 
 /// The state from which a slot chooses its next request.
@@ -81,6 +79,8 @@
     pub claimed: &'a BTreeSet<u32>,
     /// The slot processes that have pieces, by address.
     pub holders: &'a BTreeMap<SocketAddr, PieceHolder>,
+    /// Holders to which no request may be sent now.
+    pub unavailable: &'a BTreeSet<SocketAddr>,
     /// Pieces that are neither stored nor being fetched here.
     pub wanted: &'a [u32],
     /// Time since the fetch of this version began, or since the origin last failed here.
@@ -111,7 +111,7 @@
         let same_zone: Vec<&SocketAddr> = self.same_zone_holders(number).collect();
         if !same_zone.is_empty() {
             let available: Vec<&SocketAddr> =
-                same_zone.into_iter().filter(|it| self.holders[*it].is_available).collect();
+                same_zone.into_iter().filter(|it| !self.unavailable.contains(it)).collect();
             return random.choice(available).map(|it| PieceSource::Peer(*it));
         }
         let zone_rank = self.ranks.zone_rank(number, self.zone, self.own);
@@ -121,7 +121,9 @@
         }
         let mut other_zones = self.holders.iter().filter(|it| it.1.has_piece(number)).peekable();
         if other_zones.peek().is_some() {
-            return other_zones.find(|it| it.1.is_available).map(|it| PieceSource::Peer(*it.0));
+            return other_zones
+                .find(|it| !self.unavailable.contains(it.0))
+                .map(|it| PieceSource::Peer(*it.0));
         }
         let is_scheduled =
             self.elapsed >= earliest + self.origin_delay(number) && self.is_origin_available;
--- a/src/slot/version_fetch.rs
+++ b/src/slot/version_fetch.rs
@@ -211,11 +211,6 @@
         self.slot.piece_stores.borrow().get(&self.version)?.get(number)
     }
 
-    /// Returns the slot processes that have pieces of this version.
-    fn holders(&self) -> PieceHolders {
-        self.slot.holders.borrow().get(&self.version).cloned().unwrap_or_default()
-    }
-
     fn choose_request(&self) -> Option<PieceRequest> {
         let piece_stores = self.slot.piece_stores.borrow();
         let piece_store = piece_stores.get(&self.version)?;
@@ -224,17 +219,17 @@
         let wanted: Vec<u32> = (0..piece_store.manifest.n_pieces()).filter(is_wanted).collect();
         let now = Instant::now();
         let backoffs = self.slot.peer_backoffs.borrow();
-        let busy = self.busy_peers.borrow();
-        let mut holders = self.holders();
-        for (address, holder) in &mut holders {
-            let is_backing_off = backoffs.get(address).is_some_and(|it| *it > now);
-            holder.is_available = !is_backing_off && !busy.contains(address);
-        }
+        let backing_off = backoffs.iter().filter(|it| *it.1 > now).map(|it| *it.0);
+        let unavailable = self.busy_peers.borrow().iter().copied().chain(backing_off).collect();
+        let no_holders = PieceHolders::new();
+        let all_holders = self.slot.holders.borrow();
+        let holders = all_holders.get(&self.version).unwrap_or(&no_holders);
         let plan = PiecePlan {
             own: self.slot.settings.peers,
             zone: &self.slot.settings.host.zone,
             ranks: &self.slot.ranks.borrow(),
-            holders: &holders,
+            holders,
+            unavailable: &unavailable,
             wanted: &wanted,
             claimed: &self.slot.claimed_pieces(self.version, now),
             healthy_members: &self.slot.healthy_members_since(now - LIVENESS_TIMEOUT),
