--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -11,7 +11,9 @@
 use async_channel::{Receiver, Sender};
 
 use crate::{
-    entry::{entry_host::EntryHost, reservation::ReservationError},
+    entry::{
+        entry_host::EntryHost, pending_request::PendingRequest, reservation::ReservationError,
+    },
     fleet::{AdmissionMessage, ServiceOutcome},
     ids::{BackendId, HostId, WeightsVersion},
     placement::{Demand, HeldReservation, Load, ReservationNumber},
@@ -40,9 +42,12 @@
 }
 
 /// The answer of an owner.
-enum Answer {
+pub(crate) enum Answer {
+    /// It reserved capacity.
     Granted(Grant),
+    /// It has no capacity; `has_engine` tells whether it has an engine for such requests.
     Refused { has_engine: bool },
+    /// It did not answer in time.
     Silent,
 }
 
@@ -121,6 +126,36 @@
         host.send_admission(held.owner, AdmissionMessage::Released { number, outcome });
     }
 
+    /// Returns a new number, and the receiver of the owner's answer to the request with this number.
+    pub(crate) fn expect_answer(&self) -> (ReservationNumber, Receiver<Answer>) {
+        let number = self.take_number();
+        let (sender, answer) = async_channel::bounded(1);
+        self.pending.borrow_mut().insert(number, sender);
+        (number, answer)
+    }
+
+    /// Ignores the answer to a request from now on.
+    pub(crate) fn forget(&self, number: ReservationNumber) {
+        self.pending.borrow_mut().remove(&number);
+    }
+
+    fn take_number(&self) -> ReservationNumber {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
+    }
+
+    fn hold(
+        &self,
+        number: ReservationNumber,
+        owner: SocketAddr,
+        engine: &BackendId,
+        unread_tokens: u32,
+    ) {
+        let held = Held { owner, engine: engine.clone(), unread_tokens };
+        self.held.borrow_mut().insert(number, held);
+    }
+
     /// Returns the owners to ask, those that did not answer lately last.
     fn owners_to_ask(&self, host: &EntryHost, now: Instant) -> Vec<HostId> {
         let zone = &host.settings.host.zone;
@@ -199,38 +234,19 @@
     Ok(Grant { number, engine, version, load: Load::default() })
 }
 
-impl AdmissionClient {
-    fn take_number(&self) -> ReservationNumber {
-        let number = self.next_number.get();
-        self.next_number.set(number + 1);
-        number
-    }
-
-    fn hold(
-        &self,
-        number: ReservationNumber,
-        owner: SocketAddr,
-        engine: &BackendId,
-        unread_tokens: u32,
-    ) {
-        let held = Held { owner, engine: engine.clone(), unread_tokens };
-        self.held.borrow_mut().insert(number, held);
-    }
-}
-
 async fn ask(host: &Rc<EntryHost>, owner: &HostId, demand: &Demand) -> Answer {
     let Some(address) = host.peer_address(owner) else { return Answer::Silent };
     let pending = PendingRequest::send(host, address, demand);
     let timeout = demand.wait + ANSWER_TIMEOUT;
-    match runtime::timeout(timeout, pending.answer.recv()).await {
-        Ok(Ok(answer)) => {
+    match runtime::timeout(timeout, pending.answer()).await {
+        Ok(Some(answer)) => {
             if let Answer::Granted(grant) = &answer {
                 host.admission.hold(grant.number, address, &grant.engine, demand.prompt_tokens);
             }
             pending.close();
             answer
         }
-        Ok(Err(_)) | Err(_) => {
+        Ok(None) | Err(_) => {
             log::info!("cell: the owner does not answer owner={owner}");
             let until = Instant::now() + SILENCE_TIME;
             host.admission.silent_until.borrow_mut().insert(owner.clone(), until);
@@ -239,43 +255,6 @@
     }
 }
 
-/// A request for capacity that an owner has not answered; dropping it withdraws the request.
-struct PendingRequest {
-    host: Rc<EntryHost>,
-    owner: SocketAddr,
-    number: ReservationNumber,
-    answer: Receiver<Answer>,
-    is_open: bool,
-}
-
-impl PendingRequest {
-    fn send(host: &Rc<EntryHost>, owner: SocketAddr, demand: &Demand) -> PendingRequest {
-        let number = host.admission.take_number();
-        let (sender, answer) = async_channel::bounded(1);
-        host.admission.pending.borrow_mut().insert(number, sender);
-        let message = AdmissionMessage::Request { number, demand: demand.clone() };
-        host.send_admission(owner, message);
-        PendingRequest { host: host.clone(), owner, number, answer, is_open: true }
-    }
-
-    /// Ends the request after its answer.
-    fn close(mut self) {
-        self.is_open = false;
-    }
-}
-
-impl Drop for PendingRequest {
-    fn drop(&mut self) {
-        if !self.is_open {
-            return;
-        }
-        self.host.admission.pending.borrow_mut().remove(&self.number);
-        let outcome = ServiceOutcome::Unknown;
-        let message = AdmissionMessage::Released { number: self.number, outcome };
-        self.host.send_admission(self.owner, message);
-    }
-}
-
 /// Reports the held reservations to their owners at intervals, until the task is dropped.
 pub(crate) async fn report(host: Rc<EntryHost>) {
     let mut last_owners: Vec<SocketAddr> = Vec::new();
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     io,
     net::{SocketAddr, UdpSocket},
     rc::Rc,
@@ -15,13 +15,14 @@
     digest::Digest,
     entry::{admission_client::AdmissionClient, cell_owner::CellOwner},
     fleet::{
-        entry_registry, AdmissionMessage, BackendTable, Beacon, EngineNotice, EntryState,
-        KindCache, LossCount, PeerMessage, PeerTable, StoreSource, StoreSources, VersionTable,
+        entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, EngineNotice,
+        EntryState, KindCache, LossCount, PeerMessage, PeerTable, StoreSource, StoreSources,
+        VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, WeightsVersion, ZoneId},
     placement::{
         BackendHealth, CellMap, CrashSuspects, Fingerprint, OwnerCandidate, RequestCounts,
-        WindowedRetryBudget,
+        RetryBudgets,
     },
     platform::{store::Store, wire_config, wire_server},
     relay::BackendConnections,
@@ -35,11 +36,6 @@
 
 /// Time for which a leaving host still owns its engines, until the other hosts know that it leaves.
 const HANDOVER_TIME: Duration = Duration::from_secs(1);
-/// Number of entry hosts that watch the store directly, in all zones together; the others watch it
-/// through these.
-const N_DIRECT_WATCHERS: usize = 9;
-/// Minimum number of entry hosts of each zone that watch the store directly.
-const MIN_DIRECT_WATCHERS_PER_ZONE: usize = 2;
 /// The kinds that a host must watch without a gap before other processes watch the store through
 /// it.
 const WATCHED_KINDS: [&str; 4] = [
@@ -88,8 +84,7 @@
     pub(crate) n_connections: Cell<usize>,
     /// The other entry hosts for which cells and store sources were last computed.
     known_peers: RefCell<Vec<(HostId, EntryState, bool)>>,
-    /// Retry budgets by pool or service.
-    budgets: RefCell<HashMap<ServiceId, WindowedRetryBudget>>,
+    retry_budgets: RefCell<RetryBudgets>,
     leaving_since: Cell<Option<Instant>>,
     started_ms: u64,
     beacon_number: Cell<u64>,
@@ -102,7 +97,9 @@
         listen: EntryListenSettings,
     ) -> io::Result<Rc<EntryHost>> {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let bound = settings.bounds.version;
+        let bounds = settings.bounds;
+        let retry_budgets =
+            RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
         let sources = StoreSources::new(Store::new(settings.store));
         let socket = Async::<UdpSocket>::bind(settings.peers)?;
         Ok(Rc::new(EntryHost {
@@ -111,7 +108,7 @@
             charter: RefCell::default(),
             backends: RefCell::default(),
             has_backends: Cell::new(false),
-            versions: RefCell::new(VersionTable::new(bound)),
+            versions: RefCell::new(VersionTable::new(bounds.version)),
             peers: RefCell::default(),
             request_counts: RefCell::default(),
             health: RefCell::default(),
@@ -127,7 +124,7 @@
             admission: AdmissionClient::new(),
             n_exchanges: Cell::new(0),
             n_connections: Cell::new(0),
-            budgets: RefCell::default(),
+            retry_budgets: RefCell::new(retry_budgets),
             leaving_since: Cell::new(None),
             started_ms: since_epoch.as_millis() as u64,
             beacon_number: Cell::new(0),
@@ -350,9 +347,7 @@
         relays.sort_by_key(|it| (it.zone != host.zone, relay_order(&host.id, &it.host)));
         let relays = relays.into_iter().map(|it| it.peers).collect();
         let zones: BTreeSet<&ZoneId> = targets.values().collect();
-        let per_zone = N_DIRECT_WATCHERS / zones.len().max(1);
-        let per_zone = per_zone.max(MIN_DIRECT_WATCHERS_PER_ZONE);
-        let prefers_store = self.n_preferred_in_zone() < per_zone;
+        let prefers_store = follows_store(self.n_preferred_in_zone(), zones.len());
         self.sources.update(prefers_store, relays);
     }
 
@@ -381,7 +376,7 @@
 
     /// Counts a request for a pool or service, which raises its retry budget.
     pub(crate) fn count_request(&self, service: &ServiceId) {
-        self.with_budget(service, |it| it.count_request(Instant::now()));
+        self.retry_budgets.borrow_mut().count_request(service, Instant::now());
     }
 
     /// Takes one retry from the retry budget of a pool or service; returns `false` if the budget is
@@ -389,20 +384,7 @@
     pub(crate) fn try_spend_retry(&self, service: &ServiceId) -> bool {
         // Hosts of other zones may be running although this host gets no beacons of them.
         let n_hosts = self.beacon_targets.borrow().len();
-        self.with_budget(service, |it| it.try_spend_retry(n_hosts, Instant::now()))
-    }
-
-    fn with_budget<T>(
-        &self,
-        service: &ServiceId,
-        act: impl FnOnce(&mut WindowedRetryBudget) -> T,
-    ) -> T {
-        let bounds = &self.settings.bounds;
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            WindowedRetryBudget::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window)
-        });
-        act(budget)
+        self.retry_budgets.borrow_mut().try_spend_retry(service, n_hosts, Instant::now())
     }
 }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -35,12 +35,8 @@
 const RESUME_QUEUE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeout of an attempt without a stream when the request may be sent to another backend server.
 const PLAIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(450);
-/// Value of `Retry-After` in the response to a request that finds all backend servers busy.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Value of `Retry-After` in the response to a request for which there is no backend server, as
-/// while engines load weights, which takes seconds. A caller that returned earlier would be refused
-/// again.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Value of `Retry-After` in the response of a host that has no charter yet.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Whether the caller's connection may be reused for another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,7 +105,7 @@
                 503,
                 "this entry host has no charter yet; retry at another one",
             );
-            return self.send_error(response.with_retry_after(BUSY_RETRY_AFTER)).await;
+            return self.send_error(response.with_retry_after(STARTING_RETRY_AFTER)).await;
         };
         self.trace.set_charter(charter.number);
         let Some(route) = charter.route(&self.request.host, self.head.path()) else {
@@ -353,16 +349,7 @@
     }
 
     async fn send_reservation_error(&self, reason: ReservationError) -> ConnectionReuse {
-        let (message, retry_after) = match reason {
-            ReservationError::NoBackend => (
-                "no backend server can accept the request now; retry later",
-                UNAVAILABLE_RETRY_AFTER,
-            ),
-            ReservationError::Full => {
-                ("all backend servers are busy; retry later", BUSY_RETRY_AFTER)
-            }
-        };
-        self.send_error(ErrorResponse::not_run(503, message).with_retry_after(retry_after)).await
+        self.send_error(reason.response()).await
     }
 
     async fn send_error(&self, response: ErrorResponse) -> ConnectionReuse {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod lifecycle;
 mod metrics_endpoint;
+mod pending_request;
 mod request_trace;
 mod reservation;
 mod store_relay;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -11,6 +11,7 @@
     entry::{
         admission_client::{self, Grant},
         entry_host::EntryHost,
+        error_response::ErrorResponse,
     },
     fleet::ServiceOutcome,
     ids::{BackendId, ServiceId, WeightsVersion},
@@ -18,6 +19,12 @@
     routing::{BackendServer, BackendState},
 };
 
+/// Value of `Retry-After` in the response to a request that finds all backend servers busy.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Value of `Retry-After` in the response to a request for which there is no backend server, as
+/// while engines load weights, which takes seconds. A caller that returned earlier would be refused
+/// again.
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Maximum number of grants for one request whose engine this host must not use.
 const MAX_UNUSABLE_GRANTS: u32 = 3;
 
@@ -46,6 +53,22 @@
     Full,
 }
 
+impl ReservationError {
+    /// Returns the response to a request that could not be sent.
+    pub(crate) fn response(self) -> ErrorResponse {
+        let (message, retry_after) = match self {
+            ReservationError::NoBackend => (
+                "no backend server can accept the request now; retry later",
+                UNAVAILABLE_RETRY_AFTER,
+            ),
+            ReservationError::Full => {
+                ("all backend servers are busy; retry later", BUSY_RETRY_AFTER)
+            }
+        };
+        ErrorResponse::not_run(503, message).with_retry_after(retry_after)
+    }
+}
+
 /// Capacity for one request at one backend server; dropping it releases the capacity.
 pub(crate) struct Reservation {
     host: Rc<EntryHost>,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod kind_cache;
 mod kind_watch;
 mod peer_table;
+mod store_followers;
 mod store_probe;
 mod store_retry;
 mod store_sources;
@@ -21,6 +22,7 @@
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
+    store_followers::follows_store,
     store_probe::StoreProbe,
     store_retry::StoreRetry,
     store_sources::{StoreSource, StoreSources},
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,6 +13,7 @@
 mod plain_choice;
 mod request_counts;
 mod reservation_id;
+mod retry_budgets;
 mod shutdown_admission;
 mod windowed_retry_budget;
 
@@ -27,6 +28,7 @@
     plain_choice::{choose_plain_backend, PlainCandidate},
     request_counts::RequestCounts,
     reservation_id::{ReservationId, ReservationNumber},
+    retry_budgets::RetryBudgets,
     shutdown_admission::can_finish_before_exit,
     windowed_retry_budget::WindowedRetryBudget,
 };
--- a/tests/store_relays.rs
+++ b/tests/store_relays.rs
@@ -9,7 +9,7 @@
 };
 
 use crocustiller::{
-    fleet::{KindCache, StoreSource, StoreSources},
+    fleet::{follows_store, KindCache, StoreSource, StoreSources},
     platform::store::{Change, Changes, Listing, Store, StoreError, StoredObject},
 };
 use crocustiller_standins::raw_http::{ScriptedServer, StoreFault, StoreStandin};
@@ -214,3 +214,15 @@
         }
     }
 }
+
+/// The number of processes that watch the store does not grow with the deployment.
+#[test]
+fn few_hosts_follow_store() {
+    let n_followers = |n_zones: usize, n_hosts: usize| {
+        (0..n_hosts).filter(|it| follows_store(it / n_zones, n_zones)).count()
+    };
+    assert_eq!(n_followers(3, 7), 7);
+    assert_eq!(n_followers(3, 34), 9);
+    assert_eq!(n_followers(5, 149), 10);
+    assert_eq!(n_followers(5, 360), 10);
+}
