--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     entry::{
-        entry_host::EntryHost, pending_request::PendingRequest, reservation::ReservationError,
+        eligible_servers::{eligible_servers, version_served},
+        entry_host::EntryHost,
+        pending_request::PendingRequest,
+        reservation::ReservationError,
     },
     fleet::{AdmissionMessage, ServiceOutcome},
     ids::{BackendId, HostId, WeightsVersion},
@@ -218,7 +221,7 @@
 /// that it has no room for.
 fn reserve_without_owner(host: &Rc<EntryHost>, demand: &Demand) -> Result<Grant, ReservationError> {
     let servers = host.backends.borrow();
-    let eligible = host.eligible_servers(&servers, &demand.service, demand.model.as_deref());
+    let eligible = eligible_servers(host, &servers, &demand.service, demand.model.as_deref());
     let is_unused = |address: &SocketAddr| host.request_counts.borrow().get(address) == 0;
     let candidates: Vec<&BackendServer> = eligible
         .into_iter()
@@ -230,7 +233,7 @@
     let owner = host.owner_address(&engine).unwrap_or(host.settings.peers);
     host.admission.hold(number, owner, &engine, demand.prompt_tokens);
     log::info!("cell: no owner answers, reserved without one backend={engine}");
-    let version = host.version_served(&engine);
+    let version = version_served(host, &engine);
     Ok(Grant { number, engine, version, load: Load::default() })
 }
 
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -12,7 +12,10 @@
 use futures_lite::FutureExt;
 
 use crate::{
-    entry::entry_host::EntryHost,
+    entry::{
+        eligible_servers::{eligible_servers, version_served},
+        entry_host::EntryHost,
+    },
     fleet::{AdmissionMessage, ServiceOutcome},
     ids::BackendId,
     placement::{Admission, AdmissionCell, CellEngine, Demand, ReservationId},
@@ -104,7 +107,7 @@
         let owned_since = self.owned_since.borrow();
         let health = host.health.borrow();
         let servers = host.backends.borrow();
-        let eligible = host.eligible_servers(&servers, &demand.service, demand.model.as_deref());
+        let eligible = eligible_servers(host, &servers, &demand.service, demand.model.as_deref());
         eligible
             .into_iter()
             .filter(|it| !demand.excluded.contains(&it.id) && health.is_usable(&it.id, 0, now))
@@ -165,7 +168,7 @@
     let message = match decision {
         Admission::Granted { engine, load } => AdmissionMessage::Granted {
             number,
-            version: host.version_served(&engine),
+            version: version_served(host, &engine),
             engine,
             n_requests: load.n_requests,
             unread_tokens: load.unread_tokens,
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -13,20 +13,20 @@
 
 use crate::{
     digest::Digest,
-    entry::{admission_client::AdmissionClient, cell_owner::CellOwner},
+    entry::{admission_client::AdmissionClient, cell_owner::CellOwner, eligible_servers},
     fleet::{
         entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, EngineNotice,
         EntryState, KindCache, LossCount, PeerMessage, PeerTable, StoreSource, StoreSources,
         VersionTable,
     },
-    ids::{BackendId, HostId, ServiceId, WeightsVersion, ZoneId},
+    ids::{BackendId, HostId, ServiceId, ZoneId},
     placement::{
         BackendHealth, CellMap, CrashSuspects, Fingerprint, OwnerCandidate, RequestCounts,
         RetryBudgets,
     },
     platform::{store::Store, wire_config, wire_server},
     relay::BackendConnections,
-    routing::{BackendServer, RoutingCharter},
+    routing::RoutingCharter,
     settings::{DeployedSettings, EntryListenSettings},
     weights::rank::digest_hash,
 };
@@ -233,41 +233,6 @@
         self.peer_address(&owner)
     }
 
-    /// Returns the backend servers of a pool or service that accept requests, for a pool those with
-    /// all layers of `model` in a version that requests may still start on.
-    pub(crate) fn eligible_servers<'a>(
-        &self,
-        servers: &'a BackendTable,
-        service: &'a ServiceId,
-        model: Option<&str>,
-    ) -> Vec<&'a BackendServer> {
-        let ready = servers.ready_of(service);
-        let (Some(model), Some(n_layers)) = (model, self.n_layers(service)) else {
-            return ready.collect();
-        };
-        let oldest = self.versions.borrow().oldest_allowed(model, Instant::now());
-        let serves = |it: &&BackendServer| {
-            it.complete_version(model, n_layers).is_some_and(|it| it >= oldest)
-        };
-        ready.filter(serves).collect()
-    }
-
-    /// Returns the number of layers of a pool's models; `None` for a plain service.
-    pub(crate) fn n_layers(&self, service: &ServiceId) -> Option<u32> {
-        let charter = self.charter.borrow();
-        let engine = charter.as_ref()?.services.get(service)?.engine.as_ref()?;
-        Some(engine.n_layers)
-    }
-
-    /// Returns the version of the weights that an engine serves.
-    pub(crate) fn version_served(&self, engine: &BackendId) -> Option<WeightsVersion> {
-        let servers = self.backends.borrow();
-        let server = servers.get(engine)?;
-        let n_layers = self.n_layers(&server.service)?;
-        let model = &server.weights.first()?.model;
-        server.complete_version(model, n_layers)
-    }
-
     /// Recomputes the owner of each engine, after a change of engines or entry hosts.
     pub(crate) fn update_cells(&self) {
         let mut entry_hosts: Vec<OwnerCandidate> = {
@@ -282,7 +247,8 @@
         }
         let engines: BTreeMap<BackendId, ZoneId> = {
             let servers = self.backends.borrow();
-            let engines = servers.iter().filter(|it| self.n_layers(&it.service).is_some());
+            let engines =
+                servers.iter().filter(|it| eligible_servers::n_layers(self, &it.service).is_some());
             engines.map(|it| (it.id.clone(), it.zone.clone())).collect()
         };
         let cell_map = CellMap::new(&engines, &entry_hosts);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod cell_owner;
 mod count_guard;
 mod directory;
+mod eligible_servers;
 mod entry_host;
 mod error_response;
 mod exchange;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -10,6 +10,7 @@
 use crate::{
     entry::{
         admission_client::{self, Grant},
+        eligible_servers::n_layers,
         entry_host::EntryHost,
         error_response::ErrorResponse,
     },
@@ -95,7 +96,7 @@
         requirements: &BackendRequirements,
         queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
-        if host.n_layers(&requirements.service).is_none() {
+        if n_layers(host, &requirements.service).is_none() {
             return Reservation::at_plain_backend(host, requirements);
         }
         let mut demand = requirements.demand(host, queue_timeout);
