Tell a host that is not yet the owner from one without a usable engine; idle engines load what they can

Such a host now says that it is not an owner, and the request goes to an engine of the zone without one.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -17,7 +17,7 @@
         pending_request::PendingRequest,
         reservation::ReservationError,
     },
-    fleet::{AdmissionMessage, ServiceOutcome},
+    fleet::{AdmissionMessage, RefusalReason, ServiceOutcome},
     ids::{BackendId, HostId, WeightsVersion},
     placement::{Demand, HeldReservation, Load, ReservationNumber},
     routing::BackendServer,
@@ -48,8 +48,8 @@
 pub(crate) enum Answer {
     /// It reserved capacity.
     Granted(Grant),
-    /// It has no capacity; `has_engine` tells whether it has an engine for such requests.
-    Refused { has_engine: bool },
+    /// It reserved no capacity.
+    Refused(RefusalReason),
     /// It did not answer in time.
     Silent,
 }
@@ -89,9 +89,7 @@
                 let load = Load { n_requests, unread_tokens };
                 (number, Answer::Granted(Grant { number, engine, version, load }))
             }
-            AdmissionMessage::Refused { number, has_engine } => {
-                (number, Answer::Refused { has_engine })
-            }
+            AdmissionMessage::Refused { number, reason } => (number, Answer::Refused(reason)),
             _ => return,
         };
         let is_grant = matches!(answer, Answer::Granted(_));
@@ -192,30 +190,29 @@
     demand: &Demand,
 ) -> Result<Grant, ReservationError> {
     let immediate = Demand { wait: Duration::ZERO, ..demand.clone() };
-    let mut first_with_engines = None;
-    let mut has_answer = false;
+    let mut first_full = None;
+    let mut is_owner_known = false;
     for owner in host.admission.owners_to_ask(host, Instant::now()) {
         match ask(host, &owner, &immediate).await {
             Answer::Granted(grant) => return Ok(grant),
-            Answer::Refused { has_engine } => {
-                has_answer = true;
-                first_with_engines = first_with_engines.or(has_engine.then_some(owner));
-            }
-            Answer::Silent => {}
+            Answer::Refused(RefusalReason::Full) => first_full = first_full.or(Some(owner)),
+            Answer::Refused(RefusalReason::NoUsableEngine) => is_owner_known = true,
+            Answer::Refused(RefusalReason::NotOwner) | Answer::Silent => {}
         }
     }
-    match first_with_engines {
+    match first_full {
         Some(owner) if !demand.wait.is_zero() => match ask(host, &owner, demand).await {
             Answer::Granted(grant) => Ok(grant),
-            Answer::Refused { .. } | Answer::Silent => Err(ReservationError::Full),
+            Answer::Refused(_) | Answer::Silent => Err(ReservationError::Full),
         },
         Some(_) => Err(ReservationError::Full),
-        None if has_answer => Err(ReservationError::NoBackend),
+        None if is_owner_known => Err(ReservationError::NoBackend),
         None => reserve_without_owner(host, demand),
     }
 }
 
-/// Reserves an engine of the own zone at which this host has no request, when no owner answers.
+/// Reserves an engine of the own zone at which this host has no request, when no owner answers or
+/// the hosts asked do not know yet that they are owners.
 ///
 /// All entry hosts together send an engine few requests in this way, and the engine refuses those
 /// that it has no room for.
@@ -232,7 +229,7 @@
     let number = host.admission.take_number();
     let owner = host.owner_address(&engine).unwrap_or(host.settings.peers);
     host.admission.hold(number, owner, &engine, demand.prompt_tokens);
-    log::info!("cell: no owner answers, reserved without one backend={engine}");
+    log::info!("cell: no owner is known, reserved without one backend={engine}");
     let version = version_served(host, &engine);
     Ok(Grant { number, engine, version, load: Load::default() })
 }
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -16,7 +16,7 @@
         eligible_servers::{eligible_servers, version_served},
         entry_host::EntryHost,
     },
-    fleet::{AdmissionMessage, ServiceOutcome},
+    fleet::{AdmissionMessage, RefusalReason, ServiceOutcome},
     ids::BackendId,
     placement::{Admission, AdmissionCell, CellEngine, Demand, ReservationId},
     runtime,
@@ -165,6 +165,7 @@
 
 fn send_decision(host: &EntryHost, id: ReservationId, decision: Admission) {
     let number = id.number;
+    let refused = |reason: RefusalReason| AdmissionMessage::Refused { number, reason };
     let message = match decision {
         Admission::Granted { engine, load } => AdmissionMessage::Granted {
             number,
@@ -173,8 +174,11 @@
             n_requests: load.n_requests,
             unread_tokens: load.unread_tokens,
         },
-        Admission::Full => AdmissionMessage::Refused { number, has_engine: true },
-        Admission::NoEngine => AdmissionMessage::Refused { number, has_engine: false },
+        Admission::Full => refused(RefusalReason::Full),
+        Admission::NoEngine if host.cell_owner.owned_since.borrow().is_empty() => {
+            refused(RefusalReason::NotOwner)
+        }
+        Admission::NoEngine => refused(RefusalReason::NoUsableEngine),
     };
     host.send_admission(id.holder, message);
 }
--- a/src/fleet/admission_message.rs
+++ b/src/fleet/admission_message.rs
@@ -34,8 +34,8 @@
     Refused {
         /// Number of the reservation.
         number: ReservationNumber,
-        /// Whether the owner has an engine that the request could use.
-        has_engine: bool,
+        /// The reason.
+        reason: RefusalReason,
     },
     /// The first event of a response has arrived, so the prompt has been read.
     FirstEvent {
@@ -56,6 +56,17 @@
     },
 }
 
+/// The reason why no capacity was reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RefusalReason {
+    /// All engines that the request could use are at capacity.
+    Full,
+    /// None of the receiver's engines can be used now.
+    NoUsableEngine,
+    /// The receiver owns no engine, as its view of the entry hosts differs from the sender's.
+    NotOwner,
+}
+
 /// How an engine served a request, as far as it tells of the engine's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServiceOutcome {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,7 +16,7 @@
 
 pub(crate) use crate::fleet::version_updates::apply_versions;
 pub use crate::fleet::{
-    admission_message::{AdmissionMessage, ServiceOutcome},
+    admission_message::{AdmissionMessage, RefusalReason, ServiceOutcome},
     backend_table::BackendTable,
     beacon::{Beacon, EngineNotice, EntryState, LossCount, ManifestCopy, PeerMessage, PiecesHeld},
     kind_cache::KindCache,
--- a/src/slot/engine_driver.rs
+++ b/src/slot/engine_driver.rs
@@ -151,12 +151,13 @@
             return may_switch_after(switch_delay(rank, n_engines, bound))
                 .then(|| piece_store.clone());
         }
+        let oldest = versions.oldest_allowed(&pool.model, Instant::now());
         // While pieces of the newest version still arrive, wait for them, as one switch costs less
-        // than two.
-        if newest.is_some_and(|it| it.idle_time() < STALL_TIMEOUT) {
+        // than two. An engine that may not serve loses nothing by an additional switch.
+        let may_serve = serves.is_some_and(|it| it >= oldest);
+        if may_serve && newest.is_some_and(|it| it.idle_time() < STALL_TIMEOUT) {
             return None;
         }
-        let oldest = versions.oldest_allowed(&pool.model, Instant::now());
         let is_acceptable = |it: &&PieceStore| it.version >= oldest && Some(it.version) > serves;
         let earlier = piece_stores.values().rev().find(|it| it.is_complete()).filter(is_acceptable);
         earlier.filter(|_| may_switch_after(fallback_delay(rank, n_engines, bound))).cloned()
