A message with an absurd wait stops no host; long reports are read whole

Cause: an owner added the wait of a request to its clock, which panics on overflow. The executor keeps the process alive, but the task that receives datagrams ended, so the owner answered nobody any more (test bad_datagrams_are_survived failed without the limit, passes with it). Reports of more than some 200 reservations were cut at 8 KiB and dropped.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -22,8 +22,8 @@
 
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Maximum length of a datagram.
-const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Maximum length of a datagram; a host may report more than a thousand reservations to one owner.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 /// Mean delay between two attempts to register.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Maximum number of representatives of a zone.
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -26,6 +26,8 @@
 /// Age up to which a reservation is kept though a report lacks it, as the report may have been sent
 /// before the reservation was granted.
 const REPORT_DELAY: Duration = Duration::from_millis(150);
+/// Longest time for which a request may wait, whatever its entry host asks for.
+const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Maximum number of waiting requests for each slot of the cell.
 const MAX_WAITING_PER_SLOT: usize = 2;
 /// Maximum share of the engines that are kept free for long prompts that wait.
@@ -118,7 +120,7 @@
             return Some(Admission::NoEngine);
         }
         let n_slots: u32 = usable.iter().map(|it| it.slots).sum();
-        let deadline = now + demand.wait;
+        let deadline = now + demand.wait.min(MAX_WAIT);
         self.waiting.push(WaitingRequest { id, demand, deadline });
         let has_room = self.waiting.len() <= MAX_WAITING_PER_SLOT * n_slots as usize;
         let decisions = self.place_waiting(engines, now);
@@ -295,7 +297,7 @@
     fn add_load(&mut self, reservation: &Reservation) {
         let load = self.loads.entry(reservation.engine.clone()).or_default();
         load.n_requests += 1;
-        load.unread_tokens += reservation.unread_tokens;
+        load.unread_tokens = load.unread_tokens.saturating_add(reservation.unread_tokens);
     }
 
     fn remove_load(&mut self, reservation: &Reservation) {
--- a/src/placement/engine_choice.rs
+++ b/src/placement/engine_choice.rs
@@ -31,7 +31,8 @@
             return self.load.n_requests < self.slots;
         }
         let unread = self.load.unread_tokens;
-        self.has_slot() && (unread == 0 || unread + prompt_tokens <= MAX_UNREAD_TOKENS)
+        self.has_slot()
+            && (unread == 0 || unread.saturating_add(prompt_tokens) <= MAX_UNREAD_TOKENS)
     }
 }
 
--- a/tests/cell_owners.rs
+++ b/tests/cell_owners.rs
@@ -3,6 +3,7 @@
 mod entry_process;
 
 use std::{
+    net::UdpSocket,
     sync::{
         atomic::{AtomicU32, Ordering},
         Arc,
@@ -11,6 +12,10 @@
     time::{Duration, Instant},
 };
 
+use crocustiller::{
+    fleet::{AdmissionMessage, PeerMessage, RefusalReason},
+    placement::{Demand, HeldReservation},
+};
 use crocustiller_standins::raw_http::{ScriptedServer, Step, StoreStandin};
 use entry_process::{
     charter, event_chunk, request, server_entry, stream_head, CallerResponse, EntryProcess,
@@ -124,3 +129,60 @@
         assert_eq!(response.status(), 200, "{:?}: {}", left.elapsed(), response.text());
     }
 }
+
+/// Datagrams that are no messages, cut ones and such with absurd values stop no host from answering
+/// the next message.
+#[test]
+fn bad_datagrams_are_survived() {
+    let engine = CountingEngine::start(Duration::from_millis(5));
+    let (_store, hosts) = start(&engine, &["entry-1"]);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut random = fastrand::Rng::with_seed(17);
+    let demand = Demand {
+        service: "pool".to_owned(),
+        model: Some("lots".to_owned()),
+        prompt_tokens: u32::MAX,
+        is_resumed: false,
+        excluded: Vec::new(),
+        wait: Duration::MAX,
+    };
+    let sound = Demand { prompt_tokens: 100, wait: Duration::ZERO, ..demand.clone() };
+    let held =
+        |number| HeldReservation { number, engine: "pool-0".to_owned(), unread_tokens: u32::MAX };
+    let messages = [
+        AdmissionMessage::Request { number: u64::MAX, demand },
+        AdmissionMessage::Report { reservations: (0..900).map(held).collect() },
+        AdmissionMessage::FirstEvent { number: 3 },
+        AdmissionMessage::Refused { number: 3, reason: RefusalReason::Full },
+        AdmissionMessage::Report { reservations: Vec::new() },
+    ];
+    for message in messages {
+        let bytes = bincode::serialize(&PeerMessage::Admission(message)).unwrap();
+        socket.send_to(&bytes, hosts[0].peers).unwrap();
+        for _ in 0..40 {
+            let mut spoilt = bytes[..random.usize(..bytes.len())].to_vec();
+            if let Some(byte) = random.choice(spoilt.iter_mut()) {
+                *byte = random.u8(..);
+            }
+            socket.send_to(&spoilt, hosts[0].peers).unwrap();
+        }
+    }
+    // The reservations that the datagrams made up lapse.
+    thread::sleep(Duration::from_millis(1800));
+    assert_eq!(send(&hosts[0], "after-junk").status(), 200);
+    let request = PeerMessage::Admission(AdmissionMessage::Request { number: 7, demand: sound });
+    socket.send_to(&bincode::serialize(&request).unwrap(), hosts[0].peers).unwrap();
+    let answers = std::iter::repeat_with(|| receive(&socket));
+    let is_grant = |it: &PeerMessage| {
+        matches!(it, PeerMessage::Admission(AdmissionMessage::Granted { number: 7, .. }))
+    };
+    assert!(answers.take_while(Option::is_some).flatten().any(|it| is_grant(&it)));
+}
+
+/// Receives the next message; `None` if none comes for 2 s.
+fn receive(socket: &UdpSocket) -> Option<PeerMessage> {
+    let mut bytes = [0; 1 << 16];
+    socket.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    let n_bytes = socket.recv(&mut bytes).ok()?;
+    bincode::deserialize(&bytes[..n_bytes]).ok()
+}
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -33,6 +33,7 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub directory: SocketAddr,
+    pub peers: SocketAddr,
 }
 
 /// The bytes that a caller received in response to a request.
@@ -89,7 +90,7 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let mut entry = EntryProcess { child, callers, readiness, directory };
+        let mut entry = EntryProcess { child, callers, readiness, directory, peers };
         let started = Instant::now();
         while TcpStream::connect(entry.readiness).is_err() {
             assert!(!entry.has_exited(), "the entry host exited; see its error above");
