A stream that only drips bytes is resumed elsewhere

Cause: the time without an event began anew with each read, so an engine that sent single bytes of an event kept the caller until the request's deadline (test dripping_stream_is_resumed failed before). Now only complete events count.

--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -38,13 +38,14 @@
 ) -> AttemptOutcome {
     let may_retry = route.is_repeatable() && !is_last;
     let bounded = |timeout: Duration| if may_retry { timeout } else { NO_TIMEOUT };
-    let first_event_timeout = || {
-        let left =
+    let first_event_timeout = |waited: Duration| {
+        let bounded_left = bounded(FIRST_EVENT_TIMEOUT).saturating_sub(waited);
+        let start_left =
             reservation.start_deadline.map(|it| it.saturating_duration_since(Instant::now()));
-        left.map_or(bounded(FIRST_EVENT_TIMEOUT), |it| it.min(bounded(FIRST_EVENT_TIMEOUT)))
+        start_left.map_or(bounded_left, |it| it.min(bounded_left))
     };
     let send = attempt.send(&exchange.host.connections);
-    let mut response = match runtime::timeout(first_event_timeout(), send).await {
+    let mut response = match runtime::timeout(first_event_timeout(Duration::ZERO), send).await {
         Ok(Ok(response)) => response,
         Ok(Err(err)) if err.verdict == Verdict::NotRun => {
             return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
@@ -74,9 +75,15 @@
     }
     let mut splitter = EventSplitter::default();
     let mut is_first = true;
+    let mut last_progress = Instant::now();
     loop {
         let mut bytes = Vec::new();
-        let timeout = if is_first { first_event_timeout() } else { bounded(EVENT_GAP_TIMEOUT) };
+        // Bytes that complete no event are no progress.
+        let waited = last_progress.elapsed();
+        let timeout = match is_first {
+            true => first_event_timeout(waited),
+            false => bounded(EVENT_GAP_TIMEOUT).saturating_sub(waited),
+        };
         match runtime::timeout(timeout, response.read(&mut bytes)).await {
             Ok(Ok(true)) => {}
             Ok(Ok(false)) if splitter.is_between_events() => break,
@@ -108,6 +115,7 @@
         if events.is_empty() {
             continue;
         }
+        last_progress = Instant::now();
         if is_first {
             is_first = false;
             reservation.record_first_event();
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -63,6 +63,32 @@
     assert_eq!(response.text().matches("X-Server-Stamp").count(), 1);
 }
 
+/// A stream that stalls inside an event is resumed at another engine, although single bytes still
+/// arrive.
+#[test]
+fn dripping_stream_is_resumed() {
+    let script = |request: &RawRequest| {
+        let mut bytes = stream_head(request);
+        if request.header("last-event-id").is_some() {
+            bytes.extend(event_chunk(2));
+            bytes.extend_from_slice(b"0\r\n\r\n");
+            return vec![Step::Send(bytes)];
+        }
+        bytes.extend(event_chunk(1));
+        let drip =
+            |_| [Step::Pause(Duration::from_millis(200)), Step::Send(b"1\r\ni\r\n".to_vec())];
+        let drips = (0..12).flat_map(drip);
+        std::iter::once(Step::Send(bytes)).chain(drips).collect()
+    };
+    let engines = [ScriptedServer::start(script).unwrap(), ScriptedServer::start(script).unwrap()];
+    let deployment = Deployment::start("pool", &[&engines[0], &engines[1]]);
+    let started = Instant::now();
+    let response = deployment.entry.exchange(&stream_request("dripping"));
+    assert!(response.is_complete(), "{}", response.text());
+    assert_eq!(tokens(&response), [1, 2]);
+    assert!(started.elapsed() < Duration::from_millis(1800), "{:?}", started.elapsed());
+}
+
 /// A stream that no other engine can continue ends without the last chunk.
 #[test]
 fn unresumable_stream_is_incomplete() {
