--- a/src/entry/attempt_outcome.rs
+++ b/src/entry/attempt_outcome.rs
@@ -31,8 +31,10 @@
     pub(crate) fn service_outcome(&self) -> ServiceOutcome {
         match self {
             AttemptOutcome::Done(_) => ServiceOutcome::Succeeded,
-            AttemptOutcome::Unreachable | AttemptOutcome::Lost => ServiceOutcome::Failed,
-            AttemptOutcome::Refused(..) | AttemptOutcome::Failed(..) => ServiceOutcome::Unknown,
+            AttemptOutcome::Unreachable | AttemptOutcome::Lost | AttemptOutcome::Failed(..) => {
+                ServiceOutcome::Failed
+            }
+            AttemptOutcome::Refused(..) => ServiceOutcome::Unknown,
         }
     }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -224,6 +224,11 @@
             let is_last = n_sent + 1 >= route.max_attempts;
             let outcome = self.run_attempt(route, &reservation, customer, is_last).await;
             reservation.record_outcome(outcome.service_outcome());
+            // A plain service may respond with errors to sound requests; an engine does not.
+            if matches!(outcome, AttemptOutcome::Failed(..)) && reservation.is_at_engine() {
+                let mut health = self.host.health.borrow_mut();
+                health.record_failure(&reservation.backend, Instant::now());
+            }
             drop(reservation);
             match outcome {
                 AttemptOutcome::Done(reuse) => return reuse,
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -186,6 +186,11 @@
         }
     }
 
+    /// Returns `true` if the backend server is an engine of a pool.
+    pub(crate) fn is_at_engine(&self) -> bool {
+        self.number.is_some()
+    }
+
     /// Records how the backend server served the request, for the owner of the engine.
     pub(crate) fn record_outcome(&self, outcome: ServiceOutcome) {
         self.outcome.set(outcome);
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -63,6 +63,27 @@
     assert_eq!(response.text().matches("X-Server-Stamp").count(), 1);
 }
 
+/// Load pattern: an engine that fails all requests at once always looks idle. It must not attract the
+/// requests of the pool.
+#[test]
+fn failing_engine_attracts_no_requests() {
+    let failing =
+        ScriptedServer::start(|request| vec![Step::Send(encode_response(request, 500, "failed"))]);
+    let sound = ScriptedServer::start(|request| {
+        let mut bytes = stream_head(request);
+        bytes.extend(event_chunk(1));
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        vec![Step::Send(bytes)]
+    });
+    let (failing, sound) = (failing.unwrap(), sound.unwrap());
+    let deployment = Deployment::start("pool", &[&failing, &sound]);
+    for number in 0..20 {
+        let response = deployment.entry.exchange(&stream_request(&format!("failing-{number}")));
+        assert_eq!(response.status(), 200, "{}", response.text());
+    }
+    assert!(failing.requests().len() <= 4, "{} requests", failing.requests().len());
+}
+
 /// A stream that stalls inside an event is resumed at another engine, although single bytes still
 /// arrive.
 #[test]
