--- a/tests/piece_rules.rs
+++ b/tests/piece_rules.rs
@@ -167,7 +167,7 @@
 
 /// Load pattern: the origin is back after an outage and a new version is due. A fetcher that is alive
 /// but does not claim its piece, as it got the manifest late, is replaced by one slot after the other.
-/// Seen on the large site, scale-1: one piece came 3.6 s after its turn, and no engine served meanwhile.
+/// Otherwise no engine could load the version for want of one piece.
 #[test]
 fn idle_origin_fetcher_is_replaced() {
     let all = members(27);
