Log the age of a new version and the version that a request is sent to

The logs couldn't tell whether a host ended an old version late because it heard of the new one late, took its age as zero, or measured the time wrongly. The line of a new version now has its assumed age and the time that is left (max_age_ms, required_in_ms), the line of a request the version of its engine. No decision changes.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -220,6 +220,7 @@
             self.trace.record_attempt(
                 &reservation.backend,
                 (reservation.load.n_requests, reservation.load.unread_tokens),
+                reservation.version,
             );
             let is_last = n_sent + 1 >= route.max_attempts;
             let outcome = self.run_attempt(route, &reservation, customer, is_last).await;
--- a/src/entry/request_trace.rs
+++ b/src/entry/request_trace.rs
@@ -8,7 +8,7 @@
 use metrics::{counter, histogram};
 
 use crate::{
-    ids::{BackendId, DocumentNumber, RequestId},
+    ids::{BackendId, DocumentNumber, RequestId, WeightsVersion},
     logging::{LineDecision, RateLimit},
     metric_names,
     verdict::Verdict,
@@ -58,6 +58,8 @@
     time_to_first_bytes: Cell<Option<Duration>>,
     /// Last known load of the chosen backend server, in requests and unread tokens.
     load: Cell<(u32, u32)>,
+    /// Version of the weights at the last engine, by its owner's view.
+    version: Cell<Option<WeightsVersion>>,
     outcome: Cell<TraceOutcome>,
 }
 
@@ -72,6 +74,7 @@
             queue_time: Cell::new(None),
             time_to_first_bytes: Cell::new(None),
             load: Cell::new((0, 0)),
+            version: Cell::new(None),
             outcome: Cell::new(TraceOutcome::CallerLeft),
         }
     }
@@ -81,13 +84,19 @@
         self.charter.set(charter);
     }
 
-    /// Records an attempt and the last known load of its backend server, in requests and unread
-    /// tokens.
-    pub(crate) fn record_attempt(&self, backend: &BackendId, load: (u32, u32)) {
+    /// Records an attempt, the last known load of its backend server, in requests and unread
+    /// tokens, and the version of the weights there.
+    pub(crate) fn record_attempt(
+        &self,
+        backend: &BackendId,
+        load: (u32, u32),
+        version: Option<WeightsVersion>,
+    ) {
         if self.queue_time.get().is_none() {
             self.queue_time.set(Some(self.received.elapsed()));
         }
         self.load.set(load);
+        self.version.set(version);
         self.attempts.borrow_mut().push(backend.clone());
     }
 
@@ -111,11 +120,13 @@
         let (n_requests, unread_tokens) = self.load.get();
         log::info!(
             "request: ended request={} outcome={} charter={} attempts={} load={n_requests} \
-             unread_tokens={unread_tokens} waited_ms={} first_ms={} took_ms={} left_out={n_dropped}",
+             unread_tokens={unread_tokens} version={} waited_ms={} first_ms={} took_ms={} \
+             left_out={n_dropped}",
             self.id,
             self.outcome.get().log_fields(),
             self.charter.get(),
             self.attempts.borrow().join(","),
+            self.version.get().unwrap_or(0),
             ms(self.queue_time.get()),
             ms(self.time_to_first_bytes.get()),
             self.received.elapsed().as_millis(),
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -79,6 +79,8 @@
     pub(crate) address: SocketAddr,
     /// Last known load of the backend server when it was chosen.
     pub(crate) load: Load,
+    /// Version of the weights that the engine serves, by its owner's view; `None` for a plain service.
+    pub(crate) version: Option<WeightsVersion>,
     /// Version of the weights that the engine must serve; `None` if any version will do.
     pub(crate) expected_version: Option<WeightsVersion>,
     /// Instant by which the request must have started, after which the engine's version is too old;
@@ -133,6 +135,7 @@
             backend: grant.engine,
             address: server.address,
             load: grant.load,
+            version: grant.version,
             expected_version: grant.version.filter(|_| oldest > 0),
             start_deadline,
             number: Some(grant.number),
@@ -171,6 +174,7 @@
             backend: server.id.clone(),
             address: server.address,
             load,
+            version: None,
             expected_version: None,
             start_deadline: None,
             number: None,
--- a/src/fleet/version_table.rs
+++ b/src/fleet/version_table.rs
@@ -74,6 +74,13 @@
         required.max().unwrap_or(0)
     }
 
+    /// Returns the time from which no request is sent to an engine with a version before `version`,
+    /// or `None` if `version` is not known.
+    pub fn required_from(&self, model: &str, version: WeightsVersion) -> Option<Instant> {
+        let entry = self.entries.get(model)?.iter().find(|it| it.version == version)?;
+        Some(entry.required_from)
+    }
+
     /// Returns the time by which a request that was sent to an engine with `version` must have
     /// started, or `None` while there is no newer version.
     pub fn start_deadline(&self, model: &str, version: WeightsVersion) -> Option<Instant> {
--- a/src/fleet/version_updates.rs
+++ b/src/fleet/version_updates.rs
@@ -8,6 +8,7 @@
 use crate::{
     fleet::{KindUpdate, VersionTable},
     platform::{store::StoredObject, wire_server},
+    routing::TargetVersion,
 };
 
 /// Applies an update to a table; returns `true` if it contains a newer version of a model.
@@ -22,12 +23,9 @@
     for object in objects {
         match wire_server::decode_version(&object) {
             Ok(target) => {
-                if table.borrow_mut().set(&target, max_age, Instant::now()) {
-                    log::info!(
-                        "versions: new intended version model={} version={}",
-                        target.model,
-                        target.version
-                    );
+                let now = Instant::now();
+                if table.borrow_mut().set(&target, max_age, now) {
+                    log_new_version(&table.borrow(), &target, max_age, now);
                     has_newer = true;
                 }
             }
@@ -36,3 +34,21 @@
     }
     has_newer
 }
+
+/// Logs a new version with its assumed age, which decides how long the version before it may serve.
+fn log_new_version(
+    table: &VersionTable,
+    target: &TargetVersion,
+    max_age: Option<Duration>,
+    now: Instant,
+) {
+    let age_ms = max_age.map_or(-1, |it| it.as_millis() as i64);
+    let required = table.required_from(&target.model, target.version);
+    let required_in = required.map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
+    log::info!(
+        "versions: new intended version model={} version={} max_age_ms={age_ms} required_in_ms={}",
+        target.model,
+        target.version,
+        required_in.as_millis()
+    );
+}
