A failing test: a suspended host serves an old version after the bound

The process is stopped while version 2 is published and continued 2.5 s later; at the bound (4 s) the request to an engine with version 1 gets 200, where 503 is due.

--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -69,6 +69,11 @@
 
     /// Starts an entry host that uses the store at the address `store`, and waits until it listens.
     pub fn start_with_store(store: SocketAddr, id: &str) -> EntryProcess {
+        EntryProcess::start_with_bounds(store, id, "")
+    }
+
+    /// Starts an entry host with more lines in the section `bounds` of its settings.
+    pub fn start_with_bounds(store: SocketAddr, id: &str, bounds: &str) -> EntryProcess {
         let ip = unique_loopback_ip();
         let [callers, readiness, directory, peers, metrics] =
             [9101, 9102, 9103, 9104, 9105].map(|port| SocketAddr::from((ip, port)));
@@ -76,7 +81,7 @@
             "[host]\nid = {id}\nrole = entry\nregion = south\nzone = depot\n\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\ndirectory = {directory}\n\
              peers = {peers}\nmetrics = {metrics}\n\n[store]\naddress = {}\n\n\
-             [bounds]\ngrace_s = 4\n",
+             [bounds]\ngrace_s = 4\n{bounds}",
             store
         );
         let folder = tempfile::tempdir().unwrap();
@@ -134,7 +139,22 @@
 
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
-        let status = Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        self.signal("TERM");
+    }
+
+    /// Stops the process until `resume` is called.
+    pub fn suspend(&self) {
+        self.signal("STOP");
+    }
+
+    /// Continues a suspended process.
+    pub fn resume(&self) {
+        self.signal("CONT");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status().unwrap();
         assert!(status.success());
     }
 
--- /dev/null
+++ b/tests/late_versions.rs
@@ -0,0 +1,61 @@
+//! An entry host that hears of a new version late still ends the old one in time.
+
+mod entry_process;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
+use entry_process::{charter, event_chunk, request, server_entry, stream_head, EntryProcess};
+use serde_json::json;
+
+/// Time after a version is published from which no request may start on an older version.
+const OLD_VERSION_BOUND: Duration = Duration::from_secs(4);
+const BOUNDS: &str = "version_ms = 4000\n";
+
+fn one_event(request: &RawRequest) -> Vec<Step> {
+    let mut bytes = stream_head(request);
+    bytes.extend(event_chunk(1));
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    vec![Step::Send(bytes)]
+}
+
+fn stream_request(id: &str) -> Vec<u8> {
+    request("POST", "/draft/1", id, "X-Model: lots\r\nX-Token-Counts: 100,10\r\n")
+}
+
+fn publish(store: &StoreStandin, version: u64) -> Instant {
+    store.put("versions", "lots", json!({ "model": "lots", "version": version }));
+    Instant::now()
+}
+
+fn start(engine: &ScriptedServer) -> (StoreStandin, EntryProcess) {
+    let store = StoreStandin::start().unwrap();
+    store.put("config", "main", charter(1));
+    store.put("servers", "pool-0", server_entry("pool", engine.address(), "ready"));
+    let entry = EntryProcess::start_with_bounds(store.address(), "entry-1", BOUNDS);
+    entry.wait_until_ready();
+    (store, entry)
+}
+
+fn sleep_until(time: Instant) {
+    thread::sleep(time.saturating_duration_since(Instant::now()));
+}
+
+/// The host reads the change only after it was suspended, and must not take it as new.
+#[test]
+fn suspended_host_ends_old_version() {
+    let engine = ScriptedServer::start(one_event).unwrap();
+    let (store, entry) = start(&engine);
+    assert_eq!(entry.exchange(&stream_request("before")).status(), 200);
+    entry.suspend();
+    let published = publish(&store, 2);
+    sleep_until(published + Duration::from_millis(2500));
+    entry.resume();
+    sleep_until(published + OLD_VERSION_BOUND);
+    let response = entry.exchange(&stream_request("after"));
+    assert_eq!(response.status(), 503, "{}", response.text());
+    assert!(engine.requests().iter().all(|it| it.header("x-request-id") != Some("after")));
+}
