Count the bound of a version from its publication, not from when a host reads it

Callers got answers of version 1 up to 12 s after version 2 had been acknowledged (bound 8 s): a change that a watch delivers was taken as new, although the host may have been suspended while it waited in the socket, or the entry host through which it follows the store was.

Now a change carries its greatest possible age. A host detects that it did not run (StallDetector, a turn each 100 ms) and adds that time to what it reads afterwards; a relay tells how long it has had a change; a list after a gap counts the relay's possible lag as well. The table of versions subtracts the age from the bound, as it did for lists.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -16,8 +16,8 @@
     entry::{admission_client::AdmissionClient, cell_owner::CellOwner, eligible_servers},
     fleet::{
         entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, EngineNotice,
-        EntryState, KindCache, LossCount, PeerMessage, PeerTable, StoreSource, StoreSources,
-        VersionTable,
+        EntryState, KindCache, LossCount, PeerMessage, PeerTable, StallDetector, StoreSource,
+        StoreSources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     placement::{
@@ -70,6 +70,8 @@
     pub(crate) beacon_targets: RefCell<BTreeMap<SocketAddr, ZoneId>>,
     /// The store and the entry hosts through which this host can watch it.
     pub(crate) sources: StoreSources,
+    /// The latest stall of this process.
+    pub(crate) stalls: Rc<RefCell<StallDetector>>,
     /// Objects of the store, for the processes that watch it through this host.
     pub(crate) cache: Rc<KindCache>,
     /// The owner of each engine.
@@ -118,6 +120,7 @@
             beacon_targets: RefCell::default(),
             sources,
             known_peers: RefCell::default(),
+            stalls: Rc::new(RefCell::new(StallDetector::new(Instant::now()))),
             cache: Rc::default(),
             cell_map: RefCell::default(),
             cell_owner: CellOwner::default(),
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -10,7 +10,10 @@
 
 use crate::{
     entry::entry_host::EntryHost,
-    fleet::{apply_versions, entry_registry, KindUpdate, KindWatch, StoreProbe, StoreRetry},
+    fleet::{
+        apply_versions, entry_registry, KindUpdate, KindWatch, StoreProbe, StoreRetry,
+        TURN_INTERVAL,
+    },
     platform::{
         store::{Change, StoredObject},
         wire_config, wire_server,
@@ -63,11 +66,22 @@
     let sources = host.sources.clone();
     let probe = StoreProbe::new(sources, wire_server::VERSION_KIND, STORE_PROBE_INTERVAL, retry);
     let probe = runtime::spawn_local(probe.run());
-    vec![charter, servers, versions, entries, probe]
+    let turns = runtime::spawn_local(record_turns(host.clone()));
+    vec![charter, servers, versions, entries, probe, turns]
+}
+
+/// Records that the process runs, until the task is dropped.
+async fn record_turns(host: Rc<EntryHost>) {
+    loop {
+        host.stalls.borrow_mut().record_turn(Instant::now());
+        runtime::sleep(TURN_INTERVAL).await;
+    }
 }
 
 fn watch(host: &EntryHost, kind: &'static str, retry: &StoreRetry) -> KindWatch {
-    KindWatch::new(host.sources.clone(), kind, retry.clone()).with_cache(host.cache.clone())
+    KindWatch::new(host.sources.clone(), kind, retry.clone())
+        .with_cache(host.cache.clone())
+        .with_stall_detector(host.stalls.clone())
 }
 
 /// Adds the addresses of entry hosts to the targets of beacons. Entry hosts that were removed from
@@ -75,7 +89,7 @@
 fn apply_entry_hosts(host: &EntryHost, update: KindUpdate) {
     let objects: Vec<StoredObject> = match update {
         KindUpdate::Listed { objects, .. } => objects,
-        KindUpdate::Changed(changes) => changes.into_iter().map(|it| it.object).collect(),
+        KindUpdate::Changed { changes, .. } => changes.into_iter().map(|it| it.object).collect(),
     };
     let listed = objects.iter().filter_map(entry_registry::registration_of);
     host.beacon_targets.borrow_mut().extend(listed);
@@ -85,7 +99,7 @@
 fn apply_charters(host: &EntryHost, update: KindUpdate) {
     let objects = match update {
         KindUpdate::Listed { objects, .. } => objects,
-        KindUpdate::Changed(changes) => changes.into_iter().map(|it| it.object).collect(),
+        KindUpdate::Changed { changes, .. } => changes.into_iter().map(|it| it.object).collect(),
     };
     for object in objects {
         match wire_config::decode_config(&object) {
@@ -120,7 +134,7 @@
             host.backends.borrow_mut().replace_all(servers, is_after_outage, now);
             host.has_backends.set(true);
         }
-        KindUpdate::Changed(changes) => apply_server_changes(host, changes, now),
+        KindUpdate::Changed { changes, .. } => apply_server_changes(host, changes, now),
     }
     host.update_cells();
 }
--- a/src/fleet/kind_cache.rs
+++ b/src/fleet/kind_cache.rs
@@ -30,8 +30,8 @@
 #[derive(Debug, Default)]
 struct CachedKind {
     objects: BTreeMap<String, StoredObject>,
-    /// Changes with the revision of the update that contained them, oldest first.
-    changes: VecDeque<(Revision, Change)>,
+    /// The latest changes, oldest first.
+    changes: VecDeque<CachedChange>,
     /// Revision after which `changes` lacks no change.
     complete_since: Revision,
     /// Revision of the store that the cache has reached.
@@ -40,6 +40,17 @@
     is_current: bool,
 }
 
+/// A change as the cache got it.
+#[derive(Clone, Debug)]
+struct CachedChange {
+    /// The revision of the update that contained it.
+    at: Revision,
+    change: Change,
+    /// Time at which it was applied, and its maximum age then.
+    applied: Instant,
+    max_age: Duration,
+}
+
 impl KindCache {
     /// Replaces the objects of a kind with a complete list.
     pub fn replace(&self, kind: &'static str, listing: &Listing) {
@@ -59,20 +70,26 @@
     pub fn apply(&self, kind: &'static str, changes: &Changes) {
         let mut kinds = self.kinds.borrow_mut();
         let Some(cached) = kinds.get_mut(kind) else { return };
+        let applied = Instant::now();
         for change in &changes.events {
             let name = change.object.metadata.name.clone();
             // Watchers need only the newest change of an object. Load pattern: many versions of a
             // large charter in quick succession, to hundreds of watchers.
-            cached.changes.retain(|it| it.1.object.metadata.name != name);
+            cached.changes.retain(|it| it.change.object.metadata.name != name);
             match change.deleted {
                 true => drop(cached.objects.remove(&name)),
                 false => drop(cached.objects.insert(name, change.object.clone())),
             }
-            cached.changes.push_back((changes.at, change.clone()));
+            cached.changes.push_back(CachedChange {
+                at: changes.at,
+                change: change.clone(),
+                applied,
+                max_age: changes.max_age,
+            });
         }
         while cached.changes.len() > MAX_CHANGES {
             let oldest = cached.changes.pop_front();
-            cached.complete_since = oldest.map_or(cached.complete_since, |it| it.0);
+            cached.complete_since = oldest.map_or(cached.complete_since, |it| it.at);
         }
         cached.at = changes.at;
         cached.is_current = true;
@@ -137,8 +154,13 @@
         if at < cached.complete_since {
             return Err(StoreError::HistoryLost);
         }
-        let after = cached.changes.iter().filter(|it| it.0 > at);
-        Ok(Changes { events: after.map(|it| it.1.clone()).collect(), at: cached.at.max(at) })
+        let after: Vec<&CachedChange> = cached.changes.iter().filter(|it| it.at > at).collect();
+        let max_age = after.iter().map(|it| it.max_age + it.applied.elapsed()).max();
+        Ok(Changes {
+            events: after.into_iter().map(|it| it.change.clone()).collect(),
+            at: cached.at.max(at),
+            max_age: max_age.unwrap_or_default(),
+        })
     }
 }
 
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -1,6 +1,7 @@
 //! Watches one kind of objects in the store, and recovers from outages and lost change history.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -8,7 +9,7 @@
 use futures_lite::FutureExt;
 
 use crate::{
-    fleet::{KindCache, StoreRetry, StoreSource, StoreSources},
+    fleet::{KindCache, StallDetector, StoreRetry, StoreSource, StoreSources},
     ids::Revision,
     platform::store::{Change, Changes, Listing, StoreError, StoredObject},
     runtime,
@@ -26,8 +27,13 @@
         /// Maximum age of the changes since the last update; `None` at the start of a process.
         max_age: Option<Duration>,
     },
-    /// Changes since the last update, oldest first.
-    Changed(Vec<Change>),
+    /// Changes since the last update.
+    Changed {
+        /// The changes, oldest first.
+        changes: Vec<Change>,
+        /// Maximum age of the changes.
+        max_age: Duration,
+    },
 }
 
 /// A watch of one kind of objects.
@@ -42,6 +48,7 @@
     /// Delay after a change, so that the next response contains several changes.
     batch_delay: Duration,
     cache: Option<Rc<KindCache>>,
+    stalls: Option<Rc<RefCell<StallDetector>>>,
 }
 
 /// The state of a watch between two calls.
@@ -52,6 +59,8 @@
     is_after_outage: bool,
     /// Time at which the watch was last up to date.
     last_up_to_date: Option<Instant>,
+    /// Time by which the source may have lagged behind the store then.
+    max_lag: Duration,
     /// Source of the latest successful response.
     source: Option<StoreSource>,
 }
@@ -59,7 +68,8 @@
 impl KindWatch {
     /// Creates a watch of `kind`.
     pub fn new(sources: StoreSources, kind: &'static str, retry: StoreRetry) -> KindWatch {
-        KindWatch { sources, kind, retry, batch_delay: Duration::ZERO, cache: None }
+        let batch_delay = Duration::ZERO;
+        KindWatch { sources, kind, retry, batch_delay, cache: None, stalls: None }
     }
 
     /// Waits for `batch_delay` after each change before the next request. Use this for kinds that
@@ -73,6 +83,11 @@
         KindWatch { cache: Some(cache), ..self }
     }
 
+    /// Adds the stalls of this process to the age of changes.
+    pub fn with_stall_detector(self, stalls: Rc<RefCell<StallDetector>>) -> KindWatch {
+        KindWatch { stalls: Some(stalls), ..self }
+    }
+
     /// Calls `apply` with every update until the task is dropped.
     pub async fn run(self, mut apply: impl FnMut(KindUpdate)) {
         let mut progress = Progress { needs_list: true, ..Progress::default() };
@@ -119,10 +134,15 @@
         apply(KindUpdate::Listed {
             objects: listing.objects,
             is_after_outage: progress.is_after_outage,
-            max_age: progress.last_up_to_date.map(|it| it.elapsed()),
+            max_age: progress.last_up_to_date.map(|it| it.elapsed() + progress.max_lag),
         });
-        let last_up_to_date = Some(Instant::now());
-        *progress = Progress { at, last_up_to_date, source: Some(source), ..Progress::default() };
+        *progress = Progress {
+            at,
+            last_up_to_date: Some(Instant::now()),
+            max_lag: source.max_lag(),
+            source: Some(source),
+            ..Progress::default()
+        };
         Ok(())
     }
 
@@ -133,6 +153,7 @@
         apply: &mut impl FnMut(KindUpdate),
     ) -> Result<(), StoreError> {
         let client = self.sources.client(source);
+        let sent = Instant::now();
         let watch =
             async { Some(client.watch(self.kind, progress.at, source.watch_timeout()).await) };
         let restart = async {
@@ -147,14 +168,16 @@
         };
         let mut changes: Changes = res?;
         changes.retain_newest();
+        changes.max_age += self.max_delay(sent);
         self.update_cache(|it| it.apply(self.kind, &changes));
         progress.at = changes.at;
         progress.last_up_to_date = Some(Instant::now());
+        progress.max_lag = source.max_lag();
         progress.source = Some(source);
         progress.is_after_outage = false;
         self.retry.reset();
         if !changes.events.is_empty() {
-            apply(KindUpdate::Changed(changes.events));
+            apply(KindUpdate::Changed { changes: changes.events, max_age: changes.max_age });
             runtime::sleep(self.batch_delay).await;
         }
         Ok(())
@@ -192,6 +215,16 @@
         }
     }
 
+    /// Returns the longest time for which the response to a request that was sent at `sent` may have
+    /// waited in this process.
+    fn max_delay(&self, sent: Instant) -> Duration {
+        let Some(stalls) = &self.stalls else { return Duration::ZERO };
+        let now = Instant::now();
+        let mut stalls = stalls.borrow_mut();
+        stalls.record_turn(now);
+        stalls.max_delay(now).min(now.duration_since(sent))
+    }
+
     fn update_cache(&self, act: impl FnOnce(&KindCache)) {
         if let Some(cache) = &self.cache {
             act(cache);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod kind_cache;
 mod kind_watch;
 mod peer_table;
+mod stall_detector;
 mod store_followers;
 mod store_probe;
 mod store_retry;
@@ -22,6 +23,7 @@
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
+    stall_detector::{StallDetector, TURN_INTERVAL},
     store_followers::follows_store,
     store_probe::StoreProbe,
     store_retry::StoreRetry,
--- /dev/null
+++ b/src/fleet/stall_detector.rs
@@ -0,0 +1,48 @@
+//! Detects that this process did not run for a while, so that messages waited unread.
+
+use std::time::{Duration, Instant};
+
+/// Interval at which turns must be recorded.
+pub const TURN_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two turns above which the process was stalled: suspended, or without processor time.
+const MIN_STALL: Duration = Duration::from_millis(200);
+/// Time after a stall within which the messages that waited meanwhile are read.
+const CATCH_UP_TIME: Duration = Duration::from_secs(2);
+
+/// The latest stall of a process.
+///
+/// A message that arrived during the stall looks new when it is read. Its age matters where a
+/// deadline counts from the moment at which it was sent.
+#[derive(Clone, Debug)]
+pub struct StallDetector {
+    last_turn: Instant,
+    stall: Option<Stall>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stall {
+    began: Instant,
+    ended: Instant,
+}
+
+impl StallDetector {
+    /// Creates a detector of a process that runs now.
+    pub fn new(now: Instant) -> StallDetector {
+        StallDetector { last_turn: now, stall: None }
+    }
+
+    /// Records that the process runs. Call this every `TURN_INTERVAL`, and before a message is
+    /// handled whose age matters.
+    pub fn record_turn(&mut self, now: Instant) {
+        let began = std::mem::replace(&mut self.last_turn, now);
+        if now.duration_since(began) >= MIN_STALL {
+            self.stall = Some(Stall { began, ended: now });
+        }
+    }
+
+    /// Returns the longest time for which a message that is read now may have waited unread.
+    pub fn max_delay(&self, now: Instant) -> Duration {
+        let recent = self.stall.filter(|it| now < it.ended + CATCH_UP_TIME);
+        recent.map_or(Duration::ZERO, |it| now.duration_since(it.began))
+    }
+}
--- a/src/fleet/store_sources.rs
+++ b/src/fleet/store_sources.rs
@@ -21,6 +21,10 @@
 /// hangs.
 const RELAY_WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest time for which an entry host that watches the store doesn't notice that its connection is
+/// dead; until then it reports that nothing changed.
+const MAX_RELAY_LAG: Duration = Duration::from_secs(3);
+
 /// A process from which objects of the store can be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum StoreSource {
@@ -116,6 +120,14 @@
 }
 
 impl StoreSource {
+    /// Returns the time by which a response of this source may lag behind the store.
+    pub fn max_lag(self) -> Duration {
+        match self {
+            StoreSource::Store => Duration::ZERO,
+            StoreSource::Relay(_) => MAX_RELAY_LAG,
+        }
+    }
+
     /// Returns the timeout of a watch request at this source.
     pub fn watch_timeout(self) -> Duration {
         match self {
--- a/src/fleet/version_updates.rs
+++ b/src/fleet/version_updates.rs
@@ -15,8 +15,8 @@
 pub(crate) fn apply_versions(table: &RefCell<VersionTable>, update: KindUpdate) -> bool {
     let (objects, max_age): (Vec<StoredObject>, Option<Duration>) = match update {
         KindUpdate::Listed { objects, max_age, .. } => (objects, max_age),
-        KindUpdate::Changed(changes) => {
-            (changes.into_iter().map(|it| it.object).collect(), Some(Duration::ZERO))
+        KindUpdate::Changed { changes, max_age } => {
+            (changes.into_iter().map(|it| it.object).collect(), Some(max_age))
         }
     };
     let mut has_newer = false;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
+use serde_with::{serde_as, DurationMilliSeconds};
 
 use crate::{
     http1::{Call, Client, HttpError, Response},
@@ -85,12 +86,17 @@
 }
 
 /// A response to a watch: the changes of one kind after a revision.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
     /// The changes, oldest first.
     pub events: Vec<Change>,
     /// The revision of the store, from which the next watch continues.
     pub at: Revision,
+    /// Maximum age of the changes. The store reports changes at once, so its responses have none.
+    #[serde(rename = "max-age-ms", default)]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub max_age: Duration,
 }
 
 impl Changes {
@@ -185,7 +191,8 @@
             let object = decode_object(kind, it["object"].clone())?;
             Some(Change { object, deleted: it["deleted"].as_bool().unwrap_or(false) })
         });
-        Ok(Changes { events: events.collect(), at: raw["at"].as_u64().unwrap_or(at) })
+        let max_age = Duration::from_millis(raw["max-age-ms"].as_u64().unwrap_or(0));
+        Ok(Changes { events: events.collect(), at: raw["at"].as_u64().unwrap_or(at), max_age })
     }
 
     /// Creates an object.
--- a/src/platform/wire_objects.rs
+++ b/src/platform/wire_objects.rs
@@ -44,7 +44,9 @@
 
 /// Encodes the response to a watch.
 pub fn encode_changes(changes: &Changes) -> SmallResponse {
-    json_response(json!({ "events": changes.events, "at": changes.at }).to_string())
+    let max_age_ms = changes.max_age.as_millis() as u64;
+    let body = json!({ "events": changes.events, "at": changes.at, "max-age-ms": max_age_ms });
+    json_response(body.to_string())
 }
 
 /// Encodes an error as an HTTP status without a body.
--- a/tests/late_versions.rs
+++ b/tests/late_versions.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use crocustiller::fleet::{StallDetector, TURN_INTERVAL};
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{charter, event_chunk, request, server_entry, stream_head, EntryProcess};
 use serde_json::json;
@@ -59,3 +60,26 @@
     assert_eq!(response.status(), 503, "{}", response.text());
     assert!(engine.requests().iter().all(|it| it.header("x-request-id") != Some("after")));
 }
+
+#[test]
+fn stall_ages_messages() {
+    let ms = Duration::from_millis;
+    let start = Instant::now();
+    let mut stalls = StallDetector::new(start);
+    for turn in 1..=10 {
+        stalls.record_turn(start + TURN_INTERVAL * turn);
+    }
+    let before = start + TURN_INTERVAL * 10;
+    assert_eq!(stalls.max_delay(before), Duration::ZERO);
+    // Suspended for 4 s; the message that waited may be read before or after the next turn.
+    let wake = before + ms(4000);
+    stalls.record_turn(wake);
+    assert_eq!(stalls.max_delay(wake), ms(4000));
+    stalls.record_turn(wake + ms(100));
+    assert_eq!(stalls.max_delay(wake + ms(100)), ms(4100));
+    // Later messages were sent after the stall.
+    for turn in 2..=30 {
+        stalls.record_turn(wake + ms(100) * turn);
+    }
+    assert_eq!(stalls.max_delay(wake + ms(3000)), Duration::ZERO);
+}
--- a/tests/store_relays.rs
+++ b/tests/store_relays.rs
@@ -54,6 +54,25 @@
     assert_eq!(sources.choose(later), StoreSource::Relay(first));
 }
 
+/// A follower that was in contact all the time gets a change late while its relay is suspended; it
+/// must learn how old the change is.
+#[test]
+fn relayed_change_has_age() {
+    let cache = KindCache::default();
+    cache.replace("versions", &Listing { objects: Vec::new(), at: 5 });
+    let max_age = Duration::from_millis(800);
+    let event = Change { object: object("lots", 6), deleted: false };
+    cache.apply("versions", &Changes { events: vec![event], at: 6, max_age });
+    thread::sleep(Duration::from_millis(50));
+    let changes = cache.changes("versions", 5, Duration::ZERO);
+    let changes = futures_lite::future::block_on(changes).unwrap();
+    assert!(changes.max_age >= max_age + Duration::from_millis(50), "{:?}", changes.max_age);
+    let received: Changes =
+        serde_json::from_value(serde_json::to_value(&changes).unwrap()).unwrap();
+    let lost = changes.max_age.saturating_sub(received.max_age);
+    assert!(lost <= Duration::from_millis(1), "{received:?}");
+}
+
 #[test]
 fn cached_changes_are_served() {
     let cache = KindCache::default();
@@ -64,7 +83,10 @@
     cache.replace("servers", &Listing { objects: vec![object("a", 3)], at: 5 });
     let removal = Change { object: object("a", 3), deleted: true };
     let addition = Change { object: object("b", 6), deleted: false };
-    cache.apply("servers", &Changes { events: vec![addition, removal], at: 7 });
+    cache.apply(
+        "servers",
+        &Changes { events: vec![addition, removal], at: 7, max_age: Duration::ZERO },
+    );
     assert_eq!(names(cache.listing("servers").unwrap()), ["b"]);
     let changes = |at: u64| {
         futures_lite::future::block_on(cache.changes("servers", at, Duration::from_millis(5)))
@@ -86,7 +108,10 @@
     cache.replace("config", &Listing { objects: vec![object("main", 1)], at: 1 });
     for revision in 2..=25 {
         let change = Change { object: object("main", revision), deleted: false };
-        cache.apply("config", &Changes { events: vec![change], at: revision });
+        cache.apply(
+            "config",
+            &Changes { events: vec![change], at: revision, max_age: Duration::ZERO },
+        );
     }
     let wait = Duration::from_millis(5);
     let changes = futures_lite::future::block_on(cache.changes("config", 1, wait)).unwrap();
@@ -98,6 +123,7 @@
             .map(|it| Change { object: object(it.0, it.1), deleted: false })
             .to_vec(),
         at: 5,
+        max_age: Duration::ZERO,
     };
     many.retain_newest();
     let kept: Vec<u64> = many.events.iter().map(|it| it.object.metadata.revision).collect();
