Measure the bound of a version on a clock that runs while the machine is suspended

Callers would get an old version after the bound from a host that knew the new one in time: deadlines were kept on the steady clock, which stands still while a machine is suspended, so each suspension prolonged the bound by its length. The platform's pages say that machines may be suspended so.

clock::now adds the suspended time; the table of versions, the age of changes, the detector of stalls, and the check whether the owner of a cell was suspended use it.

--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -12,6 +12,7 @@
 use futures_lite::FutureExt;
 
 use crate::{
+    clock,
     entry::{
         eligible_servers::{eligible_servers, version_served},
         entry_host::EntryHost,
@@ -127,15 +128,15 @@
 /// dropped.
 pub(crate) async fn run(host: Rc<EntryHost>) {
     let owner = &host.cell_owner;
-    let mut last_turn = Instant::now();
-    let mut next_expiry = last_turn + EXPIRE_INTERVAL;
+    let mut last_turn = clock::now();
+    let mut next_expiry = Instant::now() + EXPIRE_INTERVAL;
     loop {
         let listener = owner.has_waiting.listen();
         let next_deadline = owner.cell.borrow().next_deadline();
         let wake = next_deadline.map_or(next_expiry, |it| it.min(next_expiry));
         listener.or(runtime::sleep_until(wake)).await;
         let now = Instant::now();
-        if now.duration_since(std::mem::replace(&mut last_turn, now)) > MAX_TURN_INTERVAL {
+        if clock::elapsed(std::mem::replace(&mut last_turn, clock::now())) > MAX_TURN_INTERVAL {
             log::info!("cell: the process was suspended, learning the loads again");
             owner.relearn(now);
         }
--- a/src/entry/eligible_servers.rs
+++ b/src/entry/eligible_servers.rs
@@ -1,8 +1,7 @@
 //! The backend servers that may get a request for a pool or service now.
 
-use std::time::Instant;
-
 use crate::{
+    clock,
     entry::entry_host::EntryHost,
     fleet::BackendTable,
     ids::{BackendId, ServiceId, WeightsVersion},
@@ -21,7 +20,7 @@
     let (Some(model), Some(n_layers)) = (model, n_layers(host, service)) else {
         return ready.collect();
     };
-    let oldest = host.versions.borrow().oldest_allowed(model, Instant::now());
+    let oldest = host.versions.borrow().oldest_allowed(model, clock::now());
     let serves =
         |it: &&BackendServer| it.complete_version(model, n_layers).is_some_and(|it| it >= oldest);
     ready.filter(serves).collect()
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -12,6 +12,7 @@
 use async_io::Async;
 
 use crate::{
+    clock,
     digest::Digest,
     entry::{admission_client::AdmissionClient, cell_owner::CellOwner, eligible_servers},
     fleet::{
@@ -120,7 +121,7 @@
             beacon_targets: RefCell::default(),
             sources,
             known_peers: RefCell::default(),
-            stalls: Rc::new(RefCell::new(StallDetector::new(Instant::now()))),
+            stalls: Rc::new(RefCell::new(StallDetector::new(clock::now()))),
             cache: Rc::default(),
             cell_map: RefCell::default(),
             cell_owner: CellOwner::default(),
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    clock,
     entry::{
         admission_client::{self, Grant},
         eligible_servers::n_layers,
@@ -83,7 +84,7 @@
     pub(crate) version: Option<WeightsVersion>,
     /// Version of the weights that the engine must serve; `None` if any version will do.
     pub(crate) expected_version: Option<WeightsVersion>,
-    /// Instant by which the request must have started, after which the engine's version is too old;
+    /// Time of `clock::now` by which the request must have started, after which the engine's version is too old;
     /// `None` while there is no newer version.
     pub(crate) start_deadline: Option<Instant>,
     /// Number of the reservation at its owner; `None` for a backend server of a plain service.
@@ -115,7 +116,7 @@
     /// Uses a grant, or releases it if this host knows that the engine must not get the request: it
     /// is leaving, or its weights are too old.
     fn at_engine(host: &Rc<EntryHost>, demand: &Demand, grant: Grant) -> Option<Reservation> {
-        let now = Instant::now();
+        let now = clock::now();
         let server = host.backends.borrow().get(&grant.engine).cloned();
         let server = server.filter(|it| it.state == BackendState::Ready);
         let versions = host.versions.borrow();
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -9,6 +9,7 @@
 use async_executor::Task;
 
 use crate::{
+    clock,
     entry::entry_host::EntryHost,
     fleet::{
         apply_versions, entry_registry, KindUpdate, KindWatch, StoreProbe, StoreRetry,
@@ -73,7 +74,7 @@
 /// Records that the process runs, until the task is dropped.
 async fn record_turns(host: Rc<EntryHost>) {
     loop {
-        host.stalls.borrow_mut().record_turn(Instant::now());
+        host.stalls.borrow_mut().record_turn(clock::now());
         runtime::sleep(TURN_INTERVAL).await;
     }
 }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
+    clock,
     entry::{
         attempt_outcome::AttemptOutcome,
         buffered_relay,
@@ -41,7 +42,7 @@
     let first_event_timeout = |waited: Duration| {
         let bounded_left = bounded(FIRST_EVENT_TIMEOUT).saturating_sub(waited);
         let start_left =
-            reservation.start_deadline.map(|it| it.saturating_duration_since(Instant::now()));
+            reservation.start_deadline.map(|it| it.saturating_duration_since(clock::now()));
         start_left.map_or(bounded_left, |it| it.min(bounded_left))
     };
     let send = attempt.send(&exchange.host.connections);
--- a/src/fleet/kind_cache.rs
+++ b/src/fleet/kind_cache.rs
@@ -9,6 +9,7 @@
 use event_listener::Event;
 
 use crate::{
+    clock,
     ids::Revision,
     platform::store::{Change, Changes, Listing, StoreError, StoredObject},
     runtime,
@@ -70,7 +71,7 @@
     pub fn apply(&self, kind: &'static str, changes: &Changes) {
         let mut kinds = self.kinds.borrow_mut();
         let Some(cached) = kinds.get_mut(kind) else { return };
-        let applied = Instant::now();
+        let applied = clock::now();
         for change in &changes.events {
             let name = change.object.metadata.name.clone();
             // Watchers need only the newest change of an object. Load pattern: many versions of a
@@ -155,7 +156,7 @@
             return Err(StoreError::HistoryLost);
         }
         let after: Vec<&CachedChange> = cached.changes.iter().filter(|it| it.at > at).collect();
-        let max_age = after.iter().map(|it| it.max_age + it.applied.elapsed()).max();
+        let max_age = after.iter().map(|it| it.max_age + clock::elapsed(it.applied)).max();
         Ok(Changes {
             events: after.into_iter().map(|it| it.change.clone()).collect(),
             at: cached.at.max(at),
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -9,6 +9,7 @@
 use futures_lite::FutureExt;
 
 use crate::{
+    clock,
     fleet::{KindCache, StallDetector, StoreRetry, StoreSource, StoreSources},
     ids::Revision,
     platform::store::{Change, Changes, Listing, StoreError, StoredObject},
@@ -125,7 +126,7 @@
         self.retry.reset();
         self.update_cache(|it| it.replace(self.kind, &listing));
         if progress.is_after_outage {
-            let outage_ms = progress.last_up_to_date.map_or(0, |it| it.elapsed().as_millis());
+            let outage_ms = progress.last_up_to_date.map_or(0, |it| clock::elapsed(it).as_millis());
             log::info!(
                 "store: listed again after an outage kind={} away_ms={outage_ms} source={source:?}",
                 self.kind
@@ -134,11 +135,11 @@
         apply(KindUpdate::Listed {
             objects: listing.objects,
             is_after_outage: progress.is_after_outage,
-            max_age: progress.last_up_to_date.map(|it| it.elapsed() + progress.max_lag),
+            max_age: progress.last_up_to_date.map(|it| clock::elapsed(it) + progress.max_lag),
         });
         *progress = Progress {
             at,
-            last_up_to_date: Some(Instant::now()),
+            last_up_to_date: Some(clock::now()),
             max_lag: source.max_lag(),
             source: Some(source),
             ..Progress::default()
@@ -153,7 +154,7 @@
         apply: &mut impl FnMut(KindUpdate),
     ) -> Result<(), StoreError> {
         let client = self.sources.client(source);
-        let sent = Instant::now();
+        let sent = clock::now();
         let watch =
             async { Some(client.watch(self.kind, progress.at, source.watch_timeout()).await) };
         let restart = async {
@@ -171,7 +172,7 @@
         changes.max_age += self.max_delay(sent);
         self.update_cache(|it| it.apply(self.kind, &changes));
         progress.at = changes.at;
-        progress.last_up_to_date = Some(Instant::now());
+        progress.last_up_to_date = Some(clock::now());
         progress.max_lag = source.max_lag();
         progress.source = Some(source);
         progress.is_after_outage = false;
@@ -219,7 +220,7 @@
     /// waited in this process.
     fn max_delay(&self, sent: Instant) -> Duration {
         let Some(stalls) = &self.stalls else { return Duration::ZERO };
-        let now = Instant::now();
+        let now = clock::now();
         let mut stalls = stalls.borrow_mut();
         stalls.record_turn(now);
         stalls.max_delay(now).min(now.duration_since(sent))
--- a/src/fleet/stall_detector.rs
+++ b/src/fleet/stall_detector.rs
@@ -12,7 +12,7 @@
 /// The latest stall of a process.
 ///
 /// A message that arrived during the stall looks new when it is read. Its age matters where a
-/// deadline counts from the moment at which it was sent.
+/// deadline counts from the moment at which it was sent. All times are those of `clock::now`.
 #[derive(Clone, Debug)]
 pub struct StallDetector {
     last_turn: Instant,
--- a/src/fleet/version_updates.rs
+++ b/src/fleet/version_updates.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    clock,
     fleet::{KindUpdate, VersionTable},
     platform::{store::StoredObject, wire_server},
     routing::TargetVersion,
@@ -23,7 +24,7 @@
     for object in objects {
         match wire_server::decode_version(&object) {
             Ok(target) => {
-                let now = Instant::now();
+                let now = clock::now();
                 if table.borrow_mut().set(&target, max_age, now) {
                     log_new_version(&table.borrow(), &target, max_age, now);
                     has_newer = true;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 //! `subcommand` is the command-line tool for operators.
 
 pub mod charter;
+pub mod clock;
 pub mod daemon;
 pub mod digest;
 pub mod documents;
--- a/src/slot/engine_driver.rs
+++ b/src/slot/engine_driver.rs
@@ -12,6 +12,7 @@
 use futures_lite::FutureExt;
 
 use crate::{
+    clock,
     fleet::{EngineNotice, PeerMessage},
     ids::WeightsVersion,
     platform::engine_api::{EngineError, EngineReport, SwitchMode},
@@ -142,7 +143,7 @@
         let bound = self.slot.settings.bounds.version;
         let versions = self.slot.versions.borrow();
         let outdated = versions.outdated_since(&pool.model, serves.unwrap_or(0));
-        let outdated_for = outdated.map_or(Duration::MAX, |it| it.elapsed());
+        let outdated_for = outdated.map_or(Duration::MAX, clock::elapsed);
         let may_switch_after = |delay: Duration| serves.is_none() || outdated_for >= delay;
         let (rank, n_engines) = self.rank();
         let piece_stores = self.slot.piece_stores.borrow();
@@ -151,7 +152,7 @@
             return may_switch_after(switch_delay(rank, n_engines, bound))
                 .then(|| piece_store.clone());
         }
-        let oldest = versions.oldest_allowed(&pool.model, Instant::now());
+        let oldest = versions.oldest_allowed(&pool.model, clock::now());
         // While pieces of the newest version still arrive, wait for them, as one switch costs less
         // than two. An engine that may not serve loses nothing by an additional switch.
         let may_serve = serves.is_some_and(|it| it >= oldest);
--- a/tests/late_versions.rs
+++ b/tests/late_versions.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use crocustiller::fleet::{StallDetector, TURN_INTERVAL};
+use crocustiller::{
+    clock,
+    fleet::{StallDetector, TURN_INTERVAL},
+};
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{charter, event_chunk, request, server_entry, stream_head, EntryProcess};
 use serde_json::json;
@@ -83,3 +86,16 @@
     }
     assert_eq!(stalls.max_delay(wake + ms(3000)), Duration::ZERO);
 }
+
+/// A steady clock that stops while the machine is suspended would prolong the bound.
+#[test]
+fn clock_counts_suspensions() {
+    let boot_time = || {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+    };
+    let (start, booted) = (clock::now(), boot_time());
+    thread::sleep(Duration::from_millis(50));
+    let difference = clock::elapsed(start).abs_diff(boot_time() - booted);
+    assert!(difference < Duration::from_millis(10), "{difference:?}");
+}
