End the wait of a request when its engine's version becomes too old meanwhile

A caller whose request waited at an engine when a version was published could get an answer of the old version after the bound: the time by which a request must have started was computed once, when it was sent, and there was none yet if the newer version was still unknown then. Only the request's own time limit ended it. The wait for the first event now ends at the deadline by the present table of versions.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -10,6 +10,7 @@
 };
 
 use async_io::Async;
+use event_listener::Event;
 
 use crate::{
     clock,
@@ -59,6 +60,8 @@
     /// Whether the backend servers have been listed at least once.
     pub(crate) has_backends: Cell<bool>,
     pub(crate) versions: RefCell<VersionTable>,
+    /// Notified of each new intended version.
+    pub(crate) version_published: Event,
     pub(crate) peers: RefCell<PeerTable>,
     /// This host's own requests in progress at each backend server.
     pub(crate) request_counts: RefCell<RequestCounts>,
@@ -112,6 +115,7 @@
             backends: RefCell::default(),
             has_backends: Cell::new(false),
             versions: RefCell::new(VersionTable::new(bounds.version)),
+            version_published: Event::new(),
             peers: RefCell::default(),
             request_counts: RefCell::default(),
             health: RefCell::default(),
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -7,6 +7,8 @@
     time::{Duration, Instant},
 };
 
+use futures_lite::FutureExt;
+
 use crate::{
     clock,
     entry::{
@@ -19,6 +21,7 @@
     ids::{BackendId, ServiceId, WeightsVersion},
     placement::{choose_plain_backend, Demand, Load, PlainCandidate, ReservationNumber},
     routing::{BackendServer, BackendState},
+    runtime,
 };
 
 /// Value of `Retry-After` in the response to a request that finds all backend servers busy.
@@ -27,6 +30,8 @@
 /// while engines load weights, which takes seconds. A caller that returned earlier would be refused
 /// again.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Longest sleep until the time of a start deadline is read again.
+const MAX_DEADLINE_SLEEP: Duration = Duration::from_millis(250);
 /// Maximum number of grants for one request whose engine this host must not use.
 const MAX_UNUSABLE_GRANTS: u32 = 3;
 
@@ -84,9 +89,8 @@
     pub(crate) version: Option<WeightsVersion>,
     /// Version of the weights that the engine must serve; `None` if any version will do.
     pub(crate) expected_version: Option<WeightsVersion>,
-    /// Time of `clock::now` by which the request must have started, after which the engine's version is too old;
-    /// `None` while there is no newer version.
-    pub(crate) start_deadline: Option<Instant>,
+    /// Model that the request is for; `None` for a plain service.
+    model: Option<String>,
     /// Number of the reservation at its owner; `None` for a backend server of a plain service.
     number: Option<ReservationNumber>,
     outcome: Cell<ServiceOutcome>,
@@ -126,10 +130,6 @@
             host.admission.release(host, grant.number, ServiceOutcome::Unknown);
             return None;
         };
-        let start_deadline = match (&demand.model, grant.version) {
-            (Some(model), Some(version)) => versions.start_deadline(model, version),
-            _ => None,
-        };
         host.request_counts.borrow_mut().begin(server.address);
         Some(Reservation {
             host: host.clone(),
@@ -138,7 +138,7 @@
             load: grant.load,
             version: grant.version,
             expected_version: grant.version.filter(|_| oldest > 0),
-            start_deadline,
+            model: demand.model.clone(),
             number: Some(grant.number),
             outcome: Cell::new(ServiceOutcome::Unknown),
         })
@@ -177,12 +177,34 @@
             load,
             version: None,
             expected_version: None,
-            start_deadline: None,
+            model: None,
             number: None,
             outcome: Cell::new(ServiceOutcome::Unknown),
         })
     }
 
+    /// Returns once the request must have started, as the version of its engine is too old from then on.
+    /// This may result from a version that is published while the request waits.
+    pub(crate) async fn pass_start_deadline(&self) {
+        let (Some(model), Some(version)) = (&self.model, self.version) else {
+            return std::future::pending().await;
+        };
+        loop {
+            let published = self.host.version_published.listen();
+            let deadline = self.host.versions.borrow().start_deadline(model, version);
+            let Some(deadline) = deadline else {
+                published.await;
+                continue;
+            };
+            let left = deadline.saturating_duration_since(clock::now());
+            if left.is_zero() {
+                return;
+            }
+            // A timer stands still while the machine is suspended.
+            runtime::sleep(left.min(MAX_DEADLINE_SLEEP)).or(published).await;
+        }
+    }
+
     /// Tells the owner of the engine, once the first event of the response has arrived, that the
     /// prompt has been read.
     pub(crate) fn record_first_event(&self) {
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -173,6 +173,7 @@
 /// be eligible now.
 fn apply_version_update(host: &EntryHost, update: KindUpdate) {
     if apply_versions(&host.versions, update) {
+        host.version_published.notify(usize::MAX);
         host.cell_owner.decide_waiting(host);
     }
 }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -3,10 +3,14 @@
 //! If an engine fails or stalls in the middle of a resumable stream, the next attempt resumes it
 //! after the last event that the caller received.
 
-use std::time::{Duration, Instant};
+use std::{
+    future::Future,
+    time::{Duration, Instant},
+};
+
+use futures_lite::FutureExt;
 
 use crate::{
-    clock,
     entry::{
         attempt_outcome::AttemptOutcome,
         buffered_relay,
@@ -17,7 +21,7 @@
     http1::HttpError,
     relay::{Attempt, BackendResponse, Event, EventSplitter},
     routing::Route,
-    runtime,
+    runtime::{self, TimedOut},
     verdict::Verdict,
 };
 
@@ -39,14 +43,9 @@
 ) -> AttemptOutcome {
     let may_retry = route.is_repeatable() && !is_last;
     let bounded = |timeout: Duration| if may_retry { timeout } else { NO_TIMEOUT };
-    let first_event_timeout = |waited: Duration| {
-        let bounded_left = bounded(FIRST_EVENT_TIMEOUT).saturating_sub(waited);
-        let start_left =
-            reservation.start_deadline.map(|it| it.saturating_duration_since(clock::now()));
-        start_left.map_or(bounded_left, |it| it.min(bounded_left))
-    };
     let send = attempt.send(&exchange.host.connections);
-    let mut response = match runtime::timeout(first_event_timeout(Duration::ZERO), send).await {
+    let timeout = bounded(FIRST_EVENT_TIMEOUT);
+    let mut response = match until_start(reservation, timeout, send).await {
         Ok(Ok(response)) => response,
         Ok(Err(err)) if err.verdict == Verdict::NotRun => {
             return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
@@ -81,11 +80,15 @@
         let mut bytes = Vec::new();
         // Bytes that complete no event are no progress.
         let waited = last_progress.elapsed();
-        let timeout = match is_first {
-            true => first_event_timeout(waited),
-            false => bounded(EVENT_GAP_TIMEOUT).saturating_sub(waited),
+        let read = response.read(&mut bytes);
+        let res = if is_first {
+            let timeout = bounded(FIRST_EVENT_TIMEOUT).saturating_sub(waited);
+            until_start(reservation, timeout, read).await
+        } else {
+            let timeout = bounded(EVENT_GAP_TIMEOUT).saturating_sub(waited);
+            runtime::timeout(timeout, read).await
         };
-        match runtime::timeout(timeout, response.read(&mut bytes)).await {
+        match res {
             Ok(Ok(true)) => {}
             Ok(Ok(false)) if splitter.is_between_events() => break,
             Ok(Ok(false)) => {
@@ -148,6 +151,20 @@
     })
 }
 
+/// Waits for a result that precedes the first event, no longer than `timeout` and than the request may
+/// start on the version of its engine.
+async fn until_start<T>(
+    reservation: &Reservation,
+    timeout: Duration,
+    future: impl Future<Output = T>,
+) -> Result<T, TimedOut> {
+    let expired = async {
+        reservation.pass_start_deadline().await;
+        Err(TimedOut)
+    };
+    runtime::timeout(timeout, future).or(expired).await
+}
+
 /// Forwards the events that the caller has not received yet.
 async fn forward_events(
     exchange: &Exchange,
--- a/tests/late_versions.rs
+++ b/tests/late_versions.rs
@@ -3,6 +3,7 @@
 mod entry_process;
 
 use std::{
+    io::Write,
     thread,
     time::{Duration, Instant},
 };
@@ -12,12 +13,13 @@
     fleet::{StallDetector, TURN_INTERVAL},
 };
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
-use entry_process::{charter, event_chunk, request, server_entry, stream_head, EntryProcess};
-use serde_json::json;
+use entry_process::{
+    charter, event_chunk, read_response, request, server_entry, stream_head, EntryProcess,
+};
+use serde_json::{json, Value};
 
 /// Time after a version is published from which no request may start on an older version.
 const OLD_VERSION_BOUND: Duration = Duration::from_secs(4);
-const BOUNDS: &str = "version_ms = 4000\n";
 
 fn one_event(request: &RawRequest) -> Vec<Step> {
     let mut bytes = stream_head(request);
@@ -30,16 +32,23 @@
     request("POST", "/draft/1", id, "X-Model: lots\r\nX-Token-Counts: 100,10\r\n")
 }
 
+/// Returns a charter whose streams may run only once, so that nothing but its timeout ends a request.
+fn not_resumable() -> Value {
+    let mut charter = charter(1);
+    charter["routes"][2]["resumable"] = json!(false);
+    charter
+}
+
 fn publish(store: &StoreStandin, version: u64) -> Instant {
     store.put("versions", "lots", json!({ "model": "lots", "version": version }));
     Instant::now()
 }
 
-fn start(engine: &ScriptedServer) -> (StoreStandin, EntryProcess) {
+fn start(engine: &ScriptedServer, charter: Value, bounds: &str) -> (StoreStandin, EntryProcess) {
     let store = StoreStandin::start().unwrap();
-    store.put("config", "main", charter(1));
+    store.put("config", "main", charter);
     store.put("servers", "pool-0", server_entry("pool", engine.address(), "ready"));
-    let entry = EntryProcess::start_with_bounds(store.address(), "entry-1", BOUNDS);
+    let entry = EntryProcess::start_with_bounds(store.address(), "entry-1", bounds);
     entry.wait_until_ready();
     (store, entry)
 }
@@ -48,11 +57,27 @@
     thread::sleep(time.saturating_duration_since(Instant::now()));
 }
 
+/// A version that is published while a request waits at its engine ends the wait in time.
+#[test]
+fn waiting_request_leaves_old_version() {
+    let engine = ScriptedServer::start(|_| vec![Step::Pause(Duration::from_secs(8))]).unwrap();
+    let (store, entry) = start(&engine, not_resumable(), "version_ms = 1000\n");
+    let mut caller = entry.connect();
+    caller.write_all(&stream_request("waiting")).unwrap();
+    while engine.requests().is_empty() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    let published = publish(&store, 2);
+    let response = read_response(&mut caller);
+    assert_eq!(response.status(), 502, "{}", response.text());
+    assert!(published.elapsed() < Duration::from_millis(1100), "{:?}", published.elapsed());
+}
+
 /// The host reads the change only after it was suspended, and must not take it as new.
 #[test]
 fn suspended_host_ends_old_version() {
     let engine = ScriptedServer::start(one_event).unwrap();
-    let (store, entry) = start(&engine);
+    let (store, entry) = start(&engine, charter(1), "version_ms = 4000\n");
     assert_eq!(entry.exchange(&stream_request("before")).status(), 200);
     entry.suspend();
     let published = publish(&store, 2);
