Check staged pieces again when the order to load them comes late

Engines could load a spoilt piece, and callers get answers of it: a slot checks what the engine has staged, drains the engine and orders it to load; if the process is suspended in between, it went on with a check of any age. Found by reading.

slot_weights stale_check_is_repeated: the order came with a spoilt piece before ([(2, false)]); now the slot checks again and replaces it. slot_weights passes (9).

--- a/src/slot/engine_driver.rs
+++ b/src/slot/engine_driver.rs
@@ -36,6 +36,9 @@
 /// Longest time to drain an engine; the requests that still run are aborted and must be resumed at
 /// other engines.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(1700);
+/// Maximum age of the check of the staged pieces at the order to load them. The process may have been
+/// suspended in between, and staged pieces may turn bad.
+const MAX_CHECK_AGE: Duration = Duration::from_millis(2500);
 /// The number of unfinished requests at which an engine counts as drained; they are aborted.
 const MAX_CUT_REQUESTS: u32 = 1;
 /// The number of times that each notice is sent to entry hosts, as a datagram may be lost.
@@ -182,11 +185,16 @@
         // Nothing else may be staged between the check of the pieces and the order to load them.
         let slot = self.slot.clone();
         let _staging = slot.staging_lock.lock().await;
+        let checked = clock::now();
         if !self.stage_all(piece_store).await {
             return;
         }
         let started = Instant::now();
         let Some(report) = self.drain(pool, serves).await else { return };
+        if clock::elapsed(checked) > MAX_CHECK_AGE {
+            log::info!("slot: the check of the staged pieces is too old, checking again");
+            return;
+        }
         let n_unfinished = report.n_running + report.n_queued;
         let order = self.slot.engine.load_staged(
             &pool.model,
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -28,6 +28,9 @@
     /// The versions ordered, each with whether all staged pieces were correct at that moment.
     orders: Vec<(u64, bool)>,
     loaded_version: Option<u64>,
+    n_running: u32,
+    /// The number of the staged piece that was read last.
+    last_read_piece: Option<u32>,
 }
 
 struct Slot {
@@ -64,6 +67,7 @@
                 response_steps(200, b"")
             }
             "/v1/stage-get/lots" if request.target.contains("num=") => {
+                state.last_read_piece = Some(number);
                 match state.staged.get(&number) {
                     Some(bytes) => response_steps(200, bytes),
                     None => response_steps(404, b""),
@@ -98,7 +102,7 @@
         .collect();
     json!({
         "models": models, "layers": layers, "busy": false, "sequence": state.orders.len(),
-        "running": 0, "queued": 0, "born": 1000,
+        "running": state.n_running, "queued": 0, "born": 1000,
     })
 }
 
@@ -176,6 +180,39 @@
     }
 }
 
+/// Sends a signal to the process of a slot.
+fn signal(slot: &Slot, name: &str) {
+    let id = slot.child.id().to_string();
+    assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
+}
+
+/// The slot is suspended between its check of the staged pieces and the order to load them, and a
+/// piece goes bad meanwhile.
+#[test]
+fn stale_check_is_repeated() {
+    let origin = origin_server(|_, _, body| response_steps(200, &body));
+    let engine = EngineState { loaded_version: Some(1), n_running: 5, ..EngineState::default() };
+    let slot = Slot::start(&origin, engine);
+    slot.store.put("versions", "lots", json!({ "model": "lots", "version": 2 }));
+    let is_draining = || {
+        let engine = slot.engine.lock().unwrap();
+        engine.last_read_piece == Some(N_PIECES - 1)
+            && (0..N_PIECES).all(|it| engine.staged.get(&it) == Some(&piece(2, it)))
+    };
+    let started = Instant::now();
+    while !is_draining() {
+        assert!(started.elapsed() < LOAD_TIMEOUT, "the slot does not check the pieces");
+        thread::sleep(Duration::from_millis(10));
+    }
+    thread::sleep(Duration::from_millis(200));
+    signal(&slot, "STOP");
+    assert!(slot.engine.lock().unwrap().orders.is_empty(), "the order came too early for the test");
+    slot.engine.lock().unwrap().staged.insert(0, b"spoilt".to_vec());
+    thread::sleep(Duration::from_millis(3500));
+    signal(&slot, "CONT");
+    slot.check_loaded(2);
+}
+
 /// Sends the slot process the report of a peer in its zone that has no pieces.
 fn send_pieces_held(socket: &UdpSocket, slot: &Slot, has_manifest: bool, reaches_origin: bool) {
     let pieces_held = PiecesHeld {
