Split the slot's pipeline and the forwarded request by job

The slot's calls to its backend server are now in backend_client.rs and backend_request.rs, the headers of entry hosts in entry_headers.rs. The entry host's choice of a slot is in slot_choice.rs, the reading of a refusal in slot_refusal.rs, the quarantine entry of a request in request_quarantine.rs, the retry decision in attempt_error.rs. Behaviour is unchanged.

--- a/src/request/eligible_slots.rs
+++ b/src/request/eligible_slots.rs
@@ -10,9 +10,9 @@
     membership::{self, HostRole, MemberRecord},
     node::Node,
     request::{
+        attempt_error::AttemptError,
         claim_key::{shard_rank_key, ClaimKey},
         failure::Failure,
-        forwarded_request::{AttemptError, RetryDecision},
         route::Route,
         validated_request::ValidatedRequest,
     },
@@ -55,10 +55,7 @@
 pub(crate) fn no_eligible_slot(name: &str) -> AttemptError {
     let message = format!("no host currently serves \"{name}\"; send the request again later");
     let failure = Failure::not_run(StatusCode::ServiceUnavailable, message);
-    AttemptError {
-        failure: failure.with_retry_after(NO_SLOT_RETRY_AFTER),
-        retry: RetryDecision::WithoutBudget,
-    }
+    AttemptError::free_retry(failure.with_retry_after(NO_SLOT_RETRY_AFTER))
 }
 
 /// Returns the slots of a pool whose engine has loaded the version that the pool serves.
@@ -135,5 +132,5 @@
 }
 
 fn refusal(status: StatusCode, message: impl Into<String>) -> AttemptError {
-    AttemptError { failure: Failure::not_run(status, message), retry: RetryDecision::Never }
+    AttemptError::no_retry(Failure::not_run(status, message))
 }
--- a/src/request/entry_stage.rs
+++ b/src/request/entry_stage.rs
@@ -18,9 +18,10 @@
     membership::HostState,
     node::Node,
     request::{
+        attempt_error::{AttemptError, RetryDecision},
         entry_hosts,
         failure::Failure,
-        forwarded_request::{AttemptError, ForwardedRequest, RetryDecision},
+        forwarded_request::ForwardedRequest,
         in_progress_counts::{InProgressCounts, InProgressGuard},
         quarantine_stage::QuarantineStage,
         request_recorder::RequestRecorder,
--- a/src/request/failure.rs
+++ b/src/request/failure.rs
@@ -12,6 +12,9 @@
     verdict::Verdict,
 };
 
+/// `Retry-After` of a response that reports that a slot can't serve the request now.
+const SLOT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The failure of a request, as reported to its sender.
 ///
 /// From the verdict the sender knows whether the request may have run, and so whether a retry is
@@ -58,6 +61,11 @@
         Failure::new(status, Verdict::NotRun, message.into())
     }
 
+    /// Returns a failure of a request that did not run because its slot can't serve it now.
+    pub(crate) fn slot_unavailable(message: impl Into<String>) -> Failure {
+        Failure::not_run(StatusCode::ServiceUnavailable, message).with_retry_after(SLOT_RETRY_AFTER)
+    }
+
     /// Returns a failure of a request that may have run.
     pub(crate) fn may_have_run(status: StatusCode, message: impl Into<String>) -> Failure {
         Failure::new(status, Verdict::MayHaveRun, message.into())
--- a/src/request/forwarded_request.rs
+++ b/src/request/forwarded_request.rs
@@ -8,27 +8,28 @@
 use http_types::{Response, StatusCode};
 
 use crate::{
-    digest::Digest,
-    ids::{HostId, SwitchNumber},
+    ids::SwitchNumber,
     membership::{HostState, MemberRecord},
     net::Exchange,
     peer::{DocumentName, LinkClass},
     request::{
+        attempt_error::{AttemptError, RetryDecision},
         backend_probe,
-        eligible_slots::{no_eligible_slot, EligibleSlots},
+        eligible_slots::EligibleSlots,
         entry_stage::EntryStage,
         failure::Failure,
         headers,
         in_progress_counts::InProgressGuard,
-        quarantine::{QuarantineChange, QuarantineStatus, MAX_CRASHED_HOSTS},
+        quarantine::QuarantineStatus,
         relay::{self, StreamEnd},
+        request_quarantine::{self, RequestQuarantine},
         request_recorder::RequestRecorder,
         route::Route,
+        slot_choice::SlotChoice,
         slot_loads::SlotGuard,
+        slot_refusal::SlotRefusal,
         slot_request::SlotRequest,
-        slot_response::{
-            error_message, header_duration, into_unavailable, missing_verdict, response_timeout,
-        },
+        slot_response::{header_duration, into_unavailable, missing_verdict, response_timeout},
         validated_request::ValidatedRequest,
     },
     runtime,
@@ -42,27 +43,6 @@
 /// Additional wait after the deadline, so that the slot's own error response can still arrive.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
-/// Whether and how a request is retried after a failed attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RetryDecision {
-    /// No retry: the failure is returned to the caller.
-    Never,
-    /// Retry if the retry budget allows it.
-    WithinBudget,
-    /// Retry without charging the retry budget: the eligible slots are expected to change soon, or
-    /// the request became suspect and runs alone from now on.
-    WithoutBudget,
-}
-
-/// The error of one attempt at a slot.
-#[derive(Debug)]
-pub(crate) struct AttemptError {
-    /// The failure to return to the caller if there is no further attempt.
-    pub(crate) failure: Failure,
-    /// Whether the request may be retried.
-    pub(crate) retry: RetryDecision,
-}
-
 /// A request that is being forwarded to slots.
 ///
 /// It keeps the state that is shared by all attempts, such as the hosts already tried.
@@ -72,12 +52,11 @@
     pub(crate) incoming: &'a ValidatedRequest,
     route: &'a Route,
     customer: &'a str,
-    fingerprint: Digest,
+    quarantine: RequestQuarantine,
     in_progress_guard: Arc<InProgressGuard>,
     /// Records the outcome; `None` once a response is relayed or its stream has begun.
     pub(crate) recorder: Option<RequestRecorder>,
-    /// Hosts at which the request was already attempted.
-    tried_hosts: Vec<HostId>,
+    slots: SlotChoice<'a>,
 }
 
 /// A slot that sent response headers, with the state needed until its response ends.
@@ -100,19 +79,15 @@
         in_progress_guard: InProgressGuard,
         recorder: RequestRecorder,
     ) -> ForwardedRequest<'a> {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(incoming.path.as_bytes());
-        hasher.update(&[0]);
-        hasher.update(&incoming.body);
         ForwardedRequest {
             stage,
             incoming,
             route,
             customer,
-            fingerprint: hasher.finalize().into(),
+            quarantine: RequestQuarantine::new(stage.quarantine.clone(), incoming),
             in_progress_guard: Arc::new(in_progress_guard),
             recorder: Some(recorder),
-            tried_hosts: Vec::new(),
+            slots: SlotChoice::new(&stage.loads, route),
         }
     }
 
@@ -120,12 +95,11 @@
     pub(crate) async fn try_slot(&mut self) -> Result<Response, AttemptError> {
         let node = &self.stage.node;
         let eligible = EligibleSlots::find(node, self.incoming, self.route, self.customer)?;
-        let quarantine_status = self.stage.quarantine.status_of(&self.fingerprint);
+        let quarantine_status = self.quarantine.status();
         if quarantine_status == QuarantineStatus::Refused {
-            return Err(no_retry(self.quarantined_failure()));
+            return Err(AttemptError::no_retry(request_quarantine::refusal(self.incoming)));
         }
-        let slot = self.pick_slot(&eligible)?;
-        self.tried_hosts.push(slot.host.clone());
+        let slot = self.slots.pick(&eligible)?;
         let record = eligible.slots.iter().find(|it| it.host == slot.host);
         let record = record.expect("the picked slot is one of the eligible slots");
         let slot_request = SlotRequest {
@@ -154,7 +128,7 @@
                     .await
             }
             Some(verdict) => Err(self.handle_refusal(exchange, verdict, &slot, record).await),
-            None => Err(no_retry(missing_verdict(record.request_address))),
+            None => Err(AttemptError::no_retry(missing_verdict(record.request_address))),
         }
     }
 
@@ -187,10 +161,10 @@
             Ok(Err(err)) => {
                 return Err(self.handle_failure(&slot, Failure::from_call_error(&err)).await)
             }
-            Err(_) => return Err(no_retry(response_timeout())),
+            Err(_) => return Err(AttemptError::no_retry(response_timeout())),
         };
         if quarantine_status == QuarantineStatus::Suspect {
-            self.stage.quarantine.record_change(self.cleared_change()).await;
+            self.quarantine.record_success().await;
         }
         let content_type = response.header("Content-Type").cloned();
         response.set_body(body);
@@ -228,11 +202,10 @@
     ) -> relay::OnStreamEnd {
         let recorder = self.recorder.take();
         let in_progress_guard = self.in_progress_guard.clone();
-        let quarantine = self.stage.quarantine.clone();
-        let cleared_change = self.cleared_change();
-        let crashed_change = self.crashed_change(&slot.host);
+        let quarantine = self.quarantine.clone();
+        let host = slot.host.clone();
         let node = self.stage.node.clone();
-        let address = node.membership.record(&slot.host).map(|it| it.request_address);
+        let address = node.membership.record(&host).map(|it| it.request_address);
         Box::new(move |end| {
             if let Some(recorder) = recorder {
                 recorder.record_stream_end(end);
@@ -245,13 +218,12 @@
                         None => false,
                     };
                     if !is_up {
-                        quarantine.record_change(crashed_change).await;
+                        quarantine.record_crash(&host).await;
                     }
                 })
                 .detach(),
                 StreamEnd::Complete if quarantine_status == QuarantineStatus::Suspect => {
-                    runtime::spawn(async move { quarantine.record_change(cleared_change).await })
-                        .detach();
+                    runtime::spawn(async move { quarantine.record_success().await }).detach();
                 }
                 StreamEnd::Complete | StreamEnd::DeadlineExceeded | StreamEnd::Abandoned => {}
             }
@@ -266,46 +238,26 @@
         slot: &SlotGuard,
         record: &MemberRecord,
     ) -> AttemptError {
-        let status = exchange.response.status();
-        let head = &exchange.response;
-        let retry_after_s =
-            head.header(headers::RETRY_AFTER).and_then(|it| it.as_str().parse().ok());
-        let slot_switch_number =
-            head.header(headers::SWITCH).and_then(|it| it.as_str().parse().ok());
-        let is_crash = head.header(headers::CRASHED).is_some();
-        let is_platform_unavailable = head.header(headers::PLATFORM_UNAVAILABLE).is_some();
         let timeout = self.incoming.time_left() + RESPONSE_MARGIN;
-        let message = match runtime::timeout(timeout, exchange.read(MAX_RESPONSE_BYTES)).await {
-            Ok(Ok((_, body))) => error_message(&body),
-            Ok(Err(err)) => err.to_string(),
-            Err(_) => "the slot's response did not arrive in time".to_owned(),
-        };
-        let mut failure = match verdict {
-            Verdict::NotRun => Failure::not_run(status, message),
-            Verdict::Ran | Verdict::MayHaveRun => Failure::may_have_run(status, message),
-        };
-        failure.is_crash = is_crash;
-        failure.retry_after_s = retry_after_s.map(Duration::from_secs);
+        let refusal = SlotRefusal::read(exchange, verdict, timeout).await;
         if verdict != Verdict::NotRun {
-            return self.handle_failure(slot, failure).await;
+            return self.handle_failure(slot, refusal.failure).await;
         }
-        match status {
-            StatusCode::Conflict if slot_switch_number.is_some() => {
-                self.fetch_newer_pool_document(record, slot_switch_number).await;
-                AttemptError {
-                    failure: into_unavailable(failure),
-                    retry: RetryDecision::WithoutBudget,
-                }
-            }
-            _ if is_platform_unavailable => no_retry(failure),
-            StatusCode::ServiceUnavailable => {
-                AttemptError { failure, retry: RetryDecision::WithoutBudget }
-            }
+        if let Some(switch_number) = refusal.mismatched_switch_number() {
+            self.fetch_newer_pool_document(record, switch_number).await;
+            return AttemptError::free_retry(into_unavailable(refusal.failure));
+        }
+        if refusal.is_platform_unavailable {
+            return AttemptError::no_retry(refusal.failure);
+        }
+        let failure = refusal.failure;
+        match failure.status {
+            StatusCode::ServiceUnavailable => AttemptError::free_retry(failure),
             StatusCode::TooManyRequests => {
                 AttemptError { failure, retry: RetryDecision::WithinBudget }
             }
-            _ if status.is_server_error() => self.handle_failure(slot, failure).await,
-            _ => no_retry(failure),
+            status if status.is_server_error() => self.handle_failure(slot, failure).await,
+            _ => AttemptError::no_retry(failure),
         }
     }
 
@@ -313,12 +265,12 @@
     async fn fetch_newer_pool_document(
         &self,
         slot: &MemberRecord,
-        slot_switch_number: Option<SwitchNumber>,
+        slot_switch_number: SwitchNumber,
     ) {
         let Route::Chat { pool, .. } = self.route else { return };
         let node = &self.stage.node;
         let own_switch_number = node.documents.pool(pool).map_or(0, |it| it.switch_number);
-        if slot_switch_number.is_none_or(|it| it <= own_switch_number) {
+        if slot_switch_number <= own_switch_number {
             return;
         }
         let name = DocumentName::Pool(pool.clone());
@@ -349,12 +301,12 @@
     async fn handle_failure(&self, slot: &SlotGuard, failure: Failure) -> AttemptError {
         slot.record_unreachable();
         if failure.is_crash && !self.is_backend_up(&slot.host).await {
-            self.stage.quarantine.record_change(self.crashed_change(&slot.host)).await;
-            let quarantine_status = self.stage.quarantine.status_of(&self.fingerprint);
+            self.quarantine.record_crash(&slot.host).await;
+            let quarantine_status = self.quarantine.status();
             if quarantine_status == QuarantineStatus::Suspect && self.is_repeatable() {
-                return AttemptError { failure, retry: RetryDecision::WithoutBudget };
+                return AttemptError::free_retry(failure);
             }
-            return no_retry(failure);
+            return AttemptError::no_retry(failure);
         }
         let is_safe_to_retry = failure.verdict == Verdict::NotRun || self.is_repeatable();
         let is_timeout = failure.status == StatusCode::GatewayTimeout;
@@ -378,30 +330,6 @@
         charter.and_then(|it| it.services.get(service).map(|it| it.repeatable)).unwrap_or(false)
     }
 
-    fn crashed_change(&self, host: &str) -> QuarantineChange {
-        let host = host.to_owned();
-        QuarantineChange::Crashed { fingerprint: self.fingerprint, host }
-    }
-
-    fn cleared_change(&self) -> QuarantineChange {
-        QuarantineChange::Cleared { fingerprint: self.fingerprint }
-    }
-
-    /// Returns the failure of a request that the quarantine refuses.
-    ///
-    /// With an idempotency key the verdict is may-have-run, because an earlier call with the same
-    /// key may have run.
-    fn quarantined_failure(&self) -> Failure {
-        let message = format!(
-            "this request crashed {MAX_CRASHED_HOSTS} backend servers and is refused; \
-             change it or ask an operator to clear it"
-        );
-        if self.incoming.idempotency_key.is_some() {
-            return Failure::may_have_run(StatusCode::UnprocessableEntity, message);
-        }
-        Failure::not_run(StatusCode::UnprocessableEntity, message)
-    }
-
     fn check_request_id(&self, response: &Response) -> Result<(), AttemptError> {
         let echo = response.header(headers::REQUEST_ID).map(|it| it.as_str());
         if echo == Some(self.incoming.id.as_str()) {
@@ -415,33 +343,4 @@
             if self.is_repeatable() { RetryDecision::WithinBudget } else { RetryDecision::Never };
         Err(AttemptError { failure, retry })
     }
-
-    fn pick_slot(&self, eligible: &EligibleSlots) -> Result<SlotGuard, AttemptError> {
-        let all_hosts: Vec<HostId> = eligible.slots.iter().map(|it| it.host.clone()).collect();
-        let is_untried = |it: &&HostId| !self.tried_hosts.contains(it);
-        if let Some(first) = eligible.attempt_order.first() {
-            let next = eligible.attempt_order.iter().find(is_untried).unwrap_or(first).clone();
-            return self.stage.loads.pick(&[next], None).ok_or_else(|| self.no_eligible_slot());
-        }
-        let untried: Vec<HostId> = all_hosts.iter().filter(is_untried).cloned().collect();
-        let hosts = if untried.is_empty() { &all_hosts } else { &untried };
-        let preferred = self.preferred_host(hosts);
-        self.stage.loads.pick(hosts, preferred.as_deref()).ok_or_else(|| self.no_eligible_slot())
-    }
-
-    /// Returns the host whose engine most likely has the prompt's prefix in its cache.
-    ///
-    /// It ranks the hosts by a rendezvous hash of the prefix, so that all entry hosts agree.
-    fn preferred_host(&self, hosts: &[HostId]) -> Option<HostId> {
-        let Route::Chat { prefix_digest, .. } = self.route else { return None };
-        crate::membership::rank(&prefix_digest.to_string(), hosts).into_iter().next()
-    }
-
-    fn no_eligible_slot(&self) -> AttemptError {
-        no_eligible_slot(self.route.target())
-    }
-}
-
-fn no_retry(failure: Failure) -> AttemptError {
-    AttemptError { failure, retry: RetryDecision::Never }
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,7 +1,10 @@
 //! The path of a live request: from a caller through an entry host and a slot to a backend server,
 //! and the response back.
 
+mod attempt_error;
+mod backend_client;
 mod backend_probe;
+mod backend_request;
 mod chat_response;
 mod claim_bucket;
 mod claim_key;
@@ -9,6 +12,7 @@
 mod claim_stage;
 mod concurrency_limiter;
 mod eligible_slots;
+mod entry_headers;
 mod entry_hosts;
 mod entry_stage;
 mod failure;
@@ -19,11 +23,14 @@
 mod quarantine;
 mod quarantine_stage;
 mod relay;
+mod request_quarantine;
 mod request_recorder;
 mod retry_budget;
 mod route;
+mod slot_choice;
 mod slot_loads;
 mod slot_picker;
+mod slot_refusal;
 mod slot_request;
 mod slot_response;
 mod slot_stage;
--- a/src/request/slot_stage.rs
+++ b/src/request/slot_stage.rs
@@ -1,34 +1,25 @@
 //! The request pipeline of a slot, from an entry host to the backend server and back.
 
-use std::{
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc,
-    },
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
-use http_types::{Body, Request, Response, StatusCode, Url};
+use http_types::{Body, Request, Response, StatusCode};
 
 use crate::{
     charter::ServiceSpec,
     digest::Digest,
-    ids::SwitchNumber,
     membership::HostState,
-    net::{CallError, Exchange},
     node::Node,
     request::{
-        backend_probe::{self, BACKEND_STATE_PATH},
-        chat_response::check_complete,
-        claim_stage::{ClaimStage, ServiceResponse},
+        backend_client::BackendClient,
+        backend_probe::BACKEND_STATE_PATH,
+        backend_request::BackendRequest,
+        claim_stage::ClaimStage,
         concurrency_limiter::{ConcurrencyLimiter, ConcurrencyPermit, QueuedWork},
+        entry_headers::{check_proof, EntryHeaders},
         failure::Failure,
         headers,
-        relay::{self, StreamEnd},
         route::Route,
-        validated_request::{
-            check_framing, header_value, request_id_of, RequestLimits, ValidatedRequest,
-        },
+        validated_request::{check_framing, request_id_of, RequestLimits, ValidatedRequest},
     },
     rollout::{Admission, AdmissionError, ServingState},
     runtime,
@@ -38,10 +29,6 @@
 
 /// Path prefix at which the slot's engine fetches weights.
 const WEIGHTS_PATH: &str = "/weights/";
-/// Maximum size of a response that is buffered before it is relayed.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
-/// `Retry-After` of a response that reports that the slot can't serve the request now.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A function that returns the body of verified weights by the digest of their manifest.
 pub type WeightsSource = Arc<dyn Fn(&Digest) -> Option<Body> + Send + Sync>;
@@ -54,19 +41,11 @@
 pub(crate) struct SlotStage {
     node: Arc<Node>,
     backend: BackendSettings,
+    client: BackendClient,
     serving: Arc<ServingState>,
     limiter: Arc<ConcurrencyLimiter>,
     claims: Arc<ClaimStage>,
     weights: WeightsSource,
-    /// Whether the backend server broke a connection and no probe has succeeded since.
-    is_health_unknown: Arc<AtomicBool>,
-}
-
-/// The headers that an entry host adds to a caller's request.
-struct EntryHeaders {
-    customer: String,
-    switch_number: Option<SwitchNumber>,
-    is_suspect: bool,
 }
 
 /// A permit to call the backend server; it is released at the end of the response.
@@ -88,15 +67,8 @@
         let limiter =
             ConcurrencyLimiter::new(backend.concurrency as usize, backend.max_queued as usize);
         let claims = ClaimStage::new(node.clone());
-        Arc::new(SlotStage {
-            node,
-            backend,
-            serving,
-            limiter,
-            claims,
-            weights,
-            is_health_unknown: Arc::default(),
-        })
+        let client = BackendClient::new(node.clone(), backend.clone());
+        Arc::new(SlotStage { node, backend, client, serving, limiter, claims, weights })
     }
 
     /// Handles one request.
@@ -126,7 +98,7 @@
             return self.backend_state(&id).await;
         }
         let entry_headers =
-            self.entry_headers(&id, &request).map_err(Failure::closing_connection)?;
+            EntryHeaders::read(&self.node, &id, &request).map_err(Failure::closing_connection)?;
         let limits = RequestLimits {
             max_body_bytes: self.node.settings.limits.max_body_bytes,
             request_timeout_ms: self.node.settings.limits.request_timeout_ms,
@@ -137,7 +109,7 @@
         let enqueued_at = Instant::now();
         let concurrency_permit =
             self.limiter.acquire(self.queued_work(&incoming, &route, &entry_headers)).await?;
-        self.check_backend_up().await?;
+        self.client.check_up().await?;
         let admission = self.admit(&route, &entry_headers)?;
         let permit = Permit { concurrency_permit, admission };
         let waited = enqueued_at.elapsed().as_millis();
@@ -151,22 +123,14 @@
         Ok(response)
     }
 
-    /// Reports the time to the engine's first token, without the time in the slot's queue.
-    ///
-    /// If it is above the objective of the charter, the link share of weight transfers is reduced.
-    fn report_first_token(&self, route: &Route, waited: Duration) {
-        let Route::Chat { .. } = route else { return };
-        let charter = self.node.documents.charter();
-        let Some(objective) = charter.map(|it| it.service_levels.first_token_ms) else { return };
-        self.node.link_budget.report_first_token(waited, objective);
-    }
-
     fn service_spec_of(&self, route: &Route) -> Result<Option<ServiceSpec>, Failure> {
         let Route::Service { service, .. } = route else { return Ok(None) };
         let charter = self.node.documents.charter();
         let spec = charter.and_then(|it| it.services.get(service).cloned());
         let spec = spec.ok_or_else(|| {
-            unavailable("the service is not in this slot's charter; retry at another host")
+            Failure::slot_unavailable(
+                "the service is not in this slot's charter; retry at another host",
+            )
         })?;
         Ok(Some(spec))
     }
@@ -185,9 +149,10 @@
         let (sender, receiver) = async_channel::bounded(1);
         runtime::spawn(async move {
             let service = self.backend.name.clone();
-            let call = || self.call_buffered(&incoming, &route, &entry_headers);
-            let run =
-                self.claims.clone().run(&incoming, &entry_headers.customer, &service, &spec, call);
+            let customer = &entry_headers.customer;
+            let request = BackendRequest { incoming: &incoming, route: &route, customer };
+            let call = || self.client.call_service(request);
+            let run = self.claims.clone().run(&incoming, customer, &service, &spec, call);
             let res = run.await.map(|it| it.into_response(&incoming.id));
             drop(permit);
             let _ = sender.try_send(res);
@@ -202,26 +167,6 @@
         receiver.recv().await.map_err(stopped)?
     }
 
-    async fn call_buffered(
-        &self,
-        incoming: &ValidatedRequest,
-        route: &Route,
-        entry_headers: &EntryHeaders,
-    ) -> Result<ServiceResponse, Failure> {
-        let request = self.backend_request(incoming, route, entry_headers);
-        let timeout = incoming.time_left();
-        let sent = self.node.http.send(self.backend.address, request, timeout).await;
-        let exchange = sent.map_err(|err| self.failure_of_call(&err))?;
-        self.check_echo(&exchange.response, incoming, route)?;
-        let read = runtime::timeout(incoming.time_left(), exchange.read(MAX_RESPONSE_BYTES));
-        let (head, body) = match read.await {
-            Ok(res) => res.map_err(|err| self.failure_of_call(&err))?,
-            Err(_) => return Err(backend_timeout()),
-        };
-        let content_type = head.header("Content-Type").map(|it| it.as_str().to_owned());
-        Ok(ServiceResponse { status: head.status(), content_type, body })
-    }
-
     fn queued_work<'a>(
         &self,
         incoming: &ValidatedRequest,
@@ -239,43 +184,11 @@
         }
     }
 
-    fn entry_headers(&self, id: &str, request: &Request) -> Result<EntryHeaders, Failure> {
-        check_proof(&self.node, id, request)?;
-        let customer = header_value(request, headers::CUSTOMER).ok_or_else(|| {
-            Failure::not_run(
-                StatusCode::BadRequest,
-                "X-Customer is missing; send the request to an entry host",
-            )
-        })?;
-        let switch_number = header_value(request, headers::SWITCH).and_then(|it| it.parse().ok());
-        let is_suspect = request.header(headers::SUSPECT).is_some();
-        Ok(EntryHeaders { customer, switch_number, is_suspect })
-    }
-
-    /// Returns the failure for `err`; after a broken connection the backend server is probed before
-    /// the next request.
-    fn failure_of_call(&self, err: &CallError) -> Failure {
-        let failure = Failure::from_call_error(err);
-        self.is_health_unknown.fetch_or(failure.is_crash, Ordering::Relaxed);
-        failure
-    }
-
-    /// Refuses requests while the backend server is down after a crash, so that no later request is
-    /// taken for the cause of the crash.
-    async fn check_backend_up(&self) -> Result<(), Failure> {
-        if !self.is_health_unknown.load(Ordering::Relaxed) {
-            return Ok(());
-        }
-        if !backend_probe::is_up_after_pause(&self.node, &self.backend).await {
-            return Err(unavailable("the backend server is down; retry at another host"));
-        }
-        self.is_health_unknown.store(false, Ordering::Relaxed);
-        Ok(())
-    }
-
     async fn backend_state(&self, id: &str) -> Result<Response, Failure> {
-        if !backend_probe::is_up(&self.node, &self.backend).await {
-            return Err(unavailable("the backend server is down; retry once it is up"));
+        if !self.client.is_up().await {
+            return Err(Failure::slot_unavailable(
+                "the backend server is down; retry once it is up",
+            ));
         }
         let mut response = Response::new(StatusCode::Ok);
         response.insert_header(headers::REQUEST_ID, id);
@@ -285,7 +198,7 @@
     fn admit(&self, route: &Route, entry_headers: &EntryHeaders) -> Result<Admission, Failure> {
         self.check_route(route)?;
         if self.node.membership.own().state == HostState::Leaving {
-            return Err(unavailable("the host is leaving; retry at another host"));
+            return Err(Failure::slot_unavailable("the host is leaving; retry at another host"));
         }
         let switch_number = match route {
             Route::Chat { .. } => Some(entry_headers.switch_number.ok_or_else(|| {
@@ -298,7 +211,7 @@
         };
         self.serving.admit(switch_number).map_err(|refusal| match refusal {
             AdmissionError::Closed => {
-                unavailable("the slot accepts no requests now; retry at another host")
+                Failure::slot_unavailable("the slot accepts no requests now; retry at another host")
             }
             AdmissionError::SwitchMismatch(own) => {
                 let message = format!(
@@ -319,7 +232,9 @@
         if kind == self.backend.kind && *name == self.backend.name {
             return Ok(());
         }
-        Err(unavailable(&format!("this slot does not serve \"{name}\"; retry at another host")))
+        Err(Failure::slot_unavailable(format!(
+            "this slot does not serve \"{name}\"; retry at another host"
+        )))
     }
 
     async fn call(
@@ -329,24 +244,9 @@
         entry_headers: &EntryHeaders,
         mut permit: Permit,
     ) -> Result<Response, Failure> {
-        let request = self.backend_request(incoming, route, entry_headers);
-        let timeout = incoming.time_left();
-        let sent_at = Instant::now();
-        let sent = self.node.http.send(self.backend.address, request, timeout).await;
-        let exchange = sent.map_err(|err| self.failure_of_call(&err))?;
-        self.report_first_token(route, sent_at.elapsed());
-        self.check_echo(&exchange.response, incoming, route)?;
+        let request = BackendRequest { incoming, route, customer: &entry_headers.customer };
+        let exchange = self.client.send(request).await?;
         permit.concurrency_permit.record_cost(route.cost_tokens());
-        self.relay(incoming, route, exchange, permit).await
-    }
-
-    async fn relay(
-        &self,
-        incoming: &ValidatedRequest,
-        route: &Route,
-        exchange: Exchange,
-        permit: Permit,
-    ) -> Result<Response, Failure> {
         let mut response = Response::new(exchange.response.status());
         response.insert_header(headers::REQUEST_ID, incoming.id.as_str());
         response.insert_header(headers::VERDICT, Verdict::Ran.as_str());
@@ -354,76 +254,10 @@
             response.insert_header(headers::VERSION, permit.admission.version.as_str());
             response.insert_header(headers::SWITCH, permit.admission.switch_number.to_string());
         }
-        if relay::is_stream(&exchange.response) {
-            let is_health_unknown = self.is_health_unknown.clone();
-            let on_end = Box::new(move |end| {
-                is_health_unknown.fetch_or(end == StreamEnd::Truncated, Ordering::Relaxed);
-                drop(permit);
-            });
-            response.set_body(relay::stream_body(exchange, incoming.deadline, on_end));
-            return Ok(response);
-        }
-        let read = runtime::timeout(incoming.time_left(), exchange.read(MAX_RESPONSE_BYTES));
-        let (head, body) = match read.await {
-            Ok(res) => res.map_err(|err| self.failure_of_call(&err))?,
-            Err(_) => return Err(backend_timeout()),
-        };
-        check_complete(route, head.status(), &body)?;
-        response.set_body(body);
-        if let Some(content_type) = head.header("Content-Type") {
-            response.insert_header("Content-Type", content_type);
-        }
+        self.client.relay(request, exchange, &mut response, permit).await?;
         Ok(response)
     }
 
-    /// Checks that the response echoes the request id; a service may omit it, an engine must not.
-    fn check_echo(
-        &self,
-        response: &Response,
-        incoming: &ValidatedRequest,
-        route: &Route,
-    ) -> Result<(), Failure> {
-        let echo = response.header(headers::REQUEST_ID).map(|it| it.as_str());
-        let is_same_id = echo == Some(incoming.id.as_str());
-        let may_omit_id = matches!(route, Route::Service { .. }) && echo.is_none();
-        if is_same_id || may_omit_id {
-            return Ok(());
-        }
-        log::warn!("slot: dropped the response to another request id={}", incoming.id);
-        let message =
-            "the backend server sent the response to another request, which was dropped; \
-             retry only if the request may run twice";
-        Err(Failure::may_have_run(StatusCode::BadGateway, message))
-    }
-
-    fn backend_request(
-        &self,
-        incoming: &ValidatedRequest,
-        route: &Route,
-        entry_headers: &EntryHeaders,
-    ) -> Request {
-        let path = match route {
-            Route::Chat { .. } => incoming.path.as_str(),
-            Route::Service { path, .. } => path.as_str(),
-        };
-        let url = format!("http://{}{path}", self.backend.address);
-        let url = Url::parse(&url).expect("an address and a validated path form a URL");
-        let mut request = Request::new(incoming.method, url);
-        request.set_body(incoming.body.clone());
-        if let Some(content_type) = &incoming.content_type {
-            request.insert_header("Content-Type", content_type.as_str());
-        }
-        request.insert_header(headers::REQUEST_ID, incoming.id.as_str());
-        request.insert_header(headers::CUSTOMER, entry_headers.customer.as_str());
-        if let Some(priority) = &incoming.priority {
-            request.insert_header(headers::PRIORITY, priority.as_str());
-        }
-        if let Some(key) = &incoming.idempotency_key {
-            request.insert_header(headers::IDEMPOTENCY_KEY, key.as_str());
-        }
-        request
-    }
-
     fn weights_response(&self, digest: &str) -> Response {
         let body = digest.parse().ok().and_then(|digest: Digest| (self.weights)(&digest));
         let Some(body) = body else {
@@ -436,27 +270,3 @@
         response
     }
 }
-
-/// Refuses senders that do not have the shared key.
-fn check_proof(node: &Node, id: &str, request: &Request) -> Result<(), Failure> {
-    let refuse = |message: &str| Err(Failure::not_run(StatusCode::Unauthorized, message));
-    let text = header_value(request, headers::PROOF).unwrap_or_default();
-    let Ok(proof) = blake3::Hash::from_hex(text) else {
-        return refuse("X-Proof is missing or malformed; send the request to an entry host");
-    };
-    if proof != node.settings.secrets.peer_key.keyed_hash(id.as_bytes()) {
-        return refuse("X-Proof is wrong; check peer_key_file on both hosts");
-    }
-    Ok(())
-}
-
-fn unavailable(message: &str) -> Failure {
-    Failure::not_run(StatusCode::ServiceUnavailable, message)
-        .with_retry_after(UNAVAILABLE_RETRY_AFTER)
-}
-
-fn backend_timeout() -> Failure {
-    let message =
-        "the backend server did not respond in time; retry only if the request may run twice";
-    Failure::may_have_run(StatusCode::GatewayTimeout, message)
-}
