--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -127,7 +127,7 @@
 }
 
 #[test]
-fn no_engine_is_told_at_once() {
+fn no_engine_told_at_once() {
     let mut cell = AdmissionCell::default();
     let refused = cell.request(id(1, 1), demand(100, 100), &engines(0), Instant::now());
     assert_eq!(refused, Some(Admission::NoEngine));
--- a/tests/burn_report.rs
+++ b/tests/burn_report.rs
@@ -15,7 +15,7 @@
 const NOW: Duration = Duration::from_secs(6 * 3600);
 
 #[test]
-fn burn_rate_is_bad_share_over_budget() {
+fn burn_rate() {
     // 2 of 1000 requests unanswered, with an error budget of 0.1 %, give a burn rate of 2.
     let mut host = Host::new("entry-1");
     host.record_answered(NOW, "weavers", 998);
@@ -81,7 +81,7 @@
 /// Customers with the same weight should wait equally long, so a customer is compared only with
 /// those of its weight.
 #[test]
-fn waits_are_compared_at_equal_weight() {
+fn waits_at_equal_weight() {
     let mut host = Host::new("entry-1");
     for (customer, wait_ms) in [("weavers", 100), ("schools", 200), ("heavy", 900)] {
         let outcome = RequestOutcome {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -158,7 +158,7 @@
 }
 
 #[test]
-fn request_is_found_by_id_and_key() {
+fn find_request() {
     runtime::run_until(async {
         let deployment = start_deployment().await;
         for name in ["r-1", "key-1"] {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -10,12 +10,12 @@
 use futures_util::future::join_all;
 
 #[test]
-fn request_is_refused_after_two_crashes() {
+fn request_refused_after_two_crashes() {
     check_repeated_crashes(prompt, false);
 }
 
 #[test]
-fn stream_is_refused_after_two_crashes() {
+fn stream_refused_after_two_crashes() {
     check_repeated_crashes(|text| streamed_prompt(text, 4), false);
 }
 
--- a/tests/entry_hosts.rs
+++ b/tests/entry_hosts.rs
@@ -17,7 +17,7 @@
 
 /// A caller that gets the address of a leaving entry host would lose its connection soon.
 #[test]
-fn leaving_entry_host_is_not_listed() {
+fn leaving_entry_host_unlisted() {
     runtime::run_until(async {
         let deployment = start().await;
         let (before, max_age) = list_entry_hosts(&deployment, 0).await;
@@ -35,7 +35,7 @@
 /// Callers may use a cached address for `max-age` (1 s here); the host then refuses their requests
 /// and lists the other entry hosts.
 #[test]
-fn leaving_entry_host_serves_until_max_age() {
+fn leaving_entry_host_still_serves() {
     runtime::run_until(async {
         let deployment = start().await;
         announce_leaving(&deployment.entry_hosts[0].node).await;
@@ -53,7 +53,7 @@
 /// Two of three entry hosts leave one by one under load. Callers that get the verdict `not-run` use
 /// the entry hosts that the error lists.
 #[test]
-fn leaving_entry_hosts_interrupt_no_request() {
+fn no_request_interrupted_by_leaving() {
     runtime::run_until(async {
         let deployment = start().await;
         let slow = EngineBehaviour { first_token_ms: 50, token_ms: 20, ..Default::default() };
--- a/tests/fair_waiting.rs
+++ b/tests/fair_waiting.rs
@@ -32,7 +32,7 @@
 /// With one customer at three times the capacity, the p99 response time of the others must stay
 /// within 1.2 times that without overload. First come, first served must exceed this limit.
 #[test]
-fn overload_does_not_delay_other_customers() {
+fn overload_spares_other_customers() {
     for seed in 0..5 {
         let normal_load = arrivals(seed, &[0.15, 0.15, 0.15, 0.15]);
         let overload = arrivals(seed, &[3.0, 0.15, 0.15, 0.15]);
--- a/tests/host_failure.rs
+++ b/tests/host_failure.rs
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn leaving_host_is_announced_at_once() {
+fn leaving_host_announced_at_once() {
     runtime::run_until(async {
         let cluster = start_joined().await;
         let started = Instant::now();
@@ -120,7 +120,7 @@
 /// Guards against members taken over from the platform's host list unchecked: the list contains an
 /// address without a process, an address of another service, and one live host.
 #[test]
-fn invalid_platform_list_adds_no_hosts() {
+fn invalid_platform_list() {
     runtime::run_until(async {
         let mut cluster = start_joined().await;
         let dead_address: SocketAddr = ([127, 0, 0, 1], 9).into();
--- a/tests/host_rank.rs
+++ b/tests/host_rank.rs
@@ -14,7 +14,7 @@
 const N_SEEDS: u64 = 1000;
 
 #[test]
-fn rank_does_not_depend_on_order() {
+fn rank_ignores_order() {
     for seed in 0..N_SEEDS {
         let mut random = fastrand::Rng::with_seed(seed);
         let n_hosts = random.usize(1..40);
--- a/tests/live_requests.rs
+++ b/tests/live_requests.rs
@@ -37,7 +37,7 @@
 /// Each engine truncates, cuts or swaps one response. The caller must get the complete response to
 /// its own request, or an error whose verdict is not `not-run`.
 #[test]
-fn engine_fault_never_gives_wrong_answer() {
+fn wrong_answer_after_engine_fault() {
     check_fault("none", EngineBehaviour::default(), false, 200);
     check_fault("truncated", EngineBehaviour { short_answers: 1, ..no_faults() }, false, 200);
     check_fault("connection closed", EngineBehaviour { cut_answers: 1, ..no_faults() }, false, 200);
@@ -99,7 +99,7 @@
 
 /// A request for a pool whose slot is closed waits until the slot reopens or its deadline expires.
 #[test]
-fn request_waits_while_pool_is_closed() {
+fn request_waits_for_closed_pool() {
     runtime::run_until(async {
         let deployment =
             Deployment::start(DeploymentOptions { n_engines: 1, ..DeploymentOptions::default() })
@@ -124,7 +124,7 @@
 /// An entry host that has missed a switch learns its number from the slot, without failing a
 /// request.
 #[test]
-fn entry_host_applies_newer_switch_number() {
+fn newer_switch_number_applied() {
     runtime::run_until(async {
         let deployment =
             Deployment::start(DeploymentOptions { n_engines: 1, ..DeploymentOptions::default() })
@@ -139,7 +139,7 @@
 }
 
 #[test]
-fn leaving_slot_gets_no_new_requests() {
+fn no_requests_to_leaving_slot() {
     use crocustiller::membership::HostState;
     runtime::run_until(async {
         let deployment = Deployment::start(DeploymentOptions::default()).await;
--- a/tests/member_rules.rs
+++ b/tests/member_rules.rs
@@ -112,7 +112,7 @@
 }
 
 #[test]
-fn hash_ignores_order_and_gone_hosts() {
+fn hash_ignores_order_and_gone() {
     let now = Instant::now();
     let records: Vec<MemberRecord> =
         (0..20).map(|idx| record(&format!("h{idx}"), idx, 0, HostState::Live)).collect();
--- a/tests/request_deciders.rs
+++ b/tests/request_deciders.rs
@@ -41,7 +41,7 @@
 }
 
 #[test]
-fn pick_avoids_busy_and_dead_slots() {
+fn pick_avoids_busy_and_dead() {
     let hosts: Vec<HostId> = (0..10).map(|it| format!("host-{it}")).collect();
     let now = Duration::from_secs(1);
     for seed in 0..SEEDS {
@@ -80,7 +80,7 @@
 /// Callers use the first entry hosts of the list, which should be the near ones without all callers
 /// using the same one.
 #[test]
-fn own_zone_entry_hosts_come_first() {
+fn own_zone_hosts_first() {
     let mut firsts = HashSet::new();
     for seed in 0..SEEDS {
         let mut random = fastrand::Rng::with_seed(seed);
--- a/tests/weights_deciders.rs
+++ b/tests/weights_deciders.rs
@@ -23,7 +23,7 @@
 };
 
 #[test]
-fn origin_ranks_are_unique_per_chunk() {
+fn unique_origin_ranks() {
     for seed in 0..50 {
         let mut random = fastrand::Rng::with_seed(seed);
         let hosts = hosts(random.usize(1..40), random.usize(1..4));
@@ -106,7 +106,7 @@
 }
 
 #[test]
-fn picks_come_from_least_loaded_holder() {
+fn pick_least_loaded_holder() {
     for seed in 0..2_000 {
         let mut random = fastrand::Rng::with_seed(seed);
         let n_chunks = random.usize(1..20);
@@ -154,14 +154,14 @@
 }
 
 #[test]
-fn stalled_fetch_does_not_delay_takeover() {
+fn takeover_despite_stalled_fetch() {
     let chunk_time = Duration::from_millis(40);
     let typical_base = takeover_base(chunk_time, Duration::ZERO);
     assert!(takeover_base(chunk_time, Duration::from_secs(3600)) <= typical_base * 2);
 }
 
 #[test]
-fn slow_peers_get_longer_hedge_delay() {
+fn hedge_delay_of_slow_peers() {
     let chunk_time = Duration::from_millis(40);
     let slow_delay = hedge_delay(Some(Duration::from_secs(1)), chunk_time);
     assert!(slow_delay > hedge_delay(Some(Duration::from_millis(50)), chunk_time));
--- a/tests/weights_faults.rs
+++ b/tests/weights_faults.rs
@@ -122,7 +122,7 @@
 }
 
 #[test]
-fn dead_top_ranked_host_is_bypassed() {
+fn dead_top_ranked_host() {
     check_burst(&[Fault::TopRankedHostDead]);
 }
 
--- a/tests/weights_input.rs
+++ b/tests/weights_input.rs
@@ -58,14 +58,14 @@
 }
 
 #[test]
-fn manifest_above_memory_limit_is_refused() {
+fn manifest_above_memory_limit() {
     let manifest = Manifest::build("v1", &[7; 300 << 10]);
     let err = Manifest::parse(&manifest.to_json(), 1 << 10).unwrap_err().to_string();
     assert!(err.contains("memory_limit_bytes"), "{err}");
 }
 
 #[test]
-fn manifest_with_wrong_digest_is_refused() {
+fn manifest_with_wrong_digest() {
     let expected = Digest::of(b"another");
     let err =
         Manifest::parse_verified(b"not even JSON", &expected, u64::MAX).unwrap_err().to_string();
