--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -207,13 +207,6 @@
         self.write("PUT", &format!("/v1/objects/{kind}/{name}"), body).await
     }
 
-    /// Removes an object; succeeds if the object does not exist.
-    pub async fn remove(&self, kind: &str, name: &str) -> Result<(), StoreError> {
-        let target = format!("/v1/objects/{kind}/{name}");
-        let call = Call::json("DELETE", &target, Vec::new(), CALL_TIMEOUT);
-        self.call(&call).await.map(drop)
-    }
-
     async fn write(&self, method: &str, target: &str, body: Value) -> Result<(), StoreError> {
         let call = Call::json(method, target, serde_json::to_vec(&body)?, CALL_TIMEOUT);
         self.call(&call).await.map(drop)
