--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -28,7 +28,7 @@
     /// Its newest beacon.
     pub beacon: Beacon,
     /// Time at which that beacon arrived.
-    pub received: Instant,
+    pub received_at: Instant,
 }
 
 /// A table of the other entry hosts by id.
@@ -54,17 +54,17 @@
                 beacon.state
             );
         }
-        self.peers.insert(beacon.host.clone(), Peer { beacon, received: now });
+        self.peers.insert(beacon.host.clone(), Peer { beacon, received_at: now });
     }
 
     /// Returns the newest beacons of the entry hosts that have not timed out.
     pub fn live_beacons(&self, now: Instant) -> impl Iterator<Item = &Beacon> {
-        self.peers.values().filter(move |it| it.is_alive(now)).map(|it| &it.beacon)
+        self.peers.values().filter(move |it| it.is_live(now)).map(|it| &it.beacon)
     }
 
     /// Returns the newest beacon of an entry host, unless it has timed out.
     pub fn live_beacon(&self, host: &HostId, now: Instant) -> Option<&Beacon> {
-        self.peers.get(host).filter(|it| it.is_alive(now)).map(|it| &it.beacon)
+        self.peers.get(host).filter(|it| it.is_live(now)).map(|it| &it.beacon)
     }
 
     /// Returns the addresses at which a caller should connect: those of the ready entry hosts in
@@ -96,10 +96,10 @@
 }
 
 impl Peer {
-    fn is_alive(&self, now: Instant) -> bool {
+    fn is_live(&self, now: Instant) -> bool {
         let interval = Duration::from_millis(u64::from(self.beacon.interval_ms));
         let timeout = interval.mul_f64(MISSED_BEACONS).max(BEACON_TIMEOUT);
-        now.duration_since(self.received) < timeout
+        now.duration_since(self.received_at) < timeout
     }
 }
 
