--- a/standins/src/platform/platform_standin.rs
+++ b/standins/src/platform/platform_standin.rs
@@ -3,165 +3,35 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{
-        atomic::{AtomicU64, Ordering},
-        Arc, Mutex,
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use crocustiller::{
-    net::{HttpServer, ServerLimits},
-    runtime,
-};
-use event_listener::Event;
-use http_types::{Method, Request, Response};
-use serde::{Deserialize, Serialize};
+use crocustiller::net::{HttpServer, ServerLimits};
 
-use crate::{
-    behaviour::{consume_fault, Behaviour},
-    http,
-    platform::object_store::{ObjectStore, Precondition, WriteOutcome},
-    token_bucket::TokenBucket,
+use crate::platform::{
+    host_entry::HostEntry, platform_behaviour::PlatformBehaviour, platform_counts::PlatformCounts,
+    platform_state::PlatformState,
 };
 
-/// The maximum size of the value of an object.
-const MAX_VALUE_BYTES: usize = 1 << 20;
-/// The timeout of a watch whose request has none.
-const DEFAULT_WATCH_TIMEOUT: Duration = Duration::from_secs(30);
-/// The poll interval of a watch while reads are stale.
-const LAGGING_WATCH_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-/// The timing and the injected faults of the platform.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct PlatformBehaviour {
-    /// Responds to every call with status 503 and ends waiting watches.
-    pub outage: bool,
-    /// The delay before a call takes effect.
-    pub latency_ms: u64,
-    /// The number of writes that take effect but whose connection is closed without a response.
-    pub lose_answers: u32,
-    /// The age of the state that reads, lists and watches return.
-    pub lagging_reads_ms: u64,
-    /// Writes per second above which calls get status 429; 0 for no limit.
-    pub writes_per_s: u64,
-    /// Reads per second above which calls get status 429; 0 for no limit.
-    pub reads_per_s: u64,
-    /// The prefix of the objects that `latency_ms`, `lose_answers` and `lagging_reads_ms` affect.
-    pub object_prefix: String,
-}
-
-/// One entry of the platform's list of hosts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostEntry {
-    /// The id of the host.
-    pub host: String,
-    /// `entry` or `backend`.
-    pub role: String,
-    /// The region of the host.
-    pub region: String,
-    /// The availability zone of the host.
-    pub zone: String,
-    /// `live` or `leaving`.
-    pub state: String,
-    /// The address for calls from other processes.
-    pub peer_address: SocketAddr,
-}
-
-/// Counts of calls by kind; a watch counts once however long it waits.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlatformCounts {
-    /// Reads of one object.
-    pub gets: u64,
-    /// Watches.
-    pub watches: u64,
-    /// Writes, including refused ones.
-    pub puts: u64,
-    /// Deletions, including refused ones.
-    pub deletes: u64,
-    /// Lists of objects.
-    pub lists: u64,
-    /// Reads of the list of hosts.
-    pub hosts: u64,
-    /// Writes and deletions that took effect.
-    pub effective_writes: u64,
-    /// Calls refused because of `writes_per_s` or `reads_per_s`.
-    pub refused_by_rate: u64,
-}
-
-impl PlatformCounts {
-    /// Returns the number of calls of all kinds.
-    pub fn calls(&self) -> u64 {
-        self.gets + self.watches + self.puts + self.deletes + self.lists + self.hosts
-    }
-}
-
 /// A running stand-in for the platform, which keeps objects and the list of hosts in memory.
 #[derive(Debug)]
 pub struct PlatformStandin {
-    inner: Arc<Inner>,
+    state: Arc<PlatformState>,
     server: HttpServer,
 }
 
-#[derive(Debug)]
-struct Inner {
-    behaviour: Behaviour<PlatformBehaviour>,
-    objects: Mutex<ObjectStore>,
-    hosts: Mutex<Vec<HostEntry>>,
-    counts: Counters,
-    changed: Event,
-    write_rate: TokenBucket,
-    read_rate: TokenBucket,
-}
-
-#[derive(Debug, Default)]
-struct Counters {
-    gets: AtomicU64,
-    watches: AtomicU64,
-    puts: AtomicU64,
-    deletes: AtomicU64,
-    lists: AtomicU64,
-    hosts: AtomicU64,
-    effective_writes: AtomicU64,
-    refused_by_rate: AtomicU64,
-}
-
-#[derive(Serialize)]
-struct ObjectEntry {
-    name: String,
-    revision: u64,
-}
-
-#[derive(Serialize)]
-struct ObjectList {
-    objects: Vec<ObjectEntry>,
-}
-
-#[derive(Serialize, Deserialize)]
-struct HostList {
-    hosts: Vec<HostEntry>,
-}
-
 impl PlatformStandin {
     /// Starts to listen on `address`, without objects and hosts.
     pub async fn start(address: SocketAddr) -> io::Result<PlatformStandin> {
-        let inner = Arc::new(Inner {
-            behaviour: Behaviour::default(),
-            objects: Mutex::default(),
-            hosts: Mutex::default(),
-            counts: Counters::default(),
-            changed: Event::new(),
-            write_rate: TokenBucket::new(),
-            read_rate: TokenBucket::new(),
-        });
-        let state = inner.clone();
+        let state = Arc::new(PlatformState::new());
+        let handler_state = state.clone();
         let handler = Arc::new(move |request| {
-            let inner = state.clone();
-            Box::pin(async move { inner.handle_request(request).await }) as _
+            let state = handler_state.clone();
+            Box::pin(async move { state.handle_request(request).await }) as _
         });
         let server = HttpServer::bind(address, ServerLimits::default(), handler).await?;
-        Ok(PlatformStandin { inner, server })
+        Ok(PlatformStandin { state, server })
     }
 
     /// Returns the address that the stand-in listens on.
@@ -171,254 +41,30 @@
 
     /// Replaces the timing and the injected faults.
     pub fn set_behaviour(&self, behaviour: PlatformBehaviour) {
-        self.inner.behaviour.set(behaviour);
-        self.inner.changed.notify(usize::MAX);
+        self.state.behaviour.set(behaviour);
+        self.state.changed.notify(usize::MAX);
     }
 
     /// Replaces the list of hosts.
     pub fn set_hosts(&self, hosts: Vec<HostEntry>) {
-        *self.inner.hosts.lock().unwrap() = hosts;
+        *self.state.hosts.lock().unwrap() = hosts;
     }
 
     /// Returns the current value of an object, regardless of injected faults.
     pub fn object(&self, name: &str) -> Option<Vec<u8>> {
-        let objects = self.inner.objects.lock().unwrap();
+        let objects = self.state.objects.lock().unwrap();
         objects.get(name, Duration::ZERO, Instant::now()).map(|it| it.1.to_vec())
     }
 
     /// Returns the counts so far.
     pub fn counts(&self) -> PlatformCounts {
-        self.inner.counts.snapshot()
+        self.state.counts.snapshot()
     }
 
     /// Ends waiting watches and stops listening.
     pub async fn close(self) {
-        self.inner.behaviour.update(|it| it.outage = true);
-        self.inner.changed.notify(usize::MAX);
+        self.state.behaviour.update(|it| it.outage = true);
+        self.state.changed.notify(usize::MAX);
         self.server.close().await;
     }
 }
-
-impl Inner {
-    async fn handle_request(&self, mut request: Request) -> http_types::Result<Response> {
-        let path = request.url().path().to_owned();
-        match (request.method(), path.as_str()) {
-            (Method::Post, "/faults") => {
-                let body = http::read_body(&mut request).await?;
-                let res = self.behaviour.merge(&body);
-                self.changed.notify(usize::MAX);
-                Ok(res.map_or_else(
-                    |err| http::error_response(422, &err.to_string()),
-                    |()| http::empty_response(204),
-                ))
-            }
-            (Method::Get, "/counts") => Ok(http::json_response(200, &self.counts.snapshot())),
-            (Method::Post, "/hosts") => {
-                let body = http::read_body(&mut request).await?;
-                let list: HostList = serde_json::from_slice(&body)?;
-                *self.hosts.lock().unwrap() = list.hosts;
-                Ok(http::empty_response(204))
-            }
-            _ => self.handle_call(request, &path).await,
-        }
-    }
-
-    async fn handle_call(&self, request: Request, path: &str) -> http_types::Result<Response> {
-        let counter = self.counts.counter_for(&request, path);
-        counter.fetch_add(1, Ordering::Relaxed);
-        let behaviour = self.behaviour.get();
-        if behaviour.outage {
-            return Ok(http::error_response(503, "the platform is unavailable; retry later"));
-        }
-        if self.exceeds_rate(request.method(), &behaviour) {
-            self.counts.refused_by_rate.fetch_add(1, Ordering::Relaxed);
-            let mut response =
-                http::error_response(429, "too many calls; retry after the time in Retry-After");
-            response.insert_header("Retry-After", "1");
-            return Ok(response);
-        }
-        let Some(name) = path.strip_prefix("/objects/") else {
-            return Ok(self.list_objects_or_hosts(&request, path));
-        };
-        if behaviour.latency_ms > 0 && name.starts_with(&behaviour.object_prefix) {
-            runtime::sleep(Duration::from_millis(behaviour.latency_ms)).await;
-        }
-        match request.method() {
-            Method::Get if http::query_parameter(&request, "watch").is_some() => {
-                Ok(self.watch(&request, name).await)
-            }
-            Method::Get => Ok(self.get(name).unwrap_or_else(|| http::empty_response(404))),
-            Method::Put => self.put(request, name).await,
-            Method::Delete => self.delete(&request, name),
-            _ => Ok(http::error_response(405, "method not supported; use GET, PUT or DELETE")),
-        }
-    }
-
-    fn exceeds_rate(&self, method: Method, behaviour: &PlatformBehaviour) -> bool {
-        let (bucket, rate) = match method {
-            Method::Get => (&self.read_rate, behaviour.reads_per_s),
-            _ => (&self.write_rate, behaviour.writes_per_s),
-        };
-        rate > 0 && !bucket.try_acquire(1, rate, Instant::now())
-    }
-
-    fn list_objects_or_hosts(&self, request: &Request, path: &str) -> Response {
-        match path {
-            "/hosts" => {
-                let hosts = self.hosts.lock().unwrap().clone();
-                http::json_response(200, &HostList { hosts })
-            }
-            "/objects" => {
-                let prefix = http::query_parameter(request, "prefix").unwrap_or_default();
-                let objects = self.objects.lock().unwrap();
-                let found = objects.list(&prefix, self.read_lag(&prefix), Instant::now());
-                let entry = |(name, revision)| ObjectEntry { name, revision };
-                http::json_response(
-                    200,
-                    &ObjectList { objects: found.into_iter().map(entry).collect() },
-                )
-            }
-            _ => http::error_response(404, "no such path; use /hosts, /objects or /objects/<name>"),
-        }
-    }
-
-    fn read_lag(&self, name: &str) -> Duration {
-        let behaviour = self.behaviour.get();
-        if !name.starts_with(&behaviour.object_prefix) {
-            return Duration::ZERO;
-        }
-        Duration::from_millis(behaviour.lagging_reads_ms)
-    }
-
-    fn get(&self, name: &str) -> Option<Response> {
-        self.get_after(name, 0)
-    }
-
-    fn get_after(&self, name: &str, known_revision: u64) -> Option<Response> {
-        let objects = self.objects.lock().unwrap();
-        let (revision, value) = objects.get(name, self.read_lag(name), Instant::now())?;
-        if revision <= known_revision {
-            return None;
-        }
-        let mut response = revision_response(200, revision);
-        response.set_body(value.to_vec());
-        Some(response)
-    }
-
-    async fn watch(&self, request: &Request, name: &str) -> Response {
-        let number =
-            |key| http::query_parameter(request, key).and_then(|it| it.parse::<u64>().ok());
-        let known_revision = number("watch").unwrap_or(0);
-        let wait = number("timeout_ms").map_or(DEFAULT_WATCH_TIMEOUT, Duration::from_millis);
-        let found = async {
-            loop {
-                let listener = self.changed.listen();
-                if self.behaviour.get().outage {
-                    return http::error_response(503, "the platform is unavailable; retry later");
-                }
-                if let Some(response) = self.get_after(name, known_revision) {
-                    return response;
-                }
-                if self.read_lag(name).is_zero() {
-                    listener.await;
-                } else {
-                    runtime::sleep(LAGGING_WATCH_POLL_INTERVAL).await;
-                }
-            }
-        };
-        runtime::timeout(wait, found).await.unwrap_or_else(|_| http::empty_response(304))
-    }
-
-    async fn put(&self, mut request: Request, name: &str) -> http_types::Result<Response> {
-        let Some(precondition) = read_precondition(&request) else {
-            return Ok(http::error_response(
-                428,
-                "the write has no precondition; add If-Match: <revision> or If-None-Match: *",
-            ));
-        };
-        let value = http::read_body(&mut request).await?;
-        if value.len() > MAX_VALUE_BYTES {
-            return Ok(http::error_response(413, "the value is too large; use at most 1 MiB"));
-        }
-        let outcome = self.objects.lock().unwrap().put(name, value, precondition, Instant::now());
-        self.finish_write(name, outcome, 200)
-    }
-
-    fn delete(&self, request: &Request, name: &str) -> http_types::Result<Response> {
-        let Some(Precondition::Revision(revision)) = read_precondition(request) else {
-            return Ok(http::error_response(
-                428,
-                "the deletion has no precondition; add If-Match: <revision>",
-            ));
-        };
-        let mut objects = self.objects.lock().unwrap();
-        let outcome = objects.delete(name, revision, Instant::now());
-        drop(objects);
-        if outcome == WriteOutcome::Conflict(None) {
-            return Ok(http::empty_response(404));
-        }
-        self.finish_write(name, outcome, 204)
-    }
-
-    fn finish_write(
-        &self,
-        name: &str,
-        outcome: WriteOutcome,
-        status: u16,
-    ) -> http_types::Result<Response> {
-        match outcome {
-            WriteOutcome::Conflict(current) => Ok(revision_response(412, current.unwrap_or(0))),
-            WriteOutcome::Done(revision) => {
-                self.counts.effective_writes.fetch_add(1, Ordering::Relaxed);
-                self.changed.notify(usize::MAX);
-                let is_lost = self.behaviour.update(|it| {
-                    name.starts_with(&it.object_prefix) && consume_fault(&mut it.lose_answers)
-                });
-                if is_lost {
-                    return http::abort_connection();
-                }
-                Ok(revision_response(status, revision))
-            }
-        }
-    }
-}
-
-impl Counters {
-    fn counter_for(&self, request: &Request, path: &str) -> &AtomicU64 {
-        match (request.method(), path) {
-            (Method::Put, _) => &self.puts,
-            (Method::Delete, _) => &self.deletes,
-            (_, "/hosts") => &self.hosts,
-            (_, "/objects") => &self.lists,
-            _ if http::query_parameter(request, "watch").is_some() => &self.watches,
-            _ => &self.gets,
-        }
-    }
-
-    fn snapshot(&self) -> PlatformCounts {
-        let load = |it: &AtomicU64| it.load(Ordering::Relaxed);
-        PlatformCounts {
-            gets: load(&self.gets),
-            watches: load(&self.watches),
-            puts: load(&self.puts),
-            deletes: load(&self.deletes),
-            lists: load(&self.lists),
-            hosts: load(&self.hosts),
-            effective_writes: load(&self.effective_writes),
-            refused_by_rate: load(&self.refused_by_rate),
-        }
-    }
-}
-
-fn read_precondition(request: &Request) -> Option<Precondition> {
-    if let Some(revision) = http::header(request, "If-Match") {
-        return revision.trim_matches('"').parse().ok().map(Precondition::Revision);
-    }
-    http::header(request, "If-None-Match").filter(|it| it == "*").map(|_| Precondition::Absent)
-}
-
-fn revision_response(status: u16, revision: u64) -> Response {
-    let mut response = http::empty_response(status);
-    response.insert_header("ETag", revision.to_string());
-    response
-}
