Receive the messages of other processes in one place

Entry hosts and slots each had the same loop that receives, decodes, and waits after an error. It is now MessageReceiver in fleet; the limit of a datagram stays with each.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -15,13 +15,11 @@
 
 use crate::{
     entry::entry_host::EntryHost,
-    fleet::{beacon_interval, entry_registry, PeerMessage},
+    fleet::{beacon_interval, entry_registry, MessageReceiver, PeerMessage},
     platform::store::Store,
     runtime,
 };
 
-/// Delay after a failed receive.
-const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum length of a datagram; a host may report more than a thousand reservations to one owner.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 /// Mean delay between two attempts to register.
@@ -95,19 +93,9 @@
 }
 
 async fn receive_loop(host: Rc<EntryHost>) {
-    let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
+    let mut receiver = MessageReceiver::new(&host.socket, MAX_DATAGRAM_BYTES);
     loop {
-        let (n_bytes, from) = match host.socket.recv_from(&mut bytes).await {
-            Ok(it) => it,
-            Err(err) => {
-                log::debug!("fleet: failed to receive a message error=\"{err}\"");
-                runtime::sleep(RECEIVE_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        match bincode::deserialize(&bytes[..n_bytes]) {
-            Ok(message) => host.apply_message(from, message),
-            Err(err) => log::warn!("fleet: failed to decode a message from={from} error=\"{err}\""),
-        }
+        let (from, message) = receiver.next().await;
+        host.apply_message(from, message);
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod entry_registry;
 mod kind_cache;
 mod kind_watch;
+mod message_receiver;
 mod peer_table;
 mod stall_detector;
 mod store_followers;
@@ -15,7 +16,6 @@
 mod version_table;
 mod version_updates;
 
-pub(crate) use crate::fleet::version_updates::apply_versions;
 pub use crate::fleet::{
     admission_message::{AdmissionMessage, RefusalReason, ServiceOutcome},
     backend_table::BackendTable,
@@ -30,3 +30,4 @@
     store_sources::{StoreSource, StoreSources},
     version_table::VersionTable,
 };
+pub(crate) use crate::fleet::{message_receiver::MessageReceiver, version_updates::apply_versions};
--- a/src/slot/peer_messages.rs
+++ b/src/slot/peer_messages.rs
@@ -1,14 +1,9 @@
 //! Receives datagrams from other slot processes.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, rc::Rc, time::Instant};
 
 use crate::{
-    fleet::{ManifestCopy, PeerMessage, PiecesHeld},
-    runtime,
+    fleet::{ManifestCopy, MessageReceiver, PeerMessage, PiecesHeld},
     slot::{
         engine_driver::N_KEPT_VERSIONS,
         slot_state::{Claim, SlotState},
@@ -21,26 +16,15 @@
 /// The maximum number of forwarded manifests that are kept until this process fetches their
 /// version.
 const MAX_MANIFEST_COPIES: usize = 3;
-/// Delay after a failed receive.
-const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Receives and applies datagrams until the task is dropped.
 pub(crate) async fn receive(slot: Rc<SlotState>) {
-    let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
+    let mut receiver = MessageReceiver::new(&slot.socket, MAX_DATAGRAM_BYTES);
     loop {
-        let (n_bytes, from) = match slot.socket.recv_from(&mut bytes).await {
-            Ok(it) => it,
-            Err(err) => {
-                log::debug!("slot: failed to receive a message error=\"{err}\"");
-                runtime::sleep(RECEIVE_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        match bincode::deserialize(&bytes[..n_bytes]) {
-            Ok(PeerMessage::PiecesHeld(message)) => apply_pieces_held(&slot, message, from).await,
-            Ok(PeerMessage::Manifest(copy)) => store_manifest_copy(&slot, copy),
-            Ok(_) => log::debug!("slot: ignored a message for entry hosts from={from}"),
-            Err(err) => log::warn!("slot: failed to decode a message from={from} error=\"{err}\""),
+        match receiver.next().await {
+            (from, PeerMessage::PiecesHeld(it)) => apply_pieces_held(&slot, it, from).await,
+            (_, PeerMessage::Manifest(copy)) => store_manifest_copy(&slot, copy),
+            (from, _) => log::debug!("slot: ignored a message for entry hosts from={from}"),
         }
     }
 }
