Split the test deployment by type, and start peer servers in one place

Its options, hosts, documents, settings and the responses of callers now have files of their own. The peer server of a host was started by the same lines in the test fleet; both use tests/peer_server.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -3,73 +3,39 @@
 
 #![allow(dead_code, reason = "not every test uses all of it")]
 
+mod caller_response;
+pub mod documents;
 #[path = "../fault_proxy/mod.rs"]
 pub mod fault_proxy;
+mod host;
+mod options;
+#[path = "../peer_server/mod.rs"]
+mod peer_server;
+mod settings;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::net::SocketAddr;
 
 use async_net::TcpStream;
 use crocustiller::{
-    charter::{Charter, CustomerSpec, PoolSpec, ServiceSpec},
-    digest::Digest,
-    membership::{Gossip, HostState, MemberRecord},
-    net::{HttpClient, HttpServer, ServerLimits},
-    node::Node,
-    peer::{Document, DocumentName, PeerKey, PeerServer, PeerService},
-    request,
-    rollout::{PoolDocument, RolloutStep, ServingState, WeightsTarget},
-    settings::{
-        BackendKind, BackendSettings, HostSettings, LimitSettings, ListenSettings, LogSettings,
-        PlatformSettings, RoleSettings, SecretSettings, Settings, WeightsSettings,
-    },
-    verdict::Verdict,
-    weights::WeightsStage,
+    membership::MemberRecord,
+    peer::Document,
+    settings::{BackendKind, BackendSettings},
 };
 use crocustiller_standins::{EngineStandin, PlatformStandin, ServiceStandin};
+use documents::weights_digest;
 use fault_proxy::FaultProxy;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use http_types::{Method, Request, Response, Url};
-use serde_bytes::ByteBuf;
+use settings::{backend_settings, settings};
+
+pub use caller_response::CallerResponse;
+pub use host::Host;
+pub use options::DeploymentOptions;
 
 /// The token of customer `a`; that of `b` is `token-b` and so on.
 pub const TOKEN: &str = "token-a";
 /// The maximum length of a request body that the hosts of a deployment accept.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
 
-/// The size and the limits of a deployment.
-#[derive(Clone, Debug)]
-pub struct DeploymentOptions {
-    pub n_entry_hosts: usize,
-    pub n_engines: usize,
-    pub n_services: usize,
-    pub concurrency: u32,
-    pub max_queued: u32,
-    pub max_age_s: u64,
-    pub timeout_ms: u64,
-}
-
-impl Default for DeploymentOptions {
-    fn default() -> DeploymentOptions {
-        DeploymentOptions {
-            n_entry_hosts: 1,
-            n_engines: 2,
-            n_services: 0,
-            concurrency: 4,
-            max_queued: 100,
-            max_age_s: 1,
-            timeout_ms: 20_000,
-        }
-    }
-}
-
-/// An entry host or a slot that runs in the test process instead of a process of its own.
-pub struct Host {
-    pub node: Arc<Node>,
-    pub serving: Arc<ServingState>,
-    pub server: HttpServer,
-    _peer_server: PeerServer,
-}
-
 /// All hosts of a test, the stand-ins behind them and the proxies between them.
 ///
 /// A test sends requests to the entry hosts and injects faults into stand-ins and proxies.
@@ -88,18 +54,6 @@
     pub service_proxies: Vec<FaultProxy>,
 }
 
-/// A response that a caller received.
-#[derive(Debug)]
-pub struct CallerResponse {
-    /// The HTTP status; 0 if the request failed without a complete response.
-    pub status: u16,
-    pub verdict: Option<Verdict>,
-    /// The response with its headers.
-    pub head: Response,
-    /// The body, or the error if the request failed without a complete response.
-    pub body: String,
-}
-
 impl Deployment {
     /// Starts all hosts and stand-ins; all hosts are live and have the records of all others.
     pub async fn start(options: DeploymentOptions) -> Deployment {
@@ -202,29 +156,7 @@
         headers: &[(&str, &str)],
     ) -> CallerResponse {
         let address = self.entry_hosts[entry_idx].server.address();
-        let url = Url::parse(&format!("http://{address}{path}")).unwrap();
-        let mut request = Request::new(Method::Post, url);
-        request.set_body(body);
-        request.insert_header("Authorization", format!("Bearer {token}"));
-        for (name, value) in headers {
-            request.insert_header(*name, *value);
-        }
-        let timeout = Duration::from_secs(60);
-        let fetched = HttpClient::new().fetch(address, request, timeout, 64 << 20).await;
-        match fetched {
-            Ok((head, body)) => CallerResponse {
-                status: head.status().into(),
-                verdict: head.header("X-Verdict").map(|it| Verdict::from_header(it.as_str())),
-                body: String::from_utf8(body).unwrap(),
-                head,
-            },
-            Err(err) => CallerResponse {
-                status: 0,
-                verdict: None,
-                head: Response::new(500),
-                body: err.to_string(),
-            },
-        }
+        CallerResponse::of_post(address, token, path, body, headers).await
     }
 
     /// Sends `bytes` unchanged to the first entry host and reads until it closes the connection.
@@ -254,41 +186,7 @@
         id: &str,
         backend: Option<BackendSettings>,
     ) -> Host {
-        let node = Node::new(settings(options, id, backend, self.platform_proxy.address()));
-        let peer_server = start_peer_server(&node).await;
-        let serving = ServingState::new();
-        let handler = match node.settings.backend {
-            None => request::entry_handler(node.clone()),
-            Some(_) => request::slot_handler(node.clone(), serving.clone(), Arc::new(|_| None)),
-        };
-        let limits = ServerLimits { max_connections: 1000 };
-        let server = HttpServer::bind(any_port(), limits, handler).await.unwrap();
-        node.membership.update_own(|it| {
-            it.peer_address = peer_server.address();
-            it.request_address = server.address();
-            it.state = HostState::Live;
-            it.weights.loaded = Some(weights_digest());
-            it.weights.switch_number = 1;
-        });
-        node.documents.offer(charter_document()).unwrap();
-        node.documents.offer(pool_document(1, 1)).unwrap();
-        Host { node, serving, server, _peer_server: peer_server }
-    }
-}
-
-impl Host {
-    /// Closes the listeners without notifying the other hosts, as if the process was killed.
-    pub async fn kill(self) {
-        self.server.close().await;
-        self._peer_server.close().await;
-    }
-}
-
-impl CallerResponse {
-    /// Returns the generated text, or an empty string if the body has none.
-    pub fn generated_text(&self) -> String {
-        let json: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
-        json["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned()
+        Host::start(settings(options, id, backend, self.platform_proxy.address())).await
     }
 }
 
@@ -307,135 +205,7 @@
     body.to_string()
 }
 
-/// Returns the document of the pool `chat` with the version `v1` at `switch_number`.
-pub fn pool_document(number: u64, switch_number: u64) -> Document {
-    let target = WeightsTarget { version: "v1".to_owned(), manifest_digest: weights_digest() };
-    let pool = PoolDocument {
-        number,
-        pool: "chat".to_owned(),
-        serving: Some(target.clone()),
-        target: Some(target),
-        switch_number,
-        step: RolloutStep::Steady,
-    };
-    let json = ByteBuf::from(serde_json::to_vec(&pool).unwrap());
-    Document { name: DocumentName::Pool("chat".to_owned()), number, json }
-}
-
 /// Returns the loopback address with port 0, for a free port.
 pub fn any_port() -> SocketAddr {
     ([127, 0, 0, 1], 0).into()
 }
-
-/// Returns the manifest digest of `v1`, the only version of the weights.
-pub fn weights_digest() -> Digest {
-    Digest::of(b"v1")
-}
-
-fn charter_document() -> Document {
-    let customer = |name: &str| {
-        let token_digest = Digest::of(format!("token-{name}").as_bytes());
-        (name.to_owned(), CustomerSpec { weight: 1, token_digest, max_in_progress: 1000 })
-    };
-    let names = ["a", "b", "c", "d"];
-    let pool = PoolSpec {
-        version: "v1".to_owned(),
-        customers: names[..3].iter().map(|it| it.to_string()).collect(),
-        hosts: Vec::new(),
-        min_serving_percent: 70,
-    };
-    let service = ServiceSpec {
-        repeatable: false,
-        customers: Vec::new(),
-        claim_shards: 4,
-        claim_window_s: Duration::from_secs(3600),
-    };
-    let charter = Charter {
-        number: 1,
-        pools: [("chat".to_owned(), pool)].into(),
-        services: [("ledger".to_owned(), service)].into(),
-        customers: names.into_iter().map(customer).collect(),
-        ..Charter::default()
-    };
-    let json = ByteBuf::from(serde_json::to_vec(&charter).unwrap());
-    Document { name: DocumentName::Charter, number: 1, json }
-}
-
-async fn start_peer_server(node: &Arc<Node>) -> PeerServer {
-    let gossip = Gossip::new(
-        node.documents.clone(),
-        node.membership.clone(),
-        node.peers.clone(),
-        Vec::new(),
-    );
-    let service = PeerService {
-        documents: node.documents.clone(),
-        membership: node.membership.clone(),
-        gossip: Arc::new(gossip),
-        chunks: WeightsStage::new(node.clone()).chunk_server(),
-        peers: node.peers.clone(),
-    };
-    let key = node.settings.secrets.peer_key.clone();
-    PeerServer::bind(any_port(), key, node.counters.clone(), service).await.unwrap()
-}
-
-fn backend_settings(
-    options: &DeploymentOptions,
-    kind: BackendKind,
-    name: &str,
-    address: SocketAddr,
-) -> BackendSettings {
-    BackendSettings {
-        kind,
-        name: name.to_owned(),
-        address,
-        checks_fencing: true,
-        concurrency: options.concurrency,
-        max_queued: options.max_queued,
-    }
-}
-
-fn settings(
-    options: &DeploymentOptions,
-    id: &str,
-    backend: Option<BackendSettings>,
-    platform: SocketAddr,
-) -> Settings {
-    let role = if backend.is_some() { RoleSettings::Backend } else { RoleSettings::Entry };
-    Settings {
-        host: HostSettings {
-            id: id.to_owned(),
-            role,
-            region: "region".to_owned(),
-            zone: "zone".to_owned(),
-        },
-        listen: ListenSettings { request: any_port(), peer: any_port(), operator: any_port() },
-        platform: PlatformSettings {
-            addresses: vec![platform],
-            timeout_ms: Duration::from_secs(1),
-        },
-        join: Vec::new(),
-        secrets: SecretSettings {
-            peer_key: PeerKey::from_secret(b"deployment"),
-            operator_token_digest: Digest::of(b"operator"),
-        },
-        weights: WeightsSettings {
-            origin: vec![any_port()],
-            memory_limit_bytes: 1 << 20,
-            send_bytes_per_s: 1 << 30,
-            receive_bytes_per_s: 1 << 30,
-            upload_slots: 1,
-            neighbours: 1,
-            min_share_percent: 20,
-        },
-        backend,
-        limits: LimitSettings {
-            max_connections: 1000,
-            max_body_bytes: MAX_BODY_BYTES,
-            request_timeout_ms: Duration::from_millis(options.timeout_ms),
-            entry_hosts_max_age_s: Duration::from_secs(options.max_age_s),
-            drain_timeout_ms: Duration::from_secs(30),
-        },
-        log: LogSettings { level: log::LevelFilter::Info },
-    }
-}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 pub mod link_proxy;
+#[path = "../peer_server/mod.rs"]
+mod peer_server;
 
 use std::{
     net::SocketAddr,
@@ -14,9 +16,9 @@
 use crocustiller::{
     charter::{Charter, RolloutMode, RolloutSpec},
     digest::Digest,
-    membership::{Gossip, HostState, MemberRecord},
+    membership::{HostState, MemberRecord},
     node::Node,
-    peer::{Document, DocumentName, PeerKey, PeerServer, PeerService},
+    peer::{Document, DocumentName, PeerKey, PeerServer},
     rollout::WeightsTarget,
     runtime,
     settings::{
@@ -28,6 +30,7 @@
 use serde_bytes::ByteBuf;
 
 use link_proxy::{LinkFault, LinkProxy};
+use peer_server::start_peer_server;
 
 /// The settings and rollout options that the hosts of a fleet share.
 #[derive(Clone, Debug)]
@@ -195,22 +198,7 @@
 async fn start_host(options: &FleetOptions, idx: usize) -> FleetHost {
     let node = Node::new(settings(options, idx));
     let stage = WeightsStage::new(node.clone());
-    let gossip = Gossip::new(
-        node.documents.clone(),
-        node.membership.clone(),
-        node.peers.clone(),
-        Vec::new(),
-    );
-    let service = PeerService {
-        documents: node.documents.clone(),
-        membership: node.membership.clone(),
-        gossip: Arc::new(gossip),
-        chunks: stage.chunk_server(),
-        peers: node.peers.clone(),
-    };
-    let key = node.settings.secrets.peer_key.clone();
-    let listen = node.settings.listen.peer;
-    let server = PeerServer::bind(listen, key, node.counters.clone(), service).await.unwrap();
+    let server = start_peer_server(&node, &stage).await;
     node.membership.update_own(|it| {
         it.peer_address = server.address();
         it.state = HostState::Live;
--- a/tests/live_requests.rs
+++ b/tests/live_requests.rs
@@ -130,7 +130,7 @@
             Deployment::start(DeploymentOptions { n_engines: 1, ..DeploymentOptions::default() })
                 .await;
         let slot = &deployment.engine_slots[0];
-        slot.node.documents.offer(deployment::pool_document(2, 2)).unwrap();
+        slot.node.documents.offer(deployment::documents::pool_document(2, 2)).unwrap();
         slot.serving.open("v1", 2);
         let response = deployment.chat(&prompt("switch"), &[]).await;
         assert_eq!(response.status, 200, "{}", response.body);
