Start platform processes and pairs of entry hosts in one place each

tests/slot_weights.rs and tests/entry_process started a process by the same lines, and three tests of tests/store_relays.rs began alike. All three now also check that each host serves a request once it is ready, which one did.

--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -13,6 +13,7 @@
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use serde_json::{json, Value};
+use tempfile::TempDir;
 
 /// The API key of the only customer.
 pub const API_KEY: &str = "weavers-key";
@@ -61,6 +62,21 @@
     }
 }
 
+/// Starts a process with the settings `text`; they are deleted when the folder is dropped.
+pub fn start_platform_process(text: &str) -> (Child, TempDir) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.ini");
+    std::fs::write(&path, text).unwrap();
+    // Standard error is inherited, so that the reason of a failed start is in the test's output.
+    let child = Command::new(env!("CARGO_BIN_EXE_crocustillerd"))
+        .args(["--platform", "--settings"])
+        .arg(&path)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    (child, folder)
+}
+
 impl EntryProcess {
     /// Starts an entry host with the id `id` and waits until it listens.
     pub fn start(store: &StoreStandin, id: &str) -> EntryProcess {
@@ -84,17 +100,7 @@
              [bounds]\ngrace_s = 4\n{bounds}",
             store
         );
-        let folder = tempfile::tempdir().unwrap();
-        let path = folder.path().join("entry.ini");
-        std::fs::write(&path, text).unwrap();
-        // Standard error is inherited, so that the reason of a failed start is in the test's
-        // output.
-        let child = Command::new(env!("CARGO_BIN_EXE_crocustillerd"))
-            .args(["--platform", "--settings"])
-            .arg(&path)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
+        let (child, _folder) = start_platform_process(&text);
         let mut entry = EntryProcess { child, callers, readiness, directory, peers };
         let started = Instant::now();
         while TcpStream::connect(entry.readiness).is_err() {
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, UdpSocket},
-    process::{Child, Command, Stdio},
+    process::Child,
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -13,7 +13,7 @@
 
 use crocustiller::fleet::{PeerMessage, PiecesHeld};
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
-use entry_process::{charter, unique_loopback_ip};
+use entry_process::{charter, start_platform_process, unique_loopback_ip};
 use serde_json::{json, Value};
 use sha2::{Digest, Sha256};
 
@@ -145,15 +145,7 @@
             server.address(),
             store.address()
         );
-        let folder = tempfile::tempdir().unwrap();
-        let path = folder.path().join("backend.ini");
-        std::fs::write(&path, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_crocustillerd"))
-            .args(["--platform", "--settings"])
-            .arg(&path)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
+        let (child, _folder) = start_platform_process(&text);
         // The settings may be deleted once the process calls the store, as it has read them then.
         let started = Instant::now();
         while store.n_calls() == 0 {
--- a/tests/store_relays.rs
+++ b/tests/store_relays.rs
@@ -12,7 +12,7 @@
     fleet::{follows_store, KindCache, StoreSource, StoreSources},
     platform::store::{Change, Changes, Listing, Store, StoreError, StoredObject},
 };
-use crocustiller_standins::raw_http::{ScriptedServer, StoreFault, StoreStandin};
+use crocustiller_standins::raw_http::{ScriptedServer, StoreEndpoint, StoreFault, StoreStandin};
 use entry_process::{charter, complete_response, request, server_entry, EntryProcess};
 use serde_json::json;
 
@@ -29,6 +29,41 @@
     (StoreSources::new(Store::new(address(1))), [address(2), address(3)])
 }
 
+/// Two entry hosts of one store, the second at an endpoint of its own that can fail.
+struct HostPair {
+    hosts: [EntryProcess; 2],
+    endpoint: StoreEndpoint,
+    store: StoreStandin,
+    _ledger: ScriptedServer,
+}
+
+impl HostPair {
+    /// Starts both hosts; they are ready and have received each other's beacons.
+    fn start() -> HostPair {
+        let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+        let store = StoreStandin::start().unwrap();
+        let endpoint = store.open_endpoint().unwrap();
+        store.put("config", "main", charter(1));
+        store.put("servers", "ledger-0", server_entry("ledger", ledger.address(), "ready"));
+        let hosts = [
+            EntryProcess::start(&store, "entry-1"),
+            EntryProcess::start_with_store(endpoint.address(), "b"),
+        ];
+        for host in &hosts {
+            host.wait_until_ready();
+            assert_eq!(status(host), 200);
+        }
+        // Time for the two hosts to receive each other's beacons.
+        thread::sleep(Duration::from_millis(600));
+        HostPair { hosts, endpoint, store, _ledger: ledger }
+    }
+}
+
+/// Returns the status of a probe request at an entry host.
+fn status(host: &EntryProcess) -> u16 {
+    host.exchange(&request("GET", "/stock/1", "probe", "")).status()
+}
+
 #[test]
 fn store_source_selection() {
     let (sources, [first, second]) = sources();
@@ -135,18 +170,7 @@
 /// through another host, and requests to a route were refused 3.5 s after it was added.
 #[test]
 fn relay_after_store_outage() {
-    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
-    let store = StoreStandin::start().unwrap();
-    let endpoint = store.open_endpoint().unwrap();
-    store.put("config", "main", charter(1));
-    store.put("servers", "ledger-0", server_entry("ledger", ledger.address(), "ready"));
-    let hosts = [
-        EntryProcess::start(&store, "entry-1"),
-        EntryProcess::start_with_store(endpoint.address(), "b"),
-    ];
-    let status = |it: &EntryProcess| it.exchange(&request("GET", "/stock/1", "probe", "")).status();
-    hosts.iter().for_each(EntryProcess::wait_until_ready);
-    thread::sleep(Duration::from_millis(600));
+    let HostPair { hosts, endpoint, store, .. } = &HostPair::start();
     for round in 0..3 {
         endpoint.set_fault(StoreFault::Reset);
         store.set_fault(StoreFault::Reset);
@@ -172,15 +196,7 @@
 /// 5 s, and requests to an added route were refused.
 #[test]
 fn returning_host_lists_again() {
-    let store = StoreStandin::start().unwrap();
-    let endpoint = store.open_endpoint().unwrap();
-    store.put("config", "main", charter(1));
-    let hosts = [
-        EntryProcess::start(&store, "entry-1"),
-        EntryProcess::start_with_store(endpoint.address(), "b"),
-    ];
-    hosts.iter().for_each(EntryProcess::wait_until_ready);
-    thread::sleep(Duration::from_millis(600));
+    let HostPair { endpoint, .. } = &HostPair::start();
     endpoint.set_fault(StoreFault::Reset);
     thread::sleep(Duration::from_millis(1500));
     let before = endpoint.n_lists("config");
@@ -198,23 +214,7 @@
 fn unreachable_store_uses_relay() {
     let faults = [StoreFault::Status(503), StoreFault::Reset, StoreFault::Silent];
     for fault in faults {
-        let ledger = ScriptedServer::start(complete_response("x")).unwrap();
-        let store = StoreStandin::start().unwrap();
-        let endpoint = store.open_endpoint().unwrap();
-        store.put("config", "main", charter(1));
-        store.put("servers", "ledger-0", server_entry("ledger", ledger.address(), "ready"));
-        let hosts = [
-            EntryProcess::start(&store, "entry-1"),
-            EntryProcess::start_with_store(endpoint.address(), "b"),
-        ];
-        let status =
-            |it: &EntryProcess| it.exchange(&request("GET", "/stock/1", "probe", "")).status();
-        for host in &hosts {
-            host.wait_until_ready();
-            assert_eq!(status(host), 200);
-        }
-        // Time for the two hosts to receive each other's beacons.
-        thread::sleep(Duration::from_millis(600));
+        let HostPair { hosts, endpoint, store, .. } = &HostPair::start();
         endpoint.set_fault(fault);
         let mut revoked = charter(4);
         revoked["tenants"][0]["api-keys"] = json!([]);
