Forget the health of backend servers that were removed

Each backend server that failed once kept a record in BackendHealth for the life of the process, and a server that starts anew may have a new id. Records of servers without an entry are now forgotten 60 s after their last failure, so one that returns sooner is still on probation.

--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -148,8 +148,15 @@
         if !expired.is_empty() {
             log::info!("fleet: removed expired backend servers n={}", expired.len());
         }
+        forget_removed_backends(&host);
         if !expired.is_empty() || host.leaving_since().is_some() {
             host.update_cells();
         }
     }
 }
+
+fn forget_removed_backends(host: &EntryHost) {
+    let backends = host.backends.borrow();
+    let is_registered = |id: &str| backends.get(id).is_some();
+    host.health.borrow_mut().forget_removed(is_registered, Instant::now());
+}
--- a/src/placement/backend_health.rs
+++ b/src/placement/backend_health.rs
@@ -17,6 +17,9 @@
 const FIRST_EJECTION: Duration = Duration::from_millis(500);
 /// Maximum ejection time.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
+/// Time after its last failure for which a removed backend server is remembered, as one that
+/// restarts registers again under the same id.
+const REMOVED_RECORD_TTL: Duration = Duration::from_secs(60);
 /// Weight of the newest outcome in the moving average of the failure rate.
 const RATE_GAIN: f64 = 0.1;
 
@@ -33,16 +36,18 @@
     ejection_time: Duration,
     ejected_until: Option<Instant>,
     is_on_probation: bool,
+    last_failure: Instant,
 }
 
-impl Default for Record {
-    fn default() -> Record {
+impl Record {
+    fn new(last_failure: Instant) -> Record {
         Record {
             n_consecutive_failures: 0,
             failure_rate: 0.0,
             ejection_time: FIRST_EJECTION,
             ejected_until: None,
             is_on_probation: false,
+            last_failure,
         }
     }
 }
@@ -64,7 +69,8 @@
     /// Failures of attempts that were running when the server was ejected have the same cause, so
     /// they do not prolong the ejection.
     pub fn record_failure(&mut self, backend: &str, now: Instant) -> bool {
-        let record = self.records.entry(backend.to_owned()).or_default();
+        let record = self.records.entry(backend.to_owned()).or_insert_with(|| Record::new(now));
+        record.last_failure = now;
         if record.ejected_until.is_some_and(|until| now < until) {
             return false;
         }
@@ -79,6 +85,13 @@
         true
     }
 
+    /// Forgets backend servers that were removed and whose last failure is long past.
+    pub fn forget_removed(&mut self, is_registered: impl Fn(&str) -> bool, now: Instant) {
+        self.records.retain(|id, it| {
+            is_registered(id) || now.duration_since(it.last_failure) < REMOVED_RECORD_TTL
+        });
+    }
+
     /// Returns `true` if the backend server may receive a request now. After an ejection it is on
     /// probation and receives one request at a time until one succeeds.
     pub fn is_usable(&self, backend: &str, n_in_progress: u32, now: Instant) -> bool {
--- a/tests/placement_rules.rs
+++ b/tests/placement_rules.rs
@@ -131,6 +131,26 @@
     assert_eq!(health.ejected(start + Duration::from_millis(600)).count(), 0);
 }
 
+/// Failed backend servers that never return must not stay in memory.
+#[test]
+fn removed_backends_forgotten() {
+    let start = Instant::now();
+    let mut health = BackendHealth::default();
+    for id in ["registered", "removed"] {
+        health.record_failure(id, start);
+        health.record_failure(id, start);
+    }
+    let is_registered = |id: &str| id == "registered";
+    health.forget_removed(is_registered, start + Duration::from_secs(10));
+    assert!(!health.is_usable("removed", 1, start + Duration::from_secs(10)), "may register again");
+    health.record_failure("removed", start + Duration::from_secs(20));
+    health.forget_removed(is_registered, start + Duration::from_secs(79));
+    assert!(health.failure_rate("removed") > 0.0);
+    health.forget_removed(is_registered, start + Duration::from_secs(81));
+    assert_eq!(health.failure_rate("removed"), 0.0);
+    assert!(health.failure_rate("registered") > 0.0);
+}
+
 /// Entry hosts of which the last three of each zone have twice the processor time.
 fn entry_hosts(n_zones: u32, n_hosts: u32) -> Vec<OwnerCandidate> {
     let host = |it: u32| OwnerCandidate {
