Give other tasks a turn while a peer sends without end

What callers saw: one connection that sends fast and without end stopped the whole process: no other caller was answered for as long as it sent. An engine could do it by interim responses or trailer fields, a caller by bytes after a refused request or in a head that is too long, anyone by trailer fields at the directory.

Cause: a read whose socket always has bytes never waits, so that the one thread of the process runs nothing else, not even the timer of that read. Interim responses and trailer fields, which are skipped, had no limit at all; a body at the small endpoints had no time limit.

Change: each connection gives up its turn after eight reads. Interim responses end after sixteen, a trailer at 8 KiB. The small endpoints bound the time of a request with its body.

Not told apart: which of turns and limits would have sufficed for the responses.

--- a/src/http1/chunk_decoder.rs
+++ b/src/http1/chunk_decoder.rs
@@ -4,12 +4,15 @@
 
 /// Maximum length of a line with a chunk size or a trailer field.
 const MAX_LINE_BYTES: usize = 4096;
+/// Maximum length of all trailer fields.
+const MAX_TRAILER_BYTES: usize = 8 << 10;
 
 /// Decodes one body in the chunked transfer coding from input that arrives in parts.
 #[derive(Clone, Debug, Default)]
 pub struct ChunkDecoder {
     state: State,
     line: Vec<u8>,
+    n_trailer_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -62,6 +65,12 @@
         let Some(line) = self.line.strip_suffix(b"\r") else {
             return Err(HttpError::Malformed("a chunk line without a carriage return at its end"));
         };
+        if self.state == State::Trailer {
+            self.n_trailer_bytes += line.len();
+            if self.n_trailer_bytes > MAX_TRAILER_BYTES {
+                return Err(HttpError::Malformed("the trailer is too long"));
+            }
+        }
         self.state = match self.state {
             State::Size => match parse_size(line)? {
                 0 => State::Trailer,
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -8,7 +8,7 @@
 };
 
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
+use futures_lite::{future, AsyncWriteExt};
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::{
@@ -18,6 +18,10 @@
 
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 16 << 10;
+/// Number of reads after which other tasks get a turn, though more bytes may be ready.
+const READS_PER_TURN: u32 = 8;
+/// Maximum number of interim responses before a final one.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Number of bytes of the next request at which reading ahead stops while the response to the
 /// current one is pending.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
@@ -38,6 +42,7 @@
     buffer: Vec<u8>,
     n_consumed: usize,
     is_eof: bool,
+    n_reads_in_turn: u32,
 }
 
 /// The write half of a connection.
@@ -70,6 +75,7 @@
             buffer: Vec::new(),
             n_consumed: 0,
             is_eof: false,
+            n_reads_in_turn: 0,
         })
     }
 
@@ -104,12 +110,23 @@
             self.buffer.drain(..self.n_consumed);
             self.n_consumed = 0;
         }
+        self.yield_between_turns().await;
         let stream = self.stream.clone();
         let n_read = stream.read_with(|mut it| read_into(&mut it, &mut self.buffer)).await?;
         self.is_eof = n_read == 0;
         Ok(n_read > 0)
     }
 
+    /// Lets other tasks run now and then. A peer that sends fast always has bytes ready, so that a
+    /// read never waits.
+    async fn yield_between_turns(&mut self) {
+        self.n_reads_in_turn += 1;
+        if self.n_reads_in_turn >= READS_PER_TURN {
+            self.n_reads_in_turn = 0;
+            future::yield_now().await;
+        }
+    }
+
     /// Waits until the peer closes the connection or the connection fails.
     ///
     /// Buffers what the peer sends meanwhile. Once `MAX_READ_AHEAD_BYTES` are buffered it stops
@@ -166,18 +183,24 @@
 
     /// Reads the head of the final response and skips interim (1xx) responses.
     ///
-    /// Fails if the head is still incomplete after `limit_bytes`.
+    /// Fails if the head is still incomplete after `limit_bytes`, and after too many interim
+    /// responses.
     pub async fn read_response_head(
         &mut self,
         limit_bytes: usize,
     ) -> Result<ResponseHead, HttpError> {
+        let mut n_interim = 0;
         loop {
             if let Some((head, length)) = ResponseHead::parse(self.buffered())? {
                 self.consume(length);
-                if (100..200).contains(&head.status) {
-                    continue;
+                if !(100..200).contains(&head.status) {
+                    return Ok(head);
                 }
-                return Ok(head);
+                n_interim += 1;
+                if n_interim > MAX_INTERIM_RESPONSES {
+                    return Err(HttpError::Malformed("too many interim responses"));
+                }
+                continue;
             }
             self.fill_head(limit_bytes).await?;
         }
--- a/src/http1/http_endpoint.rs
+++ b/src/http1/http_endpoint.rs
@@ -20,7 +20,7 @@
 const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Maximum length of a request body; the body is read and discarded.
 const MAX_BODY_BYTES: usize = 64 << 10;
-/// Time after which an idle connection is closed.
+/// Time after which a connection is closed on which no complete request arrived.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A response with a complete body, for endpoints that need no header fields of their own.
@@ -92,14 +92,10 @@
     respond: &dyn Fn(&RequestHead) -> SmallResponse,
 ) -> Result<(), HttpError> {
     loop {
-        let head = connection.read_request_head(MAX_HEAD_BYTES);
-        let head = match runtime::timeout(IDLE_TIMEOUT, head).await {
+        let head = match runtime::timeout(IDLE_TIMEOUT, read_request(&mut connection)).await {
             Ok(Err(HttpError::Closed)) | Err(_) => return Ok(()),
             Ok(res) => res?,
         };
-        BodyReader::new(BodyLength::of_request(&head)?)
-            .read_all(&mut connection, MAX_BODY_BYTES)
-            .await?;
         connection.write(&respond(&head).to_bytes()).await?;
         if head.headers.has_member("connection", "close") {
             connection.shutdown_write();
@@ -107,3 +103,11 @@
         }
     }
 }
+
+/// Reads a request and discards its body.
+async fn read_request(connection: &mut Connection) -> Result<RequestHead, HttpError> {
+    let head = connection.read_request_head(MAX_HEAD_BYTES).await?;
+    let mut body = BodyReader::new(BodyLength::of_request(&head)?);
+    body.read_all(connection, MAX_BODY_BYTES).await?;
+    Ok(head)
+}
--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -120,3 +120,25 @@
         exchange_with_endless("/draft/1", "pool", chunked_event_start, b"0000000000000000");
     assert!(responses.iter().all(is_failure));
 }
+
+/// Interim responses are skipped, but not without end.
+#[test]
+fn endless_interim_responses_are_cut() {
+    let responses = exchange_with_endless(
+        "/hold/1",
+        "ledger",
+        |_| Vec::new(),
+        b"HTTP/1.1 102 Processing\r\n\r\n",
+    );
+    assert!(responses.iter().all(|it| matches!(it.status(), 502..=504)));
+}
+
+#[test]
+fn endless_trailers_are_cut() {
+    let responses = exchange_with_endless("/draft/1", "pool", trailer_start, b"X-Filler: 0123\r\n");
+    assert!(responses.iter().all(is_failure));
+}
+
+fn trailer_start(request: &RawRequest) -> Vec<u8> {
+    [chunked_event_start(request), b"0\r\n".to_vec()].concat()
+}
