Try a stream again that is closed before its first event

What callers saw: an engine that ends right after the head of an answer without length and chunks gave them an empty stream that looked whole, though another engine could have served it.

Cause: a close between events counts as the end, also before the first one.

Change: a stream without length and chunks that is closed before any event is lost, unless it resumes one of which the caller may have all events. With a length or chunks the engine itself says that the stream is empty; that stays.

A close just between two events still counts as the end: nothing tells it from one.

--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -90,6 +90,13 @@
         };
         match res {
             Ok(Ok(true)) => {}
+            Ok(Ok(false)) if is_empty_by_close(exchange, &response, is_first) => {
+                return AttemptOutcome::from_lost_response(
+                    exchange,
+                    attempt.backend,
+                    "closed before the first event",
+                )
+            }
             Ok(Ok(false)) if splitter.is_between_events() => break,
             Ok(Ok(false)) => {
                 return AttemptOutcome::from_lost_response(
@@ -165,6 +172,12 @@
     runtime::timeout(timeout, future).or(expired).await
 }
 
+/// Returns `true` if a stream that was closed before its first event lacks events: nothing marks its
+/// end, and only a resumed stream may have none left.
+fn is_empty_by_close(exchange: &Exchange, response: &BackendResponse, is_first: bool) -> bool {
+    is_first && response.ends_by_close() && exchange.last_event_id.borrow().is_none()
+}
+
 /// Forwards the events that the caller has not received yet.
 async fn forward_events(
     exchange: &Exchange,
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -56,6 +56,11 @@
         BodyReader { remaining }
     }
 
+    /// Returns `true` if only the close of the connection ends the body.
+    pub fn ends_by_close(&self) -> bool {
+        matches!(self.remaining, Remaining::UntilClose { .. })
+    }
+
     /// Returns `true` if the complete body has been read.
     pub fn is_done(&self) -> bool {
         match &self.remaining {
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -129,6 +129,12 @@
 }
 
 impl BackendResponse {
+    /// Returns `true` if the body has neither a length nor chunks, so that only the close of the
+    /// connection ends it.
+    pub fn ends_by_close(&self) -> bool {
+        self.body.ends_by_close()
+    }
+
     /// Waits for more of the body and appends it to `out`; returns `false` once the body is
     /// complete.
     pub async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, HttpError> {
--- a/tests/unframed_responses.rs
+++ b/tests/unframed_responses.rs
@@ -91,6 +91,21 @@
     });
 }
 
+/// A stream that ends inside an event goes on after the last whole event at another engine.
+#[test]
+fn stream_cut_inside_event() {
+    for n_bytes in 0..=2 * EVENT.len() {
+        let cut = move |request: &RawRequest| {
+            let body = events(1)[..n_bytes].to_vec();
+            vec![Step::Send(unframed_head(request)), Step::Send(body), Step::Close]
+        };
+        let response = exchange_with_fault(cut);
+        assert!(response.is_complete(), "{n_bytes}: {}", response.text());
+        let expected = if n_bytes == EVENT.len() { &ALL[..1] } else { &ALL[..] };
+        assert_eq!(tokens(&response), expected, "{n_bytes}: {}", response.text());
+    }
+}
+
 #[test]
 fn stream_reset_anywhere() {
     for n_bytes in [0, 1, EVENT.len() - 1, EVENT.len(), EVENT.len() + 7, 2 * EVENT.len()] {
@@ -105,6 +120,15 @@
     }
 }
 
+/// An engine that ends right after the head has made no stream.
+#[test]
+fn stream_without_event() {
+    let response =
+        exchange_with_fault(|request| vec![Step::Send(unframed_head(request)), Step::Close]);
+    assert!(response.is_complete(), "{}", response.text());
+    assert_eq!(tokens(&response), ALL, "{}", response.text());
+}
+
 /// All events arrived before the cut, so the engine that resumes the stream has none to add.
 #[test]
 fn resumed_after_last_event() {
