Count only events as progress of a stream

What callers saw: a stream of which only comments (`: ping`) arrived was kept until the deadline and ended without an answer, though another engine was free. A stream with one more blank line at its end was cut.

Cause: the splitter takes each part up to a blank line for an event. A comment so renewed the time in which the next event is due, and as a first one told the owner of the engine that the prompt had been read. A blank line that ends nothing was kept as the begin of an event.

Change: the splitter says which parts are mere comments or blank lines. They are still forwarded, but count neither as the first event nor as progress.

--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -126,11 +126,14 @@
         if events.is_empty() {
             continue;
         }
-        last_progress = Instant::now();
-        if is_first {
-            is_first = false;
-            reservation.record_first_event();
-            exchange.trace.record_first_bytes();
+        // Comments keep a connection open, but an engine that sends nothing else has stalled.
+        if !events.iter().all(|it| it.is_comment) {
+            last_progress = Instant::now();
+            if is_first {
+                is_first = false;
+                reservation.record_first_event();
+                exchange.trace.record_first_bytes();
+            }
         }
         if let Err(err) = forward_events(exchange, &response, events).await {
             log::debug!(
--- a/src/relay/event_splitter.rs
+++ b/src/relay/event_splitter.rs
@@ -12,6 +12,8 @@
     pub bytes: Vec<u8>,
     /// Value of its `id` field, if it has one.
     pub id: Option<String>,
+    /// Whether it has only comments or is a mere blank line, so that callers get no event of it.
+    pub is_comment: bool,
 }
 
 /// Buffers the bytes of a stream until they form complete events.
@@ -35,7 +37,8 @@
             let rest = self.pending.split_off(length);
             let bytes = std::mem::replace(&mut self.pending, rest);
             let id = event_id(&bytes);
-            events.push(Event { bytes, id });
+            let is_comment = is_comment(&bytes);
+            events.push(Event { bytes, id, is_comment });
         }
         if self.pending.len() > MAX_EVENT_BYTES {
             return Err(HttpError::Malformed("an event is too long"));
@@ -49,7 +52,7 @@
     }
 }
 
-/// Returns the length of the first complete event.
+/// Returns the length of the first complete event; a blank line before an event stands alone.
 fn first_event_length(bytes: &[u8]) -> Option<usize> {
     let mut line_start = 0;
     for (idx, byte) in bytes.iter().enumerate() {
@@ -57,7 +60,7 @@
             continue;
         }
         let line = &bytes[line_start..idx];
-        if line_start > 0 && (line.is_empty() || line == b"\r") {
+        if line.is_empty() || line == b"\r" {
             return Some(idx + 1);
         }
         line_start = idx + 1;
@@ -65,6 +68,11 @@
     None
 }
 
+fn is_comment(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|it| *it == b'\n');
+    lines.all(|it| it.is_empty() || it == b"\r" || it.starts_with(b":"))
+}
+
 fn event_id(bytes: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(bytes).ok()?;
     let value = text.lines().find_map(|it| it.strip_prefix("id:"))?;
--- a/tests/unframed_responses.rs
+++ b/tests/unframed_responses.rs
@@ -140,6 +140,19 @@
     assert_eq!(tokens(&response), ALL);
 }
 
+/// A blank line after the last event is no event, so the stream is whole.
+#[test]
+fn trailing_blank_line() {
+    let engine = ScriptedServer::start(|request| {
+        let body = [events(1), b"\n".to_vec()].concat();
+        vec![Step::Send(unframed_head(request)), Step::Send(body), Step::Close]
+    });
+    let deployment = Deployment::start("pool", &[&engine.unwrap()]);
+    let response = deployment.entry.exchange(&stream_request("blank"));
+    assert!(response.is_complete(), "{}", response.text());
+    assert_eq!(tokens(&response), ALL);
+}
+
 /// A late second copy of a response does not reach the next request on the connection, whose own
 /// response is unframed.
 #[test]
