Allow for the reading of a long prompt before a first event is late

What callers saw: a prompt that takes an engine more than 1.5 s to read was cut there and begun again at another engine, which had too little time left for it: two engines read it, and the caller got nothing.

Cause: the time for the first event was the same for all prompts.

Change: the time in which the engine reads the prompt, at the rate that its pool states, is added.

--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -19,13 +19,15 @@
         reservation::Reservation,
     },
     http1::HttpError,
+    ids::BackendId,
     relay::{Attempt, BackendResponse, Event, EventSplitter},
     routing::Route,
     runtime::{self, TimedOut},
     verdict::Verdict,
 };
 
-/// Timeout for the head, and again for the first event, when another attempt may follow.
+/// Timeout for the head, and again for the first event, beyond the time that the engine needs to read
+/// the prompt, when another attempt may follow.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time without an event after which a stream is resumed at another engine.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -43,9 +45,10 @@
 ) -> AttemptOutcome {
     let may_retry = route.is_repeatable() && !is_last;
     let bounded = |timeout: Duration| if may_retry { timeout } else { NO_TIMEOUT };
+    let first_timeout =
+        bounded(FIRST_EVENT_TIMEOUT.saturating_add(reading_time(exchange, attempt.backend)));
     let send = attempt.send(&exchange.host.connections);
-    let timeout = bounded(FIRST_EVENT_TIMEOUT);
-    let mut response = match until_start(reservation, timeout, send).await {
+    let mut response = match until_start(reservation, first_timeout, send).await {
         Ok(Ok(response)) => response,
         Ok(Err(err)) if err.verdict == Verdict::NotRun => {
             return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
@@ -82,7 +85,7 @@
         let waited = last_progress.elapsed();
         let read = response.read(&mut bytes);
         let res = if is_first {
-            let timeout = bounded(FIRST_EVENT_TIMEOUT).saturating_sub(waited);
+            let timeout = first_timeout.saturating_sub(waited);
             until_start(reservation, timeout, read).await
         } else {
             let timeout = bounded(EVENT_GAP_TIMEOUT).saturating_sub(waited);
@@ -175,6 +178,17 @@
     runtime::timeout(timeout, future).or(expired).await
 }
 
+/// Returns the time in which the engine reads the prompt, at the rate that its pool states.
+fn reading_time(exchange: &Exchange, backend: &BackendId) -> Duration {
+    let charter = exchange.host.charter.borrow();
+    let backends = exchange.host.backends.borrow();
+    let service = backends.get(backend).map(|it| &it.service);
+    let service = service.and_then(|it| charter.as_ref()?.services.get(it));
+    let Some(engine) = service.and_then(|it| it.engine.as_ref()) else { return Duration::ZERO };
+    let seconds = f64::from(exchange.request.sizes.prompt_tokens) / engine.read_tokens_per_s;
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
+}
+
 /// Returns `true` if a stream that was closed before its first event lacks events: nothing marks its
 /// end, and only a resumed stream may have none left.
 fn is_empty_by_close(exchange: &Exchange, response: &BackendResponse, is_first: bool) -> bool {
--- a/tests/slow_streams.rs
+++ b/tests/slow_streams.rs
@@ -49,6 +49,17 @@
     assert_eq!((tokens(&response), n_sent), (vec![1, 2, 3], 1));
 }
 
+/// Reading 19,100 tokens takes an engine of this pool a second.
+#[test]
+fn long_prompt_is_kept() {
+    let (response, n_sent, _) = exchange_prompt(19_100, |_| {
+        let events = [event_chunk(1), END.to_vec()].concat();
+        vec![Step::Pause(Duration::from_millis(1700)), Step::Send(events)]
+    });
+    assert!(response.is_complete(), "{}", response.text());
+    assert_eq!((tokens(&response), n_sent), (vec![1], 1));
+}
+
 fn pings() -> impl Iterator<Item = Step> {
     let ping = |_| [Step::Pause(Duration::from_millis(200)), Step::Send(PING.to_vec())];
     (0..12).flat_map(ping)
