Refuse a step time out of range instead of panicking

What operators saw: a configuration with a negative or huge `step_ms` ended the task that applies configurations. The process went on and stayed ready with the old one, and applied no later, correct configuration either.

Cause: the conversion to a duration panics on such a value, and the executor keeps the panic of a task that nobody awaits to itself.

Change: the field is decoded like the other durations, so that the configuration is refused as invalid and the next one is applied. No other value does this: malformed_messages sets every field of configuration, servers and versions to thirteen absurd values.

--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -88,13 +88,15 @@
 
 /// The names of these fields on the wire have underscores or hyphens as separators, so that no
 /// `rename_all` fits.
+#[serde_as]
 #[derive(Deserialize)]
 struct WireEngine {
     slots: u32,
     models: Vec<WireModel>,
     /// The duration of one step of token generation in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(default)]
-    step_ms: f64,
+    step_ms: Duration,
     /// The number of prompt tokens that the engine reads per second.
     #[serde(default)]
     read_per_s: f64,
@@ -210,7 +212,7 @@
             n_layers: it.layers,
             n_pieces: it.chunks,
             piece_bytes: it.chunk_bytes,
-            step: Duration::from_secs_f64(it.step_ms / 1000.0),
+            step: it.step_ms,
             read_tokens_per_s: it.read_per_s,
         });
         let origin = self.origin.map(|address| {
--- /dev/null
+++ b/tests/malformed_messages.rs
@@ -0,0 +1,307 @@
+//! Malformed or absurd input from other processes and the store does not end an entry host.
+
+mod entry_process;
+
+use std::{
+    io::{Read, Write},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream, UdpSocket},
+    thread,
+    time::Duration,
+};
+
+use crocustiller::{
+    fleet::{
+        AdmissionMessage, Beacon, EngineNotice, EntryState, LossCount, ManifestCopy, PeerMessage,
+        PiecesHeld,
+    },
+    placement::Demand,
+    platform::{
+        store::{Metadata, StoredObject},
+        wire_config, wire_server,
+    },
+};
+use crocustiller_standins::raw_http::{ScriptedServer, Step};
+use entry_process::{charter, complete_response, request, server_entry, Deployment};
+use serde_json::{json, Value};
+
+const N_MESSAGES: u32 = 20_000;
+const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+const ABSURD_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::BROADCAST), u16::MAX);
+
+/// Datagrams that are random, cut or have random bytes changed.
+#[test]
+fn random_datagrams() {
+    for seed in [1, 2, 3] {
+        let deployment = start();
+        let mut random = fastrand::Rng::with_seed(seed);
+        let messages: Vec<Vec<u8>> =
+            absurd_messages().iter().map(|it| bincode::serialize(it).unwrap()).collect();
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        for number in 0..N_MESSAGES {
+            let bytes = mutated(&messages, &mut random);
+            socket.send_to(&bytes, deployment.entry.peers).unwrap();
+            if number % 100 == 0 {
+                thread::sleep(Duration::from_millis(1));
+            }
+        }
+        check_receives(&deployment);
+        check_serves(deployment, &format!("seed {seed}"));
+    }
+}
+
+/// Valid datagrams with the largest and smallest values.
+#[test]
+fn absurd_datagrams() {
+    let deployment = start();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for _ in 0..20 {
+        for message in absurd_messages() {
+            let bytes = bincode::serialize(&message).unwrap();
+            socket.send_to(&bytes, deployment.entry.peers).unwrap();
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+    check_receives(&deployment);
+    check_serves(deployment, "absurd");
+}
+
+/// Objects of the store with values of wrong types or out of range are refused or decoded.
+#[test]
+fn absurd_objects() {
+    let server = server_entry("pool", "127.0.0.1:1".parse().unwrap(), "ready");
+    let version = json!({ "model": "lots", "version": 2 });
+    for value in absurd_values() {
+        for spec in absurd_variants(&charter(1), &value) {
+            drop(wire_config::decode_config(&object("main", spec)));
+        }
+        for spec in absurd_variants(&server, &value) {
+            drop(wire_server::decode_server(&object("pool-0", spec)));
+        }
+        for spec in absurd_variants(&version, &value) {
+            drop(wire_server::decode_version(&object("lots", spec)));
+        }
+    }
+}
+
+/// After a configuration with an invalid value, the next one is still applied.
+#[test]
+fn negative_step_time() {
+    let deployment = start();
+    let mut config = charter(2);
+    config["services"][1]["engine"]["step_ms"] = json!(-8.0);
+    deployment.store.put("config", "main", config);
+    thread::sleep(Duration::from_millis(800));
+    check_applies(&deployment, 3);
+    check_serves(deployment, "negative step time");
+}
+
+/// Configurations with absurd values that can be decoded are put into force.
+#[test]
+fn absurd_configurations() {
+    thread::scope(|scope| {
+        for value in [json!(0), json!(u32::MAX), json!(1e300), json!("")] {
+            scope.spawn(move || apply_absurd_configurations(&value));
+        }
+    });
+}
+
+fn apply_absurd_configurations(value: &Value) {
+    let mut deployment = start();
+    let mut version = 2;
+    for mut config in absurd_variants(&charter(1), value) {
+        if config["version"] != json!(1) {
+            continue;
+        }
+        config["version"] = json!(version);
+        if wire_config::decode_config(&object("main", config.clone())).is_err() {
+            continue;
+        }
+        version += 1;
+        deployment.store.put("config", "main", config.clone());
+        // Changes are batched; a later one replaces an earlier one.
+        thread::sleep(Duration::from_millis(320));
+        let id = format!("absurd-{version}");
+        deployment.entry.exchange(&request("GET", "/stock/1", &id, "X-Deadline-Ms: 100\r\n"));
+        assert!(!deployment.entry.has_exited(), "{config}");
+    }
+    check_applies(&deployment, version);
+    check_serves(deployment, &format!("configurations with {value}"));
+}
+
+/// Callers that state absurd sizes of prompts.
+#[test]
+fn absurd_prompt_sizes() {
+    let engine = ScriptedServer::start(|request| {
+        let bytes = entry_process::stream_head(request);
+        let end = [entry_process::event_chunk(1), b"0\r\n\r\n".to_vec()].concat();
+        vec![Step::Pause(Duration::from_millis(50)), Step::Send([bytes, end].concat())]
+    })
+    .unwrap();
+    let deployment = Deployment::start("pool", &[&engine]);
+    let entry = &deployment.entry;
+    for sizes in ["4294967295,4294967295", "-1,-1", "99999999999999999999,1", "x", ",", "0,0"] {
+        let headers = format!("X-Model: lots\r\nX-Token-Counts: {sizes}\r\nX-Deadline-Ms: 0\r\n");
+        thread::scope(|scope| {
+            for number in 0..4 {
+                let id = format!("size-{number}");
+                let bytes = request("POST", "/draft/1", &id, &headers);
+                scope.spawn(move || entry.exchange(&bytes).status());
+            }
+        });
+        assert_eq!(entry.readiness_status(), 200, "{sizes}");
+    }
+    let headers = "X-Model: lots\r\nX-Token-Counts: 100,20\r\n";
+    assert_eq!(entry.exchange(&request("POST", "/draft/1", "sound", headers)).status(), 200);
+}
+
+fn start() -> Deployment {
+    let ledger = ScriptedServer::start(complete_response("own")).unwrap();
+    Deployment::start("ledger", &[&ledger])
+}
+
+/// Checks that datagrams are still received: a beacon's sender is in the directory.
+fn check_receives(deployment: &Deployment) {
+    let callers: SocketAddr = "127.250.250.250:9101".parse().unwrap();
+    let peers = SocketAddr::new(callers.ip(), 9104);
+    let sound = Beacon { callers, peers, interval_ms: 1000, ..beacon(EntryState::Ready, 77) };
+    let bytes = bincode::serialize(&PeerMessage::Beacon(sound)).unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    thread::sleep(Duration::from_millis(100));
+    socket.send_to(&bytes, deployment.entry.peers).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    let mut stream = TcpStream::connect(deployment.entry.directory).unwrap();
+    let query =
+        "GET /v1/resolve?name=x&region=south&zone=depot HTTP/1.1\r\nConnection: close\r\n\r\n";
+    stream.write_all(query.as_bytes()).unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    assert!(response.contains(&callers.to_string()), "{response}");
+}
+
+/// Checks that a new configuration, in which a route has another prefix, is put into force.
+fn check_applies(deployment: &Deployment, version: u64) {
+    let mut config = charter(version);
+    config["routes"][1]["path-prefix"] = json!("/new/");
+    deployment.store.put("config", "main", config);
+    thread::sleep(Duration::from_millis(700));
+    let response = deployment.entry.exchange(&request("POST", "/new/1", "new", ""));
+    assert_eq!(response.status(), 200, "{}", response.text());
+}
+
+fn check_serves(mut deployment: Deployment, case: &str) {
+    thread::sleep(Duration::from_millis(200));
+    assert!(!deployment.entry.has_exited(), "{case}");
+    let response = deployment.entry.exchange(&request("GET", "/stock/1", "sound", ""));
+    assert_eq!(response.status(), 200, "{case}: {}", response.text());
+}
+
+fn mutated(messages: &[Vec<u8>], random: &mut fastrand::Rng) -> Vec<u8> {
+    let mut bytes = random.choice(messages).unwrap().clone();
+    for _ in 0..random.usize(0..6) {
+        let idx = random.usize(0..bytes.len());
+        let byte = random.u8(..);
+        bytes[idx] = random.choice([0, 1, 0x7f, 0x80, 0xff, byte]).unwrap();
+    }
+    match random.u8(0..4) {
+        0 => bytes.truncate(random.usize(0..=bytes.len())),
+        1 => bytes.extend((0..random.usize(0..64)).map(|_| random.u8(..))),
+        _ => {}
+    }
+    bytes.truncate(MAX_DATAGRAM_BYTES);
+    bytes
+}
+
+fn beacon(state: EntryState, value: u64) -> Beacon {
+    Beacon {
+        host: format!("host-{value}"),
+        started_ms: value,
+        number: value,
+        interval_ms: value as u32,
+        state,
+        callers: ABSURD_ADDRESS,
+        peers: ABSURD_ADDRESS,
+        processor_permille: value as u32,
+        follows_store: true,
+        region: "south".to_owned(),
+        zone: "depot".to_owned(),
+        losses: vec![LossCount { fingerprint: value, n_backends: u32::MAX }; 3],
+    }
+}
+
+fn absurd_messages() -> Vec<PeerMessage> {
+    let demand = Demand {
+        service: "pool".to_owned(),
+        model: Some("lots".to_owned()),
+        prompt_tokens: u32::MAX,
+        is_resumed: true,
+        excluded: vec![String::new(); 300],
+        wait: Duration::MAX,
+    };
+    let notice = EngineNotice {
+        engine: ABSURD_ADDRESS,
+        started_ms: u64::MAX,
+        n_orders: u64::MAX,
+        model: "lots".to_owned(),
+        serves: Some(u64::MAX),
+    };
+    let held = PiecesHeld {
+        zone: String::new(),
+        model: "lots".to_owned(),
+        version: u64::MAX,
+        has_manifest: true,
+        pieces: vec![u16::MAX; 9],
+        fetching: vec![u16::MAX; 9],
+        reaches_origin: true,
+        asks: true,
+    };
+    let manifest =
+        ManifestCopy { model: "lots".to_owned(), version: u64::MAX, digests: Vec::new() };
+    let request = AdmissionMessage::Request { number: u64::MAX, demand };
+    vec![
+        PeerMessage::Admission(request),
+        PeerMessage::Admission(AdmissionMessage::FirstEvent { number: u64::MAX }),
+        PeerMessage::Admission(AdmissionMessage::Report { reservations: Vec::new() }),
+        PeerMessage::Beacon(beacon(EntryState::Ready, u64::MAX)),
+        PeerMessage::Beacon(beacon(EntryState::Starting, 0)),
+        PeerMessage::EngineNotice(notice),
+        PeerMessage::PiecesHeld(held),
+        PeerMessage::Manifest(manifest),
+    ]
+}
+
+fn object(name: &str, spec: Value) -> StoredObject {
+    let metadata = Metadata { name: name.to_owned(), revision: u64::MAX };
+    StoredObject { metadata, spec }
+}
+
+fn absurd_values() -> Vec<Value> {
+    let numbers =
+        [json!(-1), json!(-0.5), json!(0), json!(1e300), json!(u64::MAX), json!(u32::MAX)];
+    let others =
+        [json!(null), json!(true), json!(""), json!("x"), json!([]), json!([[]]), json!({})];
+    numbers.into_iter().chain(others).collect()
+}
+
+/// Returns a copy of `spec` for each of its values, with that value replaced.
+fn absurd_variants(spec: &Value, value: &Value) -> Vec<Value> {
+    let replaced = |pointer: String| {
+        let mut spec = spec.clone();
+        *spec.pointer_mut(&pointer).unwrap() = value.clone();
+        spec
+    };
+    leaves(spec).into_iter().map(replaced).collect()
+}
+
+/// Returns the JSON pointers of all values that are neither objects nor arrays.
+fn leaves(value: &Value) -> Vec<String> {
+    let under = |key: String, it: &Value| -> Vec<String> {
+        leaves(it).into_iter().map(|rest| format!("/{key}{rest}")).collect()
+    };
+    match value {
+        Value::Object(fields) => fields.iter().flat_map(|it| under(it.0.clone(), it.1)).collect(),
+        Value::Array(items) => {
+            items.iter().enumerate().flat_map(|(idx, it)| under(idx.to_string(), it)).collect()
+        }
+        _ => vec![String::new()],
+    }
+}
