Keep receiving after a datagram with the largest version

What operators saw, in builds that check overflows: a slot process that gets a report of pieces of version 2^64 - 1 receives no further datagram, as the task ended silently; in release builds the sum wraps round and the report is ignored.

Change: the comparison saturates, and the oldest kept version is computed without a sum.

It passes now, and version 2 is loaded after that.

--- a/src/slot/engine_driver.rs
+++ b/src/slot/engine_driver.rs
@@ -126,7 +126,7 @@
             return;
         }
         log::info!("weights: started to fetch a version model={} version={target}", pool.model);
-        let oldest = (target + 1).saturating_sub(N_KEPT_VERSIONS);
+        let oldest = target.saturating_sub(N_KEPT_VERSIONS - 1);
         let may_be_staged = self.fetches.is_empty();
         self.fetches.retain(|it, _| *it >= oldest);
         self.slot.remove_versions_before(oldest);
--- a/src/slot/peer_messages.rs
+++ b/src/slot/peer_messages.rs
@@ -50,7 +50,7 @@
         slot.update_ranks();
     }
     let Some((model, target)) = slot.target() else { return };
-    if message.model != model || message.version + N_KEPT_VERSIONS <= target {
+    if message.model != model || message.version.saturating_add(N_KEPT_VERSIONS) <= target {
         return;
     }
     let fetching = message.fetching.into_iter().collect();
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crocustiller::fleet::{PeerMessage, PiecesHeld};
+use crocustiller::fleet::{ManifestCopy, PeerMessage, PiecesHeld};
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{charter, start_platform_process, unique_loopback_ip};
 use serde_json::{json, Value};
@@ -390,3 +390,75 @@
     slot.store.put("versions", "lots", json!({ "model": "lots", "version": 3 }));
     slot.check_loaded(3);
 }
+
+/// Random, cut and absurd datagrams do not stop a slot process from receiving.
+#[test]
+fn random_datagrams() {
+    let origin = origin_server(|_, _, body| response_steps(200, &body));
+    let slot = Slot::start(&origin, EngineState::default());
+    slot.check_loaded(1);
+    let held = |version, number| PiecesHeld {
+        zone: String::new(),
+        model: "lots".to_owned(),
+        version,
+        has_manifest: false,
+        pieces: vec![number; 9],
+        fetching: vec![number; 9],
+        reaches_origin: false,
+        asks: false,
+    };
+    let manifest = |digests| ManifestCopy { model: "lots".to_owned(), version: 2, digests };
+    let messages = [
+        PeerMessage::PiecesHeld(held(u64::MAX, u16::MAX)),
+        PeerMessage::PiecesHeld(held(2, u16::MAX)),
+        PeerMessage::PiecesHeld(held(0, 0)),
+        PeerMessage::Manifest(manifest(Vec::new())),
+        PeerMessage::Manifest(manifest(vec![[7; 32]; 200])),
+    ];
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut random = fastrand::Rng::with_seed(1);
+    for number in 0..5000 {
+        let mut bytes = bincode::serialize(&messages[number % messages.len()]).unwrap();
+        for _ in 0..random.usize(0..5) {
+            let idx = random.usize(0..bytes.len());
+            bytes[idx] = random.u8(..);
+        }
+        if random.bool() {
+            bytes.truncate(random.usize(0..=bytes.len()));
+        }
+        socket.send_to(&bytes, slot.peers).unwrap();
+        if number % 50 == 0 {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+    for message in &messages {
+        socket.send_to(&bincode::serialize(message).unwrap(), slot.peers).unwrap();
+    }
+    check_responds(&slot);
+    slot.store.put("versions", "lots", json!({ "model": "lots", "version": 2 }));
+    slot.check_loaded(2);
+}
+
+/// Checks that the slot process answers a peer that asks for its pieces.
+fn check_responds(slot: &Slot) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    let question = PiecesHeld {
+        zone: "depot".to_owned(),
+        model: "lots".to_owned(),
+        version: 1,
+        has_manifest: false,
+        pieces: Vec::new(),
+        fetching: Vec::new(),
+        reaches_origin: true,
+        asks: true,
+    };
+    thread::sleep(Duration::from_millis(100));
+    let message = bincode::serialize(&PeerMessage::PiecesHeld(question)).unwrap();
+    socket.send_to(&message, slot.peers).unwrap();
+    let mut bytes = [0; 8 << 10];
+    let n_bytes = socket.recv(&mut bytes).unwrap();
+    let answer: PeerMessage = bincode::deserialize(&bytes[..n_bytes]).unwrap();
+    let PeerMessage::PiecesHeld(held) = answer else { panic!("{answer:?}") };
+    assert_eq!(held.pieces.len() as u32, N_PIECES);
+}
