--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, UdpSocket},
-    process::Child,
+    process::{Child, Command},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
