Refuse a manifest with another number of pieces than the pool has

What operators may see: an engine is ordered to load weights of which the last pieces are missing or of another version.

Cause: a manifest counted as valid with any number of digests, so that with a short one a version was complete before all its pieces were there.

Change: manifests from slots, by datagram and from the origin need as many digests as the charter states for the pool (any number if it states none).

Whether a short manifest ever occurred outside this test is not known.

--- a/src/slot/manifest_source.rs
+++ b/src/slot/manifest_source.rs
@@ -94,21 +94,31 @@
         loop {
             let listener = self.slot.changed.listen();
             let copy = self.slot.manifest_copies.borrow_mut().remove(&self.version);
-            if let Some(copy) = copy.filter(|it| it.model == self.model && !it.digests.is_empty()) {
+            let copy = copy.filter(|it| it.model == self.model);
+            let manifest = copy.map(|it| Manifest { digests: it.digests });
+            if let Some(manifest) = manifest.filter(|it| self.has_all_pieces(it)) {
                 log::info!("weights: received a forwarded manifest version={}", self.version);
-                let manifest = Manifest { digests: copy.digests };
                 return Some(FoundManifest { manifest, is_from_origin: false });
             }
             listener.await;
         }
     }
 
+    /// Returns `true` if a manifest has as many pieces as the pool states. With a shorter one, an
+    /// engine would load weights that lack pieces.
+    fn has_all_pieces(&self, manifest: &Manifest) -> bool {
+        let pool = self.slot.pool.borrow();
+        let n_pieces = pool.as_ref().map_or(0, |it| it.engine_spec.n_pieces);
+        manifest.n_pieces() > 0 && (n_pieces == 0 || manifest.n_pieces() == n_pieces)
+    }
+
     async fn read_from_slot(&self, holder: SocketAddr) -> Option<Manifest> {
         let path = manifest_path(&self.model, self.version);
         let call = Call::get(&path, PEER_TIMEOUT, MAX_MANIFEST_BYTES);
         match self.client.call(holder, &call).await {
             Ok(response) if response.head.status == 200 => {
-                decode_manifest(self.version, &response.body)
+                let manifest = decode_manifest(self.version, &response.body);
+                manifest.filter(|it| self.has_all_pieces(it))
             }
             Ok(_) => None,
             Err(err) => {
@@ -123,6 +133,7 @@
         match self.origin.read_manifest(&origin, &self.model, self.version).await {
             Ok(text) => {
                 let manifest = decode_manifest(self.version, &text);
+                let manifest = manifest.filter(|it| self.has_all_pieces(it));
                 match manifest {
                     Some(_) => log::info!(
                         "weights: read the manifest from=origin version={}",
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -462,3 +462,25 @@
     let PeerMessage::PiecesHeld(held) = answer else { panic!("{answer:?}") };
     assert_eq!(held.pieces.len() as u32, N_PIECES);
 }
+
+/// A forwarded manifest that lacks the last pieces does not lead to an order with missing pieces.
+#[test]
+fn short_manifest_of_a_peer() {
+    let origin = origin_server(|target, _, body| {
+        // The forwarded manifest must be there first.
+        let pause = if target.starts_with("/v1/manifest") { 500 } else { 0 };
+        let mut steps = vec![Step::Pause(Duration::from_millis(pause))];
+        steps.extend(response_steps(200, &body));
+        steps
+    });
+    let slot = Slot::start(&origin, EngineState::default());
+    let digests = (0..2).map(|it| Sha256::digest(piece(1, it)).into()).collect();
+    let copy = ManifestCopy { model: "lots".to_owned(), version: 1, digests };
+    let message = bincode::serialize(&PeerMessage::Manifest(copy)).unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for _ in 0..20 {
+        socket.send_to(&message, slot.peers).unwrap();
+        thread::sleep(Duration::from_millis(20));
+    }
+    slot.check_loaded(1);
+}
