Bound the sum of an engine's running and queued requests

What operators may see, if an engine reports an absurd load: in release builds the sum wraps round, the engine counts as drained and its requests are cut early; in builds that check overflows, the task that drives the engine ends silently and no version is loaded any more.

Change: the sum saturates, in one place.

--- a/src/platform/engine_api.rs
+++ b/src/platform/engine_api.rs
@@ -59,6 +59,13 @@
     pub n_queued: u32,
 }
 
+impl EngineReport {
+    /// Returns the number of requests that are running or queued.
+    pub fn n_unfinished(&self) -> u32 {
+        self.n_running.saturating_add(self.n_queued)
+    }
+}
+
 #[derive(Deserialize)]
 struct WireReport {
     #[serde(flatten)]
--- a/src/slot/engine_driver.rs
+++ b/src/slot/engine_driver.rs
@@ -195,7 +195,7 @@
             log::info!("slot: the check of the staged pieces is too old, checking again");
             return;
         }
-        let n_unfinished = report.n_running + report.n_queued;
+        let n_unfinished = report.n_unfinished();
         let order = self.slot.engine.load_staged(
             &pool.model,
             piece_store.version,
@@ -235,7 +235,7 @@
                 return Some(report);
             }
             self.notify_entry_hosts(pool, &report, None).await;
-            let is_drained = report.n_running + report.n_queued <= MAX_CUT_REQUESTS;
+            let is_drained = report.n_unfinished() <= MAX_CUT_REQUESTS;
             if started.elapsed() >= MAX_DRAIN_TIME
                 || (is_drained && started.elapsed() >= NOTICE_TIME)
             {
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -28,9 +28,10 @@
     /// The versions ordered, each with whether all staged pieces were correct at that moment.
     orders: Vec<(u64, bool)>,
     loaded_version: Option<u64>,
-    n_running: u32,
     /// The number of the staged piece that was read last.
     last_read_piece: Option<u32>,
+    /// The numbers of running and of queued requests that the engine reports.
+    load: (u32, u32),
 }
 
 struct Slot {
@@ -102,7 +103,7 @@
         .collect();
     json!({
         "models": models, "layers": layers, "busy": false, "sequence": state.orders.len(),
-        "running": state.n_running, "queued": 0, "born": 1000,
+        "running": state.load.0, "queued": state.load.1, "born": 1000,
     })
 }
 
@@ -183,7 +184,7 @@
 #[test]
 fn stale_check_is_repeated() {
     let origin = origin_server(|_, _, body| response_steps(200, &body));
-    let engine = EngineState { loaded_version: Some(1), n_running: 5, ..EngineState::default() };
+    let engine = EngineState { loaded_version: Some(1), load: (5, 0), ..EngineState::default() };
     let slot = Slot::start(&origin, engine);
     slot.store.put("versions", "lots", json!({ "model": "lots", "version": 2 }));
     let is_draining = || {
@@ -484,3 +485,13 @@
     }
     slot.check_loaded(1);
 }
+
+/// An engine that reports an absurd load still gets the next version.
+#[test]
+fn absurd_engine_load() {
+    let origin = origin_server(|_, _, body| response_steps(200, &body));
+    let slot = Slot::start(&origin, EngineState { load: (u32::MAX, 1), ..EngineState::default() });
+    slot.check_loaded(1);
+    slot.store.put("versions", "lots", json!({ "model": "lots", "version": 2 }));
+    slot.check_loaded(2);
+}
