--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,10 +7,13 @@
 mod backend_health;
 mod cell_map;
 mod crash_suspects;
+mod crashing_parts;
 mod demand;
 mod engine_choice;
 mod load;
+mod part_crash;
 mod plain_choice;
+mod quarantined_part;
 mod request_counts;
 mod reservation_id;
 mod retry_budgets;
@@ -22,10 +25,13 @@
     backend_health::BackendHealth,
     cell_map::{CellMap, OwnerCandidate},
     crash_suspects::{CrashSuspects, Fingerprint},
+    crashing_parts::CrashingParts,
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
     load::Load,
+    part_crash::{PartCrash, PartDigest},
     plain_choice::{choose_plain_backend, PlainCandidate},
+    quarantined_part::QuarantinedPart,
     request_counts::RequestCounts,
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
--- /dev/null
+++ b/src/placement/quarantined_part.rs
@@ -0,0 +1,20 @@
+//! A part of prompts whose requests are refused.
+
+use serde::{Deserialize, Serialize};
+
+use crate::placement::PartDigest;
+
+/// A part of prompts that crashes engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedPart {
+    /// The part.
+    pub part: PartDigest,
+    /// Crashes one after the other: each of a request that was sent after the crash before.
+    pub n_crashes: u32,
+    /// Distinct engines that crashed.
+    pub n_engines: u32,
+    /// Time since the verdict, in milliseconds.
+    pub age_ms: u64,
+    /// Verdicts on this part so far; each doubles the time of its quarantine.
+    pub n_verdicts: u32,
+}
