Decide which parts of a prompt crash engines

One part of a prompt may crash each engine that begins to write on it; no two such requests are alike, so the digests of whole requests miss them.

A part is quarantined after three crashes one after the other (each request sent after the crash before), of two distinct requests, with no answer written on it. In an emulated pool the plain rule blamed rare sound parts beside a bad one, so further: the crashes of a quarantined part excuse all others; evidence settles for 0.1 s (decide is called regularly); five crashes are needed while stronger suspects explain all but one of a part's crashes, or while most engines crash without it.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -12,6 +12,8 @@
 mod engine_choice;
 mod load;
 mod part_crash;
+mod part_suspect;
+mod part_verdict;
 mod plain_choice;
 mod quarantined_part;
 mod request_counts;
