Decode the parts of a prompt that other requests may share

At most eight parts, ids of at most 64 hexadecimal digits, several fields joined; malformed entries are skipped.

--- a/src/platform/wire_headers.rs
+++ b/src/platform/wire_headers.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use crate::{
-    http1::{RequestHead, ResponseHead},
+    http1::{Headers, RequestHead, ResponseHead},
     ids::WeightsVersion,
-    relay::{CallerRequest, EngineCall, PromptSizes, ResponseInfo},
+    placement::PartDigest,
+    relay::{CallerRequest, EngineCall, PromptSizes, ResponseInfo, MAX_SHARED_PARTS},
 };
 
 const REQUEST_ID: &str = "X-Request-Id";
@@ -21,6 +22,8 @@
 const TOKEN_COUNTS: &str = "X-Token-Counts";
 /// The caller's estimate of the number of output tokens.
 const OUTPUT_ESTIMATE: &str = "X-Length-Hint";
+/// The parts of the prompt in order, as `ID:TOKENS,ID:TOKENS`; the last one is the request's own.
+const PROMPT_PARTS: &str = "X-Prompt-Prefix";
 const MODEL: &str = "X-Model";
 /// The engines that a request passes through, which callers may not choose.
 const ENGINE_PATH: &str = "Path";
@@ -32,6 +35,9 @@
 /// The status with which a backend server refuses a request that was meant for another one.
 const STATUS_MISDIRECTED: u16 = 421;
 
+/// Maximum length of the id of a part.
+const MAX_PART_ID_CHARS: usize = 64;
+
 /// Decodes the fields that relaying uses from the head of a caller's request.
 pub fn decode_request(head: &RequestHead) -> CallerRequest {
     let headers = &head.headers;
@@ -51,10 +57,41 @@
             max_output_tokens: max_output.unwrap_or(0),
             estimated_output_tokens: headers.number(OUTPUT_ESTIMATE).unwrap_or(0) as u32,
         },
+        prompt_parts: decode_prompt_parts(headers),
         last_event: headers.get(LAST_EVENT_ID).map(str::to_owned),
     }
 }
 
+/// Decodes the first parts of the prompt without the last one; malformed entries are skipped.
+fn decode_prompt_parts(headers: &Headers) -> Vec<PartDigest> {
+    let model = headers.get(MODEL).unwrap_or("");
+    let fields = headers.all(PROMPT_PARTS).filter_map(|it| std::str::from_utf8(it).ok());
+    let ids = fields.flat_map(|it| it.split(',')).filter_map(part_id);
+    let mut parts: Vec<PartDigest> =
+        ids.take(MAX_SHARED_PARTS + 1).map(|id| digest_part(model, &id)).collect();
+    parts.pop();
+    parts
+}
+
+/// Returns the id of a well-formed entry, in lower case.
+fn part_id(entry: &str) -> Option<String> {
+    let (id, n_tokens) = entry.trim().split_once(':')?;
+    let is_id =
+        (1..=MAX_PART_ID_CHARS).contains(&id.len()) && id.bytes().all(|it| it.is_ascii_hexdigit());
+    (is_id && n_tokens.parse::<u32>().is_ok()).then(|| id.to_ascii_lowercase())
+}
+
+/// Returns the digest of a part, as the same id may name other content for another model.
+fn digest_part(model: &str, id: &str) -> PartDigest {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(model.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(id.as_bytes());
+    let mut digest = [0; size_of::<PartDigest>()];
+    hasher.finalize_xof().fill(&mut digest);
+    PartDigest::from_le_bytes(digest)
+}
+
 /// Returns the head of the request to a backend server.
 ///
 /// It is the caller's head without the API key and without the fields that callers may not set.
--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::ids::RequestId;
+use crate::{ids::RequestId, placement::PartDigest};
+
+/// Maximum number of parts of a prompt that are told apart.
+pub const MAX_SHARED_PARTS: usize = 8;
 
 /// The information in a caller's request head.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +22,8 @@
     pub model: Option<String>,
     /// Sizes of the prompt and the output.
     pub sizes: PromptSizes,
+    /// Parts of the prompt that other requests may share, without the last one, which is its own.
+    pub prompt_parts: Vec<PartDigest>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<String>,
 }
