Refuse requests with a part of the prompt that crashes engines, on all entry hosts

Callers saw engines crash one after the other, and sound requests refused with them: what the product knew of a crashing request was a digest of all of it, so requests of which no two are alike passed it.

Entry hosts tell each other of both by datagram, and of quarantined parts in beacons. A request with a quarantined part is refused before each attempt, and its log line names the part. A host becomes ready only after the first beacon of another one, or after 0.5 s. The attempts of a request move out of exchange.rs into a file of their own.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -14,7 +14,7 @@
 use async_executor::Task;
 
 use crate::{
-    entry::entry_host::EntryHost,
+    entry::{crash_reports, entry_host::EntryHost},
     fleet::{beacon_interval, entry_registry, MessageReceiver, PeerMessage},
     platform::store::Store,
     runtime,
@@ -50,6 +50,7 @@
 async fn send_loop(host: Rc<EntryHost>) {
     let mut last_sent_far: Option<Instant> = None;
     loop {
+        crash_reports::decide(&host);
         let (near, far) = targets(&host);
         let near_interval = beacon_interval(near.len());
         let far_interval = beacon_interval(near.len() + far.len());
@@ -80,6 +81,16 @@
     has_suspects || host.n_preferred_in_zone() < MAX_REPRESENTATIVES
 }
 
+/// Sends a beacon to a host that has just started, if it is one that gets this host's beacons.
+pub(crate) fn send_at_once(host: &EntryHost, target: SocketAddr) {
+    let (near, far) = targets(host);
+    if near.contains(&target) {
+        send(host, &[target], beacon_interval(near.len()));
+    } else if informs_other_zones(host) {
+        send(host, &[target], beacon_interval(near.len() + far.len()));
+    }
+}
+
 fn send(host: &EntryHost, targets: &[SocketAddr], interval: Duration) {
     let bytes = match bincode::serialize(&PeerMessage::Beacon(host.next_beacon(interval))) {
         Ok(bytes) => bytes,
--- a/src/entry/buffered_relay.rs
+++ b/src/entry/buffered_relay.rs
@@ -6,24 +6,25 @@
 use std::time::Instant;
 
 use crate::{
-    entry::{attempt_outcome::AttemptOutcome, exchange::Exchange},
-    ids::BackendId,
+    entry::{attempt_outcome::AttemptOutcome, crash_watch::CrashWatch, exchange::Exchange},
     relay::{Attempt, BackendResponse},
     verdict::Verdict,
 };
 
 /// Sends the request and forwards the complete response.
-pub(crate) async fn relay(exchange: &Exchange, attempt: &Attempt<'_>) -> AttemptOutcome {
+pub(crate) async fn relay(
+    exchange: &Exchange,
+    attempt: &Attempt<'_>,
+    watch: &CrashWatch<'_>,
+) -> AttemptOutcome {
     let response = match attempt.send(&exchange.host.connections).await {
         Ok(response) => response,
         Err(err) if err.verdict == Verdict::NotRun => {
             return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
         }
-        Err(err) => {
-            return AttemptOutcome::from_broken_connection(exchange, attempt.backend, &err.err)
-        }
+        Err(err) => return watch.outcome_after_break(&err.err).await,
     };
-    forward_buffered(exchange, response, attempt.backend).await
+    forward_buffered(exchange, response, watch).await
 }
 
 /// Reads the complete response and forwards it, unless the backend server refused the request or
@@ -31,9 +32,10 @@
 pub(crate) async fn forward_buffered(
     exchange: &Exchange,
     mut response: BackendResponse,
-    backend: &BackendId,
+    watch: &CrashWatch<'_>,
 ) -> AttemptOutcome {
-    let body = match read_body(exchange, &mut response, backend).await {
+    watch.record_progress();
+    let body = match read_body(exchange, &mut response, watch).await {
         Ok(body) => body,
         Err(outcome) => return outcome,
     };
@@ -50,11 +52,12 @@
 async fn read_body(
     exchange: &Exchange,
     response: &mut BackendResponse,
-    backend: &BackendId,
+    watch: &CrashWatch<'_>,
 ) -> Result<Vec<u8>, AttemptOutcome> {
+    let backend = watch.backend();
     let body = match response.read_to_end().await {
         Ok(body) => body,
-        Err(err) => return Err(AttemptOutcome::from_broken_connection(exchange, backend, &err)),
+        Err(err) => return Err(watch.outcome_after_break(&err).await),
     };
     let is_success = (200..300).contains(&response.head.status);
     let info = &response.info;
@@ -72,5 +75,8 @@
     } else if response.head.status < 500 || info.is_not_run {
         exchange.host.health.borrow_mut().record_success(backend);
     }
+    if is_success {
+        watch.record_end(response).await;
+    }
     Ok(body)
 }
--- /dev/null
+++ b/src/entry/crash_reports.rs
@@ -0,0 +1,115 @@
+//! Tells the other entry hosts which parts of prompts are suspected of crashing engines, and which
+//! are not, and applies what they tell.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    entry::entry_host::EntryHost,
+    fleet::{CrashReport, PeerMessage},
+    placement::{PartCrash, PartDigest, QuarantinedPart},
+    relay::MAX_SHARED_PARTS,
+    runtime,
+};
+
+/// Time for which crashes and cleared parts are collected for one datagram.
+const BATCH_TIME: Duration = Duration::from_millis(50);
+/// Time after which a report is sent once more, as a datagram may be lost.
+const REPEAT_DELAY: Duration = Duration::from_millis(100);
+/// Maximum number of crashes in a datagram.
+const MAX_REPORTED_CRASHES: usize = 64;
+/// Maximum number of cleared parts in a datagram.
+const MAX_REPORTED_PARTS: usize = MAX_REPORTED_CRASHES * MAX_SHARED_PARTS;
+
+/// Records a crash that this host saw, here and soon at the other hosts.
+pub(crate) fn report_crash(host: &Rc<EntryHost>, crash: PartCrash) {
+    host.crashing_parts.borrow_mut().record_crash(&crash, Instant::now());
+    queue(host, |report| {
+        if report.crashes.len() < MAX_REPORTED_CRASHES {
+            // The report is sent later than this.
+            let sent_ago_ms = crash.sent_ago_ms.saturating_add(BATCH_TIME.as_millis() as u32);
+            report.crashes.push(PartCrash { sent_ago_ms, ..crash });
+        }
+    });
+}
+
+/// Clears the parts of a request that an engine served, here and soon at the other hosts.
+pub(crate) fn clear(host: &Rc<EntryHost>, parts: &[PartDigest]) {
+    let cleared = host.crashing_parts.borrow_mut().clear(parts, Instant::now());
+    if cleared.is_empty() {
+        return;
+    }
+    log::info!("crashes: cleared parts of prompts n={}", cleared.len());
+    queue(host, |report| {
+        let n_free = MAX_REPORTED_PARTS - report.cleared.len();
+        report.cleared.extend(cleared.into_iter().take(n_free));
+    });
+}
+
+/// Applies the report of another entry host.
+pub(crate) fn apply(host: &EntryHost, report: CrashReport) {
+    for mut crash in report.crashes.into_iter().take(MAX_REPORTED_CRASHES) {
+        crash.parts.truncate(MAX_SHARED_PARTS);
+        host.crashing_parts.borrow_mut().record_crash(&crash, Instant::now());
+    }
+    let n_cleared = report.cleared.len().min(MAX_REPORTED_PARTS);
+    host.crashing_parts.borrow_mut().clear(&report.cleared[..n_cleared], Instant::now());
+}
+
+/// Quarantines the parts against which there is enough evidence now.
+pub(crate) fn decide(host: &EntryHost) {
+    for part in &host.crashing_parts.borrow_mut().decide(Instant::now()) {
+        log::warn!("crashes: quarantined a part of prompts {}", log_fields(part));
+    }
+}
+
+/// Adds the quarantined parts in a beacon.
+pub(crate) fn merge(host: &EntryHost, reported: &[QuarantinedPart]) {
+    let added = host.crashing_parts.borrow_mut().merge(reported, Instant::now());
+    for part in &added {
+        log::warn!(
+            "crashes: another entry host quarantined a part of prompts {}",
+            log_fields(part)
+        );
+    }
+}
+
+/// Returns the fields of a log line that describe a quarantined part.
+pub(crate) fn log_fields(part: &QuarantinedPart) -> String {
+    format!(
+        "part={:016x} crashes={} engines={} quarantined_ago_ms={}",
+        part.part, part.n_crashes, part.n_engines, part.age_ms
+    )
+}
+
+/// Changes the report that is being collected; the first change schedules its sending.
+fn queue(host: &Rc<EntryHost>, change: impl FnOnce(&mut CrashReport)) {
+    let mut pending = host.pending_report.borrow_mut();
+    if pending.is_none() {
+        let host = host.clone();
+        let send_twice = async move {
+            runtime::sleep(BATCH_TIME).await;
+            let Some(mut report) = host.pending_report.take() else { return };
+            send(&host, &report);
+            runtime::sleep(REPEAT_DELAY).await;
+            report.add_age(REPEAT_DELAY);
+            send(&host, &report);
+        };
+        runtime::spawn_local(send_twice).detach();
+    }
+    change(pending.get_or_insert_with(CrashReport::default));
+}
+
+fn send(host: &EntryHost, report: &CrashReport) {
+    let bytes = match bincode::serialize(&PeerMessage::CrashReport(report.clone())) {
+        Ok(bytes) => bytes,
+        Err(err) => return log::error!("crashes: failed to encode a report error=\"{err}\""),
+    };
+    for target in host.beacon_targets.borrow().keys().filter(|it| **it != host.settings.peers) {
+        if let Err(err) = host.socket.get_ref().send_to(&bytes, *target) {
+            log::debug!("crashes: failed to send a report to={target} error=\"{err}\"");
+        }
+    }
+}
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -15,16 +15,19 @@
 use crate::{
     clock,
     digest::Digest,
-    entry::{admission_client::AdmissionClient, cell_owner::CellOwner, eligible_servers},
+    entry::{
+        admission_client::AdmissionClient, beacon_exchange, cell_owner::CellOwner, crash_reports,
+        eligible_servers,
+    },
     fleet::{
-        entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, EngineNotice,
-        EntryState, KindCache, LossCount, PeerMessage, PeerTable, StallDetector, StoreSource,
-        StoreSources, VersionTable,
+        entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, CrashReport,
+        EngineNotice, EntryState, KindCache, LossCount, PeerMessage, PeerTable, StallDetector,
+        StoreSource, StoreSources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     placement::{
-        BackendHealth, CellMap, CrashSuspects, Fingerprint, OwnerCandidate, RequestCounts,
-        RetryBudgets,
+        BackendHealth, CellMap, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate,
+        RequestCounts, RetryBudgets,
     },
     platform::{store::Store, wire_config, wire_server},
     relay::BackendConnections,
@@ -36,6 +39,8 @@
 /// Time before the end of the grace period at which a leaving process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time after the start for which a host waits for the first beacon of another one.
+const FIRST_BEACON_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a leaving host still owns its engines, until the other hosts know that it leaves.
 const HANDOVER_TIME: Duration = Duration::from_secs(1);
 /// The kinds that a host must watch without a gap before other processes watch the store through
@@ -67,6 +72,10 @@
     pub(crate) request_counts: RefCell<RequestCounts>,
     pub(crate) health: RefCell<BackendHealth>,
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
+    /// Parts of prompts that crash engines, as far as all entry hosts know.
+    pub(crate) crashing_parts: RefCell<CrashingParts>,
+    /// What this host soon tells the others about parts of prompts.
+    pub(crate) pending_report: RefCell<Option<CrashReport>>,
     pub(crate) connections: BackendConnections,
     /// The socket for datagrams to and from other processes.
     pub(crate) socket: Async<UdpSocket>,
@@ -92,6 +101,7 @@
     known_peers: RefCell<Vec<(HostId, EntryState, bool)>>,
     retry_budgets: RefCell<RetryBudgets>,
     leaving_since: Cell<Option<Instant>>,
+    started: Instant,
     started_ms: u64,
     beacon_number: Cell<u64>,
 }
@@ -120,6 +130,8 @@
             request_counts: RefCell::default(),
             health: RefCell::default(),
             crash_suspects: RefCell::default(),
+            crashing_parts: RefCell::default(),
+            pending_report: RefCell::default(),
             connections: BackendConnections::default(),
             socket,
             beacon_targets: RefCell::default(),
@@ -134,6 +146,7 @@
             n_connections: Cell::new(0),
             retry_budgets: RefCell::new(retry_budgets),
             leaving_since: Cell::new(None),
+            started: Instant::now(),
             started_ms: since_epoch.as_millis() as u64,
             beacon_number: Cell::new(0),
         }))
@@ -143,11 +156,22 @@
     pub(crate) fn state(&self) -> EntryState {
         match self.leaving_since.get() {
             Some(_) => EntryState::Leaving,
-            None if self.charter.borrow().is_some() && self.has_backends.get() => EntryState::Ready,
+            None if self.charter.borrow().is_some()
+                && self.has_backends.get()
+                && self.has_heard_peers() =>
+            {
+                EntryState::Ready
+            }
             None => EntryState::Starting,
         }
     }
 
+    /// Returns `true` once this host knows which parts of prompts the other hosts quarantined, or
+    /// none of them tells.
+    fn has_heard_peers(&self) -> bool {
+        self.started.elapsed() >= FIRST_BEACON_TIMEOUT || !self.peers.borrow().is_empty()
+    }
+
     /// Marks the host as leaving.
     pub(crate) fn leave(&self) {
         self.leaving_since.set(Some(Instant::now()));
@@ -183,6 +207,7 @@
             region: self.settings.host.region.clone(),
             zone: self.settings.host.zone.clone(),
             losses: losses.collect(),
+            quarantined: self.crashing_parts.borrow().quarantined(Instant::now()),
         }
     }
 
@@ -217,10 +242,19 @@
             PeerMessage::Admission(message) => self.handle_admission(from, message),
             PeerMessage::Beacon(beacon) => {
                 self.beacon_targets.borrow_mut().insert(from, beacon.zone.clone());
+                crash_reports::merge(self, &beacon.quarantined);
+                let is_new =
+                    self.peers.borrow().started_ms(&beacon.host) != Some(beacon.started_ms);
+                let has_news =
+                    is_new && !self.crashing_parts.borrow().quarantined(Instant::now()).is_empty();
+                if has_news {
+                    beacon_exchange::send_at_once(self, from);
+                }
                 self.peers.borrow_mut().record_beacon(beacon, Instant::now());
                 self.refresh_peers();
             }
             PeerMessage::EngineNotice(notice) => self.apply_notice(&notice),
+            PeerMessage::CrashReport(report) => crash_reports::apply(self, report),
             PeerMessage::PiecesHeld(_) | PeerMessage::Manifest(_) => {
                 log::debug!("fleet: ignored a message for slot processes from={from}")
             }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -9,32 +9,24 @@
 
 use crate::{
     entry::{
-        attempt_outcome::AttemptOutcome,
-        buffered_relay,
+        attempts,
         entry_host::EntryHost,
         error_response::ErrorResponse,
         request_trace::{RequestTrace, TraceOutcome},
-        reservation::{BackendRequirements, Reservation, ReservationError},
-        stream_relay,
+        reservation::ReservationError,
     },
     http1::{ConnectionWriter, HttpError, RequestHead, ResponseHead},
-    ids::{CustomerId, ServiceId},
-    placement::{can_finish_before_exit, Fingerprint},
+    ids::CustomerId,
+    placement::{can_finish_before_exit, Fingerprint, QuarantinedPart},
     platform::wire_headers,
-    relay::{Attempt, CallerRequest, EngineCall},
-    routing::{Route, RouteKind},
+    relay::CallerRequest,
+    routing::Route,
     runtime,
     verdict::Verdict,
 };
 
 /// Time after the deadline for which the engine's own response is still accepted.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(40);
-/// Share of the latency objective for which a request waits for a reservation.
-const QUEUE_TIMEOUT_SHARE: f64 = 0.125;
-/// Time for which a stream that is resumed at another engine waits for a reservation.
-const RESUME_QUEUE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Timeout of an attempt without a stream when the request may be sent to another backend server.
-const PLAIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(450);
 /// Value of `Retry-After` in the response of a host that has no charter yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -60,9 +52,9 @@
     /// Id of the last event that was sent to the caller.
     pub(crate) last_event_id: RefCell<Option<String>>,
     /// Whether the request may have run in one of the attempts that have ended.
-    verdict: Cell<Verdict>,
+    pub(crate) verdict: Cell<Verdict>,
     /// Whether an attempt at a backend server is running.
-    is_attempt_running: Cell<bool>,
+    pub(crate) is_attempt_running: Cell<bool>,
     pub(crate) trace: RequestTrace,
     pub(crate) fingerprint: Cell<Fingerprint>,
 }
@@ -150,9 +142,12 @@
                 "backend servers crashed while running this request; do not retry it unchanged";
             return self.send_error(ErrorResponse::not_run(503, message)).await;
         }
+        if let Some(quarantined) = self.quarantined_part() {
+            return self.refuse_quarantined_part(&quarantined).await;
+        }
         self.host.count_request(service);
         let timeout = self.time_left(route) + TIMEOUT_MARGIN;
-        match runtime::timeout(timeout, self.run_attempts(route, service, &customer)).await {
+        match runtime::timeout(timeout, attempts::run(self, route, service, &customer)).await {
             Ok(reuse) => reuse,
             Err(_) => self.send_timeout().await,
         }
@@ -173,167 +168,11 @@
     }
 
     /// Returns the time until the earlier of the caller's deadline and the route's timeout.
-    fn time_left(&self, route: &Route) -> Duration {
+    pub(crate) fn time_left(&self, route: &Route) -> Duration {
         let limit = self.request.time_left.unwrap_or(route.timeout).min(route.timeout);
         limit.saturating_sub(self.received.elapsed())
     }
 
-    /// Sends the request to one backend server after the other until one responds or no further
-    /// attempt is allowed.
-    async fn run_attempts(
-        &self,
-        route: &Route,
-        service: &ServiceId,
-        customer: &Option<CustomerId>,
-    ) -> ConnectionReuse {
-        let mut requirements = BackendRequirements {
-            service: service.clone(),
-            model: self.request.model.clone(),
-            prompt_tokens: self.request.sizes.prompt_tokens,
-            is_resumed: false,
-            excluded: self.host.crash_suspects.borrow().crashed_backends(self.fingerprint.get()),
-        };
-        let mut n_sent = 0;
-        let mut fallback = None;
-        while n_sent < route.max_attempts {
-            requirements.is_resumed = self.is_head_sent.get();
-            let queue_timeout = match requirements.is_resumed {
-                true => RESUME_QUEUE_TIMEOUT,
-                false => route.latency_objective.mul_f64(QUEUE_TIMEOUT_SHARE),
-            };
-            let reservation =
-                match Reservation::wait(&self.host, &requirements, queue_timeout).await {
-                    Ok(reservation) => reservation,
-                    Err(ReservationError::NoBackend)
-                        if n_sent == 0 && !requirements.excluded.is_empty() =>
-                    {
-                        requirements.excluded.clear();
-                        continue;
-                    }
-                    Err(reason) if n_sent == 0 => return self.send_reservation_error(reason).await,
-                    Err(_) => break,
-                };
-            if n_sent > 0 && !self.host.try_spend_retry(service) {
-                break;
-            }
-            requirements.excluded.push(reservation.backend.clone());
-            self.trace.record_attempt(
-                &reservation.backend,
-                (reservation.load.n_requests, reservation.load.unread_tokens),
-                reservation.version,
-            );
-            let is_last = n_sent + 1 >= route.max_attempts;
-            let outcome = self.run_attempt(route, &reservation, customer, is_last).await;
-            reservation.record_outcome(outcome.service_outcome());
-            // A plain service may respond with errors to sound requests; an engine does not.
-            if matches!(outcome, AttemptOutcome::Failed(..)) && reservation.is_at_engine() {
-                let mut health = self.host.health.borrow_mut();
-                health.record_failure(&reservation.backend, Instant::now());
-            }
-            drop(reservation);
-            match outcome {
-                AttemptOutcome::Done(reuse) => return reuse,
-                AttemptOutcome::Refused(head, body) => {
-                    n_sent += 1;
-                    fallback = fallback.or(Some((head, body)));
-                }
-                AttemptOutcome::Unreachable => continue,
-                AttemptOutcome::Failed(head, body) => {
-                    n_sent += 1;
-                    self.verdict.set(Verdict::MayHaveRun);
-                    fallback = Some((head, body));
-                    if !route.is_repeatable() {
-                        break;
-                    }
-                }
-                AttemptOutcome::Lost => {
-                    n_sent += 1;
-                    self.verdict.set(Verdict::MayHaveRun);
-                    fallback = None;
-                    if !route.is_repeatable() {
-                        break;
-                    }
-                }
-            }
-        }
-        self.respond_after_attempts(fallback).await
-    }
-
-    /// Responds after the last attempt failed: with the response of a failed attempt, if it is
-    /// accurate, or else with an error of the entry host.
-    async fn respond_after_attempts(
-        &self,
-        fallback: Option<(ResponseHead, Vec<u8>)>,
-    ) -> ConnectionReuse {
-        if self.is_head_sent.get() {
-            self.trace.record_outcome(TraceOutcome::Cut);
-            return ConnectionReuse::Close;
-        }
-        // A backend server's statement that the request did not run is accurate only if no other
-        // attempt may have run.
-        let is_accurate = |head: &ResponseHead| {
-            self.verdict.get() == Verdict::NotRun || !matches!(head.status, 408 | 421 | 429 | 503)
-        };
-        match fallback {
-            Some((head, body)) if is_accurate(&head) && head.status != 421 => {
-                self.forward_response(head, &body).await
-            }
-            _ if self.verdict.get() == Verdict::NotRun => {
-                self.send_reservation_error(ReservationError::Full).await
-            }
-            _ => {
-                self.send_error(ErrorResponse::may_have_run(
-                    502,
-                    "the response was lost; retry only if the request is idempotent",
-                ))
-                .await
-            }
-        }
-    }
-
-    /// Sends the request to the backend server of `reservation` and relays its response.
-    async fn run_attempt(
-        &self,
-        route: &Route,
-        reservation: &Reservation,
-        customer: &Option<CustomerId>,
-        is_last: bool,
-    ) -> AttemptOutcome {
-        let call = EngineCall {
-            backend: reservation.backend.clone(),
-            customer: customer.clone(),
-            expected_version: reservation.expected_version,
-            time_left: self.time_left(route),
-            last_event: self.last_event_id.borrow().clone(),
-            body_bytes: self.body.len(),
-        };
-        let head = wire_headers::backend_head(&self.head, &call);
-        let attempt = Attempt {
-            backend: &reservation.backend,
-            address: reservation.address,
-            request_id: &self.request.id,
-            head: &head,
-            body: &self.body,
-            may_reuse: route.kind != RouteKind::NonIdempotent,
-        };
-        self.is_attempt_running.set(true);
-        let outcome = if route.is_stream() {
-            stream_relay::relay(self, route, &attempt, reservation, is_last).await
-        } else if route.is_repeatable() && !is_last {
-            let relay = buffered_relay::relay(self, &attempt);
-            match runtime::timeout(PLAIN_ATTEMPT_TIMEOUT, relay).await {
-                Ok(outcome) => outcome,
-                Err(_) => {
-                    AttemptOutcome::from_lost_response(self, &reservation.backend, "time-out")
-                }
-            }
-        } else {
-            buffered_relay::relay(self, &attempt).await
-        };
-        self.is_attempt_running.set(false);
-        outcome
-    }
-
     /// Forwards a complete response, changing only the headers that concern the connection.
     pub(crate) async fn forward_response(
         &self,
@@ -354,11 +193,27 @@
         self.reuse_after_write(self.caller.write(&bytes).await)
     }
 
-    async fn send_reservation_error(&self, reason: ReservationError) -> ConnectionReuse {
+    /// Returns the part of the prompt for which no engine may get the request.
+    pub(crate) fn quarantined_part(&self) -> Option<QuarantinedPart> {
+        let crashing_parts = self.host.crashing_parts.borrow();
+        crashing_parts.find_quarantined(&self.request.prompt_parts, Instant::now())
+    }
+
+    /// Refuses the request because of a part of its prompt, before it may have run.
+    pub(crate) async fn refuse_quarantined_part(
+        &self,
+        quarantined: &QuarantinedPart,
+    ) -> ConnectionReuse {
+        self.trace.record_quarantined_part(quarantined);
+        let message = "a part of the prompt crashes backend servers; do not send it again";
+        self.send_error(ErrorResponse::not_run(503, message)).await
+    }
+
+    pub(crate) async fn send_reservation_error(&self, reason: ReservationError) -> ConnectionReuse {
         self.send_error(reason.response()).await
     }
 
-    async fn send_error(&self, response: ErrorResponse) -> ConnectionReuse {
+    pub(crate) async fn send_error(&self, response: ErrorResponse) -> ConnectionReuse {
         self.is_head_sent.set(true);
         self.trace.record_outcome(TraceOutcome::Refused {
             status: response.status,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,11 +2,14 @@
 
 mod admission_client;
 mod attempt_outcome;
+mod attempts;
 mod beacon_exchange;
 mod buffered_relay;
 mod caller_connection;
 mod cell_owner;
 mod count_guard;
+mod crash_reports;
+mod crash_watch;
 mod directory;
 mod eligible_servers;
 mod entry_host;
--- a/src/entry/request_trace.rs
+++ b/src/entry/request_trace.rs
@@ -8,9 +8,11 @@
 use metrics::{counter, histogram};
 
 use crate::{
+    entry::crash_reports,
     ids::{BackendId, DocumentNumber, RequestId, WeightsVersion},
     logging::{LineDecision, RateLimit},
     metric_names,
+    placement::QuarantinedPart,
     verdict::Verdict,
 };
 
@@ -61,6 +63,8 @@
     /// Version of the weights at the last engine, by its owner's view.
     version: Cell<Option<WeightsVersion>>,
     outcome: Cell<TraceOutcome>,
+    /// Log fields on the part of the prompt for which the request was refused.
+    part_fields: RefCell<String>,
 }
 
 impl RequestTrace {
@@ -76,6 +80,7 @@
             load: Cell::new((0, 0)),
             version: Cell::new(None),
             outcome: Cell::new(TraceOutcome::CallerLeft),
+            part_fields: RefCell::default(),
         }
     }
 
@@ -107,6 +112,11 @@
         }
     }
 
+    /// Records the part of the prompt for which the request is refused.
+    pub(crate) fn record_quarantined_part(&self, quarantined: &QuarantinedPart) {
+        *self.part_fields.borrow_mut() = format!(" {}", crash_reports::log_fields(quarantined));
+    }
+
     /// Records the outcome of the request.
     pub(crate) fn record_outcome(&self, outcome: TraceOutcome) {
         self.outcome.set(outcome);
@@ -119,11 +129,12 @@
         let ms = |it: Option<Duration>| it.map_or(-1, |it| it.as_millis() as i64);
         let (n_requests, unread_tokens) = self.load.get();
         log::info!(
-            "request: ended request={} outcome={} charter={} attempts={} load={n_requests} \
+            "request: ended request={} outcome={}{} charter={} attempts={} load={n_requests} \
              unread_tokens={unread_tokens} version={} waited_ms={} first_ms={} took_ms={} \
              left_out={n_dropped}",
             self.id,
             self.outcome.get().log_fields(),
+            self.part_fields.borrow(),
             self.charter.get(),
             self.attempts.borrow().join(","),
             self.version.get().unwrap_or(0),
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -14,6 +14,7 @@
     entry::{
         attempt_outcome::AttemptOutcome,
         buffered_relay,
+        crash_watch::CrashWatch,
         exchange::{ConnectionReuse, Exchange},
         request_trace::TraceOutcome,
         reservation::Reservation,
@@ -41,6 +42,7 @@
     route: &Route,
     attempt: &Attempt<'_>,
     reservation: &Reservation,
+    watch: &CrashWatch<'_>,
     is_last: bool,
 ) -> AttemptOutcome {
     let may_retry = route.is_repeatable() && !is_last;
@@ -53,9 +55,7 @@
         Ok(Err(err)) if err.verdict == Verdict::NotRun => {
             return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
         }
-        Ok(Err(err)) => {
-            return AttemptOutcome::from_broken_connection(exchange, attempt.backend, &err.err)
-        }
+        Ok(Err(err)) => return watch.outcome_after_break(&err.err).await,
         Err(_) => {
             return AttemptOutcome::from_lost_response(
                 exchange,
@@ -66,7 +66,7 @@
     };
     let is_success = (200..300).contains(&response.head.status);
     if !is_success {
-        return buffered_relay::forward_buffered(exchange, response, attempt.backend).await;
+        return buffered_relay::forward_buffered(exchange, response, watch).await;
     }
     let info = &response.info;
     if !info.is_event_stream || info.is_encoded || !info.has_receipt {
@@ -94,23 +94,23 @@
         match res {
             Ok(Ok(true)) => {}
             Ok(Ok(false)) if is_empty_by_close(exchange, &response, is_first) => {
+                watch.record_break().await;
                 return AttemptOutcome::from_lost_response(
                     exchange,
                     attempt.backend,
                     "closed before the first event",
-                )
+                );
             }
             Ok(Ok(false)) if splitter.is_between_events() => break,
             Ok(Ok(false)) => {
+                watch.record_break().await;
                 return AttemptOutcome::from_lost_response(
                     exchange,
                     attempt.backend,
                     "ended inside an event",
-                )
-            }
-            Ok(Err(err)) => {
-                return AttemptOutcome::from_broken_connection(exchange, attempt.backend, &err)
+                );
             }
+            Ok(Err(err)) => return watch.outcome_after_break(&err).await,
             Err(_) => {
                 return AttemptOutcome::from_lost_response(
                     exchange,
@@ -132,6 +132,7 @@
         // Comments keep a connection open, but an engine that sends nothing else has stalled.
         if !events.iter().all(|it| it.is_comment) {
             last_progress = Instant::now();
+            watch.record_progress();
             if is_first {
                 is_first = false;
                 reservation.record_first_event();
@@ -147,6 +148,7 @@
         }
     }
     exchange.host.health.borrow_mut().record_success(attempt.backend);
+    watch.record_end(&response).await;
     if let Err(err) = write_end(exchange, &response).await {
         log::debug!(
             "relay: failed to write the response to the caller request={} error=\"{err}\"",
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -1,12 +1,13 @@
 //! Messages that the processes of the system send to each other as datagrams.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     fleet::AdmissionMessage,
     ids::{HostId, RegionId, WeightsVersion, ZoneId},
+    placement::{PartCrash, PartDigest, QuarantinedPart},
 };
 
 /// The content of a datagram between two processes.
@@ -22,6 +23,8 @@
     PiecesHeld(PiecesHeld),
     /// The manifest of a version, from one slot process to another.
     Manifest(ManifestCopy),
+    /// Parts of prompts that are suspected or cleared, from one entry host to the others.
+    CrashReport(CrashReport),
 }
 
 /// The version that the engine of a slot process serves.
@@ -113,6 +116,27 @@
     pub zone: ZoneId,
     /// Requests during which backend servers broke the connection, perhaps in a crash.
     pub losses: Vec<LossCount>,
+    /// Parts of prompts that crash engines.
+    pub quarantined: Vec<QuarantinedPart>,
+}
+
+/// What an entry host learned about parts of prompts since its last report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Crashes of engines.
+    pub crashes: Vec<PartCrash>,
+    /// Suspected parts that engines served.
+    pub cleared: Vec<PartDigest>,
+}
+
+impl CrashReport {
+    /// Adds the time for which the report has waited to the ages in it.
+    pub fn add_age(&mut self, age: Duration) {
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        for crash in &mut self.crashes {
+            crash.sent_ago_ms = crash.sent_ago_ms.saturating_add(age_ms);
+        }
+    }
 }
 
 /// The number of backend servers that broke the connection to one entry host during a request.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,7 +19,10 @@
 pub use crate::fleet::{
     admission_message::{AdmissionMessage, RefusalReason, ServiceOutcome},
     backend_table::BackendTable,
-    beacon::{Beacon, EngineNotice, EntryState, LossCount, ManifestCopy, PeerMessage, PiecesHeld},
+    beacon::{
+        Beacon, CrashReport, EngineNotice, EntryState, LossCount, ManifestCopy, PeerMessage,
+        PiecesHeld,
+    },
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -62,6 +62,16 @@
         self.peers.values().filter(move |it| it.is_live(now)).map(|it| &it.beacon)
     }
 
+    /// Returns `true` if no beacon has arrived yet.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Returns the start time in the newest beacon of an entry host, also of one that timed out.
+    pub fn started_ms(&self, host: &HostId) -> Option<u64> {
+        self.peers.get(host).map(|it| it.beacon.started_ms)
+    }
+
     /// Returns the newest beacon of an entry host, unless it has timed out.
     pub fn live_beacon(&self, host: &HostId, now: Instant) -> Option<&Beacon> {
         self.peers.get(host).filter(|it| it.is_live(now)).map(|it| &it.beacon)
--- a/standins/src/raw_http/scripted_server.rs
+++ b/standins/src/raw_http/scripted_server.rs
@@ -1,8 +1,9 @@
 //! A server whose responses are scripted by the test.
 
 use std::{
+    collections::HashMap,
     io::{self, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         atomic::{AtomicU32, Ordering},
         Arc, Mutex,
@@ -26,6 +27,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends the process, as far as clients can tell, which is back after this time.
+    Crash(Duration),
 }
 
 type Script = dyn Fn(&RawRequest) -> Vec<Step> + Send + Sync;
@@ -39,6 +42,16 @@
     requests: Arc<Mutex<Vec<RawRequest>>>,
     n_aborted_connections: Arc<AtomicU32>,
     n_open_connections: Arc<AtomicU32>,
+    process: Arc<Mutex<Process>>,
+}
+
+/// The sockets that the end of the server's process closes.
+struct Process {
+    listener: TcpListener,
+    /// The open connections by the address of the client.
+    connections: HashMap<SocketAddr, TcpStream>,
+    /// Time until the server listens again; `None` while its process runs.
+    restart_time: Option<Duration>,
 }
 
 impl ScriptedServer {
@@ -53,21 +66,39 @@
             requests: Arc::default(),
             n_aborted_connections: Arc::default(),
             n_open_connections: Arc::default(),
+            process: Arc::new(Mutex::new(Process {
+                listener: listener.try_clone()?,
+                connections: HashMap::new(),
+                restart_time: None,
+            })),
         };
+        let process = server.process.clone();
         let (requests, n_aborted_connections) =
             (server.requests.clone(), server.n_aborted_connections.clone());
         let n_open_connections = server.n_open_connections.clone();
         let script: Arc<Script> = Arc::new(script);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            let mut listener = listener;
+            loop {
+                let Ok((stream, client)) = listener.accept() else {
+                    if let Some(restarted) = restart(address, &process) {
+                        listener = restarted;
+                    }
+                    continue;
+                };
+                let copy = stream.try_clone().map(|it| (client, it));
+                process.lock().unwrap().connections.extend(copy);
+                let process = process.clone();
                 let (requests, script) = (requests.clone(), script.clone());
                 let (n_aborted_connections, n_open_connections) =
                     (n_aborted_connections.clone(), n_open_connections.clone());
                 thread::spawn(move || {
                     n_open_connections.fetch_add(1, Ordering::Relaxed);
-                    if serve(stream, &requests, &*script).is_err() {
+                    if serve(stream, &requests, &*script, &process).is_err() {
                         n_aborted_connections.fetch_add(1, Ordering::Relaxed);
                     }
+                    // The last copy closes the connection.
+                    process.lock().unwrap().connections.remove(&client);
                     n_open_connections.fetch_sub(1, Ordering::Relaxed);
                 });
             }
@@ -75,6 +106,12 @@
         Ok(server)
     }
 
+    /// Ends the process, as far as clients can tell; the server is back at its address after
+    /// `restart_time`.
+    pub fn crash(&self, restart_time: Duration) {
+        self.process.lock().unwrap().crash(restart_time);
+    }
+
     /// Returns the address that the server listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -97,7 +134,35 @@
     }
 }
 
-fn serve(stream: TcpStream, requests: &Mutex<Vec<RawRequest>>, script: &Script) -> io::Result<()> {
+impl Process {
+    /// Closes all sockets, the listening one first, as the end of a process does.
+    fn crash(&mut self, restart_time: Duration) {
+        self.restart_time = Some(restart_time);
+        // A socket that is closed already does not matter.
+        drop(socket2::SockRef::from(&self.listener).shutdown(Shutdown::Both));
+        for (_, connection) in self.connections.drain() {
+            drop(connection.shutdown(Shutdown::Both));
+        }
+    }
+}
+
+/// Waits until the server is to be back and listens again; does nothing while its process runs.
+fn restart(address: SocketAddr, process: &Mutex<Process>) -> Option<TcpListener> {
+    let restart_time = process.lock().unwrap().restart_time?;
+    thread::sleep(restart_time);
+    let listener = TcpListener::bind(address).unwrap();
+    let mut process = process.lock().unwrap();
+    process.listener = listener.try_clone().unwrap();
+    process.restart_time = None;
+    Some(listener)
+}
+
+fn serve(
+    stream: TcpStream,
+    requests: &Mutex<Vec<RawRequest>>,
+    script: &Script,
+    process: &Mutex<Process>,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
@@ -112,6 +177,10 @@
                 Step::Pause(pause) => thread::sleep(pause),
                 Step::Close => return Ok(()),
                 Step::Reset => return reset(writer),
+                Step::Crash(restart_time) => {
+                    process.lock().unwrap().crash(restart_time);
+                    return Ok(());
+                }
             }
         }
     }
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -3,9 +3,11 @@
 #![allow(dead_code)]
 
 use std::{
+    fs::File,
     io::{ErrorKind, Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpStream},
-    process::{Child, Command, Stdio},
+    path::PathBuf,
+    process::{Child, Command},
     sync::atomic::{AtomicU8, Ordering},
     thread,
     time::{Duration, Instant},
@@ -19,6 +21,7 @@
 pub const API_KEY: &str = "weavers-key";
 /// The host name of all routes.
 pub const HOST: &str = "lots.example";
+const LOG_FILE: &str = "process.log";
 /// Time within which a process must listen and become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -31,6 +34,7 @@
 /// An entry host process, with the addresses that it listens on. It is killed when dropped.
 pub struct EntryProcess {
     child: Child,
+    folder: TempDir,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub directory: SocketAddr,
@@ -62,7 +66,8 @@
     }
 }
 
-/// Starts a process with the settings `text`; they are deleted when the folder is dropped.
+/// Starts a process with the settings `text`; they and its log are deleted when the folder is
+/// dropped.
 pub fn start_platform_process(text: &str) -> (Child, TempDir) {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("settings.ini");
@@ -71,7 +76,7 @@
     let child = Command::new(env!("CARGO_BIN_EXE_crocustillerd"))
         .args(["--platform", "--settings"])
         .arg(&path)
-        .stdout(Stdio::null())
+        .stdout(File::create(folder.path().join(LOG_FILE)).unwrap())
         .spawn()
         .unwrap();
     (child, folder)
@@ -100,8 +105,8 @@
              [bounds]\ngrace_s = 4\n{bounds}",
             store
         );
-        let (child, _folder) = start_platform_process(&text);
-        let mut entry = EntryProcess { child, callers, readiness, directory, peers };
+        let (child, folder) = start_platform_process(&text);
+        let mut entry = EntryProcess { child, folder, callers, readiness, directory, peers };
         let started = Instant::now();
         while TcpStream::connect(entry.readiness).is_err() {
             assert!(!entry.has_exited(), "the entry host exited; see its error above");
@@ -128,6 +133,11 @@
         status_of(&read_to_end(&mut stream))
     }
 
+    /// Returns the file to which the process writes its log.
+    pub fn log_path(&self) -> PathBuf {
+        self.folder.path().join(LOG_FILE)
+    }
+
     /// Opens a connection to the address for callers.
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.callers).unwrap();
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -173,6 +173,7 @@
         follows_store: true,
         region: zone.to_owned(),
         zone: zone.to_owned(),
+        quarantined: Vec::new(),
         losses: Vec::new(),
     }
 }
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -14,7 +14,7 @@
         AdmissionMessage, Beacon, EngineNotice, EntryState, LossCount, ManifestCopy, PeerMessage,
         PiecesHeld,
     },
-    placement::Demand,
+    placement::{Demand, QuarantinedPart},
     platform::{
         store::{Metadata, StoredObject},
         wire_config, wire_server,
@@ -225,6 +225,16 @@
         region: "south".to_owned(),
         zone: "depot".to_owned(),
         losses: vec![LossCount { fingerprint: value, n_backends: u32::MAX }; 3],
+        quarantined: vec![
+            QuarantinedPart {
+                part: value,
+                n_crashes: u32::MAX,
+                n_engines: u32::MAX,
+                n_verdicts: u32::MAX,
+                age_ms: value,
+            };
+            3
+        ],
     }
 }
 
