Count the age of changes from when the watch was last up to date

The first response that a suspended host reads may be empty or have another change; the next request is sent after the suspension, so its change counted as new, though it had happened meanwhile. The age is now bounded by the time since the watch was up to date, which is the sending of the last request if its response may have waited. late_versions second_change_keeps_age: 200 before at the bound, 503 now.

--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -58,7 +58,7 @@
     at: Revision,
     needs_list: bool,
     is_after_outage: bool,
-    /// Time at which the watch was last up to date.
+    /// Earliest time at which the watch may have been up to date last.
     last_up_to_date: Option<Instant>,
     /// Time by which the source may have lagged behind the store then.
     max_lag: Duration,
@@ -116,6 +116,7 @@
         progress: &mut Progress,
         apply: &mut impl FnMut(KindUpdate),
     ) -> Result<(), StoreError> {
+        let sent = clock::now();
         let Listing { objects, at } = self.sources.client(source).list(self.kind).await?;
         if at < progress.at {
             // The entry host lags behind this process; try another source.
@@ -139,7 +140,7 @@
         });
         *progress = Progress {
             at,
-            last_up_to_date: Some(clock::now()),
+            last_up_to_date: Some(clock::now() - self.max_delay(sent)),
             max_lag: source.max_lag(),
             source: Some(source),
             ..Progress::default()
@@ -169,10 +170,11 @@
         };
         let mut changes: Changes = res?;
         changes.retain_newest();
-        changes.max_age += self.max_delay(sent);
+        // If the response before waited in this process, this one has changes as old as its wait.
+        changes.max_age += self.max_delay(progress.last_up_to_date.unwrap_or(sent));
         self.update_cache(|it| it.apply(self.kind, &changes));
         progress.at = changes.at;
-        progress.last_up_to_date = Some(clock::now());
+        progress.last_up_to_date = Some(clock::now() - self.max_delay(sent));
         progress.max_lag = source.max_lag();
         progress.source = Some(source);
         progress.is_after_outage = false;
@@ -216,14 +218,14 @@
         }
     }
 
-    /// Returns the longest time for which the response to a request that was sent at `sent` may have
-    /// waited in this process.
-    fn max_delay(&self, sent: Instant) -> Duration {
+    /// Returns the longest time for which a message that was sent after `earliest` and is read now may
+    /// have waited in this process.
+    fn max_delay(&self, earliest: Instant) -> Duration {
         let Some(stalls) = &self.stalls else { return Duration::ZERO };
         let now = clock::now();
         let mut stalls = stalls.borrow_mut();
         stalls.record_turn(now);
-        stalls.max_delay(now).min(now.duration_since(sent))
+        stalls.max_delay(now).min(now.duration_since(earliest))
     }
 
     fn update_cache(&self, act: impl FnOnce(&KindCache)) {
