Try every entry host before one that failed a moment ago

With four or more suspended entry hosts first in its order, a process tried the first three over and over, as three time-outs are as long as the delay until one that failed is tried again. store_relays suspended_relays_are_skipped fails before, passes now.

--- a/src/fleet/store_sources.rs
+++ b/src/fleet/store_sources.rs
@@ -15,6 +15,9 @@
 
 /// Time for which an entry host that failed is not used.
 const RELAY_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Time for which an entry host that failed is used only if all others have failed too; longer than
+/// the time-outs of many hosts that are suspended together.
+const RELAY_AVOID_TIME: Duration = Duration::from_secs(15);
 /// Timeout of a watch request at the store.
 const STORE_WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 /// Timeout of a watch request at an entry host; short, as only this timeout detects a host that
@@ -81,14 +84,17 @@
     /// available entry host, else the store.
     pub fn choose(&self, now: Instant) -> StoreSource {
         let unavailable_since = self.shared.unavailable_since.borrow();
-        let is_available = |it: &StoreSource| {
-            unavailable_since.get(it).is_none_or(|since| now >= *since + RELAY_RETRY_DELAY)
+        let has_not_failed_for = |it: &StoreSource, delay: Duration| {
+            unavailable_since.get(it).is_none_or(|since| now >= *since + delay)
         };
         // The store counts as unavailable until it responds again, which `StoreProbe` detects.
         let uses_store =
             self.prefers_store() && !unavailable_since.contains_key(&StoreSource::Store);
         let relays = self.shared.relays.borrow();
-        let relay = relays.iter().map(|it| StoreSource::Relay(*it)).find(is_available);
+        let relay = [RELAY_AVOID_TIME, RELAY_RETRY_DELAY].into_iter().find_map(|delay| {
+            let mut relays = relays.iter().map(|it| StoreSource::Relay(*it));
+            relays.find(|it| has_not_failed_for(it, delay))
+        });
         relay.filter(|_| !uses_store).unwrap_or(StoreSource::Store)
     }
 
