Ignore a notice about an engine that waited during a suspension

Callers were refused although an engine could serve: a host that was suspended read an old notice that the engine drains after the engine's newer entry, and then believed it for as long as the entry stayed the same. The reading time counted as the time of the notice, the class of the late versions.

late_versions late_notice_yields_to_entry: 503 before, 200 now; the 7 tests of the file pass.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -41,6 +41,8 @@
 
 /// Time after the start for which a host waits for the first beacon of another one.
 const FIRST_BEACON_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time for which a notice about an engine may have waited in this process.
+const MAX_NOTICE_DELAY: Duration = Duration::from_secs(1);
 /// Time for which a leaving host still owns its engines, until the other hosts know that it leaves.
 const HANDOVER_TIME: Duration = Duration::from_secs(1);
 /// The kinds that a host must watch without a gap before other processes watch the store through
@@ -365,8 +367,15 @@
         backends.get(backend).is_some_and(|it| it.is_switching)
     }
 
-    /// Applies the notice of a slot process about its engine.
+    /// Applies the notice of a slot process about its engine, unless it may have waited while this
+    /// process was suspended: the engine's entry in the store is newer then.
     pub(crate) fn apply_notice(&self, notice: &EngineNotice) {
+        let now = clock::now();
+        self.stalls.borrow_mut().record_turn(now);
+        if self.stalls.borrow().max_delay(now) > MAX_NOTICE_DELAY {
+            log::info!("fleet: ignored a late notice engine={}", notice.engine);
+            return;
+        }
         if self.backends.borrow_mut().apply_notice(notice, Instant::now()) {
             log::info!("fleet: engine={} serves={:?}", notice.engine, notice.serves);
             self.cell_owner.decide_waiting(self);
--- a/tests/late_versions.rs
+++ b/tests/late_versions.rs
@@ -4,13 +4,14 @@
 
 use std::{
     io::Write,
+    net::UdpSocket,
     thread,
     time::{Duration, Instant},
 };
 
 use crocustiller::{
     clock,
-    fleet::{StallDetector, TURN_INTERVAL},
+    fleet::{EngineNotice, PeerMessage, StallDetector, TURN_INTERVAL},
 };
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
@@ -117,6 +118,28 @@
     assert_eq!(stalls.max_delay(start + ms(5300)), ms(5300));
 }
 
+/// A notice that the engine drains is read after the suspension, when the engine has long been back.
+#[test]
+fn late_notice_yields_to_entry() {
+    let engine = ScriptedServer::start(one_event).unwrap();
+    let (_store, entry) = start(&engine, charter(1), "version_ms = 4000\n");
+    entry.suspend();
+    let notice = EngineNotice {
+        engine: engine.address(),
+        started_ms: 1000,
+        n_orders: 1,
+        model: "lots".to_owned(),
+        serves: None,
+    };
+    let message = bincode::serialize(&PeerMessage::EngineNotice(notice)).unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.send_to(&message, entry.peers).unwrap();
+    thread::sleep(Duration::from_millis(1500));
+    entry.resume();
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(entry.exchange(&stream_request("after")).status(), 200);
+}
+
 #[test]
 fn stall_ages_messages() {
     let ms = Duration::from_millis;
