Count a suspension of the machine in the time that a request has left

An engine would be given more time than its caller still waits: the time since the arrival of a request was kept on the steady clock, which stands still while the machine is suspended.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -8,6 +8,7 @@
 use futures_lite::FutureExt;
 
 use crate::{
+    clock,
     entry::{
         count_guard::CountGuard,
         entry_host::EntryHost,
@@ -85,7 +86,7 @@
         if self.connection.buffered().is_empty() && !self.wait_for_bytes().await? {
             return Ok(None);
         }
-        let received = Instant::now();
+        let received = clock::now();
         let limits = self.limits();
         let read = async {
             let head = self.connection.read_request_head(limits.max_head_bytes).await?;
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    clock,
     entry::{
         attempts,
         entry_host::EntryHost,
@@ -170,7 +171,7 @@
     /// Returns the time until the earlier of the caller's deadline and the route's timeout.
     pub(crate) fn time_left(&self, route: &Route) -> Duration {
         let limit = self.request.time_left.unwrap_or(route.timeout).min(route.timeout);
-        limit.saturating_sub(self.received.elapsed())
+        limit.saturating_sub(clock::elapsed(self.received))
     }
 
     /// Forwards a complete response, changing only the headers that concern the connection.
--- a/src/entry/request_trace.rs
+++ b/src/entry/request_trace.rs
@@ -8,6 +8,7 @@
 use metrics::{counter, histogram};
 
 use crate::{
+    clock,
     entry::crash_reports,
     ids::{BackendId, DocumentNumber, RequestId, WeightsVersion},
     logging::{LineDecision, RateLimit},
@@ -98,7 +99,7 @@
         version: Option<WeightsVersion>,
     ) {
         if self.queue_time.get().is_none() {
-            self.queue_time.set(Some(self.received.elapsed()));
+            self.queue_time.set(Some(clock::elapsed(self.received)));
         }
         self.load.set(load);
         self.version.set(version);
@@ -108,7 +109,7 @@
     /// Records the arrival of the first bytes of a response.
     pub(crate) fn record_first_bytes(&self) {
         if self.time_to_first_bytes.get().is_none() {
-            self.time_to_first_bytes.set(Some(self.received.elapsed()));
+            self.time_to_first_bytes.set(Some(clock::elapsed(self.received)));
         }
     }
 
@@ -140,7 +141,7 @@
             self.version.get().unwrap_or(0),
             ms(self.queue_time.get()),
             ms(self.time_to_first_bytes.get()),
-            self.received.elapsed().as_millis(),
+            clock::elapsed(self.received).as_millis(),
         );
     }
 }
