Name the quarantine of a part of prompts plainly

A newcomer knows "verdict" from the response header, where it states whether a request ran. The quarantine of a part is now PartQuarantine; its field n_verdicts is n_quarantines (messages are encoded without names, so they stay the same). Guilty, excuse, accuse and blame give way to terms of the field. MIN_GENERATIONS was named MAX, but is a lower bound. Comments say what is reported instead of what is told; a comment of a test no longer tells a story. Three tests have new names; what they check is unchanged.

--- a/src/entry/crash_reports.rs
+++ b/src/entry/crash_reports.rs
@@ -1,5 +1,5 @@
-//! Tells the other entry hosts which parts of prompts are suspected of crashing engines, and which
-//! are not, and applies what they tell.
+//! Reports to the other entry hosts which parts of prompts are suspected of crashing engines and
+//! which are cleared, and applies their reports.
 
 use std::{
     rc::Rc,
--- a/src/entry/crash_watch.rs
+++ b/src/entry/crash_watch.rs
@@ -1,4 +1,4 @@
-//! Tells an engine that died under a request from one that served it.
+//! Distinguishes an engine that crashed while it served a request from one that completed it.
 //!
 //! An engine whose connection broke around the start of the response, and that now refuses
 //! connections, has crashed: the parts of the prompt are suspected. A response that goes on clears
@@ -23,7 +23,7 @@
     routing::BackendState,
 };
 
-/// Time after the first event within which a crash is blamed on the request, and after which an
+/// Time after the first event within which a crash counts against the parts of the request, and after which an
 /// event clears it. Engines crash when they begin to write.
 const START_WINDOW: Duration = Duration::from_millis(300);
 /// Timeout of the connection that shows whether the engine's process is gone.
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -76,7 +76,7 @@
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
     /// Parts of prompts that crash engines, as far as all entry hosts know.
     pub(crate) crashing_parts: RefCell<CrashingParts>,
-    /// What this host soon tells the others about parts of prompts.
+    /// The report on parts of prompts that is being collected for the other hosts.
     pub(crate) pending_report: RefCell<Option<CrashReport>>,
     pub(crate) connections: BackendConnections,
     /// The socket for datagrams to and from other processes.
--- a/src/placement/crashing_parts.rs
+++ b/src/placement/crashing_parts.rs
@@ -1,8 +1,9 @@
 //! Detects parts of prompts that crash engines.
 //!
-//! An engine that dies has several requests, each with several parts, so one crash proves nothing.
-//! A part is guilty if crashes on it follow one after the other at distinct engines while no engine
-//! has written an answer on it. The crashes of guilty parts excuse all other parts.
+//! An engine has several requests at once, each with several parts, so one crash proves nothing. A
+//! part is quarantined if crashes on it follow one after the other at distinct engines while no
+//! engine has written an answer on it. Crashes that a quarantined part explains no longer count
+//! against other parts.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -12,17 +13,17 @@
 use crate::{
     ids::BackendId,
     placement::{
-        part_suspect::PartSuspect, part_verdict::PartVerdict, PartCrash, PartDigest,
+        part_quarantine::PartQuarantine, part_suspect::PartSuspect, PartCrash, PartDigest,
         QuarantinedPart,
     },
 };
 
-/// Crashes one after the other at which a part is quarantined.
-const MAX_GENERATIONS: u32 = 3;
+/// Generations of crashes, one after the other, from which a part is quarantined.
+const MIN_GENERATIONS: u32 = 3;
 /// The same while most engines crash without the part, or another part may explain its crashes.
-const MAX_GENERATIONS_IN_DOUBT: u32 = 5;
+const MIN_GENERATIONS_IN_DOUBT: u32 = 5;
 /// The same for a part whose quarantine has ended.
-const MAX_GENERATIONS_AGAIN: u32 = 1;
+const MIN_GENERATIONS_AGAIN: u32 = 1;
 /// Distinct requests that are needed, as one that is repeated says nothing on which part is bad.
 const MIN_REQUESTS: usize = 2;
 /// A part is in doubt if fewer than one in this many of the crashed engines crashed on it.
@@ -33,12 +34,15 @@
 const SETTLING_TIME: Duration = Duration::from_millis(100);
 /// Time after the last crash for which a part is suspected.
 const SUSPICION_TIME: Duration = Duration::from_secs(60);
-/// Interval at which the clearing of a part is told again, in case a message was lost.
+/// Interval at which the clearing of a part is reported again, in case a message was lost.
 const CLEARING_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of parts of a request that are regarded.
 const MAX_PARTS: usize = 8;
+/// Maximum number of parts that are suspected at a time.
 const MAX_SUSPECTS: usize = 256;
-const MAX_VERDICTS: usize = 256;
+/// Maximum number of quarantines that are in force or remembered.
+const MAX_QUARANTINES: usize = 256;
+/// Maximum number of quarantined parts in a beacon.
 const MAX_REPORTED: usize = 32;
 /// Maximum number of engines that are remembered as crashed.
 const MAX_CRASHES: usize = 256;
@@ -47,7 +51,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashingParts {
     suspects: HashMap<PartDigest, PartSuspect>,
-    verdicts: HashMap<PartDigest, PartVerdict>,
+    quarantines: HashMap<PartDigest, PartQuarantine>,
     crashes: VecDeque<RecentCrash>,
 }
 
@@ -75,26 +79,26 @@
         }
     }
 
-    /// Quarantines the guilty parts and returns them.
+    /// Quarantines the parts against which there is enough evidence, and returns them.
     ///
     /// It is called regularly, as evidence counts only after the reports of one crash have arrived.
     pub fn decide(&mut self, now: Instant) -> Vec<QuarantinedPart> {
         let mut quarantined = Vec::new();
         loop {
-            let guilty = self.find_guilty(now);
-            if guilty.is_empty() {
+            let crashing = self.find_crashing(now);
+            if crashing.is_empty() {
                 return quarantined;
             }
-            quarantined.extend(guilty.into_iter().map(|it| self.quarantine(it, now)));
+            quarantined.extend(crashing.into_iter().map(|it| self.quarantine(it, now)));
         }
     }
 
-    /// Clears parts on which an engine has written an answer; returns those of which the other
-    /// hosts should hear.
+    /// Clears parts on which an engine has written an answer; returns those to report to the other
+    /// hosts.
     ///
     /// A quarantine in force stays, since an answer that began before it may end during it.
     pub fn clear(&mut self, parts: &[PartDigest], now: Instant) -> Vec<PartDigest> {
-        if self.suspects.is_empty() && self.verdicts.is_empty() {
+        if self.suspects.is_empty() && self.quarantines.is_empty() {
             return Vec::new();
         }
         let parts = first_parts(parts).iter().copied();
@@ -104,14 +108,14 @@
     /// Returns the part for which a request with these parts is refused.
     pub fn find_quarantined(&self, parts: &[PartDigest], now: Instant) -> Option<QuarantinedPart> {
         let in_force =
-            |part| Some((part, self.verdicts.get(part)?)).filter(|it| it.1.is_in_force(now));
-        let (part, verdict) = first_parts(parts).iter().find_map(in_force)?;
-        Some(verdict.report(*part, now))
+            |part| Some((part, self.quarantines.get(part)?)).filter(|it| it.1.is_in_force(now));
+        let (part, quarantine) = first_parts(parts).iter().find_map(in_force)?;
+        Some(quarantine.report(*part, now))
     }
 
     /// Returns the parts in quarantine for a beacon, the most recent first.
     pub fn quarantined(&self, now: Instant) -> Vec<QuarantinedPart> {
-        let in_force = self.verdicts.iter().filter(|it| it.1.is_in_force(now));
+        let in_force = self.quarantines.iter().filter(|it| it.1.is_in_force(now));
         let mut reports: Vec<QuarantinedPart> =
             in_force.map(|(part, it)| it.report(*part, now)).collect();
         reports.sort_by_key(|it| (it.age_ms, it.part));
@@ -123,11 +127,11 @@
     pub fn merge(&mut self, reported: &[QuarantinedPart], now: Instant) -> Vec<QuarantinedPart> {
         let mut new = Vec::new();
         for report in reported.iter().take(MAX_REPORTED) {
-            let Some(verdict) = PartVerdict::from_report(report, now) else { continue };
+            let Some(quarantine) = PartQuarantine::from_report(report, now) else { continue };
             let was_in_force = self.is_in_force(report.part, now);
-            match self.verdicts.get_mut(&report.part) {
-                Some(known) => known.merge(verdict),
-                None => self.insert_verdict(report.part, verdict),
+            match self.quarantines.get_mut(&report.part) {
+                Some(known) => known.merge(quarantine),
+                None => self.insert_quarantine(report.part, quarantine),
             }
             if !was_in_force && self.is_in_force(report.part, now) {
                 self.explain_crashes_of(report.part, now);
@@ -138,20 +142,20 @@
     }
 
     fn is_in_force(&self, part: PartDigest, now: Instant) -> bool {
-        self.verdicts.get(&part).is_some_and(|it| it.is_in_force(now))
+        self.quarantines.get(&part).is_some_and(|it| it.is_in_force(now))
     }
 
-    /// Returns `true` if the other hosts should hear of it.
+    /// Returns `true` if the clearing should be reported to the other hosts.
     fn clear_part(&mut self, part: PartDigest, now: Instant) -> bool {
         if self.is_in_force(part, now) {
             return false;
         }
-        let had_verdict = self.verdicts.remove(&part).is_some();
-        let Some(suspect) = self.suspects.get_mut(&part) else { return had_verdict };
-        let is_told =
+        let had_quarantine = self.quarantines.remove(&part).is_some();
+        let Some(suspect) = self.suspects.get_mut(&part) else { return had_quarantine };
+        let is_reported =
             suspect.last_clearing().is_some_and(|it| now.duration_since(it) < CLEARING_INTERVAL);
-        if is_told && suspect.n_generations() == 0 {
-            return had_verdict;
+        if is_reported && suspect.n_generations() == 0 {
+            return had_quarantine;
         }
         suspect.clear(now);
         true
@@ -169,11 +173,11 @@
 
     /// Returns the part with the most evidence if it is enough, and all that are inseparable from
     /// it.
-    fn find_guilty(&self, now: Instant) -> Vec<PartDigest> {
+    fn find_crashing(&self, now: Instant) -> Vec<PartDigest> {
         let rank = |(part, it): (&PartDigest, &PartSuspect)| {
             let is_uncleared = it.last_clearing().is_none();
             let rank = (it.n_generations(), it.engines().count(), is_uncleared);
-            self.is_guilty(*part, it, now).then_some((rank, *part))
+            self.has_enough_evidence(*part, it, now).then_some((rank, *part))
         };
         let ranked: Vec<_> = self.suspects.iter().filter_map(rank).collect();
         let Some((most, first)) = ranked.iter().max() else { return Vec::new() };
@@ -183,19 +187,19 @@
         tied.filter(is_inseparable).collect()
     }
 
-    fn is_guilty(&self, part: PartDigest, suspect: &PartSuspect, now: Instant) -> bool {
+    fn has_enough_evidence(&self, part: PartDigest, suspect: &PartSuspect, now: Instant) -> bool {
         let Some(last) = suspect.last_counted() else { return false };
         let n_generations = suspect.n_generations();
         if now.duration_since(last) < SETTLING_TIME {
             return false;
         }
-        if self.verdicts.contains_key(&part) {
-            return n_generations >= MAX_GENERATIONS_AGAIN;
+        if self.quarantines.contains_key(&part) {
+            return n_generations >= MIN_GENERATIONS_AGAIN;
         }
-        if n_generations < MAX_GENERATIONS || suspect.n_requests() < MIN_REQUESTS {
+        if n_generations < MIN_GENERATIONS || suspect.n_requests() < MIN_REQUESTS {
             return false;
         }
-        n_generations >= MAX_GENERATIONS_IN_DOUBT || !self.is_in_doubt(part, suspect, now)
+        n_generations >= MIN_GENERATIONS_IN_DOUBT || !self.is_in_doubt(part, suspect, now)
     }
 
     /// Returns `true` if most engines crashed without the part, or if stronger suspects were at its
@@ -217,23 +221,23 @@
     }
 
     fn quarantine(&mut self, part: PartDigest, now: Instant) -> QuarantinedPart {
-        let n_before = self.verdicts.get(&part).map_or(0, |it| it.n_verdicts);
+        let n_before = self.quarantines.get(&part).map_or(0, |it| it.n_quarantines);
         let suspect = self.suspects.get(&part);
         let n_crashes = suspect.map_or(0, PartSuspect::n_generations);
         let n_engines = suspect.map_or(0, |it| it.engines().count()) as u32;
-        let verdict = PartVerdict::new(n_before + 1, n_crashes, n_engines, now);
-        let report = verdict.report(part, now);
-        self.insert_verdict(part, verdict);
+        let quarantine = PartQuarantine::new(n_before + 1, n_crashes, n_engines, now);
+        let report = quarantine.report(part, now);
+        self.insert_quarantine(part, quarantine);
         self.explain_crashes_of(part, now);
         report
     }
 
-    fn insert_verdict(&mut self, part: PartDigest, verdict: PartVerdict) {
-        if self.verdicts.len() >= MAX_VERDICTS && !self.verdicts.contains_key(&part) {
-            let first = self.verdicts.iter().min_by_key(|it| it.1.until()).map(|it| *it.0);
-            first.map(|it| self.verdicts.remove(&it));
+    fn insert_quarantine(&mut self, part: PartDigest, quarantine: PartQuarantine) {
+        if self.quarantines.len() >= MAX_QUARANTINES && !self.quarantines.contains_key(&part) {
+            let first = self.quarantines.iter().min_by_key(|it| it.1.until()).map(|it| *it.0);
+            first.map(|it| self.quarantines.remove(&it));
         }
-        self.verdicts.insert(part, verdict);
+        self.quarantines.insert(part, quarantine);
     }
 
     fn explain_crashes_of(&mut self, part: PartDigest, now: Instant) {
@@ -241,9 +245,9 @@
         suspect.engines().for_each(|it| self.explain(it, now));
     }
 
-    /// Excuses all suspects of the crash of an engine.
+    /// Marks the crash of an engine as explained; it no longer counts against any suspect.
     fn explain(&mut self, engine: &BackendId, now: Instant) {
-        self.suspects.values_mut().for_each(|it| it.excuse(engine));
+        self.suspects.values_mut().for_each(|it| it.drop_crash(engine));
         self.recent_crash(engine, now).is_explained = true;
     }
 
@@ -264,7 +268,7 @@
         let is_recent = |it: Instant| now.duration_since(it) < SUSPICION_TIME;
         self.suspects.retain(|_, it| is_recent(it.last_crash()));
         self.crashes.retain(|it| is_recent(it.recorded));
-        self.verdicts.retain(|_, it| it.is_remembered(now));
+        self.quarantines.retain(|_, it| it.is_remembered(now));
     }
 }
 
--- a/src/placement/part_verdict.rs
+++ b/src/placement/part_quarantine.rs
@@ -9,46 +9,51 @@
 /// Maximum time of a quarantine.
 const MAX_QUARANTINE: Duration = Duration::from_secs(2 * 60 * 60);
 /// Time after its end for which a quarantine is remembered.
-const MEMORY: Duration = MAX_QUARANTINE;
+const MEMORY_TIME: Duration = MAX_QUARANTINE;
 
-/// A verdict on a part of prompts, in force until its end and remembered for some time.
+/// A quarantine of a part of prompts, in force until its end and remembered for some time.
 #[derive(Clone, Debug)]
-pub(crate) struct PartVerdict {
-    pub(crate) n_verdicts: u32,
+pub(crate) struct PartQuarantine {
+    pub(crate) n_quarantines: u32,
     pub(crate) n_crashes: u32,
     pub(crate) n_engines: u32,
-    // The end rather than the begin, since an instant cannot be before the start of the machine.
+    // The end rather than the start, since an instant cannot be before the start of the machine.
     until: Instant,
 }
 
-impl PartVerdict {
+impl PartQuarantine {
     pub(crate) fn new(
-        n_verdicts: u32,
+        n_quarantines: u32,
         n_crashes: u32,
         n_engines: u32,
         now: Instant,
-    ) -> PartVerdict {
-        PartVerdict { n_verdicts, n_crashes, n_engines, until: now + quarantine_time(n_verdicts) }
+    ) -> PartQuarantine {
+        PartQuarantine {
+            n_quarantines,
+            n_crashes,
+            n_engines,
+            until: now + quarantine_time(n_quarantines),
+        }
     }
 
-    /// Returns the verdict that another host reports if it is still in force.
-    pub(crate) fn from_report(reported: &QuarantinedPart, now: Instant) -> Option<PartVerdict> {
-        let time = quarantine_time(reported.n_verdicts);
+    /// Returns the quarantine that another host reports if it is still in force.
+    pub(crate) fn from_report(reported: &QuarantinedPart, now: Instant) -> Option<PartQuarantine> {
+        let time = quarantine_time(reported.n_quarantines);
         let remaining = time.checked_sub(Duration::from_millis(reported.age_ms))?;
         let is_in_force = !remaining.is_zero();
-        is_in_force.then(|| PartVerdict {
-            n_verdicts: reported.n_verdicts,
+        is_in_force.then(|| PartQuarantine {
+            n_quarantines: reported.n_quarantines,
             n_crashes: reported.n_crashes,
             n_engines: reported.n_engines,
             until: now + remaining,
         })
     }
 
-    /// Takes over what another host knows: a later verdict, or the earlier end of the same one.
-    pub(crate) fn merge(&mut self, other: PartVerdict) {
-        if other.n_verdicts > self.n_verdicts {
+    /// Takes over what another host knows: a later quarantine, or the earlier end of the same one.
+    pub(crate) fn merge(&mut self, other: PartQuarantine) {
+        if other.n_quarantines > self.n_quarantines {
             *self = other;
-        } else if other.n_verdicts == self.n_verdicts {
+        } else if other.n_quarantines == self.n_quarantines {
             self.until = self.until.min(other.until);
         }
     }
@@ -58,28 +63,28 @@
     }
 
     pub(crate) fn is_remembered(&self, now: Instant) -> bool {
-        now < self.until + MEMORY
+        now < self.until + MEMORY_TIME
     }
 
     pub(crate) fn until(&self) -> Instant {
         self.until
     }
 
-    /// Returns the verdict for reports to other hosts and to operators.
+    /// Returns the quarantined part for reports to other hosts and to operators.
     pub(crate) fn report(&self, part: PartDigest, now: Instant) -> QuarantinedPart {
         let remaining = self.until.saturating_duration_since(now);
-        let age = quarantine_time(self.n_verdicts).saturating_sub(remaining);
+        let age = quarantine_time(self.n_quarantines).saturating_sub(remaining);
         QuarantinedPart {
             part,
             n_crashes: self.n_crashes,
             n_engines: self.n_engines,
             age_ms: age.as_millis() as u64,
-            n_verdicts: self.n_verdicts,
+            n_quarantines: self.n_quarantines,
         }
     }
 }
 
-fn quarantine_time(n_verdicts: u32) -> Duration {
-    let factor = 2u32.saturating_pow(n_verdicts.saturating_sub(1));
+fn quarantine_time(n_quarantines: u32) -> Duration {
+    let factor = 2u32.saturating_pow(n_quarantines.saturating_sub(1));
     FIRST_QUARANTINE.saturating_mul(factor).min(MAX_QUARANTINE)
 }
--- a/src/placement/part_suspect.rs
+++ b/src/placement/part_suspect.rs
@@ -70,7 +70,7 @@
     }
 
     /// Drops the crash of an engine that another part explains.
-    pub(crate) fn excuse(&mut self, engine: &BackendId) {
+    pub(crate) fn drop_crash(&mut self, engine: &BackendId) {
         self.generations.iter_mut().for_each(|it| {
             it.engines.remove(engine);
         });
--- a/src/placement/quarantined_part.rs
+++ b/src/placement/quarantined_part.rs
@@ -13,8 +13,8 @@
     pub n_crashes: u32,
     /// Distinct engines that crashed.
     pub n_engines: u32,
-    /// Time since the verdict, in milliseconds.
+    /// Time since the start of the quarantine, in milliseconds.
     pub age_ms: u64,
-    /// Verdicts on this part so far; each doubles the time of its quarantine.
-    pub n_verdicts: u32,
+    /// Quarantines of this part so far; each lasts twice as long as the one before, up to a maximum.
+    pub n_quarantines: u32,
 }
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -1,4 +1,4 @@
-//! Which parts of prompts are blamed for crashes, by the random days of an emulated pool.
+//! Which parts of prompts are quarantined after crashes, in random days of an emulated pool.
 
 mod emulated_pool;
 
@@ -80,7 +80,7 @@
 
 /// Engines die for all kinds of reasons, and rare parts are in requests to them.
 #[test]
-fn no_part_falsely_accused() {
+fn no_part_falsely_quarantined() {
     let mut falsely = Vec::new();
     for seed in 0..200 {
         let mut random = Rng::with_seed(seed);
--- a/tests/crashing_parts_spread.rs
+++ b/tests/crashing_parts_spread.rs
@@ -178,7 +178,7 @@
 
 /// Half of the engines end at one moment, again and again, under sound requests only.
 #[test]
-fn mass_crashes_accuse_nobody() {
+fn mass_crashes_quarantine_nothing() {
     let fleet = Fleet::start(2, 6);
     let responses: Vec<String> = thread::scope(|scope| {
         let callers: Vec<_> = (0..12)
--- a/tests/emulated_pool/mod.rs
+++ b/tests/emulated_pool/mod.rs
@@ -34,10 +34,10 @@
     /// The parts that bad requests have beside those of sound ones, in this place of the prompt.
     pub(crate) bad_parts: Vec<Vec<PartDigest>>,
     pub(crate) bad_place: usize,
-    /// Engines that die although no request is to blame, and when.
+    /// When engines crash for another reason than a request, and which.
     pub(crate) crashes: Vec<(u64, Vec<usize>)>,
     pub(crate) loss: f64,
-    /// The hosts before this one hear nothing of the others until `joined_ms`.
+    /// The hosts before this one receive nothing from the others until `joined_ms`.
     pub(crate) split_at: usize,
     pub(crate) joined_ms: u64,
     pub(crate) restart_ms: Option<u64>,
@@ -72,7 +72,7 @@
     Ends(u64),
     Retries { host: usize, parts: Vec<PartDigest>, request: u64, n_before: u32 },
     Restarts(usize),
-    Dies(usize),
+    Crash(usize),
     CrashSeen { host: usize, engine: String, parts: Vec<PartDigest>, request: u64, sent: u64 },
     CrashHeard { host: usize, engine: String, parts: Vec<PartDigest>, request: u64, sent_ago: u64 },
     ClearingHeard { host: usize, parts: Vec<PartDigest> },
@@ -135,7 +135,7 @@
             pool.schedule(first % DECISION_MS, Event::Decides(host));
         }
         for (at, engines) in &day.crashes {
-            engines.iter().for_each(|it| pool.schedule(*at, Event::Dies(*it)));
+            engines.iter().for_each(|it| pool.schedule(*at, Event::Crash(*it)));
         }
         if let Some(at) = day.restart_ms {
             pool.schedule(at, Event::HostRestarts(0));
@@ -197,7 +197,7 @@
                 self.engines[engine].0 += 1;
                 self.engines[engine].1 = true;
             }
-            Event::Dies(engine) => self.crash(engine),
+            Event::Crash(engine) => self.crash(engine),
             Event::CrashSeen { host, engine, parts, request, sent } => {
                 let sent_ago = self.now - sent;
                 self.record_crash(host, &engine, &parts, request, sent_ago);
--- a/tests/late_versions.rs
+++ b/tests/late_versions.rs
@@ -166,12 +166,12 @@
 /// A steady clock that stops while the machine is suspended would prolong the bound.
 #[test]
 fn clock_counts_suspensions() {
-    let boot_time = || {
+    let machine_time = || {
         let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
         Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
     };
-    let (start, booted) = (clock::now(), boot_time());
+    let (start, machine_start) = (clock::now(), machine_time());
     thread::sleep(Duration::from_millis(50));
-    let difference = clock::elapsed(start).abs_diff(boot_time() - booted);
+    let difference = clock::elapsed(start).abs_diff(machine_time() - machine_start);
     assert!(difference < Duration::from_millis(10), "{difference:?}");
 }
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -230,7 +230,7 @@
                 part: value,
                 n_crashes: u32::MAX,
                 n_engines: u32::MAX,
-                n_verdicts: u32::MAX,
+                n_quarantines: u32::MAX,
                 age_ms: value,
             };
             3
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -98,7 +98,7 @@
 
 /// The crashes of a part in quarantine are no evidence against the parts beside it.
 #[test]
-fn explained_crashes_accuse_nobody() {
+fn explained_crashes_quarantine_nothing() {
     let now = later();
     let mut table = CrashingParts::default();
     for number in 0..4 {
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -240,8 +240,7 @@
 }
 
 /// A slot keeps no idle connection to the origin, which accepts fewer connections than there are
-/// slots. Seen in the incident inc-f6f9 (Habimana): slots that waited for their scheduled fetch
-/// used all connections, others were reset until the origin died, and the version was 10 s late.
+/// slots.
 #[test]
 fn no_idle_origin_connections() {
     let origin = origin_server(|target, _, body| match target.contains("num=3&") {
