--- a/src/placement/crashing_parts.rs
+++ b/src/placement/crashing_parts.rs
@@ -2,8 +2,9 @@
 //!
 //! An engine has several requests at once, each with several parts, so one crash proves nothing. A
 //! part is quarantined if crashes on it follow one after the other at distinct engines while no
-//! engine has written an answer on it. Crashes that a quarantined part explains no longer count
-//! against other parts.
+//! engine has written an answer on it. Crashes of requests that were in progress together form one
+//! generation, since one cause may explain them all; the next one opens with a request that was sent
+//! later. Crashes that a quarantined part explains no longer count against other parts.
 
 use std::{
     collections::{HashMap, VecDeque},
