Late versions: one call for the delay of a message, one encoding of changes

StallDetector::max_delay records the turn itself, as both of its callers did just before. The response to a watch is encoded by the derived serialization that its test already used, not by a second list of its fields; the age is then rounded to the nearest millisecond where it was cut. Two tests of late_versions share their beginning; each keeps its assertions. Comments keep to the width of a line.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -370,9 +370,7 @@
     /// Applies the notice of a slot process about its engine, unless it may have waited while this
     /// process was suspended: the engine's entry in the store is newer then.
     pub(crate) fn apply_notice(&self, notice: &EngineNotice) {
-        let now = clock::now();
-        self.stalls.borrow_mut().record_turn(now);
-        if self.stalls.borrow().max_delay(now) > MAX_NOTICE_DELAY {
+        if self.stalls.borrow_mut().max_delay(clock::now()) > MAX_NOTICE_DELAY {
             log::info!("fleet: ignored a late notice engine={}", notice.engine);
             return;
         }
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -85,7 +85,8 @@
     pub(crate) address: SocketAddr,
     /// Last known load of the backend server when it was chosen.
     pub(crate) load: Load,
-    /// Version of the weights that the engine serves, by its owner's view; `None` for a plain service.
+    /// Version of the weights that the engine serves, by its owner's view; `None` for a plain
+    /// service.
     pub(crate) version: Option<WeightsVersion>,
     /// Version of the weights that the engine must serve; `None` if any version will do.
     pub(crate) expected_version: Option<WeightsVersion>,
@@ -183,8 +184,8 @@
         })
     }
 
-    /// Returns once the request must have started, as the version of its engine is too old from then on.
-    /// This may result from a version that is published while the request waits.
+    /// Returns once the request must have started, as the version of its engine is too old from then
+    /// on. This may result from a version that is published while the request waits.
     pub(crate) async fn pass_start_deadline(&self) {
         let (Some(model), Some(version)) = (&self.model, self.version) else {
             return std::future::pending().await;
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -218,14 +218,12 @@
         }
     }
 
-    /// Returns the longest time for which a message that was sent after `earliest` and is read now may
-    /// have waited in this process.
+    /// Returns the longest time for which a message that was sent after `earliest` and is read now
+    /// may have waited in this process.
     fn max_delay(&self, earliest: Instant) -> Duration {
         let Some(stalls) = &self.stalls else { return Duration::ZERO };
         let now = clock::now();
-        let mut stalls = stalls.borrow_mut();
-        stalls.record_turn(now);
-        stalls.max_delay(now).min(now.duration_since(earliest))
+        stalls.borrow_mut().max_delay(now).min(now.duration_since(earliest))
     }
 
     fn update_cache(&self, act: impl FnOnce(&KindCache)) {
--- a/src/fleet/stall_detector.rs
+++ b/src/fleet/stall_detector.rs
@@ -4,7 +4,8 @@
 
 /// Interval at which turns must be recorded.
 pub const TURN_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two turns above which the process was stalled: suspended, or without processor time.
+/// Time between two turns above which the process was stalled: suspended, or without processor
+/// time.
 const MIN_STALL: Duration = Duration::from_millis(200);
 /// Time after a stall within which the messages that waited meanwhile are read.
 const CATCH_UP_TIME: Duration = Duration::from_secs(2);
@@ -32,8 +33,7 @@
         StallDetector { last_turn: now, stalls: Vec::new() }
     }
 
-    /// Records that the process runs. Call this every `TURN_INTERVAL`, and before a message is
-    /// handled whose age matters.
+    /// Records that the process runs. Call this every `TURN_INTERVAL`.
     pub fn record_turn(&mut self, now: Instant) {
         let began = std::mem::replace(&mut self.last_turn, now);
         let length = now.duration_since(began);
@@ -47,7 +47,8 @@
     }
 
     /// Returns the longest time for which a message that is read now may have waited unread.
-    pub fn max_delay(&self, now: Instant) -> Duration {
+    pub fn max_delay(&mut self, now: Instant) -> Duration {
+        self.record_turn(now);
         let recent = self.stalls.iter().find(|it| now < it.catch_up_until);
         recent.map_or(Duration::ZERO, |it| now.duration_since(it.began))
     }
--- a/src/fleet/store_sources.rs
+++ b/src/fleet/store_sources.rs
@@ -24,8 +24,8 @@
 /// hangs.
 const RELAY_WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Longest time for which an entry host that watches the store doesn't notice that its connection is
-/// dead; until then it reports that nothing changed.
+/// Longest time for which an entry host that watches the store doesn't notice that its connection
+/// is dead; until then it reports that nothing changed.
 const MAX_RELAY_LAG: Duration = Duration::from_secs(3);
 
 /// A process from which objects of the store can be read.
--- a/src/fleet/version_table.rs
+++ b/src/fleet/version_table.rs
@@ -25,8 +25,8 @@
 /// The intended versions of all models.
 ///
 /// No request may start on an older version once a fixed time, the bound, has passed since a new
-/// intended version was published. The table computes the resulting deadlines. All times are those of
-/// `clock::now`, as the bound also counts while a machine is suspended.
+/// intended version was published. The table computes the resulting deadlines. All times are those
+/// of `clock::now`, as the bound also counts while a machine is suspended.
 #[derive(Clone, Debug)]
 pub struct VersionTable {
     bound: Duration,
--- a/src/platform/wire_objects.rs
+++ b/src/platform/wire_objects.rs
@@ -44,9 +44,7 @@
 
 /// Encodes the response to a watch.
 pub fn encode_changes(changes: &Changes) -> SmallResponse {
-    let max_age_ms = changes.max_age.as_millis() as u64;
-    let body = json!({ "events": changes.events, "at": changes.at, "max-age-ms": max_age_ms });
-    json_response(body.to_string())
+    json_response(json!(changes).to_string())
 }
 
 /// Encodes an error as an HTTP status without a body.
--- a/tests/late_versions.rs
+++ b/tests/late_versions.rs
@@ -15,7 +15,8 @@
 };
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, event_chunk, read_response, request, server_entry, stream_head, EntryProcess,
+    charter, event_chunk, read_response, request, server_entry, stream_head, CallerResponse,
+    EntryProcess,
 };
 use serde_json::{json, Value};
 
@@ -54,6 +55,22 @@
     (store, entry)
 }
 
+/// Suspends the host while `change` is made, until 2.5 s after it publishes version 2; returns the
+/// response at the bound, which an engine with version 1 must not give.
+fn response_at_bound(
+    engine: &ScriptedServer,
+    change: impl FnOnce(&StoreStandin) -> Instant,
+) -> CallerResponse {
+    let (store, entry) = start(engine, charter(1), "version_ms = 4000\n");
+    assert_eq!(entry.exchange(&stream_request("before")).status(), 200);
+    entry.suspend();
+    let published = change(&store);
+    sleep_until(published + Duration::from_millis(2500));
+    entry.resume();
+    sleep_until(published + OLD_VERSION_BOUND);
+    entry.exchange(&stream_request("after"))
+}
+
 fn sleep_until(time: Instant) {
     thread::sleep(time.saturating_duration_since(Instant::now()));
 }
@@ -78,14 +95,7 @@
 #[test]
 fn suspended_host_ends_old_version() {
     let engine = ScriptedServer::start(one_event).unwrap();
-    let (store, entry) = start(&engine, charter(1), "version_ms = 4000\n");
-    assert_eq!(entry.exchange(&stream_request("before")).status(), 200);
-    entry.suspend();
-    let published = publish(&store, 2);
-    sleep_until(published + Duration::from_millis(2500));
-    entry.resume();
-    sleep_until(published + OLD_VERSION_BOUND);
-    let response = entry.exchange(&stream_request("after"));
+    let response = response_at_bound(&engine, |store| publish(store, 2));
     assert_eq!(response.status(), 503, "{}", response.text());
     assert!(engine.requests().iter().all(|it| it.header("x-request-id") != Some("after")));
 }
@@ -94,16 +104,11 @@
 #[test]
 fn second_change_keeps_age() {
     let engine = ScriptedServer::start(one_event).unwrap();
-    let (store, entry) = start(&engine, charter(1), "version_ms = 4000\n");
-    assert_eq!(entry.exchange(&stream_request("before")).status(), 200);
-    entry.suspend();
-    store.put("versions", "other", json!({ "model": "other", "version": 2 }));
-    thread::sleep(Duration::from_millis(100));
-    let published = publish(&store, 2);
-    sleep_until(published + Duration::from_millis(2500));
-    entry.resume();
-    sleep_until(published + OLD_VERSION_BOUND);
-    let response = entry.exchange(&stream_request("after"));
+    let response = response_at_bound(&engine, |store| {
+        store.put("versions", "other", json!({ "model": "other", "version": 2 }));
+        thread::sleep(Duration::from_millis(100));
+        publish(store, 2)
+    });
     assert_eq!(response.status(), 503, "{}", response.text());
 }
 
