Crashing parts: one sender of datagrams, one limit of parts, the digest that exists

Beacons, reports of crashes and messages on reservations were encoded and sent by three copies of the same lines; all use entry/datagrams.rs now. The limit of eight parts stood twice, and reports were cut to it before the decider did the same. A report adds the time of its batch as it adds that of its repetition, once for all crashes. The digest of a part is computed by Digest and digest_hash, with the same value. Beacons are applied where they are sent, which shortens entry_host.rs.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -14,8 +14,8 @@
 use async_executor::Task;
 
 use crate::{
-    entry::{crash_reports, entry_host::EntryHost},
-    fleet::{beacon_interval, entry_registry, MessageReceiver, PeerMessage},
+    entry::{crash_reports, datagrams, entry_host::EntryHost},
+    fleet::{beacon_interval, entry_registry, Beacon, MessageReceiver, PeerMessage},
     platform::store::Store,
     runtime,
 };
@@ -81,8 +81,21 @@
     has_suspects || host.n_preferred_in_zone() < MAX_REPRESENTATIVES
 }
 
+/// Applies the beacon of another entry host. A host that has just started gets one in return, so
+/// that it knows the quarantined parts of prompts before it serves.
+pub(crate) fn apply(host: &EntryHost, from: SocketAddr, beacon: Beacon) {
+    host.beacon_targets.borrow_mut().insert(from, beacon.zone.clone());
+    crash_reports::merge(host, &beacon.quarantined);
+    let is_new = host.peers.borrow().started_ms(&beacon.host) != Some(beacon.started_ms);
+    if is_new && !host.crashing_parts.borrow().quarantined(Instant::now()).is_empty() {
+        send_at_once(host, from);
+    }
+    host.peers.borrow_mut().record_beacon(beacon, Instant::now());
+    host.refresh_peers();
+}
+
 /// Sends a beacon to a host that has just started, if it is one that gets this host's beacons.
-pub(crate) fn send_at_once(host: &EntryHost, target: SocketAddr) {
+fn send_at_once(host: &EntryHost, target: SocketAddr) {
     let (near, far) = targets(host);
     if near.contains(&target) {
         send(host, &[target], beacon_interval(near.len()));
@@ -92,15 +105,7 @@
 }
 
 fn send(host: &EntryHost, targets: &[SocketAddr], interval: Duration) {
-    let bytes = match bincode::serialize(&PeerMessage::Beacon(host.next_beacon(interval))) {
-        Ok(bytes) => bytes,
-        Err(err) => return log::error!("fleet: failed to encode a beacon error=\"{err}\""),
-    };
-    for target in targets.iter().filter(|it| **it != host.settings.peers) {
-        if let Err(err) = host.socket.get_ref().send_to(&bytes, *target) {
-            log::debug!("fleet: failed to send a beacon to={target} error=\"{err}\"");
-        }
-    }
+    datagrams::send(host, targets, &PeerMessage::Beacon(host.next_beacon(interval)));
 }
 
 async fn receive_loop(host: Rc<EntryHost>) {
--- a/src/entry/crash_reports.rs
+++ b/src/entry/crash_reports.rs
@@ -2,15 +2,15 @@
 //! which are cleared, and applies their reports.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use crate::{
-    entry::entry_host::EntryHost,
+    entry::{datagrams, entry_host::EntryHost},
     fleet::{CrashReport, PeerMessage},
-    placement::{PartCrash, PartDigest, QuarantinedPart},
-    relay::MAX_SHARED_PARTS,
+    placement::{PartCrash, PartDigest, QuarantinedPart, MAX_PARTS},
     runtime,
 };
 
@@ -21,16 +21,14 @@
 /// Maximum number of crashes in a datagram.
 const MAX_REPORTED_CRASHES: usize = 64;
 /// Maximum number of cleared parts in a datagram.
-const MAX_REPORTED_PARTS: usize = MAX_REPORTED_CRASHES * MAX_SHARED_PARTS;
+const MAX_REPORTED_PARTS: usize = MAX_REPORTED_CRASHES * MAX_PARTS;
 
 /// Records a crash that this host saw, here and soon at the other hosts.
 pub(crate) fn report_crash(host: &Rc<EntryHost>, crash: PartCrash) {
     host.crashing_parts.borrow_mut().record_crash(&crash, Instant::now());
     queue(host, |report| {
         if report.crashes.len() < MAX_REPORTED_CRASHES {
-            // The report is sent later than this.
-            let sent_ago_ms = crash.sent_ago_ms.saturating_add(BATCH_TIME.as_millis() as u32);
-            report.crashes.push(PartCrash { sent_ago_ms, ..crash });
+            report.crashes.push(crash);
         }
     });
 }
@@ -50,9 +48,8 @@
 
 /// Applies the report of another entry host.
 pub(crate) fn apply(host: &EntryHost, report: CrashReport) {
-    for mut crash in report.crashes.into_iter().take(MAX_REPORTED_CRASHES) {
-        crash.parts.truncate(MAX_SHARED_PARTS);
-        host.crashing_parts.borrow_mut().record_crash(&crash, Instant::now());
+    for crash in report.crashes.iter().take(MAX_REPORTED_CRASHES) {
+        host.crashing_parts.borrow_mut().record_crash(crash, Instant::now());
     }
     let n_cleared = report.cleared.len().min(MAX_REPORTED_PARTS);
     host.crashing_parts.borrow_mut().clear(&report.cleared[..n_cleared], Instant::now());
@@ -92,6 +89,7 @@
         let send_twice = async move {
             runtime::sleep(BATCH_TIME).await;
             let Some(mut report) = host.pending_report.take() else { return };
+            report.add_age(BATCH_TIME);
             send(&host, &report);
             runtime::sleep(REPEAT_DELAY).await;
             report.add_age(REPEAT_DELAY);
@@ -103,13 +101,6 @@
 }
 
 fn send(host: &EntryHost, report: &CrashReport) {
-    let bytes = match bincode::serialize(&PeerMessage::CrashReport(report.clone())) {
-        Ok(bytes) => bytes,
-        Err(err) => return log::error!("crashes: failed to encode a report error=\"{err}\""),
-    };
-    for target in host.beacon_targets.borrow().keys().filter(|it| **it != host.settings.peers) {
-        if let Err(err) = host.socket.get_ref().send_to(&bytes, *target) {
-            log::debug!("crashes: failed to send a report to={target} error=\"{err}\"");
-        }
-    }
+    let targets: Vec<SocketAddr> = host.beacon_targets.borrow().keys().copied().collect();
+    datagrams::send(host, &targets, &PeerMessage::CrashReport(report.clone()));
 }
--- a/src/entry/crash_watch.rs
+++ b/src/entry/crash_watch.rs
@@ -23,8 +23,8 @@
     routing::BackendState,
 };
 
-/// Time after the first event within which a crash counts against the parts of the request, and after which an
-/// event clears it. Engines crash when they begin to write.
+/// Time after the first event within which a crash counts against the parts of the request, and after
+/// which an event clears them. Engines crash when they begin to write.
 const START_WINDOW: Duration = Duration::from_millis(300);
 /// Timeout of the connection that shows whether the engine's process is gone.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -17,7 +17,7 @@
     digest::Digest,
     entry::{
         admission_client::AdmissionClient, beacon_exchange, cell_owner::CellOwner, crash_reports,
-        eligible_servers,
+        datagrams, eligible_servers,
     },
     fleet::{
         entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, CrashReport,
@@ -219,13 +219,7 @@
         if to == self.settings.peers {
             return self.handle_admission(to, message);
         }
-        let bytes = match bincode::serialize(&PeerMessage::Admission(message)) {
-            Ok(bytes) => bytes,
-            Err(err) => return log::error!("cell: failed to encode a message error=\"{err}\""),
-        };
-        if let Err(err) = self.socket.get_ref().send_to(&bytes, to) {
-            log::debug!("cell: failed to send a message to={to} error=\"{err}\"");
-        }
+        datagrams::send(self, &[to], &PeerMessage::Admission(message));
     }
 
     /// Handles a message about reservations.
@@ -242,19 +236,7 @@
     pub(crate) fn apply_message(&self, from: SocketAddr, message: PeerMessage) {
         match message {
             PeerMessage::Admission(message) => self.handle_admission(from, message),
-            PeerMessage::Beacon(beacon) => {
-                self.beacon_targets.borrow_mut().insert(from, beacon.zone.clone());
-                crash_reports::merge(self, &beacon.quarantined);
-                let is_new =
-                    self.peers.borrow().started_ms(&beacon.host) != Some(beacon.started_ms);
-                let has_news =
-                    is_new && !self.crashing_parts.borrow().quarantined(Instant::now()).is_empty();
-                if has_news {
-                    beacon_exchange::send_at_once(self, from);
-                }
-                self.peers.borrow_mut().record_beacon(beacon, Instant::now());
-                self.refresh_peers();
-            }
+            PeerMessage::Beacon(beacon) => beacon_exchange::apply(self, from, beacon),
             PeerMessage::EngineNotice(notice) => self.apply_notice(&notice),
             PeerMessage::CrashReport(report) => crash_reports::apply(self, report),
             PeerMessage::PiecesHeld(_) | PeerMessage::Manifest(_) => {
--- a/src/placement/crashing_parts.rs
+++ b/src/placement/crashing_parts.rs
@@ -38,7 +38,7 @@
 /// Interval at which the clearing of a part is reported again, in case a message was lost.
 const CLEARING_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of parts of a request that are regarded.
-const MAX_PARTS: usize = 8;
+pub const MAX_PARTS: usize = 8;
 /// Maximum number of parts that are suspected at a time.
 const MAX_SUSPECTS: usize = 256;
 /// Maximum number of quarantines that are in force or remembered.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -27,7 +27,7 @@
     backend_health::BackendHealth,
     cell_map::{CellMap, OwnerCandidate},
     crash_suspects::{CrashSuspects, Fingerprint},
-    crashing_parts::CrashingParts,
+    crashing_parts::{CrashingParts, MAX_PARTS},
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
     load::Load,
--- a/src/platform/wire_headers.rs
+++ b/src/platform/wire_headers.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use crate::{
+    digest::Digest,
     http1::{Headers, RequestHead, ResponseHead},
     ids::WeightsVersion,
-    placement::PartDigest,
-    relay::{CallerRequest, EngineCall, PromptSizes, ResponseInfo, MAX_SHARED_PARTS},
+    placement::{PartDigest, MAX_PARTS},
+    relay::{CallerRequest, EngineCall, PromptSizes, ResponseInfo},
+    weights::rank::digest_hash,
 };
 
 const REQUEST_ID: &str = "X-Request-Id";
@@ -68,7 +70,7 @@
     let fields = headers.all(PROMPT_PARTS).filter_map(|it| std::str::from_utf8(it).ok());
     let ids = fields.flat_map(|it| it.split(',')).filter_map(part_id);
     let mut parts: Vec<PartDigest> =
-        ids.take(MAX_SHARED_PARTS + 1).map(|id| digest_part(model, &id)).collect();
+        ids.take(MAX_PARTS + 1).map(|id| digest_part(model, &id)).collect();
     parts.pop();
     parts
 }
@@ -83,13 +85,7 @@
 
 /// Returns the digest of a part, as the same id may name other content for another model.
 fn digest_part(model: &str, id: &str) -> PartDigest {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(model.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(id.as_bytes());
-    let mut digest = [0; size_of::<PartDigest>()];
-    hasher.finalize_xof().fill(&mut digest);
-    PartDigest::from_le_bytes(digest)
+    digest_hash(&Digest::of(format!("{model}\0{id}").as_bytes()))
 }
 
 /// Returns the head of the request to a backend server.
--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -4,9 +4,6 @@
 
 use crate::{ids::RequestId, placement::PartDigest};
 
-/// Maximum number of parts of a prompt that are told apart.
-pub const MAX_SHARED_PARTS: usize = 8;
-
 /// The information in a caller's request head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallerRequest {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,7 +10,7 @@
 pub use crate::relay::{
     attempt::{Attempt, AttemptError, BackendResponse},
     backend_connections::{BackendConnection, BackendConnections},
-    caller_request::{CallerRequest, PromptSizes, MAX_SHARED_PARTS},
+    caller_request::{CallerRequest, PromptSizes},
     engine_call::EngineCall,
     event_splitter::{Event, EventSplitter},
     response_info::ResponseInfo,
