Stream relay: name the loss of an attempt once; the charter finds a pool's engine parameters

Six places built the same outcome over five lines each. The lookup of a pool's engine parameters stood in eligible_servers and, written again, in the relay.

--- a/src/entry/eligible_servers.rs
+++ b/src/entry/eligible_servers.rs
@@ -29,8 +29,7 @@
 /// Returns the number of layers of a pool's models; `None` for a plain service.
 pub(crate) fn n_layers(host: &EntryHost, service: &ServiceId) -> Option<u32> {
     let charter = host.charter.borrow();
-    let engine = charter.as_ref()?.services.get(service)?.engine.as_ref()?;
-    Some(engine.n_layers)
+    Some(charter.as_ref()?.engine(service)?.n_layers)
 }
 
 /// Returns the version of the weights that an engine serves.
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -27,8 +27,8 @@
     verdict::Verdict,
 };
 
-/// Timeout for the head, and again for the first event, beyond the time that the engine needs to read
-/// the prompt, when another attempt may follow.
+/// Timeout for the head, and again for the first event, beyond the time that the engine needs to
+/// read the prompt, when another attempt may follow.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time without an event after which a stream is resumed at another engine.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -47,6 +47,7 @@
 ) -> AttemptOutcome {
     let may_retry = route.is_repeatable() && !is_last;
     let bounded = |timeout: Duration| if may_retry { timeout } else { NO_TIMEOUT };
+    let lost = |reason: &str| AttemptOutcome::from_lost_response(exchange, attempt.backend, reason);
     let first_timeout =
         bounded(FIRST_EVENT_TIMEOUT.saturating_add(reading_time(exchange, attempt.backend)));
     let send = attempt.send(&exchange.host.connections);
@@ -56,13 +57,7 @@
             return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
         }
         Ok(Err(err)) => return watch.outcome_after_break(&err.err).await,
-        Err(_) => {
-            return AttemptOutcome::from_lost_response(
-                exchange,
-                attempt.backend,
-                "no response in time",
-            )
-        }
+        Err(_) => return lost("no response in time"),
     };
     let is_success = (200..300).contains(&response.head.status);
     if !is_success {
@@ -70,11 +65,7 @@
     }
     let info = &response.info;
     if !info.is_event_stream || info.is_encoded || !info.has_receipt {
-        return AttemptOutcome::from_lost_response(
-            exchange,
-            attempt.backend,
-            "not an event stream",
-        );
+        return lost("not an event stream");
     }
     let mut splitter = EventSplitter::default();
     let mut is_first = true;
@@ -95,36 +86,19 @@
             Ok(Ok(true)) => {}
             Ok(Ok(false)) if is_empty_by_close(exchange, &response, is_first) => {
                 watch.record_break().await;
-                return AttemptOutcome::from_lost_response(
-                    exchange,
-                    attempt.backend,
-                    "closed before the first event",
-                );
+                return lost("closed before the first event");
             }
             Ok(Ok(false)) if splitter.is_between_events() => break,
             Ok(Ok(false)) => {
                 watch.record_break().await;
-                return AttemptOutcome::from_lost_response(
-                    exchange,
-                    attempt.backend,
-                    "ended inside an event",
-                );
+                return lost("ended inside an event");
             }
             Ok(Err(err)) => return watch.outcome_after_break(&err).await,
-            Err(_) => {
-                return AttemptOutcome::from_lost_response(
-                    exchange,
-                    attempt.backend,
-                    "no event in time",
-                )
-            }
+            Err(_) => return lost("no event in time"),
         }
         let events = match splitter.push(&bytes) {
             Ok(events) => events,
-            Err(err) => {
-                let reason = err.to_string();
-                return AttemptOutcome::from_lost_response(exchange, attempt.backend, &reason);
-            }
+            Err(err) => return lost(&err.to_string()),
         };
         if events.is_empty() {
             continue;
@@ -166,8 +140,8 @@
     })
 }
 
-/// Waits for a result that precedes the first event, no longer than `timeout` and than the request may
-/// start on the version of its engine.
+/// Waits for a result that precedes the first event, no longer than `timeout` and than the request
+/// may start on the version of its engine.
 async fn until_start<T>(
     reservation: &Reservation,
     timeout: Duration,
@@ -185,14 +159,14 @@
     let charter = exchange.host.charter.borrow();
     let backends = exchange.host.backends.borrow();
     let service = backends.get(backend).map(|it| &it.service);
-    let service = service.and_then(|it| charter.as_ref()?.services.get(it));
-    let Some(engine) = service.and_then(|it| it.engine.as_ref()) else { return Duration::ZERO };
+    let engine = service.and_then(|it| charter.as_ref()?.engine(it));
+    let Some(engine) = engine else { return Duration::ZERO };
     let seconds = f64::from(exchange.request.sizes.prompt_tokens) / engine.read_tokens_per_s;
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
 
-/// Returns `true` if a stream that was closed before its first event lacks events: nothing marks its
-/// end, and only a resumed stream may have none left.
+/// Returns `true` if a stream that was closed before its first event lacks events: nothing marks
+/// its end, and only a resumed stream may have none left.
 fn is_empty_by_close(exchange: &Exchange, response: &BackendResponse, is_first: bool) -> bool {
     is_first && response.ends_by_close() && exchange.last_event_id.borrow().is_none()
 }
--- a/src/routing/routing_charter.rs
+++ b/src/routing/routing_charter.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     ids::{CustomerId, DocumentNumber, ServiceId},
-    routing::{Origin, Route, Service},
+    routing::{EngineSpec, Origin, Route, Service},
 };
 
 /// A charter in the form that routing uses; a charter replaces those with smaller numbers.
@@ -58,6 +58,11 @@
         self.routes.get(&name)?.iter().find(|it| path.starts_with(&it.prefix))
     }
 
+    /// Returns the parameters of a pool's engines; `None` for a plain service.
+    pub fn engine(&self, service: &ServiceId) -> Option<&EngineSpec> {
+        self.services.get(service)?.engine.as_ref()
+    }
+
     /// Returns the origin of weights, if the charter names one.
     pub fn origin(&self) -> Option<&Origin> {
         self.services.values().find_map(|it| it.origin.as_ref())
