Manifests are decoded and checked in one place; tests signal processes in one way

Both readers of a manifest filtered it by the same check after the same decoding. slot_weights had a copy of the way in which entry_process sends signals.

--- a/src/slot/engine_driver.rs
+++ b/src/slot/engine_driver.rs
@@ -36,8 +36,8 @@
 /// Longest time to drain an engine; the requests that still run are aborted and must be resumed at
 /// other engines.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(1700);
-/// Maximum age of the check of the staged pieces at the order to load them. The process may have been
-/// suspended in between, and staged pieces may turn bad.
+/// Maximum age of the check of the staged pieces at the order to load them. The process may have
+/// been suspended in between, and staged pieces may turn bad.
 const MAX_CHECK_AGE: Duration = Duration::from_millis(2500);
 /// The number of unfinished requests at which an engine counts as drained; they are aborted.
 const MAX_CUT_REQUESTS: u32 = 1;
--- a/src/slot/manifest_source.rs
+++ b/src/slot/manifest_source.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Decodes a manifest; returns `None` unless it is valid and has all pieces.
+    fn decode(&self, text: &[u8]) -> Option<Manifest> {
+        decode_manifest(self.version, text).filter(|it| self.has_all_pieces(it))
+    }
+
     /// Returns `true` if a manifest has as many pieces as the pool states. With a shorter one, an
     /// engine would load weights that lack pieces.
     fn has_all_pieces(&self, manifest: &Manifest) -> bool {
@@ -116,10 +121,7 @@
         let path = manifest_path(&self.model, self.version);
         let call = Call::get(&path, PEER_TIMEOUT, MAX_MANIFEST_BYTES);
         match self.client.call(holder, &call).await {
-            Ok(response) if response.head.status == 200 => {
-                let manifest = decode_manifest(self.version, &response.body);
-                manifest.filter(|it| self.has_all_pieces(it))
-            }
+            Ok(response) if response.head.status == 200 => self.decode(&response.body),
             Ok(_) => None,
             Err(err) => {
                 log::info!("weights: failed to read the manifest from={holder} error=\"{err}\"");
@@ -132,8 +134,7 @@
         let origin = self.slot.pool.borrow().as_ref().and_then(|it| it.origin.clone())?;
         match self.origin.read_manifest(&origin, &self.model, self.version).await {
             Ok(text) => {
-                let manifest = decode_manifest(self.version, &text);
-                let manifest = manifest.filter(|it| self.has_all_pieces(it));
+                let manifest = self.decode(&text);
                 match manifest {
                     Some(_) => log::info!(
                         "weights: read the manifest from=origin version={}",
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -82,6 +82,13 @@
     (child, folder)
 }
 
+/// Sends the signal with this name, such as `STOP`, to a process.
+pub fn send_signal(process: &Child, name: &str) {
+    let id = process.id().to_string();
+    let status = Command::new("kill").args(["-s", name, &id]).status().unwrap();
+    assert!(status.success());
+}
+
 impl EntryProcess {
     /// Starts an entry host with the id `id` and waits until it listens.
     pub fn start(store: &StoreStandin, id: &str) -> EntryProcess {
@@ -169,9 +176,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &id]).status().unwrap();
-        assert!(status.success());
+        send_signal(&self.child, name);
     }
 
     /// Returns the largest resident memory of the process so far, in kilobytes.
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, UdpSocket},
-    process::{Child, Command},
+    process::Child,
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -13,7 +13,7 @@
 
 use crocustiller::fleet::{ManifestCopy, PeerMessage, PiecesHeld};
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
-use entry_process::{charter, start_platform_process, unique_loopback_ip};
+use entry_process::{charter, send_signal, start_platform_process, unique_loopback_ip};
 use serde_json::{json, Value};
 use sha2::{Digest, Sha256};
 
@@ -173,12 +173,6 @@
     }
 }
 
-/// Sends a signal to the process of a slot.
-fn signal(slot: &Slot, name: &str) {
-    let id = slot.child.id().to_string();
-    assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
-}
-
 /// The slot is suspended between its check of the staged pieces and the order to load them, and a
 /// piece goes bad meanwhile.
 #[test]
@@ -198,11 +192,11 @@
         thread::sleep(Duration::from_millis(10));
     }
     thread::sleep(Duration::from_millis(200));
-    signal(&slot, "STOP");
+    send_signal(&slot.child, "STOP");
     assert!(slot.engine.lock().unwrap().orders.is_empty(), "the order came too early for the test");
     slot.engine.lock().unwrap().staged.insert(0, b"spoilt".to_vec());
     thread::sleep(Duration::from_millis(3500));
-    signal(&slot, "CONT");
+    send_signal(&slot.child, "CONT");
     slot.check_loaded(2);
 }
 
