Log why a response was cut and how its last attempt was lost

A cut stream was logged without a cause, so that a timeout for silence, a broken connection, missing capacity and a spent budget looked alike unless the line of the attempt was at hand. The line of the request now tells both.

No change of behaviour.

--- a/src/entry/attempt_outcome.rs
+++ b/src/entry/attempt_outcome.rs
@@ -75,6 +75,7 @@
             "relay: attempt lost request={} backend={backend} reason=\"{reason}\"",
             exchange.request.id
         );
+        exchange.trace.record_loss(reason);
         // An engine that switches to other weights aborts its running requests; that is no failure.
         if exchange.host.is_switching(backend) {
             return AttemptOutcome::Lost;
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -7,6 +7,7 @@
         attempt_outcome::AttemptOutcome,
         buffered_relay,
         crash_watch::CrashWatch,
+        cut_reason::CutReason,
         error_response::ErrorResponse,
         exchange::{ConnectionReuse, Exchange},
         request_trace::TraceOutcome,
@@ -50,6 +51,7 @@
     };
     let mut n_sent = 0;
     let mut fallback = None;
+    let mut cut_reason = CutReason::NoAttempt;
     while n_sent < route.max_attempts {
         requirements.is_resumed = exchange.is_head_sent.get();
         let queue_timeout = match requirements.is_resumed {
@@ -66,16 +68,21 @@
                     continue;
                 }
                 Err(reason) if n_sent == 0 => return exchange.send_reservation_error(reason).await,
-                Err(_) => break,
+                Err(_) => {
+                    cut_reason = CutReason::NoCapacity;
+                    break;
+                }
             };
         if let Some(quarantined) = exchange.quarantined_part() {
             let may_have_run = exchange.verdict.get() == Verdict::MayHaveRun;
-            match may_have_run || exchange.is_head_sent.get() {
-                true => break,
-                false => return exchange.refuse_quarantined_part(&quarantined).await,
+            if !may_have_run && !exchange.is_head_sent.get() {
+                return exchange.refuse_quarantined_part(&quarantined).await;
             }
+            cut_reason = CutReason::QuarantinedPart;
+            break;
         }
         if n_sent > 0 && !exchange.host.try_spend_retry(service) {
+            cut_reason = CutReason::NoRetryBudget;
             break;
         }
         requirements.excluded.push(reservation.backend.clone());
@@ -118,17 +125,18 @@
             }
         }
     }
-    respond_after_attempts(exchange, fallback).await
+    respond_after_attempts(exchange, fallback, cut_reason).await
 }
 
 /// Responds after the last attempt failed: with the response of a failed attempt, if it is
-/// accurate, or else with an error of the entry host.
+/// accurate, or else with an error of the entry host. A response that has begun is cut.
 async fn respond_after_attempts(
     exchange: &Exchange,
     fallback: Option<(ResponseHead, Vec<u8>)>,
+    cut_reason: CutReason,
 ) -> ConnectionReuse {
     if exchange.is_head_sent.get() {
-        exchange.trace.record_outcome(TraceOutcome::Cut);
+        exchange.trace.record_outcome(TraceOutcome::Cut(cut_reason));
         return ConnectionReuse::Close;
     }
     // A backend server's statement that the request did not run is accurate only if no other
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -11,6 +11,7 @@
     clock,
     entry::{
         attempts,
+        cut_reason::CutReason,
         entry_host::EntryHost,
         error_response::ErrorResponse,
         request_trace::{RequestTrace, TraceOutcome},
@@ -228,7 +229,7 @@
     /// Sends the response to a request whose deadline has passed.
     async fn send_timeout(&self) -> ConnectionReuse {
         if self.is_head_sent.get() {
-            self.trace.record_outcome(TraceOutcome::Cut);
+            self.trace.record_outcome(TraceOutcome::Cut(CutReason::Deadline));
             return ConnectionReuse::Close;
         }
         let has_not_run = self.verdict.get() == Verdict::NotRun && !self.is_attempt_running.get();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod count_guard;
 mod crash_reports;
 mod crash_watch;
+mod cut_reason;
 mod datagrams;
 mod directory;
 mod eligible_servers;
--- a/src/entry/request_trace.rs
+++ b/src/entry/request_trace.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     clock,
-    entry::crash_reports,
+    entry::{crash_reports, cut_reason::CutReason},
     ids::{BackendId, DocumentNumber, RequestId, WeightsVersion},
     logging::{LineDecision, RateLimit},
     metric_names,
@@ -43,7 +43,7 @@
         reason: &'static str,
     },
     /// The response broke off after its head was sent.
-    Cut,
+    Cut(CutReason),
     /// The caller disconnected before the response ended.
     CallerLeft,
 }
@@ -66,6 +66,8 @@
     outcome: Cell<TraceOutcome>,
     /// Log fields on the part of the prompt for which the request was refused.
     part_fields: RefCell<String>,
+    /// The cause for which the latest attempt was lost.
+    last_loss: RefCell<Option<String>>,
 }
 
 impl RequestTrace {
@@ -82,6 +84,7 @@
             version: Cell::new(None),
             outcome: Cell::new(TraceOutcome::CallerLeft),
             part_fields: RefCell::default(),
+            last_loss: RefCell::default(),
         }
     }
 
@@ -118,11 +121,22 @@
         *self.part_fields.borrow_mut() = format!(" {}", crash_reports::log_fields(quarantined));
     }
 
+    /// Records the cause for which an attempt was lost.
+    pub(crate) fn record_loss(&self, cause: &str) {
+        *self.last_loss.borrow_mut() = Some(cause.to_owned());
+    }
+
     /// Records the outcome of the request.
     pub(crate) fn record_outcome(&self, outcome: TraceOutcome) {
         self.outcome.set(outcome);
     }
 
+    /// Returns the log field on the loss of the latest attempt that was lost, if any.
+    fn loss_field(&self) -> String {
+        let loss = self.last_loss.borrow();
+        loss.as_ref().map(|it| format!(" lost=\"{it}\"")).unwrap_or_default()
+    }
+
     fn log(&self, limit: &'static std::thread::LocalKey<RateLimit>) {
         let LineDecision::Write { n_dropped } = limit.with(|it| it.decide(Instant::now())) else {
             return;
@@ -131,7 +145,7 @@
         let (n_requests, unread_tokens) = self.load.get();
         log::info!(
             "request: ended request={} outcome={}{} charter={} attempts={} load={n_requests} \
-             unread_tokens={unread_tokens} version={} waited_ms={} first_ms={} took_ms={} \
+             unread_tokens={unread_tokens} version={} waited_ms={} first_ms={} took_ms={}{} \
              left_out={n_dropped}",
             self.id,
             self.outcome.get().log_fields(),
@@ -142,6 +156,7 @@
             ms(self.queue_time.get()),
             ms(self.time_to_first_bytes.get()),
             clock::elapsed(self.received).as_millis(),
+            self.loss_field(),
         );
     }
 }
@@ -170,7 +185,7 @@
             TraceOutcome::Answered(_) => "answered",
             TraceOutcome::Refused { verdict: Verdict::NotRun, .. } => "refused",
             TraceOutcome::Refused { .. } => "failed",
-            TraceOutcome::Cut => "cut",
+            TraceOutcome::Cut(_) => "cut",
             TraceOutcome::CallerLeft => "caller-left",
         }
     }
@@ -182,7 +197,8 @@
             TraceOutcome::Refused { status, verdict, reason } => {
                 format!("{} status={status} verdict={verdict} reason=\"{reason}\"", self.name())
             }
-            TraceOutcome::Cut | TraceOutcome::CallerLeft => self.name().to_owned(),
+            TraceOutcome::Cut(reason) => format!("cut reason={}", reason.as_str()),
+            TraceOutcome::CallerLeft => self.name().to_owned(),
         }
     }
 }
