Give a silent backend server up only once another one takes over

Cause: a timeout for silence ended the attempt and only then looked for what should replace it. The class: giving up something that works for something that isn't there yet.

Now the timeout starts a search (successor.rs) while the attempt goes on; the attempt ends when another backend server has reserved capacity and the retry budget allows it, or goes on to its deadline.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,5 +25,6 @@
 mod store_relay;
 mod store_sync;
 mod stream_relay;
+mod successor;
 
 pub(crate) use crate::entry::lifecycle::run;
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -3,10 +3,7 @@
 //! If an engine fails or stalls in the middle of a resumable stream, the next attempt resumes it
 //! after the last event that the caller received.
 
-use std::{
-    future::Future,
-    time::{Duration, Instant},
-};
+use std::{future::Future, pin::pin, time::Duration};
 
 use futures_lite::FutureExt;
 
@@ -18,46 +15,54 @@
         exchange::{ConnectionReuse, Exchange},
         request_trace::TraceOutcome,
         reservation::Reservation,
+        successor::SuccessorSearch,
     },
     http1::HttpError,
     ids::BackendId,
     relay::{Attempt, BackendResponse, Event, EventSplitter},
-    routing::Route,
-    runtime::{self, TimedOut},
     verdict::Verdict,
 };
 
-/// Timeout for the head, and again for the first event, beyond the time that the engine needs to
-/// read the prompt, when another attempt may follow.
+/// Time without the head, and again without the first event, beyond the time that the engine needs to
+/// read the prompt, after which another engine is sought.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time without an event after which a stream is resumed at another engine.
-const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Effectively no timeout, for when no other attempt may follow; the deadline of the request
-/// applies.
-const NO_TIMEOUT: Duration = Duration::from_secs(3600);
+/// Time without an event after which another engine is sought. A sound engine may be silent for
+/// somewhat more than a second.
+const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// The end of a wait for an engine.
+enum Wait<T> {
+    /// The engine sent what was waited for.
+    Received(T),
+    /// The request may not start at this engine any more.
+    Expired,
+    /// The engine was silent, and another one has reserved capacity.
+    Replaced(Reservation),
+}
 
 /// Sends the request and forwards events as they arrive.
 pub(crate) async fn relay(
     exchange: &Exchange,
-    route: &Route,
     attempt: &Attempt<'_>,
     reservation: &Reservation,
     watch: &CrashWatch<'_>,
-    is_last: bool,
+    search: &SuccessorSearch<'_>,
 ) -> AttemptOutcome {
-    let may_retry = route.is_repeatable() && !is_last;
-    let bounded = |timeout: Duration| if may_retry { timeout } else { NO_TIMEOUT };
     let lost = |reason: &str| AttemptOutcome::from_lost_response(exchange, attempt.backend, reason);
-    let first_timeout =
-        bounded(FIRST_EVENT_TIMEOUT.saturating_add(reading_time(exchange, attempt.backend)));
+    let replaced = |reason: &str, successor| {
+        AttemptOutcome::replaced(exchange, attempt.backend, reason, successor)
+    };
+    let first_timeout = FIRST_EVENT_TIMEOUT.saturating_add(reading_time(exchange, attempt.backend));
     let send = attempt.send(&exchange.host.connections);
-    let mut response = match until_start(reservation, first_timeout, send).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(err)) if err.verdict == Verdict::NotRun => {
+    let successor = search.find_after(first_timeout);
+    let mut response = match wait_for(send, successor, reservation.pass_start_deadline()).await {
+        Wait::Received(Ok(response)) => response,
+        Wait::Received(Err(err)) if err.verdict == Verdict::NotRun => {
             return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
         }
-        Ok(Err(err)) => return watch.outcome_after_break(&err.err).await,
-        Err(_) => return lost("no response in time"),
+        Wait::Received(Err(err)) => return watch.outcome_after_break(&err.err).await,
+        Wait::Expired => return lost("no response in time"),
+        Wait::Replaced(successor) => return replaced("no response", successor),
     };
     let is_success = (200..300).contains(&response.head.status);
     if !is_success {
@@ -69,32 +74,31 @@
     }
     let mut splitter = EventSplitter::default();
     let mut is_first = true;
-    let mut last_progress = Instant::now();
+    // Bytes that complete no event are no progress, so the search goes on while they arrive.
+    let mut successor = pin!(search.find_after(first_timeout));
     loop {
         let mut bytes = Vec::new();
-        // Bytes that complete no event are no progress.
-        let waited = last_progress.elapsed();
         let read = response.read(&mut bytes);
-        let res = if is_first {
-            let timeout = first_timeout.saturating_sub(waited);
-            until_start(reservation, timeout, read).await
-        } else {
-            let timeout = bounded(EVENT_GAP_TIMEOUT).saturating_sub(waited);
-            runtime::timeout(timeout, read).await
+        let expired = async {
+            match is_first {
+                true => reservation.pass_start_deadline().await,
+                false => std::future::pending().await,
+            }
         };
-        match res {
-            Ok(Ok(true)) => {}
-            Ok(Ok(false)) if is_empty_by_close(exchange, &response, is_first) => {
+        match wait_for(read, successor.as_mut(), expired).await {
+            Wait::Received(Ok(true)) => {}
+            Wait::Received(Ok(false)) if is_empty_by_close(exchange, &response, is_first) => {
                 watch.record_break().await;
                 return lost("closed before the first event");
             }
-            Ok(Ok(false)) if splitter.is_between_events() => break,
-            Ok(Ok(false)) => {
+            Wait::Received(Ok(false)) if splitter.is_between_events() => break,
+            Wait::Received(Ok(false)) => {
                 watch.record_break().await;
                 return lost("ended inside an event");
             }
-            Ok(Err(err)) => return watch.outcome_after_break(&err).await,
-            Err(_) => return lost("no event in time"),
+            Wait::Received(Err(err)) => return watch.outcome_after_break(&err).await,
+            Wait::Expired => return lost("no event in time"),
+            Wait::Replaced(successor) => return replaced("no event", successor),
         }
         let events = match splitter.push(&bytes) {
             Ok(events) => events,
@@ -105,7 +109,7 @@
         }
         // Comments keep a connection open, but an engine that sends nothing else has stalled.
         if !events.iter().all(|it| it.is_comment) {
-            last_progress = Instant::now();
+            successor.set(search.find_after(EVENT_GAP_TIMEOUT));
             watch.record_progress();
             if is_first {
                 is_first = false;
@@ -140,18 +144,19 @@
     })
 }
 
-/// Waits for a result that precedes the first event, no longer than `timeout` and than the request
-/// may start on the version of its engine.
-async fn until_start<T>(
-    reservation: &Reservation,
-    timeout: Duration,
-    future: impl Future<Output = T>,
-) -> Result<T, TimedOut> {
+/// Waits for a result of the engine, unless a successor is found or the request expires before.
+async fn wait_for<T>(
+    result: impl Future<Output = T>,
+    successor: impl Future<Output = Reservation>,
+    expired: impl Future<Output = ()>,
+) -> Wait<T> {
+    let received = async { Wait::Received(result.await) };
     let expired = async {
-        reservation.pass_start_deadline().await;
-        Err(TimedOut)
+        expired.await;
+        Wait::Expired
     };
-    runtime::timeout(timeout, future).or(expired).await
+    let replaced = async { Wait::Replaced(successor.await) };
+    received.or(expired).or(replaced).await
 }
 
 /// Returns the time in which the engine reads the prompt, at the rate that its pool states.
