The origin of a test waits until the peer was asked for its manifest

wrong_manifest_of_a_peer failed now and then on a busy machine: its origin answered after 30 ms, so the slot could have the right manifest before the peer had told that it has one, and the case of the test did not come up. The origin now refuses the manifest until the peer was asked, so the case comes up in every run; all checks stay.

--- a/tests/slot_messages.rs
+++ b/tests/slot_messages.rs
@@ -49,14 +49,16 @@
         response_steps(200, json!({ "version": 1, "digests": digests }).to_string().as_bytes())
     })
     .unwrap();
-    let origin = origin_server(|_, _, body| {
-        // The peer's messages arrive before the origin's response.
-        thread::sleep(Duration::from_millis(30));
-        response_steps(200, &body)
+    let asked_peer = peer.clone();
+    let origin = origin_server(move |target, _, body| {
+        let is_too_early = target.starts_with("/v1/manifest") && asked_peer.requests().is_empty();
+        response_steps(if is_too_early { 503 } else { 200 }, &body)
     });
     let slot = Slot::start(&origin, EngineState::default());
     let socket = UdpSocket::bind(peer.address()).unwrap();
-    for _ in 0..100 {
+    let started = Instant::now();
+    while peer.requests().is_empty() {
+        assert!(started.elapsed() < LOAD_TIMEOUT, "no manifest request to the peer");
         send_pieces_held(&socket, &slot, true, true);
         thread::sleep(Duration::from_millis(2));
     }
