Log each request that the exit of an entry host cuts

A request that ended with the process left no line, so the log could not tell a request that was accepted too late from one that crossed a close. The new line has its age, the time from the stop signal to its arrival, and whether its answer had begun. The planned end of a process is a type of its own, `Departure`.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -25,6 +25,8 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time before the end of the grace period at which idle connections are closed.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(1200);
+/// Time before the exit of the process at which requests in progress are logged.
+const CUT_TIME: Duration = Duration::from_millis(50);
 /// Interval at which an idle connection checks whether it should close because the host is leaving.
 const LEAVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -68,7 +70,7 @@
     async fn handle(&mut self, request: CompleteRequest) -> ConnectionReuse {
         let CompleteRequest { head, body, received } = request;
         let closes_connection =
-            self.host.leaving_since().is_some() || head.headers.has_member("connection", "close");
+            self.host.departure.since().is_some() || head.headers.has_member("connection", "close");
         let writer = self.connection.writer();
         let host = self.host.clone();
         let _guard = CountGuard::new(host.clone(), |it| &it.n_exchanges);
@@ -78,7 +80,12 @@
             log::debug!("relay: caller disconnected request={}", exchange.request.id);
             ConnectionReuse::Close
         };
-        Box::pin(exchange.run()).or(disconnected).await
+        let cut = async {
+            exchange.host.departure.pass_time_before_exit(CUT_TIME).await;
+            exchange.record_cut_by_exit();
+            std::future::pending().await
+        };
+        Box::pin(exchange.run()).or(disconnected).or(cut).await
     }
 
     /// Returns the next complete request, or `None` if the connection should be closed.
@@ -117,7 +124,7 @@
             loop {
                 runtime::sleep(LEAVE_CHECK_INTERVAL).await;
                 let grace = host.settings.bounds.grace.saturating_sub(IDLE_CLOSE_MARGIN);
-                if host.leaving_since().is_some_and(|it| it.elapsed() > grace) {
+                if host.departure.since().is_some_and(|it| it.elapsed() > grace) {
                     return Ok(false);
                 }
             }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -17,7 +17,7 @@
     digest::Digest,
     entry::{
         admission_client::AdmissionClient, beacon_exchange, cell_owner::CellOwner, crash_reports,
-        datagrams, eligible_servers,
+        datagrams, departure::Departure, eligible_servers,
     },
     fleet::{
         entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, CrashReport,
@@ -36,9 +36,6 @@
     weights::rank::digest_hash,
 };
 
-/// Time before the end of the grace period at which a leaving process exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-
 /// Time after the start for which a host waits for the first beacon of another one.
 const FIRST_BEACON_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum time for which a notice about an engine may have waited in this process.
@@ -95,6 +92,8 @@
     pub(crate) cell_owner: CellOwner,
     /// The reservations that this host holds.
     pub(crate) admission: AdmissionClient,
+    /// The planned end of this process.
+    pub(crate) departure: Departure,
     /// The number of completely received requests whose response has not ended.
     pub(crate) n_exchanges: Cell<usize>,
     /// The number of open connections of callers.
@@ -102,7 +101,6 @@
     /// The other entry hosts for which cells and store sources were last computed.
     known_peers: RefCell<Vec<(HostId, EntryState, bool)>>,
     retry_budgets: RefCell<RetryBudgets>,
-    leaving_since: Cell<Option<Instant>>,
     started: Instant,
     started_ms: u64,
     beacon_number: Cell<u64>,
@@ -144,10 +142,10 @@
             cell_map: RefCell::default(),
             cell_owner: CellOwner::default(),
             admission: AdmissionClient::new(),
+            departure: Departure::new(bounds.grace),
             n_exchanges: Cell::new(0),
             n_connections: Cell::new(0),
             retry_budgets: RefCell::new(retry_budgets),
-            leaving_since: Cell::new(None),
             started: Instant::now(),
             started_ms: since_epoch.as_millis() as u64,
             beacon_number: Cell::new(0),
@@ -156,7 +154,7 @@
 
     /// Returns the state that is reported to callers and peers.
     pub(crate) fn state(&self) -> EntryState {
-        match self.leaving_since.get() {
+        match self.departure.since() {
             Some(_) => EntryState::Leaving,
             None if self.charter.borrow().is_some()
                 && self.has_backends.get()
@@ -174,22 +172,6 @@
         self.started.elapsed() >= FIRST_BEACON_TIMEOUT || !self.peers.borrow().is_empty()
     }
 
-    /// Marks the host as leaving.
-    pub(crate) fn leave(&self) {
-        self.leaving_since.set(Some(Instant::now()));
-    }
-
-    /// Returns when the process began to leave, or `None` while it serves.
-    pub(crate) fn leaving_since(&self) -> Option<Instant> {
-        self.leaving_since.get()
-    }
-
-    /// Returns the time until a leaving process exits, or `None` while it serves.
-    pub(crate) fn time_until_exit(&self) -> Option<Duration> {
-        let grace = self.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
-        self.leaving_since.get().map(|it| grace.saturating_sub(it.elapsed()))
-    }
-
     /// Returns the next beacon, with a new number, for hosts that get one every `interval`.
     pub(crate) fn next_beacon(&self, interval: Duration) -> Beacon {
         self.beacon_number.set(self.beacon_number.get() + 1);
@@ -266,7 +248,7 @@
             let live = peers.live_beacons(Instant::now());
             live.filter(|it| it.state == EntryState::Ready).map(owner_candidate).collect()
         };
-        let leaving_for = self.leaving_since.get().map(|it| it.elapsed());
+        let leaving_for = self.departure.since().map(|it| it.elapsed());
         let has_handed_over = leaving_for.is_some_and(|it| it >= HANDOVER_TIME);
         if !has_handed_over || entry_hosts.is_empty() {
             entry_hosts.push(self.own_candidate());
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -123,7 +123,8 @@
             }
         };
         let time_left = self.time_left(route);
-        if self.host.time_until_exit().is_some_and(|it| !can_finish_before_exit(it, time_left)) {
+        let time_until_exit = self.host.departure.time_until_exit();
+        if time_until_exit.is_some_and(|it| !can_finish_before_exit(it, time_left)) {
             let response = ErrorResponse::not_run(
                 503,
                 "this entry host is shutting down; retry at another one",
@@ -226,6 +227,19 @@
         self.reuse_after_write(res)
     }
 
+    /// Logs a request that the exit of the process is about to cut.
+    pub(crate) fn record_cut_by_exit(&self) {
+        let age = clock::elapsed(self.received);
+        let stop_age = self.host.departure.since().map(|it| it.elapsed()).unwrap_or_default();
+        log::warn!(
+            "relay: cut by the exit request={} age_ms={} received_after_stop_ms={} is_begun={}",
+            self.request.id,
+            age.as_millis(),
+            stop_age.as_millis() as i64 - age.as_millis() as i64,
+            self.is_head_sent.get(),
+        );
+    }
+
     /// Sends the response to a request whose deadline has passed.
     async fn send_timeout(&self) -> ConnectionReuse {
         if self.is_head_sent.get() {
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -102,7 +102,7 @@
             }
         }
         log::info!("daemon: leaving in_progress={}", self.host.n_exchanges.get());
-        self.host.leave();
+        self.host.departure.begin();
         // Keep catching signals, as their default action would end the process before its requests
         // are complete.
         let mut signals = self.signals;
@@ -116,7 +116,7 @@
     /// Waits until callers have closed their connections or the grace period ends, then closes all.
     async fn close(self) {
         let since = Instant::now();
-        while self.host.time_until_exit().is_some_and(|it| !it.is_zero()) {
+        while self.host.departure.time_until_exit().is_some_and(|it| !it.is_zero()) {
             runtime::sleep(LEAVE_CHECK_INTERVAL).await;
             if since.elapsed() > MIN_LEAVE_TIME && self.host.n_connections.get() == 0 {
                 break;
@@ -149,7 +149,7 @@
             log::info!("fleet: removed expired backend servers n={}", expired.len());
         }
         forget_removed_backends(&host);
-        if !expired.is_empty() || host.leaving_since().is_some() {
+        if !expired.is_empty() || host.departure.since().is_some() {
             host.update_cells();
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod crash_watch;
 mod cut_reason;
 mod datagrams;
+mod departure;
 mod directory;
 mod eligible_servers;
 mod entry_host;
