A closed idle connection is not read, and a leaving host reads idle ones until it exits

Callers got neither an answer nor a refusal to a whole request that crossed the close of an idle connection: at the idle limit, and 1.2 s before the end of the grace period, the host closed its side and read and dropped for 0.5 s what still arrived. As the request had been read, the caller of one that may run only once could not send it again.

After an idle wait no answer was just written that a reset could take from the caller, so nothing needs lingering: bytes that are there at the end of the wait are served, else the connection is closed unread. A leaving host no longer closes idle connections early; it goes on to answer what arrives on them until it exits.

Tests on the real process, before: `closed_idle_connection_is_not_read` "the host reads a connection that it has closed", `idle_connections_are_served_until_the_exit` "no answer, sent 513 ms before the end" (one request each 0.05 s on connections of its own). Both pass now.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -23,12 +23,8 @@
 /// Time for which a connection is read after the last response. Closing it with unread bytes would
 /// reset it, and the caller could lose the end of that response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time before the end of the grace period at which idle connections are closed.
-const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(1200);
 /// Time before the exit of the process at which requests in progress are logged.
 const CUT_TIME: Duration = Duration::from_millis(50);
-/// Interval at which an idle connection checks whether it should close because the host is leaving.
-const LEAVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A connection of a caller, whose requests are served one after the other.
 pub(crate) struct CallerConnection {
@@ -54,7 +50,9 @@
         loop {
             let request = match self.read_request().await {
                 Ok(Some(request)) => request,
-                Ok(None) => break,
+                // No response was written lately that the caller could lose, and a request that
+                // crosses the close must stay unread, so that its caller can tell.
+                Ok(None) => return,
                 Err(err) => {
                     self.send_parse_error(&err).await;
                     break;
@@ -116,22 +114,13 @@
     }
 
     /// Waits for the first byte of a request; returns `false` if the idle connection should be
-    /// closed.
+    /// closed. While the host is leaving, it waits until the process exits.
     async fn wait_for_bytes(&mut self) -> Result<bool, HttpError> {
         let idle_timeout = self.limits().idle_timeout;
-        let host = self.host.clone();
-        let leaving = async {
-            loop {
-                runtime::sleep(LEAVE_CHECK_INTERVAL).await;
-                let grace = host.settings.bounds.grace.saturating_sub(IDLE_CLOSE_MARGIN);
-                if host.departure.since().is_some_and(|it| it.elapsed() > grace) {
-                    return Ok(false);
-                }
-            }
-        };
-        let fill = async { self.connection.fill().await };
-        match runtime::timeout(idle_timeout, fill.or(leaving)).await {
+        match runtime::timeout(idle_timeout, self.connection.fill()).await {
             Ok(res) => res,
+            // Bytes may have arrived at the end of the wait.
+            Err(_) if self.connection.is_stale() => self.connection.fill().await,
             Err(_) => Ok(false),
         }
     }
--- /dev/null
+++ b/tests/idle_connections.rs
@@ -0,0 +1,53 @@
+//! Connections that callers keep without a request, up to the idle limit of the charter.
+
+mod entry_process;
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
+
+use crocustiller_standins::raw_http::ScriptedServer;
+use entry_process::{charter, complete_response, read_response, request, Deployment};
+
+/// Time within which a changed charter is in force.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Guards against reading a request after the idle connection was closed: it got neither an answer
+/// nor a refusal, and its caller could not know that it had not run.
+#[test]
+fn closed_idle_connection_is_not_read() {
+    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+    let deployment = Deployment::start("ledger", &[&ledger]);
+    set_idle_limit(&deployment, 2, Duration::from_millis(500));
+    let mut caller = kept_connection(&deployment);
+    assert_eq!(caller.read(&mut [0]).unwrap(), 0, "the idle connection is closed");
+    let hold = request("POST", "/hold/1", "crossing", "");
+    caller.write_all(&hold).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    assert!(caller.write_all(&hold).is_err(), "the host reads a connection that it has closed");
+    assert_eq!(ledger.requests().len(), 1);
+}
+
+/// Opens a connection and makes one request on it.
+fn kept_connection(deployment: &Deployment) -> TcpStream {
+    let mut caller = deployment.entry.connect();
+    caller.write_all(&request("GET", "/stock/1", "first", "")).unwrap();
+    assert_eq!(read_response(&mut caller).status(), 200);
+    caller
+}
+
+/// Puts a charter with this idle limit into force.
+fn set_idle_limit(deployment: &Deployment, number: u64, idle_limit: Duration) {
+    let mut charter = charter(number);
+    charter["limits"]["idle-timeout-ms"] = (idle_limit.as_millis() as u64).into();
+    deployment.store.put("config", "main", charter);
+    let line = format!("charter: in force number={number} ");
+    let started = Instant::now();
+    while !std::fs::read_to_string(deployment.entry.log_path()).unwrap().contains(&line) {
+        assert!(started.elapsed() < APPLY_TIMEOUT, "charter {number} is not in force");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/tests/stop_under_load.rs
+++ b/tests/stop_under_load.rs
@@ -10,7 +10,9 @@
 };
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
-use entry_process::{event_chunk, read_response, request, stream_head, CallerResponse, Deployment};
+use entry_process::{
+    complete_response, event_chunk, read_response, request, stream_head, CallerResponse, Deployment,
+};
 
 /// The grace period in the settings of the test deployment, 4 s.
 const GRACE_PERIOD: Duration = Duration::from_secs(4);
@@ -61,6 +63,30 @@
     assert!(sent[..5].iter().all(|it| it.status() == 200), "{:?}", sent[..5].iter());
 }
 
+/// Guards against dropping requests on kept connections that a leaving host closed as idle.
+#[test]
+fn idle_connections_are_served_until_the_exit() {
+    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+    let mut deployment = Deployment::start("ledger", &[&ledger]);
+    let mut callers: Vec<TcpStream> = (0..70).map(|_| deployment.entry.connect()).collect();
+    for (idx, caller) in callers.iter_mut().enumerate() {
+        caller.write_all(&request("GET", "/stock/1", &format!("first-{idx}"), "")).unwrap();
+        assert_eq!(read_response(caller).status(), 200);
+    }
+    deployment.entry.terminate();
+    let stopped = Instant::now();
+    let send = |(idx, caller): (usize, TcpStream)| {
+        let at = stopped + Duration::from_millis(50) * idx as u32;
+        let id = format!("kept-{idx}");
+        let hold = request("POST", "/hold/1", &id, "");
+        thread::spawn(move || send_at(caller, at, id, &hold))
+    };
+    let threads: Vec<_> = callers.into_iter().enumerate().map(send).collect();
+    let ended = wait_for_exit(&mut deployment, stopped);
+    let sent: Vec<SentRequest> = threads.into_iter().map(|it| it.join().unwrap()).collect();
+    check(&sent, ended, &[ledger]);
+}
+
 /// Checks that no accepted request was cut, that none that was refused or not answered has run, and
 /// that all were answered at once that did not cross the end of the process.
 fn check(sent: &[SentRequest], ended: Instant, servers: &[ScriptedServer]) {
