The longer of two idle limits holds for a connection that is idle when the charter changes

Callers that went by a newly raised idle limit met a closed connection: the limit was taken when the wait began and held until its end. Now it is read again when it has passed, and the longer one holds.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -116,12 +116,19 @@
     /// Waits for the first byte of a request; returns `false` if the idle connection should be
     /// closed. While the host is leaving, it waits until the process exits.
     async fn wait_for_bytes(&mut self) -> Result<bool, HttpError> {
-        let idle_timeout = self.limits().idle_timeout;
-        match runtime::timeout(idle_timeout, self.connection.fill()).await {
-            Ok(res) => res,
-            // Bytes may have arrived at the end of the wait.
-            Err(_) if self.connection.is_stale() => self.connection.fill().await,
-            Err(_) => Ok(false),
+        let idle_since = Instant::now();
+        let limit_at_start = self.limits().idle_timeout;
+        loop {
+            // A caller may go by a charter that came into force during the wait.
+            let idle_timeout = limit_at_start.max(self.limits().idle_timeout);
+            let time_left = idle_timeout.saturating_sub(idle_since.elapsed());
+            match runtime::timeout(time_left, self.connection.fill()).await {
+                Ok(res) => return res,
+                // Bytes may have arrived at the end of the wait.
+                Err(_) if self.connection.is_stale() => return self.connection.fill().await,
+                Err(_) if time_left.is_zero() => return Ok(false),
+                Err(_) => {}
+            }
         }
     }
 
--- a/tests/idle_connections.rs
+++ b/tests/idle_connections.rs
@@ -31,6 +31,23 @@
     assert_eq!(ledger.requests().len(), 1);
 }
 
+/// Guards against closing a connection at the limit of the charter that was in force when it became
+/// idle, while its caller goes by a newer, longer one.
+#[test]
+fn longer_idle_limit_holds_at_once() {
+    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+    let deployment = Deployment::start("ledger", &[&ledger]);
+    set_idle_limit(&deployment, 2, Duration::from_millis(2500));
+    let mut caller = kept_connection(&deployment);
+    let idle_since = Instant::now();
+    set_idle_limit(&deployment, 3, Duration::from_millis(4500));
+    assert!(idle_since.elapsed() < Duration::from_millis(2500), "the charter came too late");
+    thread::sleep(Duration::from_millis(3200).saturating_sub(idle_since.elapsed()));
+    caller.write_all(&request("POST", "/hold/1", "second", "")).unwrap();
+    assert_eq!(read_response(&mut caller).status(), 200);
+    assert_eq!(caller.read(&mut [0]).unwrap(), 0, "the connection is closed at the longer limit");
+}
+
 /// Opens a connection and makes one request on it.
 fn kept_connection(deployment: &Deployment) -> TcpStream {
     let mut caller = deployment.entry.connect();
