Pause before a kind is listed again and again

Cause of the calls: each answer "history lost" led to the next list at once; nothing bounded that path, whatever the reason to list again. Change: ListPacing lets three lists of a kind follow each other, then one a second. A counter tells the lists. The stand-in store can go back to an older copy, gives its revisions out again, tells how often it did so, and counts calls by kind. That changes stay unseen after a return is not mended by this.

--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -7,11 +7,13 @@
 };
 
 use futures_lite::FutureExt;
+use metrics::counter;
 
 use crate::{
     clock,
-    fleet::{KindCache, StallDetector, StoreRetry, StoreSource, StoreSources},
+    fleet::{KindCache, ListPacing, StallDetector, StoreRetry, StoreSource, StoreSources},
     ids::Revision,
+    metric_names,
     platform::store::{Change, Changes, Listing, StoreError, StoredObject},
     runtime,
 };
@@ -64,6 +66,7 @@
     max_lag: Duration,
     /// Source of the latest successful response.
     source: Option<StoreSource>,
+    pacing: ListPacing,
 }
 
 impl KindWatch {
@@ -116,8 +119,12 @@
         progress: &mut Progress,
         apply: &mut impl FnMut(KindUpdate),
     ) -> Result<(), StoreError> {
+        runtime::sleep(progress.pacing.delay(Instant::now())).await;
         let sent = clock::now();
         let Listing { objects, at } = self.sources.client(source).list(self.kind).await?;
+        // `StoreRetry` paces the lists that fail.
+        progress.pacing.record(Instant::now());
+        counter!(metric_names::STORE_LISTS, "kind" => self.kind).increment(1);
         if at < progress.at {
             // The entry host lags behind this process; try another source.
             return Err(StoreError::HistoryLost);
@@ -143,6 +150,7 @@
             last_up_to_date: Some(clock::now() - self.max_delay(sent)),
             max_lag: source.max_lag(),
             source: Some(source),
+            pacing: progress.pacing,
             ..Progress::default()
         };
         Ok(())
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -20,6 +20,8 @@
 pub const READY_BACKENDS: &str = "crocustiller_ready_backends";
 /// Gauge: requests from this host that are in progress at backend servers.
 pub const IN_PROGRESS: &str = "crocustiller_in_progress";
+/// Counter: lists that the store or an entry host answered, by `kind`.
+pub const STORE_LISTS: &str = "crocustiller_store_lists_total";
 /// Gauge: number of the charter in force.
 pub const CHARTER_NUMBER: &str = "crocustiller_charter_number";
 /// Gauge: switch number of a pool, by `pool`.
--- a/standins/src/raw_http/mod.rs
+++ b/standins/src/raw_http/mod.rs
@@ -6,9 +6,10 @@
 mod raw_request;
 mod scripted_server;
 mod store_standin;
+mod store_state;
 
 pub use crate::raw_http::{
     raw_request::RawRequest,
     scripted_server::{ScriptedServer, Step},
-    store_standin::{StoreEndpoint, StoreFault, StoreStandin},
+    store_standin::{CallCounts, StoreEndpoint, StoreFault, StoreStandin},
 };
--- a/standins/src/raw_http/store_standin.rs
+++ b/standins/src/raw_http/store_standin.rs
@@ -2,7 +2,6 @@
 //! watches, and with injected faults.
 
 use std::{
-    collections::BTreeMap,
     io::{self, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex},
@@ -12,10 +11,10 @@
 
 use serde_json::{json, Value};
 
-use crate::raw_http::RawRequest;
-
-/// The maximum number of objects in one page of a list.
-const PAGE_SIZE: usize = 50;
+use crate::raw_http::{
+    store_state::{State, StoreResponse},
+    RawRequest,
+};
 
 /// A fault that the store injects into all calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -29,6 +28,8 @@
     Reset,
     /// Reads calls, sends no response and closes the connection after 60 s.
     Silent,
+    /// Answers each watch that its history is gone.
+    NoHistory,
 }
 
 impl StoreFault {
@@ -52,20 +53,29 @@
 
 #[derive(Default)]
 struct Shared {
-    state: Mutex<State>,
+    state: Mutex<Served>,
     changed: Condvar,
 }
 
+/// The contents of the store, with the fault of all calls and their counts.
 #[derive(Default)]
-struct State {
-    objects: BTreeMap<(String, String), Value>,
-    /// Changes with the kind of their object, oldest first.
-    history: Vec<(String, Value)>,
-    revision: u64,
-    /// The revision up to which history was dropped; a watch from before it gets status 410.
-    compacted_revision: u64,
+struct Served {
+    store: State,
     fault: StoreFault,
-    n_calls: u64,
+    counts: CallCounts,
+}
+
+/// The numbers of calls that a store received, by kind; refused calls count too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Lists, one for each page.
+    pub lists: u64,
+    /// Lists that accept stale data.
+    pub stale_lists: u64,
+    /// Watches.
+    pub watches: u64,
+    /// All other calls.
+    pub writes: u64,
 }
 
 /// An additional address of a store, with a fault of its own.
@@ -104,15 +114,12 @@
     }
 }
 
-/// The status and body of a response.
-type StoreResponse = (u16, Value);
-
 impl StoreStandin {
     /// Listens on a free port of the loopback address.
     pub fn start() -> io::Result<StoreStandin> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let store = StoreStandin { address: listener.local_addr()?, shared: Arc::default() };
-        store.shared.state.lock().unwrap().revision = 1;
+        store.shared.state.lock().unwrap().store = State::new();
         accept_connections(listener, store.shared.clone(), Arc::default());
         Ok(store)
     }
@@ -133,13 +140,13 @@
 
     /// Writes an object, as an operator or an engine does.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        self.shared.state.lock().unwrap().put(kind, name, spec);
+        self.shared.state.lock().unwrap().store.put(kind, name, spec);
         self.shared.changed.notify_all();
     }
 
     /// Deletes an object.
     pub fn remove(&self, kind: &str, name: &str) {
-        self.shared.state.lock().unwrap().remove(kind, name);
+        self.shared.state.lock().unwrap().store.remove(kind, name);
         self.shared.changed.notify_all();
     }
 
@@ -151,77 +158,31 @@
 
     /// Drops the history of changes, so that watches from earlier revisions fail.
     pub fn compact(&self) {
-        let mut state = self.shared.state.lock().unwrap();
-        state.compacted_revision = state.revision;
-        state.history.clear();
-        drop(state);
+        self.shared.state.lock().unwrap().store.compact();
         self.shared.changed.notify_all();
     }
 
-    /// Returns the number of calls received so far.
-    pub fn n_calls(&self) -> u64 {
-        self.shared.state.lock().unwrap().n_calls
-    }
-}
-
-impl State {
-    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Value {
-        self.revision += 1;
-        let metadata = json!({
-            "name": name, "revision": self.revision, "created": self.revision,
-            "finalizers": [], "delete-requested": false,
-        });
-        let object = json!({ "metadata": metadata, "spec": spec, "status": null });
-        self.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
-        self.history.push((kind.to_owned(), json!({ "object": object, "deleted": false })));
-        object
-    }
-
-    fn remove(&mut self, kind: &str, name: &str) {
-        let Some(mut object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) else {
-            return;
-        };
-        self.revision += 1;
-        object["metadata"]["revision"] = json!(self.revision);
-        self.history.push((kind.to_owned(), json!({ "object": object, "deleted": true })));
-    }
-
-    fn list(&self, kind: &str, after: &str) -> StoreResponse {
-        let of_kind = self.objects.iter().filter(|it| it.0 .0 == kind && it.0 .1.as_str() > after);
-        let items: Vec<&Value> = of_kind.map(|it| it.1).collect();
-        let more = items.len() > PAGE_SIZE;
-        (
-            200,
-            json!({
-                "items": items[..items.len().min(PAGE_SIZE)], "more": more, "at": self.revision
-            }),
-        )
+    /// Goes back to the state before the latest `n_changes` changes, as if restored from a copy, and
+    /// gives out their revisions again; waiting watches are closed.
+    pub fn restore(&self, n_changes: usize) {
+        self.shared.state.lock().unwrap().store.restore(n_changes);
+        self.shared.changed.notify_all();
     }
 
-    fn events(&self, kind: &str, since: u64) -> Vec<&Value> {
-        let is_new = |it: &&(String, Value)| {
-            it.0 == kind && it.1["object"]["metadata"]["revision"].as_u64() > Some(since)
-        };
-        self.history.iter().filter(is_new).map(|it| &it.1).collect()
+    /// Returns the objects of a kind.
+    pub fn objects(&self, kind: &str) -> Vec<Value> {
+        self.shared.state.lock().unwrap().store.objects_of(kind)
     }
 
-    fn create(&mut self, kind: &str, object: &Value) -> StoreResponse {
-        let name = object["metadata"]["name"].as_str().unwrap_or("").to_owned();
-        match self.objects.get(&(kind.to_owned(), name.clone())) {
-            Some(stored) => (409, stored.clone()),
-            None => (200, self.put(kind, &name, object["spec"].clone())),
-        }
+    /// Returns the number of calls received so far.
+    pub fn n_calls(&self) -> u64 {
+        let counts = self.counts();
+        counts.lists + counts.stale_lists + counts.watches + counts.writes
     }
 
-    fn replace(&mut self, kind: &str, name: &str, object: &Value) -> StoreResponse {
-        let Some(stored) = self.objects.get(&(kind.to_owned(), name.to_owned())) else {
-            return (404, Value::Null);
-        };
-        let expected = &object["metadata"]["revision"];
-        if !expected.is_null() && *expected != stored["metadata"]["revision"] {
-            return (409, stored.clone());
-        }
-        (200, self.put(kind, name, object["spec"].clone()))
+    /// Returns the numbers of calls received so far, by kind.
+    pub fn counts(&self) -> CallCounts {
+        self.shared.state.lock().unwrap().counts
     }
 }
 
@@ -248,8 +209,10 @@
         while let Some(request) = RawRequest::read(&mut reader)? {
             let Some((status, body)) = self.respond(&request, endpoint) else { return Ok(()) };
             let body = body.to_string();
+            let era = self.state.lock().unwrap().store.era();
             let head = format!(
-                "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+                 Content-Length: {}\r\n\r\n",
                 body.len()
             );
             writer.write_all((head + &body).as_bytes())?;
@@ -264,10 +227,10 @@
         endpoint: &Mutex<EndpointState>,
     ) -> Option<StoreResponse> {
         let mut state = self.state.lock().unwrap();
-        state.n_calls += 1;
+        state.counts.count(request);
         let fault = state.fault.or(endpoint.lock().unwrap().fault);
         match fault {
-            StoreFault::None => {}
+            StoreFault::None | StoreFault::NoHistory => {}
             StoreFault::Status(status) => return Some((status, Value::Null)),
             StoreFault::Reset => return None,
             StoreFault::Silent => {
@@ -295,12 +258,12 @@
                 if field("allow-stale").is_none() {
                     endpoint.lock().unwrap().lists.push(kind.to_owned());
                 }
-                state.list(kind, field("after").unwrap_or(""))
+                state.store.list(kind, field("after").unwrap_or(""))
             }
-            ("POST", _) => state.create(kind, &body),
-            ("PUT", _) => state.replace(kind, name, &body),
+            ("POST", _) => state.store.create(kind, &body),
+            ("PUT", _) => state.store.replace(kind, name, &body),
             ("DELETE", _) => {
-                state.remove(kind, name);
+                state.store.remove(kind, name);
                 (200, Value::Null)
             }
             _ => (404, Value::Null),
@@ -319,19 +282,35 @@
     ) -> Option<StoreResponse> {
         let deadline = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
+        let era = state.store.era();
         loop {
-            if state.fault.or(endpoint.lock().unwrap().fault) != StoreFault::None {
-                return None;
+            match state.fault.or(endpoint.lock().unwrap().fault) {
+                StoreFault::None if state.store.era() == era => {}
+                StoreFault::NoHistory => return Some((410, Value::Null)),
+                _ => return None,
             }
-            if since < state.compacted_revision {
+            if !state.store.has_history_since(since) {
                 return Some((410, Value::Null));
             }
-            let events = state.events(kind, since);
+            let events = state.store.events(kind, since);
             let remaining = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || remaining.is_zero() {
-                return Some((200, json!({ "events": events, "at": state.revision })));
+                return Some((200, json!({ "events": events, "at": state.store.revision() })));
             }
             state = self.changed.wait_timeout(state, remaining).unwrap().0;
         }
     }
 }
+
+impl CallCounts {
+    fn count(&mut self, request: &RawRequest) {
+        let is_get = request.method == "GET";
+        let count = match request.target.as_str() {
+            it if is_get && it.contains("watch=") => &mut self.watches,
+            it if is_get && it.contains("allow-stale") => &mut self.stale_lists,
+            _ if is_get => &mut self.lists,
+            _ => &mut self.writes,
+        };
+        *count += 1;
+    }
+}
--- /dev/null
+++ b/tests/restored_store.rs
@@ -0,0 +1,107 @@
+//! Processes whose store comes back from an older copy: what was written since is gone, and its
+//! revisions are given out again.
+
+mod entry_process;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use crocustiller::{
+    fleet::ListPacing,
+    platform::store::{Store, StoreError},
+    runtime,
+};
+use crocustiller_standins::raw_http::{CallCounts, ScriptedServer, StoreFault, StoreStandin};
+use entry_process::{charter, complete_response, Deployment};
+use serde_json::{json, Value};
+
+/// Time over which calls are counted.
+const COUNT_TIME: Duration = Duration::from_secs(3);
+/// Most lists that an entry host may send in `COUNT_TIME`: two a second for each of four kinds.
+const MAX_LISTS: u64 = 24;
+
+/// Starts an entry host that has applied five charters, the last with number 6.
+fn start_with_charters() -> (Deployment, ScriptedServer) {
+    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+    let deployment = Deployment::start("ledger", &[&ledger]);
+    for version in 2..=6 {
+        deployment.store.put("config", "main", charter(version));
+        thread::sleep(Duration::from_millis(300));
+    }
+    (deployment, ledger)
+}
+
+/// Returns the number of lists that the store gets in `COUNT_TIME`.
+fn count_lists(store: &StoreStandin) -> u64 {
+    let before = store.counts().lists;
+    thread::sleep(COUNT_TIME);
+    store.counts().lists - before
+}
+
+/// The stand-in behaves as the platform's pages say.
+#[test]
+fn restored_standin_reuses_revisions() {
+    let store = StoreStandin::start().unwrap();
+    for name in ["a", "b", "c"] {
+        store.put("servers", name, json!({}));
+    }
+    let client = Store::new(store.address());
+    let names = |store: &StoreStandin| -> Vec<String> {
+        let name = |it: &Value| it["metadata"]["name"].as_str().unwrap().to_owned();
+        store.objects("servers").iter().map(name).collect()
+    };
+    let watch = |at: u64| runtime::run_local(client.watch("servers", at, Duration::ZERO));
+    assert_eq!(watch(1).unwrap().events.len(), 3);
+    store.restore(2);
+    assert_eq!(names(&store), ["a"]);
+    assert!(matches!(watch(4), Err(StoreError::HistoryLost)), "this revision is gone");
+    assert!(watch(2).unwrap().events.is_empty());
+    store.put("servers", "d", json!({}));
+    store.put("servers", "e", json!({}));
+    assert_eq!(names(&store), ["a", "d", "e"]);
+    let changes = watch(3).unwrap();
+    assert_eq!(changes.events.len(), 1, "revision 3 was given out again");
+    let expected = CallCounts { watches: 4, ..CallCounts::default() };
+    assert_eq!(store.counts(), expected);
+}
+
+/// Seen on the bench (restored, restored-twice): each entry host listed 140 times a second.
+#[test]
+fn lists_after_return_are_bounded() {
+    let (deployment, _ledger) = start_with_charters();
+    deployment.store.restore(4);
+    let n_lists = count_lists(&deployment.store);
+    assert!(n_lists <= MAX_LISTS, "{n_lists} lists in {COUNT_TIME:?}");
+}
+
+/// A burst, then one list a second, whatever the times of the attempts.
+#[test]
+fn lists_are_paced() {
+    let start = Instant::now();
+    for step_ms in [1, 70, 400, 999] {
+        let mut pacing = ListPacing::default();
+        let mut now = start;
+        let mut sent = Vec::new();
+        while now < start + Duration::from_secs(20) {
+            if pacing.delay(now).is_zero() {
+                pacing.record(now);
+                sent.push(now);
+            }
+            now += Duration::from_millis(step_ms);
+        }
+        assert_eq!(sent[0], start);
+        assert!(sent[2] <= start + Duration::from_millis(2 * step_ms), "the burst waits");
+        assert!((15..=23).contains(&sent.len()), "{} lists in 20 s", sent.len());
+    }
+}
+
+/// Guards against lists without a pause, whatever the reason to list again.
+#[test]
+fn lists_without_history_are_bounded() {
+    let (deployment, _ledger) = start_with_charters();
+    deployment.store.set_fault(StoreFault::NoHistory);
+    let n_lists = count_lists(&deployment.store);
+    assert!(n_lists <= MAX_LISTS, "{n_lists} lists in {COUNT_TIME:?}");
+}
