A point in the store's history is its generation and a revision

Cause: a revision was taken for a point in history. A lower one was taken for a source that lags, also when the store itself told it; and a watch from a revision that has been given out again misses the changes before it without an error. Change: the store's count of its returns is decoded (0 if it isn't told) and is the first part of each point. It travels in lists, watches, the cache, and from relays to followers and slots. A process lists again once any answer tells a later generation; the probe tells it to watches that wait. A relay refuses followers that know more than itself, and tells at once those that know an earlier generation. The store's own list is never behind, unless it is of an earlier generation.

--- a/src/entry/metrics_endpoint.rs
+++ b/src/entry/metrics_endpoint.rs
@@ -33,6 +33,7 @@
 fn set_gauges(host: &EntryHost) {
     let charter = host.charter.borrow().as_ref().map_or(0, |it| it.number);
     gauge!(metric_names::CHARTER_NUMBER).set(charter as f64);
+    gauge!(metric_names::STORE_GENERATION).set(host.sources.generation() as f64);
     gauge!(metric_names::ENTRY_CONNECTIONS).set(host.n_connections.get() as f64);
     let in_progress = host.request_counts.borrow().total();
     gauge!(metric_names::IN_PROGRESS).set(f64::from(in_progress));
--- a/src/fleet/kind_cache.rs
+++ b/src/fleet/kind_cache.rs
@@ -10,8 +10,10 @@
 
 use crate::{
     clock,
-    ids::Revision,
-    platform::store::{Change, Changes, Listing, StoreError, StoredObject},
+    platform::{
+        store::{Change, Changes, Listing, StoreError, StoredObject},
+        StorePoint,
+    },
     runtime,
 };
 
@@ -33,10 +35,10 @@
     objects: BTreeMap<String, StoredObject>,
     /// The latest changes, oldest first.
     changes: VecDeque<CachedChange>,
-    /// Revision after which `changes` lacks no change.
-    complete_since: Revision,
-    /// Revision of the store that the cache has reached.
-    at: Revision,
+    /// Point after which `changes` lacks no change.
+    complete_since: StorePoint,
+    /// Point in the store's history that the cache has reached.
+    at: StorePoint,
     /// Whether the watch of this kind is up to date.
     is_current: bool,
 }
@@ -44,8 +46,8 @@
 /// A change as the cache got it.
 #[derive(Clone, Debug)]
 struct CachedChange {
-    /// The revision of the update that contained it.
-    at: Revision,
+    /// The point of the update that contained it.
+    at: StorePoint,
     change: Change,
     /// Time at which it was applied, and its maximum age then.
     applied: Instant,
@@ -123,16 +125,17 @@
         Ok(Listing { objects: cached.objects.values().cloned().collect(), at: cached.at })
     }
 
-    /// Returns the changes after revision `at`; waits at most `wait` for the first one.
+    /// Returns the changes after `at`; waits at most `wait` for the first one.
     ///
     /// # Errors
     ///
-    /// Returns `StoreError::HistoryLost` if changes since `at` have been dropped from the cache,
-    /// and `StoreError::Refused` if the kind is not current.
+    /// Returns `StoreError::HistoryLost` if the cache lacks changes since `at`, also because the
+    /// store came back from an older copy; `StoreError::Behind` if `at` is of a later generation of
+    /// the store; and `StoreError::Refused` if the kind is not current.
     pub async fn changes(
         &self,
         kind: &str,
-        at: Revision,
+        at: StorePoint,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
         let deadline = Instant::now() + wait;
@@ -149,9 +152,12 @@
         }
     }
 
-    fn available_changes(&self, kind: &str, at: Revision) -> Result<Changes, StoreError> {
+    fn available_changes(&self, kind: &str, at: StorePoint) -> Result<Changes, StoreError> {
         let kinds = self.kinds.borrow();
         let cached = current_kind(&kinds, kind)?;
+        if at.generation > cached.at.generation {
+            return Err(StoreError::Behind);
+        }
         if at < cached.complete_since {
             return Err(StoreError::HistoryLost);
         }
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -12,9 +12,11 @@
 use crate::{
     clock,
     fleet::{KindCache, ListPacing, StallDetector, StoreRetry, StoreSource, StoreSources},
-    ids::Revision,
     metric_names,
-    platform::store::{Change, Changes, Listing, StoreError, StoredObject},
+    platform::{
+        store::{Change, Changes, StoreError, StoredObject},
+        StorePoint,
+    },
     runtime,
 };
 
@@ -57,7 +59,7 @@
 /// The state of a watch between two calls.
 #[derive(Debug, Default)]
 struct Progress {
-    at: Revision,
+    at: StorePoint,
     needs_list: bool,
     is_after_outage: bool,
     /// Earliest time at which the watch may have been up to date last.
@@ -102,7 +104,10 @@
             // its changes have no gap.
             let returns_to_store =
                 source == StoreSource::Store && progress.source != Some(StoreSource::Store);
-            let res = match progress.needs_list || returns_to_store {
+            // The store gives revisions out again after it came back from an older copy, so a watch
+            // from one of before would miss changes.
+            let is_outdated = progress.at.generation < self.sources.generation();
+            let res = match progress.needs_list || returns_to_store || is_outdated {
                 true => self.list(source, &mut progress, &mut apply).await,
                 false => self.watch(source, &mut progress, &mut apply).await,
             };
@@ -121,15 +126,18 @@
     ) -> Result<(), StoreError> {
         runtime::sleep(progress.pacing.delay(Instant::now())).await;
         let sent = clock::now();
-        let Listing { objects, at } = self.sources.client(source).list(self.kind).await?;
+        let listing = self.sources.client(source).list(self.kind).await?;
+        let at = listing.at;
+        self.sources.record_generation(at.generation);
         // `StoreRetry` paces the lists that fail.
         progress.pacing.record(Instant::now());
         counter!(metric_names::STORE_LISTS, "kind" => self.kind).increment(1);
-        if at < progress.at {
-            // The entry host lags behind this process; try another source.
-            return Err(StoreError::HistoryLost);
+        if self.is_behind(source, at, progress.at) {
+            return Err(StoreError::Behind);
         }
-        let listing = Listing { objects, at };
+        // An older copy lacks the entries that were written after it was taken.
+        let is_restored = at.generation > progress.at.generation || at < progress.at;
+        progress.is_after_outage |= is_restored && progress.last_up_to_date.is_some();
         // Let the other watches of the process retry too, whichever source responded.
         self.retry.reset();
         self.update_cache(|it| it.replace(self.kind, &listing));
@@ -170,13 +178,21 @@
             self.retry.wait_for_restart().await;
             None
         };
-        let Some(res) = watch.or(restart).await else {
+        let is_outdated = async {
+            self.sources.wait_for_generation_after(progress.at.generation).await;
+            Some(Err(StoreError::HistoryLost))
+        };
+        let Some(res) = watch.or(restart).or(is_outdated).await else {
             self.mark_cache_stale();
             progress.source = None;
             progress.is_after_outage = true;
             return Ok(());
         };
         let mut changes: Changes = res?;
+        self.sources.record_generation(changes.at.generation);
+        if changes.at.generation != progress.at.generation {
+            return Err(StoreError::HistoryLost);
+        }
         changes.retain_newest();
         // If the response before waited in this process, this one has changes as old as its wait.
         changes.max_age += self.max_delay(progress.last_up_to_date.unwrap_or(sent));
@@ -204,11 +220,21 @@
                 progress.at
             );
             if progress.needs_list {
-                self.sources.mark_unavailable(source, Instant::now());
+                progress.pacing.record(Instant::now());
             }
             progress.needs_list = true;
             return;
         }
+        if matches!(err, StoreError::Behind) {
+            log::info!(
+                "store: the source is behind kind={} at={} source={source:?}",
+                self.kind,
+                progress.at
+            );
+            self.sources.mark_unavailable(source, Instant::now());
+            progress.needs_list = true;
+            return;
+        }
         log::warn!(
             "store: failed to list or watch objects kind={} source={source:?} error=\"{err}\"",
             self.kind
@@ -226,6 +252,13 @@
         }
     }
 
+    /// Returns `true` if a source's list is older than what this process knows. The store's own list
+    /// is only if it is of an earlier generation.
+    fn is_behind(&self, source: StoreSource, listed: StorePoint, known: StorePoint) -> bool {
+        let is_earlier = source != StoreSource::Store && listed < known;
+        is_earlier || listed.generation < self.sources.generation()
+    }
+
     /// Returns the longest time for which a message that was sent after `earliest` and is read now
     /// may have waited in this process.
     fn max_delay(&self, earliest: Instant) -> Duration {
--- a/src/fleet/store_probe.rs
+++ b/src/fleet/store_probe.rs
@@ -11,7 +11,8 @@
 ///
 /// A long poll that waits for changes cannot tell an idle store from an unavailable one. If a list
 /// fails, or succeeds again while the process watches the store, all watches of the process
-/// restart.
+/// restart. Its responses also tell when the store has come back from an older copy, which a waiting
+/// watch doesn't.
 #[derive(Debug)]
 pub struct StoreProbe {
     sources: StoreSources,
@@ -41,8 +42,9 @@
                 continue;
             }
             match self.sources.client(StoreSource::Store).list_stale(self.kind).await {
-                Ok(_) if is_unavailable => {
+                Ok(listing) if is_unavailable => {
                     is_unavailable = false;
+                    self.sources.record_generation(listing.at.generation);
                     log::info!("store: the store responds again");
                     self.sources.mark_available(StoreSource::Store);
                     self.retry.reset();
@@ -50,7 +52,10 @@
                         self.retry.restart_watches();
                     }
                 }
-                Ok(_) => self.sources.mark_available(StoreSource::Store),
+                Ok(listing) => {
+                    self.sources.record_generation(listing.at.generation);
+                    self.sources.mark_available(StoreSource::Store);
+                }
                 Err(err) if !is_unavailable => {
                     is_unavailable = true;
                     log::warn!("store: the store does not respond error=\"{err}\"");
--- a/src/fleet/store_sources.rs
+++ b/src/fleet/store_sources.rs
@@ -11,7 +11,9 @@
     time::{Duration, Instant},
 };
 
-use crate::platform::store::Store;
+use event_listener::Event;
+
+use crate::{ids::StoreGeneration, platform::store::Store};
 
 /// Time for which an entry host that failed is not used.
 const RELAY_RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -52,6 +54,9 @@
     relays: RefCell<Vec<SocketAddr>>,
     clients: RefCell<HashMap<SocketAddr, Store>>,
     unavailable_since: RefCell<HashMap<StoreSource, Instant>>,
+    /// The newest generation of the store that any source told.
+    generation: Cell<StoreGeneration>,
+    generation_changed: Event,
 }
 
 impl StoreSources {
@@ -63,6 +68,8 @@
             relays: RefCell::default(),
             clients: RefCell::default(),
             unavailable_since: RefCell::default(),
+            generation: Cell::new(0),
+            generation_changed: Event::new(),
         };
         StoreSources { shared: Rc::new(shared) }
     }
@@ -113,13 +120,45 @@
         self.shared.unavailable_since.borrow_mut().remove(&source);
     }
 
+    /// Returns the newest generation of the store that this process knows.
+    pub fn generation(&self) -> StoreGeneration {
+        self.shared.generation.get()
+    }
+
+    /// Records the generation in a response of a source.
+    pub fn record_generation(&self, generation: StoreGeneration) {
+        let before = self.generation();
+        if generation <= before {
+            return;
+        }
+        if before > 0 {
+            log::warn!(
+                "store: the store came back from an older copy generation={generation} \
+                 before={before}"
+            );
+        }
+        self.shared.generation.set(generation);
+        self.shared.generation_changed.notify(usize::MAX);
+    }
+
+    /// Waits until a generation after `generation` is known.
+    pub async fn wait_for_generation_after(&self, generation: StoreGeneration) {
+        loop {
+            let changed = self.shared.generation_changed.listen();
+            if self.generation() > generation {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Returns a client for a source.
     pub fn client(&self, source: StoreSource) -> Store {
         match source {
             StoreSource::Store => self.shared.store.clone(),
             StoreSource::Relay(address) => {
                 let mut clients = self.shared.clients.borrow_mut();
-                clients.entry(address).or_insert_with(|| Store::new(address)).clone()
+                clients.entry(address).or_insert_with(|| Store::of_relay(address)).clone()
             }
         }
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -24,6 +24,8 @@
 pub type SwitchNumber = u64;
 /// The revision that the platform assigns to an object; conditional updates compare it.
 pub type Revision = u64;
+/// The number of times that the store came back from an older copy of itself, as the store counts them.
+pub type StoreGeneration = u64;
 /// The incarnation of a host; it increases when the host restarts or refutes a suspicion.
 pub type Incarnation = u64;
 /// The id of a backend server, which is new after each start of its process.
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -22,6 +22,8 @@
 pub const IN_PROGRESS: &str = "crocustiller_in_progress";
 /// Counter: lists that the store or an entry host answered, by `kind`.
 pub const STORE_LISTS: &str = "crocustiller_store_lists_total";
+/// Gauge: the number of times that the store came back from an older copy, as the store counts.
+pub const STORE_GENERATION: &str = "crocustiller_store_generation";
 /// Gauge: number of the charter in force.
 pub const CHARTER_NUMBER: &str = "crocustiller_charter_number";
 /// Gauge: switch number of a pool, by `pool`.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,8 +6,11 @@
 pub mod engine_api;
 pub mod origin_api;
 pub mod store;
+mod store_point;
 pub mod wire_config;
 pub mod wire_directory;
 pub mod wire_headers;
 pub mod wire_objects;
 pub mod wire_server;
+
+pub use crate::platform::store_point::StorePoint;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     http1::{Call, Client, HttpError, Response},
-    ids::Revision,
+    ids::{Revision, StoreGeneration},
+    platform::StorePoint,
 };
 
 /// Timeout of a call that does not wait for changes.
@@ -22,6 +23,8 @@
 const WATCH_RESPONSE_MARGIN: Duration = Duration::from_millis(1500);
 /// Maximum length of a response: a page of a list and a margin.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// The store's count of its returns from an older copy, in all its responses.
+const GENERATION: &str = "Store-Era";
 /// Maximum number of pages of one list; further pages are not read.
 const MAX_PAGES: usize = 64;
 
@@ -43,6 +46,10 @@
         HistoryLost {
             display("the store no longer has the changes since this revision; list again")
         }
+        /// The source has not reached the point in the store's history that this process knows.
+        Behind {
+            display("the source is behind what this process knows; use another one")
+        }
         /// The object has another revision or already exists.
         Conflict {
             display("another process changed the object; read it again")
@@ -76,23 +83,24 @@
     pub revision: Revision,
 }
 
-/// All objects of a kind at one revision of the store.
+/// All objects of a kind at one point in the store's history.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
     /// The objects.
     pub objects: Vec<StoredObject>,
-    /// The revision of the store, from which a watch continues.
-    pub at: Revision,
+    /// The point from which a watch continues.
+    pub at: StorePoint,
 }
 
-/// A response to a watch: the changes of one kind after a revision.
+/// A response to a watch: the changes of one kind after a point in the store's history.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
     /// The changes, oldest first.
     pub events: Vec<Change>,
-    /// The revision of the store, from which the next watch continues.
-    pub at: Revision,
+    /// The point from which the next watch continues.
+    #[serde(flatten)]
+    pub at: StorePoint,
     /// Maximum age of the changes. The store reports changes at once, so its responses have none.
     #[serde(rename = "max-age-ms", default)]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -124,7 +132,8 @@
     items: Vec<Value>,
     #[serde(default)]
     more: bool,
-    at: Revision,
+    #[serde(flatten)]
+    at: StorePoint,
 }
 
 /// A client for the store.
@@ -132,18 +141,29 @@
 pub struct Store {
     address: SocketAddr,
     client: Rc<Client>,
+    /// Whether the responder is an entry host, which is told the generation of a watch.
+    is_relay: bool,
 }
 
 impl Store {
     /// Creates a client for the store at `address`.
     pub fn new(address: SocketAddr) -> Store {
-        Store { address, client: Rc::default() }
+        Store { address, client: Rc::default(), is_relay: false }
+    }
+
+    /// Creates a client for an entry host that relays the store.
+    pub fn of_relay(address: SocketAddr) -> Store {
+        Store { is_relay: true, ..Store::new(address) }
     }
 
     /// Lists all objects of a kind, page by page; skips and logs objects that can't be decoded.
     ///
-    /// The revision is that of the first page, so that a watch also returns changes that happened
+    /// The point is that of the first page, so that a watch also returns changes that happened
     /// while later pages were read.
+    ///
+    /// # Errors
+    ///
+    /// Returns `StoreError::HistoryLost` if the store came back from an older copy between two pages.
     pub async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         let mut objects: Vec<StoredObject> = Vec::new();
         let mut first_at = None;
@@ -151,8 +171,10 @@
         for _ in 0..MAX_PAGES {
             let target = format!("/v1/objects/{kind}{query}");
             let call = Call::get(&target, CALL_TIMEOUT, MAX_RESPONSE_BYTES);
-            let page: Page = serde_json::from_slice(&self.call(&call).await?.body)?;
-            first_at.get_or_insert(page.at);
+            let page = decode_page(&self.call(&call).await?)?;
+            if first_at.get_or_insert(page.at).generation != page.at.generation {
+                return Err(StoreError::HistoryLost);
+            }
             let last_name = page.items.last().and_then(|it| it["metadata"]["name"].as_str());
             query = last_name.map(|it| format!("?after={it}")).unwrap_or_default();
             objects.extend(page.items.into_iter().filter_map(|it| decode_object(kind, it)));
@@ -160,7 +182,7 @@
                 break;
             }
         }
-        Ok(Listing { objects, at: first_at.unwrap_or(0) })
+        Ok(Listing { objects, at: first_at.unwrap_or_default() })
     }
 
     /// Lists the first page of a kind and accepts data that is some seconds old, which puts little
@@ -168,19 +190,25 @@
     pub async fn list_stale(&self, kind: &str) -> Result<Listing, StoreError> {
         let target = format!("/v1/objects/{kind}?allow-stale=1");
         let call = Call::get(&target, STALE_LIST_TIMEOUT, MAX_RESPONSE_BYTES);
-        let page: Page = serde_json::from_slice(&self.call(&call).await?.body)?;
+        let page = decode_page(&self.call(&call).await?)?;
         let objects = page.items.into_iter().filter_map(|it| decode_object(kind, it)).collect();
         Ok(Listing { objects, at: page.at })
     }
 
-    /// Waits for changes of a kind after revision `at`, for at most `wait`.
+    /// Waits for changes of a kind after `at`, for at most `wait`. The store can't tell that `at` is
+    /// of an earlier generation, so compare the generation of the changes.
     pub async fn watch(
         &self,
         kind: &str,
-        at: Revision,
+        at: StorePoint,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
-        let target = format!("/v1/objects/{kind}?watch={at}&wait-ms={}", wait.as_millis());
+        let StorePoint { generation, revision } = at;
+        let mut target =
+            format!("/v1/objects/{kind}?watch={revision}&wait-ms={}", wait.as_millis());
+        if self.is_relay {
+            target.push_str(&format!("&generation={generation}"));
+        }
         let call = Call::get(&target, wait + WATCH_RESPONSE_MARGIN, MAX_RESPONSE_BYTES);
         let response = self.call(&call).await?;
         let raw: Value = serde_json::from_slice(&response.body)?;
@@ -192,7 +220,11 @@
             Some(Change { object, deleted: it["deleted"].as_bool().unwrap_or(false) })
         });
         let max_age = Duration::from_millis(raw["max-age-ms"].as_u64().unwrap_or(0));
-        Ok(Changes { events: events.collect(), at: raw["at"].as_u64().unwrap_or(at), max_age })
+        let at = StorePoint {
+            generation: generation_of(&response, raw["generation"].as_u64()),
+            revision: raw["at"].as_u64().unwrap_or(revision),
+        };
+        Ok(Changes { events: events.collect(), at, max_age })
     }
 
     /// Creates an object.
@@ -224,6 +256,18 @@
     }
 }
 
+fn decode_page(response: &Response) -> Result<Page, StoreError> {
+    let mut page: Page = serde_json::from_slice(&response.body)?;
+    page.at.generation = generation_of(response, Some(page.at.generation));
+    Ok(page)
+}
+
+/// Returns the generation in a response: the store has it in a header field, an entry host in the
+/// body.
+fn generation_of(response: &Response, in_body: Option<u64>) -> StoreGeneration {
+    response.head.headers.number(GENERATION).or(in_body).unwrap_or(0)
+}
+
 fn decode_object(kind: &str, item: Value) -> Option<StoredObject> {
     match serde_json::from_value(item) {
         Ok(object) => Some(object),
--- a/src/platform/wire_objects.rs
+++ b/src/platform/wire_objects.rs
@@ -8,8 +8,10 @@
 
 use crate::{
     http1::SmallResponse,
-    ids::Revision,
-    platform::store::{Changes, Listing, StoreError},
+    platform::{
+        store::{Changes, Listing, StoreError},
+        StorePoint,
+    },
 };
 
 /// The common prefix of the paths of all kinds.
@@ -20,9 +22,9 @@
 pub struct ObjectsQuery {
     /// The kind of the objects.
     pub kind: String,
-    /// The revision after which changes are requested and the maximum wait for a change; absent for a
+    /// The point after which changes are requested and the maximum wait for a change; absent for a
     /// list.
-    pub changes_after: Option<(Revision, Duration)>,
+    pub changes_after: Option<(StorePoint, Duration)>,
 }
 
 /// Decodes a query from the target of a request; returns `None` for another path.
@@ -34,12 +36,18 @@
         fields.find(|it| it.0 == name)?.1.parse().ok()
     };
     let wait = Duration::from_millis(field("wait-ms").unwrap_or(0));
-    Some(ObjectsQuery { kind, changes_after: field("watch").map(|it| (it, wait)) })
+    let generation = field("generation").unwrap_or(0);
+    let changes_after = field("watch").map(|it| (StorePoint { generation, revision: it }, wait));
+    Some(ObjectsQuery { kind, changes_after })
 }
 
 /// Encodes the list of all objects of a kind.
 pub fn encode_listing(listing: &Listing) -> SmallResponse {
-    json_response(json!({ "items": listing.objects, "more": false, "at": listing.at }).to_string())
+    let StorePoint { generation, revision } = listing.at;
+    let body = json!({
+        "items": listing.objects, "more": false, "at": revision, "generation": generation,
+    });
+    json_response(body.to_string())
 }
 
 /// Encodes the response to a watch.
@@ -52,6 +60,7 @@
     SmallResponse::status(match err {
         StoreError::HistoryLost => 410,
         StoreError::Refused(status) => *status,
+        StoreError::Behind => 503,
         _ => 500,
     })
 }
--- a/src/slot/lifecycle.rs
+++ b/src/slot/lifecycle.rs
@@ -121,7 +121,12 @@
     for _ in 0..MAX_SOURCES {
         let source = slot.sources.choose(Instant::now());
         match slot.sources.client(source).list(kind).await {
+            // An entry host that hasn't noticed yet that the store came back from an older copy.
+            Ok(listing) if listing.at.generation < slot.sources.generation() => {
+                slot.sources.mark_unavailable(source, Instant::now());
+            }
             Ok(listing) => {
+                slot.sources.record_generation(listing.at.generation);
                 slot.sources.mark_available(source);
                 return Some(listing.objects);
             }
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -4,24 +4,50 @@
 mod entry_process;
 
 use std::{
+    cell::RefCell,
+    rc::Rc,
     thread,
     time::{Duration, Instant},
 };
 
 use crocustiller::{
-    fleet::ListPacing,
-    platform::store::{Store, StoreError},
+    fleet::{KindUpdate, KindWatch, ListPacing, StoreRetry, StoreSources},
+    platform::{
+        store::{Store, StoreError},
+        StorePoint,
+    },
     runtime,
 };
 use crocustiller_standins::raw_http::{CallCounts, ScriptedServer, StoreFault, StoreStandin};
-use entry_process::{charter, complete_response, Deployment};
+use entry_process::{charter, complete_response, request, server_entry, Deployment};
 use serde_json::{json, Value};
 
+/// Time after the return within which a change must be in force.
+const RETURN_LIMIT: Duration = Duration::from_secs(1);
 /// Time over which calls are counted.
 const COUNT_TIME: Duration = Duration::from_secs(3);
 /// Most lists that an entry host may send in `COUNT_TIME`: two a second for each of four kinds.
 const MAX_LISTS: u64 = 24;
 
+fn status(deployment: &Deployment) -> u16 {
+    deployment.entry.exchange(&request("GET", "/stock/1", "probe", "")).status()
+}
+
+/// Waits until a request gets the status `expected`, for at most `RETURN_LIMIT`.
+fn check_status(deployment: &Deployment, expected: u16, case: &str) {
+    let since = Instant::now();
+    while status(deployment) != expected {
+        assert!(since.elapsed() < RETURN_LIMIT, "{case}: no status {expected}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn charter_without_keys(version: u64) -> Value {
+    let mut charter = charter(version);
+    charter["tenants"][0]["api-keys"] = json!([]);
+    charter
+}
+
 /// Starts an entry host that has applied five charters, the last with number 6.
 fn start_with_charters() -> (Deployment, ScriptedServer) {
     let ledger = ScriptedServer::start(complete_response("x")).unwrap();
@@ -52,7 +78,10 @@
         let name = |it: &Value| it["metadata"]["name"].as_str().unwrap().to_owned();
         store.objects("servers").iter().map(name).collect()
     };
-    let watch = |at: u64| runtime::run_local(client.watch("servers", at, Duration::ZERO));
+    let watch = |revision: u64| {
+        let at = StorePoint { generation: 1, revision };
+        runtime::run_local(client.watch("servers", at, Duration::ZERO))
+    };
     assert_eq!(watch(1).unwrap().events.len(), 3);
     store.restore(2);
     assert_eq!(names(&store), ["a"]);
@@ -63,6 +92,7 @@
     assert_eq!(names(&store), ["a", "d", "e"]);
     let changes = watch(3).unwrap();
     assert_eq!(changes.events.len(), 1, "revision 3 was given out again");
+    assert_eq!(changes.at, StorePoint { generation: 2, revision: 4 });
     let expected = CallCounts { watches: 4, ..CallCounts::default() };
     assert_eq!(store.counts(), expected);
 }
@@ -105,3 +135,58 @@
     let n_lists = count_lists(&deployment.store);
     assert!(n_lists <= MAX_LISTS, "{n_lists} lists in {COUNT_TIME:?}");
 }
+
+/// Seen on the bench: charters 4.5 s late, and engines that had said they leave got requests.
+#[test]
+fn changes_after_return_are_applied() {
+    let (deployment, ledger) = start_with_charters();
+    let store = &deployment.store;
+    store.restore(4);
+    thread::sleep(RETURN_LIMIT);
+    store.put("config", "main", charter_without_keys(7));
+    check_status(&deployment, 401, "charter with a greater number, lower revision");
+    store.put("config", "main", charter(8));
+    check_status(&deployment, 200, "charter");
+    let draining = server_entry("ledger", ledger.address(), "draining");
+    store.put("servers", "ledger-0", draining);
+    check_status(&deployment, 503, "engine that leaves");
+}
+
+/// A watch goes on from a revision of before the return, which has been given out again; the store
+/// can't tell that the changes before it are other ones.
+#[test]
+fn reused_revisions_hide_no_change() {
+    let store = StoreStandin::start().unwrap();
+    let seen: Rc<RefCell<Vec<String>>> = Rc::default();
+    runtime::run_local(async {
+        let sources = StoreSources::new(Store::new(store.address()));
+        let retry = StoreRetry::new(Duration::from_millis(400));
+        let watch = KindWatch::new(sources, "servers", retry);
+        let names = seen.clone();
+        // The store goes away and comes back within the delay after a change.
+        let watch = watch.with_batch_delay(Duration::from_millis(300));
+        let task = runtime::spawn_local(watch.run(move |update| {
+            let objects = match update {
+                KindUpdate::Listed { objects, .. } => objects,
+                KindUpdate::Changed { changes, .. } => {
+                    changes.into_iter().map(|it| it.object).collect()
+                }
+            };
+            names.borrow_mut().extend(objects.into_iter().map(|it| it.metadata.name));
+        }));
+        runtime::sleep(Duration::from_millis(100)).await;
+        store.put("servers", "before-1", json!({}));
+        runtime::sleep(Duration::from_millis(100)).await;
+        store.put("servers", "before-2", json!({}));
+        store.restore(2);
+        store.put("servers", "after-1", json!({}));
+        store.put("servers", "after-2", json!({}));
+        runtime::sleep(Duration::from_millis(300) + RETURN_LIMIT).await;
+        store.put("servers", "after-3", json!({}));
+        runtime::sleep(RETURN_LIMIT).await;
+        task.cancel().await;
+    });
+    for name in ["after-1", "after-2", "after-3"] {
+        assert!(seen.borrow().iter().any(|it| it == name), "{name} is missing in {seen:?}");
+    }
+}
--- a/tests/store_relays.rs
+++ b/tests/store_relays.rs
@@ -10,7 +10,11 @@
 
 use crocustiller::{
     fleet::{follows_store, KindCache, StoreSource, StoreSources},
-    platform::store::{Change, Changes, Listing, Store, StoreError, StoredObject},
+    platform::{
+        store::{Change, Changes, Listing, Store, StoreError, StoredObject},
+        StorePoint,
+    },
+    runtime,
 };
 use crocustiller_standins::raw_http::{ScriptedServer, StoreEndpoint, StoreFault, StoreStandin};
 use entry_process::{charter, complete_response, request, server_entry, EntryProcess};
@@ -24,6 +28,11 @@
     serde_json::from_value(json!({ "metadata": metadata, "spec": {} })).unwrap()
 }
 
+/// Returns a point in the first generation of the store.
+fn at(revision: u64) -> StorePoint {
+    StorePoint { generation: 1, revision }
+}
+
 fn sources() -> (StoreSources, [SocketAddr; 2]) {
     let address = |it: u8| SocketAddr::from(([127, 0, 0, it], 7000));
     (StoreSources::new(Store::new(address(1))), [address(2), address(3)])
@@ -113,12 +122,12 @@
 #[test]
 fn relayed_change_has_age() {
     let cache = KindCache::default();
-    cache.replace("versions", &Listing { objects: Vec::new(), at: 5 });
+    cache.replace("versions", &Listing { objects: Vec::new(), at: at(5) });
     let max_age = Duration::from_millis(800);
     let event = Change { object: object("lots", 6), deleted: false };
-    cache.apply("versions", &Changes { events: vec![event], at: 6, max_age });
+    cache.apply("versions", &Changes { events: vec![event], at: at(6), max_age });
     thread::sleep(Duration::from_millis(50));
-    let changes = cache.changes("versions", 5, Duration::ZERO);
+    let changes = cache.changes("versions", at(5), Duration::ZERO);
     let changes = futures_lite::future::block_on(changes).unwrap();
     assert!(changes.max_age >= max_age + Duration::from_millis(50), "{:?}", changes.max_age);
     let received: Changes =
@@ -134,49 +143,101 @@
         listing.objects.into_iter().map(|it| it.metadata.name).collect()
     };
     assert!(cache.listing("servers").is_err(), "nothing was listed yet");
-    cache.replace("servers", &Listing { objects: vec![object("a", 3)], at: 5 });
+    cache.replace("servers", &Listing { objects: vec![object("a", 3)], at: at(5) });
     let removal = Change { object: object("a", 3), deleted: true };
     let addition = Change { object: object("b", 6), deleted: false };
     cache.apply(
         "servers",
-        &Changes { events: vec![addition, removal], at: 7, max_age: Duration::ZERO },
+        &Changes { events: vec![addition, removal], at: at(7), max_age: Duration::ZERO },
     );
     assert_eq!(names(cache.listing("servers").unwrap()), ["b"]);
-    let changes = |at: u64| {
-        futures_lite::future::block_on(cache.changes("servers", at, Duration::from_millis(5)))
+    let changes = |revision: u64| {
+        let wait = Duration::from_millis(5);
+        futures_lite::future::block_on(cache.changes("servers", at(revision), wait))
     };
     assert_eq!(changes(5).unwrap().events.len(), 2);
-    assert_eq!(changes(5).unwrap().at, 7);
+    assert_eq!(changes(5).unwrap().at, at(7));
     assert!(matches!(changes(4), Err(StoreError::HistoryLost)));
     // A watcher that has a later revision is not set back.
-    assert_eq!(changes(9).unwrap().at, 9);
+    assert_eq!(changes(9).unwrap().at, at(9));
     cache.mark_stale("servers");
     assert!(changes(5).is_err(), "stale objects must not be served to others");
 }
 
+/// Revisions are given out again after the store came back from an older copy, so a follower of
+/// before lists again, at once, and a host that knows less than a follower doesn't answer it.
+#[test]
+fn relay_never_mixes_generations() {
+    let cache = KindCache::default();
+    let point = |generation, revision| StorePoint { generation, revision };
+    let restored = || cache.replace("servers", &Listing { objects: Vec::new(), at: point(2, 5) });
+    cache.replace("servers", &Listing { objects: vec![object("a", 9)], at: point(1, 9) });
+    let since = Instant::now();
+    let waiting = cache.changes("servers", point(1, 9), Duration::from_secs(5));
+    let restore = async {
+        runtime::sleep(Duration::from_millis(50)).await;
+        restored();
+    };
+    let (res, ()) = runtime::run_local(futures_lite::future::zip(waiting, restore));
+    assert!(matches!(res, Err(StoreError::HistoryLost)), "{res:?}");
+    assert!(since.elapsed() < Duration::from_secs(1), "the follower was told late");
+    let changes = |at| runtime::run_local(cache.changes("servers", at, Duration::ZERO));
+    assert!(matches!(changes(point(1, 4)), Err(StoreError::HistoryLost)));
+    assert!(matches!(changes(point(3, 1)), Err(StoreError::Behind)));
+    assert_eq!(changes(point(2, 5)).unwrap().at, point(2, 5));
+}
+
+/// A host that the store refuses learns through another one what changes after the store came back
+/// from an older copy.
+#[test]
+fn relayed_changes_after_return() {
+    let HostPair { hosts, endpoint, store, .. } = &HostPair::start();
+    for version in 2..=6 {
+        store.put("config", "main", charter(version));
+        thread::sleep(Duration::from_millis(300));
+    }
+    endpoint.set_fault(StoreFault::Reset);
+    // Time to go over to the other host.
+    thread::sleep(Duration::from_millis(1000));
+    store.restore(4);
+    // Time for both hosts to notice the return.
+    thread::sleep(Duration::from_millis(1000));
+    let relay = Store::of_relay(hosts[0].peers);
+    let listing = runtime::run_local(relay.list("config")).unwrap();
+    assert_eq!(listing.at.generation, 2);
+    let mut revoked = charter(7);
+    revoked["tenants"][0]["api-keys"] = json!([]);
+    store.put("config", "main", revoked);
+    let since = Instant::now();
+    while status(&hosts[1]) != 401 {
+        assert!(since.elapsed() < Duration::from_secs(2), "the revoked key is still accepted");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Load pattern: many versions of a large charter in quick succession. A watcher gets the newest
 /// one only, and the cache does not grow.
 #[test]
 fn only_newest_versions_are_sent() {
     let cache = KindCache::default();
-    cache.replace("config", &Listing { objects: vec![object("main", 1)], at: 1 });
+    cache.replace("config", &Listing { objects: vec![object("main", 1)], at: at(1) });
     for revision in 2..=25 {
         let change = Change { object: object("main", revision), deleted: false };
         cache.apply(
             "config",
-            &Changes { events: vec![change], at: revision, max_age: Duration::ZERO },
+            &Changes { events: vec![change], at: at(revision), max_age: Duration::ZERO },
         );
     }
     let wait = Duration::from_millis(5);
-    let changes = futures_lite::future::block_on(cache.changes("config", 1, wait)).unwrap();
-    assert_eq!(changes.at, 25);
+    let changes = futures_lite::future::block_on(cache.changes("config", at(1), wait)).unwrap();
+    assert_eq!(changes.at, at(25));
     assert_eq!(changes.events.len(), 1);
     assert_eq!(changes.events[0].object.metadata.revision, 25);
     let mut many = Changes {
         events: [("a", 3), ("b", 4), ("a", 5)]
             .map(|it| Change { object: object(it.0, it.1), deleted: false })
             .to_vec(),
-        at: 5,
+        at: at(5),
         max_age: Duration::ZERO,
     };
     many.retain_newest();
