--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -73,7 +73,7 @@
     ) -> Exchange {
         let request = wire_headers::decode_request(&head);
         let last_event_id = RefCell::new(request.last_event.clone());
-        let trace = RequestTrace::new(&request.id, received);
+        let trace = RequestTrace::new(&request, received);
         Exchange {
             host,
             caller,
--- a/src/entry/request_trace.rs
+++ b/src/entry/request_trace.rs
@@ -13,7 +13,8 @@
     ids::{BackendId, DocumentNumber, RequestId, WeightsVersion},
     logging::{LineDecision, RateLimit},
     metric_names,
-    placement::QuarantinedPart,
+    placement::{PartDigest, QuarantinedPart},
+    relay::CallerRequest,
     verdict::Verdict,
 };
 
@@ -52,6 +53,9 @@
 #[derive(Debug)]
 pub(crate) struct RequestTrace {
     id: RequestId,
+    prompt_tokens: u32,
+    /// The first part of the prompt that other requests may share.
+    first_part: Option<PartDigest>,
     received: Instant,
     charter: Cell<DocumentNumber>,
     attempts: RefCell<Vec<BackendId>>,
@@ -72,9 +76,11 @@
 
 impl RequestTrace {
     /// Creates the record of a request that arrived at `received`.
-    pub(crate) fn new(id: &RequestId, received: Instant) -> RequestTrace {
+    pub(crate) fn new(request: &CallerRequest, received: Instant) -> RequestTrace {
         RequestTrace {
-            id: id.clone(),
+            id: request.id.clone(),
+            prompt_tokens: request.sizes.prompt_tokens,
+            first_part: request.prompt_parts.first().copied(),
             received,
             charter: Cell::new(0),
             attempts: RefCell::default(),
@@ -144,10 +150,12 @@
         let ms = |it: Option<Duration>| it.map_or(-1, |it| it.as_millis() as i64);
         let (n_requests, unread_tokens) = self.load.get();
         log::info!(
-            "request: ended request={} outcome={}{} charter={} attempts={} load={n_requests} \
-             unread_tokens={unread_tokens} version={} waited_ms={} first_ms={} took_ms={}{} \
-             left_out={n_dropped}",
+            "request: ended request={} prompt_tokens={} first_part={:016x} outcome={}{} charter={} \
+             attempts={} load={n_requests} unread_tokens={unread_tokens} version={} waited_ms={} \
+             first_ms={} took_ms={}{} left_out={n_dropped}",
             self.id,
+            self.prompt_tokens,
+            self.first_part.unwrap_or(0),
             self.outcome.get().log_fields(),
             self.part_fields.borrow(),
             self.charter.get(),
