Resumed streams: the next engine's error no longer follows the start of a stream

Callers saw: a stream began and broke off, the next engine answered with an error, and its head and body came in the middle of the stream.

Cause: only a refusal, a 5xx and a body that is no event stream were kept from a caller that had the start of a stream. Any other status (204, 3xx, 4xx) went through the path for complete responses, which writes a head without asking whether one was sent.

Class: a second head after the first. The two functions that write a whole response, the backend server's or an own error, now ask; both cut instead.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -12,7 +12,6 @@
         cut_reason::CutReason,
         error_response::ErrorResponse,
         exchange::{ConnectionReuse, Exchange},
-        request_trace::TraceOutcome,
         reservation::{BackendRequirements, Reservation, ReservationError},
         stream_relay,
         successor::SuccessorSearch,
@@ -242,8 +241,7 @@
     cut_reason: CutReason,
 ) -> ConnectionReuse {
     if exchange.is_head_sent.get() {
-        exchange.trace.record_outcome(TraceOutcome::Cut(cut_reason));
-        return ConnectionReuse::Close;
+        return exchange.cut_response(cut_reason);
     }
     // A backend server's statement that the request did not run is accurate only if no other
     // attempt may have run.
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -176,12 +176,16 @@
         limit.saturating_sub(clock::elapsed(self.received))
     }
 
-    /// Forwards a complete response, changing only the headers that concern the connection.
+    /// Forwards a complete response, changing only the headers that concern the connection. Cuts the
+    /// response instead if the caller already has the start of another one.
     pub(crate) async fn forward_response(
         &self,
         mut head: ResponseHead,
         body: &[u8],
     ) -> ConnectionReuse {
+        if self.is_head_sent.get() {
+            return self.cut_response(CutReason::NoAttempt);
+        }
         head.headers.remove_hop_by_hop();
         head.headers.set("Content-Length", body.len().to_string());
         if self.closes_connection {
@@ -216,7 +220,18 @@
         self.send_error(reason.response()).await
     }
 
+    /// Ends a response that cannot be completed: closing the connection shows the caller that the
+    /// end is missing.
+    pub(crate) fn cut_response(&self, reason: CutReason) -> ConnectionReuse {
+        self.trace.record_outcome(TraceOutcome::Cut(reason));
+        ConnectionReuse::Close
+    }
+
+    /// Sends an error of this host, or cuts the response of which the caller already has the start.
     pub(crate) async fn send_error(&self, response: ErrorResponse) -> ConnectionReuse {
+        if self.is_head_sent.get() {
+            return self.cut_response(CutReason::NoAttempt);
+        }
         self.is_head_sent.set(true);
         self.trace.record_outcome(TraceOutcome::Refused {
             status: response.status,
@@ -243,8 +258,7 @@
     /// Sends the response to a request whose deadline has passed.
     async fn send_timeout(&self) -> ConnectionReuse {
         if self.is_head_sent.get() {
-            self.trace.record_outcome(TraceOutcome::Cut(CutReason::Deadline));
-            return ConnectionReuse::Close;
+            return self.cut_response(CutReason::Deadline);
         }
         let has_not_run = self.verdict.get() == Verdict::NotRun && !self.is_attempt_running.get();
         let response = match has_not_run {
