Kept connections: none is used again after a refusal

Callers could see: "not run" for a request that an engine was running, when the engine wrote an earlier refusal once more on the kept connection.

Cause: a response is matched to its request by the id. A repeated refusal with the id of the earlier request, or without one, was skipped; one with the id of the present request was believed, and so was one of a request that its caller had sent again under the same id.

Class: a response to an earlier exchange on a connection in use again. A connection that carried a refusal is closed now, so a refusal that is read is the first of its connection and cannot be a repetition.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -147,9 +147,10 @@
     }
 
     /// Puts the connection back for reuse if request and response are complete, and closes it
-    /// otherwise.
+    /// otherwise. It is also closed after a refusal, which a faulty backend server may repeat while it
+    /// runs the next request.
     pub fn close(self, connections: &BackendConnections) {
-        if self.body.is_done() && self.is_request_written {
+        if self.body.is_done() && self.is_request_written && !self.info.is_not_run {
             connections.put_back(self.connection, &self.head);
         }
     }
--- a/standins/src/raw_http/raw_request.rs
+++ b/standins/src/raw_http/raw_request.rs
@@ -16,6 +16,8 @@
     pub headers: Vec<(String, String)>,
     /// The body, as long as `Content-Length` says.
     pub body: Vec<u8>,
+    /// Number of the server's connection on which it arrived, if the server counts them.
+    pub connection: u32,
 }
 
 impl RawRequest {
--- a/standins/src/raw_http/scripted_server.rs
+++ b/standins/src/raw_http/scripted_server.rs
@@ -79,6 +79,7 @@
         let script: Arc<Script> = Arc::new(script);
         thread::spawn(move || {
             let mut listener = listener;
+            let mut n_connections = 0;
             loop {
                 let Ok((stream, client)) = listener.accept() else {
                     if let Some(restarted) = restart(address, &process) {
@@ -86,6 +87,8 @@
                     }
                     continue;
                 };
+                n_connections += 1;
+                let connection = n_connections;
                 let copy = stream.try_clone().map(|it| (client, it));
                 process.lock().unwrap().connections.extend(copy);
                 let process = process.clone();
@@ -94,7 +97,7 @@
                     (n_aborted_connections.clone(), n_open_connections.clone());
                 thread::spawn(move || {
                     n_open_connections.fetch_add(1, Ordering::Relaxed);
-                    if serve(stream, &requests, &*script, &process).is_err() {
+                    if serve(stream, connection, &requests, &*script, &process).is_err() {
                         n_aborted_connections.fetch_add(1, Ordering::Relaxed);
                     }
                     // The last copy closes the connection.
@@ -159,6 +162,7 @@
 
 fn serve(
     stream: TcpStream,
+    connection: u32,
     requests: &Mutex<Vec<RawRequest>>,
     script: &Script,
     process: &Mutex<Process>,
@@ -166,7 +170,8 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
-    while let Some(request) = RawRequest::read(&mut reader)? {
+    while let Some(mut request) = RawRequest::read(&mut reader)? {
+        request.connection = connection;
         requests.lock().unwrap().push(request.clone());
         for step in script(&request) {
             match step {
