Streams that no engine can continue go on a new connection

Callers could see: such a stream lost, or refused by a repeated refusal, as it went on a kept connection that had been dropped or held a late response.

Cause: only routes of the kind non-idempotent got a connection of their own; a stream that can't be resumed must not run twice either, but reused connections.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -20,7 +20,7 @@
     ids::{CustomerId, ServiceId},
     platform::wire_headers,
     relay::{Attempt, EngineCall},
-    routing::{Route, RouteKind},
+    routing::Route,
     verdict::Verdict,
 };
 
@@ -186,7 +186,7 @@
             request_id: &exchange.request.id,
             head: &head,
             body: &exchange.body,
-            may_reuse: route.kind != RouteKind::NonIdempotent,
+            may_reuse: route.is_repeatable(),
         };
         let watch = CrashWatch::new(exchange, &attempt);
         let may_retry = route.is_repeatable() && self.n_sent + 1 < route.max_attempts;
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -55,6 +55,25 @@
     assert_eq!(response.status(), 200, "{}", response.text());
 }
 
+/// A request that must not run twice goes on a connection of its own, where no late response can be
+/// taken for its own.
+#[test]
+fn unrepeatable_request_on_new_connection() {
+    for path in ["/hold/1", "/draft/1"] {
+        let is_stream = path == "/draft/1";
+        let server = ScriptedServer::start(move |it| whole_response(it, is_stream)).unwrap();
+        let service = if is_stream { "pool" } else { "ledger" };
+        let deployment = start_unrepeatable(service, &[&server]);
+        let mut caller = deployment.entry.connect();
+        for id in ["first", "second", "third"] {
+            caller.write_all(&request("POST", path, id, STREAM_HEADERS)).unwrap();
+            assert_eq!(read_response(&mut caller).status(), 200);
+        }
+        let connections: Vec<u32> = server.requests().iter().map(|it| it.connection).collect();
+        assert_eq!(connections, [1, 2, 3], "{path}");
+    }
+}
+
 /// A backend server that refuses a request before it has read all of it has the rest of the body not
 /// followed by another request.
 #[test]
@@ -96,6 +115,25 @@
 
 const STREAM_HEADERS: &str = "X-Model: lots\r\nX-Token-Counts: 200,260\r\n";
 
+/// Starts an entry host whose routes may be sent to two backend servers, and none of which may run
+/// twice.
+fn start_unrepeatable(service: &str, servers: &[&ScriptedServer]) -> Deployment {
+    let store = StoreStandin::start().unwrap();
+    let mut charter = charter(1);
+    for route in charter["routes"].as_array_mut().unwrap() {
+        route["max-attempts"] = 2.into();
+        route["resumable"] = false.into();
+    }
+    store.put("config", "main", charter);
+    for (idx, server) in servers.iter().enumerate() {
+        let entry = server_entry(service, server.address(), "ready");
+        store.put("servers", &format!("{service}-{idx}"), entry);
+    }
+    let entry = EntryProcess::start(&store, "entry-1");
+    entry.wait_until_ready();
+    Deployment { store, entry }
+}
+
 /// Starts a server that refuses its first request, and writes that refusal once more while it runs
 /// another one on the same connection.
 fn repeating_server(repeated_id: &'static str, is_stream: bool) -> ScriptedServer {
