A refusal that more bytes follow is no promise that nothing ran

Callers could see: "not run" (503), or a run at a second engine, when a faulty engine wrote a refusal and then another response to the same request.

Cause: the first whole response with the request's id was believed, whatever came behind it. The bytes that arrived with it now make the attempt lost, as the request may have run. A response that comes later, once the refusal was passed on, can't be seen by any relay; the connection is closed by then.

--- a/src/entry/buffered_relay.rs
+++ b/src/entry/buffered_relay.rs
@@ -68,6 +68,10 @@
             "not a response of a backend server",
         ));
     }
+    if info.is_not_run && response.has_trailing_bytes() {
+        let reason = "more bytes after the refusal, the request may have run";
+        return Err(AttemptOutcome::from_lost_response(exchange, backend, reason));
+    }
     if info.is_other_backend {
         log::info!("fleet: another backend server responded at the address backend={backend}");
         exchange.host.connections.close_idle(backend);
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -169,6 +169,13 @@
         self.is_eof || !self.buffered().is_empty() || !has_no_input
     }
 
+    /// Returns `true` if bytes have arrived that were not consumed.
+    pub fn has_input(&self) -> bool {
+        let mut byte = [0; 1];
+        let is_arrived = matches!(self.stream.get_ref().peek(&mut byte), Ok(1..));
+        is_arrived || !self.buffered().is_empty()
+    }
+
     /// Returns the write half, for writing while the connection is being read.
     pub fn writer(&self) -> ConnectionWriter {
         ConnectionWriter { stream: self.stream.clone(), has_failed: self.has_failed_write.clone() }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -146,6 +146,12 @@
         self.body.read_all(&mut self.connection.connection, MAX_BUFFERED_BYTES).await
     }
 
+    /// Returns `true` if more bytes have arrived after the body, which a sound backend server never
+    /// sends.
+    pub fn has_trailing_bytes(&self) -> bool {
+        self.body.is_done() && self.connection.connection.has_input()
+    }
+
     /// Puts the connection back for reuse if request and response are complete, and closes it
     /// otherwise. It is also closed after a refusal, which a faulty backend server may repeat while it
     /// runs the next request.
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -19,6 +19,8 @@
 
 /// Time between a refusal and its repetition, or a second response.
 const PAUSE: Duration = Duration::from_millis(60);
+/// Statuses that promise callers that the request did not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// A refusal that comes again on a kept connection, under the id of the earlier request, of the
 /// present one or without one, is not taken for the response to the present request.
@@ -74,6 +76,28 @@
     }
 }
 
+/// A refusal that another response to the same request follows says nothing about what ran, so the
+/// request neither counts as not run nor runs at a second backend server.
+#[test]
+fn response_after_refusal() {
+    for path in ["/hold/1", "/draft/1"] {
+        let is_stream = path == "/draft/1";
+        let script = move |request: &RawRequest| {
+            let mut bytes = refusal(request.header("x-request-id"));
+            bytes.extend(encode_response(request, 200, "ran"));
+            vec![Step::Send(bytes)]
+        };
+        let servers = [(); 2].map(|()| ScriptedServer::start(script).unwrap());
+        let service = if is_stream { "pool" } else { "ledger" };
+        let deployment = start_unrepeatable(service, &servers.each_ref());
+        let bytes = request("POST", path, "contradicted", STREAM_HEADERS);
+        let response = deployment.entry.exchange(&bytes);
+        assert!(!NOT_RUN_STATUSES.contains(&response.status()), "{path}: {}", response.text());
+        let n_runs: usize = servers.iter().map(|it| it.requests().len()).sum();
+        assert_eq!(n_runs, 1, "{path}");
+    }
+}
+
 /// A backend server that refuses a request before it has read all of it has the rest of the body not
 /// followed by another request.
 #[test]
