Statuses that promise that nothing ran need the backend server's word

Callers could see: 408 or 429, by which they are told that the request never ran, from a backend server that had not said so and may have run it.

Cause: a 503 without that word was replaced by a 502, other statuses below 500 were passed on as they were. 408 and 429 without it now count as failed attempts: a request that may run twice is sent elsewhere, others get 502.

--- a/src/entry/buffered_relay.rs
+++ b/src/entry/buffered_relay.rs
@@ -44,6 +44,8 @@
     response.close(&exchange.host.connections);
     match head.status {
         _ if is_not_run => AttemptOutcome::Refused(head, body),
+        // Statuses by which callers are told that nothing ran, but without the backend server's word.
+        408 | 429 => AttemptOutcome::Failed(head, body),
         500.. => AttemptOutcome::Failed(head, body),
         _ => AttemptOutcome::Done(exchange.forward_response(head, &body).await),
     }
--- a/tests/repeated_refusals.rs
+++ b/tests/repeated_refusals.rs
@@ -137,6 +137,22 @@
     assert!(heads.iter().all(|it| it.starts_with("POST /stock/1 ")), "{heads:?}");
 }
 
+/// A status that promises callers that nothing ran is not passed on from a backend server that does
+/// not promise it.
+#[test]
+fn refusal_without_promise() {
+    for status in [408, 429, 503] {
+        let server = ScriptedServer::start(move |request| {
+            vec![Step::Send(encode_response(request, status, "ran"))]
+        })
+        .unwrap();
+        let deployment = Deployment::start("ledger", &[&server]);
+        let response = deployment.entry.exchange(&request("POST", "/hold/1", "unsure", ""));
+        assert!(!NOT_RUN_STATUSES.contains(&response.status()), "{status}: {}", response.text());
+        assert_eq!(server.requests().len(), 1, "{status}");
+    }
+}
+
 const STREAM_HEADERS: &str = "X-Model: lots\r\nX-Token-Counts: 200,260\r\n";
 
 /// Starts an entry host whose routes may be sent to two backend servers, and none of which may run
