A backend server that says that it leaves gets no more requests at once

Callers see: requests sent to an engine that has told this host that it leaves, as only its entry in the store counted, which may be late or come back.

New: the header on a response is decoded with the others on the wire. Before any of the response goes on, the host closes that start of the server, drops idle connections, decides on waiting requests, and tells all entry hosts by datagram, twice. Entries of the same or an earlier start change nothing; a later start opens the server. What runs there goes on. Requests explained by id show the line that closed a server.

Not done: a slot telling of its own engine, and hosts that start later, which learn it from their own first response.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -183,6 +183,7 @@
         let attempt = Attempt {
             backend: &reservation.backend,
             address: reservation.address,
+            backend_started_ms: reservation.started_ms,
             request_id: &exchange.request.id,
             head: &head,
             body: &exchange.body,
--- a/src/entry/buffered_relay.rs
+++ b/src/entry/buffered_relay.rs
@@ -6,7 +6,10 @@
 use std::time::Instant;
 
 use crate::{
-    entry::{attempt_outcome::AttemptOutcome, crash_watch::CrashWatch, exchange::Exchange},
+    entry::{
+        attempt_outcome::AttemptOutcome, crash_watch::CrashWatch, exchange::Exchange,
+        server_notices,
+    },
     relay::{Attempt, BackendResponse},
     verdict::Verdict,
 };
@@ -24,6 +27,7 @@
         }
         Err(err) => return watch.outcome_after_break(&err.err).await,
     };
+    server_notices::record(&exchange.host, attempt, &response);
     forward_buffered(exchange, response, watch).await
 }
 
--- a/src/entry/crash_watch.rs
+++ b/src/entry/crash_watch.rs
@@ -125,6 +125,7 @@
         backends.get(self.backend).is_some_and(|it| {
             it.state == BackendState::Ready
                 && !it.is_switching
+                && !host.server_notices.is_leaving(it)
                 && n_layers(host, &it.service).is_some()
         })
     }
--- a/src/entry/eligible_servers.rs
+++ b/src/entry/eligible_servers.rs
@@ -8,7 +8,8 @@
     routing::BackendServer,
 };
 
-/// Returns the backend servers of a pool or service that accept requests, for a pool those with all
+/// Returns the backend servers of a pool or service that accept requests and have not said that they
+/// leave, for a pool those with all
 /// layers of `model` in a version that requests may still start on.
 pub(crate) fn eligible_servers<'a>(
     host: &EntryHost,
@@ -16,7 +17,7 @@
     service: &'a ServiceId,
     model: Option<&str>,
 ) -> Vec<&'a BackendServer> {
-    let ready = servers.ready_of(service);
+    let ready = servers.ready_of(service).filter(|it| !host.server_notices.is_leaving(it));
     let (Some(model), Some(n_layers)) = (model, n_layers(host, service)) else {
         return ready.collect();
     };
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -16,8 +16,13 @@
     clock,
     digest::Digest,
     entry::{
-        admission_client::AdmissionClient, beacon_exchange, cell_owner::CellOwner, crash_reports,
-        datagrams, departure::Departure, eligible_servers,
+        admission_client::AdmissionClient,
+        beacon_exchange,
+        cell_owner::CellOwner,
+        crash_reports, datagrams,
+        departure::Departure,
+        eligible_servers,
+        server_notices::{self, ServerNotices},
     },
     fleet::{
         entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, CrashReport,
@@ -70,6 +75,8 @@
     /// This host's own requests in progress at each backend server.
     pub(crate) request_counts: RefCell<RequestCounts>,
     pub(crate) health: RefCell<BackendHealth>,
+    /// What backend servers said of themselves in their responses.
+    pub(crate) server_notices: ServerNotices,
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
     /// Parts of prompts that crash engines, as far as all entry hosts know.
     pub(crate) crashing_parts: RefCell<CrashingParts>,
@@ -129,6 +136,7 @@
             peers: RefCell::default(),
             request_counts: RefCell::default(),
             health: RefCell::default(),
+            server_notices: ServerNotices::default(),
             crash_suspects: RefCell::default(),
             crashing_parts: RefCell::default(),
             pending_report: RefCell::default(),
@@ -221,6 +229,7 @@
             PeerMessage::Beacon(beacon) => beacon_exchange::apply(self, from, beacon),
             PeerMessage::EngineNotice(notice) => self.apply_notice(&notice),
             PeerMessage::CrashReport(report) => crash_reports::apply(self, report),
+            PeerMessage::ServerLeaving(notice) => server_notices::apply(self, from, &notice),
             PeerMessage::PiecesHeld(_) | PeerMessage::Manifest(_) => {
                 log::debug!("fleet: ignored a message for slot processes from={from}")
             }
@@ -246,7 +255,7 @@
         let mut entry_hosts: Vec<OwnerCandidate> = {
             let peers = self.peers.borrow();
             let live = peers.live_beacons(Instant::now());
-            live.filter(|it| it.state == EntryState::Ready).map(owner_candidate).collect()
+            live.filter(|it| it.state == EntryState::Ready).map(Beacon::owner_candidate).collect()
         };
         let leaving_for = self.departure.since().map(|it| it.elapsed());
         let has_handed_over = leaving_for.is_some_and(|it| it >= HANDOVER_TIME);
@@ -293,7 +302,7 @@
         let own = self.own_candidate();
         let peers = self.peers.borrow();
         let ready = peers.live_beacons(Instant::now()).filter(|it| it.state == EntryState::Ready);
-        let same_zone = ready.filter(|it| it.zone == own.zone).map(owner_candidate);
+        let same_zone = ready.filter(|it| it.zone == own.zone).map(Beacon::owner_candidate);
         same_zone.filter(|it| it.preference() < own.preference()).count()
     }
 
@@ -373,11 +382,3 @@
     let digest = Digest::of(format!("{client} {relay}").as_bytes());
     digest_hash(&digest)
 }
-
-fn owner_candidate(beacon: &Beacon) -> OwnerCandidate {
-    OwnerCandidate {
-        host: beacon.host.clone(),
-        zone: beacon.zone.clone(),
-        processor_permille: beacon.processor_permille,
-    }
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod pending_request;
 mod request_trace;
 mod reservation;
+mod server_notices;
 mod store_relay;
 mod store_sync;
 mod stream_relay;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -13,7 +13,7 @@
     clock,
     entry::{
         admission_client::{self, Grant},
-        eligible_servers::n_layers,
+        eligible_servers::{eligible_servers, n_layers},
         entry_host::EntryHost,
         error_response::ErrorResponse,
     },
@@ -83,6 +83,8 @@
     pub(crate) backend: BackendId,
     /// Address of the backend server.
     pub(crate) address: SocketAddr,
+    /// Start time of its process in milliseconds since the Unix epoch, by its entry.
+    pub(crate) started_ms: u64,
     /// Last known load of the backend server when it was chosen.
     pub(crate) load: Load,
     /// Version of the weights that the engine serves, by its owner's view; `None` for a plain
@@ -123,7 +125,8 @@
     fn at_engine(host: &Rc<EntryHost>, demand: &Demand, grant: Grant) -> Option<Reservation> {
         let now = clock::now();
         let server = host.backends.borrow().get(&grant.engine).cloned();
-        let server = server.filter(|it| it.state == BackendState::Ready);
+        let server = server
+            .filter(|it| it.state == BackendState::Ready && !host.server_notices.is_leaving(it));
         let versions = host.versions.borrow();
         let oldest = demand.model.as_ref().map_or(0, |model| versions.oldest_allowed(model, now));
         let is_too_old = grant.version.is_some_and(|it| it < oldest);
@@ -136,6 +139,7 @@
             host: host.clone(),
             backend: grant.engine,
             address: server.address,
+            started_ms: server.started_ms,
             load: grant.load,
             version: grant.version,
             expected_version: grant.version.filter(|_| oldest > 0),
@@ -157,8 +161,8 @@
             !requirements.excluded.contains(&it.id)
                 && health.is_usable(&it.id, n_own, Instant::now())
         };
-        let usable: Vec<&BackendServer> =
-            servers.ready_of(&requirements.service).filter(is_usable).collect();
+        let eligible = eligible_servers(host, &servers, &requirements.service, None);
+        let usable: Vec<&BackendServer> = eligible.into_iter().filter(is_usable).collect();
         let candidate = |it: &&BackendServer| PlainCandidate {
             slots: it.slots,
             is_near: it.zone == host.settings.host.zone,
@@ -175,6 +179,7 @@
             host: host.clone(),
             backend: server.id.clone(),
             address: server.address,
+            started_ms: server.started_ms,
             load,
             version: None,
             expected_version: None,
--- /dev/null
+++ b/src/entry/server_notices.rs
@@ -0,0 +1,112 @@
+//! What backend servers say of themselves in the heads of their responses: that they leave.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    entry::{datagrams, entry_host::EntryHost},
+    fleet::{LeavingNotice, PeerMessage},
+    placement::LeavingServers,
+    relay::{Attempt, BackendResponse},
+    routing::BackendServer,
+    runtime,
+};
+
+/// Time after which a notice is sent once more, as a datagram may be lost.
+const REPEAT_DELAY: Duration = Duration::from_millis(100);
+
+/// What backend servers said of themselves.
+#[derive(Debug, Default)]
+pub(crate) struct ServerNotices {
+    leaving: RefCell<LeavingServers>,
+}
+
+impl ServerNotices {
+    /// Returns `true` if a backend server gets no more requests, whatever its entry says.
+    pub(crate) fn is_leaving(&self, server: &BackendServer) -> bool {
+        self.leaving.borrow().is_closed(&server.id, server.started_ms)
+    }
+
+    /// Logs that a new start of a backend server takes requests again, if an earlier one left.
+    pub(crate) fn note_listed(&self, server: &BackendServer) {
+        let now = Instant::now();
+        let closed_for = self.leaving.borrow_mut().reopen(&server.id, server.started_ms, now);
+        if let Some(closed_for) = closed_for {
+            log::info!(
+                "drain: a new start of a backend server takes requests again backend={} \
+                 closed_for_ms={}",
+                server.id,
+                closed_for.as_millis()
+            );
+        }
+    }
+
+    /// Forgets backend servers that were removed long ago.
+    pub(crate) fn forget_removed(&self, is_registered: impl Fn(&str) -> bool) {
+        self.leaving.borrow_mut().forget_removed(is_registered, Instant::now());
+    }
+}
+
+/// Applies what the head of a response says of its backend server, before any of it reaches the
+/// caller.
+pub(crate) fn record(host: &Rc<EntryHost>, attempt: &Attempt<'_>, response: &BackendResponse) {
+    let info = &response.info;
+    let is_success = (200..300).contains(&response.head.status);
+    let is_of_backend = !info.is_other_backend && (info.has_receipt || !is_success);
+    if is_of_backend && info.is_leaving {
+        record_leaving(host, attempt, response.head.status);
+    }
+}
+
+fn record_leaving(host: &Rc<EntryHost>, attempt: &Attempt<'_>, status: u16) {
+    let (backend, started_ms) = (attempt.backend, attempt.backend_started_ms);
+    let notice = LeavingNotice { backend: backend.clone(), started_ms };
+    if !close(host, &notice) {
+        return;
+    }
+    log::info!(
+        "drain: a backend server leaves request={} backend={backend} started_ms={started_ms} \
+         status={status}",
+        attempt.request_id
+    );
+    let host = host.clone();
+    let send_twice = async move {
+        send(&host, &notice);
+        runtime::sleep(REPEAT_DELAY).await;
+        send(&host, &notice);
+    };
+    runtime::spawn_local(send_twice).detach();
+}
+
+/// Applies the notice of another entry host.
+pub(crate) fn apply(host: &EntryHost, from: SocketAddr, notice: &LeavingNotice) {
+    if close(host, notice) {
+        log::info!(
+            "drain: another entry host says that a backend server leaves from={from} backend={} \
+             started_ms={}",
+            notice.backend,
+            notice.started_ms
+        );
+    }
+}
+
+/// Sends a backend server no more requests from now on; returns `false` if it got none already.
+fn close(host: &EntryHost, notice: &LeavingNotice) -> bool {
+    let (backend, started_ms) = (&notice.backend, notice.started_ms);
+    let is_new =
+        host.server_notices.leaving.borrow_mut().record(backend, started_ms, Instant::now());
+    if is_new {
+        host.connections.close_idle(backend);
+        host.cell_owner.decide_waiting(host);
+    }
+    is_new
+}
+
+fn send(host: &EntryHost, notice: &LeavingNotice) {
+    let targets: Vec<SocketAddr> = host.beacon_targets.borrow().keys().copied().collect();
+    datagrams::send(host, &targets, &PeerMessage::ServerLeaving(notice.clone()));
+}
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -137,6 +137,7 @@
         }
         KindUpdate::Changed { changes, .. } => apply_server_changes(host, changes, now),
     }
+    host.backends.borrow().iter().for_each(|it| host.server_notices.note_listed(it));
     host.update_cells();
 }
 
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -15,6 +15,7 @@
         exchange::{ConnectionReuse, Exchange},
         request_trace::TraceOutcome,
         reservation::Reservation,
+        server_notices,
         successor::SuccessorSearch,
     },
     http1::HttpError,
@@ -64,6 +65,7 @@
         Wait::Expired => return lost("no response in time"),
         Wait::Replaced(successor) => return replaced("no response", successor),
     };
+    server_notices::record(&exchange.host, attempt, &response);
     let is_success = (200..300).contains(&response.head.status);
     if !is_success {
         return buffered_relay::forward_buffered(exchange, response, watch).await;
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -5,9 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    fleet::AdmissionMessage,
+    fleet::{AdmissionMessage, LeavingNotice},
     ids::{HostId, RegionId, WeightsVersion, ZoneId},
-    placement::{PartCrash, PartDigest, QuarantinedPart},
+    placement::{OwnerCandidate, PartCrash, PartDigest, QuarantinedPart},
 };
 
 /// The content of a datagram between two processes.
@@ -25,6 +25,8 @@
     Manifest(ManifestCopy),
     /// Parts of prompts that are suspected or cleared, from one entry host to the others.
     CrashReport(CrashReport),
+    /// A backend server that leaves, from the entry host that it told to the others.
+    ServerLeaving(LeavingNotice),
 }
 
 /// The version that the engine of a slot process serves.
@@ -120,6 +122,17 @@
     pub quarantined: Vec<QuarantinedPart>,
 }
 
+impl Beacon {
+    /// Returns the sender as a candidate for the ownership of engines.
+    pub fn owner_candidate(&self) -> OwnerCandidate {
+        OwnerCandidate {
+            host: self.host.clone(),
+            zone: self.zone.clone(),
+            processor_permille: self.processor_permille,
+        }
+    }
+}
+
 /// What an entry host learned about parts of prompts since its last report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CrashReport {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod entry_registry;
 mod kind_cache;
 mod kind_watch;
+mod leaving_notice;
 mod list_pacing;
 mod message_receiver;
 mod peer_table;
@@ -26,6 +27,7 @@
     },
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
+    leaving_notice::LeavingNotice,
     list_pacing::ListPacing,
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
     stall_detector::{StallDetector, TURN_INTERVAL},
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,6 +10,7 @@
 mod crashing_parts;
 mod demand;
 mod engine_choice;
+mod leaving_servers;
 mod load;
 mod part_crash;
 mod part_quarantine;
@@ -30,6 +31,7 @@
     crashing_parts::{CrashingParts, MAX_PARTS},
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
+    leaving_servers::LeavingServers,
     load::Load,
     part_crash::{PartCrash, PartDigest},
     plain_choice::{choose_plain_backend, PlainCandidate},
--- a/src/platform/wire_headers.rs
+++ b/src/platform/wire_headers.rs
@@ -33,6 +33,8 @@
 const RECEIPT: &str = "X-Server-Stamp";
 /// Present on the response of an engine that refused the request without running it.
 const NOT_RUN: &str = "X-Not-Run";
+/// Present, as `1`, on all responses of an engine that is shutting down.
+const LEAVING: &str = "Server-Leaving";
 const WEIGHTS_VERSION: &str = "X-Weight-Versions";
 /// The status with which a backend server refuses a request that was meant for another one.
 const STATUS_MISDIRECTED: u16 = 421;
@@ -127,6 +129,7 @@
         request_id: headers.get(REQUEST_ID).map(str::to_owned),
         is_not_run: head.status == STATUS_MISDIRECTED || headers.get(NOT_RUN).is_some(),
         is_other_backend: head.status == STATUS_MISDIRECTED,
+        is_leaving: headers.has_member(LEAVING, "1"),
         has_receipt: headers.get(RECEIPT).is_some(),
         is_encoded,
         is_event_stream: headers
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -35,6 +35,8 @@
     pub backend: &'a BackendId,
     /// Its address.
     pub address: SocketAddr,
+    /// Start time of its process in milliseconds since the Unix epoch, by its entry.
+    pub backend_started_ms: u64,
     /// Id of the request, which its response must repeat.
     pub request_id: &'a RequestId,
     /// Request head for the backend server.
--- a/src/relay/response_info.rs
+++ b/src/relay/response_info.rs
@@ -13,6 +13,8 @@
     pub is_not_run: bool,
     /// Whether another backend server than the intended one responded at the address.
     pub is_other_backend: bool,
+    /// Whether the backend server leaves, so that it is to get no more requests.
+    pub is_leaving: bool,
     /// Whether the response has the receipt header, which every backend server adds.
     pub has_receipt: bool,
     /// Whether the body has a content encoding, which makes the response unusable.
--- a/src/report/request_timeline.rs
+++ b/src/report/request_timeline.rs
@@ -1,8 +1,18 @@
 //! Merges the log lines of several processes that concern one request.
 
 /// First words of log lines that report a change in a process's state.
-const STATE_PARTS: [&str; 8] =
-    ["charter:", "versions:", "fleet:", "store:", "health:", "crashes:", "slot:", "daemon:"];
+const STATE_PARTS: [&str; 10] = [
+    "charter:",
+    "versions:",
+    "fleet:",
+    "store:",
+    "health:",
+    "drain:",
+    "pause:",
+    "crashes:",
+    "slot:",
+    "daemon:",
+];
 
 /// A log line with the name of the log file it was read from.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/tests/unframed_responses.rs
+++ b/tests/unframed_responses.rs
@@ -222,6 +222,7 @@
     let attempt = Attempt {
         backend: &backend,
         address,
+        backend_started_ms: 0,
         request_id: &request_id,
         head: &head,
         body: b"",
