A backend server that asks for a pause gets no requests of this host until its end

Callers see: under overload, requests sent again and again to engines that had just refused some and named the time for which they want no more.

New: Retry-After on a backend server's 503 is decoded with the other headers (seconds with a fraction; the longest of several fields; zero, signs, dates and garbage ask for nothing) and kept for at most 60 s, by start of the server. Until then the host that was refused asks owners for other engines, gives back grants of it, and leaves it out for plain services. If all servers that a request could use pause, it is refused at once with the time of the first. Other hosts go on: the engine speaks for what it has of one host. Its refusal reaches the caller as before, Retry-After included.

--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -30,6 +30,8 @@
 /// while engines load weights, which takes seconds. A caller that returned earlier would be refused
 /// again.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Time by which `Retry-After` is later than the end of a pause, as it is rounded.
+const PAUSE_MARGIN: Duration = Duration::from_millis(1);
 /// Longest sleep until the time of a start deadline is read again.
 const MAX_DEADLINE_SLEEP: Duration = Duration::from_millis(250);
 /// Maximum number of grants for one request whose engine this host must not use.
@@ -58,6 +60,8 @@
     NoBackend,
     /// All backend servers that meet the requirements are full.
     Full,
+    /// All of them want no requests now; the first takes them again after this time.
+    Paused(Duration),
 }
 
 impl ReservationError {
@@ -71,6 +75,9 @@
             ReservationError::Full => {
                 ("all backend servers are busy; retry later", BUSY_RETRY_AFTER)
             }
+            ReservationError::Paused(left) => {
+                ("all backend servers asked for a pause; retry after it", left + PAUSE_MARGIN)
+            }
         };
         ErrorResponse::not_run(503, message).with_retry_after(retry_after)
     }
@@ -106,6 +113,9 @@
         requirements: &BackendRequirements,
         queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
+        if let Some(left) = requirements.time_until_first(host) {
+            return Err(ReservationError::Paused(left));
+        }
         if n_layers(host, &requirements.service).is_none() {
             return Reservation::at_plain_backend(host, requirements);
         }
@@ -121,12 +131,12 @@
     }
 
     /// Uses a grant, or releases it if this host knows that the engine must not get the request: it
-    /// is leaving, or its weights are too old.
+    /// is leaving or pausing, or its weights are too old.
     fn at_engine(host: &Rc<EntryHost>, demand: &Demand, grant: Grant) -> Option<Reservation> {
         let now = clock::now();
         let server = host.backends.borrow().get(&grant.engine).cloned();
         let server = server
-            .filter(|it| it.state == BackendState::Ready && !host.server_notices.is_leaving(it));
+            .filter(|it| it.state == BackendState::Ready && host.server_notices.takes_requests(it));
         let versions = host.versions.borrow();
         let oldest = demand.model.as_ref().map_or(0, |model| versions.oldest_allowed(model, now));
         let is_too_old = grant.version.is_some_and(|it| it < oldest);
@@ -159,6 +169,7 @@
         let is_usable = |it: &&BackendServer| {
             let n_own = counts.get(&it.address);
             !requirements.excluded.contains(&it.id)
+                && !host.server_notices.is_paused(it)
                 && health.is_usable(&it.id, n_own, Instant::now())
         };
         let eligible = eligible_servers(host, &servers, &requirements.service, None);
@@ -240,10 +251,32 @@
 }
 
 impl BackendRequirements {
-    /// Returns the demand for an engine; it excludes those that this host itself finds failing.
+    /// Returns the time until the first backend server takes the request, if all that it could use
+    /// now asked for a pause.
+    fn time_until_first(&self, host: &EntryHost) -> Option<Duration> {
+        if !host.server_notices.has_pauses() {
+            return None;
+        }
+        let servers = host.backends.borrow();
+        let health = host.health.borrow();
+        let mut usable = eligible_servers(host, &servers, &self.service, self.model.as_deref());
+        usable.retain(|it| {
+            !self.excluded.contains(&it.id) && health.is_usable(&it.id, 0, Instant::now())
+        });
+        host.server_notices.time_until_first(&usable)
+    }
+
+    /// Returns the demand for an engine; it excludes those that this host itself finds failing, and
+    /// those that want no requests of this host.
     fn demand(&self, host: &EntryHost, wait: Duration) -> Demand {
         let mut excluded = self.excluded.clone();
         excluded.extend(host.health.borrow().ejected(Instant::now()).cloned());
+        if host.server_notices.has_pauses() {
+            let servers = host.backends.borrow();
+            let ready = servers.ready_of(&self.service);
+            let paused = ready.filter(|it| host.server_notices.is_paused(it));
+            excluded.extend(paused.map(|it| it.id.clone()));
+        }
         Demand {
             service: self.service.clone(),
             model: self.model.clone(),
--- a/src/entry/server_notices.rs
+++ b/src/entry/server_notices.rs
@@ -1,4 +1,5 @@
-//! What backend servers say of themselves in the heads of their responses: that they leave.
+//! What backend servers say of themselves in the heads of their responses: that they leave, or that
+//! they want no requests for a time.
 
 use std::{
     cell::RefCell,
@@ -10,7 +11,8 @@
 use crate::{
     entry::{datagrams, entry_host::EntryHost},
     fleet::{LeavingNotice, PeerMessage},
-    placement::LeavingServers,
+    ids::BackendId,
+    placement::{LeavingServers, PausedServers},
     relay::{Attempt, BackendResponse},
     routing::BackendServer,
     runtime,
@@ -23,6 +25,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServerNotices {
     leaving: RefCell<LeavingServers>,
+    paused: RefCell<PausedServers>,
 }
 
 impl ServerNotices {
@@ -31,6 +34,29 @@
         self.leaving.borrow().is_closed(&server.id, server.started_ms)
     }
 
+    /// Returns `true` if a backend server wants no requests of this host now.
+    pub(crate) fn is_paused(&self, server: &BackendServer) -> bool {
+        let now = Instant::now();
+        self.paused.borrow().time_left(&server.id, server.started_ms, now).is_some()
+    }
+
+    /// Returns `true` if a backend server takes requests of this host now, as far as it said.
+    pub(crate) fn takes_requests(&self, server: &BackendServer) -> bool {
+        !self.is_leaving(server) && !self.is_paused(server)
+    }
+
+    /// Returns the time until the first of some backend servers wants requests again, if all of them
+    /// pause.
+    pub(crate) fn time_until_first(&self, servers: &[&BackendServer]) -> Option<Duration> {
+        let servers = servers.iter().map(|it| (it.id.as_str(), it.started_ms));
+        self.paused.borrow().time_until_first(servers, Instant::now())
+    }
+
+    /// Returns `true` if any backend server may be pausing.
+    pub(crate) fn has_pauses(&self) -> bool {
+        !self.paused.borrow().is_empty()
+    }
+
     /// Logs that a new start of a backend server takes requests again, if an earlier one left.
     pub(crate) fn note_listed(&self, server: &BackendServer) {
         let now = Instant::now();
@@ -45,9 +71,16 @@
         }
     }
 
-    /// Forgets backend servers that were removed long ago.
-    pub(crate) fn forget_removed(&self, is_registered: impl Fn(&str) -> bool) {
-        self.leaving.borrow_mut().forget_removed(is_registered, Instant::now());
+    /// Ends the pauses whose time is over, and forgets backend servers that were removed long ago.
+    pub(crate) fn expire(&self, is_registered: impl Fn(&str) -> bool) {
+        let now = Instant::now();
+        self.leaving.borrow_mut().forget_removed(is_registered, now);
+        for (backend, paused) in self.paused.borrow_mut().expire(now) {
+            log::info!(
+                "pause: a backend server takes requests again backend={backend} paused_ms={}",
+                paused.as_millis()
+            );
+        }
     }
 }
 
@@ -57,9 +90,28 @@
     let info = &response.info;
     let is_success = (200..300).contains(&response.head.status);
     let is_of_backend = !info.is_other_backend && (info.has_receipt || !is_success);
-    if is_of_backend && info.is_leaving {
+    if !is_of_backend {
+        return;
+    }
+    if info.is_leaving {
         record_leaving(host, attempt, response.head.status);
     }
+    if let Some(pause) = info.pause {
+        record_pause(host, attempt, pause);
+    }
+}
+
+fn record_pause(host: &EntryHost, attempt: &Attempt<'_>, pause: Duration) {
+    let backend: &BackendId = attempt.backend;
+    let mut paused = host.server_notices.paused.borrow_mut();
+    if paused.record(backend, attempt.backend_started_ms, pause, Instant::now()) {
+        log::info!(
+            "pause: a backend server takes no requests for a time request={} backend={backend} \
+             pause_ms={}",
+            attempt.request_id,
+            pause.as_millis()
+        );
+    }
 }
 
 fn record_leaving(host: &Rc<EntryHost>, attempt: &Attempt<'_>, status: u16) {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -15,6 +15,7 @@
 mod part_crash;
 mod part_quarantine;
 mod part_suspect;
+mod paused_servers;
 mod plain_choice;
 mod quarantined_part;
 mod request_counts;
@@ -34,6 +35,7 @@
     leaving_servers::LeavingServers,
     load::Load,
     part_crash::{PartCrash, PartDigest},
+    paused_servers::{PausedServers, MAX_PAUSE},
     plain_choice::{choose_plain_backend, PlainCandidate},
     quarantined_part::QuarantinedPart,
     request_counts::RequestCounts,
--- /dev/null
+++ b/src/placement/paused_servers.rs
@@ -0,0 +1,93 @@
+//! The backend servers that asked this host for a pause.
+//!
+//! Load pattern: overload. A server that is full refuses requests and names the time for which it
+//! wants no more. Requests that it would refuse again go elsewhere at once, or back to their callers
+//! with the time of the first server that takes them.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use crate::ids::BackendId;
+
+/// Longest pause that is kept to, so that one wrong response does not take a server away for good.
+pub const MAX_PAUSE: Duration = Duration::from_secs(60);
+
+/// The pauses of backend servers.
+///
+/// A pause binds the host that was refused: others may have less in progress there.
+#[derive(Clone, Debug, Default)]
+pub struct PausedServers {
+    pauses: HashMap<BackendId, Pause>,
+}
+
+#[derive(Clone, Debug)]
+struct Pause {
+    /// The start of the server that asked for it.
+    started_ms: u64,
+    begun: Instant,
+    end: Instant,
+}
+
+impl PausedServers {
+    /// Records that the start `started_ms` of a backend server asked for a pause, which is cut to
+    /// `MAX_PAUSE`; returns `true` if it begins one, not if one goes on. The latest end counts.
+    pub fn record(
+        &mut self,
+        backend: &str,
+        started_ms: u64,
+        pause: Duration,
+        now: Instant,
+    ) -> bool {
+        if pause.is_zero() {
+            return false;
+        }
+        let end = now + pause.min(MAX_PAUSE);
+        let same_start = |it: &&mut Pause| it.started_ms == started_ms && now < it.end;
+        if let Some(running) = self.pauses.get_mut(backend).filter(same_start) {
+            running.end = running.end.max(end);
+            return false;
+        }
+        self.pauses.insert(backend.to_owned(), Pause { started_ms, begun: now, end });
+        true
+    }
+
+    /// Returns the time until the start `started_ms` of a backend server takes requests again, or
+    /// `None` if it takes them now.
+    pub fn time_left(&self, backend: &str, started_ms: u64, now: Instant) -> Option<Duration> {
+        let pause = self.pauses.get(backend).filter(|it| started_ms <= it.started_ms)?;
+        let left = pause.end.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Returns the time until the first of `servers`, given by id and start, takes requests again, if
+    /// all of them pause.
+    pub fn time_until_first<'a>(
+        &self,
+        servers: impl IntoIterator<Item = (&'a str, u64)>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let left = |it: (&str, u64)| self.time_left(it.0, it.1, now);
+        let all_left: Option<Vec<Duration>> = servers.into_iter().map(left).collect();
+        all_left?.into_iter().min()
+    }
+
+    /// Returns `true` if there is no pause.
+    pub fn is_empty(&self) -> bool {
+        self.pauses.is_empty()
+    }
+
+    /// Removes the pauses that have ended, and returns their backend servers and lengths.
+    pub fn expire(&mut self, now: Instant) -> Vec<(BackendId, Duration)> {
+        let ended = |it: &Pause| now >= it.end;
+        let expired: Vec<(BackendId, Duration)> = self
+            .pauses
+            .iter()
+            .filter(|it| ended(it.1))
+            .map(|it| (it.0.clone(), it.1.end - it.1.begun))
+            .collect();
+        self.pauses.retain(|_, it| !ended(it));
+        expired
+    }
+}
--- a/src/platform/wire_headers.rs
+++ b/src/platform/wire_headers.rs
@@ -35,9 +35,13 @@
 const NOT_RUN: &str = "X-Not-Run";
 /// Present, as `1`, on all responses of an engine that is shutting down.
 const LEAVING: &str = "Server-Leaving";
+/// The time in seconds for which an engine that refused a request wants no more.
+const RETRY_AFTER: &str = "Retry-After";
 const WEIGHTS_VERSION: &str = "X-Weight-Versions";
 /// The status with which a backend server refuses a request that was meant for another one.
 const STATUS_MISDIRECTED: u16 = 421;
+/// The status of a refusal that may ask for a pause.
+const STATUS_UNAVAILABLE: u16 = 503;
 
 /// Maximum length of the id of a part.
 const MAX_PART_ID_CHARS: usize = 64;
@@ -130,6 +134,7 @@
         is_not_run: head.status == STATUS_MISDIRECTED || headers.get(NOT_RUN).is_some(),
         is_other_backend: head.status == STATUS_MISDIRECTED,
         is_leaving: headers.has_member(LEAVING, "1"),
+        pause: decode_pause(head),
         has_receipt: headers.get(RECEIPT).is_some(),
         is_encoded,
         is_event_stream: headers
@@ -138,3 +143,25 @@
         version,
     }
 }
+
+/// Returns the pause that a refusal asks for, the longest if there are several fields.
+fn decode_pause(head: &ResponseHead) -> Option<Duration> {
+    if head.status != STATUS_UNAVAILABLE {
+        return None;
+    }
+    let pauses = head.headers.all(RETRY_AFTER).filter_map(decode_seconds);
+    pauses.max().filter(|it| !it.is_zero())
+}
+
+/// Decodes a number of seconds with an optional fraction. Dates and signs mean nothing, as the clocks
+/// of machines differ; a number that is too large means the longest time.
+fn decode_seconds(value: &[u8]) -> Option<Duration> {
+    let text = std::str::from_utf8(value).ok()?.trim();
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
+    let is_number = |it: &str| it.bytes().all(|it| it.is_ascii_digit());
+    if whole.is_empty() || !is_number(whole) || !is_number(fraction) {
+        return None;
+    }
+    let seconds: f64 = text.parse().ok()?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
--- a/src/relay/response_info.rs
+++ b/src/relay/response_info.rs
@@ -1,5 +1,7 @@
 //! The parts of a backend server's response head that the system uses.
 
+use std::time::Duration;
+
 use crate::ids::{RequestId, WeightsVersion};
 
 /// The information in a backend server's response head.
@@ -15,6 +17,8 @@
     pub is_other_backend: bool,
     /// Whether the backend server leaves, so that it is to get no more requests.
     pub is_leaving: bool,
+    /// Time for which the backend server, which refused the request, wants no more of this host.
+    pub pause: Option<Duration>,
     /// Whether the response has the receipt header, which every backend server adds.
     pub has_receipt: bool,
     /// Whether the body has a content encoding, which makes the response unusable.
--- /dev/null
+++ b/tests/paused_engines.rs
@@ -0,0 +1,317 @@
+//! Backend servers that refuse a request and ask for a pause.
+
+mod entry_process;
+
+use std::{
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crocustiller::{
+    http1::ResponseHead,
+    placement::{PausedServers, MAX_PAUSE},
+    platform::wire_headers::decode_response_info,
+};
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
+use entry_process::{
+    charter, complete_response, encode_response, event_chunk, request, server_entry, stream_head,
+    CallerResponse, Deployment, EntryProcess,
+};
+
+const STREAM_HEADERS: &str = "X-Model: lots\r\nX-Token-Counts: 200,260\r\n";
+/// Time within which an entry host has applied a change in the store.
+const APPLY_TIME: Duration = Duration::from_millis(900);
+/// Time within which the entry hosts know each other.
+const JOIN_TIME: Duration = Duration::from_millis(800);
+const MS: Duration = Duration::from_millis(1);
+
+/// What a refusal's header says; anything but plain seconds says nothing.
+#[test]
+fn pauses_in_headers() {
+    let ms = |it: u64| Some(Duration::from_millis(it));
+    let table: [(&[&str], Option<Duration>); 22] = [
+        (&[], None),
+        (&["1"], ms(1000)),
+        (&["0.25"], ms(250)),
+        (&[" 1.5 "], ms(1500)),
+        (&["2."], ms(2000)),
+        (&["0"], None),
+        (&["0.000"], None),
+        (&["-1"], None),
+        (&["+1"], None),
+        (&["1e3"], None),
+        (&["inf"], None),
+        (&["NaN"], None),
+        (&[""], None),
+        (&["."], None),
+        (&[".5"], None),
+        (&["soon"], None),
+        (&["1, 2"], None),
+        (&["Sat, 05 Dec 2026 08:00:00 GMT"], None),
+        (&["99999999999999999999"], Some(Duration::MAX)),
+        // The longest of several fields counts.
+        (&["1", "2"], ms(2000)),
+        (&["x", "0.5", "-3"], ms(500)),
+        (&["60", "0"], ms(60_000)),
+    ];
+    for (values, expected) in table {
+        let decode = |status: u16| {
+            let mut head = ResponseHead::new(status, "x");
+            values.iter().for_each(|it| head.headers.push("Retry-After", *it));
+            decode_response_info(&head).pause
+        };
+        assert_eq!(decode(503), expected, "{values:?}");
+        assert_eq!(decode(200), None, "{values:?}");
+        assert_eq!(decode(429), None, "{values:?}");
+    }
+    let mut head = ResponseHead::new(503, "x");
+    head.headers.push("Retry-After", "9".repeat(400));
+    assert_eq!(decode_response_info(&head).pause, Some(Duration::MAX));
+}
+
+/// The edges of a pause in time and in the starts of a server.
+#[test]
+fn edges_of_a_pause() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut paused = PausedServers::default();
+    assert!(!paused.record("i-1", 1000, Duration::ZERO, now) && paused.is_empty());
+    assert!(paused.record("i-1", 1000, second, now));
+    for (started_ms, at, left) in [
+        (1000, now, Some(second)),
+        (1000, now + second / 2, Some(second / 2)),
+        (1000, now + second - MS, Some(MS)),
+        (1000, now + second, None),
+        (1000, now + second + MS, None),
+        (999, now, Some(second)),
+        (0, now, Some(second)),
+        (1001, now, None),
+    ] {
+        assert_eq!(paused.time_left("i-1", started_ms, at), left, "{started_ms} {:?}", at - now);
+    }
+    assert_eq!(paused.time_left("i-2", 1000, now), None);
+    // A shorter one does not end a longer one, a longer one prolongs it.
+    assert!(!paused.record("i-1", 1000, second / 4, now + second / 2));
+    assert_eq!(paused.time_left("i-1", 1000, now + second - MS), Some(MS));
+    assert!(!paused.record("i-1", 1000, second, now + second / 2));
+    assert_eq!(paused.time_left("i-1", 1000, now + second), Some(second / 2));
+    assert!(paused.expire(now + second * 3 / 2 - MS).is_empty());
+    assert_eq!(paused.expire(now + second * 3 / 2), [("i-1".to_owned(), second * 3 / 2)]);
+    assert!(paused.is_empty());
+}
+
+/// A pause of any length ends after `MAX_PAUSE`.
+#[test]
+fn pause_is_bounded() {
+    let now = Instant::now();
+    for pause in [MAX_PAUSE + MS, MAX_PAUSE, Duration::MAX] {
+        let mut paused = PausedServers::default();
+        paused.record("i-1", 1000, pause, now);
+        assert_eq!(paused.time_left("i-1", 1000, now + MAX_PAUSE - MS), Some(MS), "{pause:?}");
+        assert_eq!(paused.time_left("i-1", 1000, now + MAX_PAUSE), None, "{pause:?}");
+    }
+}
+
+/// The time until the first server takes requests again is known only if all pause.
+#[test]
+fn first_end_of_all_pauses() {
+    let now = Instant::now();
+    let mut paused = PausedServers::default();
+    paused.record("i-1", 1, 700 * MS, now);
+    paused.record("i-2", 1, 300 * MS, now);
+    let first = |servers: &[&'static str], at: Instant| {
+        paused.time_until_first(servers.iter().map(|it| (*it, 1)), at)
+    };
+    assert_eq!(first(&["i-1", "i-2"], now), Some(300 * MS));
+    assert_eq!(first(&["i-1"], now), Some(700 * MS));
+    assert_eq!(first(&["i-1", "i-2", "i-3"], now), None);
+    assert_eq!(first(&["i-1", "i-2"], now + 300 * MS), None);
+    assert_eq!(first(&[], now), None);
+}
+
+/// A server that asks for a pause gets nothing from this host until it ends; the other one serves,
+/// and after the end both do.
+#[test]
+fn request_in_a_pause() {
+    for (service, path, extra) in [
+        ("ledger", "/stock/1", "X-Not-Run: 1\r\n"),
+        ("pool", "/draft/1", "X-Not-Run: 1\r\n"),
+        ("ledger", "/stock/1", ""),
+    ] {
+        let pausing = pausing_server(1, "1.0", extra);
+        let sound = sound_server();
+        let deployment = Deployment::start(service, &[&pausing, &sound]);
+        let refused = until_refused(&deployment, &pausing, path);
+        let mut n_sent = 0;
+        while refused.elapsed() < Duration::from_millis(900) {
+            let response = send(&deployment.entry, path, &format!("paused-{n_sent}"));
+            assert_eq!(response.status(), 200, "{}", response.text());
+            n_sent += 1;
+        }
+        assert!(n_sent > 5, "{n_sent}");
+        assert_eq!(pausing.requests().len(), 1, "{path}");
+        thread::sleep(Duration::from_millis(1100).saturating_sub(refused.elapsed()));
+        for number in 0..40 {
+            send(&deployment.entry, path, &format!("after-{number}"));
+        }
+        assert!(pausing.requests().len() > 1, "{path}");
+    }
+}
+
+/// While all servers pause, callers are refused at once, with the time of the first that takes
+/// requests; nothing reaches a server.
+#[test]
+fn all_servers_pause() {
+    for (service, path) in [("ledger", "/hold/1"), ("ledger", "/stock/1"), ("pool", "/draft/1")] {
+        let servers = ["3", "1.5"].map(|it| pausing_server(u32::MAX, it, "X-Not-Run: 1\r\n"));
+        let deployment = Deployment::start(service, &servers.each_ref());
+        let n_requests = || servers.iter().map(|it| it.requests().len()).sum::<usize>();
+        let started = Instant::now();
+        for number in 0..20 {
+            if servers.iter().all(|it| !it.requests().is_empty()) {
+                break;
+            }
+            let response = send(&deployment.entry, path, &format!("first-{number}"));
+            // The engine's own refusal is passed on with its time.
+            assert_eq!(response.status(), 503);
+            assert!(response.text().contains("X-Not-Run"), "{}", response.text());
+        }
+        assert_eq!(n_requests(), 2, "{path}");
+        for number in 0..3 {
+            let sent = Instant::now();
+            let response = send(&deployment.entry, path, &format!("paused-{number}"));
+            assert!(sent.elapsed() < Duration::from_millis(200), "{:?}", sent.elapsed());
+            assert_eq!(response.status(), 503);
+            assert!(response.text().contains("not-run"), "{}", response.text());
+            let retry_after = retry_after(&response).unwrap();
+            assert!(retry_after > 0.5 && retry_after <= 1.5, "{path}: {retry_after}");
+        }
+        assert_eq!(n_requests(), 2, "{path}");
+        // A caller that waits as told is taken.
+        let response = send(&deployment.entry, path, "told");
+        thread::sleep(Duration::from_secs_f64(retry_after(&response).unwrap()));
+        send(&deployment.entry, path, "returned");
+        assert_eq!(n_requests(), 3, "{path}: after {:?}", started.elapsed());
+    }
+}
+
+/// Another start of a server takes requests at once.
+#[test]
+fn new_start_ends_a_pause() {
+    let server = pausing_server(1, "30", "X-Not-Run: 1\r\n");
+    let deployment = Deployment::start("ledger", &[&server]);
+    assert_eq!(send(&deployment.entry, "/stock/1", "refused").status(), 503);
+    assert_eq!(send(&deployment.entry, "/stock/1", "paused").status(), 503);
+    assert_eq!(server.requests().len(), 1);
+    let mut entry = server_entry("ledger", server.address(), "ready");
+    entry["born"] = 2000.into();
+    deployment.store.put("servers", "ledger-0", entry);
+    thread::sleep(APPLY_TIME);
+    assert_eq!(send(&deployment.entry, "/stock/1", "started").status(), 200);
+}
+
+/// The pause binds the host that was refused, also where another host owns the engine: that host
+/// goes on sending.
+#[test]
+fn pause_binds_the_refused_host() {
+    let server = ScriptedServer::start(|request| {
+        let is_refused = request.header("x-request-id").unwrap().starts_with("refused");
+        match is_refused {
+            true => vec![Step::Send(refusal(request, "20", "X-Not-Run: 1\r\n"))],
+            false => whole_stream(request),
+        }
+    })
+    .unwrap();
+    let store = StoreStandin::start().unwrap();
+    store.put("config", "main", charter(1));
+    store.put("servers", "pool-0", server_entry("pool", server.address(), "ready"));
+    let hosts = ["entry-1", "entry-2"].map(|it| EntryProcess::start(&store, it));
+    hosts.iter().for_each(EntryProcess::wait_until_ready);
+    thread::sleep(JOIN_TIME);
+    // One of the two hosts owns the engine, the other one asks it.
+    for (idx, host) in hosts.iter().enumerate() {
+        assert_eq!(send(host, "/draft/1", &format!("before-{idx}")).status(), 200);
+        assert_eq!(send(host, "/draft/1", &format!("refused-{idx}")).status(), 503);
+        assert_eq!(server.requests().len(), 2 * (idx + 1));
+        assert_eq!(send(host, "/draft/1", &format!("paused-{idx}")).status(), 503);
+        assert_eq!(server.requests().len(), 2 * (idx + 1));
+    }
+}
+
+/// The log names the response that began a pause, and its end.
+#[test]
+fn log_names_the_pausing_response() {
+    let server = pausing_server(1, "0.4", "X-Not-Run: 1\r\n");
+    let deployment = Deployment::start("ledger", &[&server]);
+    send(&deployment.entry, "/stock/1", "pausing");
+    let expected = [
+        "pause: a backend server takes no requests for a time request=pausing backend=ledger-0 \
+         pause_ms=400",
+        "pause: a backend server takes requests again backend=ledger-0 paused_ms=400",
+    ];
+    let deadline = Instant::now() + Duration::from_secs(3);
+    loop {
+        let log = std::fs::read_to_string(deployment.entry.log_path()).unwrap();
+        if expected.iter().all(|it| log.contains(it)) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{log}");
+        thread::sleep(50 * MS);
+    }
+}
+
+/// Starts a server that refuses its first `n_refusals` requests with a pause.
+fn pausing_server(n_refusals: u32, pause: &'static str, extra: &'static str) -> ScriptedServer {
+    let n_requests = AtomicU32::new(0);
+    ScriptedServer::start(move |request| {
+        match n_requests.fetch_add(1, Ordering::Relaxed) < n_refusals {
+            true => vec![Step::Send(refusal(request, pause, extra))],
+            false => whole_response(request),
+        }
+    })
+    .unwrap()
+}
+
+fn sound_server() -> ScriptedServer {
+    ScriptedServer::start(whole_response).unwrap()
+}
+
+fn whole_response(request: &RawRequest) -> Vec<Step> {
+    match request.target.as_str() {
+        "/draft/1" => whole_stream(request),
+        _ => complete_response("own")(request),
+    }
+}
+
+fn whole_stream(request: &RawRequest) -> Vec<Step> {
+    let bytes = [stream_head(request), event_chunk(1), b"0\r\n\r\n".to_vec()].concat();
+    vec![Step::Send(bytes)]
+}
+
+fn refusal(request: &RawRequest, pause: &str, extra: &str) -> Vec<u8> {
+    let text = String::from_utf8(encode_response(request, 503, "")).unwrap();
+    let headers = format!("{extra}Retry-After: {pause}\r\nX-Server-Stamp");
+    text.replacen("X-Server-Stamp", &headers, 1).into_bytes()
+}
+
+/// Sends requests until the server has refused one; returns the time of the refusal.
+fn until_refused(deployment: &Deployment, server: &ScriptedServer, path: &str) -> Instant {
+    for number in 0..60 {
+        send(&deployment.entry, path, &format!("first-{number}"));
+        if !server.requests().is_empty() {
+            return Instant::now();
+        }
+    }
+    panic!("the server got no request");
+}
+
+fn retry_after(response: &CallerResponse) -> Option<f64> {
+    let text = response.text();
+    let value = text.lines().find_map(|it| it.strip_prefix("Retry-After: "))?;
+    value.trim().parse().ok()
+}
+
+fn send(entry: &EntryProcess, path: &str, id: &str) -> CallerResponse {
+    entry.exchange(&request("POST", path, id, STREAM_HEADERS))
+}
