An exiting entry host answers what it holds

Callers got a closed connection and no word on whether their request had run, if its body was still arriving when the host exited, or if it was in progress then, with a time limit longer than the grace period.

A request that is not complete 0.6 s before the exit is refused as not run, and its connection read on until the exit, so that the response is not lost to a reset; one that is in progress 0.05 s before the exit gets 503 not-run or 504 may-have-run, unless its response has begun. Accepted requests have 0.15 s, not 0.1 s, beyond their time limit, so that they end before that.

Tests on the real process, before: \`slow_bodies_are_refused_before_the_exit\` 12 of 12 without an answer, \`unfinished_request_is_answered_before_the_exit\` status 0 in place of 504. Both pass now.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -12,8 +12,8 @@
     entry::{
         count_guard::CountGuard,
         entry_host::EntryHost,
-        error_response::ErrorResponse,
         exchange::{ConnectionReuse, Exchange},
+        unread_request::UnreadRequest,
     },
     http1::{BodyLength, BodyReader, Connection, HttpError, RequestHead},
     routing::CallerLimits,
@@ -23,7 +23,10 @@
 /// Time for which a connection is read after the last response. Closing it with unread bytes would
 /// reset it, and the caller could lose the end of that response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time before the exit of the process at which requests in progress are logged.
+/// Time before the exit of the process at which a request that has not arrived completely is
+/// refused, so that its caller can read the response.
+const LAST_CALL_TIME: Duration = Duration::from_millis(600);
+/// Time before the exit of the process at which requests in progress are ended.
 const CUT_TIME: Duration = Duration::from_millis(50);
 
 /// A connection of a caller, whose requests are served one after the other.
@@ -53,8 +56,8 @@
                 // No response was written lately that the caller could lose, and a request that
                 // crosses the close must stay unread, so that its caller can tell.
                 Ok(None) => return,
-                Err(err) => {
-                    self.send_parse_error(&err).await;
+                Err(reason) => {
+                    self.refuse_unread(&reason).await;
                     break;
                 }
             };
@@ -78,16 +81,19 @@
             log::debug!("relay: caller disconnected request={}", exchange.request.id);
             ConnectionReuse::Close
         };
-        let cut = async {
+        let ended = async { Some(Box::pin(exchange.run()).or(disconnected).await) };
+        let exit = async {
             exchange.host.departure.pass_time_before_exit(CUT_TIME).await;
-            exchange.record_cut_by_exit();
-            std::future::pending().await
+            None
         };
-        Box::pin(exchange.run()).or(disconnected).or(cut).await
+        match ended.or(exit).await {
+            Some(reuse) => reuse,
+            None => exchange.end_at_exit().await,
+        }
     }
 
     /// Returns the next complete request, or `None` if the connection should be closed.
-    async fn read_request(&mut self) -> Result<Option<CompleteRequest>, HttpError> {
+    async fn read_request(&mut self) -> Result<Option<CompleteRequest>, UnreadRequest> {
         if self.connection.buffered().is_empty() && !self.wait_for_bytes().await? {
             return Ok(None);
         }
@@ -106,11 +112,18 @@
             let body = reader.read_all(&mut self.connection, limits.max_body_bytes).await?;
             Ok(CompleteRequest { head, body, received })
         };
-        match runtime::timeout(limits.head_timeout * 2, read).await {
-            Ok(Err(HttpError::Closed)) => Ok(None),
-            Ok(res) => res.map(Some),
-            Err(_) => Err(HttpError::TimedOut),
-        }
+        let read = async {
+            match runtime::timeout(limits.head_timeout * 2, read).await {
+                Ok(Err(HttpError::Closed)) => Ok(None),
+                Ok(res) => Ok(Some(res?)),
+                Err(_) => Err(HttpError::TimedOut.into()),
+            }
+        };
+        let last_call = async {
+            self.host.departure.pass_time_before_exit(LAST_CALL_TIME).await;
+            Err(UnreadRequest::HostExits)
+        };
+        read.or(last_call).await
     }
 
     /// Waits for the first byte of a request; returns `false` if the idle connection should be
@@ -137,29 +150,13 @@
     }
 
     /// Sends the error response for bytes that are not a complete, valid request.
-    async fn send_parse_error(&self, err: &HttpError) {
-        let response = match err {
-            HttpError::Malformed(_) => {
-                ErrorResponse::not_run(400, "the request is not valid HTTP/1.1; correct it")
-            }
-            HttpError::HeadTooLong => ErrorResponse::not_run(
-                431,
-                "the request head is too long; shorten its URL or headers",
-            ),
-            HttpError::BodyTooLong => {
-                ErrorResponse::not_run(413, "the request body is too long; shorten it")
-            }
-            HttpError::TimedOut => ErrorResponse::not_run(
-                408,
-                "the request did not arrive in time; send the request again at a higher rate",
-            ),
-            HttpError::Io(_) | HttpError::Closed | HttpError::Truncated => {
-                log::debug!("callers: connection to a caller failed error=\"{err}\"");
-                return;
-            }
+    async fn refuse_unread(&self, reason: &UnreadRequest) {
+        let Some(response) = reason.response() else {
+            log::debug!("callers: connection to a caller failed error=\"{reason}\"");
+            return;
         };
         log::info!(
-            "callers: refused an invalid request status={} error=\"{err}\"",
+            "callers: refused an unread request status={} error=\"{reason}\"",
             response.status
         );
         if let Err(err) = response.send(&self.connection.writer(), "", true).await {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -152,7 +152,13 @@
         let timeout = self.time_left(route) + TIMEOUT_MARGIN;
         match runtime::timeout(timeout, attempts::run(self, route, service, &customer)).await {
             Ok(reuse) => reuse,
-            Err(_) => self.send_timeout().await,
+            Err(_) => {
+                self.send_timeout(
+                    "the deadline passed before the request was sent to a backend server; retry",
+                    "the deadline passed; retry only if the request is idempotent",
+                )
+                .await
+            }
         }
     }
 
@@ -242,8 +248,8 @@
         self.reuse_after_write(res)
     }
 
-    /// Logs a request that the exit of the process is about to cut.
-    pub(crate) fn record_cut_by_exit(&self) {
+    /// Ends the request, as the process is about to exit: responds unless the response has begun.
+    pub(crate) async fn end_at_exit(&self) -> ConnectionReuse {
         let age = clock::elapsed(self.received);
         let stop_age = self.host.departure.since().map(|it| it.elapsed()).unwrap_or_default();
         log::warn!(
@@ -253,23 +259,27 @@
             stop_age.as_millis() as i64 - age.as_millis() as i64,
             self.is_head_sent.get(),
         );
+        self.send_timeout(
+            "this entry host is shutting down; retry at another one",
+            "this entry host is shutting down; retry only if the request is idempotent",
+        )
+        .await
     }
 
-    /// Sends the response to a request whose deadline has passed.
-    async fn send_timeout(&self) -> ConnectionReuse {
+    /// Ends a request whose time is over: sends an error response, with one of the messages, unless
+    /// the response of a backend server has begun.
+    async fn send_timeout(
+        &self,
+        not_run_message: &'static str,
+        may_have_run_message: &'static str,
+    ) -> ConnectionReuse {
         if self.is_head_sent.get() {
             return self.cut_response(CutReason::Deadline);
         }
         let has_not_run = self.verdict.get() == Verdict::NotRun && !self.is_attempt_running.get();
         let response = match has_not_run {
-            true => ErrorResponse::not_run(
-                503,
-                "the deadline passed before the request was sent to a backend server; retry",
-            ),
-            false => ErrorResponse::may_have_run(
-                504,
-                "the deadline passed; retry only if the request is idempotent",
-            ),
+            true => ErrorResponse::not_run(503, not_run_message),
+            false => ErrorResponse::may_have_run(504, may_have_run_message),
         };
         self.send_error(response).await
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -28,5 +28,6 @@
 mod store_sync;
 mod stream_relay;
 mod successor;
+mod unread_request;
 
 pub(crate) use crate::entry::lifecycle::run;
--- a/src/placement/shutdown_admission.rs
+++ b/src/placement/shutdown_admission.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Time beyond its timeout that a request may take until its response is written.
-const END_MARGIN: Duration = Duration::from_millis(100);
+const END_MARGIN: Duration = Duration::from_millis(150);
 
 /// Returns `true` if a request that takes all of its `timeout` finishes before the process exits in
 /// `time_to_exit`.
--- a/tests/stop_under_load.rs
+++ b/tests/stop_under_load.rs
@@ -3,7 +3,7 @@
 mod entry_process;
 
 use std::{
-    io::Write,
+    io::{ErrorKind, Write},
     net::TcpStream,
     thread,
     time::{Duration, Instant},
@@ -11,7 +11,8 @@
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
 use entry_process::{
-    complete_response, event_chunk, read_response, request, stream_head, CallerResponse, Deployment,
+    charter, complete_response, event_chunk, read_response, request, stream_head, CallerResponse,
+    Deployment, API_KEY, HOST,
 };
 
 /// The grace period in the settings of the test deployment, 4 s.
@@ -54,7 +55,7 @@
         let at = stopped + Duration::from_millis(150) * idx as u32;
         let id = format!("late-{idx}");
         let draft = request("POST", "/draft/1", &id, "X-Model: lots\r\nX-Token-Counts: 9,9\r\n");
-        thread::spawn(move || send_at(caller, at, id, &draft))
+        thread::spawn(move || send_at(caller, at, id, &[draft]))
     };
     let threads: Vec<_> = callers.into_iter().enumerate().map(send).collect();
     let ended = wait_for_exit(&mut deployment, stopped);
@@ -79,7 +80,7 @@
         let at = stopped + Duration::from_millis(50) * idx as u32;
         let id = format!("kept-{idx}");
         let hold = request("POST", "/hold/1", &id, "");
-        thread::spawn(move || send_at(caller, at, id, &hold))
+        thread::spawn(move || send_at(caller, at, id, &[hold]))
     };
     let threads: Vec<_> = callers.into_iter().enumerate().map(send).collect();
     let ended = wait_for_exit(&mut deployment, stopped);
@@ -87,6 +88,53 @@
     check(&sent, ended, &[ledger]);
 }
 
+/// Guards against an exit without an answer to a request whose body is still arriving.
+#[test]
+fn slow_bodies_are_refused_before_the_exit() {
+    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+    let mut deployment = Deployment::start("ledger", &[&ledger]);
+    let callers: Vec<TcpStream> = (0..12).map(|_| deployment.entry.connect()).collect();
+    deployment.entry.terminate();
+    let stopped = Instant::now();
+    let send = |(idx, caller): (usize, TcpStream)| {
+        let at = stopped + Duration::from_millis(2700) + Duration::from_millis(50) * idx as u32;
+        let id = format!("slow-{idx}");
+        let mut pieces = vec![head_with_body(&id, 20)];
+        pieces.extend((0..20).map(|_| b"x".to_vec()));
+        thread::spawn(move || send_at(caller, at, id, &pieces))
+    };
+    let threads: Vec<_> = callers.into_iter().enumerate().map(send).collect();
+    let ended = wait_for_exit(&mut deployment, stopped);
+    let sent: Vec<SentRequest> = threads.into_iter().map(|it| it.join().unwrap()).collect();
+    assert!(ended.duration_since(stopped) < GRACE_PERIOD);
+    assert!(sent.iter().all(SentRequest::is_refused), "{sent:?}");
+    assert_eq!(ledger.requests().len(), 0);
+}
+
+/// Guards against an exit that closes the connection of a request without an answer.
+#[test]
+fn unfinished_request_is_answered_before_the_exit() {
+    let ledger = ScriptedServer::start(|_: &RawRequest| vec![Step::Pause(GRACE_PERIOD * 2)]);
+    let ledger = ledger.unwrap();
+    let mut deployment = Deployment::start("ledger", &[&ledger]);
+    let mut charter = charter(2);
+    for route in charter["routes"].as_array_mut().unwrap() {
+        route["timeout-ms"] = 7000.into();
+    }
+    deployment.store.put("config", "main", charter);
+    thread::sleep(Duration::from_millis(1500));
+    let caller = deployment.entry.connect();
+    let hold = String::from_utf8(request("POST", "/hold/1", "long", "")).unwrap();
+    let hold = hold.replace("X-Deadline-Ms: 3000", "X-Deadline-Ms: 7000").into_bytes();
+    let thread = thread::spawn(|| send_at(caller, Instant::now(), "long".into(), &[hold]));
+    thread::sleep(Duration::from_millis(300));
+    deployment.entry.terminate();
+    wait_for_exit(&mut deployment, Instant::now());
+    let sent = thread.join().unwrap();
+    assert_eq!(sent.status(), 504, "{sent:?}");
+    assert!(sent.response.unwrap().text().contains("X-Verdict: may-have-run"));
+}
+
 /// Checks that no accepted request was cut, that none that was refused or not answered has run, and
 /// that all were answered at once that did not cross the end of the process.
 fn check(sent: &[SentRequest], ended: Instant, servers: &[ScriptedServer]) {
@@ -113,12 +161,20 @@
     }
 }
 
-/// Waits until `at`, sends a request, unless the host has closed the connection, and reads the
-/// response.
-fn send_at(mut caller: TcpStream, at: Instant, id: String, bytes: &[u8]) -> SentRequest {
+/// Waits until `at`, sends the pieces of a request with pauses of 50 ms, unless the host answers
+/// before the last one, and reads the response.
+fn send_at(mut caller: TcpStream, at: Instant, id: String, pieces: &[Vec<u8>]) -> SentRequest {
     thread::sleep(at.saturating_duration_since(Instant::now()));
-    // A host that has closed the connection is noticed when the response is read.
-    drop(caller.write_all(bytes));
+    for (idx, piece) in pieces.iter().enumerate() {
+        if idx > 0 {
+            thread::sleep(Duration::from_millis(50));
+        }
+        if idx > 0 && has_input(&caller) {
+            break;
+        }
+        // A host that has closed the connection is noticed when the response is read.
+        drop(caller.write_all(piece));
+    }
     let sent = Instant::now();
     let response = read_response(&mut caller);
     let answered = Instant::now();
@@ -126,6 +182,21 @@
     SentRequest { id, sent, answered, response }
 }
 
+fn has_input(caller: &TcpStream) -> bool {
+    caller.set_nonblocking(true).unwrap();
+    let res = caller.peek(&mut [0]);
+    caller.set_nonblocking(false).unwrap();
+    !matches!(res, Err(err) if err.kind() == ErrorKind::WouldBlock)
+}
+
+fn head_with_body(id: &str, body_bytes: usize) -> Vec<u8> {
+    format!(
+        "POST /hold/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
+         Authorization: Bearer {API_KEY}\r\nContent-Length: {body_bytes}\r\n\r\n"
+    )
+    .into_bytes()
+}
+
 /// Starts an engine whose streams take 2.3 s, of the 2.5 s that their route allows.
 fn long_stream_server() -> ScriptedServer {
     let script = |request: &RawRequest| {
