--- a/tests/cell_owners.rs
+++ b/tests/cell_owners.rs
@@ -130,6 +130,37 @@
     }
 }
 
+/// Guards against requests that wait at an owner which leaves and get no answer: each is answered
+/// until the owner is gone and after, no later than its wait and the engine's work take.
+#[test]
+fn waiting_requests_outlive_a_leaving_owner() {
+    let engine = CountingEngine::start(Duration::from_millis(60));
+    let (_store, mut hosts) = start(&engine, &["entry-1", "entry-2"]);
+    hosts[0].terminate();
+    let left = Instant::now();
+    let caller = &hosts[1];
+    let calls: Vec<(Duration, Duration, CallerResponse)> = thread::scope(|scope| {
+        let call = |idx: u32| {
+            scope.spawn(move || {
+                let at = Duration::from_millis(25) * idx;
+                thread::sleep(at.saturating_sub(left.elapsed()));
+                let started = Instant::now();
+                let response = send(caller, &format!("waiting-{idx}"));
+                (at, started.elapsed(), response)
+            })
+        };
+        let calls: Vec<_> = (0..190).map(call).collect();
+        calls.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+    assert!(hosts[0].has_exited(), "the owner is gone before the last request");
+    for (at, took, response) in &calls {
+        assert!(matches!(response.status(), 200 | 503), "{at:?}: {}", response.text());
+        assert!(response.is_complete() && *took < Duration::from_millis(600), "{at:?} {took:?}");
+    }
+    let n_refused = calls.iter().filter(|it| it.2.status() == 503).count();
+    assert!((1..95).contains(&n_refused), "{n_refused} of 190 are refused");
+}
+
 /// Datagrams that are no messages, cut ones and such with absurd values stop no host from answering
 /// the next message.
 #[test]
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -165,6 +165,11 @@
         self.signal("TERM");
     }
 
+    /// Sends SIGHUP to the process.
+    pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
     /// Stops the process until `resume` is called.
     pub fn suspend(&self) {
         self.signal("STOP");
