A leaving entry host exits once its requests have ended, without waiting for idle connections

While a fleet is restarted host by host, callers find only leaving hosts until the first one is back: a host that refuses what it can't end in time, but waits out its grace period for idle connections, keeps its replacement away. From 4 s after the stop signal on, a host without a request in progress says so to itself: its exit is 0.6 s away, so requests that are still arriving are refused as not run, idle connections are read until then, and all is closed.

Test `idle_connections_do_not_delay_the_exit` (grace period 20 s) failed before: no refusal 3.8 s after the signal, as the exit was 19.5 s after it.

--- a/src/entry/departure.rs
+++ b/src/entry/departure.rs
@@ -6,29 +6,42 @@
 };
 
 use event_listener::Event;
+use futures_lite::FutureExt;
 
 use crate::runtime;
 
 /// Time before the end of the grace period at which a leaving process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time for which a process whose requests have all ended still answers, before it exits early.
+const EARLY_EXIT_NOTICE: Duration = Duration::from_millis(600);
 
 /// The planned end of this process, which begins with a stop signal.
 pub(crate) struct Departure {
     grace: Duration,
     since: Cell<Option<Instant>>,
-    begun: Event,
+    exit_at: Cell<Option<Instant>>,
+    /// Notified when the time of the exit changes.
+    changed: Event,
 }
 
 impl Departure {
     /// Creates the state of a process that serves, and is killed `grace` after a stop signal.
     pub(crate) fn new(grace: Duration) -> Departure {
-        Departure { grace, since: Cell::new(None), begun: Event::new() }
+        Departure { grace, since: Cell::new(None), exit_at: Cell::new(None), changed: Event::new() }
     }
 
     /// Records that the process begins to leave.
     pub(crate) fn begin(&self) {
-        self.since.set(Some(Instant::now()));
-        self.begun.notify(usize::MAX);
+        let now = Instant::now();
+        self.since.set(Some(now));
+        self.set_exit(now + self.grace.saturating_sub(EXIT_MARGIN));
+    }
+
+    /// Brings the exit of a leaving process forward, as it has no request in progress. Requests that
+    /// arrive until then are refused, unless they end in time.
+    pub(crate) fn exit_early(&self) {
+        let Some(exit_at) = self.exit_at.get() else { return };
+        self.set_exit(exit_at.min(Instant::now() + EARLY_EXIT_NOTICE));
     }
 
     /// Returns when the process began to leave, or `None` while it serves.
@@ -38,17 +51,27 @@
 
     /// Returns the time until a leaving process exits, or `None` while it serves.
     pub(crate) fn time_until_exit(&self) -> Option<Duration> {
-        let since = self.since.get()?;
-        Some(self.grace.saturating_sub(EXIT_MARGIN).saturating_sub(since.elapsed()))
+        Some(self.exit_at.get()?.saturating_duration_since(Instant::now()))
     }
 
     /// Returns once the process is leaving and exits within `margin`.
     pub(crate) async fn pass_time_before_exit(&self, margin: Duration) {
-        let begun = self.begun.listen();
-        if self.since.get().is_none() {
-            begun.await;
+        loop {
+            let changed = self.changed.listen();
+            let Some(time_until_exit) = self.time_until_exit() else {
+                changed.await;
+                continue;
+            };
+            let time_left = time_until_exit.saturating_sub(margin);
+            if time_left.is_zero() {
+                return;
+            }
+            changed.or(runtime::sleep(time_left)).await;
         }
-        let time_left = self.time_until_exit().unwrap_or_default();
-        runtime::sleep(time_left.saturating_sub(margin)).await;
+    }
+
+    fn set_exit(&self, exit_at: Instant) {
+        self.exit_at.set(Some(exit_at));
+        self.changed.notify(usize::MAX);
     }
 }
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -113,14 +113,24 @@
 }
 
 impl Leaving {
-    /// Waits until callers have closed their connections or the grace period ends, then closes all.
+    /// Waits until no request is in progress or the grace period ends, then closes all connections.
+    ///
+    /// A process that exits early is replaced early.
     async fn close(self) {
         let since = Instant::now();
+        let mut exits_early = false;
         while self.host.departure.time_until_exit().is_some_and(|it| !it.is_zero()) {
             runtime::sleep(LEAVE_CHECK_INTERVAL).await;
-            if since.elapsed() > MIN_LEAVE_TIME && self.host.n_connections.get() == 0 {
+            if exits_early || since.elapsed() <= MIN_LEAVE_TIME {
+                continue;
+            }
+            if self.host.n_connections.get() == 0 {
                 break;
             }
+            if self.host.n_exchanges.get() == 0 {
+                self.host.departure.exit_early();
+                exits_early = true;
+            }
         }
         log::info!("daemon: stopped in_progress={}", self.host.n_exchanges.get());
         for endpoint in self.endpoints {
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -100,8 +100,14 @@
         EntryProcess::start_with_bounds(store, id, "")
     }
 
-    /// Starts an entry host with more lines in the section `bounds` of its settings.
+    /// Starts an entry host with more lines in the section `bounds` of its settings, and a grace
+    /// period of 4 s.
     pub fn start_with_bounds(store: SocketAddr, id: &str, bounds: &str) -> EntryProcess {
+        EntryProcess::start_with_all_bounds(store, id, &format!("grace_s = 4\n{bounds}"))
+    }
+
+    /// Starts an entry host with these lines in the section `bounds` of its settings.
+    pub fn start_with_all_bounds(store: SocketAddr, id: &str, bounds: &str) -> EntryProcess {
         let ip = unique_loopback_ip();
         let [callers, readiness, directory, peers, metrics] =
             [9101, 9102, 9103, 9104, 9105].map(|port| SocketAddr::from((ip, port)));
@@ -109,7 +115,7 @@
             "[host]\nid = {id}\nrole = entry\nregion = south\nzone = depot\n\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\ndirectory = {directory}\n\
              peers = {peers}\nmetrics = {metrics}\n\n[store]\naddress = {}\n\n\
-             [bounds]\ngrace_s = 4\n{bounds}",
+             [bounds]\n{bounds}",
             store
         );
         let (child, folder) = start_platform_process(&text);
--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -11,7 +11,7 @@
 use crocustiller::placement::can_finish_before_exit;
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
 use entry_process::{
-    complete_response, event_chunk, read_response, request, stream_head, Deployment,
+    complete_response, event_chunk, read_response, request, stream_head, Deployment, EntryProcess,
 };
 
 /// The grace period in the settings of the test deployment, 4 s.
@@ -72,6 +72,31 @@
     }
 }
 
+/// Guards against a host that has nothing left to do and keeps its replacement waiting for idle
+/// connections.
+#[test]
+fn idle_connections_do_not_delay_the_exit() {
+    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+    let Deployment { store, .. } = Deployment::start("ledger", &[&ledger]);
+    let mut entry = EntryProcess::start_with_all_bounds(store.address(), "entry-2", "grace_s = 20");
+    entry.wait_until_ready();
+    let mut caller = entry.connect();
+    caller.write_all(&request("GET", "/stock/1", "first", "")).unwrap();
+    assert_eq!(read_response(&mut caller).status(), 200);
+    let unfinished = b"POST /hold/1 HTTP/1.1\r\nHost: lots.example\r\nContent-Length: 5\r\n\r\n";
+    entry.terminate();
+    let stopped = Instant::now();
+    let mut slow_caller = entry.connect();
+    thread::sleep(Duration::from_millis(3800).saturating_sub(stopped.elapsed()));
+    slow_caller.write_all(unfinished).unwrap();
+    assert_eq!(read_response(&mut slow_caller).status(), 503, "refused before the early exit");
+    while !entry.has_exited() {
+        assert!(stopped.elapsed() < Duration::from_secs(6), "waits for idle connections");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(stopped.elapsed() > GRACE_PERIOD, "callers may have its address cached");
+}
+
 /// Guards against accepting a request late in the grace period that a slow engine cannot finish in
 /// time.
 #[test]
