An older copy of the store doesn't take back that an engine leaves

What callers could see: requests to an engine later than the bound after it said that it leaves or was removed, since a list of a store that came back from an older copy has its former entry. Cause: a list replaced what the process knew, whatever the age of the copy. Change: objects up to the revision of the first list of a generation may be old. Of such entries, an engine known to leave keeps leaving, a later start stays, and one that has left is doubted for 5 s, the time in which the store removes entries that nobody renews; a write after that list is trusted.

--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -129,10 +129,15 @@
 fn apply_servers(host: &EntryHost, update: KindUpdate) {
     let now = Instant::now();
     match update {
-        KindUpdate::Listed { objects, is_after_outage, .. } => {
-            let servers: Vec<BackendServer> = objects.iter().filter_map(decode_or_skip).collect();
+        KindUpdate::Listed { objects, is_after_outage, restored_until, .. } => {
+            let (restored, current): (Vec<StoredObject>, Vec<StoredObject>) =
+                objects.into_iter().partition(|it| it.metadata.revision <= restored_until);
+            let restored = restored.iter().filter_map(decode_or_skip).collect();
+            let mut backends = host.backends.borrow_mut();
+            let mut servers = backends.accept_restored(restored, now);
+            servers.extend(current.iter().filter_map(decode_or_skip));
             log::info!("fleet: replaced the list of backend servers n={}", servers.len());
-            host.backends.borrow_mut().replace_all(servers, is_after_outage, now);
+            backends.replace_all(servers, is_after_outage, now);
             host.has_backends.set(true);
         }
         KindUpdate::Changed { changes, .. } => apply_server_changes(host, changes, now),
--- a/src/fleet/backend_table.rs
+++ b/src/fleet/backend_table.rs
@@ -1,7 +1,8 @@
 //! The backend servers that an entry host can use.
 //!
 //! During an outage the store may lose the leases of servers that still run. The table keeps such
-//! entries for a short time, so that an outage does not remove the capacity of a pool.
+//! entries for a short time, so that an outage does not remove the capacity of a pool. When the store
+//! comes back from an older copy, entries in it don't take back that a server leaves or has left.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -22,6 +23,11 @@
 const MASS_LAPSE_SHARE: f64 = 0.3;
 /// Minimum number of simultaneous removals that counts as a loss of leases.
 const MIN_MASS_LAPSE: usize = 3;
+/// Time for which an entry of a server that has left is doubted after the store came back from an
+/// older copy; by then the store has removed the entries of servers that don't renew them.
+const DOUBT_TIME: Duration = Duration::from_secs(5);
+/// Time for which servers that have left are remembered, longer than the age of a copy.
+const DEPARTED_MEMORY: Duration = Duration::from_secs(120);
 /// Time for which a notice takes precedence over entries that report other weights, as an engine
 /// writes its entry at intervals and the store reports it later still.
 const NOTICE_PRECEDENCE: Duration = Duration::from_millis(2500);
@@ -33,9 +39,20 @@
     /// The weights in the entries, which notices override in `servers`.
     entry_weights: HashMap<BackendId, Vec<LoadedLayers>>,
     lapsed: HashMap<BackendId, Instant>,
+    /// Servers whose entries were removed, by id.
+    departed: HashMap<BackendId, DepartedServer>,
+    /// Entries in an older copy of servers that have left, with the time since which they are there.
+    doubted: HashMap<BackendId, (BackendServer, Instant)>,
     notices: HashMap<SocketAddr, ReceivedNotice>,
 }
 
+/// A start of a server whose entry was removed.
+#[derive(Clone, Copy, Debug)]
+struct DepartedServer {
+    started_ms: u64,
+    removed: Instant,
+}
+
 /// A notice of a slot process, with the time at which it arrived.
 #[derive(Clone, Debug)]
 struct ReceivedNotice {
@@ -67,11 +84,50 @@
         }
     }
 
+    /// Returns the entries of an older copy as they may be used: a server that this table knows to
+    /// leave keeps leaving, a later start of it stays, and one that has left is doubted for a while.
+    pub fn accept_restored(
+        &mut self,
+        restored: Vec<BackendServer>,
+        now: Instant,
+    ) -> Vec<BackendServer> {
+        let doubted_before = std::mem::take(&mut self.doubted);
+        let mut accepted = Vec::new();
+        for server in restored {
+            let departed = self.departed.get(&server.id);
+            if departed.is_some_and(|it| it.started_ms >= server.started_ms) {
+                log::info!("fleet: doubted a restored entry backend={}", server.id);
+                let since = doubted_before.get(&server.id).map_or(now, |it| it.1);
+                self.doubted.insert(server.id.clone(), (server, since));
+            } else {
+                accepted.push(self.newest_known(server));
+            }
+        }
+        accepted
+    }
+
+    fn newest_known(&self, restored: BackendServer) -> BackendServer {
+        match self.servers.get(&restored.id) {
+            Some(known) if known.started_ms > restored.started_ms => {
+                let weights = self.entry_weights.get(&known.id).cloned().unwrap_or_default();
+                BackendServer { weights, ..known.clone() }
+            }
+            Some(known) if known.started_ms == restored.started_ms => {
+                let is_leaving = known.state == BackendState::Draining;
+                let state = if is_leaving { BackendState::Draining } else { restored.state };
+                BackendServer { state, ..restored }
+            }
+            _ => restored,
+        }
+    }
+
     /// Inserts or replaces an entry. The weights in a notice of the same engine take precedence over
     /// those in the entry, until the entry changes later than `NOTICE_PRECEDENCE` after the notice.
     pub fn insert(&mut self, server: BackendServer, now: Instant) {
         let id = server.id.clone();
         self.lapsed.remove(&id);
+        self.departed.remove(&id);
+        self.doubted.remove(&id);
         self.entry_weights.insert(id.clone(), server.weights.clone());
         self.servers.insert(id.clone(), server);
         self.update_weights(&id, now);
@@ -138,23 +194,34 @@
         for id in ids {
             match is_mass_lapse {
                 true => self.remove_lapsed(id, now),
-                false => self.remove(&id),
+                false => self.remove_departed(&id, now),
             }
         }
     }
 
+    /// Removes the entry of a server that has left, and remembers that.
+    fn remove_departed(&mut self, id: &str, now: Instant) {
+        self.doubted.remove(id);
+        if let Some(server) = self.servers.get(id) {
+            let departed = DepartedServer { started_ms: server.started_ms, removed: now };
+            self.departed.insert(id.to_owned(), departed);
+        }
+        self.remove(id);
+    }
+
     /// Keeps an entry whose lease may have lapsed in an outage until `LAPSE_GRACE` has passed. A
     /// draining server is removed at once.
     fn remove_lapsed(&mut self, id: BackendId, now: Instant) {
         if self.servers.get(&id).is_some_and(|it| it.state == BackendState::Draining) {
-            self.remove(&id);
+            self.remove_departed(&id, now);
             return;
         }
         log::info!("fleet: kept a lapsed entry for a short time backend={id}");
         self.lapsed.entry(id).or_insert(now);
     }
 
-    /// Removes lapsed entries that were not registered again in time; returns their ids.
+    /// Removes lapsed entries that were not registered again in time, and inserts doubted ones that
+    /// the store has kept; returns the ids of the removed ones.
     pub fn expire(&mut self, now: Instant) -> Vec<BackendId> {
         let expired: Vec<BackendId> = self
             .lapsed
@@ -166,6 +233,11 @@
             self.lapsed.remove(id);
             self.remove(id);
         }
+        self.departed.retain(|_, it| now < it.removed + DEPARTED_MEMORY);
+        let is_trusted = |it: &&(BackendServer, Instant)| now >= it.1 + DOUBT_TIME;
+        let trusted: Vec<BackendServer> =
+            self.doubted.values().filter(is_trusted).map(|it| it.0.clone()).collect();
+        trusted.into_iter().for_each(|it| self.insert(it, now));
         expired
     }
 
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -12,6 +12,7 @@
 use crate::{
     clock,
     fleet::{KindCache, ListPacing, StallDetector, StoreRetry, StoreSource, StoreSources},
+    ids::Revision,
     metric_names,
     platform::{
         store::{Change, Changes, StoreError, StoredObject},
@@ -29,6 +30,9 @@
         objects: Vec<StoredObject>,
         /// Whether the store was unavailable before this list, or may have been.
         is_after_outage: bool,
+        /// Objects up to this revision may be from an older copy, that is, older than what this
+        /// process knows of them; 0 if the store never came back from one.
+        restored_until: Revision,
         /// Maximum age of the changes since the last update; `None` at the start of a process.
         max_age: Option<Duration>,
     },
@@ -62,6 +66,8 @@
     at: StorePoint,
     needs_list: bool,
     is_after_outage: bool,
+    /// Objects up to this revision may be from an older copy.
+    restored_until: Revision,
     /// Earliest time at which the watch may have been up to date last.
     last_up_to_date: Option<Instant>,
     /// Time by which the source may have lagged behind the store then.
@@ -135,9 +141,12 @@
         if self.is_behind(source, at, progress.at) {
             return Err(StoreError::Behind);
         }
-        // An older copy lacks the entries that were written after it was taken.
-        let is_restored = at.generation > progress.at.generation || at < progress.at;
-        progress.is_after_outage |= is_restored && progress.last_up_to_date.is_some();
+        let has_returned = at.generation > progress.at.generation || at < progress.at;
+        if has_returned && progress.last_up_to_date.is_some() {
+            // An older copy lacks the entries that were written after it was taken.
+            progress.is_after_outage = true;
+            progress.restored_until = at.revision;
+        }
         // Let the other watches of the process retry too, whichever source responded.
         self.retry.reset();
         self.update_cache(|it| it.replace(self.kind, &listing));
@@ -151,6 +160,7 @@
         apply(KindUpdate::Listed {
             objects: listing.objects,
             is_after_outage: progress.is_after_outage,
+            restored_until: progress.restored_until,
             max_age: progress.last_up_to_date.map(|it| clock::elapsed(it) + progress.max_lag),
         });
         *progress = Progress {
@@ -159,6 +169,7 @@
             max_lag: source.max_lag(),
             source: Some(source),
             pacing: progress.pacing,
+            restored_until: progress.restored_until,
             ..Progress::default()
         };
         Ok(())
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -86,6 +86,56 @@
     assert_eq!(n_ready(&table), 0);
 }
 
+/// Seen neither in a play nor in a report: an older copy of the store says again that a server is
+/// ready, after it said that it leaves, or left.
+#[test]
+fn older_copy_takes_no_leaving_back() {
+    let now = Instant::now();
+    let mut table = BackendTable::default();
+    table.replace_all(ready(9), false, now);
+    table.insert(server(1, BackendState::Draining), now);
+    table.remove_all(vec!["i-2".to_owned()], now);
+    let restarted = BackendServer { started_ms: 2000, ..server(3, BackendState::Draining) };
+    table.insert(restarted, now);
+    // The copy has the former start of the third server, and lacks the ninth.
+    let accepted = table.accept_restored(ready(8), now);
+    assert_eq!(accepted.len(), 7, "the second server has left");
+    table.replace_all(accepted, true, now);
+    let states = |table: &BackendTable, number: u8| {
+        table.get(&format!("i-{number}")).map(|it| (it.state, it.started_ms))
+    };
+    assert_eq!(states(&table, 1), Some((BackendState::Draining, 1000)));
+    assert_eq!(states(&table, 2), None);
+    assert_eq!(states(&table, 3), Some((BackendState::Draining, 2000)));
+    assert_eq!(n_ready(&table), 6, "the ninth server is kept for a while");
+    table.expire(now + ms(2300));
+    assert_eq!(n_ready(&table), 5);
+}
+
+/// A server that the store still lists after the time in which it removes silent ones runs, and so
+/// does one that writes its entry again.
+#[test]
+fn doubted_entries_are_used_again() {
+    let now = Instant::now();
+    for is_written_again in [false, true] {
+        let mut table = BackendTable::default();
+        table.replace_all(ready(3), false, now);
+        table.remove_all(vec!["i-1".to_owned()], now);
+        let accepted = table.accept_restored(ready(3), now);
+        table.replace_all(accepted, true, now);
+        table.expire(now + ms(4900));
+        assert_eq!(n_ready(&table), 2);
+        match is_written_again {
+            true => table.insert(server(1, BackendState::Ready), now + ms(4900)),
+            false => drop(table.expire(now + ms(5100))),
+        }
+        assert_eq!(n_ready(&table), 3);
+        table.remove_all(vec!["i-1".to_owned()], now + ms(5200));
+        table.expire(now + ms(20_000));
+        assert_eq!(n_ready(&table), 2);
+    }
+}
+
 /// The weights of `lots` in one version, of all 16 layers.
 fn lots(version: u64) -> Vec<LoadedLayers> {
     vec![LoadedLayers { model: "lots".to_owned(), version, first_layer: 0, end_layer: 16 }]
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -152,6 +152,26 @@
     check_status(&deployment, 503, "engine that leaves");
 }
 
+/// Guards against requests to engines that said they leave in the span that the store lost.
+#[test]
+fn leaving_engine_stays_leaving() {
+    let (deployment, ledger) = start_with_charters();
+    let draining = server_entry("ledger", ledger.address(), "draining");
+    deployment.store.put("servers", "ledger-0", draining);
+    check_status(&deployment, 503, "engine that leaves");
+    deployment.store.restore(1);
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(2) {
+        assert_eq!(status(&deployment), 503, "after {:?}", since.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+    // Another start of it under the same id may be used.
+    let mut entry = server_entry("ledger", ledger.address(), "ready");
+    entry["born"] = json!(2000);
+    deployment.store.put("servers", "ledger-0", entry);
+    check_status(&deployment, 200, "another start");
+}
+
 /// A watch goes on from a revision of before the return, which has been given out again; the store
 /// can't tell that the changes before it are other ones.
 #[test]
