Entry hosts write a registration again that the store has lost

What callers could see: slots and hosts that start later don't find a host that registered in the span that the store lost; its engines' notices and its relay go unused. Cause: a host registered once, at its start. Change: each list of registrations tells a host whether its own is there; if not it writes it after a delay that spreads the writes of all hosts (20 ms a host, 1 s at least). Retries double up to that delay in place of one each 0.3 s and host. Test: lost_registration_is_written_again (without the check of lists: "not registered again" after 3 s), registrations_are_spread at 7, 149 and 360 hosts.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -14,38 +14,25 @@
 use async_executor::Task;
 
 use crate::{
-    entry::{crash_reports, datagrams, entry_host::EntryHost},
-    fleet::{beacon_interval, entry_registry, Beacon, MessageReceiver, PeerMessage},
+    entry::{crash_reports, datagrams, entry_host::EntryHost, own_registration},
+    fleet::{beacon_interval, Beacon, MessageReceiver, PeerMessage},
     platform::store::Store,
     runtime,
 };
 
 /// Maximum length of a datagram; a host may report more than a thousand reservations to one owner.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
-/// Mean delay between two attempts to register.
-const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Maximum number of representatives of a zone.
 const MAX_REPRESENTATIVES: usize = 4;
 
 /// Registers this host in the store and starts to exchange beacons.
 pub(crate) fn start(host: &Rc<EntryHost>, store: &Store) -> Vec<Task<()>> {
-    let register = register(host.clone(), store.clone());
+    let register = own_registration::keep(host.clone(), store.clone());
     let send = send_loop(host.clone());
     let receive = receive_loop(host.clone());
     vec![runtime::spawn_local(register), runtime::spawn_local(send), runtime::spawn_local(receive)]
 }
 
-/// Registers this host in the store, so that other entry hosts send it beacons.
-async fn register(host: Rc<EntryHost>, store: Store) {
-    let own = &host.settings.host;
-    while let Err(err) =
-        entry_registry::register(&store, &own.id, host.settings.peers, &own.zone).await
-    {
-        log::warn!("fleet: failed to register, retrying error=\"{err}\"");
-        runtime::sleep(REGISTER_RETRY_DELAY.mul_f64(0.5 + fastrand::f64())).await;
-    }
-}
-
 /// Sends beacons until the task is dropped.
 async fn send_loop(host: Rc<EntryHost>) {
     let mut last_sent_far: Option<Instant> = None;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -22,6 +22,7 @@
         crash_reports, datagrams,
         departure::Departure,
         eligible_servers,
+        own_registration::OwnRegistration,
         server_notices::{self, ServerNotices},
     },
     fleet::{
@@ -87,6 +88,8 @@
     pub(crate) socket: Async<UdpSocket>,
     /// Addresses of the entry hosts that beacons are sent to, with their zones.
     pub(crate) beacon_targets: RefCell<BTreeMap<SocketAddr, ZoneId>>,
+    /// Whether the store has the registration of this host.
+    pub(crate) registration: OwnRegistration,
     /// The store and the entry hosts through which this host can watch it.
     pub(crate) sources: StoreSources,
     /// The latest stall of this process.
@@ -143,6 +146,7 @@
             connections: BackendConnections::default(),
             socket,
             beacon_targets: RefCell::default(),
+            registration: OwnRegistration::default(),
             sources,
             known_peers: RefCell::default(),
             stalls: Rc::new(RefCell::new(StallDetector::new(clock::now()))),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod exchange;
 mod lifecycle;
 mod metrics_endpoint;
+mod own_registration;
 mod pending_request;
 mod request_trace;
 mod reservation;
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -89,7 +89,10 @@
 /// the store stay targets.
 fn apply_entry_hosts(host: &EntryHost, update: KindUpdate) {
     let objects: Vec<StoredObject> = match update {
-        KindUpdate::Listed { objects, .. } => objects,
+        KindUpdate::Listed { objects, .. } => {
+            host.registration.apply_listing(host, &objects);
+            objects
+        }
         KindUpdate::Changed { changes, .. } => changes.into_iter().map(|it| it.object).collect(),
     };
     let listed = objects.iter().filter_map(entry_registry::registration_of);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod list_pacing;
 mod message_receiver;
 mod peer_table;
+mod registration_pacing;
 mod stall_detector;
 mod store_followers;
 mod store_probe;
@@ -30,6 +31,7 @@
     leaving_notice::LeavingNotice,
     list_pacing::ListPacing,
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
+    registration_pacing::{registration_delay, registration_retry_delay},
     stall_detector::{StallDetector, TURN_INTERVAL},
     store_followers::follows_store,
     store_probe::StoreProbe,
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -11,7 +11,10 @@
 };
 
 use crocustiller::{
-    fleet::{KindUpdate, KindWatch, ListPacing, StoreRetry, StoreSources},
+    fleet::{
+        registration_delay, registration_retry_delay, KindUpdate, KindWatch, ListPacing,
+        StoreRetry, StoreSources,
+    },
     platform::{
         store::{Store, StoreError},
         StorePoint,
@@ -28,6 +31,8 @@
 const COUNT_TIME: Duration = Duration::from_secs(3);
 /// Most lists that an entry host may send in `COUNT_TIME`: two a second for each of four kinds.
 const MAX_LISTS: u64 = 24;
+/// Most writes a second of all hosts together: a quarter of what the store allows.
+const MAX_WRITES_PER_S: usize = 100;
 
 fn status(deployment: &Deployment) -> u16 {
     deployment.entry.exchange(&request("GET", "/stock/1", "probe", "")).status()
@@ -152,6 +157,56 @@
     check_status(&deployment, 503, "engine that leaves");
 }
 
+/// Guards against hosts that nobody finds, as the store has lost their registrations.
+#[test]
+fn lost_registration_is_written_again() {
+    let (deployment, _ledger) = start_with_charters();
+    let store = &deployment.store;
+    let before = store.objects("entry-hosts");
+    assert_eq!(before.len(), 1);
+    // The copy is older than the registration; what others wrote is written again.
+    store.restore(7);
+    assert!(store.objects("entry-hosts").is_empty());
+    store.put("config", "main", charter(6));
+    let n_writes = store.counts().writes;
+    let since = Instant::now();
+    while store.objects("entry-hosts").is_empty() {
+        assert!(since.elapsed() < COUNT_TIME, "not registered again");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(store.objects("entry-hosts")[0]["spec"], before[0]["spec"]);
+    thread::sleep(COUNT_TIME);
+    assert_eq!(store.counts().writes - n_writes, 1);
+}
+
+/// Load pattern: all hosts of a deployment have lost their registrations at once, or can't write them.
+#[test]
+fn registrations_are_spread() {
+    let most_per_s = |mut times: Vec<Duration>| {
+        times.sort();
+        let in_window = |from: &Duration| {
+            times.iter().filter(|it| (*from..*from + Duration::from_secs(1)).contains(it)).count()
+        };
+        times.iter().map(in_window).max().unwrap()
+    };
+    for n_hosts in [7, 149, 360] {
+        let mut rng = fastrand::Rng::with_seed(28);
+        let delays = (0..n_hosts).map(|_| registration_delay(n_hosts, rng.f64())).collect();
+        assert!(most_per_s(delays) <= n_hosts.min(MAX_WRITES_PER_S), "{n_hosts} hosts at once");
+        let mut retries = Vec::new();
+        for _ in 0..n_hosts {
+            let mut time = Duration::ZERO;
+            for n_failures in 1..=20 {
+                time += registration_retry_delay(n_hosts, n_failures, rng.f64());
+                retries.push(time);
+            }
+        }
+        let late: Vec<Duration> =
+            retries.into_iter().filter(|it| *it > Duration::from_secs(20)).collect();
+        assert!(most_per_s(late) <= n_hosts.min(MAX_WRITES_PER_S), "{n_hosts} hosts retry");
+    }
+}
+
 /// Guards against requests to engines that said they leave in the span that the store lost.
 #[test]
 fn leaving_engine_stays_leaving() {
