An entry host never relays an older charter or version than it relayed before

What callers could see: a follower or slot that starts after the store came back from an older copy takes that copy's charter (a revoked key works, a route is missing) or version, although the host that it follows knows a newer one. Cause: the cache was replaced by whatever the store listed; only what is in force was compared by number. Change: of charters and versions, whose numbers only rise, the cache keeps those with greater numbers over a list of a later generation and over changes. Test: relayed_documents_never_go_back; before: [("a", 2)] in place of [("a", 3), ("b", 5)].

--- a/src/fleet/kind_cache.rs
+++ b/src/fleet/kind_cache.rs
@@ -1,4 +1,7 @@
 //! Caches the store's objects and latest changes, which an entry host serves to other processes.
+//!
+//! When the store comes back from an older copy, the cache keeps documents with greater numbers, so
+//! that a process that starts learns the newest ones from it.
 
 use std::{
     cell::RefCell,
@@ -12,6 +15,7 @@
     clock,
     platform::{
         store::{Change, Changes, Listing, StoreError, StoredObject},
+        wire_objects::rising_number,
         StorePoint,
     },
     runtime,
@@ -55,11 +59,18 @@
 }
 
 impl KindCache {
-    /// Replaces the objects of a kind with a complete list.
+    /// Replaces the objects of a kind with a complete list. A list of a later generation of the store
+    /// may lack documents, and doesn't replace one by another with a smaller number.
     pub fn replace(&self, kind: &'static str, listing: &Listing) {
         let objects = listing.objects.iter().map(|it| (it.metadata.name.clone(), it.clone()));
+        let mut objects: BTreeMap<String, StoredObject> = objects.collect();
+        if let Some(before) = self.kinds.borrow_mut().remove(kind) {
+            if before.at.generation < listing.at.generation {
+                keep_newer(kind, before.objects, &mut objects);
+            }
+        }
         let cached = CachedKind {
-            objects: objects.collect(),
+            objects,
             changes: VecDeque::new(),
             complete_since: listing.at,
             at: listing.at,
@@ -76,6 +87,11 @@
         let applied = clock::now();
         for change in &changes.events {
             let name = change.object.metadata.name.clone();
+            let number = rising_number(kind, &change.object);
+            let known = cached.objects.get(&name).and_then(|it| rising_number(kind, it));
+            if !change.deleted && number < known {
+                continue;
+            }
             // Watchers need only the newest change of an object. Load pattern: many versions of a
             // large charter in quick succession, to hundreds of watchers.
             cached.changes.retain(|it| it.change.object.metadata.name != name);
@@ -171,6 +187,22 @@
     }
 }
 
+/// Adds the known documents of a kind with numbers to `listed`, unless that has the same or a greater
+/// number.
+fn keep_newer(
+    kind: &str,
+    known: BTreeMap<String, StoredObject>,
+    listed: &mut BTreeMap<String, StoredObject>,
+) {
+    for (name, object) in known {
+        let number = rising_number(kind, &object);
+        if number > listed.get(&name).and_then(|it| rising_number(kind, it)) {
+            log::info!("store: kept a newer document than the store's kind={kind} name={name}");
+            listed.insert(name, object);
+        }
+    }
+}
+
 fn current_kind<'a>(
     kinds: &'a HashMap<&'static str, CachedKind>,
     kind: &str,
--- a/src/platform/wire_objects.rs
+++ b/src/platform/wire_objects.rs
@@ -9,7 +9,9 @@
 use crate::{
     http1::SmallResponse,
     platform::{
-        store::{Changes, Listing, StoreError},
+        store::{Changes, Listing, StoreError, StoredObject},
+        wire_config::CONFIG_KIND,
+        wire_server::VERSION_KIND,
         StorePoint,
     },
 };
@@ -27,6 +29,15 @@
     pub changes_after: Option<(StorePoint, Duration)>,
 }
 
+/// Returns the number in an object of a kind whose objects have one that only rises: the charter and
+/// the published versions; `None` for other kinds.
+pub fn rising_number(kind: &str, object: &StoredObject) -> Option<u64> {
+    match kind {
+        CONFIG_KIND | VERSION_KIND => object.spec["version"].as_u64(),
+        _ => None,
+    }
+}
+
 /// Decodes a query from the target of a request; returns `None` for another path.
 pub fn decode_query(target: &str) -> Option<ObjectsQuery> {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -12,11 +12,11 @@
 
 use crocustiller::{
     fleet::{
-        registration_delay, registration_retry_delay, KindUpdate, KindWatch, ListPacing,
+        registration_delay, registration_retry_delay, KindCache, KindUpdate, KindWatch, ListPacing,
         StoreRetry, StoreSources,
     },
     platform::{
-        store::{Store, StoreError},
+        store::{Change, Changes, Listing, Store, StoreError, StoredObject},
         StorePoint,
     },
     runtime,
@@ -157,6 +157,39 @@
     check_status(&deployment, 503, "engine that leaves");
 }
 
+/// Guards against charters and versions that followers of a host take from an older copy.
+#[test]
+fn relayed_documents_never_go_back() {
+    let cache = KindCache::default();
+    let point = |generation, revision| StorePoint { generation, revision };
+    let object = |name: &str, version: u64| -> StoredObject {
+        let metadata = json!({ "name": name, "revision": 1 });
+        let spec = json!({ "model": name, "version": version });
+        serde_json::from_value(json!({ "metadata": metadata, "spec": spec })).unwrap()
+    };
+    let versions = || -> Vec<(String, u64)> {
+        let objects = cache.listing("versions").unwrap().objects.into_iter();
+        objects.map(|it| (it.metadata.name, it.spec["version"].as_u64().unwrap())).collect()
+    };
+    let named = |a: u64, b: u64| vec![("a".to_owned(), a), ("b".to_owned(), b)];
+    let objects = vec![object("a", 3), object("b", 5)];
+    cache.replace("versions", &Listing { objects, at: point(1, 9) });
+    cache.replace("versions", &Listing { objects: vec![object("a", 2)], at: point(2, 5) });
+    assert_eq!(versions(), named(3, 5));
+    let change = |version| Changes {
+        events: vec![Change { object: object("a", version), deleted: false }],
+        at: point(2, 6),
+        max_age: Duration::ZERO,
+    };
+    cache.apply("versions", &change(2));
+    assert_eq!(versions(), named(3, 5));
+    cache.apply("versions", &change(4));
+    assert_eq!(versions(), named(4, 5));
+    // Within a generation a list is complete.
+    cache.replace("versions", &Listing { objects: vec![object("a", 4)], at: point(2, 7) });
+    assert_eq!(versions(), named(4, 5)[..1]);
+}
+
 /// Guards against hosts that nobody finds, as the store has lost their registrations.
 #[test]
 fn lost_registration_is_written_again() {
