A host that starts learns newer charters and versions from the other hosts

What callers could see: a host that starts after the store came back from an older copy, before the operator has written again, serves that copy's charter: a revoked key works there, an added route gets 404. Cause: a host knew only what the store lists, however much the others knew. Change: beacons tell the numbers of the newest documents (16 bytes). A host that starts is not ready while another one is ahead (3 s at most) and reads charter and versions through that one; a host in service does so after a second. A read is followed by a pause of a second, whatever the beacons say. Datagrams of earlier builds aren't understood. Test: starting_host_learns_newest_charter; before: status 200 in place of 401, 2 ms after it was ready.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -14,7 +14,6 @@
 
 use crate::{
     clock,
-    digest::Digest,
     entry::{
         admission_client::AdmissionClient,
         beacon_exchange,
@@ -23,12 +22,13 @@
         departure::Departure,
         eligible_servers,
         own_registration::OwnRegistration,
+        peer_catch_up::PeerCatchUp,
         server_notices::{self, ServerNotices},
     },
     fleet::{
-        entry_registry, follows_store, AdmissionMessage, BackendTable, Beacon, CrashReport,
-        EngineNotice, EntryState, KindCache, LossCount, PeerMessage, PeerTable, StallDetector,
-        StoreSource, StoreSources, VersionTable,
+        entry_registry, follows_store, relay_order, AdmissionMessage, BackendTable, Beacon,
+        CrashReport, EngineNotice, EntryState, KindCache, LossCount, PeerMessage, PeerTable,
+        StallDetector, StoreSource, StoreSources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     placement::{
@@ -39,7 +39,6 @@
     relay::BackendConnections,
     routing::RoutingCharter,
     settings::{DeployedSettings, EntryListenSettings},
-    weights::rank::digest_hash,
 };
 
 /// Time after the start for which a host waits for the first beacon of another one.
@@ -88,6 +87,8 @@
     pub(crate) socket: Async<UdpSocket>,
     /// Addresses of the entry hosts that beacons are sent to, with their zones.
     pub(crate) beacon_targets: RefCell<BTreeMap<SocketAddr, ZoneId>>,
+    /// Whether this host has known what the others know.
+    pub(crate) catch_up: PeerCatchUp,
     /// Whether the store has the registration of this host.
     pub(crate) registration: OwnRegistration,
     /// The store and the entry hosts through which this host can watch it.
@@ -111,7 +112,7 @@
     /// The other entry hosts for which cells and store sources were last computed.
     known_peers: RefCell<Vec<(HostId, EntryState, bool)>>,
     retry_budgets: RefCell<RetryBudgets>,
-    started: Instant,
+    pub(crate) started: Instant,
     started_ms: u64,
     beacon_number: Cell<u64>,
 }
@@ -146,6 +147,7 @@
             connections: BackendConnections::default(),
             socket,
             beacon_targets: RefCell::default(),
+            catch_up: PeerCatchUp::default(),
             registration: OwnRegistration::default(),
             sources,
             known_peers: RefCell::default(),
@@ -170,7 +172,8 @@
             Some(_) => EntryState::Leaving,
             None if self.charter.borrow().is_some()
                 && self.has_backends.get()
-                && self.has_heard_peers() =>
+                && self.has_heard_peers()
+                && self.catch_up.is_done(self) =>
             {
                 EntryState::Ready
             }
@@ -200,6 +203,7 @@
             peers: self.settings.peers,
             processor_permille: self.processor_permille(),
             follows_store: self.follows_store(),
+            documents: self.document_numbers(),
             region: self.settings.host.region.clone(),
             zone: self.settings.host.zone.clone(),
             losses: losses.collect(),
@@ -379,10 +383,3 @@
         self.retry_budgets.borrow_mut().try_spend_retry(service, n_hosts, Instant::now())
     }
 }
-
-/// Returns the sort key of a relay for a client, a hash of both ids, which spreads the clients
-/// evenly over the relays.
-fn relay_order(client: &HostId, relay: &HostId) -> u64 {
-    let digest = Digest::of(format!("{client} {relay}").as_bytes());
-    digest_hash(&digest)
-}
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -20,7 +20,7 @@
         directory::{directory_response, readiness_response},
         entry_host::EntryHost,
         metrics_endpoint::{self, metrics_response},
-        store_relay, store_sync,
+        peer_catch_up, store_relay, store_sync,
     },
     fleet::StoreSource,
     http1::{accept_all, Connection, HttpEndpoint},
@@ -68,6 +68,7 @@
         let mut tasks = store_sync::start(&host);
         tasks.push(store_relay::start(&host)?);
         tasks.extend(beacon_exchange::start(&host, &store));
+        tasks.push(runtime::spawn_local(peer_catch_up::run(host.clone())));
         tasks.push(runtime::spawn_local(cell_owner::run(host.clone())));
         tasks.push(runtime::spawn_local(admission_client::report(host.clone())));
         let callers = host.clone();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod lifecycle;
 mod metrics_endpoint;
 mod own_registration;
+mod peer_catch_up;
 mod pending_request;
 mod request_trace;
 mod reservation;
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -100,7 +100,8 @@
     log::info!("fleet: updated the list of entry hosts n={}", host.beacon_targets.borrow().len());
 }
 
-fn apply_charters(host: &EntryHost, update: KindUpdate) {
+/// Puts the charter in an update into force, if it is newer.
+pub(crate) fn apply_charters(host: &EntryHost, update: KindUpdate) {
     let objects = match update {
         KindUpdate::Listed { objects, .. } => objects,
         KindUpdate::Changed { changes, .. } => changes.into_iter().map(|it| it.object).collect(),
@@ -180,7 +181,7 @@
 
 /// Applies an update of the intended versions; decides on the waiting requests, as other engines may
 /// be eligible now.
-fn apply_version_update(host: &EntryHost, update: KindUpdate) {
+pub(crate) fn apply_version_update(host: &EntryHost, update: KindUpdate) {
     if apply_versions(&host.versions, update) {
         host.version_published.notify(usize::MAX);
         host.cell_owner.decide_waiting(host);
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    fleet::{AdmissionMessage, LeavingNotice},
+    fleet::{AdmissionMessage, DocumentNumbers, LeavingNotice},
     ids::{HostId, RegionId, WeightsVersion, ZoneId},
     placement::{OwnerCandidate, PartCrash, PartDigest, QuarantinedPart},
 };
@@ -112,6 +112,8 @@
     pub processor_permille: u32,
     /// Whether the sender watches the store directly and has missed no change.
     pub follows_store: bool,
+    /// Numbers of the newest documents that the sender knows.
+    pub documents: DocumentNumbers,
     /// Region of the sender.
     pub region: RegionId,
     /// Availability zone of the sender.
--- a/src/fleet/kind_cache.rs
+++ b/src/fleet/kind_cache.rs
@@ -115,6 +115,15 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Adds documents that another entry host knows, where they are newer. Watchers learn them by its
+    /// beacons, as they have no revision in this generation of the store.
+    pub fn learn(&self, kind: &'static str, objects: &[StoredObject]) {
+        if let Some(cached) = self.kinds.borrow_mut().get_mut(kind) {
+            let known = objects.iter().map(|it| (it.metadata.name.clone(), it.clone()));
+            keep_newer(kind, known.collect(), &mut cached.objects);
+        }
+    }
+
     /// Marks a kind as not current, because its watch was interrupted.
     pub fn mark_stale(&self, kind: &'static str) {
         let mut kinds = self.kinds.borrow_mut();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod admission_message;
 mod backend_table;
 mod beacon;
+mod document_numbers;
 pub(crate) mod entry_registry;
 mod kind_cache;
 mod kind_watch;
@@ -26,6 +27,7 @@
         Beacon, CrashReport, EngineNotice, EntryState, LossCount, ManifestCopy, PeerMessage,
         PiecesHeld,
     },
+    document_numbers::DocumentNumbers,
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
     leaving_notice::LeavingNotice,
@@ -33,7 +35,7 @@
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
     registration_pacing::{registration_delay, registration_retry_delay},
     stall_detector::{StallDetector, TURN_INTERVAL},
-    store_followers::follows_store,
+    store_followers::{follows_store, relay_order},
     store_probe::StoreProbe,
     store_retry::StoreRetry,
     store_sources::{StoreSource, StoreSources},
--- a/src/fleet/version_table.rs
+++ b/src/fleet/version_table.rs
@@ -68,6 +68,11 @@
         entries.and_then(|it| it.last()).map_or(FIRST_VERSION, |it| it.version)
     }
 
+    /// Returns the sum of the newest published versions of all models, which only rises.
+    pub fn newest_total(&self) -> u64 {
+        self.entries.values().filter_map(|it| it.last()).map(|it| it.version).sum()
+    }
+
     /// Returns the oldest version on which requests may start now; 0 if any version will do.
     pub fn oldest_allowed(&self, model: &str, now: Instant) -> WeightsVersion {
         let entries = self.entries.get(model).into_iter().flatten();
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -4,7 +4,8 @@
 
 use crocustiller::{
     fleet::{
-        beacon_interval, BackendTable, Beacon, CallerLocation, EngineNotice, EntryState, PeerTable,
+        beacon_interval, BackendTable, Beacon, CallerLocation, DocumentNumbers, EngineNotice,
+        EntryState, PeerTable,
     },
     routing::{BackendServer, BackendState, LoadedLayers},
 };
@@ -221,6 +222,7 @@
         peers: format!("10.0.1.{}:7700", host.as_bytes()[0]).parse().unwrap(),
         processor_permille: 250,
         follows_store: true,
+        documents: DocumentNumbers::default(),
         region: zone.to_owned(),
         zone: zone.to_owned(),
         quarantined: Vec::new(),
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -11,8 +11,8 @@
 
 use crocustiller::{
     fleet::{
-        AdmissionMessage, Beacon, EngineNotice, EntryState, LossCount, ManifestCopy, PeerMessage,
-        PiecesHeld,
+        AdmissionMessage, Beacon, DocumentNumbers, EngineNotice, EntryState, LossCount,
+        ManifestCopy, PeerMessage, PiecesHeld,
     },
     placement::{Demand, QuarantinedPart},
     platform::{
@@ -222,6 +222,7 @@
         peers: ABSURD_ADDRESS,
         processor_permille: value as u32,
         follows_store: true,
+        documents: DocumentNumbers::default(),
         region: "south".to_owned(),
         zone: "depot".to_owned(),
         losses: vec![LossCount { fingerprint: value, n_backends: u32::MAX }; 3],
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -22,7 +22,7 @@
     runtime,
 };
 use crocustiller_standins::raw_http::{CallCounts, ScriptedServer, StoreFault, StoreStandin};
-use entry_process::{charter, complete_response, request, server_entry, Deployment};
+use entry_process::{charter, complete_response, request, server_entry, Deployment, EntryProcess};
 use serde_json::{json, Value};
 
 /// Time after the return within which a change must be in force.
@@ -157,6 +157,26 @@
     check_status(&deployment, 503, "engine that leaves");
 }
 
+/// Guards against a host that starts with the charter of an older copy, with a key that was revoked.
+#[test]
+fn starting_host_learns_newest_charter() {
+    let (deployment, _ledger) = start_with_charters();
+    let store = &deployment.store;
+    store.put("config", "main", charter_without_keys(7));
+    check_status(&deployment, 401, "revoked key");
+    store.restore(1);
+    // Time to notice the return.
+    thread::sleep(RETURN_LIMIT);
+    let started = EntryProcess::start(store, "b");
+    started.wait_until_ready();
+    let since = Instant::now();
+    while since.elapsed() < RETURN_LIMIT {
+        let response = started.exchange(&request("GET", "/stock/1", "probe", ""));
+        assert_eq!(response.status(), 401, "{:?} after it was ready", since.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Guards against charters and versions that followers of a host take from an older copy.
 #[test]
 fn relayed_documents_never_go_back() {
