A silent or broken backend server is left only for one that responds

Found by the review of the search for a successor. Callers still lost responses that were to come, as a reservation was taken for a replacement: the next backend server refused the request, was away, or was full (plain services reserve nothing). A caller that read a response slowly got a second one inside it, as the search also ran while the response was written. A response in progress counted as silence. A hung engine that nothing could replace went on to get requests. A stream whose engine broke off was cut after 0.8 s, or at once while the owner of engines was silent.

The class is the same: something is given up for something that isn't there yet. Progress ends the search; nothing is replaced while the caller is written to; silence is reported to outlier ejection when it begins. A broken stream waits 1.9 s for an engine and asks again when the owners don't answer; callers leave after 2 s at the earliest.

--- a/src/entry/attempt_outcome.rs
+++ b/src/entry/attempt_outcome.rs
@@ -6,10 +6,7 @@
 use std::time::Instant;
 
 use crate::{
-    entry::{
-        exchange::{ConnectionReuse, Exchange},
-        reservation::Reservation,
-    },
+    entry::exchange::{ConnectionReuse, Exchange},
     fleet::ServiceOutcome,
     http1::{HttpError, ResponseHead},
     ids::BackendId,
@@ -27,8 +24,6 @@
     Failed(ResponseHead, Vec<u8>),
     /// The response was lost or is unusable; the request may have run.
     Lost,
-    /// The backend server is silent, and another one has reserved capacity; the request may have run.
-    Replaced(Reservation),
 }
 
 impl AttemptOutcome {
@@ -36,10 +31,9 @@
     pub(crate) fn service_outcome(&self) -> ServiceOutcome {
         match self {
             AttemptOutcome::Done(_) => ServiceOutcome::Succeeded,
-            AttemptOutcome::Unreachable
-            | AttemptOutcome::Lost
-            | AttemptOutcome::Replaced(_)
-            | AttemptOutcome::Failed(..) => ServiceOutcome::Failed,
+            AttemptOutcome::Unreachable | AttemptOutcome::Lost | AttemptOutcome::Failed(..) => {
+                ServiceOutcome::Failed
+            }
             AttemptOutcome::Refused(..) => ServiceOutcome::Unknown,
         }
     }
@@ -71,17 +65,6 @@
         AttemptOutcome::from_lost_response(exchange, backend, &err.to_string())
     }
 
-    /// Records a backend server that was given up for its silence, as `successor` can take over.
-    pub(crate) fn replaced(
-        exchange: &Exchange,
-        backend: &BackendId,
-        reason: &str,
-        successor: Reservation,
-    ) -> AttemptOutcome {
-        AttemptOutcome::from_lost_response(exchange, backend, reason);
-        AttemptOutcome::Replaced(successor)
-    }
-
     /// Records a response that was lost or is unusable.
     pub(crate) fn from_lost_response(
         exchange: &Exchange,
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -1,6 +1,9 @@
 //! The attempts of one request at backend servers, one after the other.
 
-use std::time::{Duration, Instant};
+use std::{
+    pin::pin,
+    time::{Duration, Instant},
+};
 
 use futures_lite::FutureExt;
 
@@ -8,42 +11,51 @@
     entry::{
         attempt_outcome::AttemptOutcome,
         buffered_relay,
-        crash_watch::CrashWatch,
         cut_reason::CutReason,
+        engine_stream::EngineStream,
         error_response::ErrorResponse,
         exchange::{ConnectionReuse, Exchange},
+        request_sender::{RequestSender, UsableResponse},
         reservation::{BackendRequirements, Reservation, ReservationError},
         stream_relay,
-        successor::SuccessorSearch,
+        successor::{Successor, SuccessorSearch},
     },
     http1::ResponseHead,
     ids::{CustomerId, ServiceId},
-    platform::wire_headers,
-    relay::{Attempt, EngineCall},
     routing::Route,
+    runtime,
     verdict::Verdict,
 };
 
 /// Share of the latency objective for which a request waits for a reservation.
 const QUEUE_TIMEOUT_SHARE: f64 = 0.125;
-/// Time for which a stream that is resumed at another engine waits for a reservation.
-const RESUME_QUEUE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which a stream that broke off waits for an engine that resumes it; callers leave after a
+/// gap of two seconds at the earliest.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(1900);
+/// Time between two searches for such an engine.
+const RESUME_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a response, for a request without a stream, after which another backend server is
 /// sought.
 const PLAIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// The attempts of one request.
 struct Attempts<'a> {
-    exchange: &'a Exchange,
-    route: &'a Route,
-    customer: &'a Option<CustomerId>,
+    sender: RequestSender<'a>,
     requirements: BackendRequirements,
     /// The number of backend servers that may have got the request.
     n_sent: u32,
     /// Response of a backend server, for the case that no later attempt succeeds.
     fallback: Option<(ResponseHead, Vec<u8>)>,
-    /// Capacity for the next attempt, which was reserved during the last one.
-    successor: Option<Reservation>,
+    /// A backend server that responded in place of the last one.
+    successor: Option<Successor<'a>>,
+}
+
+/// The end of one attempt.
+enum AttemptEnd<'a> {
+    /// Its outcome.
+    Outcome(AttemptOutcome),
+    /// The backend server was silent, and another one responded.
+    Replaced(Successor<'a>),
 }
 
 /// The end of the attempts.
@@ -62,7 +74,8 @@
     service: &ServiceId,
     customer: &Option<CustomerId>,
 ) -> ConnectionReuse {
-    let mut attempts = Attempts::new(exchange, route, service, customer);
+    let sender = RequestSender { exchange, route, customer };
+    let mut attempts = Attempts::new(sender, service);
     let end = loop {
         if let Err(end) = attempts.run_next().await {
             break end;
@@ -77,12 +90,8 @@
 }
 
 impl<'a> Attempts<'a> {
-    fn new(
-        exchange: &'a Exchange,
-        route: &'a Route,
-        service: &ServiceId,
-        customer: &'a Option<CustomerId>,
-    ) -> Attempts<'a> {
+    fn new(sender: RequestSender<'a>, service: &ServiceId) -> Attempts<'a> {
+        let exchange = sender.exchange;
         let suspects = exchange.host.crash_suspects.borrow();
         let requirements = BackendRequirements {
             service: service.clone(),
@@ -91,46 +100,41 @@
             is_resumed: false,
             excluded: suspects.crashed_backends(exchange.fingerprint.get()),
         };
-        Attempts {
-            exchange,
-            route,
-            customer,
-            requirements,
-            n_sent: 0,
-            fallback: None,
-            successor: None,
-        }
+        Attempts { sender, requirements, n_sent: 0, fallback: None, successor: None }
     }
 
-    /// Sends the request to one more backend server.
+    /// Sends the request to one more backend server, or goes on with one that has responded.
     async fn run_next(&mut self) -> Result<(), End> {
-        if self.n_sent >= self.route.max_attempts {
-            return Err(End::Exhausted(CutReason::NoAttempt));
-        }
-        let reservation = match self.successor.take() {
-            Some(reservation) => reservation,
-            None => self.reserve().await?,
+        let (reservation, response) = match self.successor.take() {
+            Some(successor) => (successor.reservation, Some(successor.response)),
+            None => (self.reserve().await?, None),
         };
-        self.requirements.excluded.push(reservation.backend.clone());
-        self.exchange.trace.record_attempt(
-            &reservation.backend,
-            (reservation.load.n_requests, reservation.load.unread_tokens),
-            reservation.version,
-        );
-        let outcome = self.run_attempt(&reservation).await;
-        reservation.record_outcome(outcome.service_outcome());
-        // A plain service may respond with errors to sound requests; an engine does not.
-        if matches!(outcome, AttemptOutcome::Failed(..)) && reservation.is_at_engine() {
-            let mut health = self.exchange.host.health.borrow_mut();
-            health.record_failure(&reservation.backend, Instant::now());
+        match self.run_attempt(&reservation, response).await {
+            AttemptEnd::Outcome(outcome) => {
+                reservation.record_outcome(outcome.service_outcome());
+                // A plain service may respond with errors to sound requests; an engine does not.
+                if matches!(outcome, AttemptOutcome::Failed(..)) && reservation.is_at_engine() {
+                    let mut health = self.sender.exchange.host.health.borrow_mut();
+                    health.record_failure(&reservation.backend, Instant::now());
+                }
+                drop(reservation);
+                self.apply(outcome)
+            }
+            AttemptEnd::Replaced(successor) => {
+                reservation.record_outcome(AttemptOutcome::Lost.service_outcome());
+                self.sender.exchange.trace.record_loss("silent");
+                self.successor = Some(successor);
+                self.apply(AttemptOutcome::Lost)
+            }
         }
-        drop(reservation);
-        self.apply(outcome)
     }
 
     /// Reserves capacity for the next attempt, within the retry budget.
     async fn reserve(&mut self) -> Result<Reservation, End> {
-        let exchange = self.exchange;
+        let exchange = self.sender.exchange;
+        if self.n_sent >= self.sender.route.max_attempts {
+            return Err(End::Exhausted(CutReason::NoAttempt));
+        }
         let reservation = self.wait_for_capacity().await?;
         if let Some(quarantined) = exchange.quarantined_part() {
             let may_have_run = exchange.verdict.get() == Verdict::MayHaveRun;
@@ -142,17 +146,18 @@
         if self.n_sent > 0 && !exchange.host.try_spend_retry(&self.requirements.service) {
             return Err(End::Exhausted(CutReason::NoRetryBudget));
         }
+        self.requirements.excluded.push(reservation.backend.clone());
+        exchange.trace.record_reservation(&reservation);
         Ok(reservation)
     }
 
     async fn wait_for_capacity(&mut self) -> Result<Reservation, End> {
-        let exchange = self.exchange;
+        let exchange = self.sender.exchange;
+        if exchange.is_head_sent.get() {
+            return self.wait_for_resumption().await;
+        }
+        let queue_timeout = self.sender.route.latency_objective.mul_f64(QUEUE_TIMEOUT_SHARE);
         loop {
-            self.requirements.is_resumed = exchange.is_head_sent.get();
-            let queue_timeout = match self.requirements.is_resumed {
-                true => RESUME_QUEUE_TIMEOUT,
-                false => self.route.latency_objective.mul_f64(QUEUE_TIMEOUT_SHARE),
-            };
             match Reservation::wait(&exchange.host, &self.requirements, queue_timeout).await {
                 Ok(reservation) => return Ok(reservation),
                 Err(ReservationError::NoBackend)
@@ -168,43 +173,48 @@
         }
     }
 
-    /// Sends the request to the backend server of `reservation` and relays its response.
-    async fn run_attempt(&self, reservation: &Reservation) -> AttemptOutcome {
-        let (exchange, route) = (self.exchange, self.route);
-        let call = EngineCall {
-            backend: reservation.backend.clone(),
-            customer: self.customer.clone(),
-            expected_version: reservation.expected_version,
-            time_left: exchange.time_left(route),
-            last_event: exchange.last_event_id.borrow().clone(),
-            body_bytes: exchange.body.len(),
+    /// Waits for an engine that resumes a stream, as the response is cut without one.
+    async fn wait_for_resumption(&mut self) -> Result<Reservation, End> {
+        self.requirements.is_resumed = true;
+        let host = &self.sender.exchange.host;
+        let give_up = Instant::now() + RESUME_TIMEOUT;
+        loop {
+            let left = give_up.saturating_duration_since(Instant::now());
+            match Reservation::wait(host, &self.requirements, left).await {
+                Ok(reservation) => return Ok(reservation),
+                Err(_) if Instant::now() + RESUME_INTERVAL < give_up => {
+                    runtime::sleep(RESUME_INTERVAL).await;
+                }
+                Err(_) => return Err(End::Exhausted(CutReason::NoCapacity)),
+            }
+        }
+    }
+
+    /// Relays the response of the backend server of `reservation`, until it ends or another one
+    /// responds while it is silent; `response` is its response if it has responded already.
+    async fn run_attempt(
+        &mut self,
+        reservation: &Reservation,
+        response: Option<UsableResponse<'a>>,
+    ) -> AttemptEnd<'a> {
+        let RequestSender { exchange, route, .. } = self.sender;
+        let n_left = match route.is_repeatable() {
+            true => route.max_attempts.saturating_sub(self.n_sent + 1),
+            false => 0,
         };
-        let head = wire_headers::backend_head(&exchange.head, &call);
-        let attempt = Attempt {
-            backend: &reservation.backend,
-            address: reservation.address,
-            backend_started_ms: reservation.started_ms,
-            request_id: &exchange.request.id,
-            head: &head,
-            body: &exchange.body,
-            may_reuse: route.is_repeatable(),
+        let silence = match route.is_stream() {
+            true => stream_relay::response_timeout(exchange, &reservation.backend),
+            false => PLAIN_RESPONSE_TIMEOUT,
         };
-        let watch = CrashWatch::new(exchange, &attempt);
-        let may_retry = route.is_repeatable() && self.n_sent + 1 < route.max_attempts;
-        let search =
-            SuccessorSearch::new(exchange, &self.requirements, &reservation.backend, may_retry);
+        let requirements = self.requirements.clone();
+        let backend = &reservation.backend;
+        let search = SuccessorSearch::new(self.sender, requirements, backend, n_left, silence);
         exchange.is_attempt_running.set(true);
-        let outcome = if route.is_stream() {
-            stream_relay::relay(exchange, &attempt, reservation, &watch, &search).await
-        } else {
-            let replaced = async {
-                let successor = search.find_after(PLAIN_RESPONSE_TIMEOUT).await;
-                AttemptOutcome::replaced(exchange, &reservation.backend, "no response", successor)
-            };
-            buffered_relay::relay(exchange, &attempt, &watch).or(replaced).await
-        };
+        let end = run_with_search(self.sender, reservation, response, &search).await;
         exchange.is_attempt_running.set(false);
-        outcome
+        self.n_sent += search.n_failed();
+        self.requirements = search.requirements();
+        end
     }
 
     /// Applies the outcome of an attempt; returns the end if no further attempt is needed or
@@ -220,20 +230,81 @@
             }
             AttemptOutcome::Failed(head, body) => self.fallback = Some((head, body)),
             AttemptOutcome::Lost => self.fallback = None,
-            AttemptOutcome::Replaced(successor) => {
-                self.fallback = None;
-                self.successor = Some(successor);
-            }
         }
         self.n_sent += 1;
-        self.exchange.verdict.set(Verdict::MayHaveRun);
-        match self.route.is_repeatable() {
+        self.sender.exchange.verdict.set(Verdict::MayHaveRun);
+        match self.sender.route.is_repeatable() {
             true => Ok(()),
             false => Err(End::Exhausted(CutReason::NoAttempt)),
         }
     }
 }
 
+/// Relays a response while `search` looks for another backend server whenever it is silent.
+async fn run_with_search<'a>(
+    sender: RequestSender<'a>,
+    reservation: &Reservation,
+    response: Option<UsableResponse<'a>>,
+    search: &SuccessorSearch<'a>,
+) -> AttemptEnd<'a> {
+    let mut successor = pin!(search.run());
+    let end = {
+        let relay =
+            async { AttemptEnd::Outcome(relay(sender, reservation, response, search).await) };
+        let replaced = async { AttemptEnd::Replaced(successor.as_mut().await) };
+        relay.or(replaced).await
+    };
+    match end {
+        AttemptEnd::Outcome(AttemptOutcome::Done(_)) | AttemptEnd::Replaced(_) => end,
+        AttemptEnd::Outcome(_) => match search.finish(successor).await {
+            Some(successor) => AttemptEnd::Replaced(successor),
+            None => end,
+        },
+    }
+}
+
+/// Sends the request, unless there is a response already, and relays the response to the caller.
+async fn relay<'a>(
+    sender: RequestSender<'a>,
+    reservation: &Reservation,
+    response: Option<UsableResponse<'a>>,
+    search: &SuccessorSearch<'a>,
+) -> AttemptOutcome {
+    let response = match response {
+        Some(response) => Ok(response),
+        None => first_response(sender, reservation, search).await,
+    };
+    match response {
+        Ok(UsableResponse::Stream(stream, events)) => {
+            stream_relay::relay(sender.exchange, *stream, events, reservation, search).await
+        }
+        Ok(UsableResponse::Complete(head, body)) => {
+            search.hold();
+            AttemptOutcome::Done(sender.exchange.forward_response(head, &body).await)
+        }
+        Err(outcome) => outcome,
+    }
+}
+
+/// Sends the request and waits for the begin of a stream or for a complete response.
+async fn first_response<'a>(
+    sender: RequestSender<'a>,
+    reservation: &Reservation,
+    search: &SuccessorSearch<'a>,
+) -> Result<UsableResponse<'a>, AttemptOutcome> {
+    let exchange = sender.exchange;
+    let (response, watch) = sender.send(reservation).await?;
+    if sender.begins_stream(&response) {
+        search.record_progress(stream_relay::response_timeout(exchange, &reservation.backend));
+        let mut stream = EngineStream::new(exchange, response, watch)?;
+        let events = stream.next(reservation).await?;
+        return Ok(UsableResponse::Stream(Box::new(stream), events));
+    }
+    let on_progress = || search.record_progress(PLAIN_RESPONSE_TIMEOUT);
+    let (head, body) = buffered_relay::receive(exchange, response, &watch, on_progress).await?;
+    Ok(UsableResponse::Complete(head, body))
+}
+
 /// Responds after the last attempt failed: with the response of a failed attempt, if it is
 /// accurate, or else with an error of the entry host. A response that has begun is cut.
 async fn respond_after_attempts(
--- a/src/entry/buffered_relay.rs
+++ b/src/entry/buffered_relay.rs
@@ -1,57 +1,38 @@
-//! Relays a response after receiving it completely from the backend server.
+//! Receives a response completely from the backend server.
 //!
-//! Until then the caller has received nothing, so a failed attempt can be retried at another
-//! backend server.
+//! Until then the caller gets nothing of it, so a failed attempt can be retried at another backend
+//! server.
 
 use std::time::Instant;
 
 use crate::{
-    entry::{
-        attempt_outcome::AttemptOutcome, crash_watch::CrashWatch, exchange::Exchange,
-        server_notices,
-    },
-    relay::{Attempt, BackendResponse},
-    verdict::Verdict,
+    entry::{attempt_outcome::AttemptOutcome, crash_watch::CrashWatch, exchange::Exchange},
+    http1::ResponseHead,
+    relay::BackendResponse,
 };
 
-/// Sends the request and forwards the complete response.
-pub(crate) async fn relay(
-    exchange: &Exchange,
-    attempt: &Attempt<'_>,
-    watch: &CrashWatch<'_>,
-) -> AttemptOutcome {
-    let response = match attempt.send(&exchange.host.connections).await {
-        Ok(response) => response,
-        Err(err) if err.verdict == Verdict::NotRun => {
-            return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
-        }
-        Err(err) => return watch.outcome_after_break(&err.err).await,
-    };
-    server_notices::record(&exchange.host, attempt, &response);
-    forward_buffered(exchange, response, watch).await
-}
-
-/// Reads the complete response and forwards it, unless the backend server refused the request or
-/// failed, after which another attempt may succeed.
-pub(crate) async fn forward_buffered(
+/// Receives the complete response; fails if the backend server refused the request or failed, after
+/// which another attempt may succeed. Calls `on_progress` whenever a part of it arrives.
+pub(crate) async fn receive(
     exchange: &Exchange,
     mut response: BackendResponse,
     watch: &CrashWatch<'_>,
-) -> AttemptOutcome {
+    on_progress: impl Fn(),
+) -> Result<(ResponseHead, Vec<u8>), AttemptOutcome> {
     watch.record_progress();
-    let body = match read_body(exchange, &mut response, watch).await {
-        Ok(body) => body,
-        Err(outcome) => return outcome,
-    };
+    on_progress();
+    let body = read_body(exchange, &mut response, watch, on_progress).await?;
     let head = response.head.clone();
     let is_not_run = response.info.is_not_run;
     response.close(&exchange.host.connections);
     match head.status {
-        _ if is_not_run => AttemptOutcome::Refused(head, body),
+        _ if is_not_run => Err(AttemptOutcome::Refused(head, body)),
         // Statuses by which callers are told that nothing ran, but without the backend server's word.
-        408 | 429 => AttemptOutcome::Failed(head, body),
-        500.. => AttemptOutcome::Failed(head, body),
-        _ => AttemptOutcome::Done(exchange.forward_response(head, &body).await),
+        408 | 429 => Err(AttemptOutcome::Failed(head, body)),
+        500.. => Err(AttemptOutcome::Failed(head, body)),
+        // The caller already has the start of a stream.
+        _ if exchange.is_head_sent.get() => Err(AttemptOutcome::Failed(head, body)),
+        _ => Ok((head, body)),
     }
 }
 
@@ -59,9 +40,10 @@
     exchange: &Exchange,
     response: &mut BackendResponse,
     watch: &CrashWatch<'_>,
+    on_progress: impl Fn(),
 ) -> Result<Vec<u8>, AttemptOutcome> {
     let backend = watch.backend();
-    let body = match response.read_to_end().await {
+    let body = match response.read_to_end_with(on_progress).await {
         Ok(body) => body,
         Err(err) => return Err(watch.outcome_after_break(&err).await),
     };
--- a/src/entry/crash_watch.rs
+++ b/src/entry/crash_watch.rs
@@ -32,7 +32,7 @@
 /// The start of the response to one attempt.
 pub(crate) struct CrashWatch<'a> {
     exchange: &'a Exchange,
-    backend: &'a BackendId,
+    backend: BackendId,
     address: SocketAddr,
     sent: Instant,
     first_progress: Cell<Option<Instant>>,
@@ -41,10 +41,10 @@
 
 impl<'a> CrashWatch<'a> {
     /// Creates the watch of an attempt that is sent now.
-    pub(crate) fn new(exchange: &'a Exchange, attempt: &Attempt<'a>) -> CrashWatch<'a> {
+    pub(crate) fn new(exchange: &'a Exchange, attempt: &Attempt<'_>) -> CrashWatch<'a> {
         CrashWatch {
             exchange,
-            backend: attempt.backend,
+            backend: attempt.backend.clone(),
             address: attempt.address,
             sent: Instant::now(),
             first_progress: Cell::new(None),
@@ -53,8 +53,8 @@
     }
 
     /// Returns the backend server of the attempt.
-    pub(crate) fn backend(&self) -> &'a BackendId {
-        self.backend
+    pub(crate) fn backend(&self) -> &BackendId {
+        &self.backend
     }
 
     /// Records an event, or the head of a response that is no stream.
@@ -82,7 +82,7 @@
         if matches!(err, HttpError::Io(_) | HttpError::Closed | HttpError::Truncated) {
             self.record_break().await;
         }
-        AttemptOutcome::from_broken_connection(self.exchange, self.backend, err)
+        AttemptOutcome::from_broken_connection(self.exchange, &self.backend, err)
     }
 
     /// Records that the connection broke.
@@ -122,7 +122,7 @@
     fn is_engine_in_service(&self) -> bool {
         let host = &self.exchange.host;
         let backends = host.backends.borrow();
-        backends.get(self.backend).is_some_and(|it| {
+        backends.get(&self.backend).is_some_and(|it| {
             it.state == BackendState::Ready
                 && !it.is_switching
                 && !host.server_notices.is_leaving(it)
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -21,7 +21,7 @@
     ids::CustomerId,
     placement::{can_finish_before_exit, Fingerprint, QuarantinedPart},
     platform::wire_headers,
-    relay::CallerRequest,
+    relay::{CallerRequest, Event},
     routing::Route,
     runtime,
     verdict::Verdict,
@@ -206,6 +206,12 @@
         self.reuse_after_write(self.caller.write(&bytes).await)
     }
 
+    /// Returns `true` if the caller has not received the event yet; comments are never delivered twice
+    /// either way.
+    pub(crate) fn is_undelivered(&self, event: &Event) -> bool {
+        is_newer_event(event.id.as_deref(), self.last_event_id.borrow().as_deref())
+    }
+
     /// Returns the part of the prompt for which no engine may get the request.
     pub(crate) fn quarantined_part(&self) -> Option<QuarantinedPart> {
         let crashing_parts = self.host.crashing_parts.borrow();
@@ -298,3 +304,12 @@
         }
     }
 }
+
+/// Returns `true` if an event follows the last one that the caller received.
+fn is_newer_event(id: Option<&str>, last: Option<&str>) -> bool {
+    let (Some(id), Some(last)) = (id, last) else { return true };
+    match (id.parse::<u64>(), last.parse::<u64>()) {
+        (Ok(id), Ok(last)) => id > last,
+        _ => id != last,
+    }
+}
--- a/src/entry/request_trace.rs
+++ b/src/entry/request_trace.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     clock,
-    entry::{crash_reports, cut_reason::CutReason},
+    entry::{crash_reports, cut_reason::CutReason, reservation::Reservation},
     ids::{BackendId, DocumentNumber, RequestId, WeightsVersion},
     logging::{LineDecision, RateLimit},
     metric_names,
@@ -99,20 +99,14 @@
         self.charter.set(charter);
     }
 
-    /// Records an attempt, the last known load of its backend server, in requests and unread
-    /// tokens, and the version of the weights there.
-    pub(crate) fn record_attempt(
-        &self,
-        backend: &BackendId,
-        load: (u32, u32),
-        version: Option<WeightsVersion>,
-    ) {
+    /// Records an attempt at the backend server of a reservation.
+    pub(crate) fn record_reservation(&self, reservation: &Reservation) {
         if self.queue_time.get().is_none() {
             self.queue_time.set(Some(clock::elapsed(self.received)));
         }
-        self.load.set(load);
-        self.version.set(version);
-        self.attempts.borrow_mut().push(backend.clone());
+        self.load.set((reservation.load.n_requests, reservation.load.unread_tokens));
+        self.version.set(reservation.version);
+        self.attempts.borrow_mut().push(reservation.backend.clone());
     }
 
     /// Records the arrival of the first bytes of a response.
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -1,27 +1,22 @@
 //! Relays a stream of events, forwarding only complete events.
 //!
-//! If an engine fails or stalls in the middle of a resumable stream, the next attempt resumes it
-//! after the last event that the caller received.
+//! If an engine fails or stalls in the middle of a resumable stream, another one resumes it after the
+//! last event that the caller received.
 
-use std::{future::Future, pin::pin, time::Duration};
-
-use futures_lite::FutureExt;
+use std::time::Duration;
 
 use crate::{
     entry::{
         attempt_outcome::AttemptOutcome,
-        buffered_relay,
-        crash_watch::CrashWatch,
+        engine_stream::EngineStream,
         exchange::{ConnectionReuse, Exchange},
         request_trace::TraceOutcome,
         reservation::Reservation,
-        server_notices,
         successor::SuccessorSearch,
     },
-    http1::HttpError,
+    http1::{HttpError, ResponseHead},
     ids::BackendId,
-    relay::{Attempt, BackendResponse, Event, EventSplitter},
-    verdict::Verdict,
+    relay::Event,
 };
 
 /// Time without the head, and again without the first event, beyond the time that the engine needs to
@@ -31,114 +26,43 @@
 /// somewhat more than a second.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// The end of a wait for an engine.
-enum Wait<T> {
-    /// The engine sent what was waited for.
-    Received(T),
-    /// The request may not start at this engine any more.
-    Expired,
-    /// The engine was silent, and another one has reserved capacity.
-    Replaced(Reservation),
-}
-
-/// Sends the request and forwards events as they arrive.
+/// Forwards events as they arrive, after `first`, the events that have arrived already; `first` is
+/// `None` if the stream has ended.
 pub(crate) async fn relay(
     exchange: &Exchange,
-    attempt: &Attempt<'_>,
+    mut stream: EngineStream<'_>,
+    first: Option<Vec<Event>>,
     reservation: &Reservation,
-    watch: &CrashWatch<'_>,
     search: &SuccessorSearch<'_>,
 ) -> AttemptOutcome {
-    let lost = |reason: &str| AttemptOutcome::from_lost_response(exchange, attempt.backend, reason);
-    let replaced = |reason: &str, successor| {
-        AttemptOutcome::replaced(exchange, attempt.backend, reason, successor)
-    };
-    let first_timeout = FIRST_EVENT_TIMEOUT.saturating_add(reading_time(exchange, attempt.backend));
-    let send = attempt.send(&exchange.host.connections);
-    let successor = search.find_after(first_timeout);
-    let mut response = match wait_for(send, successor, reservation.pass_start_deadline()).await {
-        Wait::Received(Ok(response)) => response,
-        Wait::Received(Err(err)) if err.verdict == Verdict::NotRun => {
-            return AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err);
+    let mut next = first;
+    while let Some(events) = next {
+        // Comments keep a connection open, but an engine that sends nothing else has stalled.
+        let is_progress = !events.iter().all(|it| it.is_comment);
+        if is_progress {
+            search.record_progress(EVENT_GAP_TIMEOUT);
         }
-        Wait::Received(Err(err)) => return watch.outcome_after_break(&err.err).await,
-        Wait::Expired => return lost("no response in time"),
-        Wait::Replaced(successor) => return replaced("no response", successor),
-    };
-    server_notices::record(&exchange.host, attempt, &response);
-    let is_success = (200..300).contains(&response.head.status);
-    if !is_success {
-        return buffered_relay::forward_buffered(exchange, response, watch).await;
-    }
-    let info = &response.info;
-    if !info.is_event_stream || info.is_encoded || !info.has_receipt {
-        return lost("not an event stream");
-    }
-    let mut splitter = EventSplitter::default();
-    let mut is_first = true;
-    // Bytes that complete no event are no progress, so the search goes on while they arrive.
-    let mut successor = pin!(search.find_after(first_timeout));
-    loop {
-        let mut bytes = Vec::new();
-        let read = response.read(&mut bytes);
-        let expired = async {
-            match is_first {
-                true => reservation.pass_start_deadline().await,
-                false => std::future::pending().await,
-            }
-        };
-        match wait_for(read, successor.as_mut(), expired).await {
-            Wait::Received(Ok(true)) => {}
-            Wait::Received(Ok(false)) if is_empty_by_close(exchange, &response, is_first) => {
-                watch.record_break().await;
-                return lost("closed before the first event");
-            }
-            Wait::Received(Ok(false)) if splitter.is_between_events() => break,
-            Wait::Received(Ok(false)) => {
-                watch.record_break().await;
-                return lost("ended inside an event");
-            }
-            Wait::Received(Err(err)) => return watch.outcome_after_break(&err).await,
-            Wait::Expired => return lost("no event in time"),
-            Wait::Replaced(successor) => return replaced("no event", successor),
+        // The caller may read slowly; nothing else may be written meanwhile.
+        search.hold();
+        if let Err(err) = forward_events(exchange, stream.head(), events).await {
+            return caller_lost(exchange, &err);
+        }
+        search.release();
+        if is_progress {
+            search.record_progress(EVENT_GAP_TIMEOUT);
         }
-        let events = match splitter.push(&bytes) {
+        next = match stream.next(reservation).await {
             Ok(events) => events,
-            Err(err) => return lost(&err.to_string()),
+            Err(outcome) => return outcome,
         };
-        if events.is_empty() {
-            continue;
-        }
-        // Comments keep a connection open, but an engine that sends nothing else has stalled.
-        if !events.iter().all(|it| it.is_comment) {
-            successor.set(search.find_after(EVENT_GAP_TIMEOUT));
-            watch.record_progress();
-            if is_first {
-                is_first = false;
-                reservation.record_first_event();
-                exchange.trace.record_first_bytes();
-            }
-        }
-        if let Err(err) = forward_events(exchange, &response, events).await {
-            log::debug!(
-                "relay: failed to write the response to the caller request={} error=\"{err}\"",
-                exchange.request.id
-            );
-            return AttemptOutcome::Done(ConnectionReuse::Close);
-        }
     }
-    exchange.host.health.borrow_mut().record_success(attempt.backend);
-    watch.record_end(&response).await;
-    if let Err(err) = write_end(exchange, &response).await {
-        log::debug!(
-            "relay: failed to write the response to the caller request={} error=\"{err}\"",
-            exchange.request.id
-        );
-        return AttemptOutcome::Done(ConnectionReuse::Close);
+    search.hold();
+    if let Err(err) = write_end(exchange, stream.head()).await {
+        return caller_lost(exchange, &err);
     }
-    exchange.trace.record_outcome(TraceOutcome::Answered(response.head.status));
+    exchange.trace.record_outcome(TraceOutcome::Answered(stream.head().status));
     exchange.host.crash_suspects.borrow_mut().clear(exchange.fingerprint.get());
-    response.close(&exchange.host.connections);
+    stream.close().await;
     AttemptOutcome::Done(if exchange.closes_connection {
         ConnectionReuse::Close
     } else {
@@ -146,19 +70,17 @@
     })
 }
 
-/// Waits for a result of the engine, unless a successor is found or the request expires before.
-async fn wait_for<T>(
-    result: impl Future<Output = T>,
-    successor: impl Future<Output = Reservation>,
-    expired: impl Future<Output = ()>,
-) -> Wait<T> {
-    let received = async { Wait::Received(result.await) };
-    let expired = async {
-        expired.await;
-        Wait::Expired
-    };
-    let replaced = async { Wait::Replaced(successor.await) };
-    received.or(expired).or(replaced).await
+fn caller_lost(exchange: &Exchange, err: &HttpError) -> AttemptOutcome {
+    log::debug!(
+        "relay: failed to write the response to the caller request={} error=\"{err}\"",
+        exchange.request.id
+    );
+    AttemptOutcome::Done(ConnectionReuse::Close)
+}
+
+/// Returns the time without a response after which another engine is sought.
+pub(crate) fn response_timeout(exchange: &Exchange, backend: &BackendId) -> Duration {
+    FIRST_EVENT_TIMEOUT.saturating_add(reading_time(exchange, backend))
 }
 
 /// Returns the time in which the engine reads the prompt, at the rate that its pool states.
@@ -172,21 +94,15 @@
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
 
-/// Returns `true` if a stream that was closed before its first event lacks events: nothing marks
-/// its end, and only a resumed stream may have none left.
-fn is_empty_by_close(exchange: &Exchange, response: &BackendResponse, is_first: bool) -> bool {
-    is_first && response.ends_by_close() && exchange.last_event_id.borrow().is_none()
-}
-
 /// Forwards the events that the caller has not received yet.
 async fn forward_events(
     exchange: &Exchange,
-    response: &BackendResponse,
+    head: &ResponseHead,
     events: Vec<Event>,
 ) -> Result<(), HttpError> {
     let mut data = Vec::new();
     for event in events {
-        if !is_newer_event(event.id.as_deref(), exchange.last_event_id.borrow().as_deref()) {
+        if !exchange.is_undelivered(&event) {
             continue;
         }
         data.extend_from_slice(&event.bytes);
@@ -197,26 +113,26 @@
     if data.is_empty() {
         return Ok(());
     }
-    let mut bytes = head_if_unsent(exchange, response);
+    let mut bytes = head_if_unsent(exchange, head);
     bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
     bytes.extend_from_slice(&data);
     bytes.extend_from_slice(b"\r\n");
     exchange.caller.write(&bytes).await
 }
 
-async fn write_end(exchange: &Exchange, response: &BackendResponse) -> Result<(), HttpError> {
-    let mut bytes = head_if_unsent(exchange, response);
+async fn write_end(exchange: &Exchange, head: &ResponseHead) -> Result<(), HttpError> {
+    let mut bytes = head_if_unsent(exchange, head);
     bytes.extend_from_slice(b"0\r\n\r\n");
     exchange.caller.write(&bytes).await
 }
 
 /// Returns the response head on the first call and nothing on later ones, so that the caller
 /// receives only the head of the first engine that responded.
-fn head_if_unsent(exchange: &Exchange, response: &BackendResponse) -> Vec<u8> {
+fn head_if_unsent(exchange: &Exchange, head: &ResponseHead) -> Vec<u8> {
     if exchange.is_head_sent.replace(true) {
         return Vec::new();
     }
-    let mut head = response.head.clone();
+    let mut head = head.clone();
     head.headers.remove_hop_by_hop();
     head.headers.remove("Content-Length");
     head.headers.push("Transfer-Encoding", "chunked");
@@ -225,12 +141,3 @@
     }
     head.to_bytes()
 }
-
-/// Returns `true` if an event follows the last one that the caller received.
-fn is_newer_event(id: Option<&str>, last: Option<&str>) -> bool {
-    let (Some(id), Some(last)) = (id, last) else { return true };
-    match (id.parse::<u64>(), last.parse::<u64>()) {
-        (Ok(id), Ok(last)) => id > last,
-        _ => id != last,
-    }
-}
--- a/src/entry/successor.rs
+++ b/src/entry/successor.rs
@@ -1,75 +1,265 @@
 //! Finds another backend server for a request whose backend server is silent.
 //!
 //! Load pattern: a backend server with many requests is silent for a moment and then goes on, while the
-//! others have little capacity left. Giving its requests up before another one can take them over would
-//! lose responses that are still to come.
+//! others have little capacity left, refuse requests or are away. Giving its requests up before another
+//! one responds would lose responses that are still to come. Whichever responds first is used.
 
-use std::time::Duration;
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    pin::Pin,
+    time::{Duration, Instant},
+};
+
+use event_listener::Event;
+use futures_lite::FutureExt;
 
 use crate::{
     entry::{
-        exchange::Exchange,
+        attempt_outcome::AttemptOutcome,
+        request_sender::{RequestSender, UsableResponse},
         reservation::{BackendRequirements, Reservation},
     },
     ids::BackendId,
     runtime,
+    verdict::Verdict,
 };
 
 /// Time for which each search waits for capacity at an engine.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time between two searches.
+/// Time between two searches, and between two checks of a search that is held.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// A backend server that responded in place of a silent one.
+pub(crate) struct Successor<'a> {
+    pub(crate) reservation: Reservation,
+    pub(crate) response: UsableResponse<'a>,
+}
+
 /// The search for a backend server that takes over a request from a silent one.
 pub(crate) struct SuccessorSearch<'a> {
-    exchange: &'a Exchange,
-    /// The requirements, which exclude the backend servers that were tried.
-    requirements: &'a BackendRequirements,
-    /// The silent backend server.
-    silent: &'a BackendId,
-    /// Whether the request may be sent to another backend server after this one.
-    is_allowed: bool,
+    sender: RequestSender<'a>,
+    requirements: RefCell<BackendRequirements>,
+    /// The backend server that has the request.
+    current: BackendId,
+    /// The number of further backend servers that may get the request.
+    n_left: Cell<u32>,
+    /// The number of further backend servers that got it and were of no use.
+    n_failed: Cell<u32>,
+    /// Whether a further backend server has the request now.
+    is_in_flight: Cell<bool>,
+    /// Whether the response is being written to the caller.
+    is_held: Cell<bool>,
+    /// The time of the latest progress, and the silence after it that starts the search.
+    last_progress: Cell<Instant>,
+    silence: Cell<Duration>,
+    progressed: Event,
+    settled: Event,
+}
+
+/// Marks that a further backend server has the request, until its outcome is known.
+struct InFlight<'s, 'a> {
+    search: &'s SuccessorSearch<'a>,
+    is_settled: bool,
 }
 
 impl<'a> SuccessorSearch<'a> {
-    /// Creates the search for a request that runs at `silent`.
+    /// Creates the search for a request that runs at `current`; up to `n_left` others may get it, the
+    /// first one after `silence`.
     pub(crate) fn new(
-        exchange: &'a Exchange,
-        requirements: &'a BackendRequirements,
-        silent: &'a BackendId,
-        is_allowed: bool,
+        sender: RequestSender<'a>,
+        requirements: BackendRequirements,
+        current: &BackendId,
+        n_left: u32,
+        silence: Duration,
     ) -> SuccessorSearch<'a> {
-        SuccessorSearch { exchange, requirements, silent, is_allowed }
+        SuccessorSearch {
+            sender,
+            requirements: RefCell::new(requirements),
+            current: current.clone(),
+            n_left: Cell::new(n_left),
+            n_failed: Cell::new(0),
+            is_in_flight: Cell::new(false),
+            is_held: Cell::new(false),
+            last_progress: Cell::new(Instant::now()),
+            silence: Cell::new(silence),
+            progressed: Event::new(),
+            settled: Event::new(),
+        }
+    }
+
+    /// Records progress of the response: the search ends, and begins again after `silence`.
+    pub(crate) fn record_progress(&self, silence: Duration) {
+        self.last_progress.set(Instant::now());
+        self.silence.set(silence);
+        self.progressed.notify(usize::MAX);
+    }
+
+    /// Uses no other backend server until `release`, as the response is being written to the caller.
+    pub(crate) fn hold(&self) {
+        self.is_held.set(true);
+    }
+
+    /// Lets the search begin again.
+    pub(crate) fn release(&self) {
+        self.is_held.set(false);
+    }
+
+    /// Returns the requirements, which exclude all backend servers that got the request.
+    pub(crate) fn requirements(&self) -> BackendRequirements {
+        self.requirements.borrow().clone()
+    }
+
+    /// Returns the number of further backend servers that got the request and were of no use.
+    pub(crate) fn n_failed(&self) -> u32 {
+        self.n_failed.get()
+    }
+
+    /// Searches whenever the response makes no progress, until another backend server responds.
+    pub(crate) async fn run(&self) -> Successor<'a> {
+        loop {
+            self.wait_for_silence().await;
+            let silent_since = self.last_progress.get();
+            let progressed = self.progressed.listen();
+            self.report_silence();
+            let found = async { Some(self.search().await) };
+            let ended = async {
+                progressed.await;
+                None
+            };
+            let Some(successor) = found.or(ended).await else { continue };
+            if !self.is_held.get() && self.last_progress.get() == silent_since {
+                return successor;
+            }
+            // Both responded at the same moment.
+            self.count_run();
+        }
+    }
+
+    /// Waits for the backend server that has the request now besides the silent one, which failed;
+    /// returns `None` if there is none or it is of no use either.
+    pub(crate) async fn finish<F: Future<Output = Successor<'a>>>(
+        &self,
+        mut run: Pin<&mut F>,
+    ) -> Option<Successor<'a>> {
+        let found = async { Some(run.as_mut().await) };
+        let failed = async {
+            while self.is_in_flight.get() {
+                self.settled.listen().await;
+            }
+            None
+        };
+        found.or(failed).await
+    }
+
+    async fn wait_for_silence(&self) {
+        loop {
+            let silent_for = self.last_progress.get().elapsed();
+            let left = self.silence.get().saturating_sub(silent_for);
+            if left.is_zero() && !self.is_held.get() {
+                return;
+            }
+            runtime::sleep(if left.is_zero() { SEARCH_INTERVAL } else { left }).await;
+        }
     }
 
-    /// Waits for `silence`, and then until another backend server has capacity and the retry budget
-    /// allows to use it. Never returns if the request may not be sent again.
-    pub(crate) async fn find_after(&self, silence: Duration) -> Reservation {
-        if !self.is_allowed {
-            return std::future::pending().await;
+    /// Lets the backend server get no new requests for now.
+    fn report_silence(&self) {
+        let exchange = self.sender.exchange;
+        log::info!("relay: silent request={} backend={}", exchange.request.id, self.current);
+        let is_at_engine = self.sender.route.is_stream();
+        if (is_at_engine || self.n_left.get() > 0) && !exchange.host.is_switching(&self.current) {
+            exchange.host.health.borrow_mut().record_failure(&self.current, Instant::now());
         }
-        runtime::sleep(silence).await;
-        log::info!(
-            "relay: silent, looking for another backend server request={} backend={}",
-            self.exchange.request.id,
-            self.silent
-        );
+    }
+
+    async fn search(&self) -> Successor<'a> {
         loop {
-            if let Some(reservation) = self.find().await {
-                return reservation;
+            if self.n_left.get() == 0 {
+                return std::future::pending().await;
+            }
+            if let Some(successor) = self.try_next().await {
+                return successor;
             }
             runtime::sleep(SEARCH_INTERVAL).await;
         }
     }
 
-    async fn find(&self) -> Option<Reservation> {
-        if self.exchange.quarantined_part().is_some() {
+    /// Sends the request to one more backend server; returns `None` unless it responds.
+    async fn try_next(&self) -> Option<Successor<'a>> {
+        let exchange = self.sender.exchange;
+        let is_resumed = exchange.is_head_sent.get();
+        let requirements = BackendRequirements { is_resumed, ..self.requirements() };
+        let reservation =
+            Reservation::wait(&exchange.host, &requirements, QUEUE_TIMEOUT).await.ok()?;
+        if exchange.quarantined_part().is_some()
+            || !exchange.host.try_spend_retry(&requirements.service)
+        {
             return None;
         }
-        let host = &self.exchange.host;
-        let is_resumed = self.exchange.is_head_sent.get();
-        let requirements = BackendRequirements { is_resumed, ..self.requirements.clone() };
-        let reservation = Reservation::wait(host, &requirements, QUEUE_TIMEOUT).await.ok()?;
-        host.try_spend_retry(&requirements.service).then_some(reservation)
+        exchange.trace.record_reservation(&reservation);
+        let in_flight = InFlight::begin(self, &reservation.backend);
+        let res = self.sender.send_until_usable(&reservation).await;
+        match res {
+            Ok(response) => {
+                in_flight.succeed();
+                log::info!(
+                    "relay: another backend server responded first request={} silent={} backend={}",
+                    exchange.request.id,
+                    self.current,
+                    reservation.backend
+                );
+                Some(Successor { reservation, response })
+            }
+            Err(outcome) => {
+                reservation.record_outcome(outcome.service_outcome());
+                in_flight.fail(&outcome);
+                None
+            }
+        }
+    }
+
+    /// Counts a further backend server that refused the request.
+    fn count_refusal(&self) {
+        self.n_left.set(self.n_left.get().saturating_sub(1));
+        self.n_failed.set(self.n_failed.get() + 1);
+    }
+
+    /// Counts a further backend server that may have run the request in vain.
+    fn count_run(&self) {
+        self.count_refusal();
+        self.sender.exchange.verdict.set(Verdict::MayHaveRun);
+    }
+}
+
+impl<'s, 'a> InFlight<'s, 'a> {
+    fn begin(search: &'s SuccessorSearch<'a>, backend: &BackendId) -> InFlight<'s, 'a> {
+        search.requirements.borrow_mut().excluded.push(backend.clone());
+        search.is_in_flight.set(true);
+        InFlight { search, is_settled: false }
+    }
+
+    fn succeed(mut self) {
+        self.is_settled = true;
+    }
+
+    fn fail(mut self, outcome: &AttemptOutcome) {
+        self.is_settled = true;
+        match outcome {
+            AttemptOutcome::Unreachable => {}
+            AttemptOutcome::Refused(..) => self.search.count_refusal(),
+            _ => self.search.count_run(),
+        }
+    }
+}
+
+impl Drop for InFlight<'_, '_> {
+    fn drop(&mut self) {
+        // The silent backend server went on first, so that this one is no longer waited for.
+        if !self.is_settled {
+            self.search.count_run();
+        }
+        self.search.is_in_flight.set(false);
+        self.search.settled.notify(usize::MAX);
     }
 }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -145,7 +145,19 @@
 
     /// Reads the remaining body.
     pub async fn read_to_end(&mut self) -> Result<Vec<u8>, HttpError> {
-        self.body.read_all(&mut self.connection.connection, MAX_BUFFERED_BYTES).await
+        self.read_to_end_with(|| {}).await
+    }
+
+    /// Reads the remaining body; calls `on_progress` whenever a part of it arrives.
+    pub async fn read_to_end_with(&mut self, on_progress: impl Fn()) -> Result<Vec<u8>, HttpError> {
+        let mut bytes = Vec::new();
+        while self.read(&mut bytes).await? {
+            on_progress();
+            if bytes.len() > MAX_BUFFERED_BYTES {
+                return Err(HttpError::BodyTooLong);
+            }
+        }
+        Ok(bytes)
     }
 
     /// Returns `true` if more bytes have arrived after the body, which a sound backend server never
