--- a/src/entry/eligible_servers.rs
+++ b/src/entry/eligible_servers.rs
@@ -9,8 +9,7 @@
 };
 
 /// Returns the backend servers of a pool or service that accept requests and have not said that they
-/// leave, for a pool those with all
-/// layers of `model` in a version that requests may still start on.
+/// leave, for a pool those with all layers of `model` in a version that requests may still start on.
 pub(crate) fn eligible_servers<'a>(
     host: &EntryHost,
     servers: &'a BackendTable,
--- a/tests/explained_requests.rs
+++ b/tests/explained_requests.rs
@@ -39,6 +39,25 @@
     );
 }
 
+/// A request is explained with the response that closed a server or began a pause, be it its own or
+/// one before it.
+#[test]
+fn timeline_names_closed_servers() {
+    let log = "\
+2026-12-05T08:00:01.000Z INFO  drain: a backend server leaves request=r-1 backend=i-3 started_ms=7 status=200
+2026-12-05T08:00:02.000Z INFO  pause: a backend server takes no requests for a time request=r-2 backend=i-4 pause_ms=900
+2026-12-05T08:00:02.500Z INFO  request: ended request=r-3 outcome=refused status=503
+";
+    let logs = [("entry-1.log".to_owned(), log.to_owned())];
+    let first = RequestTimeline::read("r-1", &logs);
+    assert!(first.lines[0].text.contains("leaves request=r-1 backend=i-3"), "{first:?}");
+    let third = RequestTimeline::read("r-3", &logs);
+    let state: Vec<&str> = third.state_lines.iter().map(|it| it.text.as_str()).collect();
+    assert_eq!(state.len(), 2, "{state:?}");
+    assert!(state[0].contains("request=r-1 backend=i-3"), "{state:?}");
+    assert!(state[1].contains("request=r-2 backend=i-4"), "{state:?}");
+}
+
 #[test]
 fn explain_command_exit_status() {
     let folder = tempfile::tempdir().unwrap();
--- a/tests/leaving_engines.rs
+++ b/tests/leaving_engines.rs
@@ -129,17 +129,19 @@
 /// The host that reads the header tells the others, which have sent nothing there.
 #[test]
 fn other_hosts_hear_of_a_leaving_server() {
-    let server = leaving_server();
-    let store = store_with("ledger", server_entry("ledger", server.address(), "ready"));
-    let hosts = ["entry-1", "entry-2", "entry-3"].map(|it| EntryProcess::start(&store, it));
-    hosts.iter().for_each(EntryProcess::wait_until_ready);
-    thread::sleep(JOIN_TIME);
-    assert_eq!(send(&hosts[0], "/stock/1", "first").status(), 200);
-    thread::sleep(NOTICE_TIME);
-    for (host, id) in hosts.iter().zip(["one", "two", "three"]) {
-        assert_eq!(send(host, "/stock/1", id).status(), 503, "{id}");
+    for (service, path) in [("ledger", "/stock/1"), ("pool", "/draft/1")] {
+        let server = leaving_server();
+        let store = store_with(service, server_entry(service, server.address(), "ready"));
+        let hosts = ["entry-1", "entry-2", "entry-3"].map(|it| EntryProcess::start(&store, it));
+        hosts.iter().for_each(EntryProcess::wait_until_ready);
+        thread::sleep(JOIN_TIME);
+        assert_eq!(send(&hosts[0], path, "first").status(), 200);
+        thread::sleep(NOTICE_TIME);
+        for (host, id) in hosts.iter().zip(["one", "two", "three"]) {
+            assert_eq!(send(host, path, id).status(), 503, "{path} {id}");
+        }
+        assert_eq!(server.requests().len(), 1, "{path}");
     }
-    assert_eq!(server.requests().len(), 1);
 }
 
 /// A stream that runs at a leaving engine goes on to its end.
