Requests that wait when all engines ask for a pause are told its end

Callers see: a request that waited for an engine when the pause began was refused with the 2 s of a pool without engines, whatever the pause.

Cause: pauses were looked up before the wait only; the grants that came after were given back as they must be, and what was left counted as no engine. They are looked up again when a wait ends without an engine.

--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -119,6 +119,17 @@
         if n_layers(host, &requirements.service).is_none() {
             return Reservation::at_plain_backend(host, requirements);
         }
+        let res = Reservation::wait_for_engine(host, requirements, queue_timeout).await;
+        // Engines may have asked for a pause while the request waited.
+        let paused = || requirements.time_until_first(host).map(ReservationError::Paused);
+        res.map_err(|err| paused().unwrap_or(err))
+    }
+
+    async fn wait_for_engine(
+        host: &Rc<EntryHost>,
+        requirements: &BackendRequirements,
+        queue_timeout: Duration,
+    ) -> Result<Reservation, ReservationError> {
         let mut demand = requirements.demand(host, queue_timeout);
         for _ in 0..MAX_UNUSABLE_GRANTS {
             let grant = admission_client::reserve(host, &demand).await?;
--- a/tests/paused_engines.rs
+++ b/tests/paused_engines.rs
@@ -3,7 +3,10 @@
 mod entry_process;
 
 use std::{
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -159,6 +162,48 @@
     }
 }
 
+/// Load pattern: many requests at once when the pause begins, some of them waiting. Half a second
+/// after the refusal none arrives any more, and all callers are told when to come back.
+#[test]
+fn burst_at_the_begin_of_a_pause() {
+    let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let recorded = arrivals.clone();
+    let server = ScriptedServer::start(move |request| {
+        recorded.lock().unwrap().push(Instant::now());
+        vec![Step::Pause(30 * MS), Step::Send(refusal(request, "1.5", "X-Not-Run: 1\r\n"))]
+    })
+    .unwrap();
+    let store = StoreStandin::start().unwrap();
+    store.put("config", "main", charter(1));
+    let mut listed = server_entry("pool", server.address(), "ready");
+    listed["slots"] = 2.into();
+    store.put("servers", "pool-0", listed);
+    let entry = EntryProcess::start(&store, "entry-1");
+    entry.wait_until_ready();
+    // The owner admits to half of the slots at first.
+    thread::sleep(Duration::from_millis(500));
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for caller in 0..12 {
+            let entry = &entry;
+            scope.spawn(move || {
+                for number in 0..16 {
+                    let response = send(entry, "/draft/1", &format!("burst-{caller}-{number}"));
+                    assert_eq!(response.status(), 503, "{}", response.text());
+                    let told = retry_after(&response).unwrap();
+                    assert!(told <= 1.5, "{}", response.text());
+                    thread::sleep(80 * MS);
+                }
+            });
+        }
+    });
+    assert!(started.elapsed() > Duration::from_millis(1200), "{:?}", started.elapsed());
+    let arrivals = arrivals.lock().unwrap();
+    let paused = arrivals[0] + 30 * MS + Duration::from_millis(500)..arrivals[0] + 1500 * MS;
+    let n_in_pause = arrivals.iter().filter(|it| paused.contains(it)).count();
+    assert_eq!(n_in_pause, 0, "{} arrivals", arrivals.len());
+}
+
 /// While all servers pause, callers are refused at once, with the time of the first that takes
 /// requests; nothing reaches a server.
 #[test]
