Write an accepted charter again that the platform's object service has lost

What operators could see: the object service comes back from an older copy; the accepted charter stays in force but is gone at the service for good, and every further patch against its number ends unavailable. Cause: a watch waits for a revision above the known one, which the service has taken back; and a host that saw an older charter there did nothing. Change: after a failed call, and after three watches without a change, the object is read whatever its revision. If it is an older charter than the one in force, it is written again after about a second, under the revision just read, so that an outdated read or a newer charter prevents it. The stand-in of the service can go back to a copy.

--- a/src/objects/document_watch.rs
+++ b/src/objects/document_watch.rs
@@ -19,7 +19,7 @@
     ids::{HostId, Revision},
     membership::{self, HostRole, HostState, MemberRecord},
     node::Node,
-    objects::{Object, PlatformError},
+    objects::{Object, PlatformError, Precondition},
     peer::{Document, DocumentName},
     runtime,
 };
@@ -36,6 +36,11 @@
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Maximum delay between retries of a failed call.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+/// Number of watches without a change after which the object is read, whatever its revision, as the
+/// service may have come back from an older copy without an error.
+const MAX_EMPTY_WATCHES: u32 = 3;
+/// Mean delay before a charter that the service has lost is written again.
+const WRITE_AGAIN_DELAY: Duration = Duration::from_secs(1);
 /// Time after its start from which a process without a charter watches the charter itself, whatever
 /// its rank; a random factor of 1 to 2 spreads the processes.
 const CHARTER_READ_DELAY: Duration = Duration::from_secs(4);
@@ -147,23 +152,30 @@
     let object_name = name.to_string();
     let mut known_revision: Option<Revision> = None;
     let mut retry_delay = FIRST_RETRY_DELAY;
+    let mut n_empty_watches = 0;
     loop {
         let sent_at = Instant::now();
         match read_or_watch(&node, &object_name, known_revision).await {
             Ok(Some(object)) => {
                 retry_delay = FIRST_RETRY_DELAY;
+                n_empty_watches = 0;
+                // A read may have a lower revision than before.
                 known_revision = Some(known_revision.unwrap_or(0).max(object.revision));
                 apply_object(&node, &name, object).await;
             }
             Ok(None) => {
                 retry_delay = FIRST_RETRY_DELAY;
                 let is_early = known_revision.is_some() && sent_at.elapsed() < WATCH_TIMEOUT / 2;
-                known_revision = Some(known_revision.unwrap_or(0));
+                n_empty_watches += 1;
+                let is_due = n_empty_watches % MAX_EMPTY_WATCHES == 0;
+                known_revision = Some(known_revision.unwrap_or(0)).filter(|_| !is_due);
                 if is_early {
                     runtime::sleep(EARLY_RESPONSE_PAUSE).await;
                 }
             }
             Err(err) => {
+                // The service may come back from an older copy, whose revisions are lower.
+                known_revision = None;
                 log::warn!("platform: failed to read an object name={object_name} error=\"{err}\"");
                 runtime::sleep(retry_delay.mul_f64(0.5 + fastrand::f64())).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
@@ -192,6 +204,10 @@
         return;
     };
     let number = header.number;
+    if *name == DocumentName::Charter && number < node.documents.charter_number() {
+        write_charter_again(node).await;
+        return;
+    }
     let document = Document { name: name.clone(), number, json: ByteBuf::from(object.value) };
     let res = node.documents.offer(document.clone());
     if *name == DocumentName::Charter {
@@ -209,6 +225,24 @@
     }
 }
 
+/// Writes the newest charter that this process knows, if the service still has an older one after a
+/// delay. The condition prevents that an outdated read or another writer's newer charter is replaced.
+async fn write_charter_again(node: &Node) {
+    runtime::sleep(WRITE_AGAIN_DELAY.mul_f64(0.5 + fastrand::f64())).await;
+    let name = DocumentName::Charter.to_string();
+    let Some(newest) = node.documents.document(&DocumentName::Charter) else { return };
+    let Ok(Some(stored)) = node.platform.get(&name).await else { return };
+    let header = serde_json::from_slice::<DocumentHeader>(&stored.value);
+    if header.is_ok_and(|it| it.number < newest.number) {
+        let condition = Precondition::Revision(stored.revision);
+        let res = node.platform.put(&name, &newest.json, condition).await;
+        log::warn!(
+            "platform: wrote a charter again that was lost number={} res={res:?}",
+            newest.number
+        );
+    }
+}
+
 /// The field that documents of every release have.
 #[derive(Deserialize)]
 struct DocumentHeader {
--- a/standins/src/platform/object_store.rs
+++ b/standins/src/platform/object_store.rs
@@ -53,6 +53,16 @@
             .collect()
     }
 
+    /// Goes back to the state of `instant`, and gives the revisions since then out again.
+    pub(crate) fn restore(&mut self, instant: Instant) {
+        for history in self.objects.values_mut() {
+            history.retain(|it| it.at <= instant);
+        }
+        self.objects.retain(|_, it| !it.is_empty());
+        let revisions = self.objects.values().flatten().map(|it| it.revision);
+        self.last_revision = revisions.max().unwrap_or(0);
+    }
+
     pub(crate) fn put(
         &mut self,
         name: &str,
--- a/standins/src/platform/platform_standin.rs
+++ b/standins/src/platform/platform_standin.rs
@@ -45,6 +45,12 @@
         self.state.changed.notify(usize::MAX);
     }
 
+    /// Goes back to the objects of `instant`, as if restored from a copy.
+    pub fn restore(&self, instant: Instant) {
+        self.state.objects.lock().unwrap().restore(instant);
+        self.state.changed.notify(usize::MAX);
+    }
+
     /// Replaces the list of hosts.
     pub fn set_hosts(&self, hosts: Vec<HostEntry>) {
         *self.state.hosts.lock().unwrap() = hosts;
