An older charter can't tell that a patch was refused

What operators could see: a patch that had been accepted is reported as refused, after the object service came back from a copy without it. Cause: the state of a patch was decided by whatever charter the service returned.

--- a/src/charter/patch.rs
+++ b/src/charter/patch.rs
@@ -50,7 +50,7 @@
 ///
 /// A patch that is reported as refused never takes effect.
 pub async fn patch_state(node: &Node, id: &str) -> PatchState {
-    let settle = refuse_unless_accepted(&node.platform, id);
+    let settle = refuse_unless_accepted(node, id);
     runtime::timeout(STATE_TIMEOUT, settle).await.unwrap_or(PatchState::Unknown)
 }
 
@@ -91,11 +91,11 @@
     }
 }
 
-async fn refuse_unless_accepted(platform: &PlatformClient, id: &str) -> PatchState {
+async fn refuse_unless_accepted(node: &Node, id: &str) -> PatchState {
     let mut backoff = Backoff::new();
     loop {
-        if let Ok(object) = platform.get(CHARTER_OBJECT).await {
-            if let Some(state) = try_refuse(platform, id, object).await {
+        if let Ok(object) = node.platform.get(CHARTER_OBJECT).await {
+            if let Some(state) = try_refuse(node, id, object).await {
                 return state;
             }
         }
@@ -107,23 +107,23 @@
 /// failed.
 ///
 /// The write creates a new revision, so that a delayed write for an older one can't take effect.
-async fn try_refuse(
-    platform: &PlatformClient,
-    id: &str,
-    object: Option<Object>,
-) -> Option<PatchState> {
+async fn try_refuse(node: &Node, id: &str, object: Option<Object>) -> Option<PatchState> {
     let revision = object.as_ref().map_or(0, |it| it.revision);
     let text = object.map_or_else(charter_patch::empty_charter, |it| it.value);
     let mut charter: Value = serde_json::from_slice(&text).ok()?;
     if let Some(number) = charter_patch::accepted_number(&charter, id) {
         return Some(PatchState::Accepted(number));
     }
+    // An older charter can't tell that a patch was not accepted.
+    if charter_patch::number_of(&charter) < node.documents.charter_number() {
+        return None;
+    }
     if charter_patch::is_refused(&charter, id) {
         return Some(PatchState::Refused);
     }
     charter_patch::mark_refused(&mut charter, id);
     let text = charter.to_string().into_bytes();
-    let put = platform.put(CHARTER_OBJECT, &text, precondition_of(revision)).await;
+    let put = node.platform.put(CHARTER_OBJECT, &text, precondition_of(revision)).await;
     put.is_ok().then_some(PatchState::Refused)
 }
 
--- a/tests/restored_platform.rs
+++ b/tests/restored_platform.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crocustiller::{
-    charter::{charter_patch, PatchOutcome},
+    charter::{self, charter_patch, PatchOutcome, PatchState},
     runtime,
 };
 use crocustiller_standins::PlatformBehaviour;
@@ -72,3 +72,14 @@
         cluster.close().await;
     });
 }
+
+/// Guards against a patch that is reported as refused although it was accepted.
+#[test]
+fn accepted_patch_stays_accepted() {
+    runtime::run_until(async {
+        let cluster = start_restored().await;
+        let state = charter::patch_state(cluster.node(1), "p4").await;
+        assert_eq!(state, PatchState::Accepted(NUMBER));
+        cluster.close().await;
+    });
+}
