Requests with a suspected part begin one after the other, at one owner

Requests in progress together count as one generation of crashes, so all but one of them cost an engine each and showed nothing; the class is evidence gathered by the whole pool at once. Now hosts send requests with a part on which two engines crashed, and on which no answer was written, to one owner (rendezvous hash of the part), which lets one begin after the other.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -158,9 +158,12 @@
     }
 
     /// Returns the owners to ask, those that did not answer lately last.
-    fn owners_to_ask(&self, host: &EntryHost, now: Instant) -> Vec<HostId> {
+    fn owners_to_ask(&self, host: &EntryHost, demand: &Demand, now: Instant) -> Vec<HostId> {
         let zone = &host.settings.host.zone;
-        let mut owners = host.cell_map.borrow().owners_to_ask(zone, fastrand::f64());
+        let mut owners = match demand.suspected_parts.first() {
+            Some(part) => host.cell_map.borrow().owners_for_part(*part),
+            None => host.cell_map.borrow().owners_to_ask(zone, fastrand::f64()),
+        };
         let silent_until = self.silent_until.borrow();
         owners.sort_by_key(|it| silent_until.get(it).is_some_and(|until| now < *until));
         owners
@@ -192,10 +195,15 @@
     let immediate = Demand { wait: Duration::ZERO, ..demand.clone() };
     let mut first_full = None;
     let mut is_owner_known = false;
-    for owner in host.admission.owners_to_ask(host, Instant::now()) {
+    for owner in host.admission.owners_to_ask(host, demand, Instant::now()) {
         match ask(host, &owner, &immediate).await {
             Answer::Granted(grant) => return Ok(grant),
-            Answer::Refused(RefusalReason::Full) => first_full = first_full.or(Some(owner)),
+            Answer::Refused(RefusalReason::Full) => {
+                first_full = first_full.or(Some(owner));
+                if !demand.suspected_parts.is_empty() {
+                    break;
+                }
+            }
             Answer::Refused(RefusalReason::NoUsableEngine) => is_owner_known = true,
             Answer::Refused(RefusalReason::NotOwner) | Answer::Silent => {}
         }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -97,6 +97,7 @@
             service: service.clone(),
             model: exchange.request.model.clone(),
             prompt_tokens: exchange.request.sizes.prompt_tokens,
+            prompt_parts: exchange.request.prompt_parts.clone(),
             is_resumed: false,
             excluded: suspects.crashed_backends(exchange.fingerprint.get()),
         };
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -19,7 +19,9 @@
     },
     fleet::ServiceOutcome,
     ids::{BackendId, ServiceId, WeightsVersion},
-    placement::{choose_plain_backend, Demand, Load, PlainCandidate, ReservationNumber},
+    placement::{
+        choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, ReservationNumber,
+    },
     routing::{BackendServer, BackendState},
     runtime,
 };
@@ -46,6 +48,8 @@
     pub(crate) model: Option<String>,
     /// The number of tokens of the prompt.
     pub(crate) prompt_tokens: u32,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) prompt_parts: Vec<PartDigest>,
     /// Whether the caller already has the start of the response.
     pub(crate) is_resumed: bool,
     /// Backend servers that were tried already, or that broke the connection while they had an
@@ -294,6 +298,11 @@
             prompt_tokens: self.prompt_tokens,
             is_resumed: self.is_resumed,
             excluded,
+            prompt_parts: self.prompt_parts.clone(),
+            suspected_parts: host
+                .crashing_parts
+                .borrow()
+                .find_suspected(&self.prompt_parts, Instant::now()),
             wait,
         }
     }
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -18,7 +18,9 @@
 
 use crate::{
     ids::BackendId,
-    placement::{choose_engine, Candidate, Demand, Load, ReservationId, ReservationNumber},
+    placement::{
+        choose_engine, Candidate, Demand, Load, PartDigest, ReservationId, ReservationNumber,
+    },
 };
 
 /// Time after the last report of its holder at which a reservation lapses.
@@ -76,6 +78,8 @@
 struct Reservation {
     engine: BackendId,
     unread_tokens: u32,
+    /// Parts of the prompt until the first event of the response.
+    starting_parts: Vec<PartDigest>,
     granted: Instant,
     renewed: Instant,
 }
@@ -158,6 +162,7 @@
     pub fn record_first_event(&mut self, id: &ReservationId) {
         let Some(reservation) = self.reservations.get_mut(id) else { return };
         let unread = std::mem::take(&mut reservation.unread_tokens);
+        reservation.starting_parts.clear();
         let load = self.loads.entry(reservation.engine.clone()).or_default();
         load.unread_tokens = load.unread_tokens.saturating_sub(unread);
     }
@@ -203,6 +208,7 @@
         let reservation = Reservation {
             engine: held.engine,
             unread_tokens: held.unread_tokens,
+            starting_parts: Vec::new(),
             granted: now,
             renewed: now,
         };
@@ -251,6 +257,10 @@
         let mut held: BTreeSet<BackendId> = BTreeSet::new();
         let waiting = std::mem::take(&mut self.waiting);
         for request in waiting {
+            if self.is_tried(&request.demand.suspected_parts) {
+                self.waiting.push(request);
+                continue;
+            }
             let usable = engines(&request.demand);
             let max_held = (usable.len() as f64 * MAX_HELD_SHARE) as usize;
             let candidates: Vec<Candidate> = usable.iter().map(|it| self.candidate(it)).collect();
@@ -260,7 +270,7 @@
                 Some(idx) => {
                     let engine = usable[idx].id.clone();
                     let load = candidates[idx].load;
-                    self.grant(request.id, engine.clone(), demand.prompt_tokens, now);
+                    self.grant(request.id, engine.clone(), demand, now);
                     decisions.push((request.id, Admission::Granted { engine, load }));
                 }
                 None => {
@@ -287,9 +297,22 @@
         Candidate { slots, load }
     }
 
-    fn grant(&mut self, id: ReservationId, engine: BackendId, prompt_tokens: u32, now: Instant) {
-        let reservation =
-            Reservation { engine, unread_tokens: prompt_tokens, granted: now, renewed: now };
+    /// Returns `true` if an engine that may crash on one of the parts has yet to begin its response.
+    fn is_tried(&self, parts: &[PartDigest]) -> bool {
+        let is_starting = |it: &PartDigest| {
+            self.reservations.values().any(|reservation| reservation.starting_parts.contains(it))
+        };
+        parts.iter().any(is_starting)
+    }
+
+    fn grant(&mut self, id: ReservationId, engine: BackendId, demand: &Demand, now: Instant) {
+        let reservation = Reservation {
+            engine,
+            unread_tokens: demand.prompt_tokens,
+            starting_parts: demand.prompt_parts.clone(),
+            granted: now,
+            renewed: now,
+        };
         self.add_load(&reservation);
         self.reservations.insert(id, reservation);
     }
--- a/src/placement/cell_map.rs
+++ b/src/placement/cell_map.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     ids::{BackendId, HostId, ZoneId},
+    placement::PartDigest,
     weights::rank::{host_hash, score},
 };
 
@@ -78,6 +79,14 @@
         self.owners.iter().filter(move |it| it.1 == host).map(|it| it.0)
     }
 
+    /// Returns all owners in an order that depends on a part of a prompt only, so that all requests
+    /// with it ask the same one first.
+    pub fn owners_for_part(&self, part: PartDigest) -> Vec<HostId> {
+        let mut owners: Vec<&HostId> = self.owners_by_zone.values().flatten().collect();
+        owners.sort_by_key(|it| Reverse(score(part, host_hash(it))));
+        owners.into_iter().cloned().collect()
+    }
+
     /// Returns the owners that a request is sent to, one after the other: some of its own zone, then
     /// one of another zone. Both start at a random one; `random` is uniform in 0 to 1.
     pub fn owners_to_ask(&self, zone: &ZoneId, random: f64) -> Vec<HostId> {
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendId, ServiceId};
+use crate::{
+    ids::{BackendId, ServiceId},
+    placement::PartDigest,
+};
 
 /// The needs of one request that is to run at an engine of a pool.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +22,10 @@
     pub is_resumed: bool,
     /// Engines that must not be chosen.
     pub excluded: Vec<BackendId>,
+    /// Parts of the prompt that other requests may share.
+    pub prompt_parts: Vec<PartDigest>,
+    /// Those of them that are suspected of crashing engines.
+    pub suspected_parts: Vec<PartDigest>,
     /// Longest time for which the request waits while all engines are full.
     pub wait: Duration,
 }
--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -30,6 +30,8 @@
         prompt_tokens,
         is_resumed: false,
         excluded: Vec::new(),
+        prompt_parts: Vec::new(),
+        suspected_parts: Vec::new(),
         wait: Duration::from_millis(wait_ms),
     }
 }
@@ -126,6 +128,34 @@
     assert!(is_placed);
 }
 
+/// Load pattern: requests that crash their engines. Those with a suspected part are tried one after the
+/// other, so that each shows something and costs one engine only; all others go on.
+#[test]
+fn suspects_kill_engines_one_by_one() {
+    let now = Instant::now();
+    let mut cell = AdmissionCell::default();
+    let suspect = |part| Demand {
+        prompt_parts: vec![7, part],
+        suspected_parts: vec![part],
+        ..demand(100, 60)
+    };
+    // A request that was admitted before its part was suspected is a trial, too.
+    let unsuspected = Demand { suspected_parts: Vec::new(), ..suspect(1) };
+    assert!(is_granted(&cell.request(id(1, 1), unsuspected, &engines(4), now)));
+    assert_eq!(cell.request(id(2, 1), suspect(1), &engines(4), now), None);
+    assert_eq!(cell.request(id(3, 1), suspect(1), &engines(4), now), None);
+    assert!(is_granted(&cell.request(id(4, 1), suspect(2), &engines(4), now)), "another part");
+    assert!(is_granted(&cell.request(id(5, 1), demand(100, 60), &engines(4), now)));
+    cell.release(&id(1, 1));
+    let decisions = cell.decide_waiting(&engines(4), now + ms(10));
+    assert_eq!(decisions.iter().map(|it| it.0).collect::<Vec<_>>(), [id(2, 1)], "one by one");
+    cell.record_first_event(&id(2, 1));
+    let decisions = cell.decide_waiting(&engines(4), now + ms(20));
+    assert_eq!(decisions.iter().map(|it| it.0).collect::<Vec<_>>(), [id(3, 1)]);
+    assert_eq!(cell.request(id(6, 1), suspect(1), &engines(4), now + ms(30)), None);
+    assert_eq!(cell.decide_waiting(&engines(4), now + ms(90)), [(id(6, 1), Admission::Full)]);
+}
+
 #[test]
 fn no_engine_told_at_once() {
     let mut cell = AdmissionCell::default();
--- a/tests/cell_owners.rs
+++ b/tests/cell_owners.rs
@@ -181,6 +181,8 @@
         prompt_tokens: u32::MAX,
         is_resumed: false,
         excluded: Vec::new(),
+        prompt_parts: Vec::new(),
+        suspected_parts: Vec::new(),
         wait: Duration::MAX,
     };
     let sound = Demand { prompt_tokens: 100, wait: Duration::ZERO, ..demand.clone() };
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -72,6 +72,20 @@
     check_days(&day, 20, &[BAD], &[BAD]);
 }
 
+/// Sound requests must begin half as often as at other times, so fewer than half of the engines may be
+/// lost to one part.
+#[test]
+fn one_part_takes_most_engines() {
+    const N_ENGINES: usize = 16;
+    const N_SEEDS: u64 = 50;
+    let day = Day { begins_in_turn: true, ..Day::new(7, N_ENGINES) };
+    check_days(&day, N_SEEDS, &[BAD], &[BAD]);
+    let n_crashes: usize =
+        (0..N_SEEDS).map(|seed| Pool::play(&day, seed).bad_crashes[&BAD].len()).sum();
+    let mean = n_crashes as f64 / N_SEEDS as f64;
+    assert!(mean < N_ENGINES as f64 / 2.0, "{mean} of {N_ENGINES} engines a day");
+}
+
 #[test]
 fn split_hosts() {
     let day = Day { split_at: 3, joined_ms: 9000, end_ms: 15_000, ..Day::new(7, 16) };
--- a/tests/emulated_pool/mod.rs
+++ b/tests/emulated_pool/mod.rs
@@ -1,5 +1,8 @@
 //! An emulated pool of engines with several entry hosts, of which each decides on crashing parts.
 
+mod day;
+mod misses;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap},
@@ -9,6 +12,8 @@
 use crocustiller::placement::{CrashingParts, PartCrash, PartDigest, QuarantinedPart};
 use fastrand::Rng;
 
+pub(crate) use day::Day;
+
 /// Time after the fifth crash by which every host must know.
 const CONTACT_MS: u64 = 3000;
 /// Requests that may still reach engines after that.
@@ -23,45 +28,9 @@
 const BEACON_MS: u64 = 400;
 const DECISION_MS: u64 = 100;
 const EVENTS_APART_MS: u64 = 300;
-
-/// A day in an emulated pool; times are in milliseconds.
-#[derive(Clone)]
-pub(crate) struct Day {
-    pub(crate) n_hosts: usize,
-    pub(crate) n_engines: usize,
-    pub(crate) sound_per_s: f64,
-    pub(crate) bad_per_s: f64,
-    /// The parts that bad requests have beside those of sound ones, in this place of the prompt.
-    pub(crate) bad_parts: Vec<Vec<PartDigest>>,
-    pub(crate) bad_place: usize,
-    /// When engines crash for another reason than a request, and which.
-    pub(crate) crashes: Vec<(u64, Vec<usize>)>,
-    pub(crate) loss: f64,
-    /// The hosts before this one receive nothing from the others until `joined_ms`.
-    pub(crate) split_at: usize,
-    pub(crate) joined_ms: u64,
-    pub(crate) restart_ms: Option<u64>,
-    pub(crate) end_ms: u64,
-}
-
-impl Day {
-    pub(crate) fn new(n_hosts: usize, n_engines: usize) -> Day {
-        Day {
-            n_hosts,
-            n_engines,
-            sound_per_s: 12.0 * n_engines as f64,
-            bad_per_s: 4.0,
-            bad_parts: vec![vec![BAD]],
-            bad_place: 1,
-            crashes: Vec::new(),
-            loss: 0.05,
-            split_at: 0,
-            joined_ms: 0,
-            restart_ms: None,
-            end_ms: 12_000,
-        }
-    }
-}
+/// How often, and how long each time, a request waits for its turn until it is refused.
+const MAX_WAITS: u32 = 3;
+const WAIT_MS: u64 = 20;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -70,7 +39,7 @@
     Begins(u64),
     GoesOn(u64),
     Ends(u64),
-    Retries { host: usize, parts: Vec<PartDigest>, request: u64, n_before: u32 },
+    Retries { host: usize, parts: Vec<PartDigest>, request: u64, n_before: u32, n_waits: u32 },
     Restarts(usize),
     Crash(usize),
     CrashSeen { host: usize, engine: String, parts: Vec<PartDigest>, request: u64, sent: u64 },
@@ -190,8 +159,8 @@
                 self.clear(id);
                 self.attempts.remove(&id);
             }
-            Event::Retries { host, parts, request, n_before } => {
-                self.send_attempt(host, parts, request, n_before);
+            Event::Retries { host, parts, request, n_before, n_waits } => {
+                self.send_attempt(host, parts, request, n_before, n_waits);
             }
             Event::Restarts(engine) => {
                 self.engines[engine].0 += 1;
@@ -240,13 +209,27 @@
 
     fn arrive(&mut self, parts: Vec<PartDigest>) {
         let host = self.random.usize(0..self.day.n_hosts);
-        self.send_attempt(host, parts, self.n_events, 0);
+        self.send_attempt(host, parts, self.n_events, 0, 0);
     }
 
-    fn send_attempt(&mut self, host: usize, parts: Vec<PartDigest>, request: u64, n_before: u32) {
+    fn send_attempt(
+        &mut self,
+        host: usize,
+        parts: Vec<PartDigest>,
+        request: u64,
+        n_before: u32,
+        n_waits: u32,
+    ) {
         if self.hosts[host].find_quarantined(&parts, self.instant()).is_some() {
             return;
         }
+        if self.day.begins_in_turn && self.is_tried(host, &parts) {
+            if n_waits < MAX_WAITS {
+                let retry = Event::Retries { host, parts, request, n_before, n_waits: n_waits + 1 };
+                self.schedule(WAIT_MS, retry);
+            }
+            return;
+        }
         let split_at = self.day.split_at;
         let is_near = |it: usize| {
             self.now >= self.day.joined_ms
@@ -266,6 +249,19 @@
         self.schedule(until_first_event, Event::Begins(id));
     }
 
+    /// Returns `true` if a host that this one hears has a request with a suspected part, of which
+    /// no event has come yet.
+    fn is_tried(&self, host: usize, parts: &[PartDigest]) -> bool {
+        let suspected = self.hosts[host].find_suspected(parts, self.instant());
+        if suspected.is_empty() {
+            return false;
+        }
+        let (is_joined, split_at) = (self.now >= self.day.joined_ms, self.day.split_at);
+        let is_heard = |it: usize| is_joined || (host < split_at) == (it < split_at);
+        let has_part = |it: &Attempt| it.parts.iter().any(|part| suspected.contains(part));
+        self.attempts.values().any(|it| it.is_starting && is_heard(it.host) && has_part(it))
+    }
+
     fn begin(&mut self, id: u64) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         let bad = bad_of(&attempt.parts);
@@ -303,7 +299,8 @@
                 self.schedule(seen_after, Event::CrashSeen { host, engine, parts, request, sent });
             }
             if n_before < 2 {
-                let retry = Event::Retries { host, parts, request, n_before: n_before + 1 };
+                let n_before = n_before + 1;
+                let retry = Event::Retries { host, parts, request, n_before, n_waits: 0 };
                 self.schedule(seen_after + 2, retry);
             }
         }
@@ -383,30 +380,6 @@
     pub(crate) fn quarantined(&self) -> BTreeSet<PartDigest> {
         self.refused.keys().map(|it| it.0).collect()
     }
-
-    /// Returns how the target on crashes was missed; a host that restarts has as long again.
-    ///
-    /// If the first five crashes are of one or two requests, only the late requests count.
-    pub(crate) fn misses(&self, part: PartDigest) -> Vec<String> {
-        let crashes = &self.bad_crashes[&part];
-        let Some(fifth) = crashes.get(4) else { return Vec::new() };
-        let is_slow = self.day.bad_per_s < 1.0;
-        let due =
-            fifth.max(&self.day.joined_ms).max(&self.day.restart_ms.unwrap_or(0)) + CONTACT_MS;
-        let is_late = |it: &usize| self.refused.get(&(part, *it)).is_none_or(|it| *it > due);
-        let late_hosts: Vec<usize> = (0..self.day.n_hosts).filter(is_late).collect();
-        let n_late = self.bad_sent[&part].iter().filter(|it| **it > fifth + CONTACT_MS).count();
-        let mut misses = Vec::new();
-        if let Some(host) = late_hosts.first().filter(|_| !is_slow) {
-            let at = self.refused.get(&(part, *host));
-            misses
-                .push(format!("{} hosts late: {at:?} fifth {fifth} {crashes:?}", late_hosts.len()));
-        }
-        if n_late > MAX_LATE_REQUESTS {
-            misses.push(format!("{n_late} late requests, fifth {fifth} {crashes:?}"));
-        }
-        misses
-    }
 }
 
 fn bad_of(parts: &[PartDigest]) -> Vec<PartDigest> {
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -246,6 +246,8 @@
         prompt_tokens: u32::MAX,
         is_resumed: true,
         excluded: vec![String::new(); 300],
+        prompt_parts: vec![u64::MAX; 300],
+        suspected_parts: vec![u64::MAX; 300],
         wait: Duration::MAX,
     };
     let notice = EngineNotice {
--- a/tests/placement_rules.rs
+++ b/tests/placement_rules.rs
@@ -1,7 +1,7 @@
 //! Choice of the engine or backend server for a request, each rule under its load pattern.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -230,6 +230,21 @@
     }
 }
 
+/// All hosts ask the same owner first for requests with a suspected part, and another one if that owner
+/// is gone.
+#[test]
+fn one_owner_tries_a_part() {
+    let hosts = entry_hosts(3, 30);
+    let cells = CellMap::new(&engines(3, 96), &hosts);
+    let first_asked = |cells: &CellMap, part| cells.owners_for_part(part)[0].clone();
+    let distinct: BTreeSet<_> = (0..50).map(|it| first_asked(&cells, it)).collect();
+    assert!(distinct.len() > 1, "not one owner for all parts");
+    let gone = first_asked(&cells, 7);
+    let next = cells.owners_for_part(7)[1].clone();
+    let others: Vec<_> = hosts.into_iter().rev().filter(|it| it.host != gone).collect();
+    assert_eq!(first_asked(&CellMap::new(&engines(3, 96), &others), 7), next);
+}
+
 #[test]
 fn request_counts_return_to_zero() {
     let backend: SocketAddr = "127.0.0.1:1".parse().unwrap();
