--- a/tests/paused_pool.rs
+++ b/tests/paused_pool.rs
@@ -112,6 +112,8 @@
             prompt_tokens: 0,
             is_resumed: false,
             excluded,
+            prompt_parts: Vec::new(),
+            suspected_parts: Vec::new(),
             wait: Duration::ZERO,
         };
         self.next_number += 1;
