--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -201,9 +201,12 @@
         bytes.extend_from_slice(body);
         self.is_head_sent.set(true);
         self.trace.record_first_bytes();
-        self.trace.record_outcome(TraceOutcome::Answered(head.status));
+        let res = self.caller.write(&bytes).await;
+        if res.is_ok() {
+            self.trace.record_outcome(TraceOutcome::Answered(head.status));
+        }
         self.host.crash_suspects.borrow_mut().clear(self.fingerprint.get());
-        self.reuse_after_write(self.caller.write(&bytes).await)
+        self.reuse_after_write(res)
     }
 
     /// Returns `true` if the caller has not received the event yet; comments are never delivered twice
