Retry-After of a pause is rounded up to the millisecond, not beyond it

burst_at_the_begin_of_a_pause failed in 1 of 4 runs, then in 1 of 15: told 1.501 s for a pause of 1.5 s, as a whole millisecond was added before rounding.

--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -32,8 +32,8 @@
 /// while engines load weights, which takes seconds. A caller that returned earlier would be refused
 /// again.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Time by which `Retry-After` is later than the end of a pause, as it is rounded.
-const PAUSE_MARGIN: Duration = Duration::from_millis(1);
+/// The number of nanoseconds in the unit to which `Retry-After` is rounded.
+const NANOS_PER_MS: u128 = 1_000_000;
 /// Longest sleep until the time of a start deadline is read again.
 const MAX_DEADLINE_SLEEP: Duration = Duration::from_millis(250);
 /// Maximum number of grants for one request whose engine this host must not use.
@@ -79,9 +79,11 @@
             ReservationError::Full => {
                 ("all backend servers are busy; retry later", BUSY_RETRY_AFTER)
             }
-            ReservationError::Paused(left) => {
-                ("all backend servers asked for a pause; retry after it", left + PAUSE_MARGIN)
-            }
+            // Rounded up, so that a caller that waits as told is not early.
+            ReservationError::Paused(left) => (
+                "all backend servers asked for a pause; retry after it",
+                Duration::from_millis(left.as_nanos().div_ceil(NANOS_PER_MS) as u64),
+            ),
         };
         ErrorResponse::not_run(503, message).with_retry_after(retry_after)
     }
