A removed backend server doesn't come back from an older copy of the store

An entry that was held back after the store's return, and then removed together with others, was taken as confirmed 5 s later: the dead server stayed until the next list. Also, engines that were confirmed had no owner until another update. Test mass_removal_ends_doubt failed before (i-1 confirmed), passes now.

--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -22,7 +22,7 @@
         metrics_endpoint::{self, metrics_response},
         peer_catch_up, store_relay, store_sync,
     },
-    fleet::StoreSource,
+    fleet::{ExpiredEntries, StoreSource},
     http1::{accept_all, Connection, HttpEndpoint},
     net::listen::listen as net_listen,
     runtime,
@@ -156,11 +156,17 @@
         host.refresh_peers();
         host.backends.borrow_mut().refresh_weights(Instant::now());
         let expired = host.backends.borrow_mut().expire(Instant::now());
-        if !expired.is_empty() {
-            log::info!("fleet: removed expired backend servers n={}", expired.len());
+        let has_changed = expired != ExpiredEntries::default();
+        if has_changed {
+            log::info!(
+                "fleet: backend servers expired n={} confirmed={}",
+                expired.removed.len(),
+                expired.confirmed.len()
+            );
         }
+        expired.confirmed.iter().for_each(|it| host.server_notices.note_listed(it));
         forget_removed_backends(&host);
-        if !expired.is_empty() || host.departure.since().is_some() {
+        if has_changed || host.departure.since().is_some() {
             host.update_cells();
         }
     }
--- a/src/fleet/backend_table.rs
+++ b/src/fleet/backend_table.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    fleet::beacon::EngineNotice,
+    fleet::{beacon::EngineNotice, ExpiredEntries},
     ids::{BackendId, ServiceId},
     routing::{BackendServer, BackendState, LoadedLayers},
 };
@@ -23,9 +23,9 @@
 const MASS_LAPSE_SHARE: f64 = 0.3;
 /// Minimum number of simultaneous removals that counts as a loss of leases.
 const MIN_MASS_LAPSE: usize = 3;
-/// Time for which an entry of a server that has left is doubted after the store came back from an
+/// Time for which an entry of a server that has left is unconfirmed after the store came back from an
 /// older copy; by then the store has removed the entries of servers that don't renew them.
-const DOUBT_TIME: Duration = Duration::from_secs(5);
+const CONFIRMATION_TIME: Duration = Duration::from_secs(5);
 /// Time for which servers that have left are remembered, longer than the age of a copy.
 const DEPARTED_MEMORY: Duration = Duration::from_secs(120);
 /// Time for which a notice takes precedence over entries that report other weights, as an engine
@@ -42,7 +42,7 @@
     /// Servers whose entries were removed, by id.
     departed: HashMap<BackendId, DepartedServer>,
     /// Entries in an older copy of servers that have left, with the time since which they are there.
-    doubted: HashMap<BackendId, (BackendServer, Instant)>,
+    unconfirmed: HashMap<BackendId, (BackendServer, Instant)>,
     notices: HashMap<SocketAddr, ReceivedNotice>,
 }
 
@@ -85,20 +85,23 @@
     }
 
     /// Returns the entries of an older copy as they may be used: a server that this table knows to
-    /// leave keeps leaving, a later start of it stays, and one that has left is doubted for a while.
+    /// leave keeps leaving, a later start of it stays, and one that has left is unconfirmed for a while.
     pub fn accept_restored(
         &mut self,
         restored: Vec<BackendServer>,
         now: Instant,
     ) -> Vec<BackendServer> {
-        let doubted_before = std::mem::take(&mut self.doubted);
+        let unconfirmed_before = std::mem::take(&mut self.unconfirmed);
         let mut accepted = Vec::new();
         for server in restored {
             let departed = self.departed.get(&server.id);
             if departed.is_some_and(|it| it.started_ms >= server.started_ms) {
-                log::info!("fleet: doubted a restored entry backend={}", server.id);
-                let since = doubted_before.get(&server.id).map_or(now, |it| it.1);
-                self.doubted.insert(server.id.clone(), (server, since));
+                log::info!(
+                    "fleet: held back a restored entry until it is renewed backend={}",
+                    server.id
+                );
+                let since = unconfirmed_before.get(&server.id).map_or(now, |it| it.1);
+                self.unconfirmed.insert(server.id.clone(), (server, since));
             } else {
                 accepted.push(self.newest_known(server));
             }
@@ -127,7 +130,7 @@
         let id = server.id.clone();
         self.lapsed.remove(&id);
         self.departed.remove(&id);
-        self.doubted.remove(&id);
+        self.unconfirmed.remove(&id);
         self.entry_weights.insert(id.clone(), server.weights.clone());
         self.servers.insert(id.clone(), server);
         self.update_weights(&id, now);
@@ -201,7 +204,7 @@
 
     /// Removes the entry of a server that has left, and remembers that.
     fn remove_departed(&mut self, id: &str, now: Instant) {
-        self.doubted.remove(id);
+        self.unconfirmed.remove(id);
         if let Some(server) = self.servers.get(id) {
             let departed = DepartedServer { started_ms: server.started_ms, removed: now };
             self.departed.insert(id.to_owned(), departed);
@@ -217,12 +220,13 @@
             return;
         }
         log::info!("fleet: kept a lapsed entry for a short time backend={id}");
+        self.unconfirmed.remove(&id);
         self.lapsed.entry(id).or_insert(now);
     }
 
-    /// Removes lapsed entries that were not registered again in time, and inserts doubted ones that
-    /// the store has kept; returns the ids of the removed ones.
-    pub fn expire(&mut self, now: Instant) -> Vec<BackendId> {
+    /// Removes lapsed entries that were not registered again in time, and inserts unconfirmed ones that
+    /// the store has kept.
+    pub fn expire(&mut self, now: Instant) -> ExpiredEntries {
         let expired: Vec<BackendId> = self
             .lapsed
             .iter()
@@ -234,11 +238,12 @@
             self.remove(id);
         }
         self.departed.retain(|_, it| now < it.removed + DEPARTED_MEMORY);
-        let is_trusted = |it: &&(BackendServer, Instant)| now >= it.1 + DOUBT_TIME;
+        let is_trusted = |it: &&(BackendServer, Instant)| now >= it.1 + CONFIRMATION_TIME;
         let trusted: Vec<BackendServer> =
-            self.doubted.values().filter(is_trusted).map(|it| it.0.clone()).collect();
+            self.unconfirmed.values().filter(is_trusted).map(|it| it.0.clone()).collect();
+        let confirmed = trusted.clone();
         trusted.into_iter().for_each(|it| self.insert(it, now));
-        expired
+        ExpiredEntries { removed: expired, confirmed }
     }
 
     /// Recomputes the weights of all servers, as notices lose their precedence with time.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod beacon;
 mod document_numbers;
 pub(crate) mod entry_registry;
+mod expired_entries;
 mod kind_cache;
 mod kind_watch;
 mod leaving_notice;
@@ -28,6 +29,7 @@
         PiecesHeld,
     },
     document_numbers::DocumentNumbers,
+    expired_entries::ExpiredEntries,
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
     leaving_notice::LeavingNotice,
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -5,7 +5,7 @@
 use crocustiller::{
     fleet::{
         beacon_interval, BackendTable, Beacon, CallerLocation, DocumentNumbers, EngineNotice,
-        EntryState, PeerTable,
+        EntryState, ExpiredEntries, PeerTable,
     },
     routing::{BackendServer, BackendState, LoadedLayers},
 };
@@ -56,7 +56,7 @@
     table.replace_all(Vec::new(), true, now);
     assert_eq!(n_ready(&table), 9);
     table.insert(server(1, BackendState::Ready), now);
-    assert!(table.expire(now + ms(1900)).is_empty());
+    assert_eq!(table.expire(now + ms(1900)), ExpiredEntries::default());
     table.expire(now + ms(2300));
     assert_eq!(n_ready(&table), 1);
 }
@@ -87,8 +87,7 @@
     assert_eq!(n_ready(&table), 0);
 }
 
-/// Seen neither in a play nor in a report: an older copy of the store says again that a server is
-/// ready, after it said that it leaves, or left.
+/// Guards against an older copy of the store that takes back that a server leaves or has left.
 #[test]
 fn older_copy_takes_no_leaving_back() {
     let now = Instant::now();
@@ -113,6 +112,22 @@
     assert_eq!(n_ready(&table), 5);
 }
 
+/// Guards against a server that was removed together with others and comes back for good, as its entry
+/// in an older copy of the store was held back.
+#[test]
+fn mass_removal_ends_doubt() {
+    let now = Instant::now();
+    let mut table = BackendTable::default();
+    table.replace_all(ready(9), false, now);
+    table.remove_all(vec!["i-1".to_owned()], now);
+    let accepted = table.accept_restored(ready(9), now);
+    table.replace_all(accepted, true, now);
+    table.remove_all((1..=9).map(|it| format!("i-{it}")).collect(), now);
+    let expired = table.expire(now + ms(5100));
+    assert_eq!(expired.confirmed, []);
+    assert_eq!(n_ready(&table), 0);
+}
+
 /// A server that the store still lists after the time in which it removes silent ones runs, and so
 /// does one that writes its entry again.
 #[test]
