A late refusal of an earlier start doesn't end the pause of the present one

The new start of a backend server would have got requests in its pause. Test earlier_start_ends_no_pause failed before, passes now.

--- a/src/placement/paused_servers.rs
+++ b/src/placement/paused_servers.rs
@@ -43,6 +43,10 @@
         if pause.is_zero() {
             return false;
         }
+        // A late response of an earlier start says nothing of the present one.
+        if self.pauses.get(backend).is_some_and(|it| started_ms < it.started_ms && now < it.end) {
+            return false;
+        }
         let end = now + pause.min(MAX_PAUSE);
         let same_start = |it: &&mut Pause| it.started_ms == started_ms && now < it.end;
         if let Some(running) = self.pauses.get_mut(backend).filter(same_start) {
--- a/tests/paused_engines.rs
+++ b/tests/paused_engines.rs
@@ -29,6 +29,16 @@
 const JOIN_TIME: Duration = Duration::from_millis(800);
 const MS: Duration = Duration::from_millis(1);
 
+/// Guards against a late refusal of an earlier start that ends the pause of the present one.
+#[test]
+fn earlier_start_ends_no_pause() {
+    let now = Instant::now();
+    let mut paused = PausedServers::default();
+    assert!(paused.record("i-1", 2000, Duration::from_secs(5), now));
+    assert!(!paused.record("i-1", 1000, Duration::from_secs(9), now));
+    assert_eq!(paused.time_left("i-1", 2000, now), Some(Duration::from_secs(5)));
+}
+
 /// What a refusal's header says; anything but plain seconds says nothing.
 #[test]
 fn pauses_in_headers() {
