Read-through: why a response was cut, one way to count failures, plainer names

A stream that the exit cuts was logged as past its deadline; the outcome of an attempt that failed while another backend server had the request was logged as silence. Hosts exclude leaving engines from what they ask an owner for, as an owner that started later doesn't know them. Failures of backend servers are counted in one place.

--- a/src/charter/patch.rs
+++ b/src/charter/patch.rs
@@ -104,7 +104,7 @@
 }
 
 /// Marks the patch `id` as refused unless it was accepted, and returns its state; `None` if this
-/// failed.
+/// failed, or if the platform has an older charter than this process.
 ///
 /// The write creates a new revision, so that a delayed write for an older one can't take effect.
 async fn try_refuse(node: &Node, id: &str, object: Option<Object>) -> Option<PatchState> {
--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -160,7 +160,7 @@
     /// Returns the owners to ask, those that did not answer lately last.
     fn owners_to_ask(&self, host: &EntryHost, demand: &Demand, now: Instant) -> Vec<HostId> {
         let zone = &host.settings.host.zone;
-        let mut owners = match demand.suspected_parts.first() {
+        let mut owners = match demand.in_turn_parts.first() {
             Some(part) => host.cell_map.borrow().owners_for_part(*part),
             None => host.cell_map.borrow().owners_to_ask(zone, fastrand::f64()),
         };
@@ -200,7 +200,7 @@
             Answer::Granted(grant) => return Ok(grant),
             Answer::Refused(RefusalReason::Full) => {
                 first_full = first_full.or(Some(owner));
-                if !demand.suspected_parts.is_empty() {
+                if !demand.in_turn_parts.is_empty() {
                     break;
                 }
             }
--- a/src/entry/attempt_outcome.rs
+++ b/src/entry/attempt_outcome.rs
@@ -76,14 +76,7 @@
             exchange.request.id
         );
         exchange.trace.record_loss(reason);
-        // An engine that switches to other weights aborts its running requests; that is no failure.
-        if exchange.host.is_switching(backend) {
-            return AttemptOutcome::Lost;
-        }
-        if exchange.host.health.borrow_mut().record_failure(backend, Instant::now()) {
-            log::info!("health: ejected a backend server backend={backend}");
-            exchange.host.connections.close_idle(backend);
-        }
+        exchange.host.record_failure(backend);
         AttemptOutcome::Lost
     }
 }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -54,8 +54,8 @@
 enum AttemptEnd<'a> {
     /// Its outcome.
     Outcome(AttemptOutcome),
-    /// The backend server was silent, and another one responded.
-    Replaced(Successor<'a>),
+    /// Another backend server responded while this one was silent, or after the outcome.
+    Replaced(Box<Successor<'a>>, Option<AttemptOutcome>),
 }
 
 /// The end of the attempts.
@@ -112,24 +112,30 @@
         };
         match self.run_attempt(&reservation, response).await {
             AttemptEnd::Outcome(outcome) => {
-                reservation.record_outcome(outcome.service_outcome());
-                // A plain service may respond with errors to sound requests; an engine does not.
-                if matches!(outcome, AttemptOutcome::Failed(..)) && reservation.is_at_engine() {
-                    let mut health = self.sender.exchange.host.health.borrow_mut();
-                    health.record_failure(&reservation.backend, Instant::now());
-                }
+                self.record_outcome(&reservation, &outcome);
                 drop(reservation);
                 self.apply(outcome)
             }
-            AttemptEnd::Replaced(successor) => {
-                reservation.record_outcome(AttemptOutcome::Lost.service_outcome());
-                self.sender.exchange.trace.record_loss("silent");
-                self.successor = Some(successor);
-                self.apply(AttemptOutcome::Lost)
+            AttemptEnd::Replaced(successor, outcome) => {
+                let outcome = outcome.unwrap_or_else(|| {
+                    self.sender.exchange.trace.record_loss("silent");
+                    AttemptOutcome::Lost
+                });
+                self.record_outcome(&reservation, &outcome);
+                self.successor = Some(*successor);
+                self.apply(outcome)
             }
         }
     }
 
+    fn record_outcome(&self, reservation: &Reservation, outcome: &AttemptOutcome) {
+        reservation.record_outcome(outcome.service_outcome());
+        // A plain service may respond with errors to sound requests; an engine does not.
+        if matches!(outcome, AttemptOutcome::Failed(..)) && reservation.is_at_engine() {
+            self.sender.exchange.host.record_failure(&reservation.backend);
+        }
+    }
+
     /// Reserves capacity for the next attempt, within the retry budget.
     async fn reserve(&mut self) -> Result<Reservation, End> {
         let exchange = self.sender.exchange;
@@ -252,14 +258,14 @@
     let end = {
         let relay =
             async { AttemptEnd::Outcome(relay(sender, reservation, response, search).await) };
-        let replaced = async { AttemptEnd::Replaced(successor.as_mut().await) };
+        let replaced = async { AttemptEnd::Replaced(Box::new(successor.as_mut().await), None) };
         relay.or(replaced).await
     };
     match end {
-        AttemptEnd::Outcome(AttemptOutcome::Done(_)) | AttemptEnd::Replaced(_) => end,
-        AttemptEnd::Outcome(_) => match search.finish(successor).await {
-            Some(successor) => AttemptEnd::Replaced(successor),
-            None => end,
+        AttemptEnd::Outcome(AttemptOutcome::Done(_)) | AttemptEnd::Replaced(..) => end,
+        AttemptEnd::Outcome(outcome) => match search.finish(successor).await {
+            Some(successor) => AttemptEnd::Replaced(Box::new(successor), Some(outcome)),
+            None => AttemptEnd::Outcome(outcome),
         },
     }
 }
@@ -280,14 +286,14 @@
             stream_relay::relay(sender.exchange, *stream, events, reservation, search).await
         }
         Ok(UsableResponse::Complete(head, body)) => {
-            search.hold();
+            search.begin_write();
             AttemptOutcome::Done(sender.exchange.forward_response(head, &body).await)
         }
         Err(outcome) => outcome,
     }
 }
 
-/// Sends the request and waits for the begin of a stream or for a complete response.
+/// Sends the request and waits for the start of a stream or for a complete response.
 async fn first_response<'a>(
     sender: RequestSender<'a>,
     reservation: &Reservation,
--- a/src/entry/buffered_relay.rs
+++ b/src/entry/buffered_relay.rs
@@ -27,9 +27,8 @@
     response.close(&exchange.host.connections);
     match head.status {
         _ if is_not_run => Err(AttemptOutcome::Refused(head, body)),
-        // Statuses by which callers are told that nothing ran, but without the backend server's word.
-        408 | 429 => Err(AttemptOutcome::Failed(head, body)),
-        500.. => Err(AttemptOutcome::Failed(head, body)),
+        // Callers read 408 and 429 as "nothing ran", which the backend server did not promise.
+        408 | 429 | 500.. => Err(AttemptOutcome::Failed(head, body)),
         // The caller already has the start of a stream.
         _ if exchange.is_head_sent.get() => Err(AttemptOutcome::Failed(head, body)),
         _ => Ok((head, body)),
--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -25,9 +25,9 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time before the exit of the process at which a request that has not arrived completely is
 /// refused, so that its caller can read the response.
-const LAST_CALL_TIME: Duration = Duration::from_millis(600);
+const UNREAD_REFUSAL_MARGIN: Duration = Duration::from_millis(600);
 /// Time before the exit of the process at which requests in progress are ended.
-const CUT_TIME: Duration = Duration::from_millis(50);
+const EXIT_RESPONSE_MARGIN: Duration = Duration::from_millis(50);
 
 /// A connection of a caller, whose requests are served one after the other.
 pub(crate) struct CallerConnection {
@@ -83,7 +83,7 @@
         };
         let ended = async { Some(Box::pin(exchange.run()).or(disconnected).await) };
         let exit = async {
-            exchange.host.departure.pass_time_before_exit(CUT_TIME).await;
+            exchange.host.departure.wait_until_before_exit(EXIT_RESPONSE_MARGIN).await;
             None
         };
         match ended.or(exit).await {
@@ -119,15 +119,16 @@
                 Err(_) => Err(HttpError::TimedOut.into()),
             }
         };
-        let last_call = async {
-            self.host.departure.pass_time_before_exit(LAST_CALL_TIME).await;
+        let refusal_before_exit = async {
+            self.host.departure.wait_until_before_exit(UNREAD_REFUSAL_MARGIN).await;
             Err(UnreadRequest::HostExits)
         };
-        read.or(last_call).await
+        read.or(refusal_before_exit).await
     }
 
     /// Waits for the first byte of a request; returns `false` if the idle connection should be
-    /// closed. While the host is leaving, it waits until the process exits.
+    /// closed. A leaving host waits in the same way, as callers may still send on connections that they
+    /// kept.
     async fn wait_for_bytes(&mut self) -> Result<bool, HttpError> {
         let idle_since = Instant::now();
         let limit_at_start = self.limits().idle_timeout;
--- a/src/entry/cut_reason.rs
+++ b/src/entry/cut_reason.rs
@@ -5,6 +5,8 @@
 pub(crate) enum CutReason {
     /// The deadline of the request passed.
     Deadline,
+    /// The process exits.
+    HostExit,
     /// No other backend server had capacity to go on.
     NoCapacity,
     /// The retry budget of the pool or service is spent.
@@ -13,6 +15,8 @@
     NoAttempt,
     /// A part of the prompt crashes backend servers.
     QuarantinedPart,
+    /// The response that should go on can't follow what was sent.
+    UnusableResponse,
 }
 
 impl CutReason {
@@ -20,10 +24,12 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             CutReason::Deadline => "deadline",
+            CutReason::HostExit => "host-exit",
             CutReason::NoCapacity => "no-capacity",
             CutReason::NoRetryBudget => "no-retry-budget",
             CutReason::NoAttempt => "no-attempt",
             CutReason::QuarantinedPart => "quarantined-part",
+            CutReason::UnusableResponse => "unusable-response",
         }
     }
 }
--- a/src/entry/departure.rs
+++ b/src/entry/departure.rs
@@ -12,7 +12,8 @@
 
 /// Time before the end of the grace period at which a leaving process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
-/// Time for which a process whose requests have all ended still answers, before it exits early.
+/// Time for which a process whose requests have all ended still answers, before it exits early; no less
+/// than the margin in which requests that have not arrived completely are refused.
 const EARLY_EXIT_NOTICE: Duration = Duration::from_millis(600);
 
 /// The planned end of this process, which begins with a stop signal.
@@ -55,7 +56,7 @@
     }
 
     /// Returns once the process is leaving and exits within `margin`.
-    pub(crate) async fn pass_time_before_exit(&self, margin: Duration) {
+    pub(crate) async fn wait_until_before_exit(&self, margin: Duration) {
         loop {
             let changed = self.changed.listen();
             let Some(time_until_exit) = self.time_until_exit() else {
--- a/src/entry/engine_stream.rs
+++ b/src/entry/engine_stream.rs
@@ -93,7 +93,7 @@
         let expired = async {
             match has_events {
                 true => std::future::pending().await,
-                false => reservation.pass_start_deadline().await,
+                false => reservation.wait_for_start_deadline().await,
             }
             None
         };
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -370,6 +370,18 @@
         self.crash_suspects.borrow().is_refused(fingerprint, peer_counts.sum())
     }
 
+    /// Counts a failure of a backend server, unless it is an engine that loads other weights and aborts
+    /// its requests for that.
+    pub(crate) fn record_failure(&self, backend: &BackendId) {
+        if self.is_switching(backend) {
+            return;
+        }
+        if self.health.borrow_mut().record_failure(backend, Instant::now()) {
+            log::info!("health: ejected a backend server backend={backend}");
+            self.connections.close_idle(backend);
+        }
+    }
+
     /// Counts a request for a pool or service, which raises its retry budget.
     pub(crate) fn count_request(&self, service: &ServiceId) {
         self.retry_budgets.borrow_mut().count_request(service, Instant::now());
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -154,6 +154,7 @@
             Ok(reuse) => reuse,
             Err(_) => {
                 self.send_timeout(
+                    CutReason::Deadline,
                     "the deadline passed before the request was sent to a backend server; retry",
                     "the deadline passed; retry only if the request is idempotent",
                 )
@@ -190,7 +191,7 @@
         body: &[u8],
     ) -> ConnectionReuse {
         if self.is_head_sent.get() {
-            return self.cut_response(CutReason::NoAttempt);
+            return self.cut_response(CutReason::UnusableResponse);
         }
         head.headers.remove_hop_by_hop();
         head.headers.set("Content-Length", body.len().to_string());
@@ -245,7 +246,7 @@
     /// Sends an error of this host, or cuts the response of which the caller already has the start.
     pub(crate) async fn send_error(&self, response: ErrorResponse) -> ConnectionReuse {
         if self.is_head_sent.get() {
-            return self.cut_response(CutReason::NoAttempt);
+            return self.cut_response(CutReason::UnusableResponse);
         }
         self.is_head_sent.set(true);
         self.trace.record_outcome(TraceOutcome::Refused {
@@ -269,6 +270,7 @@
             self.is_head_sent.get(),
         );
         self.send_timeout(
+            CutReason::HostExit,
             "this entry host is shutting down; retry at another one",
             "this entry host is shutting down; retry only if the request is idempotent",
         )
@@ -279,11 +281,12 @@
     /// the response of a backend server has begun.
     async fn send_timeout(
         &self,
+        cut_reason: CutReason,
         not_run_message: &'static str,
         may_have_run_message: &'static str,
     ) -> ConnectionReuse {
         if self.is_head_sent.get() {
-            return self.cut_response(CutReason::Deadline);
+            return self.cut_response(cut_reason);
         }
         let has_not_run = self.verdict.get() == Verdict::NotRun && !self.is_attempt_running.get();
         let response = match has_not_run {
--- a/src/entry/peer_catch_up.rs
+++ b/src/entry/peer_catch_up.rs
@@ -20,7 +20,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a ready host waits for its own source to tell what others know already.
 const SOURCE_DELAY: Duration = Duration::from_secs(1);
-/// Pause after documents were read from another host, or not.
+/// Mean time between two reads from other hosts.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after its start from which a host is ready although others know more.
 const START_TIMEOUT: Duration = Duration::from_secs(3);
--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -59,7 +59,7 @@
         let watch = CrashWatch::new(exchange, &attempt);
         let sent = async { Some(attempt.send(&exchange.host.connections).await) };
         let expired = async {
-            reservation.pass_start_deadline().await;
+            reservation.wait_for_start_deadline().await;
             None
         };
         match sent.or(expired).await {
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -219,7 +219,7 @@
 
     /// Returns once the request must have started, as the version of its engine is too old from then
     /// on. This may result from a version that is published while the request waits.
-    pub(crate) async fn pass_start_deadline(&self) {
+    pub(crate) async fn wait_for_start_deadline(&self) {
         let (Some(model), Some(version)) = (&self.model, self.version) else {
             return std::future::pending().await;
         };
@@ -284,16 +284,14 @@
     }
 
     /// Returns the demand for an engine; it excludes those that this host itself finds failing, and
-    /// those that want no requests of this host.
+    /// those that leave or want no requests of this host, which their owner may not know.
     fn demand(&self, host: &EntryHost, wait: Duration) -> Demand {
         let mut excluded = self.excluded.clone();
         excluded.extend(host.health.borrow().ejected(Instant::now()).cloned());
-        if host.server_notices.has_pauses() {
-            let servers = host.backends.borrow();
-            let ready = servers.ready_of(&self.service);
-            let paused = ready.filter(|it| host.server_notices.is_paused(it));
-            excluded.extend(paused.map(|it| it.id.clone()));
-        }
+        let servers = host.backends.borrow();
+        let ready = servers.ready_of(&self.service);
+        let unavailable = ready.filter(|it| !host.server_notices.takes_requests(it));
+        excluded.extend(unavailable.map(|it| it.id.clone()));
         Demand {
             service: self.service.clone(),
             model: self.model.clone(),
@@ -301,10 +299,10 @@
             is_resumed: self.is_resumed,
             excluded,
             prompt_parts: self.prompt_parts.clone(),
-            suspected_parts: host
+            in_turn_parts: host
                 .crashing_parts
                 .borrow()
-                .find_suspected(&self.prompt_parts, Instant::now()),
+                .parts_to_start_in_turn(&self.prompt_parts, Instant::now()),
             wait,
         }
     }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -43,11 +43,11 @@
             search.record_progress(EVENT_GAP_TIMEOUT);
         }
         // The caller may read slowly; nothing else may be written meanwhile.
-        search.hold();
+        search.begin_write();
         if let Err(err) = forward_events(exchange, stream.head(), events).await {
             return caller_lost(exchange, &err);
         }
-        search.release();
+        search.end_write();
         if is_progress {
             search.record_progress(EVENT_GAP_TIMEOUT);
         }
@@ -56,7 +56,7 @@
             Err(outcome) => return outcome,
         };
     }
-    search.hold();
+    search.begin_write();
     if let Err(err) = write_end(exchange, stream.head()).await {
         return caller_lost(exchange, &err);
     }
--- a/src/entry/successor.rs
+++ b/src/entry/successor.rs
@@ -27,7 +27,7 @@
 
 /// Time for which each search waits for capacity at an engine.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time between two searches, and between two checks of a search that is held.
+/// Time between two searches, and between two checks whether the response is still being written.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A backend server that responded in place of a silent one.
@@ -49,7 +49,7 @@
     /// Whether a further backend server has the request now.
     is_in_flight: Cell<bool>,
     /// Whether the response is being written to the caller.
-    is_held: Cell<bool>,
+    is_writing: Cell<bool>,
     /// The time of the latest progress, and the silence after it that starts the search.
     last_progress: Cell<Instant>,
     silence: Cell<Duration>,
@@ -80,7 +80,7 @@
             n_left: Cell::new(n_left),
             n_failed: Cell::new(0),
             is_in_flight: Cell::new(false),
-            is_held: Cell::new(false),
+            is_writing: Cell::new(false),
             last_progress: Cell::new(Instant::now()),
             silence: Cell::new(silence),
             progressed: Event::new(),
@@ -95,14 +95,14 @@
         self.progressed.notify(usize::MAX);
     }
 
-    /// Uses no other backend server until `release`, as the response is being written to the caller.
-    pub(crate) fn hold(&self) {
-        self.is_held.set(true);
+    /// Uses no other backend server until `end_write`, as the response is being written to the caller.
+    pub(crate) fn begin_write(&self) {
+        self.is_writing.set(true);
     }
 
-    /// Lets the search begin again.
-    pub(crate) fn release(&self) {
-        self.is_held.set(false);
+    /// Records that the response was written, so that the search may begin again.
+    pub(crate) fn end_write(&self) {
+        self.is_writing.set(false);
     }
 
     /// Returns the requirements, which exclude all backend servers that got the request.
@@ -128,11 +128,11 @@
                 None
             };
             let Some(successor) = found.or(ended).await else { continue };
-            if !self.is_held.get() && self.last_progress.get() == silent_since {
+            if !self.is_writing.get() && self.last_progress.get() == silent_since {
                 return successor;
             }
-            // Both responded at the same moment.
-            self.count_run();
+            // The other one responded while the first response went on or was being written.
+            self.count_possible_run();
         }
     }
 
@@ -156,7 +156,7 @@
         loop {
             let silent_for = self.last_progress.get().elapsed();
             let left = self.silence.get().saturating_sub(silent_for);
-            if left.is_zero() && !self.is_held.get() {
+            if left.is_zero() && !self.is_writing.get() {
                 return;
             }
             runtime::sleep(if left.is_zero() { SEARCH_INTERVAL } else { left }).await;
@@ -168,8 +168,8 @@
         let exchange = self.sender.exchange;
         log::info!("relay: silent request={} backend={}", exchange.request.id, self.current);
         let is_at_engine = self.sender.route.is_stream();
-        if (is_at_engine || self.n_left.get() > 0) && !exchange.host.is_switching(&self.current) {
-            exchange.host.health.borrow_mut().record_failure(&self.current, Instant::now());
+        if is_at_engine || self.n_left.get() > 0 {
+            exchange.host.record_failure(&self.current);
         }
     }
 
@@ -188,6 +188,9 @@
     /// Sends the request to one more backend server; returns `None` unless it responds.
     async fn try_next(&self) -> Option<Successor<'a>> {
         let exchange = self.sender.exchange;
+        if exchange.quarantined_part().is_some() {
+            return None;
+        }
         let is_resumed = exchange.is_head_sent.get();
         let requirements = BackendRequirements { is_resumed, ..self.requirements() };
         let reservation =
@@ -219,15 +222,15 @@
         }
     }
 
-    /// Counts a further backend server that refused the request.
-    fn count_refusal(&self) {
+    /// Counts a further backend server that got the request and was of no use.
+    fn count_of_no_use(&self) {
         self.n_left.set(self.n_left.get().saturating_sub(1));
         self.n_failed.set(self.n_failed.get() + 1);
     }
 
     /// Counts a further backend server that may have run the request in vain.
-    fn count_run(&self) {
-        self.count_refusal();
+    fn count_possible_run(&self) {
+        self.count_of_no_use();
         self.sender.exchange.verdict.set(Verdict::MayHaveRun);
     }
 }
@@ -247,8 +250,8 @@
         self.is_settled = true;
         match outcome {
             AttemptOutcome::Unreachable => {}
-            AttemptOutcome::Refused(..) => self.search.count_refusal(),
-            _ => self.search.count_run(),
+            AttemptOutcome::Refused(..) => self.search.count_of_no_use(),
+            _ => self.search.count_possible_run(),
         }
     }
 }
@@ -257,7 +260,7 @@
     fn drop(&mut self) {
         // The silent backend server went on first, so that this one is no longer waited for.
         if !self.is_settled {
-            self.search.count_run();
+            self.search.count_possible_run();
         }
         self.search.is_in_flight.set(false);
         self.search.settled.notify(usize::MAX);
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -230,6 +230,7 @@
                 self.kind,
                 progress.at
             );
+            // A list that failed between two pages counts too.
             if progress.needs_list {
                 progress.pacing.record(Instant::now());
             }
@@ -263,8 +264,8 @@
         }
     }
 
-    /// Returns `true` if a source's list is older than what this process knows. The store's own list
-    /// is only if it is of an earlier generation.
+    /// Returns `true` if a list is older than what this process knows. The store's own list is older
+    /// only if its generation is.
     fn is_behind(&self, source: StoreSource, listed: StorePoint, known: StorePoint) -> bool {
         let is_earlier = source != StoreSource::Store && listed < known;
         is_earlier || listed.generation < self.sources.generation()
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -257,7 +257,7 @@
         let mut held: BTreeSet<BackendId> = BTreeSet::new();
         let waiting = std::mem::take(&mut self.waiting);
         for request in waiting {
-            if self.is_tried(&request.demand.suspected_parts) {
+            if self.has_start_in_progress(&request.demand.in_turn_parts) {
                 self.waiting.push(request);
                 continue;
             }
@@ -298,7 +298,7 @@
     }
 
     /// Returns `true` if an engine that may crash on one of the parts has yet to begin its response.
-    fn is_tried(&self, parts: &[PartDigest]) -> bool {
+    fn has_start_in_progress(&self, parts: &[PartDigest]) -> bool {
         let is_starting = |it: &PartDigest| {
             self.reservations.values().any(|reservation| reservation.starting_parts.contains(it))
         };
--- a/src/placement/crashing_parts.rs
+++ b/src/placement/crashing_parts.rs
@@ -35,11 +35,11 @@
 const SETTLING_TIME: Duration = Duration::from_millis(100);
 /// Time after the last crash for which a part is suspected.
 const SUSPICION_TIME: Duration = Duration::from_secs(60);
-/// Engines crashed on a part from which requests with it are tried one after the other. After one crash
-/// most suspects are sound, and answers in progress clear them.
-const MIN_ENGINES_FOR_TRIAL: usize = 2;
-/// Time after the last crash for which requests with a suspected part are tried one after the other.
-const TRIAL_TIME: Duration = Duration::from_secs(5);
+/// Minimum number of engines that crashed on a part before its requests start in turn. Most parts with
+/// a single crash are sound.
+const MIN_ENGINES_FOR_TURNS: usize = 2;
+/// Time after the last crash for which requests with a part start in turn.
+const TURNS_TIME: Duration = Duration::from_secs(5);
 /// Interval at which the clearing of a part is reported again, in case a message was lost.
 const CLEARING_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of parts of a request that are regarded.
@@ -113,11 +113,11 @@
 
     /// Returns the parts of a request that may begin at one engine at a time only: engines crashed on
     /// them lately, and none has written an answer.
-    pub fn find_suspected(&self, parts: &[PartDigest], now: Instant) -> Vec<PartDigest> {
+    pub fn parts_to_start_in_turn(&self, parts: &[PartDigest], now: Instant) -> Vec<PartDigest> {
         let is_suspected = |it: &PartSuspect| {
-            it.engines().count() >= MIN_ENGINES_FOR_TRIAL
+            it.engines().count() >= MIN_ENGINES_FOR_TURNS
                 && it.last_clearing().is_none()
-                && now.duration_since(it.last_crash()) < TRIAL_TIME
+                && now.duration_since(it.last_crash()) < TURNS_TIME
         };
         let parts = first_parts(parts).iter();
         parts.filter(|it| self.suspects.get(it).is_some_and(is_suspected)).copied().collect()
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -25,7 +25,7 @@
     /// Parts of the prompt that other requests may share.
     pub prompt_parts: Vec<PartDigest>,
     /// Those of them that are suspected of crashing engines.
-    pub suspected_parts: Vec<PartDigest>,
+    pub in_turn_parts: Vec<PartDigest>,
     /// Longest time for which the request waits while all engines are full.
     pub wait: Duration,
 }
--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -31,7 +31,7 @@
         is_resumed: false,
         excluded: Vec::new(),
         prompt_parts: Vec::new(),
-        suspected_parts: Vec::new(),
+        in_turn_parts: Vec::new(),
         wait: Duration::from_millis(wait_ms),
     }
 }
@@ -131,16 +131,13 @@
 /// Load pattern: requests that crash their engines. Those with a suspected part are tried one after the
 /// other, so that each shows something and costs one engine only; all others go on.
 #[test]
-fn suspects_kill_engines_one_by_one() {
+fn suspected_requests_start_one_by_one() {
     let now = Instant::now();
     let mut cell = AdmissionCell::default();
-    let suspect = |part| Demand {
-        prompt_parts: vec![7, part],
-        suspected_parts: vec![part],
-        ..demand(100, 60)
-    };
+    let suspect =
+        |part| Demand { prompt_parts: vec![7, part], in_turn_parts: vec![part], ..demand(100, 60) };
     // A request that was admitted before its part was suspected is a trial, too.
-    let unsuspected = Demand { suspected_parts: Vec::new(), ..suspect(1) };
+    let unsuspected = Demand { in_turn_parts: Vec::new(), ..suspect(1) };
     assert!(is_granted(&cell.request(id(1, 1), unsuspected, &engines(4), now)));
     assert_eq!(cell.request(id(2, 1), suspect(1), &engines(4), now), None);
     assert_eq!(cell.request(id(3, 1), suspect(1), &engines(4), now), None);
--- a/tests/cell_owners.rs
+++ b/tests/cell_owners.rs
@@ -182,7 +182,7 @@
         is_resumed: false,
         excluded: Vec::new(),
         prompt_parts: Vec::new(),
-        suspected_parts: Vec::new(),
+        in_turn_parts: Vec::new(),
         wait: Duration::MAX,
     };
     let sound = Demand { prompt_tokens: 100, wait: Duration::ZERO, ..demand.clone() };
--- a/tests/emulated_pool/mod.rs
+++ b/tests/emulated_pool/mod.rs
@@ -223,7 +223,7 @@
         if self.hosts[host].find_quarantined(&parts, self.instant()).is_some() {
             return;
         }
-        if self.day.begins_in_turn && self.is_tried(host, &parts) {
+        if self.day.begins_in_turn && self.has_start_in_progress(host, &parts) {
             if n_waits < MAX_WAITS {
                 let retry = Event::Retries { host, parts, request, n_before, n_waits: n_waits + 1 };
                 self.schedule(WAIT_MS, retry);
@@ -251,8 +251,8 @@
 
     /// Returns `true` if a host that this one hears has a request with a suspected part, of which
     /// no event has come yet.
-    fn is_tried(&self, host: usize, parts: &[PartDigest]) -> bool {
-        let suspected = self.hosts[host].find_suspected(parts, self.instant());
+    fn has_start_in_progress(&self, host: usize, parts: &[PartDigest]) -> bool {
+        let suspected = self.hosts[host].parts_to_start_in_turn(parts, self.instant());
         if suspected.is_empty() {
             return false;
         }
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -247,7 +247,7 @@
         is_resumed: true,
         excluded: vec![String::new(); 300],
         prompt_parts: vec![u64::MAX; 300],
-        suspected_parts: vec![u64::MAX; 300],
+        in_turn_parts: vec![u64::MAX; 300],
         wait: Duration::MAX,
     };
     let notice = EngineNotice {
--- a/tests/paused_pool.rs
+++ b/tests/paused_pool.rs
@@ -113,7 +113,7 @@
             is_resumed: false,
             excluded,
             prompt_parts: Vec::new(),
-            suspected_parts: Vec::new(),
+            in_turn_parts: Vec::new(),
             wait: Duration::ZERO,
         };
         self.next_number += 1;
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -95,15 +95,18 @@
     let now = later();
     let mut table = CrashingParts::default();
     table.record_crash(&crash(&[8, PART], 1), now);
-    assert!(table.find_suspected(&[8, PART], now).is_empty(), "one crash proves nothing");
+    assert!(table.parts_to_start_in_turn(&[8, PART], now).is_empty(), "one crash proves nothing");
     table.record_crash(&crash(&[8, PART], 2), now);
-    assert_eq!(table.find_suspected(&[8, PART, 9], now), [8, PART]);
-    assert!(table.find_suspected(&[8, PART], now + secs(6)).is_empty());
+    assert_eq!(table.parts_to_start_in_turn(&[8, PART, 9], now), [8, PART]);
+    assert!(table.parts_to_start_in_turn(&[8, PART], now + secs(6)).is_empty());
     table.clear(&[8], now);
-    assert_eq!(table.find_suspected(&[8, PART], now), [PART]);
+    assert_eq!(table.parts_to_start_in_turn(&[8, PART], now), [PART]);
     table.record_crash(&crash(&[8], 3), now);
     table.record_crash(&crash(&[8], 4), now);
-    assert!(table.find_suspected(&[8], now).is_empty(), "engines have written answers on it");
+    assert!(
+        table.parts_to_start_in_turn(&[8], now).is_empty(),
+        "engines have written answers on it"
+    );
 }
 
 #[test]
--- a/tests/slot_messages.rs
+++ b/tests/slot_messages.rs
@@ -33,8 +33,8 @@
     socket.send_to(&message, slot.peers).unwrap();
 }
 
-/// A slot that copied a wrong manifest from a peer recovers and loads the correct weights.
-/// Seen once in a hunt (Habimana): after a restart of all processes no engine was loaded any more.
+/// Guards against slots that load nothing after a restart of all processes, as they copied a wrong
+/// manifest.
 #[test]
 fn wrong_manifest_of_a_peer() {
     let peer = ScriptedServer::start(|request| {
--- a/tests/stop_under_load.rs
+++ b/tests/stop_under_load.rs
@@ -44,8 +44,7 @@
     }
 }
 
-/// Guards against cutting a stream that was accepted after the stop signal: it was accepted with
-/// 0.8 of its time left until the exit, and took longer.
+/// Guards against accepting a stream after the stop signal that may last beyond the exit.
 #[test]
 fn late_streams_are_not_cut() {
     let engines = [long_stream_server(), long_stream_server()];
