--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -28,6 +28,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time for which an owner that did not answer is asked last.
 const SILENCE_TIME: Duration = Duration::from_millis(500);
+/// Maximum number of owners that are asked for one request, one after the other.
+const MAX_OWNERS_ASKED: usize = 8;
 /// Interval between two reports of the reservations that this host holds.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -166,6 +168,7 @@
         };
         let silent_until = self.silent_until.borrow();
         owners.sort_by_key(|it| silent_until.get(it).is_some_and(|until| now < *until));
+        owners.truncate(MAX_OWNERS_ASKED);
         owners
     }
 
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -102,9 +102,20 @@
         &mut self,
         connection: &mut Connection,
         limit_bytes: usize,
+    ) -> Result<Vec<u8>, HttpError> {
+        self.read_all_with(connection, limit_bytes, || {}).await
+    }
+
+    /// Reads the rest of the body, as `read_all`; calls `on_progress` whenever a part of it arrives.
+    pub async fn read_all_with(
+        &mut self,
+        connection: &mut Connection,
+        limit_bytes: usize,
+        on_progress: impl Fn(),
     ) -> Result<Vec<u8>, HttpError> {
         let mut out = Vec::new();
         while self.read(connection, &mut out).await? {
+            on_progress();
             if out.len() > limit_bytes {
                 return Err(HttpError::BodyTooLong);
             }
--- a/src/placement/leaving_servers.rs
+++ b/src/placement/leaving_servers.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a server that is shut down goes on answering while its entry in the store is late,
 //! comes through another host or from a restored copy. It gets no more requests, whatever is listed;
-//! only a later start of the server opens it again.
+//! only a later start of the server opens it again. The table of backend servers remembers those whose
+//! entries vanished, which may still run; these here said themselves that they leave.
 
 use std::{
     collections::HashMap,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -150,14 +150,8 @@
 
     /// Reads the remaining body; calls `on_progress` whenever a part of it arrives.
     pub async fn read_to_end_with(&mut self, on_progress: impl Fn()) -> Result<Vec<u8>, HttpError> {
-        let mut bytes = Vec::new();
-        while self.read(&mut bytes).await? {
-            on_progress();
-            if bytes.len() > MAX_BUFFERED_BYTES {
-                return Err(HttpError::BodyTooLong);
-            }
-        }
-        Ok(bytes)
+        let connection = &mut self.connection.connection;
+        self.body.read_all_with(connection, MAX_BUFFERED_BYTES, on_progress).await
     }
 
     /// Returns `true` if more bytes have arrived after the body, which a sound backend server never
