--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -131,7 +131,7 @@
 /// A server that the store still lists after the time in which it removes silent ones runs, and so
 /// does one that writes its entry again.
 #[test]
-fn doubted_entries_are_used_again() {
+fn unconfirmed_entries_are_used_again() {
     let now = Instant::now();
     for is_written_again in [false, true] {
         let mut table = BackendTable::default();
