--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -210,8 +210,8 @@
         self.reuse_after_write(res)
     }
 
-    /// Returns `true` if the caller has not received the event yet; comments are never delivered twice
-    /// either way.
+    /// Returns `true` if the caller has not received the event yet; one without an id, such as a comment,
+    /// counts as new.
     pub(crate) fn is_undelivered(&self, event: &Event) -> bool {
         is_newer_event(event.id.as_deref(), self.last_event_id.borrow().as_deref())
     }
