Owners of engines tell first attempts from returning ones

No log line or metric told whether a refused request was refused before, so the hypothesis that returning requests take the places of first attempts could not be checked. No decision changes. Entry hosts of this and earlier builds don't understand each other's requests for capacity.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -96,6 +96,7 @@
         let requirements = BackendRequirements {
             service: service.clone(),
             model: exchange.request.model.clone(),
+            fingerprint: Some(exchange.fingerprint.get()),
             prompt_tokens: exchange.request.sizes.prompt_tokens,
             prompt_parts: exchange.request.prompt_parts.clone(),
             is_resumed: false,
@@ -154,6 +155,7 @@
             return Err(End::Exhausted(CutReason::NoRetryBudget));
         }
         self.requirements.excluded.push(reservation.backend.clone());
+        self.requirements.fingerprint = None;
         exchange.trace.record_reservation(&reservation);
         Ok(reservation)
     }
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -19,7 +19,7 @@
     },
     fleet::{AdmissionMessage, RefusalReason, ServiceOutcome},
     ids::BackendId,
-    placement::{Admission, AdmissionCell, CellEngine, Demand, ReservationId},
+    placement::{Admission, AdmissionCell, AdmissionCounts, CellEngine, Demand, ReservationId},
     runtime,
 };
 
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns the numbers of decisions on requests for capacity since the start.
+    pub(crate) fn counts(&self) -> AdmissionCounts {
+        self.cell.borrow().counts()
+    }
+
     /// Starts to learn again what runs at the engines, as this process may have missed reports.
     fn relearn(&self, now: Instant) {
         self.owned_since.borrow_mut().values_mut().for_each(|it| *it = now);
--- a/src/entry/metrics_endpoint.rs
+++ b/src/entry/metrics_endpoint.rs
@@ -2,11 +2,12 @@
 
 use std::{collections::BTreeMap, rc::Rc, sync::OnceLock};
 
-use metrics::gauge;
+use metrics::{counter, gauge};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::{
-    entry::entry_host::EntryHost, http1::SmallResponse, metric_names, routing::BackendState,
+    entry::entry_host::EntryHost, http1::SmallResponse, metric_names, placement::DecisionCounts,
+    routing::BackendState,
 };
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
@@ -26,10 +27,20 @@
 pub(crate) fn metrics_response(host: &Rc<EntryHost>) -> SmallResponse {
     let Some(handle) = HANDLE.get() else { return SmallResponse::status(503) };
     set_gauges(host);
+    let counts = host.cell_owner.counts();
+    set_decision_counters("first", counts.first);
+    set_decision_counters("returning", counts.returning);
     handle.run_upkeep();
     SmallResponse { status: 200, content_type: "text/plain", body: handle.render().into_bytes() }
 }
 
+fn set_decision_counters(attempt: &'static str, counts: DecisionCounts) {
+    for (outcome, n) in [("admitted", counts.n_admitted), ("refused", counts.n_refused)] {
+        counter!(metric_names::CELL_REQUESTS, "attempt" => attempt, "outcome" => outcome)
+            .absolute(n);
+    }
+}
+
 fn set_gauges(host: &EntryHost) {
     let charter = host.charter.borrow().as_ref().map_or(0, |it| it.number);
     gauge!(metric_names::CHARTER_NUMBER).set(charter as f64);
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -20,7 +20,8 @@
     fleet::ServiceOutcome,
     ids::{BackendId, ServiceId, WeightsVersion},
     placement::{
-        choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, ReservationNumber,
+        choose_plain_backend, Demand, Fingerprint, Load, PartDigest, PlainCandidate,
+        ReservationNumber,
     },
     routing::{BackendServer, BackendState},
     runtime,
@@ -46,6 +47,8 @@
     pub(crate) service: ServiceId,
     /// Model that the request names, for a pool.
     pub(crate) model: Option<String>,
+    /// Digest of the request until it was sent to a backend server.
+    pub(crate) fingerprint: Option<Fingerprint>,
     /// The number of tokens of the prompt.
     pub(crate) prompt_tokens: u32,
     /// Parts of the prompt that other requests may share.
@@ -295,6 +298,7 @@
         Demand {
             service: self.service.clone(),
             model: self.model.clone(),
+            fingerprint: self.fingerprint,
             prompt_tokens: self.prompt_tokens,
             is_resumed: self.is_resumed,
             excluded,
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -20,6 +20,9 @@
 pub const READY_BACKENDS: &str = "crocustiller_ready_backends";
 /// Gauge: requests from this host that are in progress at backend servers.
 pub const IN_PROGRESS: &str = "crocustiller_in_progress";
+/// Counter: decisions of this host as owner of engines on requests for capacity, by `attempt` (first or
+/// returning) and `outcome`.
+pub const CELL_REQUESTS: &str = "crocustiller_cell_requests_total";
 /// Counter: lists that the store or an entry host answered, by `kind`.
 pub const STORE_LISTS: &str = "crocustiller_store_lists_total";
 /// Gauge: the number of times that the store came back from an older copy, as the store counts.
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -19,7 +19,8 @@
 use crate::{
     ids::BackendId,
     placement::{
-        choose_engine, Candidate, Demand, Load, PartDigest, ReservationId, ReservationNumber,
+        choose_engine, refused_requests::RefusedRequests, AdmissionCounts, Candidate, Demand, Load,
+        PartDigest, ReservationId, ReservationNumber,
     },
 };
 
@@ -88,6 +89,8 @@
 struct WaitingRequest {
     id: ReservationId,
     demand: Demand,
+    /// Whether it came back after a refusal.
+    is_return: bool,
     deadline: Instant,
 }
 
@@ -96,6 +99,8 @@
 pub struct AdmissionCell {
     reservations: BTreeMap<ReservationId, Reservation>,
     loads: BTreeMap<BackendId, Load>,
+    refused: RefusedRequests,
+    counts: AdmissionCounts,
     waiting: Vec<WaitingRequest>,
 }
 
@@ -124,15 +129,16 @@
             return Some(Admission::NoEngine);
         }
         let n_slots: u32 = usable.iter().map(|it| it.slots).sum();
+        let is_return = demand.fingerprint.is_some_and(|it| self.refused.is_return(it, now));
         let deadline = now + demand.wait.min(MAX_WAIT);
-        self.waiting.push(WaitingRequest { id, demand, deadline });
+        self.waiting.push(WaitingRequest { id, demand, is_return, deadline });
         let has_room = self.waiting.len() <= MAX_WAITING_PER_SLOT * n_slots as usize;
         let decisions = self.place_waiting(engines, now);
         if let Some(decision) = decisions.into_iter().find(|it| it.0 == id) {
             return Some(decision.1);
         }
         if deadline <= now || !has_room {
-            self.waiting.retain(|it| it.id != id);
+            self.refuse(now, |it| it.id == id);
             return Some(Admission::Full);
         }
         None
@@ -145,14 +151,29 @@
         now: Instant,
     ) -> Vec<(ReservationId, Admission)> {
         let mut decisions = self.place_waiting(engines, now);
-        let is_late = |it: &WaitingRequest| it.deadline <= now;
-        decisions.extend(
-            self.waiting.iter().filter(|it| is_late(it)).map(|it| (it.id, Admission::Full)),
-        );
-        self.waiting.retain(|it| !is_late(it));
+        let refused = self.refuse(now, |it| it.deadline <= now);
+        decisions.extend(refused.into_iter().map(|it| (it, Admission::Full)));
         decisions
     }
 
+    /// Ends the wait of requests without a place; returns their ids.
+    fn refuse(
+        &mut self,
+        now: Instant,
+        is_refused: impl Fn(&WaitingRequest) -> bool,
+    ) -> Vec<ReservationId> {
+        let (refused, waiting): (Vec<WaitingRequest>, Vec<WaitingRequest>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(is_refused);
+        self.waiting = waiting;
+        for request in &refused {
+            self.counts.of(request.is_return).n_refused += 1;
+            if let Some(fingerprint) = request.demand.fingerprint {
+                self.refused.record(fingerprint, now);
+            }
+        }
+        refused.into_iter().map(|it| it.id).collect()
+    }
+
     /// Returns the earliest deadline of a waiting request.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.waiting.iter().map(|it| it.deadline).min()
@@ -238,6 +259,11 @@
         self.reservations.len()
     }
 
+    /// Returns the numbers of decisions since the start.
+    pub fn counts(&self) -> AdmissionCounts {
+        self.counts
+    }
+
     /// Returns the number of waiting requests.
     pub fn n_waiting(&self) -> usize {
         self.waiting.len()
@@ -270,6 +296,7 @@
                 Some(idx) => {
                     let engine = usable[idx].id.clone();
                     let load = candidates[idx].load;
+                    self.counts.of(request.is_return).n_admitted += 1;
                     self.grant(request.id, engine.clone(), demand, now);
                     decisions.push((request.id, Admission::Granted { engine, load }));
                 }
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::{BackendId, ServiceId},
-    placement::PartDigest,
+    placement::{Fingerprint, PartDigest},
 };
 
 /// The needs of one request that is to run at an engine of a pool.
@@ -16,6 +16,9 @@
     pub service: ServiceId,
     /// Model that the request names.
     pub model: Option<String>,
+    /// Digest of a request that no engine has got yet, by which it is recognized if it comes back after a
+    /// refusal; `None` for further attempts.
+    pub fingerprint: Option<Fingerprint>,
     /// The number of tokens of the prompt.
     pub prompt_tokens: u32,
     /// Whether the caller already has the start of the response.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! are reproducible.
 
 mod admission_cell;
+mod admission_counts;
 mod backend_health;
 mod cell_map;
 mod crash_suspects;
@@ -18,6 +19,7 @@
 mod paused_servers;
 mod plain_choice;
 mod quarantined_part;
+mod refused_requests;
 mod request_counts;
 mod reservation_id;
 mod retry_budgets;
@@ -26,6 +28,7 @@
 
 pub use crate::placement::{
     admission_cell::{Admission, AdmissionCell, CellEngine, HeldReservation},
+    admission_counts::{AdmissionCounts, DecisionCounts},
     backend_health::BackendHealth,
     cell_map::{CellMap, OwnerCandidate},
     crash_suspects::{CrashSuspects, Fingerprint},
--- a/tests/cell_owners.rs
+++ b/tests/cell_owners.rs
@@ -178,6 +178,7 @@
     let demand = Demand {
         service: "pool".to_owned(),
         model: Some("lots".to_owned()),
+        fingerprint: Some(u64::MAX),
         prompt_tokens: u32::MAX,
         is_resumed: false,
         excluded: Vec::new(),
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -243,6 +243,7 @@
     let demand = Demand {
         service: "pool".to_owned(),
         model: Some("lots".to_owned()),
+        fingerprint: Some(u64::MAX),
         prompt_tokens: u32::MAX,
         is_resumed: true,
         excluded: vec![String::new(); 300],
