Returning requests don't wait for the places of first attempts

Cause: a refused caller comes back 0.3 s later, too late for its latency objective, and waited on equal terms with requests that arrived for the first time. Each refusal so caused a further one: with a share c that can be served, p(2 - p) = c, so 0.65 leaves p = 0.41 at the first attempt. The class: refused work returns and feeds the overload that refused it.

Change: a request that comes back after a refusal gets a place that no waiting request can use; it doesn't wait itself. So nothing is left idle, and callers hear the second refusal at once.

--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -5,6 +5,10 @@
 //! there. Instead one entry host, the owner, admits all requests to an engine. Requests wait here,
 //! in order of arrival, rather than at engines, where they delay the streams that already run.
 //!
+//! Callers come back after a refusal, too late for their latency objective. If they waited like
+//! others, each refusal would cause another one: most places would go to late requests, and most
+//! first attempts would be refused. So a returning request gets what no waiting one can use.
+//!
 //! A reservation is a lease. Entry hosts report the reservations that they hold at intervals, which
 //! renews the leases, replaces lost messages, and tells a new owner what is running.
 
@@ -130,7 +134,9 @@
         }
         let n_slots: u32 = usable.iter().map(|it| it.slots).sum();
         let is_return = demand.fingerprint.is_some_and(|it| self.refused.is_return(it, now));
-        let deadline = now + demand.wait.min(MAX_WAIT);
+        // A returning request is late already; waiting, it would take the place of one that is not.
+        let wait = if is_return { Duration::ZERO } else { demand.wait };
+        let deadline = now + wait.min(MAX_WAIT);
         self.waiting.push(WaitingRequest { id, demand, is_return, deadline });
         let has_room = self.waiting.len() <= MAX_WAITING_PER_SLOT * n_slots as usize;
         let decisions = self.place_waiting(engines, now);
--- /dev/null
+++ b/tests/returning_requests.rs
@@ -0,0 +1,210 @@
+//! Requests that come back after a refusal, beside those that arrive for the first time.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crocustiller::placement::{Admission, AdmissionCell, CellEngine, Demand, ReservationId};
+use fastrand::Rng;
+
+const N_ENGINES: u64 = 4;
+const SLOTS: u32 = 16;
+/// Requests beyond the slots that an engine may have.
+const MAX_QUEUED: u32 = 1;
+const SERVICE_MS: u64 = 1000;
+/// An eighth of a latency objective of half a second.
+const WAIT_MS: u64 = 62;
+const RETRY_AFTER_MS: u64 = 300;
+const N_SEEDS: u64 = 10;
+
+fn engines(_: &Demand) -> Vec<CellEngine> {
+    let engine = |it| CellEngine { id: format!("i-{it}"), slots: SLOTS, is_on_probation: false };
+    (0..N_ENGINES).map(engine).collect()
+}
+
+fn demand(fingerprint: Option<u64>, wait_ms: u64) -> Demand {
+    Demand {
+        service: "pool".to_owned(),
+        model: None,
+        fingerprint,
+        prompt_tokens: 10,
+        is_resumed: false,
+        excluded: Vec::new(),
+        prompt_parts: Vec::new(),
+        in_turn_parts: Vec::new(),
+        wait: Duration::from_millis(wait_ms),
+    }
+}
+
+fn id(number: u64) -> ReservationId {
+    ReservationId { holder: SocketAddr::from(([10, 1, 0, 1], 80)), number }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrives,
+    Asks { request: u64, is_return: bool },
+    WaitEnds,
+    Ends(ReservationId),
+}
+
+/// A cell under a constant rate of requests, whose callers come back once after a refusal.
+struct Overload {
+    random: Rng,
+    start: Instant,
+    now_ms: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    n_events: u64,
+    cell: AdmissionCell,
+    /// The request of each reservation number, and whether it came back.
+    asked: Vec<(u64, bool)>,
+    n_requests: u64,
+    n_admitted_first: u64,
+    n_admitted: u64,
+}
+
+impl Overload {
+    /// Plays requests that ask for `1 / served_share` of what the engines can serve.
+    fn play(served_share: f64, duration_ms: u64, seed: u64) -> Overload {
+        let capacity_per_ms =
+            (N_ENGINES * u64::from(SLOTS + MAX_QUEUED)) as f64 / SERVICE_MS as f64;
+        let gap_ms = served_share / capacity_per_ms;
+        let mut overload = Overload {
+            random: Rng::with_seed(seed),
+            start: Instant::now(),
+            now_ms: 0,
+            events: BinaryHeap::new(),
+            n_events: 0,
+            cell: AdmissionCell::default(),
+            asked: Vec::new(),
+            n_requests: 0,
+            n_admitted_first: 0,
+            n_admitted: 0,
+        };
+        let n_arrivals = (duration_ms as f64 / gap_ms) as u64;
+        (0..n_arrivals)
+            .for_each(|it| overload.schedule((it as f64 * gap_ms) as u64, Event::Arrives));
+        while let Some(Reverse((at_ms, _, event))) = overload.events.pop() {
+            if at_ms > duration_ms {
+                break;
+            }
+            overload.now_ms = at_ms;
+            overload.handle(event);
+        }
+        overload
+    }
+
+    fn schedule(&mut self, after_ms: u64, event: Event) {
+        self.n_events += 1;
+        self.events.push(Reverse((self.now_ms + after_ms, self.n_events, event)));
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_millis(self.now_ms)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrives => {
+                let request = self.n_requests;
+                self.n_requests += 1;
+                self.ask(request, false);
+            }
+            Event::Asks { request, is_return } => self.ask(request, is_return),
+            Event::WaitEnds => self.decide_waiting(),
+            Event::Ends(id) => {
+                self.cell.release(&id);
+                self.decide_waiting();
+            }
+        }
+    }
+
+    /// Asks at once, then waits, as an entry host does.
+    fn ask(&mut self, request: u64, is_return: bool) {
+        for wait_ms in [0, WAIT_MS] {
+            let number = self.asked.len() as u64;
+            self.asked.push((request, is_return));
+            let demand = demand(Some(request), wait_ms);
+            match self.cell.request(id(number), demand, &engines, self.now()) {
+                Some(Admission::Full) if wait_ms == 0 => {}
+                Some(admission) => return self.apply(id(number), admission),
+                None => return self.schedule(WAIT_MS, Event::WaitEnds),
+            }
+        }
+    }
+
+    fn decide_waiting(&mut self) {
+        for (id, admission) in self.cell.decide_waiting(&engines, self.now()) {
+            self.apply(id, admission);
+        }
+    }
+
+    fn apply(&mut self, id: ReservationId, admission: Admission) {
+        let (request, is_return) = self.asked[id.number as usize];
+        if matches!(admission, Admission::Granted { .. }) {
+            self.n_admitted += 1;
+            self.n_admitted_first += u64::from(!is_return);
+            let service_ms = self.random.u64(SERVICE_MS / 2..SERVICE_MS * 3 / 2);
+            self.schedule(service_ms, Event::Ends(id));
+        } else if !is_return {
+            let delay_ms = RETRY_AFTER_MS + self.random.u64(0..20);
+            self.schedule(delay_ms, Event::Asks { request, is_return: true });
+        }
+    }
+}
+
+/// Load pattern: more requests than the engines can serve, and callers that come back. Guards against
+/// returning requests, which are late anyway, taking the places of those that can still be in time.
+#[test]
+fn returns_crowd_out_arrivals() {
+    const SERVED_SHARE: f64 = 0.6;
+    for seed in 0..N_SEEDS {
+        let overload = Overload::play(SERVED_SHARE, 12_000, seed);
+        let n_requests = overload.n_requests as f64;
+        let served = overload.n_admitted as f64 / n_requests;
+        assert!(served > SERVED_SHARE - 0.05, "seed {seed}: {served} served in all");
+        let first = overload.n_admitted_first as f64 / n_requests;
+        assert!(first > 0.5, "seed {seed}: {first} admitted at the first attempt");
+    }
+}
+
+/// A request that comes back gets capacity that no other request waits for.
+#[test]
+fn returns_get_free_capacity() {
+    let start = Instant::now();
+    let mut cell = AdmissionCell::default();
+    let n_places = N_ENGINES * u64::from(SLOTS + MAX_QUEUED);
+    for number in 0..n_places {
+        cell.request(id(number), demand(Some(number), 0), &engines, start);
+    }
+    let refused = cell.request(id(1000), demand(Some(7000), 0), &engines, start);
+    assert_eq!(refused, Some(Admission::Full));
+    cell.release(&id(0));
+    let later = start + Duration::from_millis(RETRY_AFTER_MS);
+    let returning = cell.request(id(1001), demand(Some(7000), WAIT_MS), &engines, later);
+    assert!(matches!(returning, Some(Admission::Granted { .. })), "{returning:?}");
+}
+
+/// Only a return is refused at once: a request that asks its second owner, or that engines had already,
+/// waits.
+#[test]
+fn first_attempts_wait() {
+    let start = Instant::now();
+    let mut cell = AdmissionCell::default();
+    for number in 0..N_ENGINES * u64::from(SLOTS + MAX_QUEUED) {
+        cell.request(id(number), demand(Some(number), 0), &engines, start);
+    }
+    let later = start + Duration::from_millis(RETRY_AFTER_MS);
+    let refused = cell.request(id(1000), demand(Some(7000), 0), &engines, start);
+    assert_eq!(refused, Some(Admission::Full));
+    let same_attempt = start + Duration::from_millis(60);
+    let waits = cell.request(id(1001), demand(Some(7000), WAIT_MS), &engines, same_attempt);
+    assert_eq!(waits, None);
+    assert_eq!(cell.request(id(1002), demand(None, WAIT_MS), &engines, later), None);
+    assert_eq!(cell.request(id(1003), demand(Some(7001), WAIT_MS), &engines, later), None);
+    let returning = cell.request(id(1004), demand(Some(7000), WAIT_MS), &engines, later);
+    assert_eq!(returning, Some(Admission::Full));
+}
