Requests with a suspected part pause after a crash, so that each one counts

What callers saw: a part that crashes engines cost six to nine of them until it was refused, and each engine is lost to all callers for some seconds.

Cause: crashes within 0.1 s can't be told apart, as reports of one crash arrive so far apart, and count as one generation. Requests in turn began as soon as the one before had crashed its engine, most often the second attempt of the same request, so about every second crash showed nothing.

Change: an owner lets the next start with a suspected part begin 0.15 s after one that ended without a response.

--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -81,7 +81,7 @@
             }
             AdmissionMessage::Released { number, outcome } => {
                 let id = ReservationId { holder: from, number };
-                let engine = self.cell.borrow_mut().release(&id);
+                let engine = self.cell.borrow_mut().release(&id, now);
                 if let Some(engine) = engine {
                     record_outcome(host, &engine, outcome);
                 }
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -37,6 +37,9 @@
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Maximum number of waiting requests for each slot of the cell.
 const MAX_WAITING_PER_SLOT: usize = 2;
+/// Time after a start with a suspected part failed until the next one begins. Reports of one crash
+/// arrive up to 0.1 s apart, so a start that fails sooner shows nothing new.
+const START_PAUSE: Duration = Duration::from_millis(150);
 /// Maximum share of the engines that are kept free for long prompts that wait.
 const MAX_HELD_SHARE: f64 = 0.25;
 
@@ -105,6 +108,8 @@
     loads: BTreeMap<BackendId, Load>,
     refused: RefusedRequests,
     counts: AdmissionCounts,
+    /// Time at which the last start with a part ended without a response.
+    failed_starts: BTreeMap<PartDigest, Instant>,
     waiting: Vec<WaitingRequest>,
 }
 
@@ -195,10 +200,12 @@
     }
 
     /// Ends a reservation, or the wait for one; returns the engine of the reservation.
-    pub fn release(&mut self, id: &ReservationId) -> Option<BackendId> {
+    pub fn release(&mut self, id: &ReservationId, now: Instant) -> Option<BackendId> {
         self.waiting.retain(|it| it.id != *id);
         let reservation = self.reservations.remove(id)?;
         self.remove_load(&reservation);
+        self.failed_starts.retain(|_, it| now.duration_since(*it) < START_PAUSE);
+        self.failed_starts.extend(reservation.starting_parts.iter().map(|it| (*it, now)));
         Some(reservation.engine)
     }
 
@@ -217,7 +224,7 @@
         let ended: Vec<ReservationId> =
             self.reservations.iter().filter(is_ended).map(|it| *it.0).collect();
         for id in ended {
-            self.release(&id);
+            self.release(&id, now);
         }
         for held in reservations {
             self.renew(ReservationId { holder, number: held.number }, held, now);
@@ -250,7 +257,7 @@
         let expired: Vec<ReservationId> =
             self.reservations.iter().filter(is_expired).map(|it| *it.0).collect();
         for id in &expired {
-            self.release(id);
+            self.release(id, now);
         }
         expired.len()
     }
@@ -289,7 +296,7 @@
         let mut held: BTreeSet<BackendId> = BTreeSet::new();
         let waiting = std::mem::take(&mut self.waiting);
         for request in waiting {
-            if self.has_start_in_progress(&request.demand.in_turn_parts) {
+            if !self.can_start(&request.demand.in_turn_parts, now) {
                 self.waiting.push(request);
                 continue;
             }
@@ -330,12 +337,17 @@
         Candidate { slots, load }
     }
 
-    /// Returns `true` if an engine that may crash on one of the parts has yet to begin its response.
-    fn has_start_in_progress(&self, parts: &[PartDigest]) -> bool {
+    /// Returns `false` if an engine that may crash on one of the parts has yet to begin its response, or
+    /// ended without one just now.
+    fn can_start(&self, parts: &[PartDigest], now: Instant) -> bool {
         let is_starting = |it: &PartDigest| {
             self.reservations.values().any(|reservation| reservation.starting_parts.contains(it))
         };
-        parts.iter().any(is_starting)
+        let has_failed = |it: &PartDigest| {
+            let failed = self.failed_starts.get(it);
+            failed.is_some_and(|failed| now.duration_since(*failed) < START_PAUSE)
+        };
+        !parts.iter().any(|it| is_starting(it) || has_failed(it))
     }
 
     fn grant(&mut self, id: ReservationId, engine: BackendId, demand: &Demand, now: Instant) {
