--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -2,6 +2,8 @@
 //! servers.
 #![allow(dead_code)]
 
+pub mod sent_request;
+
 use std::{
     fs::File,
     io::{ErrorKind, Read, Write},
@@ -186,7 +188,8 @@
         self.signal("CONT");
     }
 
-    fn signal(&self, name: &str) {
+    /// Sends the signal with this name, such as `INT`, to the process.
+    pub fn signal(&self, name: &str) {
         send_signal(&self.child, name);
     }
 
--- a/tests/stop_under_load.rs
+++ b/tests/stop_under_load.rs
@@ -3,7 +3,7 @@
 mod entry_process;
 
 use std::{
-    io::{ErrorKind, Write},
+    io::Write,
     net::TcpStream,
     thread,
     time::{Duration, Instant},
@@ -11,38 +11,13 @@
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
 use entry_process::{
-    charter, complete_response, event_chunk, read_response, request, stream_head, CallerResponse,
-    Deployment, API_KEY, HOST,
+    charter, complete_response, event_chunk, read_response, request,
+    sent_request::{check, send_at, wait_for_exit, SentRequest},
+    stream_head, Deployment, API_KEY, HOST,
 };
 
 /// The grace period in the settings of the test deployment, 4 s.
 const GRACE_PERIOD: Duration = Duration::from_secs(4);
-/// The timeout of all routes.
-const ROUTE_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Time within which a request is refused if it can't be accepted.
-const REFUSAL_TIME: Duration = Duration::from_millis(500);
-/// Time before the end of the process in which a request may cross the close of its connection.
-const CROSSING_TIME: Duration = Duration::from_millis(150);
-
-/// What became of one request that a caller sent completely.
-#[derive(Debug)]
-struct SentRequest {
-    id: String,
-    sent: Instant,
-    answered: Instant,
-    response: Option<CallerResponse>,
-}
-
-impl SentRequest {
-    fn status(&self) -> u16 {
-        self.response.as_ref().map_or(0, |it| it.status())
-    }
-
-    fn is_refused(&self) -> bool {
-        let text = self.response.as_ref().map(|it| it.text()).unwrap_or_default();
-        self.status() == 503 && text.contains("X-Verdict: not-run")
-    }
-}
 
 /// Guards against accepting a stream after the stop signal that may last beyond the exit.
 #[test]
@@ -59,7 +34,7 @@
         thread::spawn(move || send_at(caller, at, id, &[draft]))
     };
     let threads: Vec<_> = callers.into_iter().enumerate().map(send).collect();
-    let ended = wait_for_exit(&mut deployment, stopped);
+    let ended = wait_for_exit(&mut deployment.entry, stopped + GRACE_PERIOD);
     let sent: Vec<SentRequest> = threads.into_iter().map(|it| it.join().unwrap()).collect();
     check(&sent, ended, &engines);
     assert!(sent[..5].iter().all(|it| it.status() == 200), "{:?}", sent[..5].iter());
@@ -84,7 +59,7 @@
         thread::spawn(move || send_at(caller, at, id, &[hold]))
     };
     let threads: Vec<_> = callers.into_iter().enumerate().map(send).collect();
-    let ended = wait_for_exit(&mut deployment, stopped);
+    let ended = wait_for_exit(&mut deployment.entry, stopped + GRACE_PERIOD);
     let sent: Vec<SentRequest> = threads.into_iter().map(|it| it.join().unwrap()).collect();
     check(&sent, ended, &[ledger]);
 }
@@ -105,7 +80,7 @@
         thread::spawn(move || send_at(caller, at, id, &pieces))
     };
     let threads: Vec<_> = callers.into_iter().enumerate().map(send).collect();
-    let ended = wait_for_exit(&mut deployment, stopped);
+    let ended = wait_for_exit(&mut deployment.entry, stopped + GRACE_PERIOD);
     let sent: Vec<SentRequest> = threads.into_iter().map(|it| it.join().unwrap()).collect();
     assert!(ended.duration_since(stopped) < GRACE_PERIOD);
     assert!(sent.iter().all(SentRequest::is_refused), "{sent:?}");
@@ -130,69 +105,12 @@
     let thread = thread::spawn(|| send_at(caller, Instant::now(), "long".into(), &[hold]));
     thread::sleep(Duration::from_millis(300));
     deployment.entry.terminate();
-    wait_for_exit(&mut deployment, Instant::now());
+    wait_for_exit(&mut deployment.entry, Instant::now() + GRACE_PERIOD);
     let sent = thread.join().unwrap();
     assert_eq!(sent.status(), 504, "{sent:?}");
     assert!(sent.response.unwrap().text().contains("X-Verdict: may-have-run"));
 }
 
-/// Checks that no accepted request was cut, that none that was refused or not answered has run, and
-/// that all were answered at once that did not cross the end of the process.
-fn check(sent: &[SentRequest], ended: Instant, servers: &[ScriptedServer]) {
-    let received: Vec<RawRequest> = servers.iter().flat_map(|it| it.requests()).collect();
-    let has_run = |id: &str| received.iter().any(|it| it.header("x-request-id") == Some(id));
-    for it in sent {
-        let response = it.response.as_ref();
-        if it.status() == 200 {
-            // On a busy machine a stream may take more than its route allows, which ends it.
-            let took = it.answered.duration_since(it.sent);
-            let is_ended = response.unwrap().is_complete() || took >= ROUTE_TIMEOUT;
-            assert!(is_ended, "an accepted request was cut after {took:?}: {it:?}");
-            continue;
-        }
-        assert!(!has_run(&it.id), "a request that was not answered has run: {it:?}");
-        if it.is_refused() {
-            let took = it.answered.duration_since(it.sent);
-            assert!(took < REFUSAL_TIME, "refused after {took:?}: {it:?}");
-            assert!(response.unwrap().text().contains("Connection: close"), "{it:?}");
-            continue;
-        }
-        let before_end = ended.saturating_duration_since(it.sent);
-        assert!(
-            before_end < CROSSING_TIME,
-            "no answer, sent {before_end:?} before the end: {it:?}"
-        );
-    }
-}
-
-/// Waits until `at`, sends the pieces of a request with pauses of 50 ms, unless the host answers
-/// before the last one, and reads the response.
-fn send_at(mut caller: TcpStream, at: Instant, id: String, pieces: &[Vec<u8>]) -> SentRequest {
-    thread::sleep(at.saturating_duration_since(Instant::now()));
-    for (idx, piece) in pieces.iter().enumerate() {
-        if idx > 0 {
-            thread::sleep(Duration::from_millis(50));
-        }
-        if idx > 0 && has_input(&caller) {
-            break;
-        }
-        // A host that has closed the connection is noticed when the response is read.
-        drop(caller.write_all(piece));
-    }
-    let sent = Instant::now();
-    let response = read_response(&mut caller);
-    let answered = Instant::now();
-    let response = (!response.bytes.is_empty()).then_some(response);
-    SentRequest { id, sent, answered, response }
-}
-
-fn has_input(caller: &TcpStream) -> bool {
-    caller.set_nonblocking(true).unwrap();
-    let res = caller.peek(&mut [0]);
-    caller.set_nonblocking(false).unwrap();
-    !matches!(res, Err(err) if err.kind() == ErrorKind::WouldBlock)
-}
-
 fn head_with_body(id: &str, body_bytes: usize) -> Vec<u8> {
     format!(
         "POST /hold/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
@@ -214,12 +132,3 @@
     };
     ScriptedServer::start(script).unwrap()
 }
-
-/// Waits for the end of the process and returns its time.
-fn wait_for_exit(deployment: &mut Deployment, stopped: Instant) -> Instant {
-    while !deployment.entry.has_exited() {
-        assert!(stopped.elapsed() < GRACE_PERIOD, "the process runs longer than its grace period");
-        thread::sleep(Duration::from_millis(5));
-    }
-    Instant::now()
-}
