SIGHUP no longer ends a process that runs without the platform

Callers lost whatever an entry host or a slot had in progress when it got a SIGHUP, as at the end of a terminal session or from a service manager that asks for new settings: only SIGTERM and SIGINT were caught there, and the default action of SIGHUP ends the process at once, during a graceful shutdown too. The roles on the platform caught all three, each with a loop of its own.

Now one type catches the signals for all four roles (`stop_signals.rs`) for as long as the process runs; SIGHUP is reported in the log and ends nothing.

--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -3,8 +3,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use async_channel::Receiver;
-use async_signal::{Signal, Signals};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::FutureExt;
 use quick_error::quick_error;
 
 use crate::{
@@ -13,6 +12,7 @@
     node::Node,
     runtime,
     settings::{RoleSettings, Settings},
+    stop_signals::StopSignals,
 };
 
 /// Interval between two checks of whether a starting process has a charter and may serve.
@@ -56,14 +56,14 @@
     node: Arc<Node>,
     components: Components,
     leave: Receiver<()>,
-    signals: Signals,
+    signals: StopSignals,
     _state: S,
 }
 
 impl Daemon<Starting> {
     /// Listens on every address and starts to fetch state from peers and the platform.
     pub async fn start(settings: Settings) -> Result<Daemon<Starting>, StartError> {
-        let signals = Signals::new([Signal::Term, Signal::Int]).map_err(StartError::Signals)?;
+        let signals = StopSignals::listen().map_err(StartError::Signals)?;
         let (leave_sender, leave) = async_channel::bounded(1);
         let node = Node::new(settings);
         let components = Components::start(node.clone(), leave_sender).await?;
@@ -84,7 +84,7 @@
             true
         };
         let signal = async {
-            self.signals.next().await;
+            self.signals.wait().await;
             false
         };
         let leave_call = async {
@@ -104,9 +104,7 @@
     /// Serves until the process receives a signal or an operator's call to leave.
     pub async fn wait_for_leave(mut self) -> Daemon<Leaving> {
         if self.node.membership.own().state == HostState::Live {
-            let signal = async {
-                self.signals.next().await;
-            };
+            let signal = self.signals.wait();
             let leave_call = async {
                 let _ = self.leave.recv().await;
             };
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -8,8 +8,6 @@
 
 use async_executor::Task;
 use async_io::Async;
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 
 use crate::{
     entry::{
@@ -27,6 +25,7 @@
     net::listen::listen as net_listen,
     runtime,
     settings::{DeployedSettings, EntryListenSettings},
+    stop_signals::StopSignals,
 };
 
 /// Shortest time for which a leaving host still accepts connections, as callers may have its
@@ -40,7 +39,7 @@
 /// An entry host that accepts requests.
 struct Serving {
     host: Rc<EntryHost>,
-    signals: Signals,
+    signals: StopSignals,
     tasks: Vec<Task<()>>,
     endpoints: Vec<HttpEndpoint>,
 }
@@ -50,6 +49,7 @@
     host: Rc<EntryHost>,
     tasks: Vec<Task<()>>,
     endpoints: Vec<HttpEndpoint>,
+    _signals: StopSignals,
 }
 
 /// Runs an entry host until it receives SIGTERM or SIGINT.
@@ -61,7 +61,7 @@
 
 impl Serving {
     fn start(settings: DeployedSettings, listen: EntryListenSettings) -> io::Result<Serving> {
-        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+        let signals = StopSignals::listen()?;
         let host = EntryHost::new(settings, listen.clone())?;
         let store = host.sources.client(StoreSource::Store);
         let listener = Async::new(net_listen(listen.callers)?)?;
@@ -93,23 +93,15 @@
     }
 
     async fn wait_for_stop(mut self) -> Leaving {
-        while let Some(signal) = self.signals.next().await {
-            match signal {
-                Ok(Signal::Hup) => {
-                    log::info!("daemon: SIGHUP ignored; restart to apply new settings")
-                }
-                Ok(_) => break,
-                Err(err) => log::warn!("daemon: failed to read a signal error=\"{err}\""),
-            }
-        }
+        self.signals.wait().await;
         log::info!("daemon: leaving in_progress={}", self.host.n_exchanges.get());
         self.host.departure.begin();
-        // Keep catching signals, as their default action would end the process before its requests
-        // are complete.
-        let mut signals = self.signals;
-        self.tasks
-            .push(runtime::spawn_local(async move { while signals.next().await.is_some() {} }));
-        Leaving { host: self.host, tasks: self.tasks, endpoints: self.endpoints }
+        Leaving {
+            host: self.host,
+            tasks: self.tasks,
+            endpoints: self.endpoints,
+            _signals: self.signals,
+        }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod runtime;
 pub mod settings;
 pub mod slot;
+mod stop_signals;
 pub mod subcommand;
 pub mod verdict;
 pub mod weights;
--- a/src/slot/lifecycle.rs
+++ b/src/slot/lifecycle.rs
@@ -6,8 +6,7 @@
     time::{Duration, Instant},
 };
 
-use async_signal::{Signal, Signals};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::FutureExt;
 
 use crate::{
     fleet::{
@@ -23,6 +22,7 @@
         piece_server::PieceServer,
         slot_state::{OwnPool, SlotState},
     },
+    stop_signals::StopSignals,
     weights::rank::score,
 };
 
@@ -37,7 +37,7 @@
 
 /// Runs a slot process until it receives SIGTERM or SIGINT.
 pub(crate) async fn run(settings: DeployedSettings, engine: EngineSettings) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let mut signals = StopSignals::listen()?;
     let slot = SlotState::new(settings, engine)?;
     let server = PieceServer::listen(&slot)?;
     log::info!("daemon: started host={} role=backend", slot.settings.host.id);
@@ -65,13 +65,7 @@
         runtime::spawn_local(peer_messages::receive(slot.clone())),
         runtime::spawn_local(EngineDriver::new(slot).run()),
     ];
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => log::info!("daemon: SIGHUP ignored; restart to apply new settings"),
-            Ok(_) => break,
-            Err(err) => log::warn!("daemon: failed to read a signal error=\"{err}\""),
-        }
-    }
+    signals.wait().await;
     server.close().await;
     for task in tasks {
         task.cancel().await;
--- /dev/null
+++ b/tests/daemon_process/mod.rs
@@ -0,0 +1,102 @@
+//! Runs a daemon as a separate process, without the platform's metadata store.
+#![allow(dead_code)]
+
+use std::{
+    net::{SocketAddr, TcpStream},
+    process::{Child, Command},
+    thread,
+    time::{Duration, Instant},
+};
+
+use tempfile::TempDir;
+
+use crate::entry_process::{send_signal, unique_loopback_ip};
+
+/// Time within which a process must listen.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A daemon process, with the addresses that it listens on. It is killed when dropped.
+pub struct DaemonProcess {
+    child: Child,
+    _folder: TempDir,
+    pub request: SocketAddr,
+    pub peer: SocketAddr,
+    pub operator: SocketAddr,
+}
+
+impl DaemonProcess {
+    /// Starts an entry host with more lines in the section `limits`, and waits until it listens.
+    pub fn start_entry(platform: SocketAddr, limits: &str) -> DaemonProcess {
+        DaemonProcess::start("entry", platform, None, "", limits)
+    }
+
+    /// Starts a slot that joins the process at the peer address `join`, with the section `backend` of
+    /// its settings, and waits until it listens.
+    pub fn start_slot(
+        platform: SocketAddr,
+        join: Option<SocketAddr>,
+        backend: &str,
+    ) -> DaemonProcess {
+        DaemonProcess::start("backend", platform, join, &format!("[backend]\n{backend}"), "")
+    }
+
+    fn start(
+        role: &str,
+        platform: SocketAddr,
+        join: Option<SocketAddr>,
+        section: &str,
+        limits: &str,
+    ) -> DaemonProcess {
+        let ip = unique_loopback_ip();
+        let [request, peer, operator] = [9201, 9202, 9203].map(|port| SocketAddr::from((ip, port)));
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("peer.key"), "a shared secret for tests").unwrap();
+        let join = join.map_or(String::new(), |it| format!("peers = {it}"));
+        let text = format!(
+            "[host]\nid = {role}-1\nrole = {role}\nregion = south\nzone = depot\n\n\
+             [listen]\nrequest = {request}\npeer = {peer}\noperator = {operator}\n\n\
+             [platform]\naddresses = {platform}\ntimeout_ms = 500\n\n[join]\n{join}\n\n\
+             [secrets]\npeer_key_file = peer.key\noperator_token_digest = {}\n\n\
+             [weights]\norigin = {platform}\n\n{section}\n[limits]\n{limits}\n",
+            "0".repeat(64)
+        );
+        let path = folder.path().join("settings.ini");
+        std::fs::write(&path, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_crocustillerd"))
+            .arg("--settings")
+            .arg(&path)
+            .spawn()
+            .unwrap();
+        let mut daemon = DaemonProcess { child, _folder: folder, request, peer, operator };
+        let started = Instant::now();
+        while TcpStream::connect(operator).is_err() {
+            assert!(!daemon.has_exited(), "the daemon exited; see its error above");
+            assert!(started.elapsed() < START_TIMEOUT, "the daemon does not listen");
+            thread::sleep(Duration::from_millis(10));
+        }
+        daemon
+    }
+
+    /// Sends the signal with this name, such as `HUP`, to the process.
+    pub fn signal(&self, name: &str) {
+        send_signal(&self.child, name);
+    }
+
+    /// Returns `true` if the process has exited.
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
+    /// Waits until the process exits and returns whether it reported success.
+    pub fn wait_for_success(&mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        // The process may have exited already.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
