A leaving entry host answers its requests by its drain timeout

Callers of a host that runs without the platform saw what other operators report of planned stops: requests that came after the signal were taken and passed on, among them some that may not be repeated, and at the drain timeout the process closed their connections without an answer.

Cause: the shutdown waited for the requests in progress for `drain_timeout_ms` and then ended, whatever they still needed, and the request stage didn't know that time. Only settings with a `drain_timeout_ms` shorter than `request_timeout_ms` show it (the defaults are 120 s and 60 s). The class is that of the planned stop: something is taken in without the time to answer it.

Now the node holds the end of its requests (`Drain`). A leaving host refuses at once, as not run and with the other entry hosts, a request whose time limit is later; at the end it answers a request that is in progress with 504 `may-have-run`, one whose body is still arriving with 503 `not-run`, and then has 0.2 s to write that. A stream that has begun is still cut.

The secret of the tests' deployment is longer, as a settings file requires it.

--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -1,6 +1,10 @@
 //! The lifecycle of a process as a typestate: starting, serving, leaving.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_channel::Receiver;
 use futures_lite::FutureExt;
@@ -21,6 +25,8 @@
 const SLOT_LEAVE_GRACE: Duration = Duration::from_secs(2);
 /// Time added to the maximum age of cached lists of entry hosts before a leaving entry host drains.
 const ENTRY_LEAVE_GRACE: Duration = Duration::from_secs(1);
+/// Time after the drain timeout for writing the responses to requests that it has ended.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(200);
 
 quick_error! {
     /// An error that prevents the start of a process.
@@ -120,16 +126,19 @@
     /// Announces the leave, waits for the requests in progress and stops all components.
     ///
     /// `drain_timeout_ms` limits the wait for admitted requests, and again for open responses.
+    /// Requests that would take longer are refused or ended, so that their callers get a response.
     pub async fn close(self) {
-        membership::announce_leaving(&self.node).await;
         let grace = match self.node.settings.host.role {
             RoleSettings::Entry => {
                 self.node.settings.limits.entry_hosts_max_age_s + ENTRY_LEAVE_GRACE
             }
             RoleSettings::Backend => SLOT_LEAVE_GRACE,
         };
+        let drain_timeout = self.node.settings.limits.drain_timeout_ms;
+        self.node.drain.begin(Instant::now() + grace + drain_timeout);
+        membership::announce_leaving(&self.node).await;
         runtime::sleep(grace).await;
-        self.components.wait_until_idle(self.node.settings.limits.drain_timeout_ms).await;
+        self.components.wait_until_idle(drain_timeout + LAST_RESPONSE_TIME).await;
         self.components.close().await;
         log::info!("daemon: stopped");
     }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -9,6 +9,7 @@
     documents::DocumentStore,
     membership::{HostRole, HostState, MemberRecord, Membership, WeightsStatus},
     net::HttpClient,
+    node::Drain,
     objects::PlatformClient,
     peer::{LinkCounters, PeerPool},
     report::RequestHistory,
@@ -35,6 +36,8 @@
     pub http: HttpClient,
     /// Client for the platform's service.
     pub platform: PlatformClient,
+    /// End of the requests in progress once the process leaves.
+    pub drain: Drain,
     /// Outcomes of recent requests; empty on a backend server host.
     pub request_history: Arc<RequestHistory>,
 }
@@ -54,6 +57,7 @@
         Arc::new(Node {
             request_history: RequestHistory::new(documents.clone()),
             documents,
+            drain: Drain::default(),
             membership: Arc::new(Membership::new(own_record(&settings))),
             peers: Arc::new(PeerPool::new(key, counters.clone())),
             counters,
--- a/src/request/entry_stage.rs
+++ b/src/request/entry_stage.rs
@@ -2,6 +2,7 @@
 //! relayed response.
 
 use std::{
+    future::Future,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc, Mutex,
@@ -9,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use futures_lite::FutureExt;
 use http_types::{Method, Request, Response, StatusCode};
 
 use crate::{
@@ -113,14 +115,18 @@
             max_body_bytes: self.node.settings.limits.max_body_bytes,
             request_timeout_ms: self.node.settings.limits.request_timeout_ms,
         };
-        let incoming = ValidatedRequest::read(id, request, limits).await?;
+        let read = ValidatedRequest::read(id, request, limits);
+        let incoming = self.until_drain_end(read, || self.leaving_failure()).await?;
+        if !self.node.drain.allows(incoming.deadline) {
+            return Err(self.leaving_failure());
+        }
         let route = Route::parse(&incoming)?;
         let history = self.node.request_history.clone();
         let recorder =
             RequestRecorder::new(history, &incoming, &customer, route.target(), arrived_at);
         let mut forwarded =
             ForwardedRequest::new(self, &incoming, &route, &customer, in_progress_guard, recorder);
-        let res = self.forward(&mut forwarded).await;
+        let res = self.until_drain_end(self.forward(&mut forwarded), drained).await;
         if let (Err(failure), Some(recorder)) = (&res, forwarded.recorder.take()) {
             recorder.record_failure(failure.verdict);
         }
@@ -157,6 +163,19 @@
         }
     }
 
+    /// Returns the result of `operation`, or a failure if the process ends its requests before.
+    async fn until_drain_end<T>(
+        &self,
+        operation: impl Future<Output = Result<T, Failure>>,
+        failure: impl Fn() -> Failure,
+    ) -> Result<T, Failure> {
+        let drain_end = async {
+            self.node.drain.wait_until_end().await;
+            Err(failure())
+        };
+        operation.or(drain_end).await
+    }
+
     fn leaving_failure(&self) -> Failure {
         let message = "this entry host is leaving; send the request to an address in entry_hosts";
         let mut failure =
@@ -218,6 +237,11 @@
     Ok(customer.clone())
 }
 
+fn drained() -> Failure {
+    let message = "this entry host has left; retry only if the request is idempotent";
+    Failure::may_have_run(StatusCode::GatewayTimeout, message).closing_connection()
+}
+
 fn no_charter() -> Failure {
     let message = "this entry host has no charter yet; retry at another one";
     Failure::not_run(StatusCode::ServiceUnavailable, message)
--- a/tests/daemon_process/mod.rs
+++ b/tests/daemon_process/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use std::{
+    io::Write,
     net::{SocketAddr, TcpStream},
     process::{Child, Command},
     thread,
@@ -10,8 +11,10 @@
 
 use tempfile::TempDir;
 
-use crate::entry_process::{send_signal, unique_loopback_ip};
+use crate::entry_process::{read_response, send_signal, unique_loopback_ip};
 
+/// The secret that proves that a process belongs to the deployment.
+const PEER_SECRET: &str = "deployment-of-a-test";
 /// Time within which a process must listen.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -25,9 +28,14 @@
 }
 
 impl DaemonProcess {
-    /// Starts an entry host with more lines in the section `limits`, and waits until it listens.
-    pub fn start_entry(platform: SocketAddr, limits: &str) -> DaemonProcess {
-        DaemonProcess::start("entry", platform, None, "", limits)
+    /// Starts an entry host that joins the process at the peer address `join`, with more lines in the
+    /// section `limits`, and waits until it listens.
+    pub fn start_entry(
+        platform: SocketAddr,
+        join: Option<SocketAddr>,
+        limits: &str,
+    ) -> DaemonProcess {
+        DaemonProcess::start("entry", platform, join, "", limits)
     }
 
     /// Starts a slot that joins the process at the peer address `join`, with the section `backend` of
@@ -50,10 +58,10 @@
         let ip = unique_loopback_ip();
         let [request, peer, operator] = [9201, 9202, 9203].map(|port| SocketAddr::from((ip, port)));
         let folder = tempfile::tempdir().unwrap();
-        std::fs::write(folder.path().join("peer.key"), "a shared secret for tests").unwrap();
+        std::fs::write(folder.path().join("peer.key"), PEER_SECRET).unwrap();
         let join = join.map_or(String::new(), |it| format!("peers = {it}"));
         let text = format!(
-            "[host]\nid = {role}-1\nrole = {role}\nregion = south\nzone = depot\n\n\
+            "[host]\nid = {role}-process\nrole = {role}\nregion = south\nzone = depot\n\n\
              [listen]\nrequest = {request}\npeer = {peer}\noperator = {operator}\n\n\
              [platform]\naddresses = {platform}\ntimeout_ms = 500\n\n[join]\n{join}\n\n\
              [secrets]\npeer_key_file = peer.key\noperator_token_digest = {}\n\n\
@@ -77,6 +85,22 @@
         daemon
     }
 
+    /// Waits until the process serves requests.
+    pub fn wait_until_ready(&self) {
+        let started = Instant::now();
+        while !self.is_ready() {
+            assert!(started.elapsed() < START_TIMEOUT, "the daemon does not become ready");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.operator) else { return false };
+        let request = b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(request).unwrap();
+        read_response(&mut stream).status() == 200
+    }
+
     /// Sends the signal with this name, such as `HUP`, to the process.
     pub fn signal(&self, name: &str) {
         send_signal(&self.child, name);
--- a/tests/deployment/settings.rs
+++ b/tests/deployment/settings.rs
@@ -52,7 +52,7 @@
         },
         join: Vec::new(),
         secrets: SecretSettings {
-            peer_key: PeerKey::from_secret(b"deployment"),
+            peer_key: PeerKey::from_secret(b"deployment-of-a-test"),
             operator_token_digest: Digest::of(b"operator"),
         },
         weights: WeightsSettings {
--- a/tests/stop_signals.rs
+++ b/tests/stop_signals.rs
@@ -13,7 +13,7 @@
 /// Guards against an entry host that a SIGHUP ends at once, with all its requests.
 #[test]
 fn hang_up_ends_no_entry_host() {
-    check_signals(DaemonProcess::start_entry(unused_address(), "entry_hosts_max_age_s = 1"));
+    check_signals(DaemonProcess::start_entry(unused_address(), None, "entry_hosts_max_age_s = 1"));
 }
 
 /// Guards against a slot that a SIGHUP ends at once, with all its requests.
