--- a/standins/src/raw_http/scripted_server.rs
+++ b/standins/src/raw_http/scripted_server.rs
@@ -9,7 +9,7 @@
         Arc, Mutex,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::raw_http::RawRequest;
@@ -52,6 +52,8 @@
     connections: HashMap<SocketAddr, TcpStream>,
     /// Time until the server listens again; `None` while its process runs.
     restart_time: Option<Duration>,
+    /// End of the time for which the process does nothing.
+    silent_until: Instant,
 }
 
 impl ScriptedServer {
@@ -70,6 +72,7 @@
                 listener: listener.try_clone()?,
                 connections: HashMap::new(),
                 restart_time: None,
+                silent_until: Instant::now(),
             })),
         };
         let process = server.process.clone();
@@ -115,6 +118,12 @@
         self.process.lock().unwrap().crash(restart_time);
     }
 
+    /// Suspends the process, as far as clients can tell: what it has read or is writing goes on after
+    /// `time`, on the same connections.
+    pub fn fall_silent(&self, time: Duration) {
+        self.process.lock().unwrap().silent_until = Instant::now() + time;
+    }
+
     /// Returns the address that the server listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -174,6 +183,7 @@
         request.connection = connection;
         requests.lock().unwrap().push(request.clone());
         for step in script(&request) {
+            wait_while_silent(process);
             match step {
                 Step::Send(bytes) => writer.write_all(&bytes)?,
                 Step::SendEndlessly(bytes) => loop {
@@ -192,6 +202,12 @@
     Ok(())
 }
 
+/// Waits until the process goes on.
+fn wait_while_silent(process: &Mutex<Process>) {
+    let silent_until = process.lock().unwrap().silent_until;
+    thread::sleep(silent_until.saturating_duration_since(Instant::now()));
+}
+
 /// Makes the connection reset when it is dropped, without waiting for unsent data.
 fn reset(stream: TcpStream) -> io::Result<()> {
     socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))
