Soak: the entry host is stopped while all else goes on

The soak ended before its entry host, so it saw no request of a planned stop beside changes of the charter and silent backend servers. Now the host gets SIGTERM after 6 s, with a grace period of 8 s, and all goes on until it is gone. A request without a final response is forgiven only if its connection ended without a byte around the exit, within 0.2 s of its last byte, and no backend server has received it.

--- a/tests/changes_under_load.rs
+++ b/tests/changes_under_load.rs
@@ -1,13 +1,15 @@
 //! Soak test: changes of the charter in quick series while callers keep connections open, leave them
 //! idle and send bodies slowly, and backend servers fall silent and go on, for single requests and as
-//! a whole. Every request that was sent completely gets a final response.
+//! a whole. In the end the entry host is stopped, while all this goes on. Every request that was sent
+//! completely gets a final response.
 //!
 //! `SOAK_SEEDS=50` runs that many seeds in place of the few of CI.
 
 mod entry_process;
 
 use std::{
-    io::{ErrorKind, Write},
+    collections::HashSet,
+    io::{self, ErrorKind, Write},
     net::{SocketAddr, TcpStream},
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -26,8 +28,15 @@
 
 /// The number of seeds without `SOAK_SEEDS`.
 const DEFAULT_SEEDS: u64 = 2;
-/// Time for which the charter changes in one run.
+/// Time for which the charter changes before the entry host is stopped.
 const CHANGE_TIME: Duration = Duration::from_secs(6);
+/// Longest time between two charters.
+const CHARTER_INTERVAL: Duration = Duration::from_millis(500);
+/// The grace period of the entry host, longer than the timeouts of all routes; it exits 0.5 s before
+/// its end.
+const GRACE_PERIOD: Duration = Duration::from_secs(8);
+/// Time after its last byte for which a request may cross the end of the process.
+const CROSSING_TIME: Duration = Duration::from_millis(200);
 const N_CALLERS: usize = 32;
 /// Shortest time between two silences of backend servers, each as a whole.
 const SILENCE_INTERVAL: Duration = Duration::from_millis(1500);
@@ -37,9 +46,11 @@
 
 /// A request without a final response, as seen by its caller.
 struct Unanswered {
+    id: String,
     request: String,
     /// Time from the last byte of the request to the end of the connection.
     ended_after: Duration,
+    ended: Instant,
     response: String,
 }
 
@@ -72,7 +83,8 @@
             store.put("servers", &format!("{service}-{idx}"), entry);
         }
     }
-    let entry = EntryProcess::start(&store, "entry-1");
+    let grace = format!("grace_s = {}", GRACE_PERIOD.as_secs());
+    let mut entry = EntryProcess::start_with_all_bounds(store.address(), "entry-1", &grace);
     entry.wait_until_ready();
     let idle_timeout_ms = Arc::new(AtomicU64::new(3000));
     let is_over = Arc::new(AtomicBool::new(false));
@@ -95,12 +107,13 @@
             })
         })
         .collect();
-    let servers = ledgers.iter().chain(&engines).cloned().collect();
+    let servers: Vec<ScriptedServer> = ledgers.iter().chain(&engines).cloned().collect();
     let silences = {
-        let is_over = is_over.clone();
+        let (servers, is_over) = (servers.clone(), is_over.clone());
         thread::spawn(move || silence_servers(servers, seed * 10 + 4, &is_over))
     };
-    change_charters(&store, seed, &idle_timeout_ms);
+    let mut charters = ChangingCharters::new(seed, idle_timeout_ms);
+    let exited = change_until_exit(&mut entry, &store, &mut charters);
     is_over.store(true, Ordering::Relaxed);
     assert!(silences.join().unwrap() > 0, "seed {seed}: no backend server fell silent");
     let mut n_requests = 0;
@@ -110,9 +123,46 @@
         n_requests += n_sent;
         unanswered.extend(lost);
     }
+    forgive_crossing(&mut unanswered, &servers, exited);
     (n_requests, unanswered)
 }
 
+/// Changes the charter, stops the entry host meanwhile and returns when it has exited.
+fn change_until_exit(
+    entry: &mut EntryProcess,
+    store: &StoreStandin,
+    charters: &mut ChangingCharters,
+) -> Instant {
+    let started = Instant::now();
+    while started.elapsed() < CHANGE_TIME {
+        charters.change(store);
+        assert!(!entry.has_exited(), "the process exited before it was stopped");
+    }
+    entry.terminate();
+    let stopped = Instant::now();
+    while !entry.has_exited() {
+        assert!(stopped.elapsed() < GRACE_PERIOD, "the process runs longer than its grace period");
+        charters.change(store);
+    }
+    Instant::now()
+}
+
+/// Removes the requests that crossed the end of the process, if none of the servers has received them:
+/// nobody has read these.
+fn forgive_crossing(unanswered: &mut Vec<Unanswered>, servers: &[ScriptedServer], exited: Instant) {
+    let received: HashSet<String> = servers
+        .iter()
+        .flat_map(|it| it.requests())
+        .filter_map(|it| it.header("x-request-id").map(str::to_owned))
+        .collect();
+    unanswered.retain(|it| {
+        let has_crossed = it.ended + CHARTER_INTERVAL + CROSSING_TIME > exited
+            && it.ended_after < CROSSING_TIME
+            && it.response.is_empty();
+        !has_crossed || received.contains(&it.id)
+    });
+}
+
 /// Lets one backend server after the other fall silent for somewhat more or less than a second, while
 /// others may still be silent; returns how often.
 fn silence_servers(servers: Vec<ScriptedServer>, seed: u64, is_over: &AtomicBool) -> u32 {
@@ -126,20 +176,30 @@
     n_silences
 }
 
-/// Writes charters in quick series, and tells callers the idle timeout once it is written.
-fn change_charters(store: &StoreStandin, seed: u64, idle_timeout_ms: &AtomicU64) {
-    let mut random = fastrand::Rng::with_seed(seed);
-    let started = Instant::now();
-    let mut number = 2;
-    while started.elapsed() < CHANGE_TIME {
-        let mut changed = charter(number);
-        let idle_ms = IDLE_TIMEOUTS_MS[random.usize(..IDLE_TIMEOUTS_MS.len())];
+/// Charters that follow one another in quick series.
+struct ChangingCharters {
+    random: fastrand::Rng,
+    next_number: u64,
+    idle_timeout_ms: Arc<AtomicU64>,
+}
+
+impl ChangingCharters {
+    fn new(seed: u64, idle_timeout_ms: Arc<AtomicU64>) -> ChangingCharters {
+        let random = fastrand::Rng::with_seed(seed);
+        ChangingCharters { random, next_number: 2, idle_timeout_ms }
+    }
+
+    /// Writes the next charter, tells callers its idle timeout once it is written, and waits a while.
+    fn change(&mut self, store: &StoreStandin) {
+        let mut changed = charter(self.next_number);
+        let idle_ms = IDLE_TIMEOUTS_MS[self.random.usize(..IDLE_TIMEOUTS_MS.len())];
         changed["limits"]["idle-timeout-ms"] = json!(idle_ms);
-        change_routes(&mut changed, &mut random);
+        change_routes(&mut changed, &mut self.random);
         store.put("config", "main", changed);
-        idle_timeout_ms.store(idle_ms, Ordering::Relaxed);
-        number += random.u64(1..5);
-        thread::sleep(Duration::from_millis(random.u64(5..500)));
+        self.idle_timeout_ms.store(idle_ms, Ordering::Relaxed);
+        self.next_number += self.random.u64(1..5);
+        let interval_ms = self.random.u64(5..CHARTER_INTERVAL.as_millis() as u64);
+        thread::sleep(Duration::from_millis(interval_ms));
     }
 }
 
@@ -179,7 +239,11 @@
     fn send_next(&mut self, id: &str) {
         let mut stream = match self.stream.take().filter(is_open) {
             Some(stream) => stream,
-            None => connect(self.address),
+            None => match connect(self.address) {
+                Ok(stream) => stream,
+                // The host has exited.
+                Err(_) => return thread::sleep(Duration::from_millis(10)),
+            },
         };
         let (head, body) = self.next_request(id);
         // A connection that the host closes while the request is sent is not used for the request.
@@ -191,8 +255,10 @@
         let response = read_response(&mut stream);
         if !response.is_complete() {
             self.unanswered.push(Unanswered {
+                id: id.to_owned(),
                 request: String::from_utf8_lossy(&head).into_owned(),
                 ended_after: sent.elapsed(),
+                ended: Instant::now(),
                 response: response.text(),
             });
             return;
@@ -233,11 +299,11 @@
     }
 }
 
-fn connect(address: SocketAddr) -> TcpStream {
-    let stream = TcpStream::connect(address).unwrap();
+fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address)?;
     stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
     stream.set_nodelay(true).unwrap();
-    stream
+    Ok(stream)
 }
 
 /// Returns `true` unless the other side has closed the idle connection.
