Decode each entry of the store by itself

A list or a watch that held, beside sound entries, one with a value nested 200 deep, 1e400, a number of 400 digits, bytes that are no UTF-8 or the like failed as a whole. The host took the store for unavailable and followed it no more; one that started meanwhile didn't become ready.

Cause: the body was decoded as one value, so the first value that can't be represented ended it. A small splitter (`json_parts`) now finds the ends of the parts only, without recursion, and each entry is decoded by itself. One whose content can't be decoded stays as a name without content: it names no backend server, but still takes the place of what stood under its name, also for those who follow through an entry host. A removal of an unknown object makes the watch list again. Raw values of `serde_json` were no choice: they don't recurse either, but bytes that are no UTF-8, control characters or NaN in one entry still fail the whole.

--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -16,6 +16,7 @@
         TURN_INTERVAL,
     },
     platform::{
+        skipped_objects::decode_or_skip,
         store::{Change, StoredObject},
         wire_config, wire_server,
     },
@@ -107,12 +108,9 @@
         KindUpdate::Changed { changes, .. } => changes.into_iter().map(|it| it.object).collect(),
     };
     for object in objects {
-        match wire_config::decode_config(&object) {
-            Ok(Some(charter)) => apply_charter(host, charter),
-            Ok(None) => {}
-            Err(err) => log::error!(
-                "charter: skipped an invalid charter, correct it in the store error=\"{err}\""
-            ),
+        let charter = decode_or_skip(wire_config::CONFIG_KIND, &object, wire_config::decode_config);
+        if let Some(charter) = charter.flatten() {
+            apply_charter(host, charter);
         }
     }
 }
@@ -136,10 +134,10 @@
         KindUpdate::Listed { objects, is_after_outage, restored_until, .. } => {
             let (restored, current): (Vec<StoredObject>, Vec<StoredObject>) =
                 objects.into_iter().partition(|it| it.metadata.revision <= restored_until);
-            let restored = restored.iter().filter_map(decode_or_skip).collect();
+            let restored = restored.iter().filter_map(decode_server).collect();
             let mut backends = host.backends.borrow_mut();
             let mut servers = backends.accept_restored(restored, now);
-            servers.extend(current.iter().filter_map(decode_or_skip));
+            servers.extend(current.iter().filter_map(decode_server));
             log::info!("fleet: replaced the list of backend servers n={}", servers.len());
             backends.replace_all(servers, is_after_outage, now);
             host.has_backends.set(true);
@@ -156,7 +154,7 @@
     for change in changes {
         let id = change.object.metadata.name.clone();
         removed.retain(|it| *it != id);
-        match decode_or_skip(&change.object) {
+        match decode_server(&change.object) {
             _ if change.deleted => removed.push(id),
             Some(server) => backends.insert(server, now),
             // A backend server whose entry is invalid cannot be used.
@@ -166,17 +164,8 @@
     backends.remove_all(removed, now);
 }
 
-fn decode_or_skip(object: &StoredObject) -> Option<BackendServer> {
-    match wire_server::decode_server(object) {
-        Ok(server) => Some(server),
-        Err(err) => {
-            log::warn!(
-                "fleet: skipped an invalid backend server backend={} error=\"{err}\"",
-                object.metadata.name
-            );
-            None
-        }
-    }
+fn decode_server(object: &StoredObject) -> Option<BackendServer> {
+    decode_or_skip(wire_server::SERVER_KIND, object, wire_server::decode_server)
 }
 
 /// Applies an update of the intended versions; decides on the waiting requests, as other engines may
--- a/src/fleet/entry_registry.rs
+++ b/src/fleet/entry_registry.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     ids::{HostId, ZoneId},
-    platform::store::{Store, StoreError, StoredObject},
+    platform::{
+        skipped_objects::decode_or_skip,
+        store::{Store, StoreError, StoredObject},
+    },
 };
 
 /// Kind of the registration objects.
@@ -58,14 +61,5 @@
 }
 
 fn decode(object: &StoredObject) -> Option<Registration> {
-    match Registration::deserialize(&object.spec) {
-        Ok(registration) => Some(registration),
-        Err(err) => {
-            log::warn!(
-                "fleet: skipped an invalid registration host={} error=\"{err}\"",
-                object.metadata.name
-            );
-            None
-        }
-    }
+    decode_or_skip(KIND, object, |it| Registration::deserialize(&it.spec))
 }
--- a/src/fleet/version_updates.rs
+++ b/src/fleet/version_updates.rs
@@ -8,7 +8,11 @@
 use crate::{
     clock,
     fleet::{KindUpdate, VersionTable},
-    platform::{store::StoredObject, wire_server},
+    platform::{
+        skipped_objects::decode_or_skip,
+        store::StoredObject,
+        wire_server::{self, VERSION_KIND},
+    },
     routing::TargetVersion,
 };
 
@@ -22,15 +26,12 @@
     };
     let mut has_newer = false;
     for object in objects {
-        match wire_server::decode_version(&object) {
-            Ok(target) => {
-                let now = clock::now();
-                if table.borrow_mut().set(&target, max_age, now) {
-                    log_new_version(&table.borrow(), &target, max_age, now);
-                    has_newer = true;
-                }
-            }
-            Err(err) => log::error!("versions: skipped an invalid version error=\"{err}\""),
+        let target = decode_or_skip(VERSION_KIND, &object, wire_server::decode_version);
+        let Some(target) = target else { continue };
+        let now = clock::now();
+        if table.borrow_mut().set(&target, max_age, now) {
+            log_new_version(&table.borrow(), &target, max_age, now);
+            has_newer = true;
         }
     }
     has_newer
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod fleet;
 pub mod http1;
 pub mod ids;
+pub mod json_parts;
 pub mod logging;
 pub mod membership;
 pub mod metric_names;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod engine_api;
 pub mod origin_api;
+pub(crate) mod skipped_objects;
 pub mod store;
 mod store_point;
 pub mod wire_config;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,7 +12,8 @@
 use crate::{
     http1::{Call, Client, HttpError, Response},
     ids::{Revision, StoreGeneration},
-    platform::StorePoint,
+    json_parts,
+    platform::{skipped_objects, StorePoint},
 };
 
 /// Timeout of a call that does not wait for changes.
@@ -68,7 +69,7 @@
 pub struct StoredObject {
     /// The name and the revision.
     pub metadata: Metadata,
-    /// The content, as its writer set it.
+    /// The content, as its writer set it; null if it can't be decoded.
     #[serde(default)]
     pub spec: Value,
 }
@@ -127,12 +128,11 @@
     pub deleted: bool,
 }
 
-#[derive(Deserialize)]
+/// A page of a list.
 struct Page {
-    items: Vec<Value>,
-    #[serde(default)]
+    objects: Vec<StoredObject>,
+    last_name: Option<String>,
     more: bool,
-    #[serde(flatten)]
     at: StorePoint,
 }
 
@@ -156,7 +156,7 @@
         Store { is_relay: true, ..Store::new(address) }
     }
 
-    /// Lists all objects of a kind, page by page; skips and logs objects that can't be decoded.
+    /// Lists all objects of a kind, page by page. Objects without a name that can be decoded are skipped.
     ///
     /// The point is that of the first page, so that a watch also returns changes that happened
     /// while later pages were read.
@@ -171,13 +171,12 @@
         for _ in 0..MAX_PAGES {
             let target = format!("/v1/objects/{kind}{query}");
             let call = Call::get(&target, CALL_TIMEOUT, MAX_RESPONSE_BYTES);
-            let page = decode_page(&self.call(&call).await?)?;
+            let page = decode_page(kind, &self.call(&call).await?)?;
             if first_at.get_or_insert(page.at).generation != page.at.generation {
                 return Err(StoreError::HistoryLost);
             }
-            let last_name = page.items.last().and_then(|it| it["metadata"]["name"].as_str());
-            query = last_name.map(|it| format!("?after={it}")).unwrap_or_default();
-            objects.extend(page.items.into_iter().filter_map(|it| decode_object(kind, it)));
+            query = page.last_name.map(|it| format!("?after={it}")).unwrap_or_default();
+            objects.extend(page.objects);
             if !page.more || query.is_empty() {
                 break;
             }
@@ -190,9 +189,8 @@
     pub async fn list_stale(&self, kind: &str) -> Result<Listing, StoreError> {
         let target = format!("/v1/objects/{kind}?allow-stale=1");
         let call = Call::get(&target, STALE_LIST_TIMEOUT, MAX_RESPONSE_BYTES);
-        let page = decode_page(&self.call(&call).await?)?;
-        let objects = page.items.into_iter().filter_map(|it| decode_object(kind, it)).collect();
-        Ok(Listing { objects, at: page.at })
+        let page = decode_page(kind, &self.call(&call).await?)?;
+        Ok(Listing { objects: page.objects, at: page.at })
     }
 
     /// Waits for changes of a kind after `at`, for at most `wait`. The store can't tell that `at` is
@@ -211,20 +209,18 @@
         }
         let call = Call::get(&target, wait + WATCH_RESPONSE_MARGIN, MAX_RESPONSE_BYTES);
         let response = self.call(&call).await?;
-        let raw: Value = serde_json::from_slice(&response.body)?;
-        let Some(events) = raw["events"].as_array() else {
-            return Ok(serde_json::from_value(raw)?);
-        };
-        let events = events.iter().filter_map(|it| {
-            let object = decode_object(kind, it["object"].clone())?;
-            Some(Change { object, deleted: it["deleted"].as_bool().unwrap_or(false) })
-        });
-        let max_age = Duration::from_millis(raw["max-age-ms"].as_u64().unwrap_or(0));
+        let parts = members_of(&response)?;
+        let events = json_parts::member(&parts, "events").and_then(json_parts::items);
+        let events = events.ok_or_else(|| invalid_response("no list of events"))?;
+        let events: Result<Vec<Option<Change>>, StoreError> =
+            events.into_iter().map(|it| decode_change(kind, it)).collect();
+        let max_age = json_parts::decode_member(&parts, "max-age-ms").unwrap_or(0);
         let at = StorePoint {
-            generation: generation_of(&response, raw["generation"].as_u64()),
-            revision: raw["at"].as_u64().unwrap_or(revision),
+            generation: generation_of(&response, &parts),
+            revision: json_parts::decode_member(&parts, "at").unwrap_or(revision),
         };
-        Ok(Changes { events: events.collect(), at, max_age })
+        let events = events?.into_iter().flatten().collect();
+        Ok(Changes { events, at, max_age: Duration::from_millis(max_age) })
     }
 
     /// Creates an object.
@@ -256,24 +252,82 @@
     }
 }
 
-fn decode_page(response: &Response) -> Result<Page, StoreError> {
-    let mut page: Page = serde_json::from_slice(&response.body)?;
-    page.at.generation = generation_of(response, Some(page.at.generation));
-    Ok(page)
+/// The names and the texts of the members of a response's body.
+type Members<'a> = Vec<(String, &'a [u8])>;
+
+fn members_of(response: &Response) -> Result<Members<'_>, StoreError> {
+    let members = json_parts::members(&response.body);
+    members.ok_or_else(|| invalid_response("the body is cut or is not an object"))
+}
+
+fn invalid_response(reason: &str) -> StoreError {
+    StoreError::InvalidResponse(serde::de::Error::custom(reason))
+}
+
+fn decode_page(kind: &str, response: &Response) -> Result<Page, StoreError> {
+    let parts = members_of(response)?;
+    let items = json_parts::member(&parts, "items").and_then(json_parts::items);
+    let items = items.ok_or_else(|| invalid_response("no list of items"))?;
+    let revision = json_parts::decode_member(&parts, "at");
+    let revision = revision.ok_or_else(|| invalid_response("no revision"))?;
+    let more = json_parts::member(&parts, "more").map(serde_json::from_slice).transpose()?;
+    let last_name = items.last().and_then(|it| decode_object(kind, it)).map(|it| it.metadata.name);
+    Ok(Page {
+        objects: items.iter().filter_map(|it| decode_object(kind, it)).collect(),
+        last_name,
+        more: more.unwrap_or(false),
+        at: StorePoint { generation: generation_of(response, &parts), revision },
+    })
 }
 
 /// Returns the generation in a response: the store has it in a header field, an entry host in the
 /// body.
-fn generation_of(response: &Response, in_body: Option<u64>) -> StoreGeneration {
-    response.head.headers.number(GENERATION).or(in_body).unwrap_or(0)
+fn generation_of(response: &Response, parts: &Members<'_>) -> StoreGeneration {
+    let in_header = response.head.headers.number(GENERATION);
+    in_header.or_else(|| json_parts::decode_member(parts, "generation")).unwrap_or(0)
 }
 
-fn decode_object(kind: &str, item: Value) -> Option<StoredObject> {
-    match serde_json::from_value(item) {
-        Ok(object) => Some(object),
-        Err(err) => {
-            log::warn!("platform: skipped an invalid object kind={kind} error=\"{err}\"");
-            None
-        }
+/// Decodes a change; returns `None` if the object has no name that can be decoded.
+///
+/// # Errors
+///
+/// Returns `StoreError::HistoryLost` if an unknown object may have been removed, which only a list
+/// can tell.
+fn decode_change(kind: &str, text: &[u8]) -> Result<Option<Change>, StoreError> {
+    let parts = json_parts::members(text).unwrap_or_default();
+    let object = json_parts::member(&parts, "object").and_then(|it| decode_object(kind, it));
+    let deleted = match json_parts::member(&parts, "deleted") {
+        Some(it) => serde_json::from_slice(it).ok(),
+        None => Some(false),
+    };
+    match (object, deleted) {
+        (Some(object), Some(deleted)) => Ok(Some(Change { object, deleted })),
+        (None, Some(false)) => Ok(None),
+        _ => Err(StoreError::HistoryLost),
     }
 }
+
+/// Decodes an object; returns `None` if it has no name that can be decoded. If another part can't be
+/// decoded, the object has a name without content, as it still takes the place of an earlier one.
+fn decode_object(kind: &str, text: &[u8]) -> Option<StoredObject> {
+    let parts = json_parts::members(text).unwrap_or_default();
+    let metadata = json_parts::member(&parts, "metadata").and_then(json_parts::members);
+    let metadata = metadata.unwrap_or_default();
+    let Some(name) = json_parts::decode_member::<String>(&metadata, "name") else {
+        skipped_objects::log_skipped(kind, "", "no name");
+        return None;
+    };
+    let revision: Option<Revision> = json_parts::decode_member(&metadata, "revision");
+    let spec = json_parts::member(&parts, "spec").map(serde_json::from_slice::<Value>).transpose();
+    let reason = match (revision, spec) {
+        (Some(revision), Ok(spec)) => {
+            let metadata = Metadata { name, revision };
+            return Some(StoredObject { metadata, spec: spec.unwrap_or_default() });
+        }
+        (_, Err(err)) => err.to_string(),
+        (None, Ok(_)) => "no revision".to_owned(),
+    };
+    skipped_objects::log_skipped(kind, &name, &reason);
+    let metadata = Metadata { name, revision: revision.unwrap_or(0) };
+    Some(StoredObject { metadata, spec: Value::Null })
+}
--- a/src/slot/lifecycle.rs
+++ b/src/slot/lifecycle.rs
@@ -12,7 +12,7 @@
     fleet::{
         apply_versions, entry_registry, KindUpdate, KindWatch, StoreProbe, StoreRetry, StoreSource,
     },
-    platform::{store::StoredObject, wire_config, wire_server},
+    platform::{skipped_objects::decode_or_skip, store::StoredObject, wire_config, wire_server},
     runtime,
     settings::{DeployedSettings, EngineSettings},
     slot::{
@@ -140,14 +140,8 @@
 
 async fn read_pool(slot: &SlotState) -> bool {
     let Some(objects) = list_objects(slot, wire_config::CONFIG_KIND).await else { return false };
-    let charter = objects.iter().find_map(|it| match wire_config::decode_config(it) {
-        Ok(charter) => charter,
-        Err(err) => {
-            log::error!(
-                "charter: skipped an invalid charter, correct it in the store error=\"{err}\""
-            );
-            None
-        }
+    let charter = objects.iter().find_map(|it| {
+        decode_or_skip(wire_config::CONFIG_KIND, it, wire_config::decode_config).flatten()
     });
     let Some(charter) = charter else { return false };
     let service = charter.services.get(&slot.engine_settings.service);
@@ -167,12 +161,9 @@
     members.clear();
     members.insert(slot.settings.peers, slot.settings.host.zone.clone());
     for object in &objects {
-        match wire_server::decode_server(object) {
-            Ok(server) if server.service == slot.engine_settings.service => {
-                members.insert((server.address.ip(), port).into(), server.zone);
-            }
-            Ok(_) => {}
-            Err(err) => log::debug!("fleet: skipped an invalid backend server error=\"{err}\""),
+        let server = decode_or_skip(wire_server::SERVER_KIND, object, wire_server::decode_server);
+        if let Some(server) = server.filter(|it| it.service == slot.engine_settings.service) {
+            members.insert((server.address.ip(), port).into(), server.zone);
         }
     }
     drop(members);
--- a/standins/src/raw_http/store_standin.rs
+++ b/standins/src/raw_http/store_standin.rs
@@ -144,6 +144,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Writes an object whose `spec` is sent as this text, which need not be JSON.
+    pub fn put_text(&self, kind: &str, name: &str, spec: &[u8]) {
+        self.shared.state.lock().unwrap().store.put_text(kind, name, spec);
+        self.shared.changed.notify_all();
+    }
+
     /// Deletes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         self.shared.state.lock().unwrap().store.remove(kind, name);
@@ -208,14 +214,16 @@
         let mut reader = BufReader::new(stream);
         while let Some(request) = RawRequest::read(&mut reader)? {
             let Some((status, body)) = self.respond(&request, endpoint) else { return Ok(()) };
-            let body = body.to_string();
-            let era = self.state.lock().unwrap().store.era();
+            let (body, era) = {
+                let store = &self.state.lock().unwrap().store;
+                (store.encode(&body), store.era())
+            };
             let head = format!(
                 "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
                  Content-Length: {}\r\n\r\n",
                 body.len()
             );
-            writer.write_all((head + &body).as_bytes())?;
+            writer.write_all(&[head.as_bytes(), &body].concat())?;
         }
         Ok(())
     }
--- a/standins/src/raw_http/store_state.rs
+++ b/standins/src/raw_http/store_state.rs
@@ -28,6 +28,8 @@
     compacted_revision: u64,
     /// The objects before each of the latest changes, newest first.
     copies: VecDeque<Objects>,
+    /// Texts that take the place of a string in responses, by this string; see `put_text`.
+    texts: BTreeMap<String, Vec<u8>>,
 }
 
 impl State {
@@ -68,6 +70,34 @@
         object
     }
 
+    /// Writes an object whose `spec` is sent as this text, which need not be JSON.
+    pub(crate) fn put_text(&mut self, kind: &str, name: &str, spec: &[u8]) {
+        let placeholder = format!("text-{}", self.revision);
+        self.put(kind, name, json!(placeholder));
+        self.texts.insert(placeholder, spec.to_vec());
+    }
+
+    /// Returns the bytes of a response's body.
+    pub(crate) fn encode(&self, body: &Value) -> Vec<u8> {
+        let body = body.to_string();
+        // A part between two quotation marks is a whole string if it is the name of a text.
+        let parts = body.split('"').map(|it| self.texts.get(it).ok_or(it));
+        let mut encoded: Vec<u8> = Vec::new();
+        let mut is_after_text = true;
+        for part in parts {
+            if let Ok(text) = part {
+                encoded.extend(text);
+                is_after_text = true;
+                continue;
+            }
+            if !std::mem::take(&mut is_after_text) {
+                encoded.push(b'"');
+            }
+            encoded.extend(part.unwrap_err().as_bytes());
+        }
+        encoded
+    }
+
     pub(crate) fn remove(&mut self, kind: &str, name: &str) {
         let key = (kind.to_owned(), name.to_owned());
         let Some(mut object) = self.objects.get(&key).cloned() else { return };
