An odd name at the end of a page doesn't end the list

A list ended early, as if it were complete, if the last entry of a page had no name: all backend servers of further pages were taken for removed. A name with a space or another character that no target may have made the request for the next page invalid, so the whole list failed.

The next page is now asked for after the last name that is known in the page, encoded for a query. A page whose names don't lead on ends the list with a warning; before, the same page was read 64 times.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -28,6 +28,8 @@
 const GENERATION: &str = "Store-Era";
 /// Maximum number of pages of one list; further pages are not read.
 const MAX_PAGES: usize = 64;
+/// Bytes of names, besides letters and digits, that stand for themselves in the query of a target.
+const UNRESERVED: &[u8] = b"-._~:@/!$'()*,;";
 
 quick_error! {
     /// An error of a call to the store.
@@ -131,7 +133,6 @@
 /// A page of a list.
 struct Page {
     objects: Vec<StoredObject>,
-    last_name: Option<String>,
     more: bool,
     at: StorePoint,
 }
@@ -156,7 +157,8 @@
         Store { is_relay: true, ..Store::new(address) }
     }
 
-    /// Lists all objects of a kind, page by page. Objects without a name that can be decoded are skipped.
+    /// Lists all objects of a kind, page by page. Objects without a name that can be decoded are skipped,
+    /// and a page without any such name ends the list.
     ///
     /// The point is that of the first page, so that a watch also returns changes that happened
     /// while later pages were read.
@@ -167,19 +169,26 @@
     pub async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         let mut objects: Vec<StoredObject> = Vec::new();
         let mut first_at = None;
-        let mut query = String::new();
+        let mut after: Option<String> = None;
         for _ in 0..MAX_PAGES {
-            let target = format!("/v1/objects/{kind}{query}");
+            let query = after.as_ref().map(|it| format!("?after={}", encode_name(it)));
+            let target = format!("/v1/objects/{kind}{}", query.unwrap_or_default());
             let call = Call::get(&target, CALL_TIMEOUT, MAX_RESPONSE_BYTES);
             let page = decode_page(kind, &self.call(&call).await?)?;
             if first_at.get_or_insert(page.at).generation != page.at.generation {
                 return Err(StoreError::HistoryLost);
             }
-            query = page.last_name.map(|it| format!("?after={it}")).unwrap_or_default();
+            let last_name = page.objects.last().map(|it| it.metadata.name.clone());
             objects.extend(page.objects);
-            if !page.more || query.is_empty() {
+            if !page.more {
                 break;
             }
+            // A page whose names don't go on can't be passed.
+            if last_name.is_none() || last_name == after {
+                log::warn!("platform: the list ends early, no page follows by name kind={kind}");
+                break;
+            }
+            after = last_name;
         }
         Ok(Listing { objects, at: first_at.unwrap_or_default() })
     }
@@ -271,10 +280,8 @@
     let revision = json_parts::decode_member(&parts, "at");
     let revision = revision.ok_or_else(|| invalid_response("no revision"))?;
     let more = json_parts::member(&parts, "more").map(serde_json::from_slice).transpose()?;
-    let last_name = items.last().and_then(|it| decode_object(kind, it)).map(|it| it.metadata.name);
     Ok(Page {
         objects: items.iter().filter_map(|it| decode_object(kind, it)).collect(),
-        last_name,
         more: more.unwrap_or(false),
         at: StorePoint { generation: generation_of(response, &parts), revision },
     })
@@ -287,6 +294,16 @@
     in_header.or_else(|| json_parts::decode_member(parts, "generation")).unwrap_or(0)
 }
 
+/// Encodes a name for the query of a target.
+fn encode_name(name: &str) -> String {
+    let encode = |byte: u8| match byte {
+        b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' => char::from(byte).to_string(),
+        _ if UNRESERVED.contains(&byte) => char::from(byte).to_string(),
+        _ => format!("%{byte:02X}"),
+    };
+    name.bytes().map(encode).collect()
+}
+
 /// Decodes a change; returns `None` if the object has no name that can be decoded.
 ///
 /// # Errors
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -7,7 +7,8 @@
     time::{Duration, Instant},
 };
 
-use crocustiller_standins::raw_http::ScriptedServer;
+use crocustiller::{platform::store::Store, runtime};
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
 use entry_process::{charter, complete_response, request, server_entry, Deployment, EntryProcess};
 use serde_json::json;
 
@@ -50,6 +51,48 @@
     }
 }
 
+/// An entry without a name stands last in a page, and names have characters that no target may have.
+#[test]
+fn odd_last_entry_ends_no_list() {
+    let pages = [
+        ("", r#"{"items":[{"metadata":{"name":"a b","revision":1}},{}],"more":true,"at":9}"#),
+        (
+            "?after=a%20b",
+            r#"{"items":[{"metadata":{"name":"c&%\r\n","revision":2}},7],"more":true,"at":9}"#,
+        ),
+        ("?after=c%26%25%0D%0A", r#"{"items":[{"metadata":{"name":"d","revision":3}}],"at":9}"#),
+    ];
+    let names = list_names(move |query| pages.iter().find(|it| it.0 == query).map(|it| it.1));
+    assert_eq!(names, ["a b", "c&%\r\n", "d"]);
+}
+
+/// No entry of a page after the first has a name, so that there is no way on.
+#[test]
+fn pages_without_names_end() {
+    let names = list_names(|query| match query {
+        "" => Some(r#"{"items":[{"metadata":{"name":"a","revision":1}}],"more":true,"at":9}"#),
+        "?after=a" => Some(r#"{"items":[{},{"metadata":{"name":3}}],"more":true,"at":9}"#),
+        _ => None,
+    });
+    assert_eq!(names, ["a"]);
+    // The store sends the same page again and again.
+    let page = r#"{"items":[{"metadata":{"name":"a","revision":1}}],"more":true,"at":9}"#;
+    assert_eq!(list_names(move |_| Some(page)), ["a", "a"]);
+}
+
+/// Lists the names in a store that answers each query with this page, or with status 400.
+fn list_names(page: impl Fn(&str) -> Option<&'static str> + Send + Sync + 'static) -> Vec<String> {
+    let server = ScriptedServer::start(move |request: &RawRequest| {
+        let query = request.target.strip_prefix("/v1/objects/servers").unwrap();
+        let (status, body) = page(query).map_or((400, ""), |it| (200, it));
+        let head = format!("HTTP/1.1 {status} x\r\nContent-Length: {}\r\n\r\n", body.len());
+        vec![Step::Send((head + body).into_bytes())]
+    });
+    let store = Store::new(server.unwrap().address());
+    let listing = runtime::run_local(store.list("servers")).unwrap();
+    listing.objects.into_iter().map(|it| it.metadata.name).collect()
+}
+
 /// Values that no decoder of ours reads, with a name for each.
 fn odd_values() -> Vec<(String, Vec<u8>)> {
     let nested = |depth: usize| [b"[".repeat(depth), b"]".repeat(depth)].concat();
