What takes the place of a sound entry when it becomes odd

A host that started through an entry host learned no charter while what stood under its name had no number that can be read: the relay's cache dropped the charter in force at its next list. It now keeps it until a list lacks the name, a removal or a readable one.

For backend servers the behaviour stays and is now tested and written down: an odd entry names no engine to use, so it counts as a removal until a sound one stands there. A kept entry was weighed; what can't be read may say that the engine leaves. Also tested: a removal of an unknown object lists again.

--- a/src/fleet/kind_cache.rs
+++ b/src/fleet/kind_cache.rs
@@ -62,17 +62,27 @@
 
 impl KindCache {
     /// Replaces the objects of a kind with a complete list, but keeps documents that the store has lost
-    /// or has with smaller numbers since it came back from an older copy.
+    /// or has with smaller numbers since it came back from an older copy, and those that were overwritten
+    /// by what has no number.
     pub fn replace(&self, kind: &'static str, listing: &Listing) {
         let objects = listing.objects.iter().map(|it| (it.metadata.name.clone(), it.clone()));
         let mut objects: BTreeMap<String, StoredObject> = objects.collect();
         let mut retained = BTreeSet::new();
         if let Some(mut before) = self.kinds.borrow_mut().remove(kind) {
-            // Within a generation a list is complete, but for what the store had lost before.
-            if before.at.generation >= listing.at.generation {
-                before.objects.retain(|name, _| before.retained.contains(name));
+            // Within a generation a list is complete, but for what the store had lost before, and for
+            // documents that are listed without a number that can be read.
+            let is_same_generation = before.at.generation >= listing.at.generation;
+            let is_unreadable =
+                |it: &StoredObject| is_same_generation && rising_number(kind, it).is_none();
+            let unreadable: BTreeSet<String> =
+                objects.values().filter(|it| is_unreadable(it)).map(name_of).collect();
+            if is_same_generation {
+                let is_kept = |it: &String| before.retained.contains(it) || unreadable.contains(it);
+                before.objects.retain(|it, _| is_kept(it));
             }
             retained = keep_newer(kind, before.objects, &mut objects);
+            // A later list without them removes them.
+            retained.retain(|it| before.retained.contains(it) || !unreadable.contains(it));
         }
         let cached = CachedKind {
             objects,
@@ -203,6 +213,10 @@
     }
 }
 
+fn name_of(object: &StoredObject) -> String {
+    object.metadata.name.clone()
+}
+
 /// Adds the known documents of a kind with numbers to `listed`, unless that has the same or a greater
 /// number; returns the names of those that it added.
 fn keep_newer(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -311,7 +311,7 @@
 /// Returns `StoreError::HistoryLost` if an unknown object may have been removed, which only a list
 /// can tell.
 fn decode_change(kind: &str, text: &[u8]) -> Result<Option<Change>, StoreError> {
-    let parts = json_parts::members(text).unwrap_or_default();
+    let parts = json_parts::members(text).ok_or(StoreError::HistoryLost)?;
     let object = json_parts::member(&parts, "object").and_then(|it| decode_object(kind, it));
     let deleted = match json_parts::member(&parts, "deleted") {
         Some(it) => serde_json::from_slice(it).ok(),
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -7,13 +7,24 @@
     time::{Duration, Instant},
 };
 
-use crocustiller::{platform::store::Store, runtime};
+use crocustiller::{
+    fleet::KindCache,
+    platform::{
+        store::{Change, Changes, Listing, Store, StoreError, StoredObject},
+        StorePoint,
+    },
+    runtime,
+};
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
 use entry_process::{charter, complete_response, request, server_entry, Deployment, EntryProcess};
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// Time within which a change of a sound entry must be in force.
 const CHANGE_LIMIT: Duration = Duration::from_secs(4);
+/// Time after which a change of a server is in force at a host on a busy machine.
+const APPLY_TIME: Duration = Duration::from_millis(600);
+/// Time that a server takes to respond.
+const RESPONSE_TIME: Duration = Duration::from_millis(150);
 /// The kinds that an entry host follows.
 const KINDS: [&str; 4] = ["servers", "config", "versions", "entry-hosts"];
 
@@ -51,6 +62,114 @@
     }
 }
 
+/// An entry that becomes odd names no server to use until a sound one takes its place, whatever state
+/// it tells; its removal is seen too. Requests that run go on.
+#[test]
+fn odd_entry_replaces_sound_one() {
+    let wrong_type = ("a wrong type".to_owned(), b"1".to_vec());
+    thread::scope(|scope| {
+        for (odd, value) in odd_values().into_iter().chain([wrong_type]) {
+            scope.spawn(move || check_replaced(&odd, &value));
+        }
+    });
+}
+
+/// Checks that a sound entry is no longer used when one with this value takes its place.
+fn check_replaced(odd: &str, value: &[u8]) {
+    let [first, second] =
+        ["first", "second"].map(|it| ScriptedServer::start(slow_response(it)).unwrap());
+    let Deployment { store, entry } = Deployment::start("ledger", &[&first, &second]);
+    let sound = server_entry("ledger", first.address(), "ready");
+    for state in ["ready", "draining"] {
+        store.put("servers", "ledger-0", sound.clone());
+        wait_for(&entry, "first", &format!("{odd}: a sound entry isn't used"));
+        let spec = server_entry("ledger", first.address(), state).to_string();
+        let rest = spec.replace("\"zone\":\"depot\"", "\"other\":0");
+        let odd_spec = [b"{\"zone\":", value, b",", &rest.as_bytes()[1..]].concat();
+        thread::scope(|scope| {
+            let running = (0..8).map(|_| scope.spawn(|| status(&entry)));
+            let running: Vec<_> = running.collect();
+            thread::sleep(RESPONSE_TIME / 3);
+            store.put_text("servers", "ledger-0", &odd_spec);
+            running.into_iter().for_each(|it| assert_eq!(it.join().unwrap(), 200, "{odd}"));
+        });
+        thread::sleep(APPLY_TIME);
+        let n_before = first.requests().len();
+        (0..6).for_each(|_| assert_eq!(status(&entry), 200, "{odd}"));
+        assert_eq!(first.requests().len(), n_before, "{odd}: used by an odd entry");
+    }
+    store.remove("servers", "ledger-0");
+    store.put("servers", "ledger-0", sound);
+    wait_for(&entry, "first", &format!("{odd}: not used after a removal"));
+}
+
+/// A removal whose object has no name, or a change that may be one, is told by a list.
+#[test]
+fn removal_without_name_lists_again() {
+    let watch = |event: &str| {
+        let body = format!("{{\"events\":[{event}],\"at\":9}}");
+        let head = format!("HTTP/1.1 200 x\r\nContent-Length: {}\r\n\r\n", body.len());
+        let server =
+            ScriptedServer::start(move |_| vec![Step::Send((head.clone() + &body).into())]);
+        let store = Store::new(server.unwrap().address());
+        let at = StorePoint { generation: 1, revision: 1 };
+        runtime::run_local(store.watch("servers", at, Duration::ZERO))
+    };
+    for event in [
+        r#"{"object":{"metadata":{"name":3,"revision":2}},"deleted":true}"#,
+        r#"{"object":{"metadata":{"name":"a","revision":2}},"deleted":1e400}"#,
+        r#"{"deleted":true}"#,
+        "7",
+    ] {
+        let res = watch(event);
+        assert!(matches!(res, Err(StoreError::HistoryLost)), "{event}: {res:?}");
+    }
+    let nameless = watch(r#"{"object":{},"deleted":false}"#).unwrap();
+    assert_eq!((nameless.events, nameless.at.revision), (Vec::new(), 9));
+    let removal = r#"{"object":{"metadata":{"name":"a","revision":2},"spec":NaN},"deleted":true}"#;
+    let changes = watch(removal).unwrap();
+    assert!(changes.events[0].deleted);
+    assert_eq!(changes.events[0].object.metadata.name, "a");
+}
+
+/// A configuration that becomes odd stays in force, and a host that starts through another one learns
+/// it.
+#[test]
+fn odd_charter_keeps_the_last_one() {
+    let cache = KindCache::default();
+    let at = |revision| StorePoint { generation: 1, revision };
+    let object = |revision: u64, spec: Value| -> StoredObject {
+        let metadata = json!({ "name": "main", "revision": revision });
+        serde_json::from_value(json!({ "metadata": metadata, "spec": spec })).unwrap()
+    };
+    let listing =
+        |revision, spec| Listing { objects: vec![object(revision, spec)], at: at(revision) };
+    let specs = || -> Vec<Value> {
+        cache.listing("config").unwrap().objects.into_iter().map(|it| it.spec).collect()
+    };
+    let changed = |revision: u64, spec: Value, deleted: bool| {
+        let events = vec![Change { object: object(revision, spec), deleted }];
+        cache.apply("config", &Changes { events, at: at(revision), max_age: Duration::ZERO });
+    };
+    let sound = |number: u64| json!({ "version": number });
+    cache.replace("config", &listing(1, sound(4)));
+    changed(2, Value::Null, false);
+    assert_eq!(specs(), [sound(4)], "after a change");
+    cache.replace("config", &listing(3, Value::Null));
+    cache.replace("config", &listing(4, Value::Null));
+    assert_eq!(specs(), [sound(4)], "after two lists");
+    cache.replace("config", &listing(5, sound(3)));
+    assert_eq!(specs(), [sound(3)], "a list of the same generation is complete");
+    changed(6, Value::Null, false);
+    changed(7, Value::Null, true);
+    assert!(specs().is_empty(), "after the removal");
+    changed(8, sound(5), false);
+    cache.replace("config", &listing(9, Value::Null));
+    assert_eq!(specs(), [sound(5)], "after another list");
+    cache.replace("config", &Listing { objects: Vec::new(), at: at(10) });
+    assert!(specs().is_empty(), "after a list without it");
+}
+
 /// An entry without a name stands last in a page, and names have characters that no target may have.
 #[test]
 fn odd_last_entry_ends_no_list() {
@@ -116,6 +235,16 @@
     [b"{\"odd\":", value, b",", &sound.as_bytes()[1..]].concat()
 }
 
+/// Returns a script that sends a complete response after a time.
+fn slow_response(body: &'static str) -> impl Fn(&RawRequest) -> Vec<Step> {
+    let respond = complete_response(body);
+    move |request| [vec![Step::Pause(RESPONSE_TIME)], respond(request)].concat()
+}
+
+fn status(host: &EntryProcess) -> u16 {
+    host.exchange(&request("GET", "/stock/x", "odd", "")).status()
+}
+
 fn wait_for(host: &EntryProcess, expected: &str, failure: &str) {
     let since = Instant::now();
     loop {
