Bound the numbers of entries and charters before they are summed

Two engines of a pool, one of them with slots in its entry, cost every request to the pool its answer: the sum of the slots overflowed, the task that served the caller ended (debug build; by the code, a release build would go on with a wrapped sum, so with a short queue, and never choose that engine). The weights of a route's targets overflow alike, and so do products of very long times and of the interval between pieces at a tiny rate.

The lists of absurd values in malformed_messages got longer times.

--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     ids::ServiceId,
-    platform::store::StoredObject,
+    platform::{store::StoredObject, wire_server::MAX_COUNT},
     routing::{
         CallerLimits, EngineSpec, ModelSpec, Origin, Route, RouteKind, RouteTarget, RoutingCharter,
         Service,
@@ -22,6 +22,8 @@
 pub const CONFIG_KIND: &str = "config";
 /// The number of bytes in a megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
+/// Longest time that is used; points in time after longer ones might not be representable.
+const MAX_TIME: Duration = Duration::from_secs(7 * 24 * 60 * 60);
 /// The name of the configuration object.
 const CONFIG_NAME: &str = "main";
 
@@ -164,8 +166,8 @@
         let limits = CallerLimits {
             max_head_bytes: self.limits.max_header_bytes,
             max_body_bytes: self.limits.max_body_bytes,
-            head_timeout: self.limits.header_timeout_ms,
-            idle_timeout: self.limits.idle_timeout_ms,
+            head_timeout: self.limits.header_timeout_ms.min(MAX_TIME),
+            idle_timeout: self.limits.idle_timeout_ms.min(MAX_TIME),
         };
         RoutingCharter { number: self.version, routes, services, customers, limits }
     }
@@ -190,8 +192,8 @@
             host: self.host.to_ascii_lowercase(),
             prefix: self.path_prefix,
             kind,
-            timeout: self.timeout_ms,
-            latency_objective: self.goal_ms,
+            timeout: self.timeout_ms.min(MAX_TIME),
+            latency_objective: self.goal_ms.min(MAX_TIME),
             priority: self.priority,
             targets,
             max_attempts: self.max_attempts,
@@ -203,16 +205,16 @@
 impl WireService {
     fn into_service(self) -> (ServiceId, Service) {
         let engine = self.engine.map(|it| EngineSpec {
-            slots: it.slots,
+            slots: it.slots.min(MAX_COUNT),
             models: it
                 .models
                 .into_iter()
-                .map(|it| ModelSpec { name: it.name, load: it.warm_s })
+                .map(|it| ModelSpec { name: it.name, load: it.warm_s.min(MAX_TIME) })
                 .collect(),
             n_layers: it.layers,
-            n_pieces: it.chunks,
+            n_pieces: it.chunks.min(MAX_COUNT),
             piece_bytes: it.chunk_bytes,
-            step: it.step_ms,
+            step: it.step_ms.min(MAX_TIME),
             read_tokens_per_s: it.read_per_s,
         });
         let origin = self.origin.map(|address| {
--- a/src/platform/wire_server.rs
+++ b/src/platform/wire_server.rs
@@ -14,6 +14,8 @@
 pub const SERVER_KIND: &str = "servers";
 /// The kind of the objects that publish new versions of weights.
 pub const VERSION_KIND: &str = "versions";
+/// Greatest number of slots, and of pieces of weights, that is used; sums of more might overflow.
+pub(crate) const MAX_COUNT: u32 = 1 << 16;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -70,7 +72,7 @@
         service: entry.service,
         address: entry.address,
         zone: entry.zone,
-        slots: entry.slots,
+        slots: entry.slots.min(MAX_COUNT),
         state,
         weights: entry.weights.decode(),
         is_switching: false,
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -63,13 +63,13 @@
 
     /// Chooses the pool or service for a request by weight; `random` is uniform in 0 to 1.
     pub fn choose_service(&self, random: f64) -> Option<&ServiceId> {
-        let total: u32 = self.targets.iter().map(|it| it.weight).sum();
-        let mut remaining = (random * f64::from(total)) as u32;
+        let total: u64 = self.targets.iter().map(|it| u64::from(it.weight)).sum();
+        let mut remaining = (random * total as f64) as u64;
         for target in &self.targets {
-            if remaining < target.weight {
+            if remaining < u64::from(target.weight) {
                 return Some(&target.service);
             }
-            remaining -= target.weight;
+            remaining -= u64::from(target.weight);
         }
         self.targets.first().map(|it| &it.service)
     }
--- a/src/slot/origin_schedule.rs
+++ b/src/slot/origin_schedule.rs
@@ -20,6 +20,8 @@
 /// Share of a piece's transfer time on the origin's link after which the next piece is requested;
 /// below 1 so that the link is never idle.
 const PACING_SHARE: f64 = 0.9;
+/// Longest interval between the scheduled fetches of two pieces, whatever rate is configured.
+const MAX_INTERVAL: Duration = Duration::from_secs(60);
 
 /// A schedule of the origin fetches of one version, with backoff after failures and claims for
 /// other slots.
@@ -82,12 +84,11 @@
         let is_paced = !self.has_failed.get() && !self.has_joined_late.get();
         let Some(pool) = pool.as_ref().filter(|_| is_paced) else { return Duration::ZERO };
         let rate = pool.origin.as_ref().map_or(0.0, |it| it.bytes_per_s);
-        match rate > 0.0 {
-            true => Duration::from_secs_f64(
-                PACING_SHARE * f64::from(pool.engine_spec.piece_bytes) / rate,
-            ),
-            false => Duration::ZERO,
+        if rate <= 0.0 {
+            return Duration::ZERO;
         }
+        let seconds = PACING_SHARE * f64::from(pool.engine_spec.piece_bytes) / rate;
+        Duration::try_from_secs_f64(seconds).map_or(MAX_INTERVAL, |it| it.min(MAX_INTERVAL))
     }
 
     /// Fetches a piece from the origin and announces to other slots that it is being fetched.
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -99,7 +99,9 @@
 #[test]
 fn absurd_configurations() {
     thread::scope(|scope| {
-        for value in [json!(0), json!(u32::MAX), json!(1e300), json!("")] {
+        let times = [json!(1e18), json!(1e22)];
+        let values = [json!(0), json!(u32::MAX), json!(u64::MAX), json!(1e300), json!("")];
+        for value in values.into_iter().chain(times) {
             scope.spawn(move || apply_absurd_configurations(&value));
         }
     });
@@ -128,6 +130,50 @@
     check_serves(deployment, &format!("configurations with {value}"));
 }
 
+/// Engines and services whose entries have absurd values that can be decoded don't end a host or keep
+/// it from serving and following; here together, so that sums are absurd too.
+#[test]
+fn absurd_entries_of_servers() {
+    let engine = ScriptedServer::start(|request| {
+        let bytes = entry_process::stream_head(request);
+        let end = [entry_process::event_chunk(1), b"0\r\n\r\n".to_vec()].concat();
+        vec![Step::Pause(Duration::from_millis(20)), Step::Send([bytes, end].concat())]
+    })
+    .unwrap();
+    let mut deployment = Deployment::start("pool", &[&engine]);
+    let sound = server_entry("pool", engine.address(), "ready");
+    let ask = |deployment: &Deployment, id: &str| {
+        let headers = "X-Model: lots\r\nX-Token-Counts: 100,20\r\n";
+        deployment.entry.exchange(&request("POST", "/draft/1", id, headers)).status()
+    };
+    for value in absurd_values() {
+        // All variants at once, at the address of a server that responds.
+        for (number, spec) in absurd_variants(&sound, &value).into_iter().enumerate() {
+            deployment.store.put("servers", &format!("absurd-{number}"), spec);
+        }
+        let mut widest = sound.clone();
+        widest["slots"] = value.clone();
+        for name in ["pool-0", "pool-1", "pool-2"] {
+            deployment.store.put("servers", name, widest.clone());
+        }
+        thread::sleep(Duration::from_millis(300));
+        // Whether they are refused depends on the values.
+        for number in 0..4 {
+            let status = ask(&deployment, &format!("absurd-{number}"));
+            assert_ne!(status, 0, "{value}: neither answered nor refused");
+        }
+        assert!(!deployment.entry.has_exited(), "{value}");
+    }
+    let stored = deployment.store.objects("servers");
+    for name in stored.iter().map(|it| it["metadata"]["name"].as_str().unwrap()) {
+        deployment.store.remove("servers", name);
+    }
+    deployment.store.put("servers", "pool-0", sound);
+    thread::sleep(Duration::from_millis(600));
+    assert_eq!(ask(&deployment, "sound"), 200);
+    check_follows(deployment);
+}
+
 /// Callers that state absurd sizes of prompts.
 #[test]
 fn absurd_prompt_sizes() {
@@ -188,6 +234,15 @@
     assert_eq!(response.status(), 200, "{}", response.text());
 }
 
+/// Checks that a service that is new in the store is used.
+fn check_follows(deployment: Deployment) {
+    let ledger = ScriptedServer::start(complete_response("own")).unwrap();
+    let entry = server_entry("ledger", ledger.address(), "ready");
+    deployment.store.put("servers", "ledger-0", entry);
+    thread::sleep(Duration::from_millis(400));
+    check_serves(deployment, "servers");
+}
+
 fn check_serves(mut deployment: Deployment, case: &str) {
     thread::sleep(Duration::from_millis(200));
     assert!(!deployment.entry.has_exited(), "{case}");
@@ -291,9 +346,10 @@
 fn absurd_values() -> Vec<Value> {
     let numbers =
         [json!(-1), json!(-0.5), json!(0), json!(1e300), json!(u64::MAX), json!(u32::MAX)];
+    let times = [json!(1e18), json!(1e22), json!(i64::MAX), json!(u64::MAX / 1000)];
     let others =
         [json!(null), json!(true), json!(""), json!("x"), json!([]), json!([[]]), json!({})];
-    numbers.into_iter().chain(others).collect()
+    numbers.into_iter().chain(times).chain(others).collect()
 }
 
 /// Returns a copy of `spec` for each of its values, with that value replaced.
