Odd members don't hide an engine's report or its staged pieces

A report with a member that the slot doesn't need, nested too deep or with a number out of range, failed as a whole, so the slot could neither load weights nor tell of them; a list of staged pieces failed with one odd number, and was taken for piece 1.

Only the needed members of a report are decoded now, each from its own text; one of these that can't be decoded is still an error, since a default would be wrong. Numbers of pieces are decoded one by one, within their range. A cut body is an error as before.

--- a/src/json_parts.rs
+++ b/src/json_parts.rs
@@ -54,6 +54,29 @@
     member(members, name).and_then(|it| serde_json::from_slice(it).ok())
 }
 
+/// Decodes items; skips and logs those that can't be decoded.
+pub fn decode_items<T: DeserializeOwned>(items: &[&[u8]]) -> Vec<T> {
+    let decode = |it: &&[u8]| {
+        let res = serde_json::from_slice(it);
+        res.inspect_err(|err| log::warn!("json: skipped an invalid item error=\"{err}\"")).ok()
+    };
+    items.iter().filter_map(decode).collect()
+}
+
+/// Returns the text of an object with only the members of these names.
+pub fn select(members: &[(String, &[u8])], names: &[&str]) -> Vec<u8> {
+    let mut text = vec![b'{'];
+    for name in names {
+        if let Some(value) = member(members, name) {
+            let separator = if text.len() > 1 { "," } else { "" };
+            text.extend(format!("{separator}\"{name}\":").into_bytes());
+            text.extend(value);
+        }
+    }
+    text.push(b'}');
+    text
+}
+
 /// Returns the position of the comma or closing bracket after the value at the start of the text, or
 /// its length; `None` if the value is cut.
 fn end_of_value(text: &[u8]) -> Option<usize> {
--- a/src/platform/engine_api.rs
+++ b/src/platform/engine_api.rs
@@ -5,11 +5,12 @@
 
 use quick_error::quick_error;
 use serde::Deserialize;
-use serde_json::{json, Value};
+use serde_json::json;
 
 use crate::{
     http1::{Call, Client, HttpError, Response},
     ids::WeightsVersion,
+    json_parts,
     platform::wire_server::WireWeights,
     routing::LoadedLayers,
 };
@@ -19,6 +20,10 @@
 /// Maximum length of a response: one piece and a margin.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// The members of a report that are decoded.
+const REPORT_MEMBERS: [&str; 7] =
+    ["models", "layers", "busy", "sequence", "born", "running", "queued"];
+
 quick_error! {
     /// An error of a call to an engine or to the origin of weights.
     #[derive(Debug)]
@@ -122,7 +127,9 @@
     pub async fn read_report(&self) -> Result<EngineReport, EngineError> {
         let response =
             self.call(&Call::get("/v1/report", CALL_TIMEOUT, MAX_RESPONSE_BYTES)).await?;
-        let report: WireReport = serde_json::from_slice(&response.body)?;
+        let members = members_of(&response)?;
+        let report: WireReport =
+            serde_json::from_slice(&json_parts::select(&members, &REPORT_MEMBERS))?;
         Ok(EngineReport {
             weights: report.weights.decode(),
             is_busy: report.busy,
@@ -141,9 +148,9 @@
             Err(EngineError::Refused(404)) => return Ok(Vec::new()),
             res => res?,
         };
-        let value: Value = serde_json::from_slice(&response.body)?;
-        let numbers = value["held"].as_array().cloned().unwrap_or_default();
-        Ok(numbers.iter().filter_map(|it| it.as_u64()).map(|it| it as u32).collect())
+        let members = members_of(&response)?;
+        let numbers = json_parts::member(&members, "held").and_then(json_parts::items);
+        Ok(json_parts::decode_items(&numbers.unwrap_or_default()))
     }
 
     /// Reads a piece from the staging area, without verifying its digest.
@@ -206,6 +213,12 @@
     }
 }
 
+/// Returns the names and the texts of the members of a response's body.
+fn members_of(response: &Response) -> Result<Vec<(String, &[u8])>, EngineError> {
+    let invalid = || serde::de::Error::custom("the body is cut or is not an object");
+    json_parts::members(&response.body).ok_or_else(|| EngineError::InvalidResponse(invalid()))
+}
+
 /// Returns the response if its status is 2xx, else `EngineError::Refused`.
 pub(crate) fn check_status(response: Response) -> Result<Response, EngineError> {
     match response.head.status {
