An odd host doesn't hide the others in the platform's list of hosts

A process that finds no other host by its settings joins by this list; one host in it that could not be decoded failed the whole list. Hosts are now decoded one by one, odd ones are skipped and logged.

--- a/src/objects/platform_client.rs
+++ b/src/objects/platform_client.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     ids::{HostId, Revision},
+    json_parts,
     net::{CallError, HttpClient},
     verdict::Verdict,
 };
@@ -33,11 +34,6 @@
     pub peer_address: SocketAddr,
 }
 
-#[derive(Deserialize)]
-struct HostList {
-    hosts: Vec<ListedHost>,
-}
-
 /// The condition under which a write takes effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Precondition {
@@ -104,7 +100,7 @@
         }
     }
 
-    /// Reads the list of hosts, which may be stale or wrong.
+    /// Reads the list of hosts, which may be stale or wrong; skips hosts that can't be decoded.
     pub async fn hosts(&self) -> Result<Vec<ListedHost>, PlatformError> {
         let request = |address: SocketAddr| {
             let url = Url::parse(&format!("http://{address}/hosts"));
@@ -112,9 +108,9 @@
         };
         let (response, value) = self.call(request, self.timeout).await?;
         match u16::from(response.status()) {
-            200 => serde_json::from_slice::<HostList>(&value)
-                .map(|it| it.hosts)
-                .map_err(|err| PlatformError::Unavailable(Verdict::Ran, err.to_string())),
+            200 => decode_hosts(&value).ok_or_else(|| {
+                PlatformError::Unavailable(Verdict::Ran, "no list of hosts".to_owned())
+            }),
             status => Err(status_error("hosts", status)),
         }
     }
@@ -194,6 +190,12 @@
     Url::parse(&text).expect("an address and an object name make a URL")
 }
 
+fn decode_hosts(text: &[u8]) -> Option<Vec<ListedHost>> {
+    let members = json_parts::members(text)?;
+    let hosts = json_parts::member(&members, "hosts").and_then(json_parts::items)?;
+    Some(json_parts::decode_items(&hosts))
+}
+
 fn revision_of(response: &Response) -> Revision {
     response.header("ETag").and_then(|it| it.as_str().parse().ok()).unwrap_or(0)
 }
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -1,11 +1,17 @@
 //! Parts that can't be decoded, in bodies of many parts other than the store's, stop no other part.
 
+use std::time::Duration;
+
 use crocustiller::{
+    net::HttpClient,
+    objects::PlatformClient,
     platform::engine_api::{EngineApi, EngineError},
     runtime,
 };
 use crocustiller_standins::raw_http::{ScriptedServer, Step};
 
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Texts of values that no decoder of ours reads.
 fn odd_values() -> Vec<String> {
     let nested = |it: usize| "[".repeat(it) + &"]".repeat(it);
@@ -57,3 +63,22 @@
     let res = runtime::run_local(EngineApi::new(server.address()).list_staged_pieces("lots"));
     assert!(matches!(res, Err(EngineError::InvalidResponse(_))), "{res:?}");
 }
+
+/// A host that can't be decoded hides no other in the list by which a process joins.
+#[test]
+fn odd_host_hides_no_other() {
+    for odd in odd_values() {
+        let server = serve(format!(
+            r#"{{"hosts":[{{"host":"a","peer_address":"127.0.0.1:1"}},{odd},
+            {{"host":"b","peer_address":{odd}}},{{"host":"c","peer_address":"127.0.0.1:99999"}},
+            {{"host":"d","peer_address":"127.0.0.1:4","other":{odd}}}]}}"#
+        ));
+        let address = server.address();
+        let hosts = runtime::run_until(async move {
+            PlatformClient::new(vec![address], CALL_TIMEOUT, HttpClient::new()).hosts().await
+        });
+        let names: Vec<String> = hosts.unwrap().into_iter().map(|it| it.host).collect();
+        assert_eq!(names[0], "a");
+        assert!(names == ["a"] || names == ["a", "d"], "{names:?}");
+    }
+}
