An odd entry doesn't clear the quarantine

One entry of the stored quarantine that could not be decoded made the whole document count as empty: the next change wrote it again with that change alone, from number 1, so requests that crash backend servers were let in again, and the hosts, which knew a greater number, didn't take the new document. Entries are now decoded one by one.

Charters and patches are still refused as a whole, as half a charter isn't what the operator wrote.

--- a/src/operator/quarantine_routes.rs
+++ b/src/operator/quarantine_routes.rs
@@ -44,5 +44,5 @@
 
 fn current_quarantine(node: &Node) -> Quarantine {
     let document = node.documents.document(&DocumentName::Quarantine);
-    document.and_then(|it| serde_json::from_slice(&it.json).ok()).unwrap_or_default()
+    document.and_then(|it| Quarantine::parse(&it.json)).unwrap_or_default()
 }
--- a/src/request/quarantine.rs
+++ b/src/request/quarantine.rs
@@ -5,6 +5,7 @@
 use crate::{
     digest::Digest,
     ids::{DocumentNumber, HostId},
+    json_parts,
 };
 
 /// Number of crashed backend servers, on different hosts, after which a request is refused.
@@ -62,6 +63,15 @@
 }
 
 impl Quarantine {
+    /// Parses a JSON text; `None` if it has no number or no entries. An entry that can't be decoded is
+    /// skipped, so that it doesn't clear the others.
+    pub fn parse(json: &[u8]) -> Option<Quarantine> {
+        let members = json_parts::members(json)?;
+        let number = json_parts::decode_member(&members, "number")?;
+        let entries = json_parts::member(&members, "entries").and_then(json_parts::items)?;
+        Some(Quarantine { number, entries: json_parts::decode_items(&entries) })
+    }
+
     /// Returns the status of the request with `fingerprint`.
     pub fn status_of(&self, fingerprint: &Digest) -> QuarantineStatus {
         let entry = self.entries.iter().find(|it| it.fingerprint == *fingerprint);
--- a/src/request/quarantine_stage.rs
+++ b/src/request/quarantine_stage.rs
@@ -103,7 +103,7 @@
             None => Precondition::Absent,
         };
         let value = object.map(|it| it.value).unwrap_or_default();
-        let current: Quarantine = serde_json::from_slice(&value).unwrap_or_default();
+        let current = Quarantine::parse(&value).unwrap_or_default();
         let mut next = current.clone();
         batch.iter().for_each(|it| next.apply(it));
         if next == current {
@@ -136,9 +136,9 @@
             return latest.clone();
         };
         if document.number > latest.number {
-            match serde_json::from_slice(&document.json) {
-                Ok(quarantine) => *latest = Arc::new(quarantine),
-                Err(err) => log::warn!("quarantine: skipped an invalid document error=\"{err}\""),
+            match Quarantine::parse(&document.json) {
+                Some(quarantine) => *latest = Arc::new(quarantine),
+                None => log::warn!("quarantine: skipped an invalid document"),
             }
         }
         latest.clone()
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -6,11 +6,13 @@
     net::HttpClient,
     objects::PlatformClient,
     platform::engine_api::{EngineApi, EngineError},
+    request::Quarantine,
     runtime,
 };
 use crocustiller_standins::raw_http::{ScriptedServer, Step};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const FINGERPRINT: &str = "00000000000000000000000000000000000000000000000000000000000000";
 
 /// Texts of values that no decoder of ours reads.
 fn odd_values() -> Vec<String> {
@@ -82,3 +84,19 @@
         assert!(names == ["a"] || names == ["a", "d"], "{names:?}");
     }
 }
+
+/// An entry of the quarantine that can't be decoded hides no other, and a document without a number
+/// is none.
+#[test]
+fn odd_entry_clears_no_quarantine() {
+    for odd in odd_values() {
+        let text = format!(
+            r#"{{"number":6,"entries":[{{"fingerprint":"{FINGERPRINT}01","hosts":["a","b"]}},{odd},
+            {{"fingerprint":{odd},"hosts":[]}},{{"fingerprint":"{FINGERPRINT}02","hosts":["a"]}}]}}"#
+        );
+        let quarantine = Quarantine::parse(text.as_bytes()).unwrap();
+        assert_eq!((quarantine.number, quarantine.entries.len()), (6, 2));
+    }
+    assert!(Quarantine::parse(b"{\"entries\":[]}").is_none());
+    assert!(Quarantine::parse(b"{\"number\":6,\"entries\":[").is_none());
+}
