--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -15,7 +15,7 @@
     },
     runtime,
 };
-use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreFault};
 use entry_process::{charter, complete_response, request, server_entry, Deployment, EntryProcess};
 use serde_json::{json, Value};
 
@@ -62,6 +62,47 @@
     }
 }
 
+/// Hosts that the store refuses follow through another one while odd entries stand there.
+#[test]
+fn odd_entry_is_relayed() {
+    let [first, second] =
+        ["first", "second"].map(|it| ScriptedServer::start(complete_response(it)).unwrap());
+    let Deployment { store, entry } = Deployment::start("ledger", &[&first]);
+    let endpoint = store.open_endpoint().unwrap();
+    let start = |id: &str| {
+        let host = EntryProcess::start_with_store(endpoint.address(), id);
+        host.wait_until_ready();
+        host
+    };
+    let hosts = [start("entry-2"), start("entry-3")];
+    // Time for the beacons of all.
+    thread::sleep(Duration::from_millis(1500));
+    endpoint.set_fault(StoreFault::Reset);
+    for (number, (_, value)) in odd_values().into_iter().enumerate() {
+        for kind in KINDS {
+            store.put_text(kind, &format!("a-odd-{number}"), &odd_spec(&value));
+        }
+    }
+    // Until the watches end and the hosts list at the other one.
+    thread::sleep(Duration::from_millis(1500));
+    store.put("servers", "ledger-1", server_entry("ledger", second.address(), "ready"));
+    store.remove("servers", "ledger-0");
+    for host in hosts.iter().chain([&entry]) {
+        wait_for(host, "second", "does not follow the servers");
+    }
+    let mut revoked = charter(2);
+    revoked["tenants"][0]["api-keys"] = json!([]);
+    store.put("config", "main", revoked);
+    for host in hosts.iter().chain([&entry]) {
+        wait_for(host, "HTTP/1.1 401", "does not follow the configuration");
+    }
+    let relay = Store::of_relay(entry.peers);
+    let listing = runtime::run_local(relay.list("servers")).unwrap();
+    let odd = listing.objects.iter().filter(|it| it.metadata.name.starts_with("a-odd"));
+    assert!(odd.clone().all(|it| it.spec.is_null()));
+    assert_eq!(odd.count(), odd_values().len());
+}
+
 /// An entry that becomes odd names no server to use until a sound one takes its place, whatever state
 /// it tells; its removal is seen too. Requests that run go on.
 #[test]
