Keep waiting past engines that pause meanwhile

A request that waited at the owner of a cell was refused with 503 "all backend servers are busy" as soon as three engines had begun to pause, though others had room in its time. The owner doesn't know the pauses of another host, so it granted it the places that the refused requests left, one engine after the other; this host gave each grant back and excluded that engine alone, as it had looked up pausing, leaving and failing engines only once, before the wait. After three grants it gave up with most of its time left.

The host looks them up again for each further question, so one grant is lost for all engines that began to pause at once, and it goes on asking for the rest of the time for which the request may wait, three grants at least.

--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -37,8 +37,9 @@
 const NANOS_PER_MS: u128 = 1_000_000;
 /// Longest sleep until the time of a start deadline is read again.
 const MAX_DEADLINE_SLEEP: Duration = Duration::from_millis(250);
-/// Maximum number of grants for one request whose engine this host must not use.
-const MAX_UNUSABLE_GRANTS: u32 = 3;
+/// Number of grants for one request whose engine this host must not use, up to which it asks for
+/// another one though it has waited as long as it may.
+const MAX_UNUSABLE_GRANTS: usize = 3;
 
 /// The requirements that a backend server must meet for a request.
 #[derive(Clone, Debug)]
@@ -139,15 +140,23 @@
         requirements: &BackendRequirements,
         queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
-        let mut demand = requirements.demand(host, queue_timeout);
-        for _ in 0..MAX_UNUSABLE_GRANTS {
+        let give_up = Instant::now() + queue_timeout;
+        let mut unusable: Vec<BackendId> = Vec::new();
+        loop {
+            let left = give_up.saturating_duration_since(Instant::now());
+            // Made anew each time: several engines may have asked for a pause at once.
+            let mut demand = requirements.demand(host, left);
+            demand.excluded.extend(unusable.iter().cloned());
             let grant = admission_client::reserve(host, &demand).await?;
-            demand.excluded.push(grant.engine.clone());
+            let engine = grant.engine.clone();
             if let Some(reservation) = Reservation::at_engine(host, &demand, grant) {
                 return Ok(reservation);
             }
+            unusable.push(engine);
+            if unusable.len() >= MAX_UNUSABLE_GRANTS && Instant::now() >= give_up {
+                return Err(ReservationError::Full);
+            }
         }
-        Err(ReservationError::Full)
     }
 
     /// Uses a grant, or releases it if this host knows that the engine must not get the request: it
--- a/tests/paused_engines.rs
+++ b/tests/paused_engines.rs
@@ -307,6 +307,67 @@
     }
 }
 
+/// Guards against refusing a request that waits while engines begin to pause: their places are free
+/// at once, are granted to it and can't be used, though another engine has room in time.
+#[test]
+fn pauses_begun_while_a_request_waits() {
+    const N_PAUSING: usize = 6;
+    const SOUND_SLOTS: usize = 8;
+    let started = Instant::now();
+    let until = move |time: Duration| Step::Pause(time.saturating_sub(started.elapsed()));
+    let pause_at = Duration::from_millis(2200);
+    let pausing = [(); N_PAUSING].map(|()| {
+        ScriptedServer::start(move |request| {
+            vec![until(pause_at), Step::Send(refusal(request, "20", "X-Not-Run: 1\r\n"))]
+        })
+        .unwrap()
+    });
+    let sound = ScriptedServer::start(move |request| {
+        let pause = until(pause_at + Duration::from_millis(300));
+        [vec![pause], whole_stream(request)].concat()
+    })
+    .unwrap();
+    let store = StoreStandin::start().unwrap();
+    let mut charter = charter(1);
+    // A request waits for a second, an eighth of the objective.
+    charter["routes"][2]["goal-ms"] = 8000.into();
+    charter["routes"][2]["timeout-ms"] = 8000.into();
+    store.put("config", "main", charter);
+    for (idx, server) in pausing.iter().chain([&sound]).enumerate() {
+        let mut listed = server_entry("pool", server.address(), "ready");
+        listed["slots"] = if idx < N_PAUSING { 1 } else { SOUND_SLOTS }.into();
+        store.put("servers", &format!("pool-{idx}"), listed);
+    }
+    let entry = EntryProcess::start(&store, "entry-1");
+    entry.wait_until_ready();
+    // The owner admits to half of the slots at first.
+    thread::sleep(Duration::from_millis(500));
+    let entry = &entry;
+    // An engine takes one request beyond its slots.
+    let n_places = 2 * N_PAUSING + SOUND_SLOTS + 1;
+    thread::scope(|scope| {
+        for number in 0..n_places {
+            scope.spawn(move || send(entry, "/draft/1", &format!("running-{number}")));
+        }
+        let servers = || pausing.iter().chain([&sound]);
+        let n_running = || servers().map(|it| it.requests().len()).sum::<usize>();
+        while n_running() < n_places {
+            assert!(started.elapsed() < pause_at, "{} requests run", n_running());
+            thread::sleep(10 * MS);
+        }
+        thread::sleep(Duration::from_millis(1700).saturating_sub(started.elapsed()));
+        let response = send(entry, "/draft/1", "waiting");
+        assert!(started.elapsed() > pause_at, "{}", response.text());
+        assert_eq!(response.status(), 200, "{}", response.text());
+    });
+    let log = std::fs::read_to_string(entry.log_path()).unwrap();
+    assert_eq!(
+        log.matches("pause: a backend server takes no requests").count(),
+        N_PAUSING,
+        "{log}"
+    );
+}
+
 /// The log names the response that began a pause, and its end.
 #[test]
 fn log_names_the_pausing_response() {
