Keep a pause of a start that is listed later

A backend server that started again and refused a request with Retry-After before the entry host knew its new entry got requests again as soon as that entry came, in the middle of its pause: the pause was recorded for the start that the entry host had listed, and a later start ended it.

A pause now also binds every start up to the time of its response, as a start can't have answered before it began. A start after the response ends the pause at once, as before. If the time of day of the machine jumps, that matters until the end of the pause at most.

LeavingServers has the same cause and is left as it is: a notice that a new start gives before its entry is known is forgotten with that entry, and its next response gives it again.

--- a/src/entry/server_notices.rs
+++ b/src/entry/server_notices.rs
@@ -5,7 +5,7 @@
     cell::RefCell,
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -103,8 +103,10 @@
 
 fn record_pause(host: &EntryHost, attempt: &Attempt<'_>, pause: Duration) {
     let backend: &BackendId = attempt.backend;
+    let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let asked_ms = time_of_day.as_millis() as u64;
     let mut paused = host.server_notices.paused.borrow_mut();
-    if paused.record(backend, attempt.backend_started_ms, pause, Instant::now()) {
+    if paused.record(backend, attempt.backend_started_ms, pause, asked_ms, Instant::now()) {
         log::info!(
             "pause: a backend server takes no requests for a time request={} backend={backend} \
              pause_ms={}",
--- a/src/placement/paused_servers.rs
+++ b/src/placement/paused_servers.rs
@@ -24,43 +24,55 @@
 
 #[derive(Clone, Debug)]
 struct Pause {
-    /// The start of the server that asked for it.
-    started_ms: u64,
+    /// The start of the server that asked for it, by its entry.
+    listed_start_ms: u64,
+    /// The latest start that may have asked for it.
+    latest_start_ms: u64,
     begun: Instant,
     end: Instant,
 }
 
 impl PausedServers {
-    /// Records that the start `started_ms` of a backend server asked for a pause, which is cut to
-    /// `MAX_PAUSE`; returns `true` if it begins one, not if one goes on. The latest end counts.
+    /// Records that a backend server, whose entry lists the start `started_ms`, asked for a pause,
+    /// which is cut to `MAX_PAUSE`; returns `true` if it begins one, not if one goes on. The latest
+    /// end counts.
+    ///
+    /// `asked_ms` is the time of day of its response in milliseconds since the Unix epoch: a new start
+    /// may respond before its entry is known, but not before its own time.
     pub fn record(
         &mut self,
         backend: &str,
         started_ms: u64,
         pause: Duration,
+        asked_ms: u64,
         now: Instant,
     ) -> bool {
         if pause.is_zero() {
             return false;
         }
-        // A late response of an earlier start says nothing of the present one.
-        if self.pauses.get(backend).is_some_and(|it| started_ms < it.started_ms && now < it.end) {
-            return false;
-        }
+        let latest_start_ms = started_ms.max(asked_ms);
         let end = now + pause.min(MAX_PAUSE);
-        let same_start = |it: &&mut Pause| it.started_ms == started_ms && now < it.end;
-        if let Some(running) = self.pauses.get_mut(backend).filter(same_start) {
-            running.end = running.end.max(end);
-            return false;
+        match self.pauses.get_mut(backend).filter(|it| now < it.end) {
+            // A late response of an earlier start says nothing of the present one.
+            Some(running) if started_ms < running.listed_start_ms => false,
+            Some(running) if started_ms <= running.latest_start_ms => {
+                running.listed_start_ms = started_ms;
+                running.latest_start_ms = running.latest_start_ms.max(latest_start_ms);
+                running.end = running.end.max(end);
+                false
+            }
+            _ => {
+                let begun = Pause { listed_start_ms: started_ms, latest_start_ms, begun: now, end };
+                self.pauses.insert(backend.to_owned(), begun);
+                true
+            }
         }
-        self.pauses.insert(backend.to_owned(), Pause { started_ms, begun: now, end });
-        true
     }
 
     /// Returns the time until the start `started_ms` of a backend server takes requests again, or
     /// `None` if it takes them now.
     pub fn time_left(&self, backend: &str, started_ms: u64, now: Instant) -> Option<Duration> {
-        let pause = self.pauses.get(backend).filter(|it| started_ms <= it.started_ms)?;
+        let pause = self.pauses.get(backend).filter(|it| started_ms <= it.latest_start_ms)?;
         let left = pause.end.saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
     }
