Test the fields of pauses, their servers and the crowd after one

All hold on the present code: more spellings of Retry-After and several fields in a head as they arrive; another server at the address of a pausing one, and a server that answers in place of another one; 24 callers who come back at the end of a pause (the engine gets no more than its two slots and one that waits, nobody is told a time before the end, all are answered within a second).

--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -2,6 +2,7 @@
 //! servers.
 #![allow(dead_code)]
 
+pub mod pausing_server;
 pub mod sent_request;
 
 use std::{
--- /dev/null
+++ b/tests/entry_process/pausing_server.rs
@@ -0,0 +1,58 @@
+//! Backend servers that refuse requests and ask for a pause.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
+
+use super::{
+    complete_response, encode_response, event_chunk, request, stream_head, CallerResponse,
+    EntryProcess,
+};
+
+/// Header fields of a request for a stream.
+pub const STREAM_HEADERS: &str = "X-Model: lots\r\nX-Token-Counts: 200,260\r\n";
+
+/// Starts a server that refuses its first `n_refusals` requests with a pause.
+pub fn pausing_server(n_refusals: u32, pause: &'static str, extra: &'static str) -> ScriptedServer {
+    let n_requests = AtomicU32::new(0);
+    ScriptedServer::start(move |request| {
+        match n_requests.fetch_add(1, Ordering::Relaxed) < n_refusals {
+            true => vec![Step::Send(refusal(request, pause, extra))],
+            false => whole_response(request),
+        }
+    })
+    .unwrap()
+}
+
+/// Returns the steps of a complete response, which is a stream on the streaming route.
+pub fn whole_response(request: &RawRequest) -> Vec<Step> {
+    match request.target.as_str() {
+        "/draft/1" => whole_stream(request),
+        _ => complete_response("own")(request),
+    }
+}
+
+/// Returns the steps of a stream with one event.
+pub fn whole_stream(request: &RawRequest) -> Vec<Step> {
+    let bytes = [stream_head(request), event_chunk(1), b"0\r\n\r\n".to_vec()].concat();
+    vec![Step::Send(bytes)]
+}
+
+/// Returns the bytes of a refusal that asks for a pause of so many seconds.
+pub fn refusal(request: &RawRequest, pause: &str, extra: &str) -> Vec<u8> {
+    let text = String::from_utf8(encode_response(request, 503, "")).unwrap();
+    let headers = format!("{extra}Retry-After: {pause}\r\nX-Server-Stamp");
+    text.replacen("X-Server-Stamp", &headers, 1).into_bytes()
+}
+
+/// Returns the time in seconds after which a refused caller is to come back.
+pub fn retry_after(response: &CallerResponse) -> Option<f64> {
+    let text = response.text();
+    let value = text.lines().find_map(|it| it.strip_prefix("Retry-After: "))?;
+    value.trim().parse().ok()
+}
+
+/// Sends a request with an empty body and reads the response.
+pub fn send(entry: &EntryProcess, path: &str, id: &str) -> CallerResponse {
+    entry.exchange(&request("POST", path, id, STREAM_HEADERS))
+}
--- a/tests/paused_engines.rs
+++ b/tests/paused_engines.rs
@@ -16,13 +16,13 @@
     placement::{PausedServers, MAX_PAUSE},
     platform::wire_headers::decode_response_info,
 };
-use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
+use crocustiller_standins::raw_http::{ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, complete_response, encode_response, event_chunk, request, server_entry, stream_head,
-    CallerResponse, Deployment, EntryProcess,
+    charter,
+    pausing_server::{pausing_server, refusal, retry_after, send, whole_response, whole_stream},
+    server_entry, Deployment, EntryProcess,
 };
 
-const STREAM_HEADERS: &str = "X-Model: lots\r\nX-Token-Counts: 200,260\r\n";
 /// Time within which an entry host has applied a change in the store.
 const APPLY_TIME: Duration = Duration::from_millis(900);
 /// Time within which the entry hosts know each other.
@@ -43,7 +43,7 @@
 #[test]
 fn pauses_in_headers() {
     let ms = |it: u64| Some(Duration::from_millis(it));
-    let table: [(&[&str], Option<Duration>); 22] = [
+    let table: [(&[&str], Option<Duration>); 31] = [
         (&[], None),
         (&["1"], ms(1000)),
         (&["0.25"], ms(250)),
@@ -63,6 +63,15 @@
         (&["1, 2"], None),
         (&["Sat, 05 Dec 2026 08:00:00 GMT"], None),
         (&["99999999999999999999"], Some(Duration::MAX)),
+        (&["01"], ms(1000)),
+        (&["\t1\t"], ms(1000)),
+        (&["   "], None),
+        (&["1 2"], None),
+        (&["1.2.3"], None),
+        (&["0x10"], None),
+        (&["1s"], None),
+        (&["\u{663}"], None),
+        (&["1.0000000000000000000000000000000000000000"], ms(1000)),
         // The longest of several fields counts.
         (&["1", "2"], ms(2000)),
         (&["x", "0.5", "-3"], ms(500)),
@@ -83,6 +92,15 @@
     assert_eq!(decode_response_info(&head).pause, Some(Duration::MAX));
 }
 
+/// Fields of any case, with blanks and several times in a head, say what they say alone.
+#[test]
+fn pause_of_several_fields() {
+    let server = pausing_server(1, "0.4 \r\nretry-after:\t 0.7\t\r\nRETRY-AFTER: soon", "");
+    let deployment = Deployment::start("ledger", &[&server]);
+    send(&deployment.entry, "/stock/1", "pausing");
+    wait_for_lines(&deployment.entry, &["request=pausing backend=ledger-0 pause_ms=700"]);
+}
+
 /// The edges of a pause in time and in the starts of a server.
 #[test]
 fn edges_of_a_pause() {
@@ -290,6 +308,67 @@
     }
 }
 
+/// Load pattern: all callers that were refused in a pause come back at its end. The engine gets no
+/// more of them at once than it has places, and the others are refused within their wait.
+#[test]
+fn crowd_after_a_pause() {
+    const N_CALLERS: usize = 24;
+    let n_running = Arc::new(AtomicU32::new(0));
+    let most_running = Arc::new(AtomicU32::new(0));
+    let (running, most) = (n_running.clone(), most_running.clone());
+    let n_requests = AtomicU32::new(0);
+    let server = ScriptedServer::start(move |request| {
+        if n_requests.fetch_add(1, Ordering::Relaxed) == 0 {
+            return vec![Step::Send(refusal(request, "0.8", "X-Not-Run: 1\r\n"))];
+        }
+        most.fetch_max(running.fetch_add(1, Ordering::Relaxed) + 1, Ordering::Relaxed);
+        thread::sleep(200 * MS);
+        running.fetch_sub(1, Ordering::Relaxed);
+        whole_stream(request)
+    })
+    .unwrap();
+    let store = StoreStandin::start().unwrap();
+    store.put("config", "main", charter(1));
+    let mut listed = server_entry("pool", server.address(), "ready");
+    listed["slots"] = 2.into();
+    store.put("servers", "pool-0", listed);
+    let entry = EntryProcess::start(&store, "entry-1");
+    entry.wait_until_ready();
+    // The owner admits to half of the slots at first.
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(send(&entry, "/draft/1", "first").status(), 503);
+    let refused = Instant::now();
+    let n_served = AtomicU32::new(0);
+    thread::scope(|scope| {
+        for caller in 0..N_CALLERS {
+            let (entry, n_served) = (&entry, &n_served);
+            scope.spawn(move || {
+                thread::sleep(10 * MS * caller as u32);
+                let response = send(entry, "/draft/1", &format!("paused-{caller}"));
+                assert_eq!(response.status(), 503, "{}", response.text());
+                let told = Duration::from_secs_f64(retry_after(&response).unwrap());
+                // Not before the end, and not long after it.
+                let back = refused.elapsed() + told;
+                assert!(back >= 780 * MS && back < 1000 * MS, "{back:?}");
+                thread::sleep(told);
+                let sent = Instant::now();
+                let response = send(entry, "/draft/1", &format!("back-{caller}"));
+                assert!(sent.elapsed() < Duration::from_secs(1), "{:?}", sent.elapsed());
+                match response.status() {
+                    200 => drop(n_served.fetch_add(1, Ordering::Relaxed)),
+                    status => {
+                        assert_eq!(status, 503, "{}", response.text());
+                        assert!(retry_after(&response).is_some(), "{}", response.text());
+                    }
+                }
+            });
+        }
+    });
+    // Two in slots, one that waits at the engine.
+    assert!(most_running.load(Ordering::Relaxed) <= 3, "{most_running:?}");
+    assert!(n_served.load(Ordering::Relaxed) >= 3, "{n_served:?}");
+}
+
 /// Another start of a server takes requests at once.
 #[test]
 fn new_start_ends_a_pause() {
@@ -321,6 +400,37 @@
     }
 }
 
+/// A pause binds the server that asked for it, not the next one at its address; a server that
+/// refuses requests meant for another one asks for nothing on its behalf.
+#[test]
+fn pause_ends_with_its_server() {
+    for (service, path) in [("ledger", "/hold/1"), ("pool", "/draft/1")] {
+        let server = pausing_server(1, "30", "X-Not-Run: 1\r\n");
+        let deployment = Deployment::start(service, &[&server]);
+        assert_eq!(send(&deployment.entry, path, "refused").status(), 503);
+        assert_eq!(send(&deployment.entry, path, "paused").status(), 503);
+        deployment.store.remove("servers", &format!("{service}-0"));
+        let next = server_entry(service, server.address(), "ready");
+        deployment.store.put("servers", &format!("{service}-next"), next);
+        thread::sleep(APPLY_TIME);
+        let response = send(&deployment.entry, path, "next");
+        assert_eq!(response.status(), 200, "{path}: {}", response.text());
+    }
+    let n_requests = AtomicU32::new(0);
+    let other = ScriptedServer::start(move |request| {
+        let refused = String::from_utf8(refusal(request, "30", "")).unwrap();
+        match n_requests.fetch_add(1, Ordering::Relaxed) {
+            0 => vec![Step::Send(refused.replacen("503", "421", 1).into_bytes())],
+            _ => whole_response(request),
+        }
+    })
+    .unwrap();
+    let deployment = Deployment::start("ledger", &[&other]);
+    send(&deployment.entry, "/hold/1", "misdirected");
+    let response = send(&deployment.entry, "/hold/1", "own");
+    assert_eq!(response.status(), 200, "{}", response.text());
+}
+
 /// The pause binds the host that was refused, also where another host owns the engine: that host
 /// goes on sending.
 #[test]
@@ -402,12 +512,9 @@
         assert!(started.elapsed() > pause_at, "{}", response.text());
         assert_eq!(response.status(), 200, "{}", response.text());
     });
-    let log = std::fs::read_to_string(entry.log_path()).unwrap();
-    assert_eq!(
-        log.matches("pause: a backend server takes no requests").count(),
-        N_PAUSING,
-        "{log}"
-    );
+    let paused = |idx| format!("backend=pool-{idx} pause_ms=20000");
+    let paused: Vec<String> = (0..N_PAUSING).map(paused).collect();
+    wait_for_lines(entry, &paused.iter().map(String::as_str).collect::<Vec<_>>());
 }
 
 /// The log names the response that began a pause, and its end.
@@ -421,9 +528,14 @@
          pause_ms=400",
         "pause: a backend server takes requests again backend=ledger-0 paused_ms=400",
     ];
+    wait_for_lines(&deployment.entry, &expected);
+}
+
+/// Waits until the log of an entry host has these parts.
+fn wait_for_lines(entry: &EntryProcess, expected: &[&str]) {
     let deadline = Instant::now() + Duration::from_secs(3);
     loop {
-        let log = std::fs::read_to_string(deployment.entry.log_path()).unwrap();
+        let log = std::fs::read_to_string(entry.log_path()).unwrap();
         if expected.iter().all(|it| log.contains(it)) {
             return;
         }
@@ -432,18 +544,6 @@
     }
 }
 
-/// Starts a server that refuses its first `n_refusals` requests with a pause.
-fn pausing_server(n_refusals: u32, pause: &'static str, extra: &'static str) -> ScriptedServer {
-    let n_requests = AtomicU32::new(0);
-    ScriptedServer::start(move |request| {
-        match n_requests.fetch_add(1, Ordering::Relaxed) < n_refusals {
-            true => vec![Step::Send(refusal(request, pause, extra))],
-            false => whole_response(request),
-        }
-    })
-    .unwrap()
-}
-
 /// Lists a server with another time of its start.
 fn put_started(deployment: &Deployment, name: &str, server: &ScriptedServer, started_ms: u64) {
     let service = name.split('-').next().unwrap();
@@ -460,24 +560,6 @@
     ScriptedServer::start(whole_response).unwrap()
 }
 
-fn whole_response(request: &RawRequest) -> Vec<Step> {
-    match request.target.as_str() {
-        "/draft/1" => whole_stream(request),
-        _ => complete_response("own")(request),
-    }
-}
-
-fn whole_stream(request: &RawRequest) -> Vec<Step> {
-    let bytes = [stream_head(request), event_chunk(1), b"0\r\n\r\n".to_vec()].concat();
-    vec![Step::Send(bytes)]
-}
-
-fn refusal(request: &RawRequest, pause: &str, extra: &str) -> Vec<u8> {
-    let text = String::from_utf8(encode_response(request, 503, "")).unwrap();
-    let headers = format!("{extra}Retry-After: {pause}\r\nX-Server-Stamp");
-    text.replacen("X-Server-Stamp", &headers, 1).into_bytes()
-}
-
 /// Sends requests until the server has refused one; returns the time of the refusal.
 fn until_refused(deployment: &Deployment, server: &ScriptedServer, path: &str) -> Instant {
     for number in 0..60 {
@@ -488,13 +570,3 @@
     }
     panic!("the server got no request");
 }
-
-fn retry_after(response: &CallerResponse) -> Option<f64> {
-    let text = response.text();
-    let value = text.lines().find_map(|it| it.strip_prefix("Retry-After: "))?;
-    value.trim().parse().ok()
-}
-
-fn send(entry: &EntryProcess, path: &str, id: &str) -> CallerResponse {
-    entry.exchange(&request("POST", path, id, STREAM_HEADERS))
-}
