Keep to pauses in the calls of a slot to its engine

A slot whose engine answered a call with 503 and Retry-After went on: it reads the report ten times a second while the engine lacks its target version, and stages pieces without a break. Of the paths that send something to a backend server only requests looked for a pause.

The client of the engine sends nothing until the end of the pause, cut like that of requests; a call fails at once and is made again at its usual interval. The probe of a crashed engine opens a connection only and sends nothing; nothing else in an entry host or slot on the platform speaks to backend servers.

calls_of_a_slot_in_a_pause failed before: all four kinds of calls reached the engine in its pause.

--- a/src/platform/engine_api.rs
+++ b/src/platform/engine_api.rs
@@ -1,7 +1,12 @@
 //! A client for the engine on the same host: reads its report, fills its staging area and orders it
 //! to load weights.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use quick_error::quick_error;
 use serde::Deserialize;
@@ -11,7 +16,8 @@
     http1::{Call, Client, HttpError, Response},
     ids::WeightsVersion,
     json_parts,
-    platform::wire_server::WireWeights,
+    placement::MAX_PAUSE,
+    platform::{wire_headers, wire_server::WireWeights},
     routing::LoadedLayers,
 };
 
@@ -38,6 +44,10 @@
         Refused(status: u16) {
             display("refused with status {status}")
         }
+        /// The engine asked for a pause, which has not ended; nothing was sent.
+        Paused {
+            display("the engine asked for a pause")
+        }
         /// The body of the response could not be decoded.
         InvalidResponse(err: serde_json::Error) {
             from()
@@ -110,17 +120,18 @@
     Abort,
 }
 
-/// A client for one engine.
+/// A client for one engine, which sends nothing in a pause that the engine asked for.
 #[derive(Clone, Debug)]
 pub struct EngineApi {
     address: SocketAddr,
     client: Rc<Client>,
+    pause_end: Rc<Cell<Option<Instant>>>,
 }
 
 impl EngineApi {
     /// Creates a client for the engine at `address`.
     pub fn new(address: SocketAddr) -> EngineApi {
-        EngineApi { address, client: Rc::default() }
+        EngineApi { address, client: Rc::default(), pause_end: Rc::default() }
     }
 
     /// Reads the report of the engine's state.
@@ -209,7 +220,15 @@
     }
 
     async fn call(&self, call: &Call) -> Result<Response, EngineError> {
-        check_status(self.client.call(self.address, call).await?)
+        if self.pause_end.get().is_some_and(|it| Instant::now() < it) {
+            return Err(EngineError::Paused);
+        }
+        let response = self.client.call(self.address, call).await?;
+        if let Some(pause) = wire_headers::decode_response_info(&response.head).pause {
+            let end = Instant::now() + pause.min(MAX_PAUSE);
+            self.pause_end.set(self.pause_end.get().max(Some(end)));
+        }
+        check_status(response)
     }
 }
 
--- a/tests/paused_engines.rs
+++ b/tests/paused_engines.rs
@@ -14,14 +14,18 @@
 use crocustiller::{
     http1::ResponseHead,
     placement::{PausedServers, MAX_PAUSE},
-    platform::wire_headers::decode_response_info,
+    platform::{
+        engine_api::{EngineApi, SwitchMode},
+        wire_headers::decode_response_info,
+    },
 };
 use crocustiller_standins::raw_http::{ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter,
+    charter, encode_response,
     pausing_server::{pausing_server, refusal, retry_after, send, whole_response, whole_stream},
     server_entry, Deployment, EntryProcess,
 };
+use futures_lite::future::block_on;
 
 /// Time within which an entry host has applied a change in the store.
 const APPLY_TIME: Duration = Duration::from_millis(900);
@@ -431,6 +435,35 @@
     assert_eq!(response.status(), 200, "{}", response.text());
 }
 
+/// Guards against reports, pieces and orders that the slot beside an engine sends in a pause that
+/// the engine asked it for.
+#[test]
+fn calls_of_a_slot_in_a_pause() {
+    let server = ScriptedServer::start(|request| match request.target.as_str() {
+        "/v1/report" => vec![Step::Send(refusal(request, "0.6", ""))],
+        _ => vec![Step::Send(encode_response(request, 200, "{}"))],
+    })
+    .unwrap();
+    let engine = EngineApi::new(server.address());
+    let call_all = || {
+        block_on(async {
+            let pieces = engine.list_staged_pieces("lots").await.is_ok();
+            let read = engine.read_staged_piece("lots", 1).await.is_ok();
+            let staged = engine.stage_piece("lots", 1, b"piece").await.is_ok();
+            let order = engine.load_staged("lots", 2, SwitchMode::Drain, 1).await.is_ok();
+            [pieces, read, staged, order]
+        })
+    };
+    let asked = Instant::now();
+    assert!(block_on(engine.read_report()).is_err());
+    assert_eq!(call_all(), [false; 4]);
+    assert!(block_on(engine.clone().read_report()).is_err());
+    assert_eq!(server.requests().len(), 1);
+    thread::sleep((700 * MS).saturating_sub(asked.elapsed()));
+    assert_eq!(call_all(), [true; 4]);
+    assert_eq!(server.requests().len(), 5);
+}
+
 /// The pause binds the host that was refused, also where another host owns the engine: that host
 /// goes on sending.
 #[test]
