Try a server once a minute in a pause longer than that

A server that asked for a pause of more than 60 s, with a huge Retry-After, got requests in crowds again after 60 s, long before its time: the pause was cut, so that one wrong response would not take a server away for good, and all requests came back at once.

After 60 s, and after each further 60 s, one request of the host tries the server. If it is served, the pause ends, so that a wrong response costs no more than before; if it is refused, the pause goes on. A server that refuses for hours still gets one request a minute from each host.

pause_is_bounded stated the cut; long_pause_is_tried and pause_ends_as_asked state the same bound of a wrong response, at the same times, and that no crowd follows.

--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -174,6 +174,7 @@
             return None;
         };
         host.request_counts.borrow_mut().begin(server.address);
+        host.server_notices.note_begun(&server);
         Some(Reservation {
             host: host.clone(),
             backend: grant.engine,
@@ -215,6 +216,7 @@
         let server = usable[idx];
         let load = Load { n_requests: counts.get(&server.address), unread_tokens: 0 };
         counts.begin(server.address);
+        host.server_notices.note_begun(server);
         Ok(Reservation {
             host: host.clone(),
             backend: server.id.clone(),
--- a/src/entry/server_notices.rs
+++ b/src/entry/server_notices.rs
@@ -45,6 +45,12 @@
         !self.is_leaving(server) && !self.is_paused(server)
     }
 
+    /// Records that a request to a backend server is begun.
+    pub(crate) fn note_begun(&self, server: &BackendServer) {
+        let now = Instant::now();
+        self.paused.borrow_mut().note_begun(&server.id, server.started_ms, now);
+    }
+
     /// Returns the time until the first of some backend servers wants requests again, if all of them
     /// pause.
     pub(crate) fn time_until_first(&self, servers: &[&BackendServer]) -> Option<Duration> {
@@ -76,10 +82,7 @@
         let now = Instant::now();
         self.leaving.borrow_mut().forget_removed(is_registered, now);
         for (backend, paused) in self.paused.borrow_mut().expire(now) {
-            log::info!(
-                "pause: a backend server takes requests again backend={backend} paused_ms={}",
-                paused.as_millis()
-            );
+            log_end_of_pause(&backend, paused);
         }
     }
 }
@@ -99,6 +102,13 @@
     if let Some(pause) = info.pause {
         record_pause(host, attempt, pause);
     }
+    if is_success {
+        let (backend, started_ms) = (attempt.backend, attempt.backend_started_ms);
+        let mut paused = host.server_notices.paused.borrow_mut();
+        if let Some(paused) = paused.note_served(backend, started_ms, Instant::now()) {
+            log_end_of_pause(backend, paused);
+        }
+    }
 }
 
 fn record_pause(host: &EntryHost, attempt: &Attempt<'_>, pause: Duration) {
@@ -116,6 +126,13 @@
     }
 }
 
+fn log_end_of_pause(backend: &str, paused: Duration) {
+    log::info!(
+        "pause: a backend server takes requests again backend={backend} paused_ms={}",
+        paused.as_millis()
+    );
+}
+
 fn record_leaving(host: &Rc<EntryHost>, attempt: &Attempt<'_>, status: u16) {
     let (backend, started_ms) = (attempt.backend, attempt.backend_started_ms);
     let notice = LeavingNotice { backend: backend.clone(), started_ms };
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -38,7 +38,7 @@
     leaving_servers::LeavingServers,
     load::Load,
     part_crash::{PartCrash, PartDigest},
-    paused_servers::{PausedServers, MAX_PAUSE},
+    paused_servers::{PausedServers, TRIAL_INTERVAL},
     plain_choice::{choose_plain_backend, PlainCandidate},
     quarantined_part::QuarantinedPart,
     request_counts::RequestCounts,
--- a/src/placement/paused_servers.rs
+++ b/src/placement/paused_servers.rs
@@ -11,8 +11,11 @@
 
 use crate::ids::BackendId;
 
-/// Longest pause that is kept to, so that one wrong response does not take a server away for good.
-pub const MAX_PAUSE: Duration = Duration::from_secs(60);
+/// Time of a pause after which one request tries the server, and again after each further such time,
+/// so that one wrong response does not take a server away for good.
+pub const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
+/// Longest pause that is kept to, after which that of a removed server is forgotten too.
+const MAX_PAUSE: Duration = Duration::from_secs(24 * 3600);
 
 /// The pauses of backend servers.
 ///
@@ -30,12 +33,15 @@
     latest_start_ms: u64,
     begun: Instant,
     end: Instant,
+    /// Time from which one request may try the server.
+    next_trial: Instant,
+    /// Whether a request has tried it.
+    is_tried: bool,
 }
 
 impl PausedServers {
-    /// Records that a backend server, whose entry lists the start `started_ms`, asked for a pause,
-    /// which is cut to `MAX_PAUSE`; returns `true` if it begins one, not if one goes on. The latest
-    /// end counts.
+    /// Records that a backend server, whose entry lists the start `started_ms`, asked for a pause;
+    /// returns `true` if it begins one, not if one goes on. The latest end counts.
     ///
     /// `asked_ms` is the time of day of its response in milliseconds since the Unix epoch: a new start
     /// may respond before its entry is known, but not before its own time.
@@ -52,6 +58,7 @@
         }
         let latest_start_ms = started_ms.max(asked_ms);
         let end = now + pause.min(MAX_PAUSE);
+        let next_trial = now + TRIAL_INTERVAL;
         match self.pauses.get_mut(backend).filter(|it| now < it.end) {
             // A late response of an earlier start says nothing of the present one.
             Some(running) if started_ms < running.listed_start_ms => false,
@@ -59,10 +66,18 @@
                 running.listed_start_ms = started_ms;
                 running.latest_start_ms = running.latest_start_ms.max(latest_start_ms);
                 running.end = running.end.max(end);
+                running.next_trial = next_trial;
                 false
             }
             _ => {
-                let begun = Pause { listed_start_ms: started_ms, latest_start_ms, begun: now, end };
+                let begun = Pause {
+                    listed_start_ms: started_ms,
+                    latest_start_ms,
+                    begun: now,
+                    end,
+                    next_trial,
+                    is_tried: false,
+                };
                 self.pauses.insert(backend.to_owned(), begun);
                 true
             }
@@ -73,10 +88,37 @@
     /// `None` if it takes them now.
     pub fn time_left(&self, backend: &str, started_ms: u64, now: Instant) -> Option<Duration> {
         let pause = self.pauses.get(backend).filter(|it| started_ms <= it.latest_start_ms)?;
-        let left = pause.end.saturating_duration_since(now);
+        let left = pause.end.min(pause.next_trial).saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
     }
 
+    /// Records that a request to the start `started_ms` of a backend server is begun, which may be
+    /// the one that tries it.
+    pub fn note_begun(&mut self, backend: &str, started_ms: u64, now: Instant) {
+        let Some(pause) = self.pauses.get_mut(backend) else { return };
+        if started_ms <= pause.latest_start_ms && pause.next_trial <= now {
+            pause.next_trial = now + TRIAL_INTERVAL;
+            pause.is_tried = true;
+        }
+    }
+
+    /// Records that the start `started_ms` of a backend server served a request: that ends a pause in
+    /// which a request has tried the server, whose length is returned.
+    pub fn note_served(
+        &mut self,
+        backend: &str,
+        started_ms: u64,
+        now: Instant,
+    ) -> Option<Duration> {
+        let pause = self.pauses.get(backend)?;
+        if !pause.is_tried || started_ms > pause.latest_start_ms {
+            return None;
+        }
+        let length = now.saturating_duration_since(pause.begun);
+        self.pauses.remove(backend);
+        Some(length)
+    }
+
     /// Returns the time until the first of `servers`, given by id and start, takes requests again, if
     /// all of them pause.
     pub fn time_until_first<'a>(
--- a/src/platform/engine_api.rs
+++ b/src/platform/engine_api.rs
@@ -16,7 +16,7 @@
     http1::{Call, Client, HttpError, Response},
     ids::WeightsVersion,
     json_parts,
-    placement::MAX_PAUSE,
+    placement::TRIAL_INTERVAL,
     platform::{wire_headers, wire_server::WireWeights},
     routing::LoadedLayers,
 };
@@ -225,7 +225,7 @@
         }
         let response = self.client.call(self.address, call).await?;
         if let Some(pause) = wire_headers::decode_response_info(&response.head).pause {
-            let end = Instant::now() + pause.min(MAX_PAUSE);
+            let end = Instant::now() + pause.min(TRIAL_INTERVAL);
             self.pause_end.set(self.pause_end.get().max(Some(end)));
         }
         check_status(response)
--- a/tests/paused_engines.rs
+++ b/tests/paused_engines.rs
@@ -13,7 +13,7 @@
 
 use crocustiller::{
     http1::ResponseHead,
-    placement::{PausedServers, MAX_PAUSE},
+    placement::{PausedServers, TRIAL_INTERVAL},
     platform::{
         engine_api::{EngineApi, SwitchMode},
         wire_headers::decode_response_info,
@@ -163,15 +163,51 @@
     assert_eq!(paused.time_left("i-2", 9001, now), None);
 }
 
-/// A pause of any length ends after `MAX_PAUSE`.
+/// Guards against requests in crowds to a server whose pause is longer than `TRIAL_INTERVAL`: one
+/// request at a time tries it from then on, and one that it serves ends the pause.
 #[test]
-fn pause_is_bounded() {
+fn long_pause_is_tried() {
     let now = Instant::now();
-    for pause in [MAX_PAUSE + MS, MAX_PAUSE, Duration::MAX] {
+    for pause in [4 * TRIAL_INTERVAL, Duration::MAX] {
         let mut paused = PausedServers::default();
         paused.record("i-1", 1000, pause, 1000, now);
-        assert_eq!(paused.time_left("i-1", 1000, now + MAX_PAUSE - MS), Some(MS), "{pause:?}");
-        assert_eq!(paused.time_left("i-1", 1000, now + MAX_PAUSE), None, "{pause:?}");
+        assert_eq!(paused.note_served("i-1", 1000, now), None);
+        let left = |paused: &PausedServers, at: Instant| paused.time_left("i-1", 1000, at);
+        assert_eq!(left(&paused, now + TRIAL_INTERVAL - MS), Some(MS), "{pause:?}");
+        let trial = now + TRIAL_INTERVAL;
+        assert_eq!(left(&paused, trial), None, "{pause:?}");
+        assert!(paused.expire(trial).is_empty());
+        // A request that is begun takes the trial; nothing of another start does.
+        paused.note_begun("i-1", 1001, trial);
+        assert_eq!(left(&paused, trial), None, "{pause:?}");
+        paused.note_begun("i-1", 1000, trial);
+        assert_eq!(left(&paused, trial), Some(TRIAL_INTERVAL), "{pause:?}");
+        assert_eq!(left(&paused, trial + TRIAL_INTERVAL), None, "{pause:?}");
+        // Refused, it is tried again after the same time.
+        assert!(!paused.record("i-1", 1000, MS, 1000, trial + MS));
+        assert_eq!(left(&paused, trial + TRIAL_INTERVAL), Some(MS), "{pause:?}");
+        let second = trial + TRIAL_INTERVAL + MS;
+        paused.note_begun("i-1", 1000, second);
+        assert_eq!(left(&paused, second), Some(TRIAL_INTERVAL), "{pause:?}");
+        assert_eq!(paused.note_served("i-1", 1000, second), Some(second - now), "{pause:?}");
+        assert!(paused.is_empty());
+    }
+}
+
+/// A pause of `TRIAL_INTERVAL` or less ends as asked, and so does a longer one that ends before the
+/// request that tries the server is answered.
+#[test]
+fn pause_ends_as_asked() {
+    let now = Instant::now();
+    for pause in [TRIAL_INTERVAL - MS, TRIAL_INTERVAL, TRIAL_INTERVAL + MS] {
+        let mut paused = PausedServers::default();
+        paused.record("i-1", 1000, pause, 1000, now);
+        let first = pause.min(TRIAL_INTERVAL);
+        assert_eq!(paused.time_left("i-1", 1000, now + first - MS), Some(MS), "{pause:?}");
+        assert_eq!(paused.time_left("i-1", 1000, now + first), None, "{pause:?}");
+        paused.note_begun("i-1", 1000, now + first);
+        assert_eq!(paused.time_left("i-1", 1000, now + pause), None, "{pause:?}");
+        assert_eq!(paused.expire(now + pause), [("i-1".to_owned(), pause)]);
     }
 }
 
