At most two requests try a server in a long pause

A server that asked for a pause of more than three minutes got a third request in it, and more each minute, while it may get two.

--- a/src/placement/paused_servers.rs
+++ b/src/placement/paused_servers.rs
@@ -11,9 +11,12 @@
 
 use crate::ids::BackendId;
 
-/// Time of a pause after which one request tries the server, and again after each further such time,
-/// so that one wrong response does not take a server away for good.
+/// Time of a pause after which one request tries the server, and once more after the same time, so that
+/// one wrong response does not take a server away for good.
 pub const TRIAL_INTERVAL: Duration = Duration::from_secs(60);
+/// Maximum number of requests that try a server in one pause. More would press on one that keeps
+/// refusing.
+const MAX_TRIALS: u32 = 2;
 /// Longest pause that is kept to, after which that of a removed server is forgotten too.
 const MAX_PAUSE: Duration = Duration::from_secs(24 * 3600);
 
@@ -35,8 +38,8 @@
     end: Instant,
     /// Time from which one request may try the server.
     next_trial: Instant,
-    /// Whether a request has tried it.
-    is_tried: bool,
+    /// The number of requests that have tried it.
+    n_trials: u32,
 }
 
 impl PausedServers {
@@ -76,7 +79,7 @@
                     begun: now,
                     end,
                     next_trial,
-                    is_tried: false,
+                    n_trials: 0,
                 };
                 self.pauses.insert(backend.to_owned(), begun);
                 true
@@ -88,7 +91,11 @@
     /// `None` if it takes them now.
     pub fn time_left(&self, backend: &str, started_ms: u64, now: Instant) -> Option<Duration> {
         let pause = self.pauses.get(backend).filter(|it| started_ms <= it.latest_start_ms)?;
-        let left = pause.end.min(pause.next_trial).saturating_duration_since(now);
+        let until = match pause.n_trials < MAX_TRIALS {
+            true => pause.end.min(pause.next_trial),
+            false => pause.end,
+        };
+        let left = until.saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
     }
 
@@ -98,7 +105,7 @@
         let Some(pause) = self.pauses.get_mut(backend) else { return };
         if started_ms <= pause.latest_start_ms && pause.next_trial <= now {
             pause.next_trial = now + TRIAL_INTERVAL;
-            pause.is_tried = true;
+            pause.n_trials += 1;
         }
     }
 
@@ -111,7 +118,7 @@
         now: Instant,
     ) -> Option<Duration> {
         let pause = self.pauses.get(backend)?;
-        if !pause.is_tried || started_ms > pause.latest_start_ms {
+        if pause.n_trials == 0 || started_ms > pause.latest_start_ms {
             return None;
         }
         let length = now.saturating_duration_since(pause.begun);
--- a/tests/paused_engines.rs
+++ b/tests/paused_engines.rs
@@ -188,7 +188,10 @@
         assert_eq!(left(&paused, trial + TRIAL_INTERVAL), Some(MS), "{pause:?}");
         let second = trial + TRIAL_INTERVAL + MS;
         paused.note_begun("i-1", 1000, second);
-        assert_eq!(left(&paused, second), Some(TRIAL_INTERVAL), "{pause:?}");
+        // There is no third trial, as at most two requests may reach the server in a pause.
+        let end = now + pause.min(Duration::from_secs(24 * 3600));
+        assert_eq!(left(&paused, second), Some(end - second), "{pause:?}");
+        assert_eq!(left(&paused, second + TRIAL_INTERVAL), Some(end - second - TRIAL_INTERVAL));
         assert_eq!(paused.note_served("i-1", 1000, second), Some(second - now), "{pause:?}");
         assert!(paused.is_empty());
     }
