Only the attempt that follows a refusal counts as a return

A request for capacity now carries a number of the caller's attempt beside the digest of the request. Each refused attempt stands for one return.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -142,7 +142,8 @@
         self.pending.borrow_mut().remove(&number);
     }
 
-    fn take_number(&self) -> ReservationNumber {
+    /// Returns a number that this host uses only once, also across restarts.
+    pub(crate) fn take_number(&self) -> ReservationNumber {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         number
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -22,6 +22,7 @@
     },
     http1::ResponseHead,
     ids::{CustomerId, ServiceId},
+    placement::RequestAttempt,
     routing::Route,
     runtime,
     verdict::Verdict,
@@ -93,10 +94,14 @@
     fn new(sender: RequestSender<'a>, service: &ServiceId) -> Attempts<'a> {
         let exchange = sender.exchange;
         let suspects = exchange.host.crash_suspects.borrow();
+        let attempt = RequestAttempt {
+            request: exchange.fingerprint.get(),
+            number: exchange.host.admission.take_number(),
+        };
         let requirements = BackendRequirements {
             service: service.clone(),
             model: exchange.request.model.clone(),
-            fingerprint: Some(exchange.fingerprint.get()),
+            attempt: Some(attempt),
             prompt_tokens: exchange.request.sizes.prompt_tokens,
             prompt_parts: exchange.request.prompt_parts.clone(),
             is_resumed: false,
@@ -155,7 +160,7 @@
             return Err(End::Exhausted(CutReason::NoRetryBudget));
         }
         self.requirements.excluded.push(reservation.backend.clone());
-        self.requirements.fingerprint = None;
+        self.requirements.attempt = None;
         exchange.trace.record_reservation(&reservation);
         Ok(reservation)
     }
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -20,7 +20,7 @@
     fleet::ServiceOutcome,
     ids::{BackendId, ServiceId, WeightsVersion},
     placement::{
-        choose_plain_backend, Demand, Fingerprint, Load, PartDigest, PlainCandidate,
+        choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, RequestAttempt,
         ReservationNumber,
     },
     routing::{BackendServer, BackendState},
@@ -48,8 +48,8 @@
     pub(crate) service: ServiceId,
     /// Model that the request names, for a pool.
     pub(crate) model: Option<String>,
-    /// Digest of the request until it was sent to a backend server.
-    pub(crate) fingerprint: Option<Fingerprint>,
+    /// The caller's attempt until it was sent to a backend server.
+    pub(crate) attempt: Option<RequestAttempt>,
     /// The number of tokens of the prompt.
     pub(crate) prompt_tokens: u32,
     /// Parts of the prompt that other requests may share.
@@ -309,7 +309,7 @@
         Demand {
             service: self.service.clone(),
             model: self.model.clone(),
-            fingerprint: self.fingerprint,
+            attempt: self.attempt,
             prompt_tokens: self.prompt_tokens,
             is_resumed: self.is_resumed,
             excluded,
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -138,7 +138,7 @@
             return Some(Admission::NoEngine);
         }
         let n_slots: u32 = usable.iter().map(|it| it.slots).sum();
-        let is_return = demand.fingerprint.is_some_and(|it| self.refused.is_return(it, now));
+        let is_return = demand.attempt.is_some_and(|it| self.refused.is_return(it, now));
         // A returning request is late already; waiting, it would take the place of one that is not.
         let wait = if is_return { Duration::ZERO } else { demand.wait };
         let deadline = now + wait.min(MAX_WAIT);
@@ -178,8 +178,8 @@
         self.waiting = waiting;
         for request in &refused {
             self.counts.of(request.is_return).n_refused += 1;
-            if let Some(fingerprint) = request.demand.fingerprint {
-                self.refused.record(fingerprint, now);
+            if let Some(attempt) = request.demand.attempt {
+                self.refused.record(attempt, now);
             }
         }
         refused.into_iter().map(|it| it.id).collect()
--- a/src/placement/admission_counts.rs
+++ b/src/placement/admission_counts.rs
@@ -9,8 +9,8 @@
     pub returning: DecisionCounts,
 }
 
-/// The numbers of requests that were admitted and refused. A request that several owners refuse counts
-/// at each of them.
+/// The numbers of requests that were admitted and refused. A request counts each time that it asks: at
+/// several owners, and once more to wait.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DecisionCounts {
     /// The number of requests for which capacity was reserved.
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::{BackendId, ServiceId},
-    placement::{Fingerprint, PartDigest},
+    placement::{PartDigest, RequestAttempt},
 };
 
 /// The needs of one request that is to run at an engine of a pool.
@@ -16,9 +16,9 @@
     pub service: ServiceId,
     /// Model that the request names.
     pub model: Option<String>,
-    /// Digest of a request that no engine has got yet, by which it is recognized if it comes back after a
-    /// refusal; `None` for further attempts.
-    pub fingerprint: Option<Fingerprint>,
+    /// The caller's attempt, by which a request that comes back after a refusal is recognized; `None` once
+    /// an engine has got the request.
+    pub attempt: Option<RequestAttempt>,
     /// The number of tokens of the prompt.
     pub prompt_tokens: u32,
     /// Whether the caller already has the start of the response.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -20,6 +20,7 @@
 mod plain_choice;
 mod quarantined_part;
 mod refused_requests;
+mod request_attempt;
 mod request_counts;
 mod reservation_id;
 mod retry_budgets;
@@ -41,6 +42,7 @@
     paused_servers::{PausedServers, TRIAL_INTERVAL},
     plain_choice::{choose_plain_backend, PlainCandidate},
     quarantined_part::QuarantinedPart,
+    request_attempt::RequestAttempt,
     request_counts::RequestCounts,
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
--- a/src/placement/refused_requests.rs
+++ b/src/placement/refused_requests.rs
@@ -1,4 +1,4 @@
-//! Remembers which requests were refused lately, to recognize those that come back.
+//! Remembers which attempts of callers were refused lately, to recognize requests that come back.
 //!
 //! Load pattern: sustained overload in which callers come back after a refusal, through any entry
 //! host.
@@ -8,49 +8,76 @@
     time::{Duration, Instant},
 };
 
-use crate::placement::Fingerprint;
+use crate::placement::{Fingerprint, RequestAttempt};
 
-/// Time after a refusal within which the same request is another message of the same attempt, as an
-/// entry host asks several owners. Callers are told to come back later than this.
-const ATTEMPT_TIME: Duration = Duration::from_millis(200);
-/// Time after its first refusal for which a request is remembered.
+/// Time after a refusal within which an equal request is that of another caller. Callers are told to
+/// come back later than this.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(200);
+/// Time for which a refused attempt is remembered.
 const MEMORY_TIME: Duration = Duration::from_secs(6);
-/// Maximum number of requests that are remembered; the oldest is forgotten first.
-const MAX_REQUESTS: usize = 8192;
+/// Maximum number of attempts that are remembered; the oldest is forgotten first.
+const MAX_ATTEMPTS: usize = 8192;
 
-/// The requests that were refused lately.
+/// The attempts that were refused lately.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RefusedRequests {
-    first_refused: HashMap<Fingerprint, Instant>,
+    refusals: HashMap<Fingerprint, Vec<Refusal>>,
     by_age: VecDeque<(Instant, Fingerprint)>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    attempt: u64,
+    at: Instant,
+    /// The attempt with which the caller came back.
+    next_attempt: Option<u64>,
+}
+
 impl RefusedRequests {
-    /// Records the refusal of a request.
-    pub(crate) fn record(&mut self, request: Fingerprint, now: Instant) {
+    /// Records the refusal of an attempt, which may be refused several times.
+    pub(crate) fn record(&mut self, attempt: RequestAttempt, now: Instant) {
         self.forget_old(now);
-        if self.first_refused.contains_key(&request) {
+        let refusals = self.refusals.entry(attempt.request).or_default();
+        if refusals.iter().any(|it| it.attempt == attempt.number) {
             return;
         }
-        self.first_refused.insert(request, now);
-        self.by_age.push_back((now, request));
+        refusals.push(Refusal { attempt: attempt.number, at: now, next_attempt: None });
+        self.by_age.push_back((now, attempt.request));
     }
 
     /// Returns `true` if an earlier attempt of the request was refused.
-    pub(crate) fn is_return(&self, request: Fingerprint, now: Instant) -> bool {
-        let Some(refused) = self.first_refused.get(&request) else { return false };
-        let age = now.saturating_duration_since(*refused);
-        (ATTEMPT_TIME..MEMORY_TIME).contains(&age)
+    ///
+    /// Each refusal stands for one return, so that equal requests of other callers don't count as such.
+    pub(crate) fn is_return(&mut self, attempt: RequestAttempt, now: Instant) -> bool {
+        let Some(refusals) = self.refusals.get_mut(&attempt.request) else { return false };
+        if refusals.iter().any(|it| it.attempt == attempt.number) {
+            // It asks again, as after a grant that its host can't use.
+            return refusals.iter().any(|it| it.next_attempt == Some(attempt.number));
+        }
+        let is_own = |it: &&mut Refusal| match it.next_attempt {
+            Some(next) => next == attempt.number,
+            None => {
+                let age = now.saturating_duration_since(it.at);
+                (MIN_RETURN_TIME..MEMORY_TIME).contains(&age)
+            }
+        };
+        let Some(refusal) = refusals.iter_mut().find(is_own) else { return false };
+        refusal.next_attempt = Some(attempt.number);
+        true
     }
 
     fn forget_old(&mut self, now: Instant) {
-        while let Some((refused, request)) = self.by_age.front().copied() {
-            let is_recent = now.saturating_duration_since(refused) < MEMORY_TIME;
-            if is_recent && self.by_age.len() < MAX_REQUESTS {
+        while let Some((at, request)) = self.by_age.front().copied() {
+            let is_recent = now.saturating_duration_since(at) < MEMORY_TIME;
+            if is_recent && self.by_age.len() < MAX_ATTEMPTS {
                 return;
             }
             self.by_age.pop_front();
-            self.first_refused.remove(&request);
+            let Some(refusals) = self.refusals.get_mut(&request) else { continue };
+            refusals.remove(0);
+            if refusals.is_empty() {
+                self.refusals.remove(&request);
+            }
         }
     }
 }
--- /dev/null
+++ b/src/placement/request_attempt.rs
@@ -0,0 +1,14 @@
+//! One attempt of a caller.
+
+use serde::{Deserialize, Serialize};
+
+use crate::placement::Fingerprint;
+
+/// An attempt of a caller to get a response to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestAttempt {
+    /// Digest of the request, which is the same if the caller repeats it.
+    pub request: Fingerprint,
+    /// Number of the attempt, which differs if the caller repeats it.
+    pub number: u64,
+}
--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -27,7 +27,7 @@
     Demand {
         service: "pool".to_owned(),
         model: None,
-        fingerprint: None,
+        attempt: None,
         prompt_tokens,
         is_resumed: false,
         excluded: Vec::new(),
--- a/tests/cell_owners.rs
+++ b/tests/cell_owners.rs
@@ -14,7 +14,7 @@
 
 use crocustiller::{
     fleet::{AdmissionMessage, PeerMessage, RefusalReason},
-    placement::{Demand, HeldReservation},
+    placement::{Demand, HeldReservation, RequestAttempt},
 };
 use crocustiller_standins::raw_http::{ScriptedServer, Step, StoreStandin};
 use entry_process::{
@@ -178,7 +178,7 @@
     let demand = Demand {
         service: "pool".to_owned(),
         model: Some("lots".to_owned()),
-        fingerprint: Some(u64::MAX),
+        attempt: Some(RequestAttempt { request: u64::MAX, number: 1 }),
         prompt_tokens: u32::MAX,
         is_resumed: false,
         excluded: Vec::new(),
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -14,7 +14,7 @@
         AdmissionMessage, Beacon, DocumentNumbers, EngineNotice, EntryState, LossCount,
         ManifestCopy, PeerMessage, PiecesHeld,
     },
-    placement::{Demand, QuarantinedPart},
+    placement::{Demand, QuarantinedPart, RequestAttempt},
     platform::{
         store::{Metadata, StoredObject},
         wire_config, wire_server,
@@ -298,7 +298,7 @@
     let demand = Demand {
         service: "pool".to_owned(),
         model: Some("lots".to_owned()),
-        fingerprint: Some(u64::MAX),
+        attempt: Some(RequestAttempt { request: u64::MAX, number: u64::MAX }),
         prompt_tokens: u32::MAX,
         is_resumed: true,
         excluded: vec![String::new(); 300],
--- a/tests/paused_pool.rs
+++ b/tests/paused_pool.rs
@@ -110,7 +110,7 @@
         let demand = Demand {
             service: "pool".to_owned(),
             model: None,
-            fingerprint: None,
+            attempt: None,
             prompt_tokens: 0,
             is_resumed: false,
             excluded,
--- a/tests/returning_requests.rs
+++ b/tests/returning_requests.rs
@@ -7,7 +7,9 @@
     time::{Duration, Instant},
 };
 
-use crocustiller::placement::{Admission, AdmissionCell, CellEngine, Demand, ReservationId};
+use crocustiller::placement::{
+    Admission, AdmissionCell, CellEngine, Demand, RequestAttempt, ReservationId,
+};
 use fastrand::Rng;
 
 const N_ENGINES: u64 = 4;
@@ -25,11 +27,12 @@
     (0..N_ENGINES).map(engine).collect()
 }
 
-fn demand(fingerprint: Option<u64>, wait_ms: u64) -> Demand {
+/// Returns the demand of a request, if no engine has got it yet, in the caller's attempt `number`.
+fn demand(request: Option<u64>, number: u64, wait_ms: u64) -> Demand {
     Demand {
         service: "pool".to_owned(),
         model: None,
-        fingerprint,
+        attempt: request.map(|request| RequestAttempt { request, number }),
         prompt_tokens: 10,
         is_resumed: false,
         excluded: Vec::new(),
@@ -127,7 +130,7 @@
         for wait_ms in [0, WAIT_MS] {
             let number = self.asked.len() as u64;
             self.asked.push((request, is_return));
-            let demand = demand(Some(request), wait_ms);
+            let demand = demand(Some(request), is_return.into(), wait_ms);
             match self.cell.request(id(number), demand, &engines, self.now()) {
                 Some(Admission::Full) if wait_ms == 0 => {}
                 Some(admission) => return self.apply(id(number), admission),
@@ -178,13 +181,13 @@
     let mut cell = AdmissionCell::default();
     let n_places = N_ENGINES * u64::from(SLOTS + MAX_QUEUED);
     for number in 0..n_places {
-        cell.request(id(number), demand(Some(number), 0), &engines, start);
+        cell.request(id(number), demand(Some(number), 0, 0), &engines, start);
     }
-    let refused = cell.request(id(1000), demand(Some(7000), 0), &engines, start);
+    let refused = cell.request(id(1000), demand(Some(7000), 0, 0), &engines, start);
     assert_eq!(refused, Some(Admission::Full));
     cell.release(&id(0), start);
     let later = start + Duration::from_millis(RETRY_AFTER_MS);
-    let returning = cell.request(id(1001), demand(Some(7000), WAIT_MS), &engines, later);
+    let returning = cell.request(id(1001), demand(Some(7000), 1, WAIT_MS), &engines, later);
     assert!(matches!(returning, Some(Admission::Granted { .. })), "{returning:?}");
 }
 
@@ -195,16 +198,40 @@
     let start = Instant::now();
     let mut cell = AdmissionCell::default();
     for number in 0..N_ENGINES * u64::from(SLOTS + MAX_QUEUED) {
-        cell.request(id(number), demand(Some(number), 0), &engines, start);
+        cell.request(id(number), demand(Some(number), 0, 0), &engines, start);
     }
     let later = start + Duration::from_millis(RETRY_AFTER_MS);
-    let refused = cell.request(id(1000), demand(Some(7000), 0), &engines, start);
+    let refused = cell.request(id(1000), demand(Some(7000), 0, 0), &engines, start);
     assert_eq!(refused, Some(Admission::Full));
-    let same_attempt = start + Duration::from_millis(60);
-    let waits = cell.request(id(1001), demand(Some(7000), WAIT_MS), &engines, same_attempt);
+    // The same attempt asks again, as after a grant that its host can't use.
+    let waits = cell.request(id(1001), demand(Some(7000), 0, WAIT_MS), &engines, later);
     assert_eq!(waits, None);
-    assert_eq!(cell.request(id(1002), demand(None, WAIT_MS), &engines, later), None);
-    assert_eq!(cell.request(id(1003), demand(Some(7001), WAIT_MS), &engines, later), None);
-    let returning = cell.request(id(1004), demand(Some(7000), WAIT_MS), &engines, later);
+    // An equal request of another caller arrives at nearly the same time.
+    let soon = start + Duration::from_millis(60);
+    assert_eq!(cell.request(id(1002), demand(Some(7000), 5, WAIT_MS), &engines, soon), None);
+    assert_eq!(cell.request(id(1003), demand(None, 0, WAIT_MS), &engines, later), None);
+    assert_eq!(cell.request(id(1004), demand(Some(7001), 0, WAIT_MS), &engines, later), None);
+    let returning = cell.request(id(1005), demand(Some(7000), 1, WAIT_MS), &engines, later);
     assert_eq!(returning, Some(Admission::Full));
 }
+
+/// Guards against taking equal requests of many callers for returning ones after a single refusal.
+#[test]
+fn equal_requests_are_no_returns() {
+    let start = Instant::now();
+    let mut cell = AdmissionCell::default();
+    for number in 0..N_ENGINES * u64::from(SLOTS + MAX_QUEUED) {
+        cell.request(id(number), demand(Some(number), 0, 0), &engines, start);
+    }
+    let refused = cell.request(id(1000), demand(Some(7000), 0, 0), &engines, start);
+    assert_eq!(refused, Some(Admission::Full));
+    let later = start + Duration::from_millis(RETRY_AFTER_MS);
+    let admissions: Vec<Option<Admission>> = (1..6)
+        .map(|it| cell.request(id(1000 + it), demand(Some(7000), it, WAIT_MS), &engines, later))
+        .collect();
+    let n_waiting = admissions.iter().filter(|it| it.is_none()).count();
+    assert_eq!(n_waiting, 4, "all but the one that came back wait");
+    // It asks its second owner, or to wait: still the same return.
+    let again = cell.request(id(2000), demand(Some(7000), 1, WAIT_MS), &engines, later);
+    assert_eq!(again, Some(Admission::Full));
+}
