Keep connections of peers that are alive but read late

What callers saw: a caller that read nothing for 3 s got a reset in place of the rest of its response, and a request whose backend server read nothing for 3 s was answered 502 with 15 s left.

Cause: Linux applies the TCP user timeout also to a peer that has closed its window but acknowledges each probe of it. An accepted request was lost, though only its own time limit may end it.

Change: no TCP user timeout. Idle connections have TCP keepalive as before. For bytes that wait for an acknowledgement, one task of the process reads TCP_INFO of the open connections every 0.5 s: a peer is gone if nothing that was sent after the last acknowledgement, neither data nor a probe, has been acknowledged for 3 s. Probes and repetitions become ever rarer, so the mere age of the last acknowledgement says nothing. Writes that the user timeout had bounded without a time limit of their own now have one: error responses, store relays, pieces, readiness and metrics.

Not as before: a peer that reads late and then dies is noticed 3 s after the next probe of its window, which may come as late as the window was closed before; the request's time limit still holds. The system keeps the last bytes for a peer that died after its connection was closed for longer.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -160,7 +160,10 @@
             "callers: refused an unread request status={} error=\"{reason}\"",
             response.status
         );
-        if let Err(err) = response.send(&self.connection.writer(), "", true).await {
+        let writer = self.connection.writer();
+        let send = response.send(&writer, "", true);
+        let res = runtime::timeout(self.limits().head_timeout, send).await;
+        if let Err(err) = res.unwrap_or(Err(HttpError::TimedOut)) {
             log::debug!("callers: failed to send an error response error=\"{err}\"");
         }
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -29,6 +29,8 @@
 
 /// Time after the deadline for which the engine's own response is still accepted.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(40);
+/// Time for which an error response may be written if the request has less time left.
+const MIN_ERROR_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Value of `Retry-After` in the response of a host that has no charter yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -254,8 +256,12 @@
             verdict: response.verdict,
             reason: response.message,
         });
-        let res = response.send(&self.caller, &self.request.id, self.closes_connection).await;
-        self.reuse_after_write(res)
+        // A caller that reads none of its responses has no room for another one.
+        let time_left = self.request.time_left.unwrap_or_default();
+        let time_left = time_left.saturating_sub(clock::elapsed(self.received));
+        let send = response.send(&self.caller, &self.request.id, self.closes_connection);
+        let res = runtime::timeout(time_left.max(MIN_ERROR_WRITE_TIMEOUT), send).await;
+        self.reuse_after_write(res.unwrap_or(Err(HttpError::TimedOut)))
     }
 
     /// Ends the request, as the process is about to exit: responds unless the response has begun.
--- a/src/entry/store_relay.rs
+++ b/src/entry/store_relay.rs
@@ -15,7 +15,7 @@
 
 /// Longest head of a request.
 const MAX_HEAD_BYTES: usize = 4 << 10;
-/// Time for which a connection may be idle before it is closed.
+/// Time for which a connection may be idle, or a response unread, before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest time for which a watch waits for a change.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -41,7 +41,9 @@
             Ok(res) => res?,
         };
         let response = handle(host, &head.target).await;
-        connection.write(&response.to_bytes()).await?;
+        let bytes = response.to_bytes();
+        let write = runtime::timeout(IDLE_TIMEOUT, connection.write(&bytes)).await;
+        write.map_err(|_| HttpError::TimedOut)??;
     }
 }
 
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -15,7 +15,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::{
-    http1::{HttpError, RequestHead, ResponseHead},
+    http1::{peer_watch::PeerState, HttpError, RequestHead, ResponseHead},
     runtime,
 };
 
@@ -32,13 +32,13 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unacknowledged keepalive probes after which the connection is considered broken.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Time that sent bytes may stay unacknowledged before the connection is considered broken.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A buffered TCP connection that reads and writes HTTP/1.1 messages.
 ///
-/// TCP keepalive and the TCP user timeout detect a peer that no longer responds. Dropping the
-/// connection closes it, unless a writer of it is still in use.
+/// A peer whose system no longer responds is detected by TCP keepalive, or by its missing
+/// acknowledgements if sent bytes wait for them. A peer that reads nothing keeps its connection: how
+/// long to wait for it is up to the caller of `write`. Dropping the connection closes it, unless a
+/// writer of it is still in use.
 #[derive(Debug)]
 pub struct Connection {
     stream: Arc<Async<TcpStream>>,
@@ -47,6 +47,7 @@
     is_eof: bool,
     n_reads_in_turn: u32,
     has_failed_write: Arc<AtomicBool>,
+    peer: PeerState,
 }
 
 /// The write half of a connection.
@@ -54,6 +55,7 @@
 pub struct ConnectionWriter {
     stream: Arc<Async<TcpStream>>,
     has_failed: Arc<AtomicBool>,
+    peer: PeerState,
 }
 
 impl ConnectionWriter {
@@ -62,6 +64,7 @@
         let res = (&*self.stream).write_all(bytes).await;
         if res.is_err() {
             self.has_failed.store(true, Ordering::Relaxed);
+            self.peer.check()?;
         }
         Ok(res?)
     }
@@ -77,14 +80,16 @@
             .with_retries(KEEPALIVE_PROBES);
         let socket = SockRef::from(stream.get_ref());
         socket.set_tcp_keepalive(&keepalive)?;
-        socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+        let stream = Arc::new(stream);
+        let peer = PeerState::watch(&stream);
         Ok(Connection {
-            stream: Arc::new(stream),
+            stream,
             buffer: Vec::new(),
             n_consumed: 0,
             is_eof: false,
             n_reads_in_turn: 0,
             has_failed_write: Arc::default(),
+            peer,
         })
     }
 
@@ -112,7 +117,8 @@
 
     /// Waits until more bytes are buffered; returns `false` if the peer has closed its write half.
     ///
-    /// Fails if the connection was reset, also if a write has already reported the reset.
+    /// Fails if the peer is gone or has reset the connection, also if a write has already reported
+    /// the reset.
     pub async fn fill(&mut self) -> Result<bool, HttpError> {
         if self.is_eof {
             return Ok(false);
@@ -124,6 +130,9 @@
         self.yield_between_turns().await;
         let stream = self.stream.clone();
         let n_read = stream.read_with(|mut it| read_into(&mut it, &mut self.buffer)).await?;
+        if n_read == 0 {
+            self.peer.check()?;
+        }
         // The system reports a reset once; after that, a read returns no bytes, as at a close.
         if n_read == 0 && self.has_failed_write.load(Ordering::Relaxed) {
             return Err(io::Error::from(io::ErrorKind::ConnectionReset).into());
@@ -178,7 +187,11 @@
 
     /// Returns the write half, for writing while the connection is being read.
     pub fn writer(&self) -> ConnectionWriter {
-        ConnectionWriter { stream: self.stream.clone(), has_failed: self.has_failed_write.clone() }
+        ConnectionWriter {
+            stream: self.stream.clone(),
+            has_failed: self.has_failed_write.clone(),
+            peer: self.peer.clone(),
+        }
     }
 
     /// Writes all of `bytes`.
--- a/src/http1/http_endpoint.rs
+++ b/src/http1/http_endpoint.rs
@@ -20,7 +20,8 @@
 const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Maximum length of a request body; the body is read and discarded.
 const MAX_BODY_BYTES: usize = 64 << 10;
-/// Time after which a connection is closed on which no complete request arrived.
+/// Time after which a connection is closed on which no complete request arrived, or a response was
+/// not read.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A response with a complete body, for endpoints that need no header fields of their own.
@@ -96,7 +97,9 @@
             Ok(Err(HttpError::Closed)) | Err(_) => return Ok(()),
             Ok(res) => res?,
         };
-        connection.write(&respond(&head).to_bytes()).await?;
+        let bytes = respond(&head).to_bytes();
+        let write = runtime::timeout(IDLE_TIMEOUT, connection.write(&bytes)).await;
+        write.map_err(|_| HttpError::TimedOut)??;
         if head.headers.has_member("connection", "close") {
             connection.shutdown_write();
             return Ok(());
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -5,6 +5,7 @@
 //! framing of bodies is implemented here. Processes that run without `--platform` use `net` instead.
 
 mod acceptor;
+mod ack_status;
 mod body;
 mod chunk_decoder;
 mod client;
@@ -13,9 +14,12 @@
 mod head;
 mod headers;
 mod http_endpoint;
+mod peer_silence;
+mod peer_watch;
 
 pub(crate) use crate::http1::acceptor::accept_all;
 pub use crate::http1::{
+    ack_status::AckStatus,
     body::{BodyLength, BodyReader},
     chunk_decoder::ChunkDecoder,
     client::{Call, Client, Response},
@@ -24,4 +28,5 @@
     head::{RequestHead, ResponseHead},
     headers::Headers,
     http_endpoint::{HttpEndpoint, SmallResponse},
+    peer_silence::PeerSilence,
 };
--- a/src/slot/piece_server.rs
+++ b/src/slot/piece_server.rs
@@ -18,6 +18,9 @@
 
 /// Share of the rate of the host's network link that pieces may use.
 const LINK_SHARE: f64 = 0.88;
+/// Time after which a connection is closed if a write has not ended, as other slots may wait for
+/// their pieces.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The number of bytes in one write.
 const SLICE_BYTES: usize = 8 << 10;
 /// Longest head of a request.
@@ -94,7 +97,7 @@
             };
             if let Some(manifest) = self.encoded_manifest(&head.target) {
                 send_head(&connection, 200, manifest.len()).await?;
-                connection.write(&manifest).await?;
+                write(&connection, &manifest).await?;
                 continue;
             }
             if self.n_queued.get() >= MAX_QUEUED_REQUESTS {
@@ -111,7 +114,7 @@
             send_head(&connection, 200, body.len()).await?;
             for slice in body.chunks(SLICE_BYTES) {
                 self.budget.send(slice.len() as u64).await;
-                connection.write(slice).await?;
+                write(&connection, slice).await?;
             }
         }
     }
@@ -134,7 +137,12 @@
 async fn send_head(connection: &Connection, status: u16, n_bytes: usize) -> Result<(), HttpError> {
     let mut head = ResponseHead::new(status, "-");
     head.headers.push("Content-Length", n_bytes.to_string());
-    connection.write(&head.to_bytes()).await
+    write(connection, &head.to_bytes()).await
+}
+
+async fn write(connection: &Connection, bytes: &[u8]) -> Result<(), HttpError> {
+    let write = runtime::timeout(WRITE_TIMEOUT, connection.write(bytes)).await;
+    write.map_err(|_| HttpError::TimedOut)?
 }
 
 fn stored_piece(piece_store: &PieceStore, target: &str) -> Option<Vec<u8>> {
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -234,9 +234,21 @@
 
 /// Returns the bytes of a request with an empty body; `id` is its request id.
 pub fn request(method: &str, path: &str, id: &str, extra_headers: &str) -> Vec<u8> {
+    let headers = format!("Content-Length: 0\r\n{extra_headers}");
+    request_head(method, path, id, 3000, &headers)
+}
+
+/// Returns the bytes of the head of a request whose caller waits for `deadline_ms`.
+pub fn request_head(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    extra_headers: &str,
+) -> Vec<u8> {
     format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
-         Authorization: Bearer {API_KEY}\r\nContent-Length: 0\r\n{extra_headers}\r\n"
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {API_KEY}\r\n{extra_headers}\r\n"
     )
     .into_bytes()
 }
@@ -304,6 +316,16 @@
     })
 }
 
+/// Returns the configuration with number 1, whose routes have this timeout and accept long bodies.
+pub fn charter_with_timeout(timeout_ms: u64) -> Value {
+    let mut changed = charter(1);
+    for route in changed["routes"].as_array_mut().unwrap() {
+        route["timeout-ms"] = json!(timeout_ms);
+    }
+    changed["limits"]["max-body-bytes"] = json!(10_000_000);
+    changed
+}
+
 /// Returns the store entry of a backend server; an engine has complete weights of version 1.
 pub fn server_entry(service: &str, address: SocketAddr, state: &str) -> Value {
     json!({
--- a/tests/late_readers.rs
+++ b/tests/late_readers.rs
@@ -3,75 +3,200 @@
 mod entry_process;
 
 use std::{
-    io::{Read, Write},
+    io::{ErrorKind, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, encode_response, read_response, request, server_entry, EntryProcess, API_KEY, HOST,
+    charter_with_timeout, encode_response, read_response, request_head, server_entry, stream_head,
+    CallerResponse, EntryProcess,
 };
 use socket2::{Domain, Socket, Type};
 
 /// Length of a body that does not fit into the buffers of a connection that nobody reads.
 const LONG_BODY_BYTES: usize = 4_000_000;
+/// Length of a body that fits into the buffer of the sender.
+const SHORT_BODY_BYTES: usize = 60_000;
+/// Time that the peer of a connection reads nothing, while its system acknowledges what arrives.
+const PAUSE: Duration = Duration::from_millis(5000);
+/// Time for which requests may take that end earlier.
+const TIMEOUT_MS: u64 = 20_000;
+/// Time within which a request must end after its deadline.
+const END_TIME: Duration = Duration::from_millis(1000);
 
-/// Guards against cutting a response as its caller reads nothing for more than the TCP user timeout.
+/// Guards against cutting a response as its caller reads nothing for some seconds.
 #[test]
 fn late_reader_gets_whole_response() {
-    let script = |request: &RawRequest| {
-        vec![Step::Send(encode_response(request, 200, &"x".repeat(LONG_BODY_BYTES)))]
-    };
-    let server = ScriptedServer::start(script).unwrap();
-    let store = StoreStandin::start().unwrap();
-    let mut changed = charter(1);
-    for route in changed["routes"].as_array_mut().unwrap() {
-        route["timeout-ms"] = serde_json::json!(20000);
-    }
-    store.put("config", "main", changed);
-    store.put("servers", "ledger-0", server_entry("ledger", server.address(), "ready"));
-    let entry = EntryProcess::start(&store, "entry-1");
-    entry.wait_until_ready();
+    let (_store, entry, _ledger) = start_ledger(LONG_BODY_BYTES, TIMEOUT_MS);
     let mut caller = connect_with_small_buffer(entry.callers);
-    let bytes = request("POST", "/hold/1", "late", "Connection: close\r\n");
-    let text = String::from_utf8(bytes).unwrap().replace("Ms: 3000", "Ms: 20000");
-    caller.write_all(text.as_bytes()).unwrap();
-    thread::sleep(Duration::from_millis(5000));
+    send_request(&mut caller, "/hold/1", TIMEOUT_MS, "Connection: close\r\n");
+    thread::sleep(PAUSE);
     let mut bytes = Vec::new();
     let res = caller.read_to_end(&mut bytes);
     assert!(res.is_ok(), "{res:?} after {} bytes", bytes.len());
     assert!(bytes.len() > LONG_BODY_BYTES, "{} bytes", bytes.len());
 }
 
-/// Guards against losing a request as its backend server reads nothing for more than the TCP user
-/// timeout and then goes on.
+/// Guards against cutting a response as its caller reads too little to open the window.
+#[test]
+fn slow_reader_gets_whole_response() {
+    let (_store, entry, _ledger) = start_ledger(LONG_BODY_BYTES, TIMEOUT_MS);
+    let mut caller = connect_with_small_buffer(entry.callers);
+    send_request(&mut caller, "/hold/1", TIMEOUT_MS, "Connection: close\r\n");
+    let mut bytes = Vec::new();
+    for _ in 0..8 {
+        thread::sleep(Duration::from_millis(1000));
+        let mut buffer = [0; 100];
+        let n_read = caller.read(&mut buffer).unwrap();
+        bytes.extend_from_slice(&buffer[..n_read]);
+    }
+    let res = caller.read_to_end(&mut bytes);
+    assert!(res.is_ok(), "{res:?} after {} bytes", bytes.len());
+    assert!(bytes.len() > LONG_BODY_BYTES, "{} bytes", bytes.len());
+}
+
+/// Guards against losing a response that was written completely, but not sent as the caller's window
+/// was closed.
+#[test]
+fn late_reader_gets_buffered_response() {
+    let (_store, entry, _ledger) = start_ledger(SHORT_BODY_BYTES, TIMEOUT_MS);
+    for extra_headers in ["", "Connection: close\r\n"] {
+        let mut caller = connect_with_small_buffer(entry.callers);
+        send_request(&mut caller, "/hold/1", TIMEOUT_MS, extra_headers);
+        thread::sleep(PAUSE - Duration::from_millis(500));
+        let response = read_response(&mut caller);
+        assert!(response.is_complete(), "{} bytes", response.bytes.len());
+    }
+}
+
+/// Guards against cutting a stream as its caller reads nothing for some seconds.
+#[test]
+fn late_reader_gets_whole_stream() {
+    let (_store, entry, _engine) = start_pool(|request| {
+        let events = (1..=80).map(|number| Step::Send(long_event_chunk(number)));
+        let end = Step::Send(b"0\r\n\r\n".to_vec());
+        [Step::Send(stream_head(request))].into_iter().chain(events).chain([end]).collect()
+    });
+    let mut caller = connect_with_small_buffer(entry.callers);
+    send_request(&mut caller, "/draft/1", TIMEOUT_MS, "Connection: close\r\n");
+    thread::sleep(PAUSE);
+    let mut bytes = Vec::new();
+    let res = caller.read_to_end(&mut bytes);
+    assert!(res.is_ok(), "{res:?} after {} bytes", bytes.len());
+    let text = String::from_utf8(bytes).unwrap();
+    assert_eq!(text.matches("id: ").count(), 80);
+    assert!(text.ends_with("0\r\n\r\n"));
+}
+
+/// Guards against an engine that generates for a caller that reads nothing, longer than the caller
+/// waits for the response.
+#[test]
+fn unread_stream_ends_at_deadline() {
+    let (_store, entry, engine) = start_pool(|request| {
+        vec![Step::Send(stream_head(request)), Step::SendEndlessly(long_event_chunk(1))]
+    });
+    let mut caller = connect_with_small_buffer(entry.callers);
+    send_request(&mut caller, "/draft/1", 4000, "");
+    thread::sleep(Duration::from_millis(3800));
+    assert_eq!(engine.n_open_connections(), 1);
+    thread::sleep(Duration::from_millis(200) + END_TIME);
+    assert_eq!(engine.n_open_connections(), 0);
+}
+
+/// Guards against a connection that stays open as its caller sends requests and reads no refusal.
+#[test]
+fn unread_refusals_end_in_time() {
+    let (_store, entry, _ledger) = start_ledger(SHORT_BODY_BYTES, TIMEOUT_MS);
+    let mut caller = connect_with_small_buffer(entry.callers);
+    let refused = request_head("POST", "/nowhere/1", "refused", 1000, "Content-Length: 0\r\n");
+    caller.set_write_timeout(Some(Duration::from_millis(6000))).unwrap();
+    let res = loop {
+        if let Err(err) = caller.write_all(&refused) {
+            break err;
+        }
+    };
+    assert!(
+        matches!(res.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe),
+        "the connection is still open: {res:?}"
+    );
+}
+
+/// Guards against losing a request as its backend server reads nothing for some seconds and then goes
+/// on.
 #[test]
 fn late_server_gets_whole_request() {
+    let response = exchange_with_late_server(PAUSE, TIMEOUT_MS);
+    assert_eq!(response.status(), 200, "{}", response.text());
+}
+
+/// Guards against losing a request earlier than at its deadline, or answering it later, as its backend
+/// server reads nothing.
+#[test]
+fn unread_request_ends_at_deadline() {
+    let sent = Instant::now();
+    let response = exchange_with_late_server(PAUSE * 4, 5000);
+    assert_eq!(response.status(), 504, "{}", response.text());
+    assert!(sent.elapsed() > Duration::from_millis(5000), "{:?}", sent.elapsed());
+    assert!(sent.elapsed() < Duration::from_millis(6000) + END_TIME, "{:?}", sent.elapsed());
+}
+
+/// Starts an entry host and a service whose responses have a body of this length.
+fn start_ledger(
+    body_bytes: usize,
+    timeout_ms: u64,
+) -> (StoreStandin, EntryProcess, ScriptedServer) {
+    let script = move |request: &RawRequest| {
+        vec![Step::Send(encode_response(request, 200, &"x".repeat(body_bytes)))]
+    };
+    let ledger = ScriptedServer::start(script).unwrap();
+    let (store, entry) = start_entry("ledger", ledger.address(), timeout_ms);
+    (store, entry, ledger)
+}
+
+/// Starts an entry host and an engine with this script.
+fn start_pool(
+    script: impl Fn(&RawRequest) -> Vec<Step> + Send + Sync + 'static,
+) -> (StoreStandin, EntryProcess, ScriptedServer) {
+    let engine = ScriptedServer::start(script).unwrap();
+    let (store, entry) = start_entry("pool", engine.address(), TIMEOUT_MS);
+    (store, entry, engine)
+}
+
+fn start_entry(service: &str, server: SocketAddr, timeout_ms: u64) -> (StoreStandin, EntryProcess) {
     let store = StoreStandin::start().unwrap();
-    let mut changed = charter(1);
-    for route in changed["routes"].as_array_mut().unwrap() {
-        route["timeout-ms"] = serde_json::json!(20000);
-    }
-    changed["limits"]["max-body-bytes"] = serde_json::json!(2 * LONG_BODY_BYTES);
-    store.put("config", "main", changed);
-    store.put("servers", "ledger-0", server_entry("ledger", start_late_server(), "ready"));
+    store.put("config", "main", charter_with_timeout(timeout_ms));
+    store.put("servers", &format!("{service}-0"), server_entry(service, server, "ready"));
     let entry = EntryProcess::start(&store, "entry-1");
     entry.wait_until_ready();
+    (store, entry)
+}
+
+fn send_request(caller: &mut TcpStream, path: &str, deadline_ms: u64, extra_headers: &str) {
+    let headers = format!("Content-Length: 0\r\n{extra_headers}");
+    caller.write_all(&request_head("POST", path, "late", deadline_ms, &headers)).unwrap();
+}
+
+/// Returns one event of about 50 kB, as one HTTP chunk.
+fn long_event_chunk(number: u32) -> Vec<u8> {
+    let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(50_000));
+    format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()
+}
+
+/// Sends a long request through an entry host to a server that reads nothing for `pause`.
+fn exchange_with_late_server(pause: Duration, deadline_ms: u64) -> CallerResponse {
+    let (_store, entry) = start_entry("ledger", start_late_server(pause), TIMEOUT_MS);
     let mut caller = TcpStream::connect(entry.callers).unwrap();
-    let head = format!(
-        "POST /hold/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: late\r\nX-Deadline-Ms: 20000\r\n\
-         Authorization: Bearer {API_KEY}\r\nContent-Length: {LONG_BODY_BYTES}\r\n\r\n"
-    );
-    caller.write_all(head.as_bytes()).unwrap();
+    let headers = format!("Content-Length: {LONG_BODY_BYTES}\r\n");
+    caller.write_all(&request_head("POST", "/hold/1", "late", deadline_ms, &headers)).unwrap();
     caller.write_all(&vec![b'x'; LONG_BODY_BYTES]).unwrap();
-    let response = read_response(&mut caller);
-    assert_eq!(response.status(), 200, "{}", response.text());
+    read_response(&mut caller)
 }
 
-/// Starts a server that reads requests 5 s after they began to arrive, and answers them.
-fn start_late_server() -> SocketAddr {
+/// Starts a server that reads requests `pause` after they began to arrive, and answers them.
+fn start_late_server(pause: Duration) -> SocketAddr {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(4096).unwrap();
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
@@ -80,7 +205,7 @@
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
-        thread::sleep(Duration::from_millis(5000));
+        thread::sleep(pause);
         let mut bytes = Vec::new();
         let mut buffer = vec![0; 1 << 16];
         while head_length(&bytes).is_none_or(|it| bytes.len() < it + LONG_BODY_BYTES) {
