Notice that a client has left while its body is unread

What was seen: `write_faults_give_correct_verdicts`, case "slow", beside load: a write took effect 0.5 s after its client had given up.

Cause, in the product: the HTTP server drops the handler of a client that disconnects, and looked for the end of the stream by peeking at the next byte. A body that arrives after its head, as the client sends the two apart, stays unread until the handler reads it, so the peek saw a byte and never the end behind it. On an idle machine both are usually read at once.

Change: the end of the stream is asked for by `poll` with POLLRDHUP, whatever lies before it.

--- a/src/net/byte_stream.rs
+++ b/src/net/byte_stream.rs
@@ -17,6 +17,7 @@
     io::{AsyncRead, AsyncWrite},
     AsyncReadExt,
 };
+use rustix::event::{self, PollFd, PollFlags, Timespec};
 
 use crate::runtime;
 
@@ -77,14 +78,21 @@
         let _ = self.inner.peek(&mut [0u8; 1]).await;
     }
 
-    /// Waits until the other side closes its half of the stream or the stream fails.
+    /// Waits until the other side closes its half of the stream or the stream fails, also while bytes
+    /// before that are not read yet.
     pub(crate) async fn wait_until_closed(&self) {
         let mut byte = [0u8; 1];
-        while matches!(self.inner.peek(&mut byte).await, Ok(1..)) {
+        while !self.is_closed() && matches!(self.inner.peek(&mut byte).await, Ok(1..)) {
             runtime::sleep(CLOSE_CHECK_INTERVAL).await;
         }
     }
 
+    /// Returns `true` if the other side has closed its half of the stream or the stream has failed.
+    fn is_closed(&self) -> bool {
+        let mut sockets = [PollFd::new(&self.inner, PollFlags::RDHUP)];
+        matches!(event::poll(&mut sockets, Some(&Timespec::default())), Ok(1..))
+    }
+
     /// Closes the write half, then discards incoming bytes until the other side closes the stream or
     /// `LINGER_TIMEOUT` expires.
     ///
