Keep a request that arrives with the unread body of the one before

What was seen: `write_faults_give_correct_verdicts`, case "above the rate limit", beside load: the client got no response, so its verdict was may-have-run in place of not-run. It is no slow response: with a timeout of 8 s there was none either.

Cause, in the product: `async-h1` reads the rest of an unread body after the response is sent. A client that has the response sends its next request, and if that arrives with the rest of the body, both are read into one buffer, which is dropped with the body. The server then waits for a head that it has thrown away, until the client gives up.

Change: what has arrived of an unread body is discarded before the response is sent, when no next request can be there. If more is missing, the response closes the connection. Requests with `Expect: 100-continue` always close it, as reading would ask for the body.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod http_client;
 mod http_server;
 pub(crate) mod listen;
+mod request_body;
 mod server_connection;
 
 pub use crate::net::{
--- a/src/net/server_connection.rs
+++ b/src/net/server_connection.rs
@@ -18,6 +18,7 @@
     net::{
         byte_stream::ByteStream,
         http_server::{Handler, ServerCounts},
+        request_body::RequestBody,
     },
     runtime,
 };
@@ -32,7 +33,7 @@
 ///
 /// It allows two reads of the HTTP parser, which reads up to `MAX_HEAD_BYTES` at a time.
 const HEAD_READ_LIMIT_BYTES: u64 = 2 * MAX_HEAD_BYTES;
-/// The maximum length of an unread request body that is discarded after the response.
+/// The maximum length of an unread request body that is discarded before the response.
 ///
 /// The connection is closed if more of the body is left.
 const MAX_DISCARDED_BYTES: u64 = 64 << 10;
@@ -122,12 +123,20 @@
         exchange.or(self.wait_for_abort(&has_head)).await
     }
 
-    async fn call_handler(&self, request: Request) -> http_types::Result<Response> {
+    /// Returns the response of the handler.
+    ///
+    /// The rest of the body must be read before the client has the response: with the bytes after it,
+    /// which the HTTP parser may have buffered, the start of the next request would be lost.
+    async fn call_handler(&self, mut request: Request) -> http_types::Result<Response> {
         self.stream.set_read_limit(u64::MAX);
-        let response = (self.handler)(request).await?;
-        let closes_connection =
-            response.header("Connection").is_some_and(|it| it.as_str() == "close");
-        self.stream.set_read_limit(if closes_connection { 0 } else { MAX_DISCARDED_BYTES });
+        // Reading the body would ask the client for it.
+        let expects_continue = request.header("Expect").is_some();
+        let body = RequestBody::share(&mut request);
+        let mut response = (self.handler)(request).await?;
+        if expects_continue || !body.discard_arrived(MAX_DISCARDED_BYTES).await {
+            response.insert_header("Connection", "close");
+        }
+        self.stream.set_read_limit(0);
         Ok(response)
     }
 
