--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -6,6 +6,14 @@
 use emulated_pool::{Day, Pool, BAD, COMPANION, OTHER_BAD};
 use fastrand::Rng;
 
+/// Checks days with requests begun in turn, and without, as while owners of engines are not heard.
+fn check_both(day: &Day, n_seeds: u64, bad: &[PartDigest], may_refuse: &[PartDigest]) {
+    for begins_in_turn in [false, true] {
+        let day = Day { begins_in_turn, ..day.clone() };
+        check_days(&day, n_seeds, bad, may_refuse);
+    }
+}
+
 fn check_days(day: &Day, n_seeds: u64, bad: &[PartDigest], may_refuse: &[PartDigest]) {
     let mut misses = Vec::new();
     let (mut worst_crashes, mut slowest) = (0, i64::MIN);
@@ -34,7 +42,7 @@
 fn bad_part_on_all_hosts() {
     for (n_hosts, n_engines, n_seeds) in [(7, 16, 50), (60, 60, 8), (149, 156, 3)] {
         let day = Day::new(n_hosts, n_engines);
-        check_days(&day, n_seeds, &[BAD], &[BAD]);
+        check_both(&day, n_seeds, &[BAD], &[BAD]);
     }
 }
 
@@ -43,7 +51,7 @@
     for (bad_per_s, end_ms) in [(0.2, 60_000), (1.0, 20_000), (12.0, 12_000), (30.0, 12_000)] {
         let day = Day { bad_per_s, end_ms, sound_per_s: 60.0, ..Day::new(7, 16) };
         eprintln!("rate {bad_per_s}");
-        check_days(&day, 20, &[BAD], &[BAD]);
+        check_both(&day, 20, &[BAD], &[BAD]);
     }
 }
 
@@ -51,25 +59,25 @@
 fn two_bad_parts() {
     let bad_parts = vec![vec![BAD], vec![OTHER_BAD]];
     let day = Day { bad_parts, end_ms: 15_000, ..Day::new(7, 16) };
-    check_days(&day, 20, &[BAD, OTHER_BAD], &[BAD, OTHER_BAD]);
+    check_both(&day, 20, &[BAD, OTHER_BAD], &[BAD, OTHER_BAD]);
 }
 
 #[test]
 fn bad_first_part() {
-    check_days(&Day { bad_place: 0, ..Day::new(7, 16) }, 20, &[BAD], &[BAD]);
+    check_both(&Day { bad_place: 0, ..Day::new(7, 16) }, 20, &[BAD], &[BAD]);
 }
 
 /// Either of two parts that always come together may be refused.
 #[test]
 fn bad_part_with_companion() {
     let bad_parts = vec![vec![COMPANION, BAD]];
-    check_days(&Day { bad_parts, ..Day::new(7, 16) }, 20, &[BAD], &[BAD, COMPANION]);
+    check_both(&Day { bad_parts, ..Day::new(7, 16) }, 20, &[BAD], &[BAD, COMPANION]);
 }
 
 #[test]
 fn restarted_host_learns() {
     let day = Day { restart_ms: Some(8000), ..Day::new(7, 16) };
-    check_days(&day, 20, &[BAD], &[BAD]);
+    check_both(&day, 20, &[BAD], &[BAD]);
 }
 
 /// Sound requests must begin half as often as at other times, so fewer than half of the engines may be
@@ -78,7 +86,7 @@
 fn one_part_takes_most_engines() {
     const N_ENGINES: usize = 16;
     const N_SEEDS: u64 = 50;
-    let day = Day::new(7, N_ENGINES);
+    let day = Day { begins_in_turn: true, ..Day::new(7, N_ENGINES) };
     check_days(&day, N_SEEDS, &[BAD], &[BAD]);
     let n_crashes: usize =
         (0..N_SEEDS).map(|seed| Pool::play(&day, seed).bad_crashes[&BAD].len()).sum();
@@ -92,13 +100,22 @@
     check_days(&day, 20, &[BAD], &[BAD]);
 }
 
+/// Halves of a fleet that don't hear each other, each with its own engines and owners.
+#[test]
+fn turns_in_divided_fleet() {
+    let divided = Day { split_at: 3, joined_ms: 9000, end_ms: 15_000, ..Day::new(7, 16) };
+    let day = Day { begins_in_turn: true, ..divided };
+    check_days(&day, 50, &[BAD], &[BAD]);
+}
+
 /// Engines die for all kinds of reasons, and rare parts are in requests to them.
 #[test]
 fn no_part_falsely_quarantined() {
     let mut falsely = Vec::new();
-    for seed in 0..200 {
+    for (seed, begins_in_turn) in (0..200).flat_map(|it| [(it, false), (it, true)]) {
         let mut random = Rng::with_seed(seed);
-        let mut day = Day { bad_per_s: 0.0, end_ms: 40_000, ..Day::new(7, 16) };
+        let quiet = Day { bad_per_s: 0.0, end_ms: 40_000, ..Day::new(7, 16) };
+        let mut day = Day { begins_in_turn, ..quiet };
         day.sound_per_s = random.choice([2.0, 20.0, 100.0]).unwrap_or(20.0);
         day.crashes = random_crashes(&mut random, day.n_engines, day.end_ms);
         let pool = Pool::play(&day, seed);
--- a/tests/emulated_pool/day.rs
+++ b/tests/emulated_pool/day.rs
@@ -17,6 +17,9 @@
     /// When engines crash for another reason than a request, and which.
     pub(crate) crashes: Vec<(u64, Vec<usize>)>,
     pub(crate) loss: f64,
+    /// Whether requests with a suspected part begin one after the other, as owners of cells see to while
+    /// they are heard.
+    pub(crate) begins_in_turn: bool,
     /// The hosts before this one receive nothing from the others until `joined_ms`.
     pub(crate) split_at: usize,
     pub(crate) joined_ms: u64,
@@ -35,6 +38,7 @@
             bad_place: 1,
             crashes: Vec::new(),
             loss: 0.05,
+            begins_in_turn: false,
             split_at: 0,
             joined_ms: 0,
             restart_ms: None,
--- a/tests/emulated_pool/mod.rs
+++ b/tests/emulated_pool/mod.rs
@@ -228,7 +228,7 @@
         if self.hosts[host].find_quarantined(&parts, self.instant()).is_some() {
             return;
         }
-        if self.must_wait_for_turn(host, &parts) {
+        if self.day.begins_in_turn && self.must_wait_for_turn(host, &parts) {
             if n_waits < MAX_WAITS {
                 let retry = Event::Retries { host, parts, request, n_before, n_waits: n_waits + 1 };
                 self.schedule(WAIT_MS, retry);
