Requests that wait for a turn outlast the pause and are woken at its end

A request with a suspected part waits for an eighth of its objective, often less than the pause after a failed start, so it was refused at its deadline, and remembered as refused for want of capacity; and no timer woke the owner at the end of the pause (next_deadline was the request's deadline in suspected_requests_start_one_by_one, now the end of the pause). Such requests wait 0.3 s at least, a refusal without a turn makes no later attempt a return, and the end of the pause is a time at which the owner decides.

--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -37,6 +37,8 @@
 const NANOS_PER_MS: u128 = 1_000_000;
 /// Longest sleep until the time of a start deadline is read again.
 const MAX_DEADLINE_SLEEP: Duration = Duration::from_millis(250);
+/// Shortest wait of a request that has to begin in turn, longer than the pause after a failed start.
+const MIN_TURN_WAIT: Duration = Duration::from_millis(300);
 /// Number of grants for one request whose engine this host must not use, up to which it asks for
 /// another one though it has waited as long as it may.
 const MAX_UNUSABLE_GRANTS: usize = 3;
@@ -306,6 +308,9 @@
         let ready = servers.ready_of(&self.service);
         let unavailable = ready.filter(|it| !host.server_notices.takes_requests(it));
         excluded.extend(unavailable.map(|it| it.id.clone()));
+        let in_turn_parts =
+            host.crashing_parts.borrow().parts_to_start_in_turn(&self.prompt_parts, Instant::now());
+        let wait = if in_turn_parts.is_empty() { wait } else { wait.max(MIN_TURN_WAIT) };
         Demand {
             service: self.service.clone(),
             model: self.model.clone(),
@@ -314,10 +319,7 @@
             is_resumed: self.is_resumed,
             excluded,
             prompt_parts: self.prompt_parts.clone(),
-            in_turn_parts: host
-                .crashing_parts
-                .borrow()
-                .parts_to_start_in_turn(&self.prompt_parts, Instant::now()),
+            in_turn_parts,
             wait,
         }
     }
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -167,7 +167,8 @@
         decisions
     }
 
-    /// Ends the wait of requests without a place; returns their ids.
+    /// Ends the wait of requests without a place and remembers their refusal, unless it may be for want of
+    /// a turn; returns their ids.
     fn refuse(
         &mut self,
         now: Instant,
@@ -178,16 +179,21 @@
         self.waiting = waiting;
         for request in &refused {
             self.counts.of(request.is_return).n_refused += 1;
-            if let Some(attempt) = request.demand.attempt {
+            let has_turn = request.demand.in_turn_parts.is_empty();
+            if let Some(attempt) = request.demand.attempt.filter(|_| has_turn) {
                 self.refused.record(attempt, now);
             }
         }
         refused.into_iter().map(|it| it.id).collect()
     }
 
-    /// Returns the earliest deadline of a waiting request.
+    /// Returns the earliest time at which a waiting request has to be decided on without a change of the
+    /// load: its deadline, or the end of the pause after a failed start.
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.waiting.iter().map(|it| it.deadline).min()
+        let deadlines = self.waiting.iter().map(|it| it.deadline);
+        let in_turn = self.waiting.iter().flat_map(|it| &it.demand.in_turn_parts);
+        let failed_starts = in_turn.filter_map(|it| self.failed_starts.get(it));
+        deadlines.chain(failed_starts.map(|it| *it + START_PAUSE)).min()
     }
 
     /// Records that the first event of a response has arrived, so its prompt has been read.
@@ -204,7 +210,6 @@
         self.waiting.retain(|it| it.id != *id);
         let reservation = self.reservations.remove(id)?;
         self.remove_load(&reservation);
-        self.failed_starts.retain(|_, it| now.duration_since(*it) < START_PAUSE);
         self.failed_starts.extend(reservation.starting_parts.iter().map(|it| (*it, now)));
         Some(reservation.engine)
     }
@@ -292,11 +297,12 @@
         engines: &dyn Fn(&Demand) -> Vec<CellEngine>,
         now: Instant,
     ) -> Vec<(ReservationId, Admission)> {
+        self.failed_starts.retain(|_, it| now.duration_since(*it) < START_PAUSE);
         let mut decisions = Vec::new();
         let mut held: BTreeSet<BackendId> = BTreeSet::new();
         let waiting = std::mem::take(&mut self.waiting);
         for request in waiting {
-            if !self.can_start(&request.demand.in_turn_parts, now) {
+            if !self.can_start(&request.demand.in_turn_parts) {
                 self.waiting.push(request);
                 continue;
             }
@@ -339,15 +345,11 @@
 
     /// Returns `false` if an engine that may crash on one of the parts has yet to begin its response, or
     /// ended without one just now.
-    fn can_start(&self, parts: &[PartDigest], now: Instant) -> bool {
+    fn can_start(&self, parts: &[PartDigest]) -> bool {
         let is_starting = |it: &PartDigest| {
             self.reservations.values().any(|reservation| reservation.starting_parts.contains(it))
         };
-        let has_failed = |it: &PartDigest| {
-            let failed = self.failed_starts.get(it);
-            failed.is_some_and(|failed| now.duration_since(*failed) < START_PAUSE)
-        };
-        !parts.iter().any(|it| is_starting(it) || has_failed(it))
+        !parts.iter().any(|it| is_starting(it) || self.failed_starts.contains_key(it))
     }
 
     fn grant(&mut self, id: ReservationId, engine: BackendId, demand: &Demand, now: Instant) {
--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -150,6 +150,7 @@
     cell.release(&id(1, 1), now + ms(10));
     // A crash just after another one can't be told from it.
     assert_eq!(cell.decide_waiting(&engines(4), now + ms(150)), []);
+    assert_eq!(cell.next_deadline(), Some(now + ms(160)), "the end of the pause");
     let decisions = cell.decide_waiting(&engines(4), now + ms(170));
     assert_eq!(decisions.iter().map(|it| it.0).collect::<Vec<_>>(), [id(2, 1)], "one by one");
     cell.record_first_event(&id(2, 1));
