--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -165,7 +165,10 @@
         let zone = &host.settings.host.zone;
         let mut owners = match demand.in_turn_parts.first() {
             Some(part) => host.cell_map.borrow().owners_for_part(*part),
-            None => host.cell_map.borrow().owners_to_ask(zone, fastrand::f64()),
+            None => {
+                let position = demand.attempt.map_or_else(fastrand::f64, |it| it.owner_position());
+                host.cell_map.borrow().owners_to_ask(zone, position)
+            }
         };
         let silent_until = self.silent_until.borrow();
         owners.sort_by_key(|it| silent_until.get(it).is_some_and(|until| now < *until));
--- a/src/placement/cell_map.rs
+++ b/src/placement/cell_map.rs
@@ -88,12 +88,12 @@
     }
 
     /// Returns the owners that a request is sent to, one after the other: some of its own zone, then
-    /// one of another zone. Both start at a random one; `random` is uniform in 0 to 1.
-    pub fn owners_to_ask(&self, zone: &ZoneId, random: f64) -> Vec<HostId> {
+    /// one of another zone. Both start at `position`, in 0 to 1 and evenly distributed over the requests.
+    pub fn owners_to_ask(&self, zone: &ZoneId, position: f64) -> Vec<HostId> {
         let near = self.owners_by_zone.get(zone).map(Vec::as_slice).unwrap_or_default();
         let far: Vec<&HostId> =
             self.owners_by_zone.iter().filter(|it| it.0 != zone).flat_map(|it| it.1).collect();
-        let index = |len: usize| (random * len as f64) as usize;
+        let index = |len: usize| ((position * len as f64) as usize).min(len.saturating_sub(1));
         let near_rotated = near.iter().cycle().skip(index(near.len())).take(near.len());
         let near = near_rotated.take(MAX_NEAR_CELLS);
         near.chain(far.get(index(far.len())).copied()).cloned().collect()
--- a/src/placement/request_attempt.rs
+++ b/src/placement/request_attempt.rs
@@ -12,3 +12,11 @@
     /// Number of the attempt, which differs if the caller repeats it.
     pub number: u64,
 }
+
+impl RequestAttempt {
+    /// Returns where the attempt begins to ask owners, in 0 to 1. All attempts of a request begin at the
+    /// same one, which remembers its refusal.
+    pub fn owner_position(&self) -> f64 {
+        self.request as f64 / u64::MAX as f64
+    }
+}
--- a/tests/returning_requests.rs
+++ b/tests/returning_requests.rs
@@ -2,18 +2,25 @@
 
 use std::{
     cmp::Reverse,
-    collections::BinaryHeap,
+    collections::{BTreeMap, BinaryHeap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use crocustiller::placement::{
-    Admission, AdmissionCell, CellEngine, Demand, RequestAttempt, ReservationId,
+use crocustiller::{
+    ids::HostId,
+    placement::{
+        Admission, AdmissionCell, CellEngine, CellMap, Demand, OwnerCandidate, RequestAttempt,
+        ReservationId,
+    },
 };
 use fastrand::Rng;
 
+/// Engines of a single cell.
 const N_ENGINES: u64 = 4;
-const SLOTS: u32 = 16;
+/// Engines of a fleet with four cells.
+const N_FLEET_ENGINES: u64 = 64;
+const SLOTS: u32 = 4;
 /// Requests beyond the slots that an engine may have.
 const MAX_QUEUED: u32 = 1;
 const SERVICE_MS: u64 = 1000;
@@ -21,10 +28,15 @@
 const WAIT_MS: u64 = 62;
 const RETRY_AFTER_MS: u64 = 300;
 const N_SEEDS: u64 = 10;
+const N_FLEET_SEEDS: u64 = 2;
+const ZONE: &str = "zone-1";
+
+fn cell_engine(id: String) -> CellEngine {
+    CellEngine { id, slots: SLOTS, is_on_probation: false }
+}
 
 fn engines(_: &Demand) -> Vec<CellEngine> {
-    let engine = |it| CellEngine { id: format!("i-{it}"), slots: SLOTS, is_on_probation: false };
-    (0..N_ENGINES).map(engine).collect()
+    (0..N_ENGINES).map(|it| cell_engine(format!("i-{it}"))).collect()
 }
 
 /// Returns the demand of a request, if no engine has got it yet, in the caller's attempt `number`.
@@ -50,20 +62,36 @@
 enum Event {
     Arrives,
     Asks { request: u64, is_return: bool },
-    WaitEnds,
+    WaitEnds(ReservationId),
     Ends(ReservationId),
 }
 
-/// A cell under a constant rate of requests, whose callers come back once after a refusal.
+/// One ask of an attempt for capacity.
+#[derive(Clone)]
+struct Ask {
+    request: u64,
+    is_return: bool,
+    owner: HostId,
+}
+
+/// A cell and its engines.
+struct Cell {
+    admission: AdmissionCell,
+    engines: Vec<CellEngine>,
+}
+
+/// A fleet of one availability zone under a constant rate of requests, whose callers come back once
+/// after a refusal.
 struct Overload {
     random: Rng,
     start: Instant,
     now_ms: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     n_events: u64,
-    cell: AdmissionCell,
-    /// The request of each reservation number, and whether it came back.
-    asked: Vec<(u64, bool)>,
+    map: CellMap,
+    cells: BTreeMap<HostId, Cell>,
+    /// The ask of each reservation number.
+    asks: Vec<Ask>,
     n_requests: u64,
     n_admitted_first: u64,
     n_admitted: u64,
@@ -71,22 +99,36 @@
 
 impl Overload {
     /// Plays requests that ask for `1 / served_share` of what the engines can serve.
-    fn play(served_share: f64, duration_ms: u64, seed: u64) -> Overload {
+    fn play(n_engines: u64, served_share: f64, duration_ms: u64, seed: u64) -> Overload {
         let capacity_per_ms =
-            (N_ENGINES * u64::from(SLOTS + MAX_QUEUED)) as f64 / SERVICE_MS as f64;
+            (n_engines * u64::from(SLOTS + MAX_QUEUED)) as f64 / SERVICE_MS as f64;
         let gap_ms = served_share / capacity_per_ms;
+        let ids: BTreeMap<String, String> =
+            (0..n_engines).map(|it| (format!("i-{it}"), ZONE.to_owned())).collect();
+        let candidate = |it| OwnerCandidate {
+            host: format!("entry-{it}"),
+            zone: ZONE.to_owned(),
+            processor_permille: 250,
+        };
+        let map = CellMap::new(&ids, &(0..8).map(candidate).collect::<Vec<OwnerCandidate>>());
         let mut overload = Overload {
             random: Rng::with_seed(seed),
             start: Instant::now(),
             now_ms: 0,
             events: BinaryHeap::new(),
             n_events: 0,
-            cell: AdmissionCell::default(),
-            asked: Vec::new(),
+            map,
+            cells: BTreeMap::new(),
+            asks: Vec::new(),
             n_requests: 0,
             n_admitted_first: 0,
             n_admitted: 0,
         };
+        for id in ids.into_keys() {
+            let owner = overload.map.owner(&id).unwrap().clone();
+            let cell = Cell { admission: AdmissionCell::default(), engines: Vec::new() };
+            overload.cells.entry(owner).or_insert(cell).engines.push(cell_engine(id));
+        }
         let n_arrivals = (duration_ms as f64 / gap_ms) as u64;
         (0..n_arrivals)
             .for_each(|it| overload.schedule((it as f64 * gap_ms) as u64, Event::Arrives));
@@ -114,39 +156,53 @@
             Event::Arrives => {
                 let request = self.n_requests;
                 self.n_requests += 1;
-                self.ask(request, false);
+                self.ask_owners(request, false);
+            }
+            Event::Asks { request, is_return } => self.ask_owners(request, is_return),
+            Event::WaitEnds(id) => {
+                self.decide_waiting(&self.asks[id.number as usize].owner.clone())
             }
-            Event::Asks { request, is_return } => self.ask(request, is_return),
-            Event::WaitEnds => self.decide_waiting(),
             Event::Ends(id) => {
-                self.cell.release(&id, self.now());
-                self.decide_waiting();
+                let owner = self.asks[id.number as usize].owner.clone();
+                let now = self.now();
+                self.cells.get_mut(&owner).unwrap().admission.release(&id, now);
+                self.decide_waiting(&owner);
             }
         }
     }
 
-    /// Asks at once, then waits, as an entry host does.
-    fn ask(&mut self, request: u64, is_return: bool) {
-        for wait_ms in [0, WAIT_MS] {
-            let number = self.asked.len() as u64;
-            self.asked.push((request, is_return));
-            let demand = demand(Some(request), is_return.into(), wait_ms);
-            match self.cell.request(id(number), demand, &engines, self.now()) {
+    /// Asks owners one after the other, then waits at the first, as an entry host does.
+    fn ask_owners(&mut self, request: u64, is_return: bool) {
+        let digest = Rng::with_seed(request).u64(..);
+        let attempt = RequestAttempt { request: digest, number: is_return.into() };
+        let owners = self.map.owners_to_ask(&ZONE.to_owned(), attempt.owner_position());
+        let waits = std::iter::once((owners[0].clone(), WAIT_MS));
+        for (owner, wait_ms) in owners.into_iter().map(|it| (it, 0)).chain(waits) {
+            let id = id(self.asks.len() as u64);
+            self.asks.push(Ask { request, is_return, owner: owner.clone() });
+            let now = self.now();
+            let cell = self.cells.get_mut(&owner).unwrap();
+            let usable = |_: &Demand| cell.engines.clone();
+            let demand = demand(Some(digest), is_return.into(), wait_ms);
+            match cell.admission.request(id, demand, &usable, now) {
                 Some(Admission::Full) if wait_ms == 0 => {}
-                Some(admission) => return self.apply(id(number), admission),
-                None => return self.schedule(WAIT_MS, Event::WaitEnds),
+                Some(admission) => return self.apply(id, admission),
+                None => return self.schedule(WAIT_MS, Event::WaitEnds(id)),
             }
         }
     }
 
-    fn decide_waiting(&mut self) {
-        for (id, admission) in self.cell.decide_waiting(&engines, self.now()) {
+    fn decide_waiting(&mut self, owner: &HostId) {
+        let now = self.now();
+        let cell = self.cells.get_mut(owner).unwrap();
+        let usable = |_: &Demand| cell.engines.clone();
+        for (id, admission) in cell.admission.decide_waiting(&usable, now) {
             self.apply(id, admission);
         }
     }
 
     fn apply(&mut self, id: ReservationId, admission: Admission) {
-        let (request, is_return) = self.asked[id.number as usize];
+        let Ask { request, is_return, .. } = self.asks[id.number as usize];
         if matches!(admission, Admission::Granted { .. }) {
             self.n_admitted += 1;
             self.n_admitted_first += u64::from(!is_return);
@@ -159,13 +215,10 @@
     }
 }
 
-/// Load pattern: more requests than the engines can serve, and callers that come back. Guards against
-/// returning requests, which are late anyway, taking the places of those that can still be in time.
-#[test]
-fn returns_crowd_out_arrivals() {
+fn check_overload(n_engines: u64, n_seeds: u64) {
     const SERVED_SHARE: f64 = 0.6;
-    for seed in 0..N_SEEDS {
-        let overload = Overload::play(SERVED_SHARE, 12_000, seed);
+    for seed in 0..n_seeds {
+        let overload = Overload::play(n_engines, SERVED_SHARE, 12_000, seed);
         let n_requests = overload.n_requests as f64;
         let served = overload.n_admitted as f64 / n_requests;
         assert!(served > SERVED_SHARE - 0.05, "seed {seed}: {served} served in all");
@@ -174,6 +227,19 @@
     }
 }
 
+/// Load pattern: more requests than the engines can serve, and callers that come back. Guards against
+/// returning requests, which are late anyway, taking the places of those that can still be in time.
+#[test]
+fn returns_crowd_out_arrivals() {
+    check_overload(N_ENGINES, N_SEEDS);
+}
+
+/// Guards against asking other owners when a request comes back, which don't know that it was refused.
+#[test]
+fn returns_ask_the_same_owners() {
+    check_overload(N_FLEET_ENGINES, N_FLEET_SEEDS);
+}
+
 /// A request that comes back gets capacity that no other request waits for.
 #[test]
 fn returns_get_free_capacity() {
