Each deployment of a test has its own peer key

From the code: deployments of tests that run side by side shared one peer key, so one that takes the port of a killed host answers in its place. The key now contains the platform's address, and the failure prints the response.

--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -313,7 +313,7 @@
         assert_eq!(n_runs, 0, "{name}: {}", response.body);
     }
     if response.status == 200 {
-        assert_eq!(n_runs, 1, "{name}");
+        assert_eq!(n_runs, 1, "{name}: {}", response.body);
     }
 }
 
--- a/tests/daemon_process/mod.rs
+++ b/tests/daemon_process/mod.rs
@@ -13,8 +13,6 @@
 
 use crate::entry_process::{read_response, send_signal, unique_loopback_ip};
 
-/// The secret that proves that a process belongs to the deployment.
-const PEER_SECRET: &str = "deployment-of-a-test";
 /// Time within which a process must listen.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -58,7 +56,9 @@
         let ip = unique_loopback_ip();
         let [request, peer, operator] = [9201, 9202, 9203].map(|port| SocketAddr::from((ip, port)));
         let folder = tempfile::tempdir().unwrap();
-        std::fs::write(folder.path().join("peer.key"), PEER_SECRET).unwrap();
+        // The secret of the deployment with this platform, see `deployment::settings::peer_secret`.
+        let secret = format!("deployment-with-platform-{platform}");
+        std::fs::write(folder.path().join("peer.key"), secret).unwrap();
         let join = join.map_or(String::new(), |it| format!("peers = {it}"));
         let text = format!(
             "[host]\nid = {role}-process\nrole = {role}\nregion = south\nzone = depot\n\n\
--- a/tests/deployment/settings.rs
+++ b/tests/deployment/settings.rs
@@ -30,6 +30,12 @@
     }
 }
 
+/// Returns the secret of the peer key. Each deployment has its own, as the port of a killed host may be
+/// taken by a deployment of another test, which would answer in its place.
+pub fn peer_secret(platform: SocketAddr) -> String {
+    format!("deployment-with-platform-{platform}")
+}
+
 /// Returns the settings of one host, a slot if it has a backend server.
 pub fn settings(
     options: &DeploymentOptions,
@@ -52,7 +58,7 @@
         },
         join: Vec::new(),
         secrets: SecretSettings {
-            peer_key: PeerKey::from_secret(b"deployment-of-a-test"),
+            peer_key: PeerKey::from_secret(peer_secret(platform).as_bytes()),
             operator_token_digest: Digest::of(b"operator"),
         },
         weights: WeightsSettings {
--- a/tests/drain_timeout.rs
+++ b/tests/drain_timeout.rs
@@ -84,8 +84,9 @@
 }
 
 fn start_entry(deployment: &Deployment) -> DaemonProcess {
+    let platform = deployment.platform_proxy.address();
     let peer = deployment.entry_hosts[0].node.membership.own().peer_address;
-    let entry = DaemonProcess::start_entry(deployment.platform.address(), Some(peer), LIMITS);
+    let entry = DaemonProcess::start_entry(platform, Some(peer), LIMITS);
     entry.wait_until_ready();
     // The records of the slots arrive by gossip.
     thread::sleep(Duration::from_millis(500));
