--- a/tests/changes_under_load.rs
+++ b/tests/changes_under_load.rs
@@ -35,6 +35,8 @@
 /// The grace period of the entry host, longer than the timeouts of all routes; it exits 0.5 s before
 /// its end.
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
+/// Interval at which the exit is looked for.
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time after its last byte for which a request may cross the end of the process.
 const CROSSING_TIME: Duration = Duration::from_millis(200);
 const N_CALLERS: usize = 32;
@@ -88,6 +90,7 @@
     entry.wait_until_ready();
     let idle_timeout_ms = Arc::new(AtomicU64::new(3000));
     let is_over = Arc::new(AtomicBool::new(false));
+    let is_stopping = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..N_CALLERS)
         .map(|idx| {
             let mut caller = Caller {
@@ -95,6 +98,7 @@
                 address: entry.callers,
                 stream: None,
                 idle_timeout_ms: idle_timeout_ms.clone(),
+                is_stopping: is_stopping.clone(),
                 n_requests: 0,
                 unanswered: Vec::new(),
             };
@@ -113,7 +117,7 @@
         thread::spawn(move || silence_servers(servers, seed * 10 + 4, &is_over))
     };
     let mut charters = ChangingCharters::new(seed, idle_timeout_ms);
-    let exited = change_until_exit(&mut entry, &store, &mut charters);
+    let exited = change_until_exit(&mut entry, &store, &mut charters, &is_stopping);
     is_over.store(true, Ordering::Relaxed);
     assert!(silences.join().unwrap() > 0, "seed {seed}: no backend server fell silent");
     let mut n_requests = 0;
@@ -132,17 +136,23 @@
     entry: &mut EntryProcess,
     store: &StoreStandin,
     charters: &mut ChangingCharters,
+    is_stopping: &AtomicBool,
 ) -> Instant {
     let started = Instant::now();
     while started.elapsed() < CHANGE_TIME {
-        charters.change(store);
+        thread::sleep(charters.change(store));
         assert!(!entry.has_exited(), "the process exited before it was stopped");
     }
+    is_stopping.store(true, Ordering::Relaxed);
     entry.terminate();
     let stopped = Instant::now();
+    let mut next_change = Instant::now();
     while !entry.has_exited() {
         assert!(stopped.elapsed() < GRACE_PERIOD, "the process runs longer than its grace period");
-        charters.change(store);
+        if Instant::now() >= next_change {
+            next_change = Instant::now() + charters.change(store);
+        }
+        thread::sleep(EXIT_CHECK_INTERVAL);
     }
     Instant::now()
 }
@@ -156,7 +166,7 @@
         .filter_map(|it| it.header("x-request-id").map(str::to_owned))
         .collect();
     unanswered.retain(|it| {
-        let has_crossed = it.ended + CHARTER_INTERVAL + CROSSING_TIME > exited
+        let has_crossed = it.ended + CROSSING_TIME > exited
             && it.ended_after < CROSSING_TIME
             && it.response.is_empty();
         !has_crossed || received.contains(&it.id)
@@ -189,8 +199,9 @@
         ChangingCharters { random, next_number: 2, idle_timeout_ms }
     }
 
-    /// Writes the next charter, tells callers its idle timeout once it is written, and waits a while.
-    fn change(&mut self, store: &StoreStandin) {
+    /// Writes the next charter, tells callers its idle timeout once it is written, and returns the time
+    /// until the next one.
+    fn change(&mut self, store: &StoreStandin) -> Duration {
         let mut changed = charter(self.next_number);
         let idle_ms = IDLE_TIMEOUTS_MS[self.random.usize(..IDLE_TIMEOUTS_MS.len())];
         changed["limits"]["idle-timeout-ms"] = json!(idle_ms);
@@ -199,7 +210,7 @@
         self.idle_timeout_ms.store(idle_ms, Ordering::Relaxed);
         self.next_number += self.random.u64(1..5);
         let interval_ms = self.random.u64(5..CHARTER_INTERVAL.as_millis() as u64);
-        thread::sleep(Duration::from_millis(interval_ms));
+        Duration::from_millis(interval_ms)
     }
 }
 
@@ -230,6 +241,7 @@
     address: SocketAddr,
     stream: Option<TcpStream>,
     idle_timeout_ms: Arc<AtomicU64>,
+    is_stopping: Arc<AtomicBool>,
     n_requests: u64,
     unanswered: Vec<Unanswered>,
 }
@@ -241,8 +253,11 @@
             Some(stream) => stream,
             None => match connect(self.address) {
                 Ok(stream) => stream,
-                // The host has exited.
-                Err(_) => return thread::sleep(Duration::from_millis(10)),
+                Err(err) => {
+                    let is_stopping = self.is_stopping.load(Ordering::Relaxed);
+                    assert!(is_stopping, "a host that serves refused a connection: {err}");
+                    return thread::sleep(Duration::from_millis(10));
+                }
             },
         };
         let (head, body) = self.next_request(id);
