--- a/src/net/server_connection.rs
+++ b/src/net/server_connection.rs
@@ -131,9 +131,14 @@
         self.stream.set_read_limit(u64::MAX);
         // Reading the body would ask the client for it.
         let expects_continue = request.header("Expect").is_some();
-        let body = RequestBody::share(&mut request);
+        let has_body = request.is_empty() != Some(true);
+        let body = has_body.then(|| RequestBody::share(&mut request));
         let mut response = (self.handler)(request).await?;
-        if expects_continue || !body.discard_arrived(MAX_DISCARDED_BYTES).await {
+        let is_read = match body {
+            Some(body) => !expects_continue && body.discard_arrived(MAX_DISCARDED_BYTES).await,
+            None => true,
+        };
+        if !is_read {
             response.insert_header("Connection", "close");
         }
         self.stream.set_read_limit(0);
