--- a/tests/entry_process/pausing_server.rs
+++ b/tests/entry_process/pausing_server.rs
@@ -1,12 +1,17 @@
 //! Backend servers that refuse requests and ask for a pause.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::{
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
 
-use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
+use serde_json::Value;
 
 use super::{
-    complete_response, encode_response, event_chunk, request, stream_head, CallerResponse,
-    EntryProcess,
+    complete_response, encode_response, event_chunk, request, server_entry, stream_head,
+    CallerResponse, Deployment, EntryProcess,
 };
 
 /// Header fields of a request for a stream.
@@ -24,6 +29,23 @@
     .unwrap()
 }
 
+/// Starts an entry host in front of a pool of engines with these numbers of slots, and waits until it
+/// admits requests to all slots.
+pub fn start_pool(charter: Value, engines: &[(&ScriptedServer, u32)]) -> Deployment {
+    let store = StoreStandin::start().unwrap();
+    store.put("config", "main", charter);
+    for (idx, (server, slots)) in engines.iter().enumerate() {
+        let mut listed = server_entry("pool", server.address(), "ready");
+        listed["slots"] = (*slots).into();
+        store.put("servers", &format!("pool-{idx}"), listed);
+    }
+    let entry = EntryProcess::start(&store, "entry-1");
+    entry.wait_until_ready();
+    // The owner admits to half of the slots at first.
+    thread::sleep(Duration::from_millis(500));
+    Deployment { store, entry }
+}
+
 /// Returns the steps of a complete response, which is a stream on the streaming route.
 pub fn whole_response(request: &RawRequest) -> Vec<Step> {
     match request.target.as_str() {
@@ -56,3 +78,16 @@
 pub fn send(entry: &EntryProcess, path: &str, id: &str) -> CallerResponse {
     entry.exchange(&request("POST", path, id, STREAM_HEADERS))
 }
+
+/// Waits until the log of an entry host has these parts.
+pub fn wait_for_lines(entry: &EntryProcess, expected: &[&str]) {
+    let deadline = Instant::now() + Duration::from_secs(3);
+    loop {
+        let log = std::fs::read_to_string(entry.log_path()).unwrap();
+        if expected.iter().all(|it| log.contains(it)) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{log}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
