Give the owners of engines a type of their own

EntryHost, the largest source file, kept the map of owners, the rule which hosts can own engines (with the handover of a leaving one) and two look-ups beside everything else. They are `EngineOwners` in entry/engine_owners.rs now; its users ask it instead of the map.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -164,10 +164,10 @@
     fn owners_to_ask(&self, host: &EntryHost, demand: &Demand, now: Instant) -> Vec<HostId> {
         let zone = &host.settings.host.zone;
         let mut owners = match demand.in_turn_parts.first() {
-            Some(part) => host.cell_map.borrow().owners_for_part(*part),
+            Some(part) => host.engine_owners.for_part(*part),
             None => {
                 let position = demand.attempt.map_or_else(fastrand::f64, |it| it.owner_position());
-                host.cell_map.borrow().owners_to_ask(zone, position)
+                host.engine_owners.to_ask(zone, position)
             }
         };
         let silent_until = self.silent_until.borrow();
@@ -181,7 +181,7 @@
         let mut reports: BTreeMap<SocketAddr, Vec<HeldReservation>> = BTreeMap::new();
         let mut all_held = self.held.borrow_mut();
         for (number, held) in all_held.iter_mut() {
-            held.owner = host.owner_address(&held.engine).unwrap_or(held.owner);
+            held.owner = host.engine_owners.address(host, &held.engine).unwrap_or(held.owner);
             let report = HeldReservation {
                 number: *number,
                 engine: held.engine.clone(),
@@ -242,7 +242,7 @@
         .collect();
     let engine = fastrand::choice(candidates).ok_or(ReservationError::NoBackend)?.id.clone();
     let number = host.admission.take_number();
-    let owner = host.owner_address(&engine).unwrap_or(host.settings.peers);
+    let owner = host.engine_owners.address(host, &engine).unwrap_or(host.settings.peers);
     host.admission.hold(number, owner, &engine, demand.prompt_tokens);
     log::info!("cell: no owner is known, reserved without one backend={engine}");
     let version = version_served(host, &engine);
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -20,7 +20,7 @@
         cell_owner::CellOwner,
         crash_reports, datagrams,
         departure::Departure,
-        eligible_servers,
+        engine_owners::EngineOwners,
         own_registration::OwnRegistration,
         peer_catch_up::PeerCatchUp,
         server_notices::{self, ServerNotices},
@@ -32,8 +32,8 @@
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     placement::{
-        BackendHealth, CellMap, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate,
-        RequestCounts, RetryBudgets,
+        BackendHealth, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate, RequestCounts,
+        RetryBudgets,
     },
     platform::{store::Store, wire_config, wire_server},
     relay::BackendConnections,
@@ -45,8 +45,6 @@
 const FIRST_BEACON_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum time for which a notice about an engine may have waited in this process.
 const MAX_NOTICE_DELAY: Duration = Duration::from_secs(1);
-/// Time for which a leaving host still owns its engines, until the other hosts know that it leaves.
-const HANDOVER_TIME: Duration = Duration::from_secs(1);
 /// The kinds that a host must watch without a gap before other processes watch the store through
 /// it.
 const WATCHED_KINDS: [&str; 4] = [
@@ -97,8 +95,7 @@
     pub(crate) stalls: Rc<RefCell<StallDetector>>,
     /// Objects of the store, for the processes that watch it through this host.
     pub(crate) cache: Rc<KindCache>,
-    /// The owner of each engine.
-    pub(crate) cell_map: RefCell<CellMap>,
+    pub(crate) engine_owners: EngineOwners,
     /// The engines that this host owns.
     pub(crate) cell_owner: CellOwner,
     /// The reservations that this host holds.
@@ -109,7 +106,7 @@
     pub(crate) n_exchanges: Cell<usize>,
     /// The number of open connections of callers.
     pub(crate) n_connections: Cell<usize>,
-    /// The other entry hosts for which cells and store sources were last computed.
+    /// The other entry hosts for which owners and store sources were last computed.
     known_peers: RefCell<Vec<(HostId, EntryState, bool)>>,
     retry_budgets: RefCell<RetryBudgets>,
     pub(crate) started: Instant,
@@ -153,7 +150,7 @@
             known_peers: RefCell::default(),
             stalls: Rc::new(RefCell::new(StallDetector::new(clock::now()))),
             cache: Rc::default(),
-            cell_map: RefCell::default(),
+            engine_owners: EngineOwners::default(),
             cell_owner: CellOwner::default(),
             admission: AdmissionClient::new(),
             departure: Departure::new(bounds.grace),
@@ -252,44 +249,13 @@
         self.peers.borrow().live_beacon(host, Instant::now()).map(|it| it.peers)
     }
 
-    /// Returns the address of the owner of an engine.
-    pub(crate) fn owner_address(&self, engine: &BackendId) -> Option<SocketAddr> {
-        let owner = self.cell_map.borrow().owner(engine).cloned()?;
-        self.peer_address(&owner)
-    }
-
-    /// Recomputes the owner of each engine, after a change of engines or entry hosts.
-    pub(crate) fn update_cells(&self) {
-        let mut entry_hosts: Vec<OwnerCandidate> = {
-            let peers = self.peers.borrow();
-            let live = peers.live_beacons(Instant::now());
-            live.filter(|it| it.state == EntryState::Ready).map(Beacon::owner_candidate).collect()
-        };
-        let leaving_for = self.departure.since().map(|it| it.elapsed());
-        let has_handed_over = leaving_for.is_some_and(|it| it >= HANDOVER_TIME);
-        if !has_handed_over || entry_hosts.is_empty() {
-            entry_hosts.push(self.own_candidate());
-        }
-        let engines: BTreeMap<BackendId, ZoneId> = {
-            let servers = self.backends.borrow();
-            let engines =
-                servers.iter().filter(|it| eligible_servers::n_layers(self, &it.service).is_some());
-            engines.map(|it| (it.id.clone(), it.zone.clone())).collect()
-        };
-        let cell_map = CellMap::new(&engines, &entry_hosts);
-        let owned = cell_map.engines_of(&self.settings.host.id).cloned().collect();
-        self.cell_owner.update_engines(owned, Instant::now());
-        *self.cell_map.borrow_mut() = cell_map;
-        self.cell_owner.decide_waiting(self);
-    }
-
     /// Returns `true` if this host watches the store directly and without a gap.
     fn follows_store(&self) -> bool {
         let watches_store = self.sources.choose(Instant::now()) == StoreSource::Store;
         watches_store && self.cache.is_current(&WATCHED_KINDS)
     }
 
-    /// Updates cells and store sources if another entry host appeared, changed its state or
+    /// Updates owners and store sources if another entry host appeared, changed its state or
     /// timed out.
     pub(crate) fn refresh_peers(&self) {
         let known: Vec<(HostId, EntryState, bool)> = {
@@ -299,7 +265,7 @@
         };
         if *self.known_peers.borrow() != known {
             *self.known_peers.borrow_mut() = known;
-            self.update_cells();
+            self.engine_owners.update(self);
             self.update_sources();
         }
     }
@@ -314,7 +280,8 @@
         same_zone.filter(|it| it.preference() < own.preference()).count()
     }
 
-    fn own_candidate(&self) -> OwnerCandidate {
+    /// Returns this host as a possible owner of engines.
+    pub(crate) fn own_candidate(&self) -> OwnerCandidate {
         OwnerCandidate {
             host: self.settings.host.id.clone(),
             zone: self.settings.host.zone.clone(),
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -155,7 +155,7 @@
         expired.confirmed.iter().for_each(|it| host.server_notices.note_listed(it));
         forget_removed_backends(&host);
         if has_changed || host.departure.since().is_some() {
-            host.update_cells();
+            host.engine_owners.update(&host);
         }
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod departure;
 mod directory;
 mod eligible_servers;
+mod engine_owners;
 mod engine_stream;
 mod entry_host;
 mod error_response;
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -125,7 +125,7 @@
     log::info!("charter: in force number={} before={before}", charter.number);
     *in_force = Some(Rc::new(charter));
     drop(in_force);
-    host.update_cells();
+    host.engine_owners.update(host);
 }
 
 fn apply_servers(host: &EntryHost, update: KindUpdate) {
@@ -145,7 +145,7 @@
         KindUpdate::Changed { changes, .. } => apply_server_changes(host, changes, now),
     }
     host.backends.borrow().iter().for_each(|it| host.server_notices.note_listed(it));
-    host.update_cells();
+    host.engine_owners.update(host);
 }
 
 fn apply_server_changes(host: &EntryHost, changes: Vec<Change>, now: Instant) {
