Give the reservations of a cell a type of their own

`Reservations` in placement/reservations.rs has the leases, their expiry and the loads now; the cell decides, and notes failed starts. No change of behaviour.

--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -8,9 +8,6 @@
 //! Callers come back after a refusal, too late for their latency objective. If they waited like
 //! others, each refusal would cause another one: most places would go to late requests, and most
 //! first attempts would be refused. So a returning request gets what no waiting one can use.
-//!
-//! A reservation is a lease. Entry hosts report the reservations that they hold at intervals, which
-//! renews the leases, replaces lost messages, and tells a new owner what is running.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -23,16 +20,11 @@
 use crate::{
     ids::BackendId,
     placement::{
-        choose_engine, refused_requests::RefusedRequests, AdmissionCounts, Candidate, Demand, Load,
-        PartDigest, ReservationId, ReservationNumber,
+        choose_engine, refused_requests::RefusedRequests, reservations::Reservations,
+        AdmissionCounts, Candidate, Demand, Load, PartDigest, ReservationId, ReservationNumber,
     },
 };
 
-/// Time after the last report of its holder at which a reservation lapses.
-const LEASE_TIME: Duration = Duration::from_millis(1200);
-/// Age up to which a reservation is kept though a report lacks it, as the report may have been sent
-/// before the reservation was granted.
-const REPORT_DELAY: Duration = Duration::from_millis(150);
 /// Longest time for which a request may wait, whatever its entry host asks for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Maximum number of waiting requests for each slot of the cell.
@@ -82,16 +74,6 @@
     pub unread_tokens: u32,
 }
 
-#[derive(Clone, Debug)]
-struct Reservation {
-    engine: BackendId,
-    unread_tokens: u32,
-    /// Parts of the prompt until the first event of the response.
-    starting_parts: Vec<PartDigest>,
-    granted: Instant,
-    renewed: Instant,
-}
-
 #[derive(Clone, Debug)]
 struct WaitingRequest {
     id: ReservationId,
@@ -104,8 +86,7 @@
 /// The reservations and the waiting requests of one cell.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionCell {
-    reservations: BTreeMap<ReservationId, Reservation>,
-    loads: BTreeMap<BackendId, Load>,
+    reservations: Reservations,
     refused: RefusedRequests,
     counts: AdmissionCounts,
     /// Time at which the last start with a part ended without a response.
@@ -125,8 +106,7 @@
         engines: &dyn Fn(&Demand) -> Vec<CellEngine>,
         now: Instant,
     ) -> Option<Admission> {
-        if let Some(reservation) = self.reservations.get(&id) {
-            let engine = reservation.engine.clone();
+        if let Some(engine) = self.reservations.engine(&id).cloned() {
             let load = self.load(&engine);
             return Some(Admission::Granted { engine, load });
         }
@@ -198,20 +178,15 @@
 
     /// Records that the first event of a response has arrived, so its prompt has been read.
     pub fn record_first_event(&mut self, id: &ReservationId) {
-        let Some(reservation) = self.reservations.get_mut(id) else { return };
-        let unread = std::mem::take(&mut reservation.unread_tokens);
-        reservation.starting_parts.clear();
-        let load = self.loads.entry(reservation.engine.clone()).or_default();
-        load.unread_tokens = load.unread_tokens.saturating_sub(unread);
+        self.reservations.record_first_event(id);
     }
 
     /// Ends a reservation, or the wait for one; returns the engine of the reservation.
     pub fn release(&mut self, id: &ReservationId, now: Instant) -> Option<BackendId> {
         self.waiting.retain(|it| it.id != *id);
-        let reservation = self.reservations.remove(id)?;
-        self.remove_load(&reservation);
-        self.failed_starts.extend(reservation.starting_parts.iter().map(|it| (*it, now)));
-        Some(reservation.engine)
+        let (engine, starting_parts) = self.reservations.remove(id)?;
+        self.failed_starts.extend(starting_parts.into_iter().map(|it| (it, now)));
+        Some(engine)
     }
 
     /// Applies a holder's report of all reservations that it holds at engines of this cell.
@@ -221,46 +196,17 @@
         reservations: Vec<HeldReservation>,
         now: Instant,
     ) {
-        let listed: BTreeSet<ReservationNumber> = reservations.iter().map(|it| it.number).collect();
-        let is_ended = |it: &(&ReservationId, &Reservation)| {
-            let is_unlisted = it.0.holder == holder && !listed.contains(&it.0.number);
-            is_unlisted && now.duration_since(it.1.granted) > REPORT_DELAY
-        };
-        let ended: Vec<ReservationId> =
-            self.reservations.iter().filter(is_ended).map(|it| *it.0).collect();
-        for id in ended {
+        for id in self.reservations.unlisted(holder, &reservations, now) {
             self.release(&id, now);
         }
         for held in reservations {
-            self.renew(ReservationId { holder, number: held.number }, held, now);
+            self.reservations.renew(ReservationId { holder, number: held.number }, held, now);
         }
     }
 
-    fn renew(&mut self, id: ReservationId, held: HeldReservation, now: Instant) {
-        if let Some(reservation) = self.reservations.get_mut(&id) {
-            reservation.renewed = now;
-            if held.unread_tokens == 0 {
-                self.record_first_event(&id);
-            }
-            return;
-        }
-        let reservation = Reservation {
-            engine: held.engine,
-            unread_tokens: held.unread_tokens,
-            starting_parts: Vec::new(),
-            granted: now,
-            renewed: now,
-        };
-        self.add_load(&reservation);
-        self.reservations.insert(id, reservation);
-    }
-
-    /// Ends the reservations whose holders have not reported for `LEASE_TIME`; returns their number.
+    /// Ends the reservations whose leases have lapsed; returns their number.
     pub fn expire(&mut self, now: Instant) -> usize {
-        let is_expired =
-            |it: &(&ReservationId, &Reservation)| now.duration_since(it.1.renewed) > LEASE_TIME;
-        let expired: Vec<ReservationId> =
-            self.reservations.iter().filter(is_expired).map(|it| *it.0).collect();
+        let expired = self.reservations.expired(now);
         for id in &expired {
             self.release(id, now);
         }
@@ -269,7 +215,7 @@
 
     /// Returns the load of an engine.
     pub fn load(&self, engine: &str) -> Load {
-        self.loads.get(engine).copied().unwrap_or_default()
+        self.reservations.load(engine)
     }
 
     /// Returns the number of reservations.
@@ -316,7 +262,7 @@
                     let engine = usable[idx].id.clone();
                     let load = candidates[idx].load;
                     self.counts.of(request.is_return).n_admitted += 1;
-                    self.grant(request.id, engine.clone(), demand, now);
+                    self.reservations.grant(request.id, engine.clone(), demand, now);
                     decisions.push((request.id, Admission::Granted { engine, load }));
                 }
                 None => {
@@ -346,36 +292,8 @@
     /// Returns `false` if an engine that may crash on one of the parts has yet to begin its response, or
     /// ended without one just now.
     fn can_start(&self, parts: &[PartDigest]) -> bool {
-        let is_starting = |it: &PartDigest| {
-            self.reservations.values().any(|reservation| reservation.starting_parts.contains(it))
-        };
-        !parts.iter().any(|it| is_starting(it) || self.failed_starts.contains_key(it))
-    }
-
-    fn grant(&mut self, id: ReservationId, engine: BackendId, demand: &Demand, now: Instant) {
-        let reservation = Reservation {
-            engine,
-            unread_tokens: demand.prompt_tokens,
-            starting_parts: demand.prompt_parts.clone(),
-            granted: now,
-            renewed: now,
-        };
-        self.add_load(&reservation);
-        self.reservations.insert(id, reservation);
-    }
-
-    fn add_load(&mut self, reservation: &Reservation) {
-        let load = self.loads.entry(reservation.engine.clone()).or_default();
-        load.n_requests += 1;
-        load.unread_tokens = load.unread_tokens.saturating_add(reservation.unread_tokens);
-    }
-
-    fn remove_load(&mut self, reservation: &Reservation) {
-        let Some(load) = self.loads.get_mut(&reservation.engine) else { return };
-        load.n_requests = load.n_requests.saturating_sub(1);
-        load.unread_tokens = load.unread_tokens.saturating_sub(reservation.unread_tokens);
-        if load.n_requests == 0 {
-            self.loads.remove(&reservation.engine);
-        }
+        !parts
+            .iter()
+            .any(|it| self.reservations.is_starting(it) || self.failed_starts.contains_key(it))
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -23,6 +23,7 @@
 mod request_attempt;
 mod request_counts;
 mod reservation_id;
+mod reservations;
 mod retry_budgets;
 mod shutdown_admission;
 mod windowed_retry_budget;
