A waiting request gets an engine whose pause ends meanwhile

Callers were refused as "all backend servers are busy" although an engine that had paused was free again: a request excludes pausing engines when it asks, and its owner kept to that until the end of the wait. The class is that of the pauses begun during a wait: decided once, used later.

--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -146,10 +146,17 @@
         let mut unusable: Vec<BackendId> = Vec::new();
         loop {
             let left = give_up.saturating_duration_since(Instant::now());
-            // Made anew each time: several engines may have asked for a pause at once.
-            let mut demand = requirements.demand(host, left);
+            let until_pause_ends = requirements.time_until_pause_ends(host);
+            let wait = until_pause_ends.map_or(left, |it| it.min(left));
+            // Made anew each time: engines begin pauses, several at once, and end them.
+            let mut demand = requirements.demand(host, wait);
             demand.excluded.extend(unusable.iter().cloned());
-            let grant = admission_client::reserve(host, &demand).await?;
+            let asked = Instant::now();
+            let grant = match admission_client::reserve(host, &demand).await {
+                // An owner that lets it wait no longer refuses at once.
+                Err(ReservationError::Full) if wait < left && asked.elapsed() >= wait => continue,
+                res => res?,
+            };
             let engine = grant.engine.clone();
             if let Some(reservation) = Reservation::at_engine(host, &demand, grant) {
                 return Ok(reservation);
@@ -299,6 +306,18 @@
         host.server_notices.time_until_first(&usable)
     }
 
+    /// Returns the time until one more engine wants requests again, if any that the request could use
+    /// now asked for a pause.
+    fn time_until_pause_ends(&self, host: &EntryHost) -> Option<Duration> {
+        if !host.server_notices.has_pauses() {
+            return None;
+        }
+        let servers = host.backends.borrow();
+        let mut usable = eligible_servers(host, &servers, &self.service, self.model.as_deref());
+        usable.retain(|it| !self.excluded.contains(&it.id));
+        host.server_notices.time_until_next(&usable)
+    }
+
     /// Returns the demand for an engine; it excludes those that this host itself finds failing, and
     /// those that leave or want no requests of this host, which their owner may not know.
     fn demand(&self, host: &EntryHost, wait: Duration) -> Demand {
--- a/src/entry/server_notices.rs
+++ b/src/entry/server_notices.rs
@@ -58,6 +58,12 @@
         self.paused.borrow().time_until_first(servers, Instant::now())
     }
 
+    /// Returns the time until one more of some backend servers wants requests again.
+    pub(crate) fn time_until_next(&self, servers: &[&BackendServer]) -> Option<Duration> {
+        let (paused, now) = (self.paused.borrow(), Instant::now());
+        servers.iter().filter_map(|it| paused.time_left(&it.id, it.started_ms, now)).min()
+    }
+
     /// Returns `true` if any backend server may be pausing.
     pub(crate) fn has_pauses(&self) -> bool {
         !self.paused.borrow().is_empty()
--- a/tests/crowded_pauses.rs
+++ b/tests/crowded_pauses.rs
@@ -15,6 +15,7 @@
 use entry_process::{
     charter,
     pausing_server::{refusal, retry_after, send, start_pool, wait_for_lines, whole_stream},
+    server_entry,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -159,3 +160,43 @@
     let paused: Vec<String> = (0..N_PAUSING).map(paused).collect();
     wait_for_lines(entry, &paused.iter().map(String::as_str).collect::<Vec<_>>());
 }
+
+/// Guards against refusing a request that waits at a busy engine while the pause of another one ends,
+/// which was excluded when it began to wait.
+#[test]
+fn pause_that_ends_while_a_request_waits() {
+    let n_received = Arc::new(AtomicU32::new(0));
+    let pausing =
+        ScriptedServer::start(move |request| match n_received.fetch_add(1, Ordering::Relaxed) {
+            0 => vec![Step::Send(refusal(request, "2", "X-Not-Run: 1\r\n"))],
+            _ => whole_stream(request),
+        })
+        .unwrap();
+    let busy = ScriptedServer::start(|request| {
+        [vec![Step::Pause(Duration::from_secs(4))], whole_stream(request)].concat()
+    })
+    .unwrap();
+    let mut charter = charter(1);
+    // A request waits for 1.5 s, an eighth of the objective.
+    charter["routes"][2]["goal-ms"] = 12000.into();
+    charter["routes"][2]["timeout-ms"] = 8000.into();
+    let deployment = start_pool(charter, &[(&pausing, 1)]);
+    let entry = &deployment.entry;
+    let paused = Instant::now();
+    assert_eq!(send(entry, "/draft/1", "refused").status(), 503);
+    let mut listed = server_entry("pool", busy.address(), "ready");
+    listed["slots"] = 1.into();
+    deployment.store.put("servers", "pool-1", listed);
+    thread::sleep(600 * MS);
+    thread::scope(|scope| {
+        for number in 0..2 {
+            scope.spawn(move || send(entry, "/draft/1", &format!("running-{number}")));
+        }
+        thread::sleep(300 * MS);
+        assert_eq!((pausing.requests().len(), busy.requests().len()), (1, 2));
+        let response = send(entry, "/draft/1", "waiting");
+        assert_eq!(response.status(), 200, "{}", response.text());
+        let after_begin = paused.elapsed();
+        assert!(after_begin >= 2000 * MS, "{after_begin:?}");
+    });
+}
