--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -153,7 +153,7 @@
             demand.excluded.extend(unusable.iter().cloned());
             let asked = Instant::now();
             let grant = match admission_client::reserve(host, &demand).await {
-                // An owner that lets it wait no longer refuses at once.
+                // A refusal before the end of the wait says that asking again is no use.
                 Err(ReservationError::Full) if wait < left && asked.elapsed() >= wait => continue,
                 res => res?,
             };
