--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,6 +18,8 @@
 N_ENGINES = 8
 BOUNDS = {"grace_s": 8, "version_ms": 8000, "retry_ratio": 0.2, "retry_slack": 102, "retry_window_s": 10}
 KEY = "Authorization: Bearer key-of-weavers"
+RATES = {"sound": 19.0, "deadly": 1.0}  # requests a second
+COMES_FOR = 22.0  # seconds for which requests with the deadly part come
 N_BEFORE = int(os.environ.get("PARTS_BEFORE", "8"))
 COMMON = [f"{0xc0ffee00 + it:08x}:40" for it in range(N_BEFORE)]
 DEADLY = "dead0001:40"
@@ -132,16 +134,16 @@
         key = (kind, result.status if result.is_complete else "cut")
         counts[key] = counts.get(key, 0) + 1
 
-    async def come(kind, part, rate):
+    async def come(kind, part):
         while not is_over.is_set():
             asyncio.create_task(ask(kind, part))
-            await asyncio.sleep(random.expovariate(rate))
+            await asyncio.sleep(random.expovariate(RATES[kind]))
 
-    tasks = [asyncio.create_task(come("sound", SOUND, 10.0))]
+    tasks = [asyncio.create_task(come("sound", SOUND))]
     await asyncio.sleep(4)
     if TROUBLE:
-        tasks.append(asyncio.create_task(come("deadly", DEADLY, 1.0)))
-    await asyncio.sleep(40.0)
+        tasks.append(asyncio.create_task(come("deadly", DEADLY)))
+    await asyncio.sleep(COMES_FOR)
     is_over.set()
     await asyncio.sleep(7.0)
     crashes = log["crashes"]
