A request that crosses a close stays unread

Now the host waits for the end of the connection without reading; it still drains what follows a refused body, and what comes while the last response is not acknowledged yet, as a reset would lose that response.

request_after_last_response_stays_unread: before, the connection ended without a reset, as the request had been read (take_error None); now it ends with one.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -58,14 +58,13 @@
                 Ok(None) => return,
                 Err(reason) => {
                     self.refuse_unread(&reason).await;
-                    break;
+                    return self.close_after_refusal().await;
                 }
             };
             if self.handle(request).await == ConnectionReuse::Close {
-                break;
+                return self.close().await;
             }
         }
-        self.close().await;
     }
 
     async fn handle(&mut self, request: CompleteRequest) -> ConnectionReuse {
@@ -169,8 +168,29 @@
     }
 
     /// Closes the connection after leaving the caller time to read the last response.
+    ///
+    /// A request that crosses the close stays unread, so that its caller can tell that it has not run.
     async fn close(mut self) {
         self.connection.shutdown_write();
+        let peer_end = async {
+            if self.connection.wait_for_input().await {
+                std::future::pending().await
+            }
+        };
+        let has_ended = runtime::timeout(LINGER_TIMEOUT, peer_end).await.is_ok();
+        if !has_ended && self.connection.awaits_ack() {
+            self.drain().await;
+        }
+    }
+
+    /// Closes the connection after a request that was refused before it had arrived; what still arrives
+    /// of it is dropped.
+    async fn close_after_refusal(mut self) {
+        self.connection.shutdown_write();
+        self.drain().await;
+    }
+
+    async fn drain(&mut self) {
         let drain = async {
             while let Ok(true) = self.connection.fill().await {
                 let n_bytes = self.connection.buffered().len();
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -15,7 +15,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::{
-    http1::{peer_watch::PeerState, HttpError, RequestHead, ResponseHead},
+    http1::{peer_watch::PeerState, AckStatus, HttpError, RequestHead, ResponseHead},
     runtime,
 };
 
@@ -169,6 +169,22 @@
         std::future::pending().await
     }
 
+    /// Waits until bytes have arrived, which stay unread; returns `false` if the peer has closed its
+    /// write half or the connection fails instead.
+    pub async fn wait_for_input(&self) -> bool {
+        if !self.buffered().is_empty() {
+            return true;
+        }
+        let peek = self.stream.read_with(|it| it.peek(&mut [0])).await;
+        matches!(peek, Ok(1..))
+    }
+
+    /// Returns `true` if the peer has not acknowledged everything that was sent.
+    pub fn awaits_ack(&self) -> bool {
+        let status = AckStatus::read(self.stream.get_ref());
+        status.is_ok_and(|it| it.n_unacked > 0 || it.n_probes > 0)
+    }
+
     /// Returns `true` if an idle connection cannot be reused, because it was closed, failed or
     /// received bytes outside of an exchange.
     pub fn is_stale(&self) -> bool {
--- a/tests/idle_connections.rs
+++ b/tests/idle_connections.rs
@@ -3,7 +3,7 @@
 mod entry_process;
 
 use std::{
-    io::{Read, Write},
+    io::{ErrorKind, Read, Write},
     net::TcpStream,
     thread,
     time::{Duration, Instant},
@@ -31,6 +31,23 @@
     assert_eq!(ledger.requests().len(), 1);
 }
 
+/// Guards against reading, and dropping, a request that crosses the close after a last response.
+#[test]
+fn request_after_last_response_stays_unread() {
+    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+    let deployment = Deployment::start("ledger", &[&ledger]);
+    let mut caller = deployment.entry.connect();
+    let last = request("GET", "/stock/1", "last", "Connection: close\r\n");
+    caller.write_all(&last).unwrap();
+    assert_eq!(read_response(&mut caller).status(), 200);
+    caller.write_all(&request("POST", "/hold/1", "crossing", "")).unwrap();
+    thread::sleep(Duration::from_millis(800));
+    // A reset after the end of the responses.
+    let end = caller.take_error().unwrap().map(|it| it.kind());
+    assert_eq!(end, Some(ErrorKind::BrokenPipe), "the request was read");
+    assert_eq!(ledger.requests().len(), 1);
+}
+
 /// Guards against closing a connection at the limit of the charter that was in force when it became
 /// idle, while its caller goes by a newer, longer one.
 #[test]
