--- a/tests/early_replacement.rs
+++ b/tests/early_replacement.rs
@@ -16,8 +16,8 @@
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, encode_response, event_chunk, read_response, request, server_entry, stream_head,
-    CallerResponse, Deployment, EntryProcess,
+    charter, encode_response, event_chunk, request, server_entry, stream_head, CallerResponse,
+    Deployment, EntryProcess,
 };
 use socket2::{Domain, Socket, Type};
 
@@ -115,11 +115,7 @@
         ScriptedServer::start(|_: &RawRequest| vec![Step::Pause(Duration::from_secs(20))]).unwrap();
     let deployment = Deployment::start("pool", &[&engine]);
     let callers: Vec<_> = (0..4)
-        .map(|number| {
-            let mut caller = deployment.entry.connect();
-            caller.write_all(&draft(&format!("hung-{number}"))).unwrap();
-            thread::spawn(move || read_response(&mut caller))
-        })
+        .map(|number| deployment.entry.exchange_later(&draft(&format!("hung-{number}"))))
         .collect();
     thread::sleep(Duration::from_millis(2000));
     let sent = Instant::now();
@@ -164,10 +160,9 @@
     let callers: Vec<_> = ["broken", "other"]
         .into_iter()
         .map(|id| {
-            let mut caller = entry.connect();
-            caller.write_all(&draft(id)).unwrap();
+            let response = entry.exchange_later(&draft(id));
             thread::sleep(Duration::from_millis(100));
-            thread::spawn(move || read_response(&mut caller))
+            response
         })
         .collect();
     let responses: Vec<_> = callers.into_iter().map(|it| it.join().unwrap()).collect();
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -12,7 +12,7 @@
     path::PathBuf,
     process::{Child, Command},
     sync::atomic::{AtomicU8, Ordering},
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
@@ -169,6 +169,13 @@
         read_response(&mut stream)
     }
 
+    /// Sends bytes on a new connection at once, and reads the response in a thread.
+    pub fn exchange_later(&self, bytes: &[u8]) -> JoinHandle<CallerResponse> {
+        let mut stream = self.connect();
+        stream.write_all(bytes).unwrap();
+        thread::spawn(move || read_response(&mut stream))
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
         self.signal("TERM");
--- a/tests/silent_engines.rs
+++ b/tests/silent_engines.rs
@@ -3,13 +3,12 @@
 
 mod entry_process;
 
-use std::{thread, time::Duration};
+use std::time::Duration;
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
 use entry_process::{
-    encode_response, event_chunk, read_response, request, stream_head, CallerResponse, Deployment,
+    encode_response, event_chunk, request, stream_head, CallerResponse, Deployment,
 };
-use std::io::Write;
 
 /// A silence after which a sound backend server goes on.
 const SILENCE: Duration = Duration::from_millis(1300);
@@ -33,11 +32,7 @@
     let engine = ScriptedServer::start(silent_stream(Duration::from_millis(1800))).unwrap();
     let deployment = Deployment::start("pool", &[&engine]);
     let callers: Vec<_> = (0..12)
-        .map(|number| {
-            let mut caller = deployment.entry.connect();
-            caller.write_all(&draft(&format!("silent-{number}"))).unwrap();
-            thread::spawn(move || read_response(&mut caller))
-        })
+        .map(|number| deployment.entry.exchange_later(&draft(&format!("silent-{number}"))))
         .collect();
     for caller in callers {
         let response = caller.join().unwrap();
--- a/tests/silent_owners.rs
+++ b/tests/silent_owners.rs
@@ -2,12 +2,10 @@
 
 mod entry_process;
 
-use std::{io::Write, thread, time::Duration};
+use std::{thread, time::Duration};
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
-use entry_process::{
-    charter, event_chunk, read_response, request, server_entry, stream_head, EntryProcess,
-};
+use entry_process::{charter, event_chunk, request, server_entry, stream_head, EntryProcess};
 
 const END: &[u8] = b"0\r\n\r\n";
 
@@ -29,10 +27,9 @@
     let callers: Vec<_> = ["broken", "other"]
         .into_iter()
         .map(|id| {
-            let mut caller = entry.connect();
-            caller.write_all(&draft(id)).unwrap();
+            let response = entry.exchange_later(&draft(id));
             thread::sleep(Duration::from_millis(100));
-            thread::spawn(move || read_response(&mut caller))
+            response
         })
         .collect();
     owner.suspend();
