entry: end the wait of requests whose part is quarantined

Cause: a request whose part is suspected of crashing engines waits for its turn. The wait was ended by a grant, by its timeout or by its deadline, but not by the quarantine of the part: that was looked at only after the wait. Besides, each reservation that ended before the first event counted as a failed start of its parts, also if the connection was refused or nothing was sent, so after a crash each engine that was still listed cost 150 ms more.

Change: `Reservation::wait` ends with `Quarantined` when a part of the prompt gets into quarantine, here or by the beacon of another host; the wait at the owner is withdrawn as for a caller that leaves. A release says if the engine may have got the request (`ServiceOutcome::is_sent`); if not, the owner cancels the reservation and no start has failed. Refused connections still lower the engine's health.

`unsent_request_takes_turn` is the owner's part; it uses `cancel`, which wasn't there before.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -99,7 +99,7 @@
         let is_wanted = sender.is_some_and(|it| it.try_send(answer).is_ok());
         let is_held = self.held.borrow().contains_key(&number);
         if is_grant && !is_wanted && !is_held {
-            let outcome = ServiceOutcome::Unknown;
+            let outcome = ServiceOutcome::Unsent;
             host.send_admission(from, AdmissionMessage::Released { number, outcome });
         }
     }
@@ -125,7 +125,11 @@
         let Some(held) = self.held.borrow_mut().remove(&number) else { return };
         // This host records the outcomes of its own attempts where they occur.
         let is_own = held.owner == host.settings.peers;
-        let outcome = if is_own { ServiceOutcome::Unknown } else { outcome };
+        let outcome = match outcome.is_sent() {
+            _ if !is_own => outcome,
+            true => ServiceOutcome::Unknown,
+            false => ServiceOutcome::Unsent,
+        };
         host.send_admission(held.owner, AdmissionMessage::Released { number, outcome });
     }
 
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -22,7 +22,7 @@
     },
     http1::ResponseHead,
     ids::{CustomerId, ServiceId},
-    placement::RequestAttempt,
+    placement::{QuarantinedPart, RequestAttempt},
     routing::Route,
     runtime,
     verdict::Verdict,
@@ -149,13 +149,6 @@
             return Err(End::Exhausted(CutReason::NoAttempt));
         }
         let reservation = self.wait_for_capacity().await?;
-        if let Some(quarantined) = exchange.quarantined_part() {
-            let may_have_run = exchange.verdict.get() == Verdict::MayHaveRun;
-            if may_have_run || exchange.is_head_sent.get() {
-                return Err(End::Exhausted(CutReason::QuarantinedPart));
-            }
-            return Err(End::Done(exchange.refuse_quarantined_part(&quarantined).await));
-        }
         if self.n_sent > 0 && !exchange.host.try_spend_retry(&self.requirements.service) {
             return Err(End::Exhausted(CutReason::NoRetryBudget));
         }
@@ -174,6 +167,9 @@
         loop {
             match Reservation::wait(&exchange.host, &self.requirements, queue_timeout).await {
                 Ok(reservation) => return Ok(reservation),
+                Err(ReservationError::Quarantined(part)) => {
+                    return Err(self.end_in_quarantine(&part).await);
+                }
                 Err(ReservationError::NoBackend)
                     if self.n_sent == 0 && !self.requirements.excluded.is_empty() =>
                 {
@@ -187,6 +183,14 @@
         }
     }
 
+    async fn end_in_quarantine(&self, part: &QuarantinedPart) -> End {
+        let exchange = self.sender.exchange;
+        match exchange.verdict.get() {
+            Verdict::MayHaveRun | Verdict::Ran => End::Exhausted(CutReason::QuarantinedPart),
+            Verdict::NotRun => End::Done(exchange.refuse_quarantined_part(part).await),
+        }
+    }
+
     /// Waits for an engine that resumes a stream, as the response is cut without one.
     async fn wait_for_resumption(&mut self) -> Result<Reservation, End> {
         self.requirements.is_resumed = true;
@@ -196,6 +200,9 @@
             let left = give_up.saturating_duration_since(Instant::now());
             match Reservation::wait(host, &self.requirements, left).await {
                 Ok(reservation) => return Ok(reservation),
+                Err(ReservationError::Quarantined(_)) => {
+                    return Err(End::Exhausted(CutReason::QuarantinedPart));
+                }
                 Err(_) if Instant::now() + RESUME_INTERVAL < give_up => {
                     runtime::sleep(RESUME_INTERVAL).await;
                 }
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -81,7 +81,10 @@
             }
             AdmissionMessage::Released { number, outcome } => {
                 let id = ReservationId { holder: from, number };
-                let engine = self.cell.borrow_mut().release(&id, now);
+                let engine = match outcome.is_sent() {
+                    true => self.cell.borrow_mut().release(&id, now),
+                    false => self.cell.borrow_mut().cancel(&id),
+                };
                 if let Some(engine) = engine {
                     record_outcome(host, &engine, outcome);
                 }
@@ -160,12 +163,15 @@
     match outcome {
         ServiceOutcome::Succeeded => host.health.borrow_mut().record_success(engine),
         // An engine that switches to other weights aborts its running requests; that is no failure.
-        ServiceOutcome::Failed if !host.is_switching(engine) => {
+        ServiceOutcome::Failed | ServiceOutcome::Unreachable if !host.is_switching(engine) => {
             if host.health.borrow_mut().record_failure(engine, Instant::now()) {
                 log::info!("health: ejected an engine of the own cell backend={engine}");
             }
         }
-        ServiceOutcome::Failed | ServiceOutcome::Unknown => {}
+        ServiceOutcome::Failed
+        | ServiceOutcome::Unreachable
+        | ServiceOutcome::Unknown
+        | ServiceOutcome::Unsent => {}
     }
 }
 
--- a/src/entry/crash_reports.rs
+++ b/src/entry/crash_reports.rs
@@ -57,9 +57,11 @@
 
 /// Quarantines the parts against which there is enough evidence now.
 pub(crate) fn decide(host: &EntryHost) {
-    for part in &host.crashing_parts.borrow_mut().decide(Instant::now()) {
+    let quarantined = host.crashing_parts.borrow_mut().decide(Instant::now());
+    for part in &quarantined {
         log::warn!("crashes: quarantined a part of prompts {}", log_fields(part));
     }
+    end_waits(host, &quarantined);
 }
 
 /// Adds the quarantined parts in a beacon.
@@ -71,6 +73,14 @@
             log_fields(part)
         );
     }
+    end_waits(host, &added);
+}
+
+/// Lets the waiting requests with parts that were quarantined now be refused.
+fn end_waits(host: &EntryHost, quarantined: &[QuarantinedPart]) {
+    if !quarantined.is_empty() {
+        host.part_quarantined.notify(usize::MAX);
+    }
 }
 
 /// Returns the fields of a log line that describe a quarantined part.
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -78,6 +78,8 @@
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
     /// Parts of prompts that crash engines, as far as all entry hosts know.
     pub(crate) crashing_parts: RefCell<CrashingParts>,
+    /// Notified when a part is quarantined.
+    pub(crate) part_quarantined: Event,
     /// The report on parts of prompts that is being collected for the other hosts.
     pub(crate) pending_report: RefCell<Option<CrashReport>>,
     pub(crate) connections: BackendConnections,
@@ -140,6 +142,7 @@
             server_notices: ServerNotices::default(),
             crash_suspects: RefCell::default(),
             crashing_parts: RefCell::default(),
+            part_quarantined: Event::new(),
             pending_report: RefCell::default(),
             connections: BackendConnections::default(),
             socket,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -230,8 +230,8 @@
         quarantined: &QuarantinedPart,
     ) -> ConnectionReuse {
         self.trace.record_quarantined_part(quarantined);
-        let message = "a part of the prompt crashes backend servers; do not send it again";
-        self.send_error(ErrorResponse::not_run(503, message)).await
+        let reason = ReservationError::Quarantined(quarantined.clone());
+        self.send_reservation_error(reason).await
     }
 
     pub(crate) async fn send_reservation_error(&self, reason: ReservationError) -> ConnectionReuse {
--- a/src/entry/pending_request.rs
+++ b/src/entry/pending_request.rs
@@ -45,7 +45,7 @@
             return;
         }
         self.host.admission.forget(self.number);
-        let outcome = ServiceOutcome::Unknown;
+        let outcome = ServiceOutcome::Unsent;
         let message = AdmissionMessage::Released { number: self.number, outcome };
         self.host.send_admission(self.owner, message);
     }
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -20,8 +20,8 @@
     fleet::ServiceOutcome,
     ids::{BackendId, ServiceId, WeightsVersion},
     placement::{
-        choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, RequestAttempt,
-        ReservationNumber,
+        choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, QuarantinedPart,
+        RequestAttempt, ReservationNumber,
     },
     routing::{BackendServer, BackendState},
     runtime,
@@ -64,7 +64,7 @@
 }
 
 /// The reason why no capacity could be reserved.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ReservationError {
     /// No usable backend server meets the requirements.
     NoBackend,
@@ -72,12 +72,18 @@
     Full,
     /// All of them want no requests now; the first takes them again after this time.
     Paused(Duration),
+    /// A part of the prompt is in quarantine, so no engine may get the request.
+    Quarantined(QuarantinedPart),
 }
 
 impl ReservationError {
     /// Returns the response to a request that could not be sent.
     pub(crate) fn response(self) -> ErrorResponse {
         let (message, retry_after) = match self {
+            ReservationError::Quarantined(_) => {
+                let message = "a part of the prompt crashes backend servers; do not send it again";
+                return ErrorResponse::not_run(503, message);
+            }
             ReservationError::NoBackend => (
                 "no backend server can accept the request now; retry later",
                 UNAVAILABLE_RETRY_AFTER,
@@ -116,14 +122,29 @@
     /// Number of the reservation at its owner; `None` for a backend server of a plain service.
     number: Option<ReservationNumber>,
     outcome: Cell<ServiceOutcome>,
+    /// Whether the backend server may have got the request.
+    is_sent: Cell<bool>,
 }
 
 impl Reservation {
-    /// Reserves capacity, for a pool waiting up to `queue_timeout` while all engines are full.
+    /// Reserves capacity, for a pool waiting up to `queue_timeout` while all engines are full, unless a
+    /// part of the prompt is or gets into quarantine.
     pub(crate) async fn wait(
         host: &Rc<EntryHost>,
         requirements: &BackendRequirements,
         queue_timeout: Duration,
+    ) -> Result<Reservation, ReservationError> {
+        let quarantined = async {
+            let part = requirements.wait_for_quarantine(host).await;
+            Err(ReservationError::Quarantined(part))
+        };
+        quarantined.or(Reservation::wait_for_capacity(host, requirements, queue_timeout)).await
+    }
+
+    async fn wait_for_capacity(
+        host: &Rc<EntryHost>,
+        requirements: &BackendRequirements,
+        queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
         if let Some(left) = requirements.time_until_first(host) {
             return Err(ReservationError::Paused(left));
@@ -179,7 +200,7 @@
         let oldest = demand.model.as_ref().map_or(0, |model| versions.oldest_allowed(model, now));
         let is_too_old = grant.version.is_some_and(|it| it < oldest);
         let Some(server) = server.filter(|_| !is_too_old) else {
-            host.admission.release(host, grant.number, ServiceOutcome::Unknown);
+            host.admission.release(host, grant.number, ServiceOutcome::Unsent);
             return None;
         };
         host.request_counts.borrow_mut().begin(server.address);
@@ -195,6 +216,7 @@
             model: demand.model.clone(),
             number: Some(grant.number),
             outcome: Cell::new(ServiceOutcome::Unknown),
+            is_sent: Cell::new(false),
         })
     }
 
@@ -237,6 +259,7 @@
             model: None,
             number: None,
             outcome: Cell::new(ServiceOutcome::Unknown),
+            is_sent: Cell::new(false),
         })
     }
 
@@ -275,6 +298,11 @@
         self.number.is_some()
     }
 
+    /// Records whether the backend server may have got the request.
+    pub(crate) fn record_sent(&self, is_sent: bool) {
+        self.is_sent.set(is_sent);
+    }
+
     /// Records how the backend server served the request, for the owner of the engine.
     pub(crate) fn record_outcome(&self, outcome: ServiceOutcome) {
         self.outcome.set(outcome);
@@ -284,13 +312,34 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.host.request_counts.borrow_mut().end(self.address);
+        let outcome = match (self.is_sent.get(), self.outcome.get()) {
+            (true, outcome) => outcome,
+            (false, ServiceOutcome::Failed) => ServiceOutcome::Unreachable,
+            (false, _) => ServiceOutcome::Unsent,
+        };
         if let Some(number) = self.number {
-            self.host.admission.release(&self.host, number, self.outcome.get());
+            self.host.admission.release(&self.host, number, outcome);
         }
     }
 }
 
 impl BackendRequirements {
+    /// Waits until a part of the prompt is in quarantine.
+    async fn wait_for_quarantine(&self, host: &EntryHost) -> QuarantinedPart {
+        loop {
+            let quarantined = host.part_quarantined.listen();
+            match self.quarantined_part(host) {
+                Some(part) => return part,
+                None => quarantined.await,
+            }
+        }
+    }
+
+    fn quarantined_part(&self, host: &EntryHost) -> Option<QuarantinedPart> {
+        let crashing_parts = host.crashing_parts.borrow();
+        crashing_parts.find_quarantined(&self.prompt_parts, Instant::now())
+    }
+
     /// Returns the time until the first backend server takes the request, if all that it could use
     /// now asked for a pause.
     fn time_until_first(&self, host: &EntryHost) -> Option<Duration> {
--- a/src/entry/successor.rs
+++ b/src/entry/successor.rs
@@ -188,16 +188,11 @@
     /// Sends the request to one more backend server; returns `None` unless it responds.
     async fn try_next(&self) -> Option<Successor<'a>> {
         let exchange = self.sender.exchange;
-        if exchange.quarantined_part().is_some() {
-            return None;
-        }
         let is_resumed = exchange.is_head_sent.get();
         let requirements = BackendRequirements { is_resumed, ..self.requirements() };
         let reservation =
             Reservation::wait(&exchange.host, &requirements, QUEUE_TIMEOUT).await.ok()?;
-        if exchange.quarantined_part().is_some()
-            || !exchange.host.try_spend_retry(&requirements.service)
-        {
+        if !exchange.host.try_spend_retry(&requirements.service) {
             return None;
         }
         exchange.trace.record_reservation(&reservation);
--- a/src/fleet/admission_message.rs
+++ b/src/fleet/admission_message.rs
@@ -74,6 +74,17 @@
     Succeeded,
     /// The connection or the response failed.
     Failed,
-    /// The request was not sent, was refused, or ended for a reason of its caller.
+    /// The request was refused, or ended for a reason of its caller.
     Unknown,
+    /// Nothing was sent, as the reservation was of no use any more.
+    Unsent,
+    /// Nothing was sent, as the connection failed.
+    Unreachable,
+}
+
+impl ServiceOutcome {
+    /// Returns `true` if the engine may have got the request.
+    pub fn is_sent(self) -> bool {
+        !matches!(self, ServiceOutcome::Unsent | ServiceOutcome::Unreachable)
+    }
 }
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -183,12 +183,17 @@
 
     /// Ends a reservation, or the wait for one; returns the engine of the reservation.
     pub fn release(&mut self, id: &ReservationId, now: Instant) -> Option<BackendId> {
-        self.waiting.retain(|it| it.id != *id);
-        let (engine, starting_parts) = self.reservations.remove(id)?;
+        let (engine, starting_parts) = self.remove(id)?;
         self.failed_starts.extend(starting_parts.into_iter().map(|it| (it, now)));
         Some(engine)
     }
 
+    /// Ends a reservation whose engine did not get the request, or the wait for one; returns the engine.
+    /// No start has failed.
+    pub fn cancel(&mut self, id: &ReservationId) -> Option<BackendId> {
+        Some(self.remove(id)?.0)
+    }
+
     /// Applies a holder's report of all reservations that it holds at engines of this cell.
     pub fn apply_report(
         &mut self,
@@ -233,6 +238,11 @@
         self.waiting.len()
     }
 
+    fn remove(&mut self, id: &ReservationId) -> Option<(BackendId, Vec<PartDigest>)> {
+        self.waiting.retain(|it| it.id != *id);
+        self.reservations.remove(id)
+    }
+
     /// Places the waiting requests in order of arrival.
     ///
     /// A prompt that no engine can take yet because of its length keeps the engine with the fewest
--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -160,6 +160,22 @@
     assert_eq!(cell.decide_waiting(&engines(4), now + ms(490)), [(id(6, 1), Admission::Full)]);
 }
 
+/// An engine that did not get the request shows nothing, so the next one in turn doesn't wait.
+#[test]
+fn unsent_request_takes_turn() {
+    let now = Instant::now();
+    let mut cell = AdmissionCell::default();
+    let suspect = Demand { prompt_parts: vec![7], in_turn_parts: vec![7], ..demand(100, 300) };
+    assert!(is_granted(&cell.request(id(1, 1), suspect.clone(), &engines(4), now)));
+    assert_eq!(cell.request(id(2, 1), suspect.clone(), &engines(4), now), None);
+    assert_eq!(cell.request(id(3, 1), suspect, &engines(4), now), None);
+    assert_eq!(cell.cancel(&id(2, 1)), None, "its wait ends");
+    assert!(cell.cancel(&id(1, 1)).is_some());
+    let decisions = cell.decide_waiting(&engines(4), now + ms(1));
+    assert_eq!(decisions.iter().map(|it| it.0).collect::<Vec<_>>(), [id(3, 1)]);
+    assert_eq!(cell.n_reservations(), 1);
+}
+
 #[test]
 fn no_engine_told_at_once() {
     let mut cell = AdmissionCell::default();
--- a/tests/crashing_parts_spread.rs
+++ b/tests/crashing_parts_spread.rs
@@ -3,14 +3,22 @@
 mod entry_process;
 
 use std::{
+    net::{SocketAddr, UdpSocket},
     process::Command,
     thread,
     time::{Duration, Instant},
 };
 
+use crocustiller::{
+    fleet::{Beacon, DocumentNumbers, EntryState, PeerMessage},
+    http1::{Headers, RequestHead},
+    placement::{PartDigest, QuarantinedPart},
+    platform::wire_headers::decode_request,
+};
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, event_chunk, request, server_entry, stream_head, CallerResponse, EntryProcess,
+    charter, event_chunk, request, server_entry, stream_head, unique_loopback_ip, CallerResponse,
+    EntryProcess,
 };
 
 /// Time until a crashed engine is back.
@@ -73,7 +81,15 @@
     request.header("x-prompt-prefix").is_some_and(|it| it.contains("dead:"))
 }
 
+/// Returns `true` for a request to which an engine does not begin to respond.
+fn is_held(request: &RawRequest) -> bool {
+    request.header("x-request-id").is_some_and(|it| it.starts_with("held"))
+}
+
 fn respond(request: &RawRequest) -> Vec<Step> {
+    if is_held(request) {
+        return vec![Step::Pause(Duration::from_secs(2))];
+    }
     if is_crashing(request) {
         return vec![Step::Pause(Duration::from_millis(20)), Step::Crash(RESTART_TIME)];
     }
@@ -221,3 +237,84 @@
     assert!(response.text().contains(REFUSAL), "{}", response.text());
     assert_eq!(fleet.n_crashes(), n_crashes);
 }
+
+/// A request in turn finds only closed ports. Nothing is sent, so no start of its part has failed, and
+/// it does not wait for another turn after each of them.
+#[test]
+fn closed_ports_take_turns() {
+    let fleet = Fleet::start(1, 2);
+    send(&fleet.hosts[0], "crash-1", "dead");
+    assert_eq!(fleet.n_crashes(), 2);
+    for number in 0..4 {
+        let closed = SocketAddr::from((unique_loopback_ip(), 9));
+        let entry = server_entry("pool", closed, "ready");
+        fleet.store.put("servers", &format!("closed-{number}"), entry);
+    }
+    thread::sleep(Duration::from_millis(300));
+    let sent = Instant::now();
+    let response = send(&fleet.hosts[0], "crash-2", "dead");
+    assert!(sent.elapsed() < Duration::from_millis(300), "{:?}", sent.elapsed());
+    assert!(response.text().contains("not-run"), "{}", response.text());
+    assert_eq!(fleet.n_crashes(), 2);
+}
+
+/// A request that waits for its turn is refused as soon as its part is quarantined.
+#[test]
+fn quarantined_request_waits_on() {
+    let fleet = Fleet::start(1, 4);
+    let host = &fleet.hosts[0];
+    send(host, "crash-1", "dead");
+    assert_eq!(fleet.n_crashes(), 2);
+    thread::scope(|scope| {
+        scope.spawn(|| send(host, "held-1", "dead"));
+        while fleet.n_crashes() < 3 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let sent = Instant::now();
+        let waiting = scope.spawn(|| send(host, "crash-2", "dead"));
+        thread::sleep(Duration::from_millis(60));
+        quarantine(host, digest_of("dead"));
+        let response = waiting.join().unwrap();
+        assert!(response.text().contains(REFUSAL), "{}", response.text());
+        assert!(sent.elapsed() < Duration::from_millis(250), "{:?}", sent.elapsed());
+    });
+    assert_eq!(fleet.n_crashes(), 3);
+}
+
+fn digest_of(part: &str) -> PartDigest {
+    let mut headers = Headers::default();
+    headers.push("X-Model", "lots");
+    headers.push("X-Prompt-Prefix", format!("{part}:30,aa:20"));
+    decode_request(&RequestHead { method: "POST".into(), target: "/".into(), headers }).prompt_parts
+        [0]
+}
+
+/// Tells an entry host in the name of another one that a part is in quarantine.
+fn quarantine(host: &EntryProcess, part: PartDigest) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let beacon = Beacon {
+        host: "entry-9".to_owned(),
+        started_ms: 1,
+        number: 1,
+        interval_ms: 100,
+        state: EntryState::Starting,
+        callers: address,
+        peers: address,
+        processor_permille: 1000,
+        follows_store: false,
+        documents: DocumentNumbers::default(),
+        region: "south".to_owned(),
+        zone: "depot".to_owned(),
+        losses: Vec::new(),
+        quarantined: vec![QuarantinedPart {
+            part,
+            n_crashes: 3,
+            n_engines: 3,
+            age_ms: 0,
+            n_quarantines: 1,
+        }],
+    };
+    let message = bincode::serialize(&PeerMessage::Beacon(beacon)).unwrap();
+    socket.send_to(&message, host.peers).unwrap();
+}
