A request that crashes engines stays refused through restarts of the entry hosts

Each host kept only the crashes that it had seen itself, and counted those in the beacons of the others for as long as they came. The other way round, one crash that three hosts saw counted three times.

A crash now has an id, a digest of the backend server and its start, and each host keeps all that it has heard of a request: sets that only grow, so reports may be lost, late, repeated or told by anybody, and no crash counts twice. A success moves all crashes before it to a second set, which no late report takes back. Both travel in the beacons instead of the counts, and from the second crash on in a CrashReport at once. A host that starts is sent them before it is ready, as it is sent quarantined parts, so one way serves both; what is merged differs, since a part is judged by each host and a request by the number of its crashes alone.

Size: 64 requests a beacon as before, 40 to 50 bytes for one with a single crash (12 before), lists are cut at 16 and 32 ids. A host that only heard of a crash doesn't send its beacons to other zones for that.

Without single tries a refused request is still forgotten 120 s after its last crash.

--- a/src/entry/attempt_outcome.rs
+++ b/src/entry/attempt_outcome.rs
@@ -6,7 +6,10 @@
 use std::time::Instant;
 
 use crate::{
-    entry::exchange::{ConnectionReuse, Exchange},
+    entry::{
+        crash_reports,
+        exchange::{ConnectionReuse, Exchange},
+    },
     fleet::ServiceOutcome,
     http1::{HttpError, ResponseHead},
     ids::BackendId,
@@ -59,8 +62,7 @@
         err: &HttpError,
     ) -> AttemptOutcome {
         if !exchange.host.is_switching(backend) {
-            let mut suspects = exchange.host.crash_suspects.borrow_mut();
-            suspects.record_crash(exchange.fingerprint.get(), backend, Instant::now());
+            crash_reports::report_break(&exchange.host, exchange.fingerprint.get(), backend);
         }
         AttemptOutcome::from_lost_response(exchange, backend, &err.to_string())
     }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -10,7 +10,7 @@
 use crate::{
     entry::{
         attempt_outcome::AttemptOutcome,
-        buffered_relay,
+        buffered_relay, crash_reports,
         cut_reason::CutReason,
         engine_stream::EngineStream,
         error_response::ErrorResponse,
@@ -93,7 +93,6 @@
 impl<'a> Attempts<'a> {
     fn new(sender: RequestSender<'a>, service: &ServiceId) -> Attempts<'a> {
         let exchange = sender.exchange;
-        let suspects = exchange.host.crash_suspects.borrow();
         let attempt = RequestAttempt {
             request: exchange.fingerprint.get(),
             number: exchange.host.admission.take_number(),
@@ -105,7 +104,7 @@
             prompt_tokens: exchange.request.sizes.prompt_tokens,
             prompt_parts: exchange.request.prompt_parts.clone(),
             is_resumed: false,
-            excluded: suspects.crashed_backends(exchange.fingerprint.get()),
+            excluded: crash_reports::crashed_backends(&exchange.host, exchange.fingerprint.get()),
         };
         Attempts { sender, requirements, n_sent: 0, fallback: None, successor: None }
     }
--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -62,19 +62,19 @@
 }
 
 /// Returns `true` if the other zones need this host's beacons: it is a representative of its zone,
-/// or it suspects requests of crashing backend servers.
+/// or it saw requests that may crash backend servers.
 fn informs_other_zones(host: &EntryHost) -> bool {
-    let has_suspects = host.crash_suspects.borrow().crash_counts().next().is_some();
-    has_suspects || host.n_preferred_in_zone() < MAX_REPRESENTATIVES
+    let is_witness = host.crash_suspects.borrow().is_witness(Instant::now());
+    is_witness || host.n_preferred_in_zone() < MAX_REPRESENTATIVES
 }
 
 /// Applies the beacon of another entry host. A host that has just started gets one in return, so
-/// that it knows the quarantined parts of prompts before it serves.
+/// that it knows the requests and parts of prompts that are refused before it serves.
 pub(crate) fn apply(host: &EntryHost, from: SocketAddr, beacon: Beacon) {
     host.beacon_targets.borrow_mut().insert(from, beacon.zone.clone());
-    crash_reports::merge(host, &beacon.quarantined);
+    crash_reports::merge(host, &beacon.suspected, &beacon.quarantined);
     let is_new = host.peers.borrow().started_ms(&beacon.host) != Some(beacon.started_ms);
-    if is_new && !host.crashing_parts.borrow().quarantined(Instant::now()).is_empty() {
+    if is_new && crash_reports::has_any(host) {
         send_at_once(host, from);
     }
     host.peers.borrow_mut().record_beacon(beacon, Instant::now());
--- a/src/entry/crash_reports.rs
+++ b/src/entry/crash_reports.rs
@@ -1,5 +1,5 @@
-//! Reports to the other entry hosts which parts of prompts are suspected of crashing engines and
-//! which are cleared, and applies their reports.
+//! Reports to the other entry hosts which requests and parts of prompts are suspected of crashing
+//! backend servers and which are cleared, and applies their reports.
 
 use std::{
     net::SocketAddr,
@@ -10,11 +10,15 @@
 use crate::{
     entry::{datagrams, entry_host::EntryHost},
     fleet::{CrashReport, PeerMessage},
-    placement::{PartCrash, PartDigest, QuarantinedPart, MAX_PARTS},
+    ids::BackendId,
+    placement::{
+        crash_id, CrashId, Fingerprint, PartCrash, PartDigest, QuarantinedPart, SuspectedRequest,
+        MAX_PARTS, MAX_SUSPECTED_REQUESTS,
+    },
     runtime,
 };
 
-/// Time for which crashes and cleared parts are collected for one datagram.
+/// Time for which crashes and what is cleared are collected for one datagram.
 const BATCH_TIME: Duration = Duration::from_millis(50);
 /// Time after which a report is sent once more, as a datagram may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(100);
@@ -46,6 +50,54 @@
     });
 }
 
+/// Records that a backend server broke the connection during a request, here and soon at the other hosts.
+pub(crate) fn report_break(host: &Rc<EntryHost>, request: Fingerprint, backend: &BackendId) {
+    let crash = current_crash(host, backend);
+    let report = host.crash_suspects.borrow_mut().record_crash(request, crash, Instant::now());
+    report.into_iter().for_each(|it| report_request(host, it));
+}
+
+/// Clears a request that succeeded, here and soon at the other hosts.
+pub(crate) fn clear_request(host: &Rc<EntryHost>, request: Fingerprint) {
+    let report = host.crash_suspects.borrow_mut().clear(request, Instant::now());
+    report.into_iter().for_each(|it| report_request(host, it));
+}
+
+/// Returns the backend servers that broke the connection during a request, to any host; it is sent to
+/// them again only if there is no other.
+pub(crate) fn crashed_backends(host: &EntryHost, request: Fingerprint) -> Vec<BackendId> {
+    let suspects = host.crash_suspects.borrow();
+    if !suspects.is_suspected(request) {
+        return Vec::new();
+    }
+    let backends = host.backends.borrow();
+    let crashed =
+        backends.iter().filter(|it| suspects.has_crashed(request, crash_id(&it.id, it.started_ms)));
+    crashed.map(|it| it.id.clone()).collect()
+}
+
+/// Returns `true` if there is anything that a host should know before it serves.
+pub(crate) fn has_any(host: &EntryHost) -> bool {
+    let now = Instant::now();
+    let has_suspects = !host.crash_suspects.borrow().reported(now).is_empty();
+    has_suspects || !host.crashing_parts.borrow().quarantined(now).is_empty()
+}
+
+/// Returns the id of the crash that ends the present start of a backend server.
+fn current_crash(host: &EntryHost, backend: &BackendId) -> CrashId {
+    let started_ms = host.backends.borrow().get(backend).map_or(0, |it| it.started_ms);
+    crash_id(backend, started_ms)
+}
+
+fn report_request(host: &Rc<EntryHost>, request: SuspectedRequest) {
+    queue(host, |report| {
+        report.requests.retain(|it| it.request != request.request);
+        if report.requests.len() < MAX_SUSPECTED_REQUESTS {
+            report.requests.push(request);
+        }
+    });
+}
+
 /// Applies the report of another entry host.
 pub(crate) fn apply(host: &EntryHost, report: CrashReport) {
     for crash in report.crashes.iter().take(MAX_REPORTED_CRASHES) {
@@ -53,6 +105,7 @@
     }
     let n_cleared = report.cleared.len().min(MAX_REPORTED_PARTS);
     host.crashing_parts.borrow_mut().clear(&report.cleared[..n_cleared], Instant::now());
+    host.crash_suspects.borrow_mut().merge(&report.requests, Instant::now());
 }
 
 /// Quarantines the parts against which there is enough evidence now.
@@ -62,9 +115,14 @@
     }
 }
 
-/// Adds the quarantined parts in a beacon.
-pub(crate) fn merge(host: &EntryHost, reported: &[QuarantinedPart]) {
-    let added = host.crashing_parts.borrow_mut().merge(reported, Instant::now());
+/// Adds the suspected requests and the quarantined parts in a beacon.
+pub(crate) fn merge(
+    host: &EntryHost,
+    suspected: &[SuspectedRequest],
+    quarantined: &[QuarantinedPart],
+) {
+    host.crash_suspects.borrow_mut().merge(suspected, Instant::now());
+    let added = host.crashing_parts.borrow_mut().merge(quarantined, Instant::now());
     for part in &added {
         log::warn!(
             "crashes: another entry host quarantined a part of prompts {}",
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -27,8 +27,8 @@
     },
     fleet::{
         entry_registry, follows_store, relay_order, AdmissionMessage, BackendTable, Beacon,
-        CrashReport, EngineNotice, EntryState, KindCache, LossCount, PeerMessage, PeerTable,
-        StallDetector, StoreSource, StoreSources, VersionTable,
+        CrashReport, EngineNotice, EntryState, KindCache, PeerMessage, PeerTable, StallDetector,
+        StoreSource, StoreSources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     placement::{
@@ -75,6 +75,7 @@
     pub(crate) health: RefCell<BackendHealth>,
     /// What backend servers said of themselves in their responses.
     pub(crate) server_notices: ServerNotices,
+    /// Requests that may crash backend servers, as far as all entry hosts know.
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
     /// Parts of prompts that crash engines, as far as all entry hosts know.
     pub(crate) crashing_parts: RefCell<CrashingParts>,
@@ -178,7 +179,7 @@
         }
     }
 
-    /// Returns `true` once this host knows which parts of prompts the other hosts quarantined, or
+    /// Returns `true` once this host knows which requests and parts of prompts the other hosts refuse, or
     /// none of them tells.
     fn has_heard_peers(&self) -> bool {
         self.started.elapsed() >= FIRST_BEACON_TIMEOUT || !self.peers.borrow().is_empty()
@@ -187,9 +188,6 @@
     /// Returns the next beacon, with a new number, for hosts that get one every `interval`.
     pub(crate) fn next_beacon(&self, interval: Duration) -> Beacon {
         self.beacon_number.set(self.beacon_number.get() + 1);
-        let suspects = self.crash_suspects.borrow();
-        let losses = suspects.crash_counts();
-        let losses = losses.map(|it| LossCount { fingerprint: it.0, n_backends: it.1 });
         Beacon {
             host: self.settings.host.id.clone(),
             started_ms: self.started_ms,
@@ -203,7 +201,7 @@
             documents: self.document_numbers(),
             region: self.settings.host.region.clone(),
             zone: self.settings.host.zone.clone(),
-            losses: losses.collect(),
+            suspected: self.crash_suspects.borrow().reported(Instant::now()),
             quarantined: self.crashing_parts.borrow().quarantined(Instant::now()),
         }
     }
@@ -331,10 +329,7 @@
     /// Returns `true` if too many backend servers broke the connection during a request, counted
     /// over all entry hosts.
     pub(crate) fn is_crash_suspect(&self, fingerprint: Fingerprint) -> bool {
-        let peers = self.peers.borrow();
-        let losses = peers.live_beacons(Instant::now()).flat_map(|it| &it.losses);
-        let peer_counts = losses.filter(|it| it.fingerprint == fingerprint).map(|it| it.n_backends);
-        self.crash_suspects.borrow().is_refused(fingerprint, peer_counts.sum())
+        self.crash_suspects.borrow().is_refused(fingerprint, Instant::now())
     }
 
     /// Counts a failure of a backend server, unless it is an engine that loads other weights and aborts
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -8,6 +8,7 @@
 use crate::{
     entry::{
         attempt_outcome::AttemptOutcome,
+        crash_reports,
         engine_stream::EngineStream,
         exchange::{ConnectionReuse, Exchange},
         request_trace::TraceOutcome,
@@ -61,7 +62,7 @@
         return caller_lost(exchange, &err);
     }
     exchange.trace.record_outcome(TraceOutcome::Answered(stream.head().status));
-    exchange.host.crash_suspects.borrow_mut().clear(exchange.fingerprint.get());
+    crash_reports::clear_request(&exchange.host, exchange.fingerprint.get());
     stream.close().await;
     AttemptOutcome::Done(if exchange.closes_connection {
         ConnectionReuse::Close
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -7,7 +7,7 @@
 use crate::{
     fleet::{AdmissionMessage, DocumentNumbers, LeavingNotice},
     ids::{HostId, RegionId, WeightsVersion, ZoneId},
-    placement::{OwnerCandidate, PartCrash, PartDigest, QuarantinedPart},
+    placement::{OwnerCandidate, PartCrash, PartDigest, QuarantinedPart, SuspectedRequest},
 };
 
 /// The content of a datagram between two processes.
@@ -23,7 +23,7 @@
     PiecesHeld(PiecesHeld),
     /// The manifest of a version, from one slot process to another.
     Manifest(ManifestCopy),
-    /// Parts of prompts that are suspected or cleared, from one entry host to the others.
+    /// Requests and parts of prompts that are suspected or cleared, from one entry host to the others.
     CrashReport(CrashReport),
     /// A backend server that leaves, from the entry host that it told to the others.
     ServerLeaving(LeavingNotice),
@@ -118,8 +118,9 @@
     pub region: RegionId,
     /// Availability zone of the sender.
     pub zone: ZoneId,
-    /// Requests during which backend servers broke the connection, perhaps in a crash.
-    pub losses: Vec<LossCount>,
+    /// Requests during which backend servers broke the connection, perhaps in a crash, as far as the
+    /// sender knows.
+    pub suspected: Vec<SuspectedRequest>,
     /// Parts of prompts that crash engines.
     pub quarantined: Vec<QuarantinedPart>,
 }
@@ -135,13 +136,15 @@
     }
 }
 
-/// What an entry host learned about parts of prompts since its last report.
+/// What an entry host learned about requests and parts of prompts since its last report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Crashes of engines.
     pub crashes: Vec<PartCrash>,
     /// Suspected parts that engines served.
     pub cleared: Vec<PartDigest>,
+    /// Requests that are suspected, or were until now.
+    pub requests: Vec<SuspectedRequest>,
 }
 
 impl CrashReport {
@@ -151,14 +154,8 @@
         for crash in &mut self.crashes {
             crash.sent_ago_ms = crash.sent_ago_ms.saturating_add(age_ms);
         }
+        for request in &mut self.requests {
+            request.last_ago_ms = request.last_ago_ms.saturating_add(u64::from(age_ms));
+        }
     }
 }
-
-/// The number of backend servers that broke the connection to one entry host during a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LossCount {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// The number of backend servers.
-    pub n_backends: u32,
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -25,8 +25,7 @@
     admission_message::{AdmissionMessage, RefusalReason, ServiceOutcome},
     backend_table::BackendTable,
     beacon::{
-        Beacon, CrashReport, EngineNotice, EntryState, LossCount, ManifestCopy, PeerMessage,
-        PiecesHeld,
+        Beacon, CrashReport, EngineNotice, EntryState, ManifestCopy, PeerMessage, PiecesHeld,
     },
     document_numbers::DocumentNumbers,
     expired_entries::ExpiredEntries,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -22,10 +22,12 @@
 mod refused_requests;
 mod request_attempt;
 mod request_counts;
+mod request_suspicion;
 mod reservation_id;
 mod reservations;
 mod retry_budgets;
 mod shutdown_admission;
+mod suspected_request;
 mod windowed_retry_budget;
 
 pub use crate::placement::{
@@ -33,7 +35,7 @@
     admission_counts::{AdmissionCounts, DecisionCounts},
     backend_health::BackendHealth,
     cell_map::{CellMap, OwnerCandidate},
-    crash_suspects::{CrashSuspects, Fingerprint},
+    crash_suspects::{CrashSuspects, Fingerprint, MAX_SUSPECTED_REQUESTS},
     crashing_parts::{CrashingParts, MAX_PARTS},
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
@@ -48,5 +50,6 @@
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
     shutdown_admission::can_finish_before_exit,
+    suspected_request::{crash_id, CrashId, SuspectedRequest},
     windowed_retry_budget::WindowedRetryBudget,
 };
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -241,7 +241,7 @@
         region: zone.to_owned(),
         zone: zone.to_owned(),
         quarantined: Vec::new(),
-        losses: Vec::new(),
+        suspected: Vec::new(),
     }
 }
 
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -11,10 +11,10 @@
 
 use crocustiller::{
     fleet::{
-        AdmissionMessage, Beacon, DocumentNumbers, EngineNotice, EntryState, LossCount,
+        AdmissionMessage, Beacon, CrashReport, DocumentNumbers, EngineNotice, EntryState,
         ManifestCopy, PeerMessage, PiecesHeld,
     },
-    placement::{Demand, QuarantinedPart, RequestAttempt},
+    placement::{Demand, QuarantinedPart, RequestAttempt, SuspectedRequest},
     platform::{
         store::{Metadata, StoredObject},
         wire_config, wire_server,
@@ -280,7 +280,7 @@
         documents: DocumentNumbers::default(),
         region: "south".to_owned(),
         zone: "depot".to_owned(),
-        losses: vec![LossCount { fingerprint: value, n_backends: u32::MAX }; 3],
+        suspected: vec![suspected_request(value); 3],
         quarantined: vec![
             QuarantinedPart {
                 part: value,
@@ -294,6 +294,15 @@
     }
 }
 
+fn suspected_request(value: u64) -> SuspectedRequest {
+    SuspectedRequest {
+        request: value,
+        crashes: vec![value; 40],
+        cleared: (0..40).collect(),
+        last_ago_ms: value,
+    }
+}
+
 fn absurd_messages() -> Vec<PeerMessage> {
     let demand = Demand {
         service: "pool".to_owned(),
@@ -326,6 +335,8 @@
     let manifest =
         ManifestCopy { model: "lots".to_owned(), version: u64::MAX, digests: Vec::new() };
     let request = AdmissionMessage::Request { number: u64::MAX, demand };
+    let report =
+        CrashReport { requests: vec![suspected_request(u64::MAX); 3], ..CrashReport::default() };
     vec![
         PeerMessage::Admission(request),
         PeerMessage::Admission(AdmissionMessage::FirstEvent { number: u64::MAX }),
@@ -335,6 +346,7 @@
         PeerMessage::EngineNotice(notice),
         PeerMessage::PiecesHeld(held),
         PeerMessage::Manifest(manifest),
+        PeerMessage::CrashReport(report),
     ]
 }
 
--- /dev/null
+++ b/tests/repeated_crashes.rs
@@ -0,0 +1,102 @@
+//! Several entry hosts as processes, and a request that crashes each server of a plain service.
+
+mod entry_process;
+
+use std::{thread, time::Duration};
+
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
+use entry_process::{
+    charter, encode_response, request, server_entry, CallerResponse, EntryProcess,
+};
+
+/// Time until a crashed server is back.
+const RESTART_TIME: Duration = Duration::from_millis(900);
+/// Requests that may still reach servers after a request has crashed the third.
+const MAX_RETRIES: usize = 3;
+/// Part of the refusal that names its reason.
+const REFUSAL: &str = "crashed while running this request";
+const CRASHING_PATH: &str = "/hold/crash";
+
+/// Entry hosts of one zone in front of servers that crash when they run the request for `CRASHING_PATH`.
+struct Fleet {
+    store: StoreStandin,
+    servers: Vec<ScriptedServer>,
+    hosts: Vec<EntryProcess>,
+}
+
+impl Fleet {
+    fn start(n_hosts: usize, n_servers: usize) -> Fleet {
+        let store = StoreStandin::start().unwrap();
+        store.put("config", "main", charter(1));
+        let servers: Vec<ScriptedServer> =
+            (0..n_servers).map(|_| ScriptedServer::start(respond).unwrap()).collect();
+        for (idx, server) in servers.iter().enumerate() {
+            let entry = server_entry("ledger", server.address(), "ready");
+            store.put("servers", &format!("ledger-{idx}"), entry);
+        }
+        let hosts: Vec<EntryProcess> =
+            (1..=n_hosts).map(|it| EntryProcess::start(&store, &format!("entry-{it}"))).collect();
+        hosts.iter().for_each(EntryProcess::wait_until_ready);
+        thread::sleep(Duration::from_millis(800));
+        Fleet { store, servers, hosts }
+    }
+
+    fn n_crashes(&self) -> usize {
+        let requests = self.servers.iter().flat_map(ScriptedServer::requests);
+        requests.filter(|it| it.target == CRASHING_PATH).count()
+    }
+
+    /// Sends the crashing request to all hosts in turn, until one refuses it.
+    fn crash_until_refused(&self) {
+        for number in 0..8 {
+            let response = send_crashing(&self.hosts[number % self.hosts.len()], number);
+            if response.text().contains(REFUSAL) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(250));
+        }
+        panic!("{} crashes and no refusal", self.n_crashes());
+    }
+
+    /// Kills each host in turn and starts it again.
+    fn restart_hosts(&mut self) {
+        for idx in 0..self.hosts.len() {
+            drop(self.hosts.remove(idx));
+            thread::sleep(Duration::from_millis(1500));
+            let host = EntryProcess::start(&self.store, &format!("entry-{}", idx + 1));
+            host.wait_until_ready();
+            self.hosts.insert(idx, host);
+            thread::sleep(Duration::from_millis(500));
+        }
+    }
+}
+
+fn respond(request: &RawRequest) -> Vec<Step> {
+    if request.target == CRASHING_PATH {
+        return vec![Step::Pause(Duration::from_millis(20)), Step::Crash(RESTART_TIME)];
+    }
+    let pause = Step::Pause(Duration::from_millis(150));
+    vec![pause, Step::Send(encode_response(request, 200, "held"))]
+}
+
+fn send_crashing(host: &EntryProcess, number: usize) -> CallerResponse {
+    host.exchange(&request("POST", CRASHING_PATH, &format!("crash-{number}"), ""))
+}
+
+/// The request comes all the while, and once more at each host after all have been restarted twice.
+#[test]
+fn restarts_forget_request() {
+    let mut fleet = Fleet::start(3, 8);
+    fleet.crash_until_refused();
+    let n_known = fleet.n_crashes();
+    for round in 0..2 {
+        fleet.restart_hosts();
+        for (number, host) in fleet.hosts.iter().enumerate() {
+            send_crashing(host, 100 + 10 * round + number);
+            thread::sleep(Duration::from_millis(300));
+        }
+    }
+    let n_retries = fleet.n_crashes() - n_known;
+    assert!(n_retries <= MAX_RETRIES, "{n_retries} retries reached servers");
+    assert_eq!(fleet.hosts[0].exchange(&request("POST", "/hold/1", "sound", "")).status(), 200);
+}
