--- a/tests/crashing_parts_spread.rs
+++ b/tests/crashing_parts_spread.rs
@@ -306,7 +306,7 @@
         documents: DocumentNumbers::default(),
         region: "south".to_owned(),
         zone: "depot".to_owned(),
-        losses: Vec::new(),
+        suspected: Vec::new(),
         quarantined: vec![QuarantinedPart {
             part,
             n_crashes: 3,
