placement: suspect all parts of a prompt, with a limit for their sum

Cause: the first eight parts of a prompt were regarded (`MAX_PARTS`), for evidence, clearing, turns and refusal alike, so a part that crashes engines was never found in the ninth place or later. The limit for each request stood in for limits that belong to the sum: suspects, the datagram of a crash report, the beacon, the datagram to an owner.

Change: all parts that a head names are decoded and looked up for refusal. `SuspectGroups` keeps the evidence of parts with the same history once, for 8,192 suspects in all; one request adds half of them at most, and the parts of the longest prompts make room first, so long prompts evict no suspects of short ones. Of parts that always come together 32 are quarantined. `PendingReport` splits crash reports and clearings into datagrams of 1,024 parts and leaves out the longest crashes beyond 8,192. Beacons name all 256 quarantines in force (32 before). An owner is told 4,096 parts and, in any case, up to 64 that begin in turn.

Tests changed: `number_of_parts_is_bounded` asserted the fault; it is now `ninth_part_is_dropped`, which asserts each of 4,999 parts. `table_and_beacon_bounded` asserts the new bounds of table (8,192) and beacon (256, all in force), with one more check of the latter.

--- a/src/entry/crash_reports.rs
+++ b/src/entry/crash_reports.rs
@@ -9,8 +9,8 @@
 
 use crate::{
     entry::{datagrams, entry_host::EntryHost},
-    fleet::{CrashReport, PeerMessage},
-    placement::{PartCrash, PartDigest, QuarantinedPart, MAX_PARTS},
+    fleet::{CrashReport, PeerMessage, PendingReport},
+    placement::{PartCrash, PartDigest, QuarantinedPart},
     runtime,
 };
 
@@ -18,19 +18,11 @@
 const BATCH_TIME: Duration = Duration::from_millis(50);
 /// Time after which a report is sent once more, as a datagram may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(100);
-/// Maximum number of crashes in a datagram.
-const MAX_REPORTED_CRASHES: usize = 64;
-/// Maximum number of cleared parts in a datagram.
-const MAX_REPORTED_PARTS: usize = MAX_REPORTED_CRASHES * MAX_PARTS;
 
 /// Records a crash that this host saw, here and soon at the other hosts.
 pub(crate) fn report_crash(host: &Rc<EntryHost>, crash: PartCrash) {
     host.crashing_parts.borrow_mut().record_crash(&crash, Instant::now());
-    queue(host, |report| {
-        if report.crashes.len() < MAX_REPORTED_CRASHES {
-            report.crashes.push(crash);
-        }
-    });
+    queue(host, |report| report.add_crash(crash));
 }
 
 /// Clears the parts of a request that an engine served, here and soon at the other hosts.
@@ -40,19 +32,15 @@
         return;
     }
     log::info!("crashes: cleared parts of prompts n={}", cleared.len());
-    queue(host, |report| {
-        let n_free = MAX_REPORTED_PARTS - report.cleared.len();
-        report.cleared.extend(cleared.into_iter().take(n_free));
-    });
+    queue(host, |report| report.add_cleared(cleared));
 }
 
 /// Applies the report of another entry host.
 pub(crate) fn apply(host: &EntryHost, report: CrashReport) {
-    for crash in report.crashes.iter().take(MAX_REPORTED_CRASHES) {
+    for crash in &report.crashes {
         host.crashing_parts.borrow_mut().record_crash(crash, Instant::now());
     }
-    let n_cleared = report.cleared.len().min(MAX_REPORTED_PARTS);
-    host.crashing_parts.borrow_mut().clear(&report.cleared[..n_cleared], Instant::now());
+    host.crashing_parts.borrow_mut().clear(&report.cleared, Instant::now());
 }
 
 /// Quarantines the parts against which there is enough evidence now.
@@ -92,25 +80,28 @@
 }
 
 /// Changes the report that is being collected; the first change schedules its sending.
-fn queue(host: &Rc<EntryHost>, change: impl FnOnce(&mut CrashReport)) {
+fn queue(host: &Rc<EntryHost>, change: impl FnOnce(&mut PendingReport)) {
     let mut pending = host.pending_report.borrow_mut();
     if pending.is_none() {
         let host = host.clone();
         let send_twice = async move {
             runtime::sleep(BATCH_TIME).await;
-            let Some(mut report) = host.pending_report.take() else { return };
-            report.add_age(BATCH_TIME);
-            send(&host, &report);
+            let Some(pending) = host.pending_report.take() else { return };
+            let mut reports = pending.into_reports();
+            send_aged(&host, &mut reports, BATCH_TIME);
             runtime::sleep(REPEAT_DELAY).await;
-            report.add_age(REPEAT_DELAY);
-            send(&host, &report);
+            send_aged(&host, &mut reports, REPEAT_DELAY);
         };
         runtime::spawn_local(send_twice).detach();
     }
-    change(pending.get_or_insert_with(CrashReport::default));
+    change(pending.get_or_insert_with(PendingReport::default));
 }
 
-fn send(host: &EntryHost, report: &CrashReport) {
+/// Sends reports that have waited for `age` since they were made or last sent.
+fn send_aged(host: &EntryHost, reports: &mut [CrashReport], age: Duration) {
     let targets: Vec<SocketAddr> = host.beacon_targets.borrow().keys().copied().collect();
-    datagrams::send(host, &targets, &PeerMessage::CrashReport(report.clone()));
+    for report in reports {
+        report.add_age(age);
+        datagrams::send(host, &targets, &PeerMessage::CrashReport(report.clone()));
+    }
 }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -27,7 +27,7 @@
     },
     fleet::{
         entry_registry, follows_store, relay_order, AdmissionMessage, BackendTable, Beacon,
-        CrashReport, EngineNotice, EntryState, KindCache, LossCount, PeerMessage, PeerTable,
+        EngineNotice, EntryState, KindCache, LossCount, PeerMessage, PeerTable, PendingReport,
         StallDetector, StoreSource, StoreSources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
@@ -81,7 +81,7 @@
     /// Notified when a part is quarantined.
     pub(crate) part_quarantined: Event,
     /// The report on parts of prompts that is being collected for the other hosts.
-    pub(crate) pending_report: RefCell<Option<CrashReport>>,
+    pub(crate) pending_report: RefCell<Option<PendingReport>>,
     pub(crate) connections: BackendConnections,
     /// The socket for datagrams to and from other processes.
     pub(crate) socket: Async<UdpSocket>,
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -42,6 +42,9 @@
 /// Number of grants for one request whose engine this host must not use, up to which it asks for
 /// another one though it has waited as long as it may.
 const MAX_UNUSABLE_GRANTS: usize = 3;
+/// Maximum number of parts of the prompt that an owner is told besides those that begin in turn, so that
+/// its datagram holds them.
+const MAX_DEMAND_PARTS: usize = 4096;
 
 /// The requirements that a backend server must meet for a request.
 #[derive(Clone, Debug)]
@@ -386,7 +389,7 @@
             prompt_tokens: self.prompt_tokens,
             is_resumed: self.is_resumed,
             excluded,
-            prompt_parts: self.prompt_parts.clone(),
+            prompt_parts: self.prompt_parts.iter().take(MAX_DEMAND_PARTS).copied().collect(),
             in_turn_parts,
             wait,
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod list_pacing;
 mod message_receiver;
 mod peer_table;
+mod pending_report;
 mod registration_pacing;
 mod stall_detector;
 mod store_followers;
@@ -35,6 +36,7 @@
     leaving_notice::LeavingNotice,
     list_pacing::ListPacing,
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
+    pending_report::PendingReport,
     registration_pacing::{registration_delay, registration_retry_delay},
     stall_detector::{StallDetector, TURN_INTERVAL},
     store_followers::{follows_store, relay_order},
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -238,7 +238,7 @@
         self.waiting.len()
     }
 
-    fn remove(&mut self, id: &ReservationId) -> Option<(BackendId, Vec<PartDigest>)> {
+    fn remove(&mut self, id: &ReservationId) -> Option<(BackendId, BTreeSet<PartDigest>)> {
         self.waiting.retain(|it| it.id != *id);
         self.reservations.remove(id)
     }
--- a/src/placement/crashing_parts.rs
+++ b/src/placement/crashing_parts.rs
@@ -7,15 +7,18 @@
 //! later. Crashes that a quarantined part explains no longer count against other parts.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    cmp::Reverse,
+    collections::{BTreeSet, HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
 use crate::{
     ids::BackendId,
     placement::{
-        part_quarantine::PartQuarantine, part_suspect::PartSuspect, PartCrash, PartDigest,
-        QuarantinedPart,
+        part_quarantine::PartQuarantine,
+        part_suspect::PartSuspect,
+        suspect_groups::{GroupId, SuspectGroup, SuspectGroups},
+        PartCrash, PartDigest, QuarantinedPart,
     },
 };
 
@@ -42,21 +45,25 @@
 const TURNS_TIME: Duration = Duration::from_secs(5);
 /// Interval at which the clearing of a part is reported again, in case a message was lost.
 const CLEARING_INTERVAL: Duration = Duration::from_secs(2);
-/// Maximum number of parts of a request that are regarded.
-pub const MAX_PARTS: usize = 8;
-/// Maximum number of parts that are suspected at a time.
-const MAX_SUSPECTS: usize = 256;
+/// Maximum number of parts of one request that it has to begin in turn for.
+const MAX_IN_TURN: usize = 64;
+/// Maximum number of parts that are quarantined for the same crashes. They come together, so each of
+/// them would do.
+const MAX_TOGETHER: usize = 32;
 /// Maximum number of quarantines that are in force or remembered.
 const MAX_QUARANTINES: usize = 256;
 /// Maximum number of quarantined parts in a beacon.
-const MAX_REPORTED: usize = 32;
+const MAX_REPORTED: usize = MAX_QUARANTINES;
 /// Maximum number of engines that are remembered as crashed.
 const MAX_CRASHES: usize = 256;
 
+/// Generations, engines, and whether no engine has written an answer.
+type Rank = (u32, usize, bool);
+
 /// The parts of prompts that this host suspects of crashing engines, and those in quarantine.
 #[derive(Clone, Debug, Default)]
 pub struct CrashingParts {
-    suspects: HashMap<PartDigest, PartSuspect>,
+    suspects: SuspectGroups,
     quarantines: HashMap<PartDigest, PartQuarantine>,
     crashes: VecDeque<RecentCrash>,
 }
@@ -72,17 +79,15 @@
     /// Records a crash as evidence against the parts of its request.
     pub fn record_crash(&mut self, crash: &PartCrash, now: Instant) {
         self.forget_old(now);
-        let parts = first_parts(&crash.parts);
-        if self.find_quarantined(parts, now).is_some() {
+        if self.find_quarantined(&crash.parts, now).is_some() {
             self.explain(&crash.engine, now);
             return;
         }
         if self.recent_crash(&crash.engine, now).is_explained {
             return;
         }
-        for part in parts {
-            self.suspect(*part, now).record_crash(crash, now);
-        }
+        let record = |it: &mut PartSuspect| it.record_crash(crash, now);
+        self.suspects.record(&crash.parts, crash.request, now, record);
     }
 
     /// Quarantines the parts against which there is enough evidence, and returns them.
@@ -107,8 +112,23 @@
         if self.suspects.is_empty() && self.quarantines.is_empty() {
             return Vec::new();
         }
-        let parts = first_parts(parts).iter().copied();
-        parts.filter(|it| self.clear_part(*it, now)).collect()
+        let mut reported = Vec::new();
+        let mut cleared = Vec::new();
+        for part in parts {
+            if self.is_in_force(*part, now) {
+                continue;
+            }
+            let had_quarantine = self.quarantines.remove(part).is_some();
+            let is_cleared = self.suspects.get(*part).is_some_and(|it| needs_clearing(it, now));
+            if is_cleared {
+                cleared.push(*part);
+            }
+            if is_cleared || had_quarantine {
+                reported.push(*part);
+            }
+        }
+        self.suspects.update(&cleared, |it| it.clear(now));
+        reported
     }
 
     /// Returns the parts of a request that may begin at one engine at a time only: engines crashed on
@@ -119,15 +139,27 @@
                 && it.last_clearing().is_none()
                 && now.duration_since(it.last_crash()) < TURNS_TIME
         };
-        let parts = first_parts(parts).iter();
-        parts.filter(|it| self.suspects.get(it).is_some_and(is_suspected)).copied().collect()
+        let n_engines = |it: PartDigest| {
+            let suspect = self.suspects.get(it).filter(|it| is_suspected(it));
+            suspect.map(|it| it.engines().count())
+        };
+        let suspected = parts.iter().filter_map(|it| Some((*it, n_engines(*it)?)));
+        let mut suspected: Vec<(PartDigest, usize)> = suspected.collect();
+        if suspected.len() > MAX_IN_TURN {
+            suspected.sort_by_key(|it| Reverse(it.1));
+            suspected.truncate(MAX_IN_TURN);
+        }
+        suspected.into_iter().map(|it| it.0).collect()
     }
 
     /// Returns the part for which a request with these parts is refused.
     pub fn find_quarantined(&self, parts: &[PartDigest], now: Instant) -> Option<QuarantinedPart> {
+        if self.quarantines.is_empty() {
+            return None;
+        }
         let in_force =
             |part| Some((part, self.quarantines.get(part)?)).filter(|it| it.1.is_in_force(now));
-        let (part, quarantine) = first_parts(parts).iter().find_map(in_force)?;
+        let (part, quarantine) = parts.iter().find_map(in_force)?;
         Some(quarantine.report(*part, now))
     }
 
@@ -163,75 +195,59 @@
         self.quarantines.get(&part).is_some_and(|it| it.is_in_force(now))
     }
 
-    /// Returns `true` if the clearing should be reported to the other hosts.
-    fn clear_part(&mut self, part: PartDigest, now: Instant) -> bool {
-        if self.is_in_force(part, now) {
-            return false;
-        }
-        let had_quarantine = self.quarantines.remove(&part).is_some();
-        let Some(suspect) = self.suspects.get_mut(&part) else { return had_quarantine };
-        let is_reported =
-            suspect.last_clearing().is_some_and(|it| now.duration_since(it) < CLEARING_INTERVAL);
-        if is_reported && suspect.n_generations() == 0 {
-            return had_quarantine;
-        }
-        suspect.clear(now);
-        true
-    }
-
-    /// Returns the entry of a suspect; the least suspect one makes room for a new one.
-    fn suspect(&mut self, part: PartDigest, now: Instant) -> &mut PartSuspect {
-        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&part) {
-            let rank = |it: &PartSuspect| (it.n_generations(), it.last_crash());
-            let least = self.suspects.iter().min_by_key(|it| rank(it.1)).map(|it| *it.0);
-            least.map(|it| self.suspects.remove(&it));
-        }
-        self.suspects.entry(part).or_insert_with(|| PartSuspect::new(now))
-    }
-
-    /// Returns the part with the most evidence if it is enough, and all that are inseparable from
-    /// it.
+    /// Returns the part with the most evidence if it is enough, and those that are inseparable from it.
     fn find_crashing(&self, now: Instant) -> Vec<PartDigest> {
-        let rank = |(part, it): (&PartDigest, &PartSuspect)| {
-            let is_uncleared = it.last_clearing().is_none();
-            let rank = (it.n_generations(), it.engines().count(), is_uncleared);
-            self.has_enough_evidence(*part, it, now).then_some((rank, *part))
-        };
-        let ranked: Vec<_> = self.suspects.iter().filter_map(rank).collect();
+        let ranked = self.enough_evidence(now);
         let Some((most, first)) = ranked.iter().max() else { return Vec::new() };
+        let Some(first) = self.suspects.get(*first) else { return Vec::new() };
         let is_inseparable =
-            |it: &PartDigest| self.suspects[it].has_same_requests(&self.suspects[first]);
+            |it: &PartDigest| self.suspects.get(*it).is_some_and(|it| it.has_same_requests(first));
         let tied = ranked.iter().filter(|it| it.0 == *most).map(|it| it.1);
-        tied.filter(is_inseparable).collect()
+        let mut crashing: Vec<PartDigest> = tied.filter(is_inseparable).collect();
+        crashing.sort_unstable_by_key(|it| Reverse(*it));
+        crashing.truncate(MAX_TOGETHER);
+        crashing
     }
 
-    fn has_enough_evidence(&self, part: PartDigest, suspect: &PartSuspect, now: Instant) -> bool {
-        let Some(last) = suspect.last_counted() else { return false };
-        let n_generations = suspect.n_generations();
-        if now.duration_since(last) < SETTLING_TIME {
-            return false;
-        }
-        if self.quarantines.contains_key(&part) {
-            return n_generations >= MIN_GENERATIONS_AGAIN;
+    /// Returns the parts against which there is enough evidence, each with its rank among them.
+    fn enough_evidence(&self, now: Instant) -> Vec<(Rank, PartDigest)> {
+        let is_enough = |it: &(GroupId, &SuspectGroup)| {
+            is_settled(&it.1.evidence, now) && self.is_enough_for_first(it.0, it.1, now)
+        };
+        let groups: BTreeSet<GroupId> =
+            self.suspects.groups().filter(is_enough).map(|it| it.0).collect();
+        let mut parts: BTreeSet<PartDigest> = self.quarantines.keys().copied().collect();
+        parts.retain(|it| self.suspects.get(*it).is_some_and(|it| is_enough_again(it, now)));
+        if !groups.is_empty() {
+            let suspects = self.suspects.parts().filter(|it| groups.contains(&it.1));
+            parts.extend(suspects.map(|it| it.0));
         }
+        parts.into_iter().filter_map(|it| Some((rank(self.suspects.get(it)?), it))).collect()
+    }
+
+    /// Returns `true` if the evidence is enough for the first quarantine of the parts of a group.
+    fn is_enough_for_first(&self, id: GroupId, group: &SuspectGroup, now: Instant) -> bool {
+        let suspect = &group.evidence;
+        let n_generations = suspect.n_generations();
         if n_generations < MIN_GENERATIONS || suspect.n_requests() < MIN_REQUESTS {
             return false;
         }
-        n_generations >= MIN_GENERATIONS_IN_DOUBT || !self.is_in_doubt(part, suspect, now)
+        n_generations >= MIN_GENERATIONS_IN_DOUBT || !self.is_in_doubt(id, group, now)
     }
 
     /// Returns `true` if most engines crashed without the part, or if stronger suspects were at its
     /// crashes. The newest ones don't count, as not all reports on them have arrived.
-    fn is_in_doubt(&self, part: PartDigest, suspect: &PartSuspect, now: Instant) -> bool {
+    fn is_in_doubt(&self, id: GroupId, group: &SuspectGroup, now: Instant) -> bool {
+        let suspect = &group.evidence;
         let first = suspect.first_counted();
         let is_unexplained = |it: &&RecentCrash| Some(it.recorded) >= first && !it.is_explained;
         let n_crashed = self.crashes.iter().filter(is_unexplained).count();
         if suspect.engines().count() * MIN_SHARE_DIVISOR < n_crashed {
             return true;
         }
-        let is_stronger =
-            |it: &(&PartDigest, &PartSuspect)| *it.0 != part && suspect.is_outweighed_by(it.1);
-        let stronger: Vec<_> = self.suspects.iter().filter(is_stronger).map(|it| it.1).collect();
+        let others = self.suspects.groups().filter(|it| it.0 != id || it.1.n_parts > 1);
+        let others = others.map(|it| &it.1.evidence);
+        let stronger: Vec<_> = others.filter(|it| suspect.is_outweighed_by(it)).collect();
         let settled = now.checked_sub(SETTLING_TIME).unwrap_or(now);
         let is_own = |engine: &&BackendId| !stronger.iter().any(|it| it.has_engine(engine));
         let n_own = suspect.engines_until(settled).filter(is_own).count();
@@ -240,7 +256,7 @@
 
     fn quarantine(&mut self, part: PartDigest, now: Instant) -> QuarantinedPart {
         let n_before = self.quarantines.get(&part).map_or(0, |it| it.n_quarantines);
-        let suspect = self.suspects.get(&part);
+        let suspect = self.suspects.get(part);
         let n_crashes = suspect.map_or(0, PartSuspect::n_generations);
         let n_engines = suspect.map_or(0, |it| it.engines().count()) as u32;
         let quarantine = PartQuarantine::new(n_before + 1, n_crashes, n_engines, now);
@@ -259,13 +275,13 @@
     }
 
     fn explain_crashes_of(&mut self, part: PartDigest, now: Instant) {
-        let Some(suspect) = self.suspects.remove(&part) else { return };
+        let Some(suspect) = self.suspects.remove(part) else { return };
         suspect.engines().for_each(|it| self.explain(it, now));
     }
 
     /// Marks the crash of an engine as explained; it no longer counts against any suspect.
     fn explain(&mut self, engine: &BackendId, now: Instant) {
-        self.suspects.values_mut().for_each(|it| it.drop_crash(engine));
+        self.suspects.update_all(|it| it.drop_crash(engine));
         self.recent_crash(engine, now).is_explained = true;
     }
 
@@ -284,12 +300,30 @@
 
     fn forget_old(&mut self, now: Instant) {
         let is_recent = |it: Instant| now.duration_since(it) < SUSPICION_TIME;
-        self.suspects.retain(|_, it| is_recent(it.last_crash()));
+        self.suspects.retain(|it| is_recent(it.last_crash()));
         self.crashes.retain(|it| is_recent(it.recorded));
         self.quarantines.retain(|_, it| it.is_remembered(now));
     }
 }
 
-fn first_parts(parts: &[PartDigest]) -> &[PartDigest] {
-    &parts[..parts.len().min(MAX_PARTS)]
+fn rank(suspect: &PartSuspect) -> Rank {
+    let is_uncleared = suspect.last_clearing().is_none();
+    (suspect.n_generations(), suspect.engines().count(), is_uncleared)
+}
+
+/// Returns `true` if all reports on the crashes have arrived.
+fn is_settled(suspect: &PartSuspect, now: Instant) -> bool {
+    suspect.last_counted().is_some_and(|it| now.duration_since(it) >= SETTLING_TIME)
+}
+
+/// Returns `true` if the evidence is enough for one more quarantine of a part.
+fn is_enough_again(suspect: &PartSuspect, now: Instant) -> bool {
+    is_settled(suspect, now) && suspect.n_generations() >= MIN_GENERATIONS_AGAIN
+}
+
+/// Returns `true` if the clearing of a suspect should be reported to the other hosts.
+fn needs_clearing(suspect: &PartSuspect, now: Instant) -> bool {
+    let is_reported =
+        suspect.last_clearing().is_some_and(|it| now.duration_since(it) < CLEARING_INTERVAL);
+    !is_reported || suspect.n_generations() > 0
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -26,6 +26,7 @@
 mod reservations;
 mod retry_budgets;
 mod shutdown_admission;
+mod suspect_groups;
 mod windowed_retry_budget;
 
 pub use crate::placement::{
@@ -34,7 +35,7 @@
     backend_health::BackendHealth,
     cell_map::{CellMap, OwnerCandidate},
     crash_suspects::{CrashSuspects, Fingerprint},
-    crashing_parts::{CrashingParts, MAX_PARTS},
+    crashing_parts::CrashingParts,
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
     leaving_servers::LeavingServers,
--- a/src/placement/part_suspect.rs
+++ b/src/placement/part_suspect.rs
@@ -102,8 +102,8 @@
         if is_cleared != is_other_cleared {
             return is_cleared;
         }
-        let is_inseparable = self.has_same_requests(other) && self.n_requests() >= MIN_TOGETHER;
-        other.engines().count() >= self.engines().count() && !is_inseparable
+        let is_inseparable = || self.has_same_requests(other) && self.n_requests() >= MIN_TOGETHER;
+        other.engines().count() >= self.engines().count() && !is_inseparable()
     }
 
     /// The engines whose crashes were recorded until then.
--- a/src/placement/reservations.rs
+++ b/src/placement/reservations.rs
@@ -32,7 +32,7 @@
     engine: BackendId,
     unread_tokens: u32,
     /// Parts of the prompt until the first event of the response.
-    starting_parts: Vec<PartDigest>,
+    starting_parts: BTreeSet<PartDigest>,
     granted: Instant,
     renewed: Instant,
 }
@@ -46,10 +46,12 @@
         demand: &Demand,
         now: Instant,
     ) {
+        // An owner may be told the first parts only, but all that begin in turn.
+        let in_turn = &demand.in_turn_parts;
         let reservation = Reservation {
             engine,
             unread_tokens: demand.prompt_tokens,
-            starting_parts: demand.prompt_parts.clone(),
+            starting_parts: demand.prompt_parts.iter().chain(in_turn).copied().collect(),
             granted: now,
             renewed: now,
         };
@@ -68,7 +70,7 @@
         let reservation = Reservation {
             engine: held.engine,
             unread_tokens: held.unread_tokens,
-            starting_parts: Vec::new(),
+            starting_parts: BTreeSet::new(),
             granted: now,
             renewed: now,
         };
@@ -86,7 +88,10 @@
 
     /// Removes a reservation; returns its engine, and the parts of the prompt if the first event of
     /// the response has not arrived.
-    pub(crate) fn remove(&mut self, id: &ReservationId) -> Option<(BackendId, Vec<PartDigest>)> {
+    pub(crate) fn remove(
+        &mut self,
+        id: &ReservationId,
+    ) -> Option<(BackendId, BTreeSet<PartDigest>)> {
         let reservation = self.by_id.remove(id)?;
         self.remove_load(&reservation);
         Some((reservation.engine, reservation.starting_parts))
--- a/src/platform/wire_headers.rs
+++ b/src/platform/wire_headers.rs
@@ -6,7 +6,7 @@
     digest::Digest,
     http1::{Headers, RequestHead, ResponseHead},
     ids::WeightsVersion,
-    placement::{PartDigest, MAX_PARTS},
+    placement::PartDigest,
     relay::{CallerRequest, EngineCall, PromptSizes, ResponseInfo},
     weights::rank::digest_hash,
 };
@@ -70,13 +70,12 @@
     }
 }
 
-/// Decodes the first parts of the prompt without the last one; malformed entries are skipped.
+/// Decodes the parts of the prompt without the last one; malformed entries are skipped.
 fn decode_prompt_parts(headers: &Headers) -> Vec<PartDigest> {
     let model = headers.get(MODEL).unwrap_or("");
     let fields = headers.all(PROMPT_PARTS).filter_map(|it| std::str::from_utf8(it).ok());
     let ids = fields.flat_map(|it| it.split(',')).filter_map(part_id);
-    let mut parts: Vec<PartDigest> =
-        ids.take(MAX_PARTS + 1).map(|id| digest_part(model, &id)).collect();
+    let mut parts: Vec<PartDigest> = ids.map(|id| digest_part(model, &id)).collect();
     parts.pop();
     parts
 }
--- a/tests/crashing_parts_spread.rs
+++ b/tests/crashing_parts_spread.rs
@@ -20,6 +20,7 @@
     charter, event_chunk, request, server_entry, stream_head, unique_loopback_ip, CallerResponse,
     EntryProcess,
 };
+use serde_json::json;
 
 /// Time until a crashed engine is back.
 const RESTART_TIME: Duration = Duration::from_millis(900);
@@ -103,10 +104,15 @@
 /// Sends a request whose first part all requests share, whose second one is `part`, and whose path
 /// and last part no other request has.
 fn send(host: &EntryProcess, id: &str, part: &str) -> CallerResponse {
+    send_after(host, id, "5c1e07a2:50", part)
+}
+
+/// Sends a request like `send` with other parts before `part`.
+fn send_after(host: &EntryProcess, id: &str, shared: &str, part: &str) -> CallerResponse {
     let own: String = id.bytes().map(|it| format!("{it:02x}")).collect();
     let headers = format!(
         "X-Model: lots\r\nX-Token-Counts: 100,20\r\n\
-         X-Prompt-Prefix: 5c1e07a2:50,{part}:30,{own}:20\r\n"
+         X-Prompt-Prefix: {shared},{part}:30,{own}:20\r\n"
     );
     host.exchange(&request("POST", &format!("/draft/{id}"), id, &headers))
 }
@@ -281,6 +287,46 @@
     assert_eq!(fleet.n_crashes(), 3);
 }
 
+/// Returns `n` parts.
+fn shared_parts(n: u32) -> String {
+    let parts: Vec<String> = (0..n).map(|it| format!("{:08x}:1", 0x5c00_0000 + it)).collect();
+    parts.join(",")
+}
+
+/// Load pattern: the crashing part stands behind hundreds of parts that sound requests share. All
+/// hosts find it.
+#[test]
+fn long_prompt_hides_part() {
+    let fleet = Fleet::start(2, 10);
+    let shared = shared_parts(300);
+    let mut refused_by = [false; 2];
+    for number in 0..12 {
+        let host = &fleet.hosts[number % 2];
+        let response = send_after(host, &format!("crash-{number}"), &shared, "dead");
+        refused_by[number % 2] = response.text().contains(REFUSAL);
+        thread::sleep(Duration::from_millis(200));
+        let sound = send_after(host, &format!("sound-{number}"), &shared, "50a1");
+        assert_eq!(sound.status(), 200, "{}", sound.text());
+        thread::sleep(Duration::from_millis(200));
+    }
+    assert!(refused_by == [true; 2] && fleet.n_crashes() <= 8, "{} crashes", fleet.n_crashes());
+}
+
+/// A head with more parts than a datagram to the owner of an engine holds is served.
+#[test]
+fn long_head_exceeds_datagram() {
+    let fleet = Fleet::start(1, 3);
+    let mut config = charter(2);
+    config["limits"]["max-header-bytes"] = json!(400_000);
+    fleet.store.put("config", "main", config);
+    thread::sleep(Duration::from_millis(500));
+    let shared = shared_parts(20_000);
+    assert_eq!(send_after(&fleet.hosts[0], "sound", &shared, "50a1").status(), 200);
+    send_after(&fleet.hosts[0], "crash", &shared, "dead");
+    thread::sleep(RESTART_TIME + Duration::from_millis(500));
+    assert_eq!(send_after(&fleet.hosts[0], "sound-again", &shared, "50a1").status(), 200);
+}
+
 fn digest_of(part: &str) -> PartDigest {
     let mut headers = Headers::default();
     headers.push("X-Model", "lots");
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -49,9 +49,11 @@
     assert_eq!(parts("lots", &[b"\xff\xfe:1,aa:1", b"bb:1,cc:1"]), parts_of("bb:1,cc:1"));
 }
 
+/// Any part may crash engines; only the length of the head bounds their number.
 #[test]
-fn number_of_parts_is_bounded() {
+fn ninth_part_is_dropped() {
     let field = (0..5000).map(|it| format!("{it:x}:1")).collect::<Vec<String>>().join(",");
-    assert_eq!(parts_of(&field), parts_of("0:1,1:1,2:1,3:1,4:1,5:1,6:1,7:1,8:1"));
-    assert_eq!(parts_of(&field).len(), 8);
+    let expected: Vec<PartDigest> =
+        (0..4999).map(|it| parts_of(&format!("{it:x}:1,aa:1"))[0]).collect();
+    assert_eq!(parts_of(&field), expected);
 }
--- a/tests/quarantine_rules.rs
+++ b/tests/quarantine_rules.rs
@@ -188,7 +188,8 @@
 fn table_and_beacon_bounded() {
     let now = later();
     let mut table = CrashingParts::default();
-    // A part with two crashes outlasts many with one; only the first eight of a request count.
+    // A part with two crashes outlasts many with one; all parts of a request count, but their sum is
+    // bounded.
     crash_engines(&mut table, &[PART], 0..2, now);
     for number in 0..1000 {
         let parts: Vec<PartDigest> = (0..9).map(|it| 1000 + number * 10 + it).collect();
@@ -196,14 +197,18 @@
     }
     let cleared: Vec<PartDigest> = (1000..11_000).collect();
     let n_suspects: usize = cleared.chunks(8).map(|it| table.clear(it, now).len()).sum();
-    assert_eq!(n_suspects, 255);
+    assert_eq!(n_suspects, 8191);
     assert_eq!(table.clear(&[PART], now), [PART]);
     for part in 0..300u64 {
         let at = now + secs(10 + part * 4);
         crash_engines(&mut table, &[part], 1000 + part * 3..1003 + part * 3, at);
     }
     let reported = table.quarantined(now + secs(10 + 299 * 4));
-    assert_eq!(reported.len(), 32);
+    assert_eq!(reported.len(), 150, "all that are in force");
     assert_eq!(reported[0].part, 299, "the most recent first");
     assert_eq!(CrashingParts::default().merge(&vec![reported[0].clone(); 40], now).len(), 1);
+    let many: Vec<QuarantinedPart> =
+        (1000..1300).map(|part| QuarantinedPart { part, ..reported[0].clone() }).collect();
+    assert_eq!(table.merge(&many, now).len(), 256);
+    assert_eq!(table.quarantined(now).len(), 256);
 }
