platform: decode parts of prompts with long ids and numbers

Cause: a part with an id of more than 64 digits, or a number of tokens beyond 32 bits, was skipped as malformed, so it could never be suspected or refused.

Change: an id of any length is digested, and the number only has to consist of digits.

--- a/src/platform/wire_headers.rs
+++ b/src/platform/wire_headers.rs
@@ -43,9 +43,6 @@
 /// The status of a refusal that may ask for a pause.
 const STATUS_UNAVAILABLE: u16 = 503;
 
-/// Maximum length of the id of a part.
-const MAX_PART_ID_CHARS: usize = 64;
-
 /// Decodes the fields that relaying uses from the head of a caller's request.
 pub fn decode_request(head: &RequestHead) -> CallerRequest {
     let headers = &head.headers;
@@ -83,9 +80,10 @@
 /// Returns the id of a well-formed entry, in lower case.
 fn part_id(entry: &str) -> Option<String> {
     let (id, n_tokens) = entry.trim().split_once(':')?;
-    let is_id =
-        (1..=MAX_PART_ID_CHARS).contains(&id.len()) && id.bytes().all(|it| it.is_ascii_hexdigit());
-    (is_id && n_tokens.parse::<u32>().is_ok()).then(|| id.to_ascii_lowercase())
+    let n_tokens = n_tokens.strip_prefix('+').unwrap_or(n_tokens);
+    let is_id = !id.is_empty() && id.bytes().all(|it| it.is_ascii_hexdigit());
+    let is_number = !n_tokens.is_empty() && n_tokens.bytes().all(|it| it.is_ascii_digit());
+    (is_id && is_number).then(|| id.to_ascii_lowercase())
 }
 
 /// Returns the digest of a part, as the same id may name other content for another model.
