entry: take the reasons for no reservation out of a circle of imports

`reservation` and `admission_client` imported each other, and `exchange` imported `reservation`, for `ReservationError` only. It stands in a file of its own now; nothing else changed.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -15,7 +15,7 @@
         eligible_servers::{eligible_servers, version_served},
         entry_host::EntryHost,
         pending_request::PendingRequest,
-        reservation::ReservationError,
+        reservation_error::ReservationError,
     },
     fleet::{AdmissionMessage, RefusalReason, ServiceOutcome},
     ids::{BackendId, HostId, WeightsVersion},
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -15,7 +15,7 @@
         entry_host::EntryHost,
         error_response::ErrorResponse,
         request_trace::{RequestTrace, TraceOutcome},
-        reservation::ReservationError,
+        reservation_error::ReservationError,
     },
     http1::{ConnectionWriter, HttpError, RequestHead, ResponseHead},
     ids::CustomerId,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -28,6 +28,7 @@
 mod request_sender;
 mod request_trace;
 mod reservation;
+mod reservation_error;
 mod server_notices;
 mod store_relay;
 mod store_sync;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -15,7 +15,7 @@
         admission_client::{self, Grant},
         eligible_servers::{eligible_servers, n_layers},
         entry_host::EntryHost,
-        error_response::ErrorResponse,
+        reservation_error::ReservationError,
     },
     fleet::ServiceOutcome,
     ids::{BackendId, ServiceId, WeightsVersion},
@@ -27,14 +27,6 @@
     runtime,
 };
 
-/// Value of `Retry-After` in the response to a request that finds all backend servers busy.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Value of `Retry-After` in the response to a request for which there is no backend server, as
-/// while engines load weights, which takes seconds. A caller that returned earlier would be refused
-/// again.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// The number of nanoseconds in the unit to which `Retry-After` is rounded.
-const NANOS_PER_MS: u128 = 1_000_000;
 /// Longest sleep until the time of a start deadline is read again.
 const MAX_DEADLINE_SLEEP: Duration = Duration::from_millis(250);
 /// Shortest wait of a request that has to begin in turn, longer than the pause after a failed start.
@@ -66,44 +58,6 @@
     pub(crate) excluded: Vec<BackendId>,
 }
 
-/// The reason why no capacity could be reserved.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum ReservationError {
-    /// No usable backend server meets the requirements.
-    NoBackend,
-    /// All backend servers that meet the requirements are full.
-    Full,
-    /// All of them want no requests now; the first takes them again after this time.
-    Paused(Duration),
-    /// A part of the prompt is in quarantine, so no engine may get the request.
-    Quarantined(QuarantinedPart),
-}
-
-impl ReservationError {
-    /// Returns the response to a request that could not be sent.
-    pub(crate) fn response(self) -> ErrorResponse {
-        let (message, retry_after) = match self {
-            ReservationError::Quarantined(_) => {
-                let message = "a part of the prompt crashes backend servers; do not send it again";
-                return ErrorResponse::not_run(503, message);
-            }
-            ReservationError::NoBackend => (
-                "no backend server can accept the request now; retry later",
-                UNAVAILABLE_RETRY_AFTER,
-            ),
-            ReservationError::Full => {
-                ("all backend servers are busy; retry later", BUSY_RETRY_AFTER)
-            }
-            // Rounded up, so that a caller that waits as told is not early.
-            ReservationError::Paused(left) => (
-                "all backend servers asked for a pause; retry after it",
-                Duration::from_millis(left.as_nanos().div_ceil(NANOS_PER_MS) as u64),
-            ),
-        };
-        ErrorResponse::not_run(503, message).with_retry_after(retry_after)
-    }
-}
-
 /// Capacity for one request at one backend server; dropping it releases the capacity.
 pub(crate) struct Reservation {
     host: Rc<EntryHost>,
