--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -27,6 +27,7 @@
 mod reservations;
 mod retry_budgets;
 mod shutdown_admission;
+mod suspect_groups;
 mod suspected_request;
 mod windowed_retry_budget;
 
@@ -36,7 +37,7 @@
     backend_health::BackendHealth,
     cell_map::{CellMap, OwnerCandidate},
     crash_suspects::{CrashSuspects, Fingerprint, MAX_SUSPECTED_REQUESTS},
-    crashing_parts::{CrashingParts, MAX_PARTS},
+    crashing_parts::CrashingParts,
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
     leaving_servers::LeavingServers,
