A budget for the bytes that a process buffers, and metrics of them

Nothing told how much an entry host buffers, nor that it came near the memory that it may use. No message is bounded by it yet, so behaviour is unchanged.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -31,6 +31,7 @@
         StallDetector, StoreSource, StoreSources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
+    memory::Buffers,
     placement::{
         BackendHealth, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate, RequestCounts,
         RetryBudgets,
@@ -81,6 +82,8 @@
     /// The report on parts of prompts that is being collected for the other hosts.
     pub(crate) pending_report: RefCell<Option<CrashReport>>,
     pub(crate) connections: BackendConnections,
+    /// The messages that are buffered, which share the memory of the process.
+    pub(crate) buffers: Buffers,
     /// The socket for datagrams to and from other processes.
     pub(crate) socket: Async<UdpSocket>,
     /// Addresses of the entry hosts that beacons are sent to, with their zones.
@@ -126,6 +129,7 @@
             RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
         let sources = StoreSources::new(Store::new(settings.store));
         let socket = Async::<UdpSocket>::bind(settings.peers)?;
+        let buffers = Buffers::new(settings.memory_bytes);
         Ok(Rc::new(EntryHost {
             settings,
             listen,
@@ -142,6 +146,7 @@
             crashing_parts: RefCell::default(),
             pending_report: RefCell::default(),
             connections: BackendConnections::default(),
+            buffers,
             socket,
             beacon_targets: RefCell::default(),
             catch_up: PeerCatchUp::default(),
--- a/src/entry/metrics_endpoint.rs
+++ b/src/entry/metrics_endpoint.rs
@@ -48,6 +48,9 @@
     gauge!(metric_names::ENTRY_CONNECTIONS).set(host.n_connections.get() as f64);
     let in_progress = host.request_counts.borrow().total();
     gauge!(metric_names::IN_PROGRESS).set(f64::from(in_progress));
+    gauge!(metric_names::BUFFERED_BYTES).set(host.buffers.total_bytes() as f64);
+    gauge!(metric_names::MAX_BUFFERED_BYTES).set(host.buffers.max_total_bytes() as f64);
+    counter!(metric_names::BUFFERS_GIVEN_UP).absolute(host.buffers.n_given_up());
     let mut ready: BTreeMap<String, u32> = BTreeMap::new();
     for server in host.backends.borrow().iter() {
         let n_ready = ready.entry(server.service.clone()).or_default();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! `daemon` starts a process in one of two ways:
 //!
 //! - With `--platform`, processes share their state through the platform's metadata store. The roles
-//!   are `entry` and `slot`, which use `fleet`, `http1`, `placement`, `platform`, `relay` and
+//!   are `entry` and `slot`, which use `fleet`, `http1`, `memory`, `placement`, `platform`, `relay` and
 //!   `routing`.
 //! - Without it, processes share their state by gossip and through an object service. `request` and
 //!   `rollout` serve requests and roll out versions, with `charter`, `documents`, `engine`,
@@ -26,6 +26,7 @@
 pub mod json_parts;
 pub mod logging;
 pub mod membership;
+pub mod memory;
 pub mod metric_names;
 pub mod net;
 pub mod node;
--- /dev/null
+++ b/src/memory/buffer_budget.rs
@@ -0,0 +1,171 @@
+//! Decides which buffers may grow when all of them together need too much memory.
+//!
+//! Load pattern: one faulty sender, or many at once, send bodies that are long or never end, while
+//! others send short ones. The short ones must still fit, so the longest buffer gives way.
+
+use std::collections::BTreeMap;
+
+use crate::ids::BackendId;
+
+/// Share of a process's memory that buffers may use. Copies of a body, unused capacity of a growing
+/// buffer and everything else need the rest.
+const TOTAL_SHARE: f64 = 0.25;
+/// Share of that which the buffers of one sender may use.
+const SENDER_SHARE: f64 = 0.5;
+/// Share of it that a single buffer may use.
+const BUFFER_SHARE: f64 = 0.125;
+
+/// Identifies a buffer within a process.
+pub type BufferId = u64;
+
+/// The peer that sends the bytes of a buffer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BufferSender {
+    /// A backend server.
+    Backend(BackendId),
+    /// Any caller.
+    Callers,
+}
+
+/// The sizes that buffers may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BufferLimits {
+    /// Size of all buffers together.
+    pub total_bytes: usize,
+    /// Size of all buffers of one sender together.
+    pub sender_bytes: usize,
+    /// Size of a single buffer.
+    pub buffer_bytes: usize,
+}
+
+/// The buffers of a process and their sizes.
+#[derive(Clone, Debug)]
+pub struct BufferBudget {
+    limits: BufferLimits,
+    buffers: BTreeMap<BufferId, Buffer>,
+    sender_bytes: BTreeMap<BufferSender, usize>,
+    total_bytes: usize,
+    max_total_bytes: usize,
+    n_given_up: u64,
+    next_id: BufferId,
+}
+
+#[derive(Clone, Debug)]
+struct Buffer {
+    sender: BufferSender,
+    size_bytes: usize,
+    /// Whether the message is complete; it is then not given up for others.
+    is_complete: bool,
+}
+
+impl BufferLimits {
+    /// Returns the limits of a process that may use `memory_bytes`.
+    pub fn of_process(memory_bytes: usize) -> BufferLimits {
+        let share = |of: usize, share: f64| (of as f64 * share) as usize;
+        let total_bytes = share(memory_bytes, TOTAL_SHARE);
+        BufferLimits {
+            total_bytes,
+            sender_bytes: share(total_bytes, SENDER_SHARE),
+            buffer_bytes: share(total_bytes, BUFFER_SHARE),
+        }
+    }
+}
+
+impl BufferBudget {
+    /// Creates a budget without buffers.
+    pub fn new(limits: BufferLimits) -> BufferBudget {
+        BufferBudget {
+            limits,
+            buffers: BTreeMap::new(),
+            sender_bytes: BTreeMap::new(),
+            total_bytes: 0,
+            max_total_bytes: 0,
+            n_given_up: 0,
+            next_id: 0,
+        }
+    }
+
+    /// Adds an empty buffer.
+    pub fn open(&mut self, sender: BufferSender) -> BufferId {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.buffers.insert(id, Buffer { sender, size_bytes: 0, is_complete: false });
+        id
+    }
+
+    /// Lets a buffer grow by `n_bytes`; returns the buffers that are given up for it, which no longer
+    /// count. At a limit this is the longest one whose message is incomplete, possibly itself.
+    pub fn grow(&mut self, id: BufferId, n_bytes: usize) -> Vec<BufferId> {
+        let Some(buffer) = self.buffers.get_mut(&id) else { return vec![id] };
+        buffer.size_bytes += n_bytes;
+        *self.sender_bytes.entry(buffer.sender.clone()).or_default() += n_bytes;
+        self.total_bytes += n_bytes;
+        let mut given_up = Vec::new();
+        while let Some(next) = self.next_to_give_up(id) {
+            self.close(next);
+            given_up.push(next);
+        }
+        self.n_given_up += given_up.len() as u64;
+        self.max_total_bytes = self.max_total_bytes.max(self.total_bytes);
+        given_up
+    }
+
+    /// Records that the message of a buffer is complete, so that it isn't given up for others.
+    pub fn complete(&mut self, id: BufferId) {
+        if let Some(buffer) = self.buffers.get_mut(&id) {
+            buffer.is_complete = true;
+        }
+    }
+
+    /// Removes a buffer; one that was given up is no longer there.
+    pub fn close(&mut self, id: BufferId) {
+        let Some(buffer) = self.buffers.remove(&id) else { return };
+        self.total_bytes -= buffer.size_bytes;
+        let Some(sender_bytes) = self.sender_bytes.get_mut(&buffer.sender) else { return };
+        *sender_bytes -= buffer.size_bytes;
+        if *sender_bytes == 0 {
+            self.sender_bytes.remove(&buffer.sender);
+        }
+    }
+
+    /// Returns `true` unless the buffer was given up or closed.
+    pub fn is_open(&self, id: BufferId) -> bool {
+        self.buffers.contains_key(&id)
+    }
+
+    /// Returns the size of all buffers together.
+    pub fn total_bytes(&self) -> usize {
+        self.total_bytes
+    }
+
+    /// Returns the greatest size that all buffers together have had.
+    pub fn max_total_bytes(&self) -> usize {
+        self.max_total_bytes
+    }
+
+    /// Returns the number of buffers that were given up.
+    pub fn n_given_up(&self) -> u64 {
+        self.n_given_up
+    }
+
+    /// Returns the buffer to give up next after the buffer `grown` has grown; `None` if no limit is
+    /// exceeded.
+    fn next_to_give_up(&self, grown: BufferId) -> Option<BufferId> {
+        let Buffer { sender, size_bytes, .. } = self.buffers.get(&grown)?;
+        if *size_bytes > self.limits.buffer_bytes {
+            return Some(grown);
+        }
+        if self.sender_bytes.get(sender).is_some_and(|it| *it > self.limits.sender_bytes) {
+            return Some(self.longest(|it| it.sender == *sender).unwrap_or(grown));
+        }
+        if self.total_bytes > self.limits.total_bytes {
+            return Some(self.longest(|_| true).unwrap_or(grown));
+        }
+        None
+    }
+
+    fn longest(&self, is_included: impl Fn(&Buffer) -> bool) -> Option<BufferId> {
+        let incomplete = self.buffers.iter().filter(|it| !it.1.is_complete && is_included(it.1));
+        incomplete.max_by_key(|it| it.1.size_bytes).map(|it| *it.0)
+    }
+}
--- /dev/null
+++ b/src/memory/buffer_lease.rs
@@ -0,0 +1,37 @@
+//! The right to keep the bytes of one message in memory.
+
+use crate::memory::{BufferId, Buffers};
+
+/// The share of one buffer in the memory of the process, which ends when it is dropped.
+#[derive(Debug)]
+pub struct BufferLease {
+    buffers: Buffers,
+    id: BufferId,
+}
+
+impl BufferLease {
+    pub(crate) fn new(buffers: Buffers, id: BufferId) -> BufferLease {
+        BufferLease { buffers, id }
+    }
+
+    /// Lets the buffer grow by `n_bytes`; returns `false` if its bytes must be dropped instead.
+    pub fn grow(&self, n_bytes: usize) -> bool {
+        self.buffers.grow(self.id, n_bytes)
+    }
+
+    /// Records that the message is complete, so that it isn't given up for others.
+    pub fn complete(&self) {
+        self.buffers.complete(self.id);
+    }
+
+    /// Waits until the buffer is given up for another one; its bytes must then be dropped.
+    pub async fn wait_until_given_up(&self) {
+        self.buffers.wait_until_given_up(self.id).await;
+    }
+}
+
+impl Drop for BufferLease {
+    fn drop(&mut self) {
+        self.buffers.close(self.id);
+    }
+}
--- /dev/null
+++ b/src/memory/buffers.rs
@@ -0,0 +1,77 @@
+//! The buffers of one process, which share its memory.
+
+use std::{cell::RefCell, rc::Rc};
+
+use event_listener::Event;
+
+use crate::memory::{BufferBudget, BufferId, BufferLease, BufferLimits, BufferSender};
+
+/// Hands out leases for buffers; clones refer to the same buffers.
+#[derive(Clone, Debug)]
+pub struct Buffers {
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    budget: RefCell<BufferBudget>,
+    /// Notified when buffers are given up.
+    given_up: Event,
+}
+
+impl Buffers {
+    /// Creates the buffers of a process that may use `memory_bytes`.
+    pub fn new(memory_bytes: usize) -> Buffers {
+        let budget = RefCell::new(BufferBudget::new(BufferLimits::of_process(memory_bytes)));
+        Buffers { shared: Rc::new(Shared { budget, given_up: Event::new() }) }
+    }
+
+    /// Returns the lease of an empty buffer for bytes of `sender`.
+    pub fn open(&self, sender: BufferSender) -> BufferLease {
+        let id = self.shared.budget.borrow_mut().open(sender);
+        BufferLease::new(self.clone(), id)
+    }
+
+    /// Returns the size of all buffers together, in bytes.
+    pub fn total_bytes(&self) -> usize {
+        self.shared.budget.borrow().total_bytes()
+    }
+
+    /// Returns the greatest size that all buffers together have had, in bytes.
+    pub fn max_total_bytes(&self) -> usize {
+        self.shared.budget.borrow().max_total_bytes()
+    }
+
+    /// Returns the number of buffers that were given up.
+    pub fn n_given_up(&self) -> u64 {
+        self.shared.budget.borrow().n_given_up()
+    }
+
+    /// Lets a buffer grow; returns `false` if it was given up.
+    pub(crate) fn grow(&self, id: BufferId, n_bytes: usize) -> bool {
+        let given_up = self.shared.budget.borrow_mut().grow(id, n_bytes);
+        if !given_up.is_empty() {
+            self.shared.given_up.notify(usize::MAX);
+        }
+        !given_up.contains(&id)
+    }
+
+    pub(crate) fn complete(&self, id: BufferId) {
+        self.shared.budget.borrow_mut().complete(id);
+    }
+
+    pub(crate) fn close(&self, id: BufferId) {
+        self.shared.budget.borrow_mut().close(id);
+    }
+
+    /// Waits until a buffer is given up for another one.
+    pub(crate) async fn wait_until_given_up(&self, id: BufferId) {
+        loop {
+            let given_up = self.shared.given_up.listen();
+            if !self.shared.budget.borrow().is_open(id) {
+                return;
+            }
+            given_up.await;
+        }
+    }
+}
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -20,6 +20,12 @@
 pub const READY_BACKENDS: &str = "crocustiller_ready_backends";
 /// Gauge: requests from this host that are in progress at backend servers.
 pub const IN_PROGRESS: &str = "crocustiller_in_progress";
+/// Gauge: bytes of messages that this host buffers.
+pub const BUFFERED_BYTES: &str = "crocustiller_buffered_bytes";
+/// Gauge: the most bytes of messages that this host has buffered at a time.
+pub const MAX_BUFFERED_BYTES: &str = "crocustiller_max_buffered_bytes";
+/// Counter: messages that were given up as too much was buffered.
+pub const BUFFERS_GIVEN_UP: &str = "crocustiller_buffers_given_up_total";
 /// Counter: decisions of this host as owner of engines on requests for capacity, by `attempt` (first or
 /// returning) and `outcome`.
 pub const CELL_REQUESTS: &str = "crocustiller_cell_requests_total";
--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -10,6 +10,10 @@
 
 /// The number of bytes in a megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
+/// The number of bytes in a megabyte.
+const BYTES_PER_MB: f64 = 1_048_576.0;
+/// Memory of a process whose settings don't name it, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
 
 /// The settings of one process on the platform, as `crocustillerd --platform` reads them.
 #[derive(Clone, Debug)]
@@ -22,6 +26,8 @@
     pub peers: SocketAddr,
     /// `[host] processor_share`: processor time that the process gets, in cores.
     pub processor_share: f64,
+    /// `[host] memory_mb`: memory that the process may use, converted to bytes.
+    pub memory_bytes: usize,
     /// Settings that depend on the role.
     pub role: DeployedRole,
     /// `[bounds]`: limits on shutdown time, version changes and retries.
@@ -99,6 +105,7 @@
 fn read(reader: &mut IniReader) -> Option<DeployedSettings> {
     let host = read_host(reader);
     let processor_share = reader.positive_number("host", "processor_share", 1.0);
+    let memory_mb = reader.positive_number("host", "memory_mb", DEFAULT_MEMORY_MB);
     let store = reader.address("store", "address");
     let peers = reader.address("listen", "peers");
     let role = match host.as_ref()?.role {
@@ -112,6 +119,7 @@
         store: store?,
         peers: peers?,
         processor_share: processor_share?,
+        memory_bytes: (memory_mb? * BYTES_PER_MB) as usize,
         role: role?,
         bounds: bounds?,
         log: log?,
--- a/tests/deployed_settings.rs
+++ b/tests/deployed_settings.rs
@@ -22,3 +22,13 @@
         assert!(problems.contains("processor_share"), "{problems}");
     }
 }
+
+#[test]
+fn memory_is_checked() {
+    assert_eq!(parse("memory_mb = 160").unwrap().memory_bytes, 160 << 20);
+    assert_eq!(parse("").unwrap().memory_bytes, 256 << 20, "the default");
+    for wrong in ["0", "-1", "much"] {
+        let problems = parse(&format!("memory_mb = {wrong}")).unwrap_err();
+        assert!(problems.contains("memory_mb"), "{problems}");
+    }
+}
