Streams of comments, blank lines or tiny events without end delay no other request

What callers saw: while one engine answered 64 requests with `\n`, `:\n\n` or `a\n\n` without end, a request to a sound service was refused with 503 after 6.8, 5.1 and 4.9 s (endless_events on the code before, in turn; debug build on a busy machine). The host had 146 MB resident meanwhile.

Cause: EventSplitter copied the rest of its buffer for each event, so a read full of one-byte events cost the square of its length and three allocations an event, and an incomplete event was searched anew with each read. Comments and blank lines were forwarded without limit, and a fast engine always had bytes ready, so that tasks that wait for bytes got few turns.

After 16 KiB of a stream others get a turn, those that wait for bytes too.

Not bounded: events without end for a caller that sends no X-Token-Counts, beyond its deadline.

--- a/src/entry/engine_stream.rs
+++ b/src/entry/engine_stream.rs
@@ -1,5 +1,7 @@
 //! The events of one engine's response.
 
+use std::time::Duration;
+
 use futures_lite::FutureExt;
 
 use crate::{
@@ -8,9 +10,17 @@
         reservation::Reservation,
     },
     http1::{HttpError, ResponseHead},
-    relay::{BackendResponse, Event, EventSplitter},
+    relay::{BackendResponse, EventSplitter, Events},
+    runtime,
 };
 
+/// Number of bytes after which others get a turn, though more bytes may be ready.
+const MAX_TURN_BYTES: usize = 16 << 10;
+/// Events that a stream may have for each token that its caller asked for at the most, and beyond
+/// these. An event has one token or more, and some may have none.
+const MAX_EVENTS_PER_TOKEN: usize = 2;
+const EXTRA_EVENTS: usize = 64;
+
 /// An engine's response with events; dropping it closes the engine's connection.
 pub(crate) struct EngineStream<'a> {
     exchange: &'a Exchange,
@@ -18,6 +28,8 @@
     watch: CrashWatch<'a>,
     splitter: EventSplitter,
     has_events: bool,
+    n_events: usize,
+    n_bytes_in_turn: usize,
 }
 
 impl<'a> EngineStream<'a> {
@@ -33,8 +45,15 @@
             let reason = "not an event stream";
             return Err(AttemptOutcome::from_lost_response(exchange, watch.backend(), reason));
         }
-        let splitter = EventSplitter::default();
-        Ok(EngineStream { exchange, response, watch, splitter, has_events: false })
+        Ok(EngineStream {
+            exchange,
+            response,
+            watch,
+            splitter: EventSplitter::default(),
+            has_events: false,
+            n_events: 0,
+            n_bytes_in_turn: 0,
+        })
     }
 
     /// Returns the response head.
@@ -47,8 +66,9 @@
     pub(crate) async fn next(
         &mut self,
         reservation: &Reservation,
-    ) -> Result<Option<Vec<Event>>, AttemptOutcome> {
+    ) -> Result<Option<Events>, AttemptOutcome> {
         loop {
+            self.pause_between_turns().await;
             let mut bytes = Vec::new();
             match self.read(&mut bytes, reservation).await {
                 Some(Ok(true)) => {}
@@ -64,10 +84,15 @@
                 Some(Err(err)) => return Err(self.watch.outcome_after_break(&err).await),
                 None => return Err(self.lost("no event in time")),
             }
+            self.n_bytes_in_turn += bytes.len();
             let events = self.splitter.push(&bytes).map_err(|err| self.lost(&err.to_string()))?;
-            if !events.iter().all(|it| it.is_comment) {
+            if events.n_events() > 0 {
                 self.record_events(reservation);
             }
+            self.n_events += events.n_events();
+            if self.max_events().is_some_and(|it| self.n_events > it) {
+                return Err(self.lost("more events than the caller asked for"));
+            }
             if !events.is_empty() {
                 return Ok(Some(events));
             }
@@ -100,6 +125,15 @@
         read.or(expired).await
     }
 
+    /// Lets others go on, also those that wait for bytes, now and then: a fast engine always has bytes
+    /// ready, so that a read never waits.
+    async fn pause_between_turns(&mut self) {
+        if self.n_bytes_in_turn >= MAX_TURN_BYTES {
+            self.n_bytes_in_turn = 0;
+            runtime::sleep(Duration::ZERO).await;
+        }
+    }
+
     fn record_events(&mut self, reservation: &Reservation) {
         self.watch.record_progress();
         if !std::mem::replace(&mut self.has_events, true) {
@@ -108,6 +142,13 @@
         }
     }
 
+    /// Returns the number of events that a sound engine stays below; `None` if the caller doesn't state
+    /// how much it asks for.
+    fn max_events(&self) -> Option<usize> {
+        let max_tokens = self.exchange.request.sizes.max_output_tokens as usize;
+        (max_tokens > 0).then(|| max_tokens.saturating_mul(MAX_EVENTS_PER_TOKEN) + EXTRA_EVENTS)
+    }
+
     /// Returns `true` if a stream that was closed before its first event lacks events: nothing marks
     /// its end, and only a resumed stream may have none left.
     fn is_empty_by_close(&self) -> bool {
--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -10,7 +10,7 @@
     http1::ResponseHead,
     ids::CustomerId,
     platform::wire_headers,
-    relay::{Attempt, BackendResponse, EngineCall, Event},
+    relay::{Attempt, BackendResponse, EngineCall, Events},
     routing::Route,
     verdict::Verdict,
 };
@@ -26,7 +26,7 @@
 /// A response that the caller can be given.
 pub(crate) enum UsableResponse<'a> {
     /// A stream with the next events for the caller; none if it has ended.
-    Stream(Box<EngineStream<'a>>, Option<Vec<Event>>),
+    Stream(Box<EngineStream<'a>>, Option<Events>),
     /// A complete response.
     Complete(ResponseHead, Vec<u8>),
 }
@@ -94,7 +94,7 @@
             let events = stream.next(reservation).await?;
             let is_usable = events
                 .as_ref()
-                .is_none_or(|it| it.iter().any(|it| self.exchange.is_undelivered(it)));
+                .is_none_or(|it| it.iter().any(|it| self.exchange.is_undelivered(&it)));
             if is_usable {
                 return Ok(UsableResponse::Stream(Box::new(stream), events));
             }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -16,7 +16,7 @@
     },
     http1::{HttpError, ResponseHead},
     ids::BackendId,
-    relay::Event,
+    relay::Events,
 };
 
 /// Time without the head, and again without the first event, beyond the time that the engine needs to
@@ -31,20 +31,20 @@
 pub(crate) async fn relay(
     exchange: &Exchange,
     mut stream: EngineStream<'_>,
-    first: Option<Vec<Event>>,
+    first: Option<Events>,
     reservation: &Reservation,
     search: &SuccessorSearch<'_>,
 ) -> AttemptOutcome {
     let mut next = first;
     while let Some(events) = next {
         // Comments keep a connection open, but an engine that sends nothing else has stalled.
-        let is_progress = !events.iter().all(|it| it.is_comment);
+        let is_progress = events.n_events() > 0;
         if is_progress {
             search.record_progress(EVENT_GAP_TIMEOUT);
         }
         // The caller may read slowly; nothing else may be written meanwhile.
         search.begin_write();
-        if let Err(err) = forward_events(exchange, stream.head(), events).await {
+        if let Err(err) = forward_events(exchange, stream.head(), &events).await {
             return caller_lost(exchange, &err);
         }
         search.end_write();
@@ -98,16 +98,16 @@
 async fn forward_events(
     exchange: &Exchange,
     head: &ResponseHead,
-    events: Vec<Event>,
+    events: &Events,
 ) -> Result<(), HttpError> {
     let mut data = Vec::new();
-    for event in events {
+    for event in events.iter() {
         if !exchange.is_undelivered(&event) {
             continue;
         }
-        data.extend_from_slice(&event.bytes);
-        if event.id.is_some() {
-            *exchange.last_event_id.borrow_mut() = event.id;
+        data.extend_from_slice(event.bytes);
+        if let Some(id) = event.id {
+            *exchange.last_event_id.borrow_mut() = Some(id.into_owned());
         }
     }
     if data.is_empty() {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,6 +12,6 @@
     backend_connections::{BackendConnection, BackendConnections},
     caller_request::{CallerRequest, PromptSizes},
     engine_call::EngineCall,
-    event_splitter::{Event, EventSplitter},
+    event_splitter::{Event, EventSplitter, Events},
     response_info::ResponseInfo,
 };
