Reads of all connections share one buffer

Each read made its connection's own buffer 16 KB longer and filled that with zeros first, so that each connection which had been read once kept 16 to 32 KB, and a flood of small reads spent its processor time on zeros. Reads now go through one buffer of the thread; a connection keeps what has arrived and isn't consumed.

--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with a read buffer.
 
 use std::{
+    cell::RefCell,
     io::{self, Read},
     net::{Shutdown, SocketAddr, TcpStream},
     sync::{
@@ -33,6 +34,11 @@
 /// Number of unacknowledged keepalive probes after which the connection is considered broken.
 const KEEPALIVE_PROBES: u32 = 2;
 
+thread_local! {
+    /// Memory that reads of all connections share: a connection keeps only what it has read.
+    static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
 /// A buffered TCP connection that reads and writes HTTP/1.1 messages.
 ///
 /// A peer whose system no longer responds is detected by TCP keepalive, or by its missing
@@ -265,9 +271,9 @@
 
 /// Appends the bytes that can be read now; the buffer is unchanged if there are none.
 fn read_into(stream: &mut &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
-    let old_len = buffer.len();
-    buffer.resize(old_len + READ_BYTES, 0);
-    let res = stream.read(&mut buffer[old_len..]);
-    buffer.truncate(old_len + res.as_ref().map_or(0, |it| *it));
-    res
+    READ_BUFFER.with_borrow_mut(|it| {
+        let n_read = stream.read(it)?;
+        buffer.extend_from_slice(&it[..n_read]);
+        Ok(n_read)
+    })
 }
