Backend servers can't fill a host's memory with long bodies

What callers saw: faulty backend servers sent bodies without end, the host kept up to 4 MB of each, ran over its memory limit and was ended with all requests that it held.

Cause: a limit for each body, none for their sum.

Change: each body that is buffered from a backend server has a lease of the host's buffer budget until it is written or dropped. At the limit the longest body that may be is given up: its attempt counts as lost, with its reason in the log, and against that server. A complete response that waits for its caller no longer counts for its server, and may be given up too (cut=buffers-full), as callers that don't read are no fault of the server. A body whose stated length is too long isn't read at all. Such answers no longer count as crashes of the request.

--- a/src/entry/attempt_outcome.rs
+++ b/src/entry/attempt_outcome.rs
@@ -10,6 +10,7 @@
     fleet::ServiceOutcome,
     http1::{HttpError, ResponseHead},
     ids::BackendId,
+    memory::BufferedBody,
 };
 
 /// The outcome of one attempt at a backend server.
@@ -17,11 +18,11 @@
     /// The caller received the complete response, or disconnected.
     Done(ConnectionReuse),
     /// The backend server responded that the request did not run.
-    Refused(ResponseHead, Vec<u8>),
+    Refused(ResponseHead, BufferedBody),
     /// No connection to the backend server could be opened.
     Unreachable,
     /// The backend server ran the request and responded with a server error.
-    Failed(ResponseHead, Vec<u8>),
+    Failed(ResponseHead, BufferedBody),
     /// The response was lost or is unusable; the request may have run.
     Lost,
 }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -22,6 +22,7 @@
     },
     http1::ResponseHead,
     ids::{CustomerId, ServiceId},
+    memory::BufferedBody,
     placement::RequestAttempt,
     routing::Route,
     runtime,
@@ -39,6 +40,9 @@
 /// sought.
 const PLAIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Maximum length of a failed attempt's response that is kept while another attempt runs.
+const MAX_KEPT_BYTES: usize = 64 << 10;
+
 /// The attempts of one request.
 struct Attempts<'a> {
     sender: RequestSender<'a>,
@@ -46,7 +50,7 @@
     /// The number of backend servers that may have got the request.
     n_sent: u32,
     /// Response of a backend server, for the case that no later attempt succeeds.
-    fallback: Option<(ResponseHead, Vec<u8>)>,
+    fallback: Option<(ResponseHead, BufferedBody)>,
     /// A backend server that responded in place of the last one.
     successor: Option<Successor<'a>>,
 }
@@ -239,19 +243,33 @@
             AttemptOutcome::Unreachable => return Ok(()),
             AttemptOutcome::Refused(head, body) => {
                 self.n_sent += 1;
-                self.fallback.get_or_insert((head, body));
+                if self.fallback.is_none() {
+                    self.keep(head, body);
+                }
                 return Ok(());
             }
-            AttemptOutcome::Failed(head, body) => self.fallback = Some((head, body)),
-            AttemptOutcome::Lost => self.fallback = None,
+            AttemptOutcome::Failed(head, body) => {
+                self.n_sent += 1;
+                self.keep(head, body);
+            }
+            AttemptOutcome::Lost => {
+                self.n_sent += 1;
+                self.fallback = None;
+            }
         }
-        self.n_sent += 1;
         self.sender.exchange.verdict.set(Verdict::MayHaveRun);
         match self.sender.route.is_repeatable() {
             true => Ok(()),
             false => Err(End::Exhausted(CutReason::NoAttempt)),
         }
     }
+
+    /// Keeps the response of a failed attempt, unless it is long and another attempt follows.
+    fn keep(&mut self, head: ResponseHead, body: BufferedBody) {
+        let RequestSender { route, .. } = self.sender;
+        let is_last = !route.is_repeatable() || self.n_sent >= route.max_attempts;
+        self.fallback = (is_last || body.len() <= MAX_KEPT_BYTES).then_some((head, body));
+    }
 }
 
 /// Relays a response while `search` looks for another backend server whenever it is silent.
@@ -294,7 +312,7 @@
         }
         Ok(UsableResponse::Complete(head, body)) => {
             search.begin_write();
-            AttemptOutcome::Done(sender.exchange.forward_response(head, &body).await)
+            AttemptOutcome::Done(sender.exchange.forward_response(head, body).await)
         }
         Err(outcome) => outcome,
     }
@@ -323,7 +341,7 @@
 /// accurate, or else with an error of the entry host. A response that has begun is cut.
 async fn respond_after_attempts(
     exchange: &Exchange,
-    fallback: Option<(ResponseHead, Vec<u8>)>,
+    fallback: Option<(ResponseHead, BufferedBody)>,
     cut_reason: CutReason,
 ) -> ConnectionReuse {
     if exchange.is_head_sent.get() {
@@ -336,7 +354,7 @@
     };
     match fallback {
         Some((head, body)) if is_accurate(&head) && head.status != 421 => {
-            exchange.forward_response(head, &body).await
+            exchange.forward_response(head, body).await
         }
         _ if exchange.verdict.get() == Verdict::NotRun => {
             exchange.send_reservation_error(ReservationError::Full).await
--- a/src/entry/buffered_relay.rs
+++ b/src/entry/buffered_relay.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     entry::{attempt_outcome::AttemptOutcome, crash_watch::CrashWatch, exchange::Exchange},
-    http1::ResponseHead,
+    http1::{HttpError, ResponseHead},
+    memory::{BufferSender, BufferedBody},
     relay::BackendResponse,
 };
 
@@ -18,7 +19,7 @@
     mut response: BackendResponse,
     watch: &CrashWatch<'_>,
     on_progress: impl Fn(),
-) -> Result<(ResponseHead, Vec<u8>), AttemptOutcome> {
+) -> Result<(ResponseHead, BufferedBody), AttemptOutcome> {
     watch.record_progress();
     on_progress();
     let body = read_body(exchange, &mut response, watch, on_progress).await?;
@@ -40,10 +41,14 @@
     response: &mut BackendResponse,
     watch: &CrashWatch<'_>,
     on_progress: impl Fn(),
-) -> Result<Vec<u8>, AttemptOutcome> {
+) -> Result<BufferedBody, AttemptOutcome> {
     let backend = watch.backend();
-    let body = match response.read_to_end_with(on_progress).await {
+    let lease = exchange.host.buffers.open(BufferSender::Backend(backend.clone()));
+    let body = match response.read_to_end(lease, on_progress).await {
         Ok(body) => body,
+        Err(err @ (HttpError::BodyTooLong | HttpError::BuffersFull)) => {
+            return Err(AttemptOutcome::from_lost_response(exchange, backend, &err.to_string()));
+        }
         Err(err) => return Err(watch.outcome_after_break(&err).await),
     };
     let is_success = (200..300).contains(&response.head.status);
--- a/src/entry/cut_reason.rs
+++ b/src/entry/cut_reason.rs
@@ -15,6 +15,8 @@
     NoAttempt,
     /// A part of the prompt crashes backend servers.
     QuarantinedPart,
+    /// Too much was buffered, and this response waited for its caller.
+    BuffersFull,
     /// The response that should go on can't follow what was sent.
     UnusableResponse,
 }
@@ -29,6 +31,7 @@
             CutReason::NoRetryBudget => "no-retry-budget",
             CutReason::NoAttempt => "no-attempt",
             CutReason::QuarantinedPart => "quarantined-part",
+            CutReason::BuffersFull => "buffers-full",
             CutReason::UnusableResponse => "unusable-response",
         }
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -7,6 +7,8 @@
     time::{Duration, Instant},
 };
 
+use futures_lite::FutureExt;
+
 use crate::{
     clock,
     entry::{
@@ -19,6 +21,7 @@
     },
     http1::{ConnectionWriter, HttpError, RequestHead, ResponseHead},
     ids::CustomerId,
+    memory::BufferedBody,
     placement::{can_finish_before_exit, Fingerprint, QuarantinedPart},
     platform::wire_headers,
     relay::{CallerRequest, Event},
@@ -190,7 +193,7 @@
     pub(crate) async fn forward_response(
         &self,
         mut head: ResponseHead,
-        body: &[u8],
+        body: BufferedBody,
     ) -> ConnectionReuse {
         if self.is_head_sent.get() {
             return self.cut_response(CutReason::UnusableResponse);
@@ -200,11 +203,12 @@
         if self.closes_connection {
             head.headers.push("Connection", "close");
         }
-        let mut bytes = head.to_bytes();
-        bytes.extend_from_slice(body);
         self.is_head_sent.set(true);
         self.trace.record_first_bytes();
-        let res = self.caller.write(&bytes).await;
+        let res = self.write_response(&head, body).await;
+        if matches!(res, Err(HttpError::BuffersFull)) {
+            return self.cut_response(CutReason::BuffersFull);
+        }
         if res.is_ok() {
             self.trace.record_outcome(TraceOutcome::Answered(head.status));
         }
@@ -212,6 +216,36 @@
         self.reuse_after_write(res)
     }
 
+    /// Writes a complete response; fails if the caller reads it so slowly that its buffer is given up.
+    async fn write_response(
+        &self,
+        head: &ResponseHead,
+        body: BufferedBody,
+    ) -> Result<(), HttpError> {
+        let (blocks, lease) = body.into_blocks();
+        lease.wait_for_caller();
+        let mut bytes = head.to_bytes();
+        let write = async {
+            for block in blocks {
+                match bytes.is_empty() {
+                    true => bytes = block,
+                    false => {
+                        bytes.extend_from_slice(&block);
+                        drop(block);
+                    }
+                }
+                self.caller.write(&bytes).await?;
+                bytes.clear();
+            }
+            self.caller.write(&bytes).await
+        };
+        let given_up = async {
+            lease.wait_until_given_up().await;
+            Err(HttpError::BuffersFull)
+        };
+        write.or(given_up).await
+    }
+
     /// Returns `true` if the caller has not received the event yet; one without an id, such as a comment,
     /// counts as new.
     pub(crate) fn is_undelivered(&self, event: &Event) -> bool {
--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -9,6 +9,7 @@
     },
     http1::ResponseHead,
     ids::CustomerId,
+    memory::BufferedBody,
     platform::wire_headers,
     relay::{Attempt, BackendResponse, EngineCall, Event},
     routing::Route,
@@ -28,7 +29,7 @@
     /// A stream with the next events for the caller; none if it has ended.
     Stream(Box<EngineStream<'a>>, Option<Vec<Event>>),
     /// A complete response.
-    Complete(ResponseHead, Vec<u8>),
+    Complete(ResponseHead, BufferedBody),
 }
 
 impl<'a> RequestSender<'a> {
--- a/src/entry/unread_request.rs
+++ b/src/entry/unread_request.rs
@@ -30,6 +30,9 @@
                 (431, "the request head is too long; shorten its URL or headers")
             }
             HttpError::BodyTooLong => (413, "the request body is too long; shorten it"),
+            HttpError::BuffersFull => {
+                (503, "this entry host has no memory for the request now; retry at another one")
+            }
             HttpError::TimedOut => {
                 (408, "the request did not arrive in time; send the request again at a higher rate")
             }
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -61,6 +61,14 @@
         matches!(self.remaining, Remaining::UntilClose { .. })
     }
 
+    /// Returns the stated length of what has not been read yet; 0 if none is stated.
+    pub fn stated_bytes(&self) -> u64 {
+        match &self.remaining {
+            Remaining::Fixed(n_bytes) => *n_bytes,
+            Remaining::Chunked(_) | Remaining::UntilClose { .. } => 0,
+        }
+    }
+
     /// Returns `true` if the complete body has been read.
     pub fn is_done(&self) -> bool {
         match &self.remaining {
@@ -97,25 +105,32 @@
         }
     }
 
-    /// Reads the rest of the body; fails if it is longer than `limit_bytes`.
-    pub async fn read_all(
+    /// Reads the rest of the body and drops it; fails if it is longer than `limit_bytes`.
+    pub async fn discard(
         &mut self,
         connection: &mut Connection,
         limit_bytes: usize,
-    ) -> Result<Vec<u8>, HttpError> {
-        self.read_all_with(connection, limit_bytes, || {}).await
+    ) -> Result<(), HttpError> {
+        let mut n_bytes = 0;
+        let mut part = Vec::new();
+        while self.read(connection, &mut part).await? {
+            n_bytes += part.len();
+            part.clear();
+            if n_bytes > limit_bytes {
+                return Err(HttpError::BodyTooLong);
+            }
+        }
+        Ok(())
     }
 
-    /// Reads the rest of the body, as `read_all`; calls `on_progress` whenever a part of it arrives.
-    pub async fn read_all_with(
+    /// Reads the rest of the body; fails if it is longer than `limit_bytes`.
+    pub async fn read_all(
         &mut self,
         connection: &mut Connection,
         limit_bytes: usize,
-        on_progress: impl Fn(),
     ) -> Result<Vec<u8>, HttpError> {
         let mut out = Vec::new();
         while self.read(connection, &mut out).await? {
-            on_progress();
             if out.len() > limit_bytes {
                 return Err(HttpError::BodyTooLong);
             }
--- a/src/http1/error.rs
+++ b/src/http1/error.rs
@@ -34,6 +34,10 @@
         BodyTooLong {
             display("the body is longer than the limit")
         }
+        /// Too many bytes are buffered, and this message is the longest.
+        BuffersFull {
+            display("too much is buffered, and this body is the longest")
+        }
         /// An operation did not finish within its timeout.
         TimedOut {
             display("timed out")
--- a/src/memory/buffer_budget.rs
+++ b/src/memory/buffer_budget.rs
@@ -3,7 +3,7 @@
 //! Load pattern: one faulty sender, or many at once, send bodies that are long or never end, while
 //! others send short ones. The short ones must still fit, so the longest buffer gives way.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use crate::ids::BackendId;
 
@@ -25,6 +25,9 @@
     Backend(BackendId),
     /// Any caller.
     Callers,
+    /// Any backend server whose complete response waits until its caller has read it: how long that
+    /// takes is no fault of the backend server.
+    Responses,
 }
 
 /// The sizes that buffers may have.
@@ -54,8 +57,8 @@
 struct Buffer {
     sender: BufferSender,
     size_bytes: usize,
-    /// Whether the message is complete; it is then not given up for others.
-    is_complete: bool,
+    /// Whether the message is needed as it is complete; it is then not given up for others.
+    is_kept: bool,
 }
 
 impl BufferLimits {
@@ -89,45 +92,52 @@
     pub fn open(&mut self, sender: BufferSender) -> BufferId {
         let id = self.next_id;
         self.next_id += 1;
-        self.buffers.insert(id, Buffer { sender, size_bytes: 0, is_complete: false });
+        self.buffers.insert(id, Buffer { sender, size_bytes: 0, is_kept: false });
         id
     }
 
     /// Lets a buffer grow by `n_bytes`; returns the buffers that are given up for it, which no longer
-    /// count. At a limit this is the longest one whose message is incomplete, possibly itself.
+    /// count. At a limit this is the longest one that may be, possibly itself.
     pub fn grow(&mut self, id: BufferId, n_bytes: usize) -> Vec<BufferId> {
         let Some(buffer) = self.buffers.get_mut(&id) else { return vec![id] };
         buffer.size_bytes += n_bytes;
         *self.sender_bytes.entry(buffer.sender.clone()).or_default() += n_bytes;
         self.total_bytes += n_bytes;
-        let mut given_up = Vec::new();
-        while let Some(next) = self.next_to_give_up(id) {
-            self.close(next);
-            given_up.push(next);
-        }
-        self.n_given_up += given_up.len() as u64;
-        self.max_total_bytes = self.max_total_bytes.max(self.total_bytes);
-        given_up
+        self.make_room(id)
     }
 
     /// Records that the message of a buffer is complete, so that it isn't given up for others.
     pub fn complete(&mut self, id: BufferId) {
         if let Some(buffer) = self.buffers.get_mut(&id) {
-            buffer.is_complete = true;
+            buffer.is_kept = true;
         }
     }
 
+    /// Records that a message is a complete response that waits until its caller has read it; returns
+    /// the buffers that are given up for it: such responses may be, even itself.
+    pub fn wait_for_caller(&mut self, id: BufferId) -> Vec<BufferId> {
+        let Some(mut buffer) = self.buffers.remove(&id) else { return vec![id] };
+        self.subtract(&buffer);
+        buffer.sender = BufferSender::Responses;
+        buffer.is_kept = false;
+        *self.sender_bytes.entry(BufferSender::Responses).or_default() += buffer.size_bytes;
+        self.total_bytes += buffer.size_bytes;
+        self.buffers.insert(id, buffer);
+        self.make_room(id)
+    }
+
     /// Removes a buffer; one that was given up is no longer there.
     pub fn close(&mut self, id: BufferId) {
-        let Some(buffer) = self.buffers.remove(&id) else { return };
-        self.total_bytes -= buffer.size_bytes;
-        let Some(sender_bytes) = self.sender_bytes.get_mut(&buffer.sender) else { return };
-        *sender_bytes -= buffer.size_bytes;
-        if *sender_bytes == 0 {
-            self.sender_bytes.remove(&buffer.sender);
+        if let Some(buffer) = self.buffers.remove(&id) {
+            self.subtract(&buffer);
         }
     }
 
+    /// Returns the sizes that buffers may have.
+    pub fn limits(&self) -> BufferLimits {
+        self.limits
+    }
+
     /// Returns `true` unless the buffer was given up or closed.
     pub fn is_open(&self, id: BufferId) -> bool {
         self.buffers.contains_key(&id)
@@ -148,6 +158,27 @@
         self.n_given_up
     }
 
+    /// Gives up buffers until those that are left fit, after the buffer `grown` has grown.
+    fn make_room(&mut self, grown: BufferId) -> Vec<BufferId> {
+        let mut given_up = Vec::new();
+        while let Some(next) = self.next_to_give_up(grown) {
+            self.close(next);
+            given_up.push(next);
+        }
+        self.n_given_up += given_up.len() as u64;
+        self.max_total_bytes = self.max_total_bytes.max(self.total_bytes);
+        given_up
+    }
+
+    fn subtract(&mut self, buffer: &Buffer) {
+        self.total_bytes -= buffer.size_bytes;
+        let Some(sender_bytes) = self.sender_bytes.get_mut(&buffer.sender) else { return };
+        *sender_bytes -= buffer.size_bytes;
+        if *sender_bytes == 0 {
+            self.sender_bytes.remove(&buffer.sender);
+        }
+    }
+
     /// Returns the buffer to give up next after the buffer `grown` has grown; `None` if no limit is
     /// exceeded.
     fn next_to_give_up(&self, grown: BufferId) -> Option<BufferId> {
@@ -164,8 +195,15 @@
         None
     }
 
+    /// Returns the longest buffer that may be given up: of several, the oldest response that waits for
+    /// its caller, or else the newest one.
     fn longest(&self, is_included: impl Fn(&Buffer) -> bool) -> Option<BufferId> {
-        let incomplete = self.buffers.iter().filter(|it| !it.1.is_complete && is_included(it.1));
-        incomplete.max_by_key(|it| it.1.size_bytes).map(|it| *it.0)
+        let candidates = self.buffers.iter().filter(|it| !it.1.is_kept && is_included(it.1));
+        let rank = |it: &(&BufferId, &Buffer)| {
+            let (id, buffer) = *it;
+            let waits = buffer.sender == BufferSender::Responses;
+            (buffer.size_bytes, waits.then_some(Reverse(*id)), *id)
+        };
+        candidates.max_by_key(rank).map(|it| *it.0)
     }
 }
--- a/src/memory/buffer_lease.rs
+++ b/src/memory/buffer_lease.rs
@@ -19,11 +19,22 @@
         self.buffers.grow(self.id, n_bytes)
     }
 
+    /// Returns the size that a single buffer may have.
+    pub fn max_bytes(&self) -> usize {
+        self.buffers.limits().buffer_bytes
+    }
+
     /// Records that the message is complete, so that it isn't given up for others.
     pub fn complete(&self) {
         self.buffers.complete(self.id);
     }
 
+    /// Records that the message is a response that waits until its caller has read it. It may be given
+    /// up from now on.
+    pub fn wait_for_caller(&self) {
+        self.buffers.wait_for_caller(self.id);
+    }
+
     /// Waits until the buffer is given up for another one; its bytes must then be dropped.
     pub async fn wait_until_given_up(&self) {
         self.buffers.wait_until_given_up(self.id).await;
--- a/src/memory/buffers.rs
+++ b/src/memory/buffers.rs
@@ -1,6 +1,6 @@
 //! The buffers of one process, which share its memory.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 use event_listener::Event;
 
@@ -15,20 +15,21 @@
 #[derive(Debug)]
 struct Shared {
     budget: RefCell<BufferBudget>,
-    /// Notified when buffers are given up.
-    given_up: Event,
+    /// The events of the buffers that have a lease, each notified when its buffer is given up.
+    given_up: RefCell<BTreeMap<BufferId, Rc<Event>>>,
 }
 
 impl Buffers {
     /// Creates the buffers of a process that may use `memory_bytes`.
     pub fn new(memory_bytes: usize) -> Buffers {
         let budget = RefCell::new(BufferBudget::new(BufferLimits::of_process(memory_bytes)));
-        Buffers { shared: Rc::new(Shared { budget, given_up: Event::new() }) }
+        Buffers { shared: Rc::new(Shared { budget, given_up: RefCell::default() }) }
     }
 
     /// Returns the lease of an empty buffer for bytes of `sender`.
     pub fn open(&self, sender: BufferSender) -> BufferLease {
         let id = self.shared.budget.borrow_mut().open(sender);
+        self.shared.given_up.borrow_mut().insert(id, Rc::default());
         BufferLease::new(self.clone(), id)
     }
 
@@ -47,12 +48,15 @@
         self.shared.budget.borrow().n_given_up()
     }
 
+    /// Returns the sizes that buffers may have.
+    pub(crate) fn limits(&self) -> BufferLimits {
+        self.shared.budget.borrow().limits()
+    }
+
     /// Lets a buffer grow; returns `false` if it was given up.
     pub(crate) fn grow(&self, id: BufferId, n_bytes: usize) -> bool {
         let given_up = self.shared.budget.borrow_mut().grow(id, n_bytes);
-        if !given_up.is_empty() {
-            self.shared.given_up.notify(usize::MAX);
-        }
+        self.notify(&given_up);
         !given_up.contains(&id)
     }
 
@@ -60,18 +64,33 @@
         self.shared.budget.borrow_mut().complete(id);
     }
 
+    pub(crate) fn wait_for_caller(&self, id: BufferId) {
+        let given_up = self.shared.budget.borrow_mut().wait_for_caller(id);
+        self.notify(&given_up);
+    }
+
     pub(crate) fn close(&self, id: BufferId) {
         self.shared.budget.borrow_mut().close(id);
+        self.shared.given_up.borrow_mut().remove(&id);
     }
 
     /// Waits until a buffer is given up for another one.
     pub(crate) async fn wait_until_given_up(&self, id: BufferId) {
+        let event = self.shared.given_up.borrow().get(&id).cloned();
+        let Some(event) = event else { return };
         loop {
-            let given_up = self.shared.given_up.listen();
+            let given_up = event.listen();
             if !self.shared.budget.borrow().is_open(id) {
                 return;
             }
             given_up.await;
         }
     }
+
+    fn notify(&self, given_up: &[BufferId]) {
+        let events = self.shared.given_up.borrow();
+        for event in given_up.iter().filter_map(|it| events.get(it)) {
+            event.notify(usize::MAX);
+        }
+    }
 }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -5,10 +5,12 @@
 
 mod buffer_budget;
 mod buffer_lease;
+mod buffered_body;
 mod buffers;
 
 pub use crate::memory::{
     buffer_budget::{BufferBudget, BufferId, BufferLimits, BufferSender},
     buffer_lease::BufferLease,
+    buffered_body::{BodyBlocks, BufferedBody},
     buffers::Buffers,
 };
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -5,8 +5,9 @@
 use futures_lite::FutureExt;
 
 use crate::{
-    http1::{BodyLength, BodyReader, HttpError, RequestHead, ResponseHead},
+    http1::{BodyLength, BodyReader, ConnectionWriter, HttpError, RequestHead, ResponseHead},
     ids::{BackendId, RequestId},
+    memory::{BodyBlocks, BufferLease, BufferedBody},
     platform::wire_headers,
     relay::{BackendConnection, BackendConnections, ResponseInfo},
     verdict::Verdict,
@@ -16,6 +17,8 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum length of a response body that is buffered before it is relayed.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
+/// Maximum length of a request body that is sent together with its head.
+const MAX_JOINED_BYTES: usize = 16 << 10;
 /// Maximum number of late responses to earlier requests that are skipped on a connection.
 const MAX_STALE_RESPONSES: usize = 2;
 
@@ -86,13 +89,11 @@
         connection: &mut BackendConnection,
         is_written: &Cell<bool>,
     ) -> Result<(ResponseHead, ResponseInfo, BodyReader), HttpError> {
-        let mut bytes = self.head.to_bytes();
-        bytes.extend_from_slice(self.body);
         let writer = connection.connection.writer();
         // A response may arrive before the request is written completely, so only reading ends the
         // exchange.
         let write = async {
-            match writer.write(&bytes).await {
+            match self.write(&writer).await {
                 Ok(()) => is_written.set(true),
                 Err(err) => {
                     log::debug!("relay: failed to write the request error=\"{err}\"")
@@ -103,6 +104,16 @@
         self.read_matching_response(connection).or(write).await
     }
 
+    async fn write(&self, writer: &ConnectionWriter) -> Result<(), HttpError> {
+        let mut bytes = self.head.to_bytes();
+        if self.body.len() <= MAX_JOINED_BYTES {
+            bytes.extend_from_slice(self.body);
+            return writer.write(&bytes).await;
+        }
+        writer.write(&bytes).await?;
+        writer.write(self.body).await
+    }
+
     /// Reads the head of the response to this request, after skipping late responses to earlier
     /// ones.
     async fn read_matching_response(
@@ -124,7 +135,7 @@
                 "relay: skipped a late response on the connection request={}",
                 self.request_id
             );
-            body.read_all(&mut connection.connection, MAX_BUFFERED_BYTES).await?;
+            body.discard(&mut connection.connection, MAX_BUFFERED_BYTES).await?;
         }
         Err(HttpError::Malformed("the response belongs to another request"))
     }
@@ -143,15 +154,37 @@
         self.body.read(&mut self.connection.connection, out).await
     }
 
-    /// Reads the remaining body.
-    pub async fn read_to_end(&mut self) -> Result<Vec<u8>, HttpError> {
-        self.read_to_end_with(|| {}).await
-    }
-
-    /// Reads the remaining body; calls `on_progress` whenever a part of it arrives.
-    pub async fn read_to_end_with(&mut self, on_progress: impl Fn()) -> Result<Vec<u8>, HttpError> {
+    /// Reads the remaining body into the buffer of `lease`; calls `on_progress` whenever a part of it
+    /// arrives. Fails if it is too long, or if its buffer is given up.
+    pub async fn read_to_end(
+        &mut self,
+        lease: BufferLease,
+        on_progress: impl Fn(),
+    ) -> Result<BufferedBody, HttpError> {
+        let limit_bytes = lease.max_bytes().min(MAX_BUFFERED_BYTES);
+        if self.body.stated_bytes() > limit_bytes as u64 {
+            return Err(HttpError::BodyTooLong);
+        }
         let connection = &mut self.connection.connection;
-        self.body.read_all_with(connection, MAX_BUFFERED_BYTES, on_progress).await
+        let mut blocks = BodyBlocks::default();
+        loop {
+            let old_bytes = blocks.len();
+            let given_up = async {
+                lease.wait_until_given_up().await;
+                Err(HttpError::BuffersFull)
+            };
+            let is_more = given_up.or(self.body.read(connection, blocks.last_block())).await?;
+            if !is_more {
+                return Ok(BufferedBody::new(blocks, lease));
+            }
+            on_progress();
+            if blocks.len() > limit_bytes {
+                return Err(HttpError::BodyTooLong);
+            }
+            if !lease.grow(blocks.len() - old_bytes) {
+                return Err(HttpError::BuffersFull);
+            }
+        }
     }
 
     /// Returns `true` if more bytes have arrived after the body, which a sound backend server never
--- a/standins/src/raw_http/scripted_server.rs
+++ b/standins/src/raw_http/scripted_server.rs
@@ -19,6 +19,8 @@
 pub enum Step {
     /// Sends these bytes.
     Send(Vec<u8>),
+    /// Sends these bytes so many times.
+    SendTimes(Vec<u8>, u32),
     /// Sends these bytes again and again until the client closes the connection.
     SendEndlessly(Vec<u8>),
     /// Waits for this time.
@@ -186,6 +188,11 @@
             wait_while_silent(process);
             match step {
                 Step::Send(bytes) => writer.write_all(&bytes)?,
+                Step::SendTimes(bytes, n_times) => {
+                    for _ in 0..n_times {
+                        writer.write_all(&bytes)?;
+                    }
+                }
                 Step::SendEndlessly(bytes) => loop {
                     writer.write_all(&bytes)?;
                 },
--- a/tests/buffer_budget.rs
+++ b/tests/buffer_budget.rs
@@ -57,3 +57,31 @@
     assert_eq!(budget.total_bytes(), 30);
     assert_eq!(budget.max_total_bytes(), 80);
 }
+
+/// Of several that are equally long, the oldest goes on.
+#[test]
+fn newest_gives_way_first() {
+    let mut budget = BufferBudget::new(LIMITS);
+    let first = open(&mut budget, "a", 35);
+    let second = open(&mut budget, "b", 35);
+    let third = open(&mut budget, "c", 30);
+    assert_eq!(budget.grow(third, 1), [second]);
+    assert_eq!(budget.grow(first, 5), NONE);
+}
+
+/// Callers that don't read their responses neither keep others from theirs nor make a backend server
+/// look unsound.
+#[test]
+fn response_that_waits_gives_way() {
+    let mut budget = BufferBudget::new(LIMITS);
+    let waiting = ["a", "b", "c"].map(|it| open(&mut budget, it, 30));
+    for id in waiting {
+        budget.complete(id);
+    }
+    assert_eq!(budget.wait_for_caller(waiting[0]), NONE);
+    assert_eq!(budget.wait_for_caller(waiting[1]), NONE);
+    assert_eq!(budget.wait_for_caller(waiting[2]), [waiting[0]], "it waits longest");
+    let next = open(&mut budget, "a", 30);
+    assert_eq!(budget.grow(next, 9), NONE);
+    assert!(budget.is_open(waiting[1]) && budget.is_open(waiting[2]));
+}
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -109,13 +109,25 @@
         EntryProcess::start_with_all_bounds(store, id, &format!("grace_s = 4\n{bounds}"))
     }
 
+    /// Starts an entry host that may use this memory, and waits until it listens.
+    pub fn start_with_memory(store: SocketAddr, id: &str, memory_mb: u64) -> EntryProcess {
+        let host = format!("memory_mb = {memory_mb}\n");
+        EntryProcess::start_with_settings(store, id, &host, "grace_s = 4\n")
+    }
+
     /// Starts an entry host with these lines in the section `bounds` of its settings.
     pub fn start_with_all_bounds(store: SocketAddr, id: &str, bounds: &str) -> EntryProcess {
+        EntryProcess::start_with_settings(store, id, "", bounds)
+    }
+
+    /// Starts an entry host with more lines in the section `host` of its settings, and these in the
+    /// section `bounds`.
+    fn start_with_settings(store: SocketAddr, id: &str, host: &str, bounds: &str) -> EntryProcess {
         let ip = unique_loopback_ip();
         let [callers, readiness, directory, peers, metrics] =
             [9101, 9102, 9103, 9104, 9105].map(|port| SocketAddr::from((ip, port)));
         let text = format!(
-            "[host]\nid = {id}\nrole = entry\nregion = south\nzone = depot\n\n\
+            "[host]\nid = {id}\nrole = entry\nregion = south\nzone = depot\n{host}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\ndirectory = {directory}\n\
              peers = {peers}\nmetrics = {metrics}\n\n[store]\naddress = {}\n\n\
              [bounds]\n{bounds}",
--- a/tests/unframed_responses.rs
+++ b/tests/unframed_responses.rs
@@ -11,6 +11,7 @@
 
 use crocustiller::{
     http1::{BodyLength, BodyReader, Connection, HttpError, RequestHead},
+    memory::{BufferSender, Buffers},
     relay::{Attempt, AttemptError, BackendConnections},
     runtime,
 };
@@ -231,9 +232,10 @@
     let sent = attempt.send(&BackendConnections::default()).await;
     let mut response = sent.map_err(|AttemptError { err, .. }| err)?;
     let started = Instant::now();
-    let res = response.read_to_end().await;
+    let lease = Buffers::new(1 << 20).open(BufferSender::Backend(backend.clone()));
+    let res = response.read_to_end(lease, || {}).await;
     assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
-    res
+    Ok(res?.into_blocks().0.into_iter().flatten().collect())
 }
 
 fn framed_response(request: &RawRequest, framing: &str) -> Vec<u8> {
