Callers can't fill a host's memory with bodies within their limit

What callers saw: 250 callers at once with bodies of 1 MB, the limit of this configuration, took an entry host to 281 MB while the last byte was missing, and to 260 MB while the complete requests waited for their service (long_requests on the code before; a host may have 160 MB and is killed beyond them, with every request that it holds).

Cause: a limit for each body (max-body-bytes), none for all.

Change: bodies of callers are read in blocks into leased memory and joined once they are complete. At the bound of all callers the longest incomplete one is refused, or a new one while complete ones fill it: 503, not run, Retry-After, as nothing was passed on. A complete request keeps its share until its response has ended. A body longer than a single buffer may be on this host is refused with 413 as one beyond the limit.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -16,6 +16,7 @@
         unread_request::UnreadRequest,
     },
     http1::{BodyLength, BodyReader, Connection, HttpError, RequestHead},
+    memory::{BodyBlocks, BufferLease, BufferSender, BufferedBody},
     routing::CallerLimits,
     runtime,
 };
@@ -39,6 +40,8 @@
 struct CompleteRequest {
     head: RequestHead,
     body: Vec<u8>,
+    /// The share of the body in the memory of the process, until the response has ended.
+    lease: BufferLease,
     received: Instant,
 }
 
@@ -69,7 +72,7 @@
     }
 
     async fn handle(&mut self, request: CompleteRequest) -> ConnectionReuse {
-        let CompleteRequest { head, body, received } = request;
+        let CompleteRequest { head, body, lease: _lease, received } = request;
         let closes_connection =
             self.host.departure.since().is_some() || head.headers.has_member("connection", "close");
         let writer = self.connection.writer();
@@ -102,15 +105,18 @@
         let read = async {
             let head = self.connection.read_request_head(limits.max_head_bytes).await?;
             let length = BodyLength::of_request(&head)?;
-            if matches!(length, BodyLength::Fixed(it) if it > limits.max_body_bytes as u64) {
+            let lease = self.host.buffers.open(BufferSender::Callers);
+            let max_bytes = limits.max_body_bytes.min(lease.max_bytes());
+            if matches!(length, BodyLength::Fixed(it) if it > max_bytes as u64) {
                 return Err(HttpError::BodyTooLong);
             }
             if head.headers.has_member("expect", "100-continue") {
                 self.connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
             }
-            let mut reader = BodyReader::new(length);
-            let body = reader.read_all(&mut self.connection, limits.max_body_bytes).await?;
-            Ok(CompleteRequest { head, body, received })
+            let reader = BodyReader::new(length);
+            let body = read_body(&mut self.connection, reader, max_bytes, lease).await?;
+            let (body, lease) = join(body);
+            Ok(CompleteRequest { head, body, lease, received })
         };
         let read = async {
             match runtime::timeout(limits.head_timeout * 2, read).await {
@@ -182,3 +188,40 @@
         }
     }
 }
+
+/// Reads a body; fails if it is too long, or is given up as the bodies of all callers need too much
+/// memory.
+async fn read_body(
+    connection: &mut Connection,
+    mut reader: BodyReader,
+    max_bytes: usize,
+    lease: BufferLease,
+) -> Result<BufferedBody, HttpError> {
+    let mut blocks = BodyBlocks::default();
+    loop {
+        let old_bytes = blocks.len();
+        let given_up = async {
+            lease.wait_until_given_up().await;
+            Err(HttpError::BuffersFull)
+        };
+        if !given_up.or(reader.read(connection, blocks.last_block())).await? {
+            return Ok(BufferedBody::new(blocks, lease));
+        }
+        if blocks.len() > max_bytes {
+            return Err(HttpError::BodyTooLong);
+        }
+        if !lease.grow(blocks.len() - old_bytes) {
+            return Err(HttpError::BuffersFull);
+        }
+    }
+}
+
+/// Joins the blocks of a body; each is dropped once it is copied.
+fn join(body: BufferedBody) -> (Vec<u8>, BufferLease) {
+    let mut bytes = Vec::with_capacity(body.len());
+    let (blocks, lease) = body.into_blocks();
+    for block in blocks {
+        bytes.extend_from_slice(&block);
+    }
+    (bytes, lease)
+}
--- a/src/entry/unread_request.rs
+++ b/src/entry/unread_request.rs
@@ -4,6 +4,9 @@
 
 use crate::{entry::error_response::ErrorResponse, http1::HttpError};
 
+/// Value of `Retry-After` in the response of a host that has no memory for a request.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// The reason why a request was not read completely.
 #[derive(Debug)]
 pub(crate) enum UnreadRequest {
@@ -31,7 +34,10 @@
             }
             HttpError::BodyTooLong => (413, "the request body is too long; shorten it"),
             HttpError::BuffersFull => {
-                (503, "this entry host has no memory for the request now; retry at another one")
+                let message =
+                    "this entry host has no memory for the request now; retry at another one";
+                let response = ErrorResponse::not_run(503, message);
+                return Some(response.with_retry_after(FULL_RETRY_AFTER));
             }
             HttpError::TimedOut => {
                 (408, "the request did not arrive in time; send the request again at a higher rate")
