--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -9,8 +9,9 @@
     },
     http1::ResponseHead,
     ids::CustomerId,
+    memory::BufferedBody,
     platform::wire_headers,
-    relay::{Attempt, BackendResponse, EngineCall, Event},
+    relay::{Attempt, BackendResponse, EngineCall, Events},
     routing::Route,
     verdict::Verdict,
 };
@@ -26,9 +27,9 @@
 /// A response that the caller can be given.
 pub(crate) enum UsableResponse<'a> {
     /// A stream with the next events for the caller; none if it has ended.
-    Stream(Box<EngineStream<'a>>, Option<Vec<Event>>),
+    Stream(Box<EngineStream<'a>>, Option<Events>),
     /// A complete response.
-    Complete(ResponseHead, Vec<u8>),
+    Complete(ResponseHead, BufferedBody),
 }
 
 impl<'a> RequestSender<'a> {
@@ -96,7 +97,7 @@
             let events = stream.next(reservation).await?;
             let is_usable = events
                 .as_ref()
-                .is_none_or(|it| it.iter().any(|it| self.exchange.is_undelivered(it)));
+                .is_none_or(|it| it.iter().any(|it| self.exchange.is_undelivered(&it)));
             if is_usable {
                 return Ok(UsableResponse::Stream(Box::new(stream), events));
             }
