A flooding server is ejected after its first flood

What callers saw: a server that sent a body without end to every second request was never ejected, as the sound answer in between counted against the flood: each second request ended with 502 after 4 MB were buffered for it. One that always flooded got a second request before it was ejected.

Cause: a body beyond the limit counted as a lost answer, of which two in a row eject a server. A lost answer may be an accident; a body beyond the limit without a stated length is not.

Change: such a body ejects its server at once (0.5 s, doubled up to 4 s, then one request on probation). A body of a stated length that is too long costs nothing, as it isn't read; it counts as before.

Tests in tests/full_memory.rs, before: flooding_server_is_left_alone, 17 ms from the first flood to the second request (500 ms wanted); server_that_floods_at_times_is_left_alone, some 140 floods in 3 s, 13 to 22 ms apart. After: both pass; requests to the flooding server are 0.5, 1, 2 s apart.

--- a/src/entry/attempt_outcome.rs
+++ b/src/entry/attempt_outcome.rs
@@ -66,6 +66,13 @@
         AttemptOutcome::from_lost_response(exchange, backend, &err.to_string())
     }
 
+    /// Records a body beyond the limit whose length isn't stated: the backend server may send it without
+    /// end, so that it gets no more requests for now.
+    pub(crate) fn from_flood(exchange: &Exchange, backend: &BackendId) -> AttemptOutcome {
+        exchange.host.record_unsound(backend);
+        AttemptOutcome::from_lost_response(exchange, backend, &HttpError::BodyTooLong.to_string())
+    }
+
     /// Records a response that was lost or is unusable.
     pub(crate) fn from_lost_response(
         exchange: &Exchange,
--- a/src/entry/buffered_relay.rs
+++ b/src/entry/buffered_relay.rs
@@ -46,6 +46,9 @@
     let lease = exchange.host.buffers.open(BufferSender::Backend(backend.clone()));
     let body = match response.read_to_end(lease, on_progress).await {
         Ok(body) => body,
+        Err(HttpError::BodyTooLong) if !response.states_length() => {
+            return Err(AttemptOutcome::from_flood(exchange, backend));
+        }
         Err(err @ (HttpError::BodyTooLong | HttpError::BuffersFull)) => {
             return Err(AttemptOutcome::from_lost_response(exchange, backend, &err.to_string()));
         }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -348,7 +348,18 @@
         if self.is_switching(backend) {
             return;
         }
-        if self.health.borrow_mut().record_failure(backend, Instant::now()) {
+        let is_ejected = self.health.borrow_mut().record_failure(backend, Instant::now());
+        self.note_ejection(backend, is_ejected);
+    }
+
+    /// Records a response that no sound backend server sends.
+    pub(crate) fn record_unsound(&self, backend: &BackendId) {
+        let is_ejected = self.health.borrow_mut().record_unsound(backend, Instant::now());
+        self.note_ejection(backend, is_ejected);
+    }
+
+    fn note_ejection(&self, backend: &BackendId, is_ejected: bool) {
+        if is_ejected {
             log::info!("health: ejected a backend server backend={backend}");
             self.connections.close_idle(backend);
         }
--- a/src/placement/backend_health.rs
+++ b/src/placement/backend_health.rs
@@ -69,6 +69,17 @@
     /// Failures of attempts that were running when the server was ejected have the same cause, so
     /// they do not prolong the ejection.
     pub fn record_failure(&mut self, backend: &str, now: Instant) -> bool {
+        self.record(backend, MAX_CONSECUTIVE_FAILURES, now)
+    }
+
+    /// Records a response that no sound backend server sends, such as a body without end; returns `true`
+    /// if it ejects the backend server, for which one such response is enough.
+    pub fn record_unsound(&mut self, backend: &str, now: Instant) -> bool {
+        self.record(backend, 1, now)
+    }
+
+    /// Records a failure that ejects the backend server if it is at least the `n_ejecting`th in a row.
+    fn record(&mut self, backend: &str, n_ejecting: u32, now: Instant) -> bool {
         let record = self.records.entry(backend.to_owned()).or_insert_with(|| Record::new(now));
         record.last_failure = now;
         if record.ejected_until.is_some_and(|until| now < until) {
@@ -76,7 +87,7 @@
         }
         record.n_consecutive_failures += 1;
         record.failure_rate += RATE_GAIN * (1.0 - record.failure_rate);
-        if record.n_consecutive_failures < MAX_CONSECUTIVE_FAILURES && !record.is_on_probation {
+        if record.n_consecutive_failures < n_ejecting && !record.is_on_probation {
             return false;
         }
         record.ejected_until = Some(now + record.ejection_time);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -148,6 +148,11 @@
         self.body.ends_by_close()
     }
 
+    /// Returns `true` if a length is stated for what has not been read of the body.
+    pub fn states_length(&self) -> bool {
+        self.body.stated_bytes() > 0
+    }
+
     /// Waits for more of the body and appends it to `out`; returns `false` once the body is
     /// complete.
     pub async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, HttpError> {
--- a/tests/full_memory.rs
+++ b/tests/full_memory.rs
@@ -7,7 +7,7 @@
     io::{Read, Write},
     sync::{
         atomic::{AtomicBool, Ordering},
-        Barrier, Mutex, PoisonError,
+        Arc, Barrier, Mutex, PoisonError,
     },
     thread,
     time::{Duration, Instant},
@@ -15,7 +15,8 @@
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, encode_response, event_chunk, request, server_entry, stream_head, EntryProcess,
+    charter, encode_response, event_chunk, request, server_entry, stream_head, Deployment,
+    EntryProcess,
 };
 
 /// The least memory of an entry host on any site.
@@ -25,6 +26,8 @@
 /// Time within which each caller gets a response or a closed connection: the timeout of the routes and
 /// some time to write.
 const MAX_END_TIME: Duration = Duration::from_millis(3500);
+/// Time for which a server that has flooded gets no request.
+const FIRST_EJECTION: Duration = Duration::from_millis(500);
 const LONG_BODY_BYTES: usize = 4_000_000;
 const PART_BYTES: usize = 40_000;
 const CALLER_HEADERS: &str = "X-Model: lots\r\nX-Token-Counts: 100,20\r\n";
@@ -76,6 +79,54 @@
     }
 }
 
+/// A server that has flooded gets no request for a time, which doubles, though its answers look sound at
+/// first.
+#[test]
+fn flooding_server_is_left_alone() {
+    let gaps = gaps_between_requests(|_| true);
+    for (idx, gap) in gaps.iter().enumerate() {
+        assert!(*gap >= FIRST_EJECTION * 2u32.pow(idx as u32), "{gaps:?}");
+    }
+    assert!(gaps.len() >= 2, "{gaps:?}");
+}
+
+/// A sound answer in between makes up for no flood.
+#[test]
+fn server_that_floods_at_times_is_left_alone() {
+    let gaps = gaps_between_requests(|number| number % 2 == 0);
+    let after_floods: Vec<Duration> = gaps.into_iter().step_by(2).collect();
+    assert!(after_floods.iter().all(|it| *it >= FIRST_EJECTION), "{after_floods:?}");
+    assert!(after_floods.len() >= 2, "{after_floods:?}");
+}
+
+/// Sends requests for some seconds, one after the other, to a server that floods whenever `is_flood` says
+/// so for the number of its request; returns the times between its requests.
+fn gaps_between_requests(is_flood: fn(usize) -> bool) -> Vec<Duration> {
+    let _flood = FLOOD.lock().unwrap_or_else(PoisonError::into_inner);
+    let received: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let times = received.clone();
+    let server = ScriptedServer::start(move |request| {
+        let mut times = times.lock().unwrap();
+        times.push(Instant::now());
+        match is_flood(times.len() - 1) {
+            true => endless_body(request),
+            false => sound_response(request),
+        }
+    })
+    .unwrap();
+    let deployment = Deployment::start("ledger", &[&server]);
+    let started = Instant::now();
+    let mut responses = Vec::new();
+    while started.elapsed() < Duration::from_secs(3) {
+        let id = format!("sequence-{}", responses.len());
+        responses.push(receive(&deployment.entry, "/hold/1", &id));
+        thread::sleep(Duration::from_millis(5));
+    }
+    check_refusals(&responses, &server);
+    let received = received.lock().unwrap();
+    received.windows(2).map(|it| it[1] - it[0]).collect()
+}
+
 fn endless_body(request: &RawRequest) -> Vec<Step> {
     vec![Step::Send(unframed_head(request, 200)), Step::SendEndlessly(vec![b'x'; PART_BYTES])]
 }
