A refusal or an error of a backend server clears no request that crashes others

Any response that was forwarded cleared the request, also a 503 that says it did not run, and a 500 or 429 of an engine that fails for another reason. So a request that crashes engines was never refused if every third server was full: refusals_clear_request showed no refusal in nine requests (the fifth is refused now, after three crashes and the server's refusal).

Only a complete response that is no failure, or a complete stream, clears a request, as the comment said.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -293,6 +293,7 @@
         }
         Ok(UsableResponse::Complete(head, body)) => {
             search.begin_write();
+            crash_reports::clear_request(&sender.exchange.host, sender.exchange.fingerprint.get());
             AttemptOutcome::Done(sender.exchange.forward_response(head, &body).await)
         }
         Err(outcome) => outcome,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -10,7 +10,7 @@
 use crate::{
     clock,
     entry::{
-        attempts, crash_reports,
+        attempts,
         cut_reason::CutReason,
         entry_host::EntryHost,
         error_response::ErrorResponse,
@@ -208,7 +208,6 @@
         if res.is_ok() {
             self.trace.record_outcome(TraceOutcome::Answered(head.status));
         }
-        crash_reports::clear_request(&self.host, self.fingerprint.get());
         self.reuse_after_write(res)
     }
 
--- a/tests/repeated_crashes.rs
+++ b/tests/repeated_crashes.rs
@@ -2,11 +2,18 @@
 
 mod entry_process;
 
-use std::{thread, time::Duration};
+use std::{
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, encode_response, request, server_entry, CallerResponse, EntryProcess,
+    charter, encode_response, request, server_entry, CallerResponse, Deployment, EntryProcess,
 };
 
 /// Time until a crashed server is back.
@@ -100,3 +107,24 @@
     assert!(n_retries <= MAX_RETRIES, "{n_retries} retries reached servers");
     assert_eq!(fleet.hosts[0].exchange(&request("POST", "/hold/1", "sound", "")).status(), 200);
 }
+
+/// A server that is full refuses the crashing request after each second crash.
+#[test]
+fn refusals_clear_request() {
+    let n_requests = Arc::new(AtomicUsize::new(0));
+    let script = move |request: &RawRequest| match n_requests.fetch_add(1, Ordering::Relaxed) % 3 {
+        2 => {
+            let bytes = encode_response(request, 503, "full");
+            let head = String::from_utf8(bytes).unwrap();
+            vec![Step::Send(head.replacen("\r\n", "\r\nX-Not-Run: 1\r\n", 1).into_bytes())]
+        }
+        _ => vec![Step::Crash(Duration::from_millis(100))],
+    };
+    let servers = [(); 6].map(|()| ScriptedServer::start(script.clone()).unwrap());
+    let deployment = Deployment::start("ledger", &servers.each_ref());
+    let refused = (0..9).position(|number| {
+        thread::sleep(Duration::from_millis(200));
+        send_crashing(&deployment.entry, number).text().contains(REFUSAL)
+    });
+    assert_eq!(refused, Some(4), "three crashes, a refusal by a server");
+}
