Single tries clear a request that is refused as crashing

A broken connection counts against each request that was in progress, and only a success clears a request, but a refused one was let through nowhere.

One refused request is tried now, 2 s after the last crash, and again 60 s and 30 min after a try that did not succeed, at one entry host and one backend server. The host that gets it claims the try, sends the claim three times, and sends the request after 0.3 s unless a claim with a smaller random number was heard of; a host that knows of a smaller one tells it. A success clears the request on all hosts. A try that was sent counts unless it succeeded or was not run, also if its caller left, as it may have crashed the engine; the failed tries are a set that is merged like the crashes.

Ways that were weighed: - Crashes weighed by the number of requests that broke with them. On a busy engine all requests break with the one that crashes it, so the weights that let a page through let such a request crash more engines than the rule allows. - Engines that die at one moment count once, as for parts. Several equal requests may crash as many engines at once, and each further one costs as many again unless they begin in turn, which a plain service has no owner for. - One owner by rendezvous hash tries.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -144,7 +144,7 @@
     /// Reserves capacity for the next attempt, within the retry budget.
     async fn reserve(&mut self) -> Result<Reservation, End> {
         let exchange = self.sender.exchange;
-        if self.n_sent >= self.sender.route.max_attempts {
+        if self.n_sent >= exchange.max_attempts(self.sender.route) {
             return Err(End::Exhausted(CutReason::NoAttempt));
         }
         let reservation = self.wait_for_capacity().await?;
@@ -212,7 +212,7 @@
     ) -> AttemptEnd<'a> {
         let RequestSender { exchange, route, .. } = self.sender;
         let n_left = match route.is_repeatable() {
-            true => route.max_attempts.saturating_sub(self.n_sent + 1),
+            true => exchange.max_attempts(route).saturating_sub(self.n_sent + 1),
             false => 0,
         };
         let silence = match route.is_stream() {
@@ -237,6 +237,7 @@
             AttemptOutcome::Done(reuse) => return Err(End::Done(reuse)),
             AttemptOutcome::Unreachable => return Ok(()),
             AttemptOutcome::Refused(head, body) => {
+                self.sender.exchange.set_has_run(false);
                 self.n_sent += 1;
                 self.fallback.get_or_insert((head, body));
                 return Ok(());
--- a/src/entry/crash_reports.rs
+++ b/src/entry/crash_reports.rs
@@ -13,7 +13,7 @@
     ids::BackendId,
     placement::{
         crash_id, CrashId, Fingerprint, PartCrash, PartDigest, QuarantinedPart, SuspectedRequest,
-        MAX_PARTS, MAX_SUSPECTED_REQUESTS,
+        TryId, MAX_PARTS, MAX_SUSPECTED_REQUESTS,
     },
     runtime,
 };
@@ -57,6 +57,14 @@
     report.into_iter().for_each(|it| report_request(host, it));
 }
 
+/// Records a try of a refused request that did not succeed, here and soon at the other hosts.
+pub(crate) fn report_failed_try(host: &Rc<EntryHost>, request: Fingerprint, id: TryId) {
+    let mut suspects = host.crash_suspects.borrow_mut();
+    let report = suspects.record_failed_try(request, id, Instant::now());
+    drop(suspects);
+    report.into_iter().for_each(|it| report_request(host, it));
+}
+
 /// Clears a request that succeeded, here and soon at the other hosts.
 pub(crate) fn clear_request(host: &Rc<EntryHost>, request: Fingerprint) {
     let report = host.crash_suspects.borrow_mut().clear(request, Instant::now());
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -18,7 +18,7 @@
         admission_client::AdmissionClient,
         beacon_exchange,
         cell_owner::CellOwner,
-        crash_reports, datagrams,
+        crash_reports, crash_tries, datagrams,
         departure::Departure,
         engine_owners::EngineOwners,
         own_registration::OwnRegistration,
@@ -232,6 +232,7 @@
             PeerMessage::Beacon(beacon) => beacon_exchange::apply(self, from, beacon),
             PeerMessage::EngineNotice(notice) => self.apply_notice(&notice),
             PeerMessage::CrashReport(report) => crash_reports::apply(self, report),
+            PeerMessage::RequestTry(message) => crash_tries::apply(self, from, &message),
             PeerMessage::ServerLeaving(notice) => server_notices::apply(self, from, &notice),
             PeerMessage::PiecesHeld(_) | PeerMessage::Manifest(_) => {
                 log::debug!("fleet: ignored a message for slot processes from={from}")
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -11,6 +11,7 @@
     clock,
     entry::{
         attempts,
+        crash_tries::{self, CrashDecision, CrashTry},
         cut_reason::CutReason,
         entry_host::EntryHost,
         error_response::ErrorResponse,
@@ -61,6 +62,8 @@
     pub(crate) is_attempt_running: Cell<bool>,
     pub(crate) trace: RequestTrace,
     pub(crate) fingerprint: Cell<Fingerprint>,
+    /// Present if the request is a try of one that is refused.
+    crash_try: RefCell<Option<CrashTry>>,
 }
 
 impl Exchange {
@@ -90,6 +93,7 @@
             is_attempt_running: Cell::new(false),
             trace,
             fingerprint: Cell::new(0),
+            crash_try: RefCell::default(),
         }
     }
 
@@ -142,10 +146,16 @@
                 .await;
         };
         self.fingerprint.set(self.fingerprint_for(&customer));
-        if self.host.is_crash_suspect(self.fingerprint.get()) {
-            let message =
-                "backend servers crashed while running this request; do not retry it unchanged";
-            return self.send_error(ErrorResponse::not_run(503, message)).await;
+        match crash_tries::decide(&self.host, self.fingerprint.get()).await {
+            CrashDecision::Allow => {}
+            CrashDecision::Try(crash_try) => {
+                self.crash_try.replace(Some(crash_try));
+            }
+            CrashDecision::Refuse => {
+                let message =
+                    "backend servers crashed while running this request; do not retry it unchanged";
+                return self.send_error(ErrorResponse::not_run(503, message)).await;
+            }
         }
         if let Some(quarantined) = self.quarantined_part() {
             return self.refuse_quarantined_part(&quarantined).await;
@@ -217,6 +227,21 @@
         is_newer_event(event.id.as_deref(), self.last_event_id.borrow().as_deref())
     }
 
+    /// Returns the number of backend servers that may get the request.
+    pub(crate) fn max_attempts(&self, route: &Route) -> u32 {
+        match *self.crash_try.borrow() {
+            Some(_) => route.max_attempts.min(1),
+            None => route.max_attempts,
+        }
+    }
+
+    /// Records, for a try, whether a backend server may have run the request.
+    pub(crate) fn set_has_run(&self, has_run: bool) {
+        if let Some(crash_try) = &*self.crash_try.borrow() {
+            crash_try.set_has_run(has_run);
+        }
+    }
+
     /// Returns the part of the prompt for which no engine may get the request.
     pub(crate) fn quarantined_part(&self) -> Option<QuarantinedPart> {
         let crashing_parts = self.host.crashing_parts.borrow();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod cell_owner;
 mod count_guard;
 mod crash_reports;
+mod crash_tries;
 mod crash_watch;
 mod cut_reason;
 mod datagrams;
--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -57,6 +57,7 @@
             may_reuse: self.route.is_repeatable(),
         };
         let watch = CrashWatch::new(exchange, &attempt);
+        exchange.set_has_run(true);
         let sent = async { Some(attempt.send(&exchange.host.connections).await) };
         let expired = async {
             reservation.wait_for_start_deadline().await;
@@ -68,6 +69,7 @@
                 Ok((response, watch))
             }
             Some(Err(err)) if err.verdict == Verdict::NotRun => {
+                exchange.set_has_run(false);
                 Err(AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err))
             }
             Some(Err(err)) => Err(watch.outcome_after_break(&err.err).await),
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -7,7 +7,10 @@
 use crate::{
     fleet::{AdmissionMessage, DocumentNumbers, LeavingNotice},
     ids::{HostId, RegionId, WeightsVersion, ZoneId},
-    placement::{OwnerCandidate, PartCrash, PartDigest, QuarantinedPart, SuspectedRequest},
+    placement::{
+        Fingerprint, OwnerCandidate, PartCrash, PartDigest, QuarantinedPart, SuspectedRequest,
+        TryId,
+    },
 };
 
 /// The content of a datagram between two processes.
@@ -27,6 +30,8 @@
     CrashReport(CrashReport),
     /// A backend server that leaves, from the entry host that it told to the others.
     ServerLeaving(LeavingNotice),
+    /// A try of a refused request, from one entry host to the others.
+    RequestTry(RequestTry),
 }
 
 /// The version that the engine of a slot process serves.
@@ -136,6 +141,17 @@
     }
 }
 
+/// The claim of an entry host to try a refused request, or its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestTry {
+    /// The request.
+    pub request: Fingerprint,
+    /// Random id of the try.
+    pub id: TryId,
+    /// Whether the try has ended and said nothing.
+    pub is_over: bool,
+}
+
 /// What an entry host learned about requests and parts of prompts since its last report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CrashReport {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
     backend_table::BackendTable,
     beacon::{
         Beacon, CrashReport, EngineNotice, EntryState, ManifestCopy, PeerMessage, PiecesHeld,
+        RequestTry,
     },
     document_numbers::DocumentNumbers,
     expired_entries::ExpiredEntries,
--- a/src/placement/crash_suspects.rs
+++ b/src/placement/crash_suspects.rs
@@ -4,13 +4,17 @@
 //! entry host, could take down a pool. A request during which several backend servers broke the
 //! connection, and that has not succeeded since, is refused. Every entry host keeps what all have
 //! seen, so that it outlives the processes that saw it.
+//!
+//! A sound request that many callers send may also be in progress at several backend servers that
+//! crash for another cause. So single ones are tried, at one entry host and backend server at a time,
+//! and a success clears the request. A request that goes on crashing is tried three times, rarely.
 
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
 };
 
-use crate::placement::{request_suspicion::RequestSuspicion, CrashId, SuspectedRequest};
+use crate::placement::{request_suspicion::RequestSuspicion, CrashId, SuspectedRequest, TryId};
 
 /// Number of backend servers that break the connection during a request at which it is refused.
 const MAX_CRASHES: usize = 3;
@@ -18,6 +22,8 @@
 const MIN_REPORTED_AT_ONCE: usize = 2;
 /// Time after the last broken connection for which a request stays recorded.
 const RETENTION: Duration = Duration::from_secs(120);
+/// The same for a refused one.
+const REFUSED_RETENTION: Duration = Duration::from_secs(24 * 3600);
 /// Maximum number of requests that are recorded; the least suspect are removed first.
 const MAX_FINGERPRINTS: usize = 1024;
 /// Maximum number of requests in a beacon or report.
@@ -62,7 +68,7 @@
     /// Adds what another host reports.
     pub fn merge(&mut self, reported: &[SuspectedRequest], now: Instant) {
         for report in reported.iter().take(MAX_SUSPECTED_REQUESTS) {
-            if Duration::from_millis(report.last_ago_ms) < RETENTION {
+            if Duration::from_millis(report.last_ago_ms) < REFUSED_RETENTION {
                 self.suspicion(report.request, now).merge(report, now);
             }
         }
@@ -83,13 +89,48 @@
     /// Returns `true` if a request must be refused.
     pub fn is_refused(&self, request: Fingerprint, now: Instant) -> bool {
         let Some(suspicion) = self.suspicions.get(&request) else { return false };
-        suspicion.n_crashes() >= MAX_CRASHES && suspicion.age(now) < RETENTION
+        is_refused(suspicion) && is_remembered(suspicion, now)
+    }
+
+    /// Returns `true` if a refused request may be tried, by the host that claims it.
+    pub fn may_be_tried(&self, request: Fingerprint, now: Instant) -> bool {
+        self.suspicions.get(&request).is_some_and(|it| it.may_be_tried(now))
+    }
+
+    /// Records the claim of a try, by this host or another one; returns the one that holds instead.
+    pub fn record_claim(&mut self, request: Fingerprint, id: TryId, now: Instant) -> Option<TryId> {
+        self.suspicions.get_mut(&request)?.record_claim(id, now)
+    }
+
+    /// Returns `true` if a claim holds.
+    pub fn holds_claim(&self, request: Fingerprint, id: TryId, now: Instant) -> bool {
+        self.suspicions.get(&request).is_some_and(|it| it.holds_claim(id, now))
+    }
+
+    /// Ends a claim whose try said nothing.
+    pub fn end_claim(&mut self, request: Fingerprint, id: TryId, now: Instant) {
+        if let Some(suspicion) = self.suspicions.get_mut(&request) {
+            suspicion.end_claim(id, now);
+        }
+    }
+
+    /// Records a try that reached a backend server and did not succeed; returns what to tell the other
+    /// hosts at once, or `None` if the request is not refused any more.
+    pub fn record_failed_try(
+        &mut self,
+        request: Fingerprint,
+        id: TryId,
+        now: Instant,
+    ) -> Option<SuspectedRequest> {
+        let suspicion = self.suspicions.get_mut(&request).filter(|it| is_refused(it))?;
+        suspicion.record_failed_try(id, now);
+        Some(suspicion.report(request, now))
     }
 
     /// Returns the requests for a beacon: the most suspect first, then the latest.
     pub fn reported(&self, now: Instant) -> Vec<SuspectedRequest> {
-        let recent = self.suspicions.iter().filter(|it| it.1.age(now) < RETENTION);
-        let mut ranked: Vec<_> = recent.collect();
+        let known = self.suspicions.iter().filter(|it| is_remembered(it.1, now));
+        let mut ranked: Vec<_> = known.collect();
         // Of the others, most have crashed nothing, so that news come before single crashes.
         let n_crashes = |it: &RequestSuspicion| match it.n_crashes() {
             n if n >= MIN_REPORTED_AT_ONCE => n,
@@ -119,6 +160,15 @@
     }
 
     fn forget_old(&mut self, now: Instant) {
-        self.suspicions.retain(|_, it| it.age(now) < RETENTION);
+        self.suspicions.retain(|_, it| is_remembered(it, now));
     }
 }
+
+fn is_refused(suspicion: &RequestSuspicion) -> bool {
+    suspicion.n_crashes() >= MAX_CRASHES
+}
+
+fn is_remembered(suspicion: &RequestSuspicion, now: Instant) -> bool {
+    let retention = if is_refused(suspicion) { REFUSED_RETENTION } else { RETENTION };
+    suspicion.age(now) < retention
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -50,6 +50,6 @@
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
     shutdown_admission::can_finish_before_exit,
-    suspected_request::{crash_id, CrashId, SuspectedRequest},
+    suspected_request::{crash_id, CrashId, SuspectedRequest, TryId},
     windowed_retry_budget::WindowedRetryBudget,
 };
--- a/src/placement/suspected_request.rs
+++ b/src/placement/suspected_request.rs
@@ -7,6 +7,9 @@
 /// Digest of a backend server and its start, which a crash ends.
 pub type CrashId = u64;
 
+/// Random id of a try of a refused request.
+pub type TryId = u64;
+
 /// A request during which backend servers broke the connection.
 ///
 /// The lists only grow, so a report that is lost, late or repeated changes nothing in the end.
@@ -18,6 +21,8 @@
     pub crashes: Vec<CrashId>,
     /// Those before a response that succeeded.
     pub cleared: Vec<CrashId>,
+    /// Tries of the refused request that did not succeed.
+    pub failed_tries: Vec<TryId>,
     /// Time since the last of them, in milliseconds, when this is passed on.
     pub last_ago_ms: u64,
 }
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -12,7 +12,7 @@
 use crocustiller::{
     fleet::{
         AdmissionMessage, Beacon, CrashReport, DocumentNumbers, EngineNotice, EntryState,
-        ManifestCopy, PeerMessage, PiecesHeld,
+        ManifestCopy, PeerMessage, PiecesHeld, RequestTry,
     },
     placement::{Demand, QuarantinedPart, RequestAttempt, SuspectedRequest},
     platform::{
@@ -299,6 +299,7 @@
         request: value,
         crashes: vec![value; 40],
         cleared: (0..40).collect(),
+        failed_tries: (0..40).collect(),
         last_ago_ms: value,
     }
 }
@@ -347,6 +348,7 @@
         PeerMessage::PiecesHeld(held),
         PeerMessage::Manifest(manifest),
         PeerMessage::CrashReport(report),
+        PeerMessage::RequestTry(RequestTry { request: u64::MAX, id: 0, is_over: false }),
     ]
 }
 
--- a/tests/repeated_crashes.rs
+++ b/tests/repeated_crashes.rs
@@ -128,3 +128,51 @@
     });
     assert_eq!(refused, Some(4), "three crashes, a refusal by a server");
 }
+
+/// All servers of a service crash at once, with requests for one page at each of them, and are back.
+#[test]
+fn crashed_service_refuses_page() {
+    let fleet = Fleet::start(2, 6);
+    let ask = |caller: usize, number: usize| {
+        let bytes = request("GET", "/stock/page", &format!("page-{caller}-{number}"), "");
+        fleet.hosts[caller % 2].exchange(&bytes)
+    };
+    thread::scope(|scope| {
+        for caller in 0..24 {
+            scope.spawn(move || (0..4).for_each(|number| drop(ask(caller, number))));
+        }
+        thread::sleep(Duration::from_millis(200));
+        fleet.servers.iter().for_each(|it| it.crash(RESTART_TIME));
+    });
+    let refused = ask(0, 100).text();
+    assert!(refused.contains(REFUSAL), "the page was not suspected: {refused}");
+    // The callers come back until one is tried.
+    for number in 0..25 {
+        ask(number, 200 + number);
+        thread::sleep(Duration::from_millis(200));
+    }
+    for caller in 0..20 {
+        assert_eq!(ask(caller, 300).status(), 200, "caller {caller}");
+    }
+}
+
+/// A request that crashes servers comes at all hosts, several at a time.
+#[test]
+fn refused_request_crashes_on() {
+    let fleet = Fleet::start(3, 8);
+    fleet.crash_until_refused();
+    let n_known = fleet.n_crashes();
+    thread::scope(|scope| {
+        for caller in 0..6 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                for number in 0..60 {
+                    send_crashing(&fleet.hosts[caller % 3], 1000 * (caller + 1) + number);
+                    thread::sleep(Duration::from_millis(130));
+                }
+            });
+        }
+    });
+    let n_tries = fleet.n_crashes() - n_known;
+    assert!((1..=MAX_RETRIES).contains(&n_tries), "{n_tries} tries reached servers");
+}
