--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -149,7 +149,7 @@
     /// Reserves capacity for the next attempt, within the retry budget.
     async fn reserve(&mut self) -> Result<Reservation, End> {
         let exchange = self.sender.exchange;
-        if self.n_sent >= self.sender.route.max_attempts {
+        if self.n_sent >= exchange.max_attempts(self.sender.route) {
             return Err(End::Exhausted(CutReason::NoAttempt));
         }
         let reservation = self.wait_for_capacity().await?;
@@ -224,7 +224,7 @@
     ) -> AttemptEnd<'a> {
         let RequestSender { exchange, route, .. } = self.sender;
         let n_left = match route.is_repeatable() {
-            true => route.max_attempts.saturating_sub(self.n_sent + 1),
+            true => exchange.max_attempts(route).saturating_sub(self.n_sent + 1),
             false => 0,
         };
         let silence = match route.is_stream() {
@@ -249,6 +249,7 @@
             AttemptOutcome::Done(reuse) => return Err(End::Done(reuse)),
             AttemptOutcome::Unreachable => return Ok(()),
             AttemptOutcome::Refused(head, body) => {
+                self.sender.exchange.set_has_run(false);
                 self.n_sent += 1;
                 if self.fallback.is_none() {
                     self.keep(head, body);
@@ -319,6 +320,7 @@
         }
         Ok(UsableResponse::Complete(head, body)) => {
             search.begin_write();
+            crash_reports::clear_request(&sender.exchange.host, sender.exchange.fingerprint.get());
             AttemptOutcome::Done(sender.exchange.forward_response(head, body).await)
         }
         Err(outcome) => outcome,
--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -59,6 +59,7 @@
         };
         let watch = CrashWatch::new(exchange, &attempt);
         reservation.record_sent(true);
+        exchange.set_has_run(true);
         let sent = async { Some(attempt.send(&exchange.host.connections).await) };
         let expired = async {
             reservation.wait_for_start_deadline().await;
@@ -71,6 +72,7 @@
             }
             Some(Err(err)) if err.verdict == Verdict::NotRun => {
                 reservation.record_sent(false);
+                exchange.set_has_run(false);
                 Err(AttemptOutcome::from_connect_error(exchange, attempt.backend, &err.err))
             }
             Some(Err(err)) => Err(watch.outcome_after_break(&err.err).await),
--- a/tests/repeated_crashes.rs
+++ b/tests/repeated_crashes.rs
@@ -2,11 +2,18 @@
 
 mod entry_process;
 
-use std::{thread, time::Duration};
+use std::{
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, encode_response, request, server_entry, CallerResponse, EntryProcess,
+    charter, encode_response, request, server_entry, CallerResponse, Deployment, EntryProcess,
 };
 
 /// Time until a crashed server is back.
@@ -100,3 +107,72 @@
     assert!(n_retries <= MAX_RETRIES, "{n_retries} retries reached servers");
     assert_eq!(fleet.hosts[0].exchange(&request("POST", "/hold/1", "sound", "")).status(), 200);
 }
+
+/// A server that is full refuses the crashing request after each second crash.
+#[test]
+fn refusals_clear_request() {
+    let n_requests = Arc::new(AtomicUsize::new(0));
+    let script = move |request: &RawRequest| match n_requests.fetch_add(1, Ordering::Relaxed) % 3 {
+        2 => {
+            let bytes = encode_response(request, 503, "full");
+            let head = String::from_utf8(bytes).unwrap();
+            vec![Step::Send(head.replacen("\r\n", "\r\nX-Not-Run: 1\r\n", 1).into_bytes())]
+        }
+        _ => vec![Step::Crash(Duration::from_millis(100))],
+    };
+    let servers = [(); 6].map(|()| ScriptedServer::start(script.clone()).unwrap());
+    let deployment = Deployment::start("ledger", &servers.each_ref());
+    let refused = (0..9).position(|number| {
+        thread::sleep(Duration::from_millis(200));
+        send_crashing(&deployment.entry, number).text().contains(REFUSAL)
+    });
+    assert_eq!(refused, Some(4), "three crashes, a refusal by a server");
+}
+
+/// All servers of a service crash at once, with requests for one page at each of them, and are back.
+#[test]
+fn crashed_service_refuses_page() {
+    let fleet = Fleet::start(2, 6);
+    let ask = |caller: usize, number: usize| {
+        let bytes = request("GET", "/stock/page", &format!("page-{caller}-{number}"), "");
+        fleet.hosts[caller % 2].exchange(&bytes)
+    };
+    thread::scope(|scope| {
+        for caller in 0..24 {
+            scope.spawn(move || (0..4).for_each(|number| drop(ask(caller, number))));
+        }
+        thread::sleep(Duration::from_millis(200));
+        fleet.servers.iter().for_each(|it| it.crash(RESTART_TIME));
+    });
+    let refused = ask(0, 100).text();
+    assert!(refused.contains(REFUSAL), "the page was not suspected: {refused}");
+    // The callers come back until one is tried.
+    for number in 0..25 {
+        ask(number, 200 + number);
+        thread::sleep(Duration::from_millis(200));
+    }
+    for caller in 0..20 {
+        assert_eq!(ask(caller, 300).status(), 200, "caller {caller}");
+    }
+}
+
+/// A request that crashes servers comes at all hosts, several at a time.
+#[test]
+fn refused_request_crashes_on() {
+    let fleet = Fleet::start(3, 8);
+    fleet.crash_until_refused();
+    let n_known = fleet.n_crashes();
+    thread::scope(|scope| {
+        for caller in 0..6 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                for number in 0..60 {
+                    send_crashing(&fleet.hosts[caller % 3], 1000 * (caller + 1) + number);
+                    thread::sleep(Duration::from_millis(130));
+                }
+            });
+        }
+    });
+    let n_tries = fleet.n_crashes() - n_known;
+    assert!((1..=MAX_RETRIES).contains(&n_tries), "{n_tries} tries reached servers");
+}
