Bytes that callers send ahead share the memory of the host

Cause: a limit of 64 KiB for each connection, none for all; and a read buffer that grew by doubling.

Change: each part that is read ahead has a lease in the callers' share. Once there is none left, a connection that waits for its response reads no further: its next request stays in the system's buffers, and a close is noticed when the response is written. Nothing is refused for it. Read buffers grow by what was read.

Not bounded for all: that one read for each connection, and heads that arrive slowly (max-header-bytes and one read each).

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -1,6 +1,7 @@
 //! Serves the requests of one caller connection until it is closed.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -16,7 +17,7 @@
         unread_request::UnreadRequest,
     },
     http1::{BodyLength, BodyReader, Connection, HttpError, RequestHead},
-    memory::{BodyBlocks, BufferLease, BufferSender, BufferedBody},
+    memory::{BodyBlocks, BufferLease, BufferSender, BufferedBody, Buffers},
     routing::CallerLimits,
     runtime,
 };
@@ -45,6 +46,29 @@
     received: Instant,
 }
 
+/// The share of the bytes that follow the request being served in the memory of the process. They aren't
+/// given up for others, as they may belong to the next request.
+struct ReadAhead {
+    buffers: Buffers,
+    /// The lease of each part.
+    leases: RefCell<Vec<BufferLease>>,
+}
+
+impl ReadAhead {
+    fn new(host: &EntryHost) -> ReadAhead {
+        ReadAhead { buffers: host.buffers.clone(), leases: RefCell::default() }
+    }
+
+    /// Adds a part that was read; returns `false` if no more may be read, as too much is buffered.
+    fn may_keep(&self, n_bytes: usize) -> bool {
+        let lease = self.buffers.open(BufferSender::Callers);
+        lease.complete();
+        let has_room = lease.grow(n_bytes);
+        self.leases.borrow_mut().push(lease);
+        has_room
+    }
+}
+
 impl CallerConnection {
     /// Creates the server side of an accepted connection.
     pub(crate) fn new(connection: Connection, host: Rc<EntryHost>) -> CallerConnection {
@@ -79,8 +103,9 @@
         let host = self.host.clone();
         let _guard = CountGuard::new(host.clone(), |it| &it.n_exchanges);
         let exchange = Exchange::new(host, writer, head, body, received, closes_connection);
+        let read_ahead = ReadAhead::new(&self.host);
         let disconnected = async {
-            self.connection.wait_until_closed().await;
+            self.connection.wait_until_closed(|n_bytes| read_ahead.may_keep(n_bytes)).await;
             log::debug!("relay: caller disconnected request={}", exchange.request.id);
             ConnectionReuse::Close
         };
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -159,10 +159,16 @@
 
     /// Waits until the peer closes the connection or the connection fails.
     ///
-    /// Buffers what the peer sends meanwhile. Once `MAX_READ_AHEAD_BYTES` are buffered it stops
-    /// reading, no longer notices a close, and never returns.
-    pub async fn wait_until_closed(&mut self) {
+    /// Buffers what the peer sends meanwhile, and calls `may_keep` with the length of each part. Once
+    /// that returns `false`, or `MAX_READ_AHEAD_BYTES` are buffered, it stops reading, no longer notices
+    /// a close, and never returns.
+    pub async fn wait_until_closed(&mut self, may_keep: impl Fn(usize) -> bool) {
+        let mut n_known = 0;
         while self.buffered().len() < MAX_READ_AHEAD_BYTES {
+            if !may_keep(self.buffered().len() - n_known) {
+                break;
+            }
+            n_known = self.buffered().len();
             match self.fill().await {
                 Ok(true) => continue,
                 Ok(false) => return,
@@ -273,6 +279,7 @@
 fn read_into(stream: &mut &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
     READ_BUFFER.with_borrow_mut(|it| {
         let n_read = stream.read(it)?;
+        buffer.reserve_exact(n_read);
         buffer.extend_from_slice(&it[..n_read]);
         Ok(n_read)
     })
--- a/tests/long_requests.rs
+++ b/tests/long_requests.rs
@@ -4,8 +4,8 @@
 mod entry_process;
 
 use std::{
-    io::Write,
-    net::TcpStream,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
     sync::{Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
@@ -17,6 +17,7 @@
     request, request_head, server_entry, EntryProcess,
 };
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 
 /// The least memory of an entry host on any site.
 const MEMORY_MB: u64 = 160;
@@ -24,6 +25,8 @@
 const MAX_RESPONSE_TIME: Duration = Duration::from_millis(1000);
 const BODY_BYTES: usize = 1_000_000;
 const N_CALLERS: usize = 250;
+const N_EARLY_CALLERS: usize = 800;
+const EARLY_BYTES: usize = 80 << 10;
 
 /// Held during a flood: two at once would need more processor time than a host has.
 static FLOOD: Mutex<()> = Mutex::new(());
@@ -131,3 +134,63 @@
     }
     Ok(())
 }
+
+/// Guards against reading ahead, on many connections, more of the next requests than the memory holds.
+#[test]
+fn early_requests_fill_no_memory() {
+    let _flood = FLOOD.lock().unwrap_or_else(PoisonError::into_inner);
+    let [peak_without_kb, peak_kb] = [0, EARLY_BYTES].map(peak_with_early_bytes);
+    println!("peak_without_kb={peak_without_kb} peak_kb={peak_kb}");
+    // A quarter of the memory is for buffers.
+    assert!(
+        peak_kb - peak_without_kb < (MEMORY_MB << 10) / 4,
+        "{peak_kb} kB, {peak_without_kb} kB"
+    );
+}
+
+/// Returns the peak memory of an entry host with many waiting requests, each followed by `n_bytes`.
+fn peak_with_early_bytes(n_bytes: usize) -> u64 {
+    let silent = silent_listener();
+    let store = StoreStandin::start().unwrap();
+    let mut charter = charter(1);
+    charter["services"][0]["max-connections"] = json!(N_EARLY_CALLERS);
+    store.put("config", "main", charter);
+    let address = silent.local_addr().unwrap().as_socket().unwrap();
+    store.put("servers", "ledger", server_entry("ledger", address, "ready"));
+    let mut entry = EntryProcess::start_with_memory(store.address(), "entry-1", MEMORY_MB);
+    entry.wait_until_ready();
+    let send = |it| {
+        thread::sleep(Duration::from_millis(1));
+        send_early(&entry, it, n_bytes)
+    };
+    let callers: Vec<TcpStream> = (0..N_EARLY_CALLERS).map(send).collect();
+    let n_refused = callers.into_iter().map(read_first).filter(|it| *it != 504).count();
+    assert!(!entry.has_exited());
+    assert!(n_refused < N_EARLY_CALLERS / 10, "{n_refused} requests did not wait for the service");
+    entry.peak_memory_kb()
+}
+
+/// Listens for connections that are never accepted, so that their requests get no response.
+fn silent_listener() -> Socket {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    listener.listen(4096).unwrap();
+    listener
+}
+
+/// Sends a request and, before its response, the start of others.
+fn send_early(entry: &EntryProcess, number: usize, n_bytes: usize) -> TcpStream {
+    let mut stream = entry.connect();
+    let mut bytes = request("POST", "/hold/1", &format!("early-{number}"), "");
+    bytes.resize(bytes.len() + n_bytes, b'x');
+    stream.write_all(&bytes).unwrap();
+    stream
+}
+
+/// Returns the status of the first response on a connection.
+fn read_first(mut stream: TcpStream) -> u16 {
+    let mut buffer = [0; 256];
+    let n_read = stream.read(&mut buffer).unwrap_or(0);
+    let text = String::from_utf8_lossy(&buffer[..n_read]).into_owned();
+    text.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0)
+}
