Responses that callers don't read leave room for others

Complete responses wait in the host until their callers have read them. tests/unread_responses.rs lets 100 callers leave long responses unread at a host of 160 MB.

Change: a lease shrinks as the blocks are written. When there is no room, a response that begins to be written makes one that waits give way: the oldest of those that are at least half as long as the longest; by length alone, callers that read nothing would keep theirs and new ones be cut.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -227,6 +227,7 @@
         let mut bytes = head.to_bytes();
         let write = async {
             for block in blocks {
+                let block_bytes = block.len();
                 match bytes.is_empty() {
                     true => bytes = block,
                     false => {
@@ -235,7 +236,8 @@
                     }
                 }
                 self.caller.write(&bytes).await?;
-                bytes.clear();
+                bytes = Vec::new();
+                lease.shrink(block_bytes);
             }
             self.caller.write(&bytes).await
         };
--- a/src/memory/buffer_budget.rs
+++ b/src/memory/buffer_budget.rs
@@ -3,7 +3,7 @@
 //! Load pattern: one faulty sender, or many at once, send bodies that are long or never end, while
 //! others send short ones. The short ones must still fit, so the longest buffer gives way.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::collections::BTreeMap;
 
 use crate::ids::BackendId;
 
@@ -106,6 +106,14 @@
         self.make_room(id)
     }
 
+    /// Lets a buffer shrink by `n_bytes`, which were dropped.
+    pub fn shrink(&mut self, id: BufferId, n_bytes: usize) {
+        let Some(mut buffer) = self.buffers.remove(&id) else { return };
+        self.subtract(&buffer);
+        buffer.size_bytes = buffer.size_bytes.saturating_sub(n_bytes);
+        self.add(id, buffer);
+    }
+
     /// Records that the message of a buffer is complete, so that it isn't given up for others.
     pub fn complete(&mut self, id: BufferId) {
         if let Some(buffer) = self.buffers.get_mut(&id) {
@@ -114,16 +122,19 @@
     }
 
     /// Records that a message is a complete response that waits until its caller has read it; returns
-    /// the buffers that are given up for it: such responses may be, even itself.
+    /// the buffers that are given up for it. It may itself be given up from now on, but for later ones, as
+    /// its caller may read at once.
     pub fn wait_for_caller(&mut self, id: BufferId) -> Vec<BufferId> {
         let Some(mut buffer) = self.buffers.remove(&id) else { return vec![id] };
         self.subtract(&buffer);
         buffer.sender = BufferSender::Responses;
-        buffer.is_kept = false;
-        *self.sender_bytes.entry(BufferSender::Responses).or_default() += buffer.size_bytes;
-        self.total_bytes += buffer.size_bytes;
-        self.buffers.insert(id, buffer);
-        self.make_room(id)
+        buffer.is_kept = true;
+        self.add(id, buffer);
+        let given_up = self.make_room(id);
+        if let Some(buffer) = self.buffers.get_mut(&id) {
+            buffer.is_kept = false;
+        }
+        given_up
     }
 
     /// Removes a buffer; one that was given up is no longer there.
@@ -170,6 +181,12 @@
         given_up
     }
 
+    fn add(&mut self, id: BufferId, buffer: Buffer) {
+        *self.sender_bytes.entry(buffer.sender.clone()).or_default() += buffer.size_bytes;
+        self.total_bytes += buffer.size_bytes;
+        self.buffers.insert(id, buffer);
+    }
+
     fn subtract(&mut self, buffer: &Buffer) {
         self.total_bytes -= buffer.size_bytes;
         let Some(sender_bytes) = self.sender_bytes.get_mut(&buffer.sender) else { return };
@@ -195,15 +212,17 @@
         None
     }
 
-    /// Returns the longest buffer that may be given up: of several, the oldest response that waits for
-    /// its caller, or else the newest one.
+    /// Returns the longest buffer that may be given up, of several the newest one. If it is a response that
+    /// waits for its caller, this is instead the oldest such response that is at least half as long.
     fn longest(&self, is_included: impl Fn(&Buffer) -> bool) -> Option<BufferId> {
-        let candidates = self.buffers.iter().filter(|it| !it.1.is_kept && is_included(it.1));
-        let rank = |it: &(&BufferId, &Buffer)| {
-            let (id, buffer) = *it;
-            let waits = buffer.sender == BufferSender::Responses;
-            (buffer.size_bytes, waits.then_some(Reverse(*id)), *id)
-        };
-        candidates.max_by_key(rank).map(|it| *it.0)
+        let is_candidate = |it: &(&BufferId, &Buffer)| !it.1.is_kept && is_included(it.1);
+        let candidates = || self.buffers.iter().filter(is_candidate);
+        let (longest_id, longest) = candidates().max_by_key(|it| it.1.size_bytes)?;
+        if longest.sender != BufferSender::Responses {
+            return Some(*longest_id);
+        }
+        let is_long = |it: &Buffer| it.size_bytes * 2 >= longest.size_bytes;
+        let mut waiting = candidates().filter(|it| it.1.sender == BufferSender::Responses);
+        waiting.find(|it| is_long(it.1)).map(|it| *it.0)
     }
 }
--- a/src/memory/buffer_lease.rs
+++ b/src/memory/buffer_lease.rs
@@ -19,6 +19,11 @@
         self.buffers.grow(self.id, n_bytes)
     }
 
+    /// Lets the buffer shrink by `n_bytes`, which were dropped.
+    pub fn shrink(&self, n_bytes: usize) {
+        self.buffers.shrink(self.id, n_bytes);
+    }
+
     /// Returns the size that a single buffer may have.
     pub fn max_bytes(&self) -> usize {
         self.buffers.limits().buffer_bytes
--- a/src/memory/buffers.rs
+++ b/src/memory/buffers.rs
@@ -60,6 +60,10 @@
         !given_up.contains(&id)
     }
 
+    pub(crate) fn shrink(&self, id: BufferId, n_bytes: usize) {
+        self.shared.budget.borrow_mut().shrink(id, n_bytes);
+    }
+
     pub(crate) fn complete(&self, id: BufferId) {
         self.shared.budget.borrow_mut().complete(id);
     }
--- a/tests/buffer_budget.rs
+++ b/tests/buffer_budget.rs
@@ -85,3 +85,17 @@
     assert_eq!(budget.grow(next, 9), NONE);
     assert!(budget.is_open(waiting[1]) && budget.is_open(waiting[2]));
 }
+
+/// A response makes room for others as it is written.
+#[test]
+fn written_part_counts_no_more() {
+    let mut budget = BufferBudget::new(LIMITS);
+    let first = open(&mut budget, "a", 40);
+    let second = open(&mut budget, "b", 40);
+    assert_eq!(budget.wait_for_caller(first), NONE);
+    budget.shrink(first, 25);
+    assert_eq!(budget.wait_for_caller(second), NONE);
+    let third = open(&mut budget, "c", 20);
+    assert_eq!(budget.wait_for_caller(third), [second]);
+    assert_eq!(budget.total_bytes(), 35);
+}
