--- a/tests/full_memory.rs
+++ b/tests/full_memory.rs
@@ -79,6 +79,15 @@
     }
 }
 
+/// Late responses to other requests are skipped.
+#[test]
+fn skipped_bodies_fill_no_memory() {
+    for n_requests in [64, 200] {
+        let received = flood("hold", n_requests, skipped_bodies);
+        assert!(received.iter().all(|it| matches!(it.status, 502..=504)));
+    }
+}
+
 /// A server that has flooded gets no request for a time, which doubles, though its answers look sound at
 /// first.
 #[test]
@@ -142,6 +151,11 @@
     vec![Step::Send(head.into_bytes()), Step::SendTimes(vec![b'x'; PART_BYTES], n_parts as u32)]
 }
 
+fn skipped_bodies(request: &RawRequest) -> Vec<Step> {
+    let earlier = RawRequest::default();
+    [long_body(&earlier), long_body(&earlier), long_body(&earlier), long_body(request)].concat()
+}
+
 fn unframed_head(request: &RawRequest, status: u16) -> Vec<u8> {
     let id = request.header("x-request-id").unwrap_or("");
     format!("HTTP/1.1 {status} x\r\nX-Request-Id: {id}\r\nX-Server-Stamp: stamp-{id}\r\n\r\n")
