A test that an origin's responses without end don't fill a slot's memory

A slot process may have 128 MB. The limit for a piece is 8 MiB, for a manifest too, and three workers read pieces at once, so by reading 24 MiB are the most (48 MiB with what a growing buffer doesn't use).

--- a/tests/slot_process/mod.rs
+++ b/tests/slot_process/mod.rs
@@ -162,6 +162,13 @@
         Slot { peers, engine, store, child }
     }
 
+    /// Returns the largest resident memory of the process so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Waits until the engine has loaded `version`; checks that the weights were complete and
     /// correct at every order.
     pub fn check_loaded(&self, version: u64) {
--- a/tests/slot_weights.rs
+++ b/tests/slot_weights.rs
@@ -16,6 +16,9 @@
     origin_server, piece, response_steps, EngineState, Slot, LOAD_TIMEOUT, N_PIECES,
 };
 
+/// Memory that a slot process may have used, in kilobytes.
+const MAX_MEMORY_KB: u64 = 128 << 10;
+
 /// The slot is suspended between its check of the staged pieces and the order to load them, and a
 /// piece goes bad meanwhile.
 #[test]
@@ -97,6 +100,21 @@
     Slot::start(&origin, EngineState::default()).check_loaded(1);
 }
 
+/// Manifests and pieces without end are given up, and don't fill the memory of the process.
+#[test]
+fn endless_origin_responses_fill_no_memory() {
+    let origin = origin_server(|_, n_calls, body| match n_calls {
+        1..=6 => vec![
+            Step::Send(b"HTTP/1.1 200 x\r\n\r\n".to_vec()),
+            Step::SendEndlessly(body.repeat(20)),
+        ],
+        _ => response_steps(200, &body),
+    });
+    let slot = Slot::start(&origin, EngineState::default());
+    slot.check_loaded(1);
+    assert!(slot.peak_memory_kb() < MAX_MEMORY_KB, "{} kB", slot.peak_memory_kb());
+}
+
 /// Pieces that are already in the staging area are used; corrupt ones are fetched again.
 #[test]
 fn staged_pieces_are_reused() {
