--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -178,7 +178,7 @@
                 lease.wait_until_given_up().await;
                 Err(HttpError::BuffersFull)
             };
-            let is_more = given_up.or(self.body.read(connection, blocks.last_block())).await?;
+            let is_more = self.body.read(connection, blocks.last_block()).or(given_up).await?;
             if !is_more {
                 return Ok(BufferedBody::new(blocks, lease));
             }
