Take a circle of imports in the entry host apart

An exchange was its request and response, and also decided what becomes of it, so exchange and attempts and all between them imported each other (nine files). What routes a request has a file of its own with short functions; exchange no longer needs attempts. Behaviour is unchanged.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -14,6 +14,7 @@
         count_guard::CountGuard,
         entry_host::EntryHost,
         exchange::{ConnectionReuse, Exchange},
+        request_routing,
         unread_request::UnreadRequest,
     },
     http1::{BodyLength, BodyReader, Connection, HttpError, RequestHead},
@@ -108,7 +109,8 @@
             log::debug!("relay: caller disconnected request={}", exchange.request.id);
             ConnectionReuse::Close
         };
-        let ended = async { Some(Box::pin(exchange.run()).or(disconnected).await) };
+        let ended =
+            async { Some(Box::pin(request_routing::run(&exchange)).or(disconnected).await) };
         let exit = async {
             exchange.host.departure.wait_until_before_exit(EXIT_RESPONSE_MARGIN).await;
             None
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -1,5 +1,4 @@
-//! Handles one request of a caller: authorizes it, sends it to backend servers and sends exactly
-//! one response.
+//! One request of a caller and its response, of which the caller gets exactly one.
 
 use std::{
     cell::{Cell, RefCell},
@@ -12,8 +11,7 @@
 use crate::{
     clock,
     entry::{
-        attempts,
-        crash_tries::{self, CrashDecision, CrashTry},
+        crash_tries::CrashTry,
         cut_reason::CutReason,
         entry_host::EntryHost,
         error_response::ErrorResponse,
@@ -23,7 +21,7 @@
     http1::{ConnectionWriter, HttpError, RequestHead, ResponseHead},
     ids::CustomerId,
     memory::BufferedBody,
-    placement::{can_finish_before_exit, Fingerprint, QuarantinedPart},
+    placement::{Fingerprint, QuarantinedPart},
     platform::wire_headers,
     relay::{CallerRequest, Event},
     routing::Route,
@@ -31,12 +29,8 @@
     verdict::Verdict,
 };
 
-/// Time after the deadline for which the engine's own response is still accepted.
-const TIMEOUT_MARGIN: Duration = Duration::from_millis(40);
 /// Time for which an error response may be written if the request has less time left.
 const MIN_ERROR_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Value of `Retry-After` in the response of a host that has no charter yet.
-const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Whether the caller's connection may be reused for another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,87 +94,9 @@
         }
     }
 
-    /// Authorizes the request, sends it to backend servers and responds to the caller, all within
-    /// the deadline of the request.
-    pub(crate) async fn run(&self) -> ConnectionReuse {
-        let Some(charter) = self.host.charter.borrow().clone() else {
-            let response = ErrorResponse::not_run(
-                503,
-                "this entry host has no charter yet; retry at another one",
-            );
-            return self.send_error(response.with_retry_after(STARTING_RETRY_AFTER)).await;
-        };
-        self.trace.set_charter(charter.number);
-        let Some(route) = charter.route(&self.request.host, self.head.path()) else {
-            return self
-                .send_error(ErrorResponse::not_run(
-                    404,
-                    "no route matches; check the host and path",
-                ))
-                .await;
-        };
-        let customer = match (&charter.customers, route.is_public) {
-            (None, _) | (_, true) => None,
-            (Some(customers), false) => {
-                match self.request.key.as_ref().and_then(|it| customers.get(it)) {
-                    Some(customer) => Some(customer.clone()),
-                    None => {
-                        let message = "unknown API key; send the key of a customer";
-                        return self.send_error(ErrorResponse::not_run(401, message)).await;
-                    }
-                }
-            }
-        };
-        let time_left = self.time_left(route);
-        let time_until_exit = self.host.departure.time_until_exit();
-        if time_until_exit.is_some_and(|it| !can_finish_before_exit(it, time_left)) {
-            let response = ErrorResponse::not_run(
-                503,
-                "this entry host is shutting down; retry at another one",
-            );
-            return self.send_error(response.with_retry_after(Duration::ZERO)).await;
-        }
-        let Some(service) = route.choose_service(fastrand::f64()) else {
-            return self
-                .send_error(ErrorResponse::not_run(
-                    503,
-                    "the route has no target; add one in the charter",
-                ))
-                .await;
-        };
-        self.fingerprint.set(self.fingerprint_for(&customer));
-        match crash_tries::decide(&self.host, self.fingerprint.get()).await {
-            CrashDecision::Allow => {}
-            CrashDecision::Try(crash_try) => {
-                self.crash_try.replace(Some(crash_try));
-            }
-            CrashDecision::Refuse => {
-                let message =
-                    "backend servers crashed while running this request; do not retry it unchanged";
-                return self.send_error(ErrorResponse::not_run(503, message)).await;
-            }
-        }
-        if let Some(quarantined) = self.quarantined_part() {
-            return self.refuse_quarantined_part(&quarantined).await;
-        }
-        self.host.count_request(service);
-        let timeout = self.time_left(route) + TIMEOUT_MARGIN;
-        match runtime::timeout(timeout, attempts::run(self, route, service, &customer)).await {
-            Ok(reuse) => reuse,
-            Err(_) => {
-                self.send_timeout(
-                    CutReason::Deadline,
-                    "the deadline passed before the request was sent to a backend server; retry",
-                    "the deadline passed; retry only if the request is idempotent",
-                )
-                .await
-            }
-        }
-    }
-
-    /// Returns a digest of customer, target and body, which is the same if the caller repeats the
+    /// Sets the digest of customer, target and body, which is the same if the caller repeats the
     /// request.
-    fn fingerprint_for(&self, customer: &Option<CustomerId>) -> Fingerprint {
+    pub(crate) fn set_fingerprint(&self, customer: &Option<CustomerId>) {
         let mut hasher = blake3::Hasher::new();
         hasher.update(customer.as_deref().unwrap_or("").as_bytes());
         hasher.update(&[0]);
@@ -189,7 +105,12 @@
         hasher.update(&self.body);
         let mut prefix = [0; 8];
         hasher.finalize_xof().fill(&mut prefix);
-        u64::from_le_bytes(prefix)
+        self.fingerprint.set(u64::from_le_bytes(prefix));
+    }
+
+    /// Makes the request the try of one that is refused.
+    pub(crate) fn begin_try(&self, crash_try: CrashTry) {
+        self.crash_try.replace(Some(crash_try));
     }
 
     /// Returns the time until the earlier of the caller's deadline and the route's timeout.
@@ -345,7 +266,7 @@
 
     /// Ends a request whose time is over: sends an error response, with one of the messages, unless
     /// the response of a backend server has begun.
-    async fn send_timeout(
+    pub(crate) async fn send_timeout(
         &self,
         cut_reason: CutReason,
         not_run_message: &'static str,
