--- a/tests/endless_events.rs
+++ b/tests/endless_events.rs
@@ -119,7 +119,14 @@
     let times = [plain, stream].map(|it| {
         let sent = Instant::now();
         let response = entry.exchange(&it);
-        assert_eq!(response.status(), 200, "after {:?}: {}", sent.elapsed(), response.text());
+        let log = std::fs::read_to_string(entry.log_path()).unwrap();
+        assert_eq!(
+            response.status(),
+            200,
+            "after {:?}: {}\n{log}",
+            sent.elapsed(),
+            response.text()
+        );
         assert!(response.is_complete());
         sent.elapsed()
     });
