An older copy takes no server back whose lapsed entry has expired

A server whose entry lapsed in an outage of the store and wasn't registered again in time is gone. `expire` removed it without remembering that, so that an entry in an older copy was used at once, unlike that of a server that was removed. It is now held back in the same way, until it is renewed or the store has kept it. `older_copy_takes_no_expired_back` failed before with 4 ready servers in place of 3.

--- a/src/fleet/backend_table.rs
+++ b/src/fleet/backend_table.rs
@@ -238,8 +238,7 @@
         let expired: Vec<BackendId> =
             self.lapsed.iter().filter(is_over).map(|it| it.0.clone()).collect();
         for id in &expired {
-            self.lapsed.remove(id);
-            self.remove(id);
+            self.remove_departed(id, now);
         }
         self.departed.retain(|_, it| now < it.removed + DEPARTED_MEMORY);
         let is_trusted = |it: &&(BackendServer, Instant)| now >= it.1 + CONFIRMATION_TIME;
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -138,6 +138,21 @@
     assert_eq!(n_ready(&table), 5);
 }
 
+/// A server whose lapsed entry wasn't registered again has left, also if an older copy lists it.
+#[test]
+fn older_copy_takes_no_expired_back() {
+    let now = Instant::now();
+    let mut table = BackendTable::default();
+    table.replace_all(ready(4), None, now);
+    table.replace_all(ready(3), Some(now), now);
+    table.expire(now + ms(2300));
+    assert_eq!(n_ready(&table), 3);
+    let restored = now + ms(9000);
+    let accepted = table.accept_restored(ready(4), restored);
+    table.replace_all(accepted, Some(restored), restored);
+    assert_eq!(n_ready(&table), 3, "the fourth server has left");
+}
+
 /// Guards against a server that was removed together with others and comes back for good, as its entry
 /// in an older copy of the store was held back.
 #[test]
