A stream keeps one copy of the events that its caller hasn't read

While a caller read slowly, a stream kept the events, those that were undelivered and the bytes to write, some 285 kB for an event of 60 kB. Only the bytes to write are kept now, without spare capacity.

There is still a limit for each stream and none for all.

--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -45,7 +45,7 @@
         }
         // The caller may read slowly; nothing else may be written meanwhile.
         search.begin_write();
-        if let Err(err) = forward_events(exchange, stream.head(), &events).await {
+        if let Err(err) = forward_events(exchange, stream.head(), events).await {
             return caller_lost(exchange, &err);
         }
         search.end_write();
@@ -95,12 +95,23 @@
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
 
-/// Forwards the events that the caller has not received yet.
+/// Forwards the events that the caller has not received yet. Only the bytes to write are kept until
+/// the caller has read them, which may take long.
 async fn forward_events(
     exchange: &Exchange,
     head: &ResponseHead,
-    events: &Events,
+    events: Events,
 ) -> Result<(), HttpError> {
+    let bytes = encode_undelivered(exchange, head, &events);
+    drop(events);
+    match bytes.is_empty() {
+        true => Ok(()),
+        false => exchange.caller.write(&bytes).await,
+    }
+}
+
+/// Returns the events that the caller has not received yet as one chunk; nothing if there are none.
+fn encode_undelivered(exchange: &Exchange, head: &ResponseHead, events: &Events) -> Vec<u8> {
     let mut data = Vec::new();
     for event in events.iter() {
         if !exchange.is_undelivered(&event) {
@@ -112,13 +123,11 @@
         }
     }
     if data.is_empty() {
-        return Ok(());
+        return Vec::new();
     }
-    let mut bytes = head_if_unsent(exchange, head);
-    bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
-    bytes.extend_from_slice(&data);
-    bytes.extend_from_slice(b"\r\n");
-    exchange.caller.write(&bytes).await
+    let mut start = head_if_unsent(exchange, head);
+    start.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    [start.as_slice(), &data, b"\r\n"].concat()
 }
 
 async fn write_end(exchange: &Exchange, head: &ResponseHead) -> Result<(), HttpError> {
--- a/tests/connection_memory.rs
+++ b/tests/connection_memory.rs
@@ -10,8 +10,12 @@
 };
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
-use entry_process::{charter, encode_response, request, request_head, server_entry, EntryProcess};
+use entry_process::{
+    charter, charter_with_timeout, encode_response, request, request_head, server_entry,
+    stream_head, EntryProcess,
+};
 use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
 
 /// The least memory of an entry host on any site.
 const MEMORY_MB: u64 = 160;
@@ -75,3 +79,43 @@
     assert_eq!(text.matches("HTTP/1.1 200").count(), 2, "{text}");
     stream
 }
+
+/// Callers that don't read, and engines that send long events.
+#[test]
+fn long_events_to_slow_callers_fill_no_memory() {
+    let event = format!("data: {}\n\n", "x".repeat(60_000));
+    let servers: Vec<ScriptedServer> = (0..40)
+        .map(|_| {
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            ScriptedServer::start(move |it: &RawRequest| {
+                let chunk = chunk.clone().into_bytes();
+                vec![Step::Send(stream_head(it)), Step::SendEndlessly(chunk)]
+            })
+            .unwrap()
+        })
+        .collect();
+    let (_store, entry) = start("pool", &servers, charter_with_timeout(30_000));
+    let before_kb = entry.peak_memory_kb();
+    let kept: Vec<TcpStream> = (0..640)
+        .map(|idx| {
+            let mut stream = connect_slow(&entry);
+            let headers = "X-Model: lots\r\nContent-Length: 0\r\n";
+            let id = format!("slow-{idx}");
+            stream.write_all(&request_head("POST", "/draft/1", &id, 30_000, headers)).unwrap();
+            thread::sleep(Duration::from_millis(20));
+            stream
+        })
+        .collect();
+    let peak_kb = entry.peak_memory_kb();
+    let n_sent: usize = servers.iter().map(|it| it.requests().len()).sum();
+    println!("slow={} sent={n_sent} before_kb={before_kb} peak_kb={peak_kb}", kept.len());
+    assert!(peak_kb < MEMORY_MB << 10, "{peak_kb} kB");
+}
+
+/// Connects with a small buffer for what the caller doesn't read.
+fn connect_slow(entry: &EntryProcess) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.connect(&entry.callers.into()).unwrap();
+    socket.into()
+}
