A body that the charter allows is refused only if the host can't hold it

A request body longer than a single response may be (an eighth of the buffers, 5 MB at 160 MB) got 413 though the charter allowed it, since the bodies of callers are leased. A single one may now be as long as the bodies of all callers together; beside others the longest incomplete one still gives way.

--- a/src/memory/buffer_budget.rs
+++ b/src/memory/buffer_budget.rs
@@ -37,7 +37,7 @@
     pub total_bytes: usize,
     /// Size of all buffers of one sender together.
     pub sender_bytes: usize,
-    /// Size of a single buffer.
+    /// Size of a single buffer for a response; a request of a caller may be as long as all of them.
     pub buffer_bytes: usize,
 }
 
@@ -72,6 +72,15 @@
             buffer_bytes: share(total_bytes, BUFFER_SHARE),
         }
     }
+
+    /// Returns the size that a single buffer of a sender may have. The charter bounds the requests of
+    /// callers, and only what the host can't hold is too long besides.
+    pub fn max_bytes(&self, sender: &BufferSender) -> usize {
+        match sender {
+            BufferSender::Callers => self.sender_bytes,
+            BufferSender::Backend(_) | BufferSender::Responses => self.buffer_bytes,
+        }
+    }
 }
 
 impl BufferBudget {
@@ -200,7 +209,7 @@
     /// exceeded.
     fn next_to_give_up(&self, grown: BufferId) -> Option<BufferId> {
         let Buffer { sender, size_bytes, .. } = self.buffers.get(&grown)?;
-        if *size_bytes > self.limits.buffer_bytes {
+        if *size_bytes > self.limits.max_bytes(sender) {
             return Some(grown);
         }
         if self.sender_bytes.get(sender).is_some_and(|it| *it > self.limits.sender_bytes) {
--- a/src/memory/buffer_lease.rs
+++ b/src/memory/buffer_lease.rs
@@ -7,11 +7,12 @@
 pub struct BufferLease {
     buffers: Buffers,
     id: BufferId,
+    max_bytes: usize,
 }
 
 impl BufferLease {
-    pub(crate) fn new(buffers: Buffers, id: BufferId) -> BufferLease {
-        BufferLease { buffers, id }
+    pub(crate) fn new(buffers: Buffers, id: BufferId, max_bytes: usize) -> BufferLease {
+        BufferLease { buffers, id, max_bytes }
     }
 
     /// Lets the buffer grow by `n_bytes`; returns `false` if its bytes must be dropped instead.
@@ -24,9 +25,9 @@
         self.buffers.shrink(self.id, n_bytes);
     }
 
-    /// Returns the size that a single buffer may have.
+    /// Returns the size that the buffer may have.
     pub fn max_bytes(&self) -> usize {
-        self.buffers.limits().buffer_bytes
+        self.max_bytes
     }
 
     /// Records that the message is complete, so that it isn't given up for others.
--- a/src/memory/buffers.rs
+++ b/src/memory/buffers.rs
@@ -28,9 +28,11 @@
 
     /// Returns the lease of an empty buffer for bytes of `sender`.
     pub fn open(&self, sender: BufferSender) -> BufferLease {
-        let id = self.shared.budget.borrow_mut().open(sender);
+        let mut budget = self.shared.budget.borrow_mut();
+        let max_bytes = budget.limits().max_bytes(&sender);
+        let id = budget.open(sender);
         self.shared.given_up.borrow_mut().insert(id, Rc::default());
-        BufferLease::new(self.clone(), id)
+        BufferLease::new(self.clone(), id, max_bytes)
     }
 
     /// Returns the size of all buffers together, in bytes.
@@ -48,11 +50,6 @@
         self.shared.budget.borrow().n_given_up()
     }
 
-    /// Returns the sizes that buffers may have.
-    pub(crate) fn limits(&self) -> BufferLimits {
-        self.shared.budget.borrow().limits()
-    }
-
     /// Lets a buffer grow; returns `false` if it was given up.
     pub(crate) fn grow(&self, id: BufferId, n_bytes: usize) -> bool {
         let given_up = self.shared.budget.borrow_mut().grow(id, n_bytes);
