A sound server's long body outlasts many short ones of faulty servers

At the bound of all buffers the longest body gave way, whoever sent it: a sound server's body of 1 MB was given up, counted against that server and helped to eject it, while forty others kept many bodies of 150 kB each that stalled (shown by the review with processes). Backend servers are now compared by all that they use, and the longest body of the one that uses most gives way.

sound_body_gives_way_to_short_ones: gave up the sound body before, now one of the flood.

--- a/src/memory/buffer_budget.rs
+++ b/src/memory/buffer_budget.rs
@@ -221,12 +221,14 @@
         None
     }
 
-    /// Returns the longest buffer that may be given up, of several the newest one. If it is a response that
-    /// waits for its caller, this is instead the oldest such response that is at least half as long.
+    /// Returns the buffer that is given up next: the longest one of the backend server that uses most, of
+    /// several the newest one. If it is a response that waits for its caller, this is instead the oldest
+    /// such response that is at least half as long.
     fn longest(&self, is_included: impl Fn(&Buffer) -> bool) -> Option<BufferId> {
         let is_candidate = |it: &(&BufferId, &Buffer)| !it.1.is_kept && is_included(it.1);
         let candidates = || self.buffers.iter().filter(is_candidate);
-        let (longest_id, longest) = candidates().max_by_key(|it| it.1.size_bytes)?;
+        let rank = |it: &Buffer| (self.weight_bytes(it), it.size_bytes);
+        let (longest_id, longest) = candidates().max_by_key(|it| rank(it.1))?;
         if longest.sender != BufferSender::Responses {
             return Some(*longest_id);
         }
@@ -234,4 +236,13 @@
         let mut waiting = candidates().filter(|it| it.1.sender == BufferSender::Responses);
         waiting.find(|it| is_long(it.1)).map(|it| *it.0)
     }
+
+    /// Returns what a buffer is compared by: all that its backend server uses, as each of many bodies of a
+    /// faulty one may be short. Callers, whose buffers are counted together, are compared one by one.
+    fn weight_bytes(&self, buffer: &Buffer) -> usize {
+        match buffer.sender {
+            BufferSender::Backend(_) => self.sender_bytes.get(&buffer.sender).copied().unwrap_or(0),
+            BufferSender::Callers | BufferSender::Responses => buffer.size_bytes,
+        }
+    }
 }
--- a/tests/buffer_budget.rs
+++ b/tests/buffer_budget.rs
@@ -99,3 +99,14 @@
     assert_eq!(budget.wait_for_caller(third), [second]);
     assert_eq!(budget.total_bytes(), 35);
 }
+
+/// A long body of a sound server outlasts many short ones of faulty servers.
+#[test]
+fn sound_body_gives_way_to_short_ones() {
+    let mut budget = BufferBudget::new(LIMITS);
+    let sound = open(&mut budget, "sound", 30);
+    let flood: Vec<BufferId> = (0..6).map(|it| open(&mut budget, ["a", "b"][it % 2], 11)).collect();
+    let next = budget.open(BufferSender::Backend(BackendId::from("c")));
+    assert_eq!(budget.grow(next, 5), [flood[5]]);
+    assert!(budget.is_open(sound));
+}
