--- a/src/entry/crash_watch.rs
+++ b/src/entry/crash_watch.rs
@@ -23,6 +23,8 @@
     routing::BackendState,
 };
 
+/// Number of parts of a prompt that a log line names; a prompt may have thousands.
+const MAX_LOGGED_PARTS: usize = 16;
 /// Time after the first event within which a crash counts against the parts of the request, and after
 /// which an event clears them. Engines crash when they begin to write.
 const START_WINDOW: Duration = Duration::from_millis(300);
@@ -100,11 +102,15 @@
             engine: self.backend.clone(),
             sent_ago_ms: u32::try_from(self.sent.elapsed().as_millis()).unwrap_or(u32::MAX),
         };
+        let first_parts: Vec<String> =
+            parts.iter().take(MAX_LOGGED_PARTS).map(|it| format!("{it:016x}")).collect();
         log::info!(
-            "crashes: an engine crashed when it began to respond request={} backend={} parts={}",
+            "crashes: an engine crashed when it began to respond request={} backend={} n_parts={} \
+             first_parts={}",
             self.exchange.request.id,
             self.backend,
-            parts.iter().map(|it| format!("{it:016x}")).collect::<Vec<String>>().join(","),
+            parts.len(),
+            first_parts.join(","),
         );
         crash_reports::report_crash(&self.exchange.host, crash);
     }
