Replace a watch of the store that stays silent while the store goes on

Cause: the store accepts a watch of the servers, sent right after it has cut all watches (`platform_compact`), and answers it only when its wait of 15 s ends, with all changes since. So it was sent, on a connection that lives; the store's page says no more than that a watch may be cut off. Why the store stays silent isn't known. A connection that goes silent without a reset looks the same. The probe asked for another kind by a call of its own and saw nothing of it.

Change: `WatchPoints` knows how far each watch at the store has come and the newest revision that any answer told. The probe asks, instead of its list and at the same price (`allow-stale=1`), for the changes since the point of a watch that is behind: `servers` and `config` at once, the other kinds in turn. A watch that had been sent before and doesn't bring those changes within 0.25 s is given up, with its connection, and its kind is listed again, so the age of what it missed counts. It holds for all kinds; followers heal with their relay.

--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -36,6 +36,8 @@
 /// Time over which changes of the charter are batched, as its transfer may occupy the link of a
 /// small host for a tenth of a second.
 const CHARTER_BATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// The kinds whose changes must be in force soonest.
+const URGENT_KINDS: [&str; 2] = [wire_server::SERVER_KIND, wire_config::CONFIG_KIND];
 /// Mean interval between two probes of the store.
 const STORE_PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -66,7 +68,8 @@
         runtime::spawn_local(watch.run(move |update| apply_entry_hosts(&host, update)))
     };
     let sources = host.sources.clone();
-    let probe = StoreProbe::new(sources, wire_server::VERSION_KIND, STORE_PROBE_INTERVAL, retry);
+    let listed = wire_server::VERSION_KIND;
+    let probe = StoreProbe::new(sources, listed, &URGENT_KINDS, STORE_PROBE_INTERVAL, retry);
     let probe = runtime::spawn_local(probe.run());
     let turns = runtime::spawn_local(record_turns(host.clone()));
     vec![charter, servers, versions, entries, probe, turns]
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -160,6 +160,7 @@
             restored_until: progress.restored_until,
             max_age: progress.last_up_to_date.map(|it| clock::elapsed(it) + progress.max_lag),
         });
+        self.sources.record_watch(source, self.kind, at);
         *progress = Progress {
             at,
             last_up_to_date: Some(clock::now() - self.max_delay(sent)),
@@ -180,6 +181,7 @@
     ) -> Result<(), StoreError> {
         let client = self.sources.client(source);
         let sent = clock::now();
+        self.sources.record_wait(source, self.kind);
         let watch =
             async { Some(client.watch(self.kind, progress.at, source.watch_timeout()).await) };
         let restart = async {
@@ -190,7 +192,11 @@
             self.sources.wait_for_generation_after(progress.at.generation).await;
             Some(Err(StoreError::HistoryLost))
         };
-        let Some(res) = watch.or(restart).or(is_outdated).await else {
+        let is_silent = async {
+            self.sources.wait_until_silent(self.kind).await;
+            Some(Err(StoreError::WatchSilent))
+        };
+        let Some(res) = watch.or(restart).or(is_outdated).or(is_silent).await else {
             self.mark_cache_stale();
             progress.source = None;
             return Ok(());
@@ -205,6 +211,7 @@
         changes.max_age += self.max_delay(progress.last_up_to_date.unwrap_or(sent));
         self.update_cache(|it| it.apply(self.kind, &changes));
         progress.at = changes.at;
+        self.sources.record_watch(source, self.kind, changes.at);
         progress.last_up_to_date = Some(clock::now() - self.max_delay(sent));
         progress.max_lag = source.max_lag();
         progress.source = Some(source);
@@ -232,6 +239,17 @@
             progress.needs_list = true;
             return;
         }
+        self.sources.remove_watch(self.kind);
+        if matches!(err, StoreError::WatchSilent) {
+            log::warn!(
+                "store: a watch is silent, listing again kind={} at={} waited_ms={}",
+                self.kind,
+                progress.at,
+                progress.last_up_to_date.map_or(0, |it| clock::elapsed(it).as_millis())
+            );
+            progress.needs_list = true;
+            return;
+        }
         if matches!(err, StoreError::Behind) {
             log::info!(
                 "store: the source is behind kind={} at={} source={source:?}",
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod store_sources;
 mod version_table;
 mod version_updates;
+mod watch_points;
 
 pub use crate::fleet::{
     admission_message::{AdmissionMessage, RefusalReason, ServiceOutcome},
--- a/src/fleet/store_sources.rs
+++ b/src/fleet/store_sources.rs
@@ -4,8 +4,8 @@
 //! outage it refuses some processes while it serves others.
 
 use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
+    cell::{Cell, RefCell, RefMut},
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -14,8 +14,9 @@
 use event_listener::Event;
 
 use crate::{
+    fleet::watch_points::WatchPoints,
     ids::StoreGeneration,
-    platform::{store::Store, StoreContact},
+    platform::{store::Store, StoreContact, StorePoint},
 };
 
 /// Time for which an entry host that failed is not used.
@@ -60,6 +61,11 @@
     /// The newest generation of the store that any source told.
     generation: Cell<StoreGeneration>,
     generation_changed: Event,
+    /// The watches at the store itself.
+    watch_points: RefCell<WatchPoints>,
+    /// The kinds whose watches at the store have been found silent.
+    silent: RefCell<BTreeSet<&'static str>>,
+    silent_found: Event,
 }
 
 impl StoreSources {
@@ -73,6 +79,9 @@
             unavailable_since: RefCell::default(),
             generation: Cell::new(0),
             generation_changed: Event::new(),
+            watch_points: RefCell::default(),
+            silent: RefCell::default(),
+            silent_found: Event::new(),
         };
         StoreSources { shared: Rc::new(shared) }
     }
@@ -166,6 +175,50 @@
         }
     }
 
+    /// Records that the watch of a kind at a source has brought everything up to `at`.
+    pub(crate) fn record_watch(&self, source: StoreSource, kind: &'static str, at: StorePoint) {
+        let mut points = self.shared.watch_points.borrow_mut();
+        match source {
+            StoreSource::Store => points.record_watch(kind, at, Instant::now()),
+            StoreSource::Relay(_) => points.remove_watch(kind),
+        }
+    }
+
+    /// Records that the watch of a kind has been sent to a source.
+    pub(crate) fn record_wait(&self, source: StoreSource, kind: &'static str) {
+        if source == StoreSource::Store {
+            self.shared.watch_points.borrow_mut().record_wait(kind, Instant::now());
+        }
+    }
+
+    /// Records that a kind isn't watched at the store now.
+    pub(crate) fn remove_watch(&self, kind: &'static str) {
+        self.shared.watch_points.borrow_mut().remove_watch(kind);
+    }
+
+    /// Returns the points that the watches at the store have reached.
+    pub(crate) fn watch_points(&self) -> RefMut<'_, WatchPoints> {
+        self.shared.watch_points.borrow_mut()
+    }
+
+    /// Makes the watch of a kind list again, if it waits now.
+    pub(crate) fn mark_silent(&self, kind: &'static str) {
+        self.shared.silent.borrow_mut().insert(kind);
+        self.shared.silent_found.notify(usize::MAX);
+    }
+
+    /// Waits until the watch of a kind is found silent; what was found before doesn't count.
+    pub(crate) async fn wait_until_silent(&self, kind: &'static str) {
+        self.shared.silent.borrow_mut().remove(kind);
+        loop {
+            let found = self.shared.silent_found.listen();
+            if self.shared.silent.borrow_mut().remove(kind) {
+                return;
+            }
+            found.await;
+        }
+    }
+
     /// Returns a client for a source.
     pub fn client(&self, source: StoreSource) -> Store {
         match source {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -59,6 +59,10 @@
         Behind {
             display("the source is behind what this process knows; use another one")
         }
+        /// A watch waits without an answer though the store has changes for it; list again.
+        WatchSilent {
+            display("a watch gets no changes although the store has some; list again")
+        }
         /// The object has another revision or already exists.
         Conflict {
             display("another process changed the object; read it again")
@@ -241,18 +245,16 @@
         }
         let call = Call::get(&target, wait + WATCH_RESPONSE_MARGIN, MAX_RESPONSE_BYTES);
         let response = self.call(&call).await?;
-        let parts = members_of(&response)?;
-        let events = json_parts::member(&parts, "events").and_then(json_parts::items);
-        let events = events.ok_or_else(|| invalid_response("no list of events"))?;
-        let events: Result<Vec<Option<Change>>, StoreError> =
-            events.into_iter().map(|it| decode_change(kind, it)).collect();
-        let max_age = json_parts::decode_member(&parts, "max-age-ms").unwrap_or(0);
-        let at = StorePoint {
-            generation: generation_of(&response, &parts),
-            revision: json_parts::decode_member(&parts, "at").unwrap_or(revision),
-        };
-        let events = events?.into_iter().flatten().collect();
-        Ok(Changes { events, at, max_age: Duration::from_millis(max_age) })
+        decode_changes(kind, revision, &response)
+    }
+
+    /// Returns the changes of a kind after `at` that the store has now; they may lack those of some
+    /// seconds. This puts little load on the store.
+    pub async fn changes_stale(&self, kind: &str, at: StorePoint) -> Result<Changes, StoreError> {
+        let revision = at.revision;
+        let target = format!("/v1/objects/{kind}?watch={revision}&wait-ms=0&allow-stale=1");
+        let call = Call::get(&target, STALE_LIST_TIMEOUT, MAX_RESPONSE_BYTES);
+        decode_changes(kind, revision, &self.call(&call).await?)
     }
 
     /// Creates an object.
@@ -324,6 +326,26 @@
     })
 }
 
+/// Decodes the response to a watch from `revision`.
+fn decode_changes(
+    kind: &str,
+    revision: Revision,
+    response: &Response,
+) -> Result<Changes, StoreError> {
+    let parts = members_of(response)?;
+    let events = json_parts::member(&parts, "events").and_then(json_parts::items);
+    let events = events.ok_or_else(|| invalid_response("no list of events"))?;
+    let events: Result<Vec<Option<Change>>, StoreError> =
+        events.into_iter().map(|it| decode_change(kind, it)).collect();
+    let max_age = json_parts::decode_member(&parts, "max-age-ms").unwrap_or(0);
+    let at = StorePoint {
+        generation: generation_of(response, &parts),
+        revision: json_parts::decode_member(&parts, "at").unwrap_or(revision),
+    };
+    let events = events?.into_iter().flatten().collect();
+    Ok(Changes { events, at, max_age: Duration::from_millis(max_age) })
+}
+
 /// Returns the generation in a response: the store has it in a header field, an entry host in the
 /// body.
 fn generation_of(response: &Response, parts: &Members<'_>) -> StoreGeneration {
--- a/src/slot/lifecycle.rs
+++ b/src/slot/lifecycle.rs
@@ -55,6 +55,7 @@
     let store_probe = StoreProbe::new(
         sources,
         wire_server::VERSION_KIND,
+        &[wire_server::VERSION_KIND],
         STORE_PROBE_INTERVAL,
         store_retry.clone(),
     );
--- a/standins/src/raw_http/store_standin.rs
+++ b/standins/src/raw_http/store_standin.rs
@@ -2,6 +2,7 @@
 //! watches, and with injected faults.
 
 use std::{
+    collections::BTreeSet,
     io::{self, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex},
@@ -63,6 +64,8 @@
     store: State,
     fault: StoreFault,
     counts: CallCounts,
+    /// The kinds whose next watch gets no answer.
+    silent_kinds: BTreeSet<String>,
 }
 
 /// The numbers of calls that a store received, by kind; refused calls count too.
@@ -70,7 +73,7 @@
 pub struct CallCounts {
     /// Lists, one for each page.
     pub lists: u64,
-    /// Lists that accept stale data.
+    /// Lists and watches that accept stale data.
     pub stale_lists: u64,
     /// Watches.
     pub watches: u64,
@@ -162,6 +165,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Never answers one watch of a kind, the next one if none waits, and keeps its connection open.
+    pub fn silence_watch(&self, kind: &str) {
+        self.shared.state.lock().unwrap().silent_kinds.insert(kind.to_owned());
+        self.shared.changed.notify_all();
+    }
+
     /// Drops the history of changes, so that watches from earlier revisions fail.
     pub fn compact(&self) {
         self.shared.state.lock().unwrap().store.compact();
@@ -300,6 +309,11 @@
             if !state.store.has_history_since(since) {
                 return Some((410, Value::Null));
             }
+            if !wait.is_zero() && state.silent_kinds.remove(kind) {
+                drop(state);
+                thread::sleep(Duration::from_secs(60));
+                return None;
+            }
             let events = state.store.events(kind, since);
             let remaining = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || remaining.is_zero() {
@@ -314,8 +328,8 @@
     fn count(&mut self, request: &RawRequest) {
         let is_get = request.method == "GET";
         let count = match request.target.as_str() {
-            it if is_get && it.contains("watch=") => &mut self.watches,
             it if is_get && it.contains("allow-stale") => &mut self.stale_lists,
+            it if is_get && it.contains("watch=") => &mut self.watches,
             _ if is_get => &mut self.lists,
             _ => &mut self.writes,
         };
--- a/tests/store_outages.rs
+++ b/tests/store_outages.rs
@@ -124,6 +124,51 @@
     }
 }
 
+/// In scale-2 (SENARC) the store didn't answer a watch that was sent right after it had dropped its
+/// history, and an engine that had left got requests for 15 s. A connection may go silent as well.
+#[test]
+fn silent_watch_is_replaced() {
+    for is_sent_after_loss in [true, false] {
+        let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+        let deployment = Deployment::start("ledger", &[&ledger]);
+        let silence = |kind: &str| {
+            if is_sent_after_loss {
+                deployment.store.compact();
+            }
+            deployment.store.silence_watch(kind);
+            // Time for the watch to be sent again, if it is, and not to be answered.
+            thread::sleep(Duration::from_millis(700));
+        };
+        silence("servers");
+        deployment.store.remove("servers", "ledger-0");
+        check_status_within(&deployment, "/stock/1", 503, DRAIN_TIME);
+        let entry = server_entry("ledger", ledger.address(), "ready");
+        deployment.store.put("servers", "ledger-0", entry);
+        check_status_within(&deployment, "/stock/1", 200, DRAIN_TIME);
+        silence("config");
+        deployment.store.put("config", "main", charter_without_keys(2));
+        check_status_within(&deployment, "/stock/1", 401, APPLY_LIMIT);
+    }
+}
+
+/// A watch whose kind doesn't change is not sent again while others change.
+#[test]
+fn quiet_watches_go_on() {
+    let ledger = ScriptedServer::start(complete_response("x")).unwrap();
+    let deployment = Deployment::start("ledger", &[&ledger]);
+    thread::sleep(Duration::from_millis(700));
+    let before = deployment.store.counts();
+    for round in 0..4 {
+        deployment.store.put("config", "main", charter(2 + round));
+        thread::sleep(Duration::from_millis(1000));
+    }
+    let after = deployment.store.counts();
+    assert_eq!(after.lists, before.lists);
+    assert!(after.watches - before.watches <= 5, "{before:?} {after:?}");
+    let n_stale = after.stale_lists - before.stale_lists;
+    assert!(n_stale <= 8, "more probes than one each 0.54 s: {n_stale}");
+}
+
 #[test]
 fn lost_history_is_listed_again() {
     let ledger = ScriptedServer::start(complete_response("x")).unwrap();
