--- a/src/fleet/backend_table.rs
+++ b/src/fleet/backend_table.rs
@@ -2,7 +2,8 @@
 //!
 //! During an outage the store may lose the leases of servers that still run. The table keeps such
 //! entries until a short time after its return, so that an outage does not remove the capacity of a
-//! pool; a store that was not away loses no leases. When the store comes back from an older copy, entries in it don't take back that a server leaves or has left.
+//! pool; a store that was not away loses no leases. When the store comes back from an older copy,
+//! entries in it don't take back that a server leaves or has left.
 
 use std::{
     collections::{BTreeMap, HashMap},
