--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -8,6 +8,7 @@
 use futures_lite::FutureExt;
 
 use crate::{
+    clock,
     entry::{
         attempt_outcome::AttemptOutcome,
         buffered_relay, crash_reports,
@@ -22,10 +23,10 @@
         successor::{Successor, SuccessorSearch},
     },
     http1::ResponseHead,
-    ids::{CustomerId, ServiceId},
+    ids::ServiceId,
     memory::BufferedBody,
-    placement::{QuarantinedPart, RequestAttempt},
-    routing::Route,
+    placement::{QuarantinedPart, RegionConstraint, RequestAttempt},
+    routing::{Customer, Route},
     runtime,
     verdict::Verdict,
 };
@@ -78,7 +79,7 @@
     exchange: &Exchange,
     route: &Route,
     service: &ServiceId,
-    customer: &Option<CustomerId>,
+    customer: Option<&Customer>,
 ) -> ConnectionReuse {
     let sender = RequestSender { exchange, route, customer };
     let mut attempts = Attempts::new(sender, service);
@@ -97,17 +98,27 @@
 
 impl<'a> Attempts<'a> {
     fn new(sender: RequestSender<'a>, service: &ServiceId) -> Attempts<'a> {
-        let exchange = sender.exchange;
+        let RequestSender { exchange, route, customer } = sender;
+        let request = &exchange.request;
+        let age = clock::elapsed(exchange.received);
+        let now = Instant::now();
         let attempt = RequestAttempt {
             request: exchange.fingerprint.get(),
             number: exchange.host.admission.take_number(),
         };
         let requirements = BackendRequirements {
             service: service.clone(),
-            model: exchange.request.model.clone(),
+            model: request.model.clone(),
             attempt: Some(attempt),
-            prompt_tokens: exchange.request.sizes.prompt_tokens,
-            prompt_parts: exchange.request.prompt_parts.clone(),
+            prompt_tokens: request.sizes.prompt_tokens,
+            output_tokens: request.sizes.output_tokens(),
+            priority: customer.and_then(|it| it.priority).unwrap_or(route.priority),
+            objective_at: now + route.latency_objective.saturating_sub(age),
+            deadline_at: now + exchange.time_left(route),
+            regions: customer
+                .map_or(&RegionConstraint::Any, |it| &it.regions)
+                .intersection(&route.regions),
+            prompt_parts: request.prompt_parts.clone(),
             is_resumed: false,
             excluded: crash_reports::crashed_backends(&exchange.host, exchange.fingerprint.get()),
         };
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -96,9 +96,9 @@
 
     /// Sets the digest of customer, target and body, which is the same if the caller repeats the
     /// request.
-    pub(crate) fn set_fingerprint(&self, customer: &Option<CustomerId>) {
+    pub(crate) fn set_fingerprint(&self, customer: Option<&CustomerId>) {
         let mut hasher = blake3::Hasher::new();
-        hasher.update(customer.as_deref().unwrap_or("").as_bytes());
+        hasher.update(customer.map_or("", |it| it.as_str()).as_bytes());
         hasher.update(&[0]);
         hasher.update(self.head.target.as_bytes());
         hasher.update(&[0]);
--- a/src/entry/request_routing.rs
+++ b/src/entry/request_routing.rs
@@ -10,9 +10,9 @@
         error_response::ErrorResponse,
         exchange::{ConnectionReuse, Exchange},
     },
-    ids::{CustomerId, ServiceId},
+    ids::ServiceId,
     placement::can_finish_before_exit,
-    routing::{Route, RoutingCharter},
+    routing::{Customer, Route, RoutingCharter},
     runtime,
 };
 
@@ -26,7 +26,7 @@
     route: &'a Route,
     service: &'a ServiceId,
     /// `None` on a public route, or if the charter names no customers.
-    customer: Option<CustomerId>,
+    customer: Option<&'a Customer>,
 }
 
 /// Authorizes the request, sends it to backend servers and responds to the caller, all within the
@@ -42,7 +42,7 @@
         Ok(destination) => destination,
         Err(response) => return exchange.send_error(response).await,
     };
-    exchange.set_fingerprint(&destination.customer);
+    exchange.set_fingerprint(destination.customer.map(|it| &it.id));
     match crash_tries::decide(&exchange.host, exchange.fingerprint.get()).await {
         CrashDecision::Allow => {}
         CrashDecision::Try(crash_try) => exchange.begin_try(crash_try),
@@ -81,16 +81,16 @@
     Ok(Destination { route, service, customer })
 }
 
-fn customer_of(
+fn customer_of<'a>(
     exchange: &Exchange,
-    charter: &RoutingCharter,
+    charter: &'a RoutingCharter,
     route: &Route,
-) -> Result<Option<CustomerId>, ErrorResponse> {
+) -> Result<Option<&'a Customer>, ErrorResponse> {
     let Some(customers) = charter.customers.as_ref().filter(|_| !route.is_public) else {
         return Ok(None);
     };
     match exchange.request.key.as_ref().and_then(|it| customers.get(it)) {
-        Some(customer) => Ok(Some(customer.clone())),
+        Some(customer) => Ok(Some(customer)),
         None => {
             let message = "unknown API key; send the key of a customer";
             Err(ErrorResponse::not_run(401, message))
@@ -101,7 +101,7 @@
 async fn run_attempts(exchange: &Exchange, destination: &Destination<'_>) -> ConnectionReuse {
     let Destination { route, service, customer } = destination;
     let timeout = exchange.time_left(route) + TIMEOUT_MARGIN;
-    match runtime::timeout(timeout, attempts::run(exchange, route, service, customer)).await {
+    match runtime::timeout(timeout, attempts::run(exchange, route, service, *customer)).await {
         Ok(reuse) => reuse,
         Err(_) => {
             exchange
--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -8,11 +8,10 @@
         engine_stream::EngineStream, exchange::Exchange, reservation::Reservation, server_notices,
     },
     http1::ResponseHead,
-    ids::CustomerId,
     memory::BufferedBody,
     platform::wire_headers,
     relay::{Attempt, BackendResponse, EngineCall, Events},
-    routing::Route,
+    routing::{Customer, Route},
     verdict::Verdict,
 };
 
@@ -21,7 +20,7 @@
 pub(crate) struct RequestSender<'a> {
     pub(crate) exchange: &'a Exchange,
     pub(crate) route: &'a Route,
-    pub(crate) customer: &'a Option<CustomerId>,
+    pub(crate) customer: Option<&'a Customer>,
 }
 
 /// A response that the caller can be given.
@@ -41,7 +40,7 @@
         let exchange = self.exchange;
         let call = EngineCall {
             backend: reservation.backend.clone(),
-            customer: self.customer.clone(),
+            customer: self.customer.map(|it| it.id.clone()),
             expected_version: reservation.expected_version,
             time_left: exchange.time_left(self.route),
             last_event: exchange.last_event_id.borrow().clone(),
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -21,7 +21,7 @@
     ids::{BackendId, ServiceId, WeightsVersion},
     placement::{
         choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, QuarantinedPart,
-        RequestAttempt, ReservationNumber,
+        RegionConstraint, RequestAttempt, ReservationNumber,
     },
     routing::{BackendServer, BackendState},
     runtime,
@@ -49,6 +49,16 @@
     pub(crate) attempt: Option<RequestAttempt>,
     /// The number of tokens of the prompt.
     pub(crate) prompt_tokens: u32,
+    /// The number of output tokens that the caller expects, or else its maximum.
+    pub(crate) output_tokens: u32,
+    /// Priority; 0 is the most urgent.
+    pub(crate) priority: u32,
+    /// Time at which the latency objective of the request will have passed.
+    pub(crate) objective_at: Instant,
+    /// Time at which the deadline of the request will have passed.
+    pub(crate) deadline_at: Instant,
+    /// Regions in which it may be served.
+    pub(crate) regions: RegionConstraint,
     /// Parts of the prompt that other requests may share.
     pub(crate) prompt_parts: Vec<PartDigest>,
     /// Whether the caller already has the start of the response.
@@ -335,12 +345,18 @@
         excluded.extend(unavailable.map(|it| it.id.clone()));
         let in_turn_parts =
             host.crashing_parts.borrow().parts_to_start_in_turn(&self.prompt_parts, Instant::now());
+        let now = Instant::now();
         let wait = if in_turn_parts.is_empty() { wait } else { wait.max(MIN_TURN_WAIT) };
         Demand {
             service: self.service.clone(),
             model: self.model.clone(),
             attempt: self.attempt,
             prompt_tokens: self.prompt_tokens,
+            output_tokens: self.output_tokens,
+            priority: self.priority,
+            time_to_objective: self.objective_at.saturating_duration_since(now),
+            time_to_deadline: self.deadline_at.saturating_duration_since(now),
+            regions: self.regions.clone(),
             is_resumed: self.is_resumed,
             excluded,
             prompt_parts: self.prompt_parts.iter().take(MAX_DEMAND_PARTS).copied().collect(),
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -6,11 +6,11 @@
 
 use crate::{
     ids::{BackendId, ServiceId},
-    placement::{PartDigest, RequestAttempt},
+    placement::{PartDigest, RegionConstraint, RequestAttempt},
 };
 
 /// The needs of one request that is to run at an engine of a pool.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     /// Pool that the request is for.
     pub service: ServiceId,
@@ -21,6 +21,16 @@
     pub attempt: Option<RequestAttempt>,
     /// The number of tokens of the prompt.
     pub prompt_tokens: u32,
+    /// The number of output tokens that its caller expects, or else its maximum; 0 if unknown.
+    pub output_tokens: u32,
+    /// Priority; 0 is the most urgent.
+    pub priority: u32,
+    /// Time left until its latency objective has passed.
+    pub time_to_objective: Duration,
+    /// Time left until its deadline.
+    pub time_to_deadline: Duration,
+    /// Regions in which it may be served.
+    pub regions: RegionConstraint,
     /// Whether the caller already has the start of the response.
     pub is_resumed: bool,
     /// Engines that must not be chosen.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -20,6 +20,7 @@
 mod plain_choice;
 mod quarantined_part;
 mod refused_requests;
+mod region_constraint;
 mod request_attempt;
 mod request_counts;
 mod request_suspicion;
@@ -46,6 +47,7 @@
     paused_servers::{PausedServers, TRIAL_INTERVAL},
     plain_choice::{choose_plain_backend, PlainCandidate},
     quarantined_part::QuarantinedPart,
+    region_constraint::RegionConstraint,
     request_attempt::RequestAttempt,
     request_counts::RequestCounts,
     reservation_id::{ReservationId, ReservationNumber},
--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -11,10 +11,11 @@
 
 use crate::{
     ids::ServiceId,
+    placement::RegionConstraint,
     platform::{store::StoredObject, wire_server::MAX_COUNT},
     routing::{
-        CallerLimits, EngineSpec, ModelSpec, Origin, Route, RouteKind, RouteTarget, RoutingCharter,
-        Service,
+        CallerLimits, ColdStart, Customer, EngineSpec, ModelSpec, Origin, Route, RouteKind,
+        RouteTarget, RoutingCharter, Service,
     },
 };
 
@@ -23,7 +24,7 @@
 /// The number of bytes in a megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// Longest time that is used; points in time after longer ones might not be representable.
-const MAX_TIME: Duration = Duration::from_secs(7 * 24 * 60 * 60);
+pub(crate) const MAX_TIME: Duration = Duration::from_secs(7 * 24 * 60 * 60);
 /// The name of the configuration object.
 const CONFIG_NAME: &str = "main";
 
@@ -69,6 +70,9 @@
     public: bool,
     #[serde(default)]
     resumable: bool,
+    /// Empty if all regions are allowed.
+    #[serde(default)]
+    allowed_regions: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -77,6 +81,7 @@
     weight: u32,
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct WireService {
     name: String,
@@ -86,6 +91,13 @@
     /// The bandwidth of the origin's link in Mbit/s.
     #[serde(default, rename = "link-mbps")]
     link_mbps: f64,
+    /// The time for which a server is cold after its start.
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    #[serde(default, rename = "cold-start-s")]
+    cold_start_s: Duration,
+    /// The requests per second that a cold server bears; 0 if a start makes no difference.
+    #[serde(default, rename = "cold-per-s")]
+    cold_per_s: f64,
 }
 
 /// The names of these fields on the wire have underscores or hyphens as separators, so that no
@@ -99,6 +111,19 @@
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(default)]
     step_ms: Duration,
+    /// The time in milliseconds by which each request that is being written makes a step longer.
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde(default)]
+    per_seq_ms: Duration,
+    /// The time in milliseconds by which each 1,000 tokens of context make a step longer.
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde(default)]
+    context_per_k: Duration,
+    /// The number of steps between two events of a stream.
+    #[serde(default)]
+    stride: u32,
+    #[serde(default)]
+    usual: WireUsual,
     /// The number of prompt tokens that the engine reads per second.
     #[serde(default)]
     read_per_s: f64,
@@ -110,6 +135,14 @@
     chunk_bytes: u32,
 }
 
+/// The mean numbers of tokens of a request.
+#[derive(Default, Deserialize)]
+struct WireUsual {
+    /// The number of output tokens.
+    #[serde(default)]
+    answer: u32,
+}
+
 #[serde_as]
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -140,6 +173,11 @@
     name: String,
     #[serde(default)]
     api_keys: Vec<String>,
+    /// Goes before the priority of a route; 0 is the most urgent.
+    priority: Option<u32>,
+    /// Empty if all regions are allowed.
+    #[serde(default)]
+    allowed_regions: Vec<String>,
 }
 
 fn default_max_attempts() -> u32 {
@@ -157,12 +195,9 @@
         }
         let services: BTreeMap<ServiceId, Service> =
             self.services.into_iter().map(WireService::into_service).collect();
-        let customers = self.tenants.map(|tenants| {
-            let keys_of = |tenant: WireTenant| {
-                tenant.api_keys.into_iter().map(move |key| (key, tenant.name.clone()))
-            };
-            tenants.into_iter().flat_map(keys_of).collect()
-        });
+        let customers = self
+            .tenants
+            .map(|tenants| tenants.into_iter().flat_map(WireTenant::into_customers).collect());
         let limits = CallerLimits {
             max_head_bytes: self.limits.max_header_bytes,
             max_body_bytes: self.limits.max_body_bytes,
@@ -173,6 +208,18 @@
     }
 }
 
+impl WireTenant {
+    /// Returns the customer for each of its keys.
+    fn into_customers(self) -> impl Iterator<Item = (String, Customer)> {
+        let customer = Customer {
+            id: self.name,
+            priority: self.priority,
+            regions: RegionConstraint::from_list(self.allowed_regions),
+        };
+        self.api_keys.into_iter().map(move |key| (key, customer.clone()))
+    }
+}
+
 impl WireRoute {
     fn into_route(self) -> Route {
         let kind = match self.route_type.as_str() {
@@ -198,6 +245,7 @@
             targets,
             max_attempts: self.max_attempts,
             is_public: self.public,
+            regions: RegionConstraint::from_list(self.allowed_regions),
         }
     }
 }
@@ -215,12 +263,20 @@
             n_pieces: it.chunks.min(MAX_COUNT),
             piece_bytes: it.chunk_bytes,
             step: it.step_ms.min(MAX_TIME),
+            step_per_request: it.per_seq_ms.min(MAX_TIME),
+            step_per_1000_tokens: it.context_per_k.min(MAX_TIME),
+            steps_per_event: it.stride.min(MAX_COUNT),
+            usual_output_tokens: it.usual.answer,
             read_tokens_per_s: it.read_per_s,
         });
         let origin = self.origin.map(|address| {
             let bytes_per_s = self.link_mbps * BYTES_PER_MBIT;
             Origin { address, bytes_per_s }
         });
-        (self.name, Service { engine, origin })
+        let cold_start = (self.cold_per_s > 0.0).then(|| ColdStart {
+            duration: self.cold_start_s.min(MAX_TIME),
+            max_requests_per_s: self.cold_per_s,
+        });
+        (self.name, Service { engine, origin, cold_start })
     }
 }
--- a/src/platform/wire_server.rs
+++ b/src/platform/wire_server.rs
@@ -1,12 +1,13 @@
 //! Decodes the store's objects of backend servers and of published versions.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::Deserialize;
 use serde_json::Value;
+use serde_with::{serde_as, DurationMilliSeconds};
 
 use crate::{
-    platform::store::StoredObject,
+    platform::{store::StoredObject, wire_config::MAX_TIME},
     routing::{BackendServer, BackendState, LoadedLayers, TargetVersion},
 };
 
@@ -17,6 +18,7 @@
 /// Greatest number of slots, and of pieces of weights, that is used; sums of more might overflow.
 pub(crate) const MAX_COUNT: u32 = 1 << 16;
 
+#[serde_as]
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireServer {
@@ -31,6 +33,10 @@
     /// The time at which the engine started, in milliseconds since the Unix epoch.
     #[serde(default)]
     born: u64,
+    /// How much longer it stays cold, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde(default, rename = "cold-left-ms")]
+    cold_left: Duration,
 }
 
 /// The weights of an engine, in the store's object and in the engine's report.
@@ -77,6 +83,7 @@
         weights: entry.weights.decode(),
         is_switching: false,
         started_ms: entry.born,
+        cold_left: entry.cold_left.min(MAX_TIME),
     })
 }
 
--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -35,3 +35,13 @@
     /// Number of tokens of the output that the caller expects.
     pub estimated_output_tokens: u32,
 }
+
+impl PromptSizes {
+    /// Returns the number of output tokens that the caller expects, or else the maximum.
+    pub fn output_tokens(&self) -> u32 {
+        match self.estimated_output_tokens {
+            0 => self.max_output_tokens,
+            n => n,
+        }
+    }
+}
--- a/src/routing/backend_server.rs
+++ b/src/routing/backend_server.rs
@@ -1,6 +1,6 @@
 //! The last known state of a backend server.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::ids::{BackendId, ServiceId, WeightsVersion, ZoneId};
 
@@ -25,6 +25,8 @@
     pub is_switching: bool,
     /// Start time of the process in milliseconds since the Unix epoch; 0 if it reports none.
     pub started_ms: u64,
+    /// Time for which it stays cold, counted from the update of its entry that says so.
+    pub cold_left: Duration,
 }
 
 /// Whether a backend server accepts new requests.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,6 +2,8 @@
 //! versions.
 
 mod backend_server;
+mod cold_start;
+mod customer;
 mod route;
 mod routing_charter;
 mod service;
@@ -9,6 +11,8 @@
 
 pub use crate::routing::{
     backend_server::{BackendServer, BackendState, LoadedLayers},
+    cold_start::ColdStart,
+    customer::Customer,
     route::{Route, RouteKind, RouteTarget},
     routing_charter::{CallerLimits, RoutingCharter},
     service::{EngineSpec, ModelSpec, Origin, Service},
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::ids::ServiceId;
+use crate::{ids::ServiceId, placement::RegionConstraint};
 
 /// A route of the charter, which matches requests by host name and path prefix.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +25,8 @@
     pub max_attempts: u32,
     /// Whether callers need no customer key.
     pub is_public: bool,
+    /// Regions in which its requests may be served.
+    pub regions: RegionConstraint,
 }
 
 /// The kind of a route, which says whether its requests may be retried.
--- a/src/routing/routing_charter.rs
+++ b/src/routing/routing_charter.rs
@@ -6,8 +6,8 @@
 };
 
 use crate::{
-    ids::{CustomerId, DocumentNumber, ServiceId},
-    routing::{EngineSpec, Origin, Route, Service},
+    ids::{DocumentNumber, ServiceId},
+    routing::{Customer, EngineSpec, Origin, Route, Service},
 };
 
 /// A charter in the form that routing uses; a charter replaces those with smaller numbers.
@@ -20,7 +20,7 @@
     /// Pools, plain services and origins.
     pub services: BTreeMap<ServiceId, Service>,
     /// Customers by key; `None` if callers need no key.
-    pub customers: Option<HashMap<String, CustomerId>>,
+    pub customers: Option<HashMap<String, Customer>>,
     /// Limits for callers.
     pub limits: CallerLimits,
 }
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use crate::routing::ColdStart;
+
 /// A pool of model engines, a plain service without models, or the origin, from which new weights
 /// are fetched.
 #[derive(Clone, Debug, PartialEq)]
@@ -10,6 +12,8 @@
     pub engine: Option<EngineSpec>,
     /// Parameters of the origin; `None` for any other service.
     pub origin: Option<Origin>,
+    /// What its servers bear after a start; `None` if a start makes no difference.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// The server from which new weights are fetched.
@@ -36,6 +40,14 @@
     pub piece_bytes: u32,
     /// Duration of one step of token generation.
     pub step: Duration,
+    /// Time by which each request that is being written makes a step longer.
+    pub step_per_request: Duration,
+    /// Time by which each 1,000 tokens of context of such requests make a step longer.
+    pub step_per_1000_tokens: Duration,
+    /// The number of steps between two events of a stream.
+    pub steps_per_event: u32,
+    /// Usual number of output tokens; 0 if unknown.
+    pub usual_output_tokens: u32,
     /// The number of prompt tokens that an engine reads per second.
     pub read_tokens_per_s: f64,
 }
--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -1,11 +1,14 @@
 //! Settings of a process that is deployed on the platform.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
 
-use crate::settings::{
-    ini_reader::{IniReader, SettingsError},
-    settings::{read_host, read_log},
-    HostSettings, LogSettings, RoleSettings,
+use crate::{
+    ids::{RegionId, ZoneId},
+    settings::{
+        ini_reader::{IniReader, SettingsError},
+        settings::{read_host, read_log},
+        HostSettings, LogSettings, RoleSettings,
+    },
 };
 
 /// The number of bytes in a megabit.
@@ -24,6 +27,8 @@
     pub store: SocketAddr,
     /// `[listen] peers`: address for messages and pieces between processes of the system.
     pub peers: SocketAddr,
+    /// `[zones]`: the region of each availability zone, by which backend servers are located.
+    pub zones: BTreeMap<ZoneId, RegionId>,
     /// `[host] processor_share`: processor time that the process gets, in cores.
     pub processor_share: f64,
     /// `[host] memory_mb`: memory that the process may use, converted to bytes.
@@ -83,6 +88,14 @@
     pub retry_slack: u64,
     /// `retry_window_s`: length of the window in which attempts are counted.
     pub retry_window: Duration,
+    /// `evacuation_ms`: time from the evacuation of an availability zone until no request is sent to its
+    /// backend servers; `None` if the platform evacuates no zones.
+    pub evacuation: Option<Duration>,
+    /// `cold_over`: factor on the request rate that a cold backend server bears, up to which it doesn't
+    /// crash.
+    pub cold_over: f64,
+    /// `cold_slack`: requests in one second that it bears beyond that.
+    pub cold_slack: u64,
 }
 
 impl DeployedSettings {
@@ -108,16 +121,20 @@
     let memory_mb = reader.positive_number("host", "memory_mb", DEFAULT_MEMORY_MB);
     let store = reader.address("store", "address");
     let peers = reader.address("listen", "peers");
+    let mut zones = reader.names_by_key("zones");
     let role = match host.as_ref()?.role {
         RoleSettings::Entry => read_entry(reader).map(DeployedRole::Entry),
         RoleSettings::Backend => read_engine(reader).map(DeployedRole::Backend),
     };
     let bounds = read_bounds(reader);
     let log = read_log(reader);
+    let host = host?;
+    zones.entry(host.zone.clone()).or_insert_with(|| host.region.clone());
     Some(DeployedSettings {
-        host: host?,
+        host,
         store: store?,
         peers: peers?,
+        zones,
         processor_share: processor_share?,
         memory_bytes: (memory_mb? * BYTES_PER_MB) as usize,
         role: role?,
@@ -154,11 +171,20 @@
     let retry_ratio = reader.fraction(SECTION, "retry_ratio", 0.2);
     let retry_slack = reader.number(SECTION, "retry_slack", 0..=1_000_000, 100);
     let retry_window = reader.number(SECTION, "retry_window_s", 1..=3_600, 10);
+    let evacuation = match reader.has_key(SECTION, "evacuation_ms") {
+        true => Some(reader.milliseconds(SECTION, "evacuation_ms", 100..=3_600_000, 5_000)?),
+        false => None,
+    };
+    let cold_over = reader.positive_number(SECTION, "cold_over", 1.0);
+    let cold_slack = reader.number(SECTION, "cold_slack", 0..=1_000_000, 0);
     Some(BoundSettings {
         grace: Duration::from_secs(grace?),
         version: version?,
         retry_ratio: retry_ratio?,
         retry_slack: retry_slack?,
         retry_window: Duration::from_secs(retry_window?),
+        evacuation,
+        cold_over: cold_over?,
+        cold_slack: cold_slack?,
     })
 }
--- a/src/settings/ini_reader.rs
+++ b/src/settings/ini_reader.rs
@@ -1,7 +1,7 @@
 //! Reads typed values from an INI text and collects all problems.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     fmt,
     net::SocketAddr,
     ops::RangeInclusive,
@@ -105,6 +105,19 @@
         self.lines.has_section(section)
     }
 
+    /// Records the key as allowed; returns `true` if the file has it.
+    pub(crate) fn has_key(&mut self, section: &str, key: &str) -> bool {
+        self.optional_text(section, key).is_some()
+    }
+
+    /// Reads all keys of a section that may be missing, with names as values.
+    pub(crate) fn names_by_key(&mut self, section: &'static str) -> BTreeMap<String, String> {
+        self.has_section(section);
+        let in_section = self.lines.keys().filter(|it| it.0 == section);
+        let keys: Vec<String> = in_section.map(|it| it.1.to_owned()).collect();
+        keys.into_iter().filter_map(|it| Some((it.clone(), self.name(section, &it)?))).collect()
+    }
+
     /// Records a problem for a section that the other settings don't allow.
     pub(crate) fn reject_section(&mut self, section: &str, reason: &str) {
         for (_, line) in self.lines.sections().filter(|it| it.0 == section) {
--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -34,6 +34,7 @@
         prompt_parts: Vec::new(),
         in_turn_parts: Vec::new(),
         wait: Duration::from_millis(wait_ms),
+        ..Demand::default()
     }
 }
 
--- a/tests/cell_owners.rs
+++ b/tests/cell_owners.rs
@@ -185,6 +185,7 @@
         prompt_parts: Vec::new(),
         in_turn_parts: Vec::new(),
         wait: Duration::MAX,
+        ..Demand::default()
     };
     let sound = Demand { prompt_tokens: 100, wait: Duration::ZERO, ..demand.clone() };
     let held =
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -22,6 +22,7 @@
         weights: Vec::new(),
         is_switching: false,
         started_ms: 1000,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -315,6 +315,7 @@
         prompt_parts: vec![u64::MAX; 300],
         in_turn_parts: vec![u64::MAX; 300],
         wait: Duration::MAX,
+        ..Demand::default()
     };
     let notice = EngineNotice {
         engine: ABSURD_ADDRESS,
--- a/tests/paused_pool.rs
+++ b/tests/paused_pool.rs
@@ -117,6 +117,7 @@
             prompt_parts: Vec::new(),
             in_turn_parts: Vec::new(),
             wait: Duration::ZERO,
+            ..Demand::default()
         };
         self.next_number += 1;
         let holder = SocketAddr::from(([10, 1, 0, 1], 80));
--- a/tests/returning_requests.rs
+++ b/tests/returning_requests.rs
@@ -51,6 +51,7 @@
         prompt_parts: Vec::new(),
         in_turn_parts: Vec::new(),
         wait: Duration::from_millis(wait_ms),
+        ..Demand::default()
     }
 }
 
