Split the store client; three files leave the import cycle of EntryHost

Change: decoding of lists and watches lies in store_decoding.rs. What a host knows of its registration and of newer documents are types of fleet/, which EntryHost holds; the tasks stay in entry/. Behaviour is unchanged.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -14,9 +14,8 @@
 use async_executor::Task;
 
 use crate::{
-    entry::{crash_reports, datagrams, entry_host::EntryHost, own_registration},
+    entry::{crash_reports, datagrams, entry_host::EntryHost},
     fleet::{beacon_interval, Beacon, MessageReceiver, PeerMessage},
-    platform::store::Store,
     runtime,
 };
 
@@ -25,12 +24,11 @@
 /// Maximum number of representatives of a zone.
 const MAX_REPRESENTATIVES: usize = 4;
 
-/// Registers this host in the store and starts to exchange beacons.
-pub(crate) fn start(host: &Rc<EntryHost>, store: &Store) -> Vec<Task<()>> {
-    let register = own_registration::keep(host.clone(), store.clone());
+/// Starts to exchange beacons.
+pub(crate) fn start(host: &Rc<EntryHost>) -> Vec<Task<()>> {
     let send = send_loop(host.clone());
     let receive = receive_loop(host.clone());
-    vec![runtime::spawn_local(register), runtime::spawn_local(send), runtime::spawn_local(receive)]
+    vec![runtime::spawn_local(send), runtime::spawn_local(receive)]
 }
 
 /// Sends beacons until the task is dropped.
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -21,14 +21,13 @@
         crash_reports, crash_tries, datagrams,
         departure::Departure,
         engine_owners::EngineOwners,
-        own_registration::OwnRegistration,
-        peer_catch_up::PeerCatchUp,
         server_notices::{self, ServerNotices},
     },
     fleet::{
         entry_registry, follows_store, relay_order, AdmissionMessage, BackendTable, Beacon,
-        EngineNotice, EntryState, KindCache, PeerMessage, PeerTable, PendingReport, StallDetector,
-        StoreSource, StoreSources, VersionTable,
+        DocumentCatchUp, DocumentNumbers, EngineNotice, EntryState, KindCache, PeerMessage,
+        PeerTable, PendingReport, RegistrationState, StallDetector, StoreSource, StoreSources,
+        VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     memory::Buffers,
@@ -92,9 +91,9 @@
     /// Addresses of the entry hosts that beacons are sent to, with their zones.
     pub(crate) beacon_targets: RefCell<BTreeMap<SocketAddr, ZoneId>>,
     /// Whether this host has known what the others know.
-    pub(crate) catch_up: PeerCatchUp,
+    pub(crate) catch_up: DocumentCatchUp,
     /// Whether the store has the registration of this host.
-    pub(crate) registration: OwnRegistration,
+    pub(crate) registration: RegistrationState,
     /// The store and the entry hosts through which this host can watch it.
     pub(crate) sources: StoreSources,
     /// The latest stall of this process.
@@ -133,6 +132,8 @@
         let sources = StoreSources::new(Store::new(settings.store));
         let socket = Async::<UdpSocket>::bind(settings.peers)?;
         let buffers = Buffers::new(settings.memory_bytes);
+        let own = &settings.host;
+        let registration = RegistrationState::new(own.id.clone(), settings.peers, own.zone.clone());
         Ok(Rc::new(EntryHost {
             settings,
             listen,
@@ -153,8 +154,8 @@
             buffers,
             socket,
             beacon_targets: RefCell::default(),
-            catch_up: PeerCatchUp::default(),
-            registration: OwnRegistration::default(),
+            catch_up: DocumentCatchUp::default(),
+            registration,
             sources,
             known_peers: RefCell::default(),
             stalls: Rc::new(RefCell::new(StallDetector::new(clock::now()))),
@@ -179,7 +180,7 @@
             None if self.charter.borrow().is_some()
                 && self.has_backends.get()
                 && self.has_heard_peers()
-                && self.catch_up.is_done(self) =>
+                && self.has_caught_up() =>
             {
                 EntryState::Ready
             }
@@ -193,6 +194,20 @@
         self.started.elapsed() >= FIRST_BEACON_TIMEOUT || !self.peers.borrow().is_empty()
     }
 
+    /// Returns `true` once this host has known the documents that the others know, or it has waited for
+    /// them long enough.
+    pub(crate) fn has_caught_up(&self) -> bool {
+        let is_behind =
+            || self.peers.borrow().knows_newer_than(&self.document_numbers(), Instant::now());
+        self.catch_up.is_done(self.started.elapsed(), is_behind)
+    }
+
+    /// Returns the numbers of the newest documents that this host knows.
+    pub(crate) fn document_numbers(&self) -> DocumentNumbers {
+        let charter = self.charter.borrow().as_ref().map_or(0, |it| it.number);
+        DocumentNumbers { charter, versions: self.versions.borrow().newest_total() }
+    }
+
     /// Returns the next beacon, with a new number, for hosts that get one every `interval`.
     pub(crate) fn next_beacon(&self, interval: Duration) -> Beacon {
         self.beacon_number.set(self.beacon_number.get() + 1);
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -18,7 +18,7 @@
         directory::{directory_response, readiness_response},
         entry_host::EntryHost,
         metrics_endpoint::{self, metrics_response},
-        peer_catch_up, store_relay, store_sync,
+        own_registration, peer_catch_up, store_relay, store_sync,
     },
     fleet::{ExpiredEntries, StoreSource},
     http1::{accept_all, Connection, HttpEndpoint},
@@ -67,7 +67,8 @@
         let listener = Async::new(net_listen(listen.callers)?)?;
         let mut tasks = store_sync::start(&host);
         tasks.push(store_relay::start(&host)?);
-        tasks.extend(beacon_exchange::start(&host, &store));
+        tasks.push(runtime::spawn_local(own_registration::keep(host.clone(), store)));
+        tasks.extend(beacon_exchange::start(&host));
         tasks.push(runtime::spawn_local(peer_catch_up::run(host.clone())));
         tasks.push(runtime::spawn_local(cell_owner::run(host.clone())));
         tasks.push(runtime::spawn_local(admission_client::report(host.clone())));
--- a/src/entry/peer_catch_up.rs
+++ b/src/entry/peer_catch_up.rs
@@ -4,14 +4,13 @@
 //! them again. A host that starts meanwhile learns them from the others before it is ready.
 
 use std::{
-    cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use crate::{
     entry::{entry_host::EntryHost, store_sync},
-    fleet::{DocumentNumbers, KindUpdate, StoreSource},
+    fleet::{KindUpdate, StoreSource},
     platform::{store::StoreError, wire_config, wire_server},
     runtime,
 };
@@ -22,25 +21,6 @@
 const SOURCE_DELAY: Duration = Duration::from_secs(1);
 /// Mean time between two reads from other hosts.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
-/// Time after its start from which a host is ready although others know more.
-const START_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Whether a host has known all that the others know, once since its start.
-#[derive(Debug, Default)]
-pub(crate) struct PeerCatchUp {
-    is_done: Cell<bool>,
-}
-
-impl PeerCatchUp {
-    /// Returns `true` once the host has known as much as all others, or they did not tell it in time.
-    pub(crate) fn is_done(&self, host: &EntryHost) -> bool {
-        if !self.is_done.get() {
-            let is_late = host.started.elapsed() >= START_TIMEOUT;
-            self.is_done.set(is_late || host_ahead(host, 0).is_none());
-        }
-        self.is_done.get()
-    }
-}
 
 /// Compares this host with the others and reads from one that is ahead, until the task is dropped.
 pub(crate) async fn run(host: Rc<EntryHost>) {
@@ -53,7 +33,7 @@
             continue;
         };
         let since = *ahead_since.get_or_insert_with(Instant::now);
-        if host.catch_up.is_done(&host) && since.elapsed() < SOURCE_DELAY {
+        if host.has_caught_up() && since.elapsed() < SOURCE_DELAY {
             continue;
         }
         n_reads += 1;
@@ -68,11 +48,8 @@
 fn host_ahead(host: &EntryHost, n_reads: usize) -> Option<StoreSource> {
     let own = host.document_numbers();
     let peers = host.peers.borrow();
-    let ahead: Vec<StoreSource> = peers
-        .live_beacons(Instant::now())
-        .filter(|it| it.documents.is_ahead_of(&own))
-        .map(|it| StoreSource::Relay(it.peers))
-        .collect();
+    let ahead: Vec<StoreSource> =
+        peers.ahead_of(&own, Instant::now()).map(|it| StoreSource::Relay(it.peers)).collect();
     ahead.get(n_reads % ahead.len().max(1)).copied()
 }
 
@@ -91,11 +68,3 @@
     log::info!("store: read newer documents from={source:?}");
     Ok(())
 }
-
-impl EntryHost {
-    /// Returns the numbers of the newest documents that this host knows.
-    pub(crate) fn document_numbers(&self) -> DocumentNumbers {
-        let charter = self.charter.borrow().as_ref().map_or(0, |it| it.number);
-        DocumentNumbers { charter, versions: self.versions.borrow().newest_total() }
-    }
-}
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -94,7 +94,7 @@
 fn apply_entry_hosts(host: &EntryHost, update: KindUpdate) {
     let objects: Vec<StoredObject> = match update {
         KindUpdate::Listed { objects, .. } => {
-            host.registration.apply_listing(host, &objects);
+            host.registration.apply_listing(&objects);
             objects
         }
         KindUpdate::Changed { changes, .. } => changes.into_iter().map(|it| it.object).collect(),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod admission_message;
 mod backend_table;
 mod beacon;
+mod document_catch_up;
 mod document_numbers;
 pub(crate) mod entry_registry;
 mod expired_entries;
@@ -14,6 +15,7 @@
 mod peer_table;
 mod pending_report;
 mod registration_pacing;
+mod registration_state;
 mod stall_detector;
 mod store_followers;
 mod store_probe;
@@ -46,4 +48,7 @@
     store_sources::{StoreSource, StoreSources},
     version_table::VersionTable,
 };
-pub(crate) use crate::fleet::{message_receiver::MessageReceiver, version_updates::apply_versions};
+pub(crate) use crate::fleet::{
+    document_catch_up::DocumentCatchUp, message_receiver::MessageReceiver,
+    registration_state::RegistrationState, version_updates::apply_versions,
+};
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -7,7 +7,10 @@
 };
 
 use crate::{
-    fleet::beacon::{Beacon, EntryState},
+    fleet::{
+        beacon::{Beacon, EntryState},
+        DocumentNumbers,
+    },
     ids::HostId,
 };
 
@@ -62,6 +65,20 @@
         self.peers.values().filter(move |it| it.is_live(now)).map(|it| &it.beacon)
     }
 
+    /// Returns the newest beacons of the live entry hosts that know newer documents than `own`.
+    pub(crate) fn ahead_of<'a>(
+        &'a self,
+        own: &'a DocumentNumbers,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Beacon> {
+        self.live_beacons(now).filter(move |it| it.documents.is_ahead_of(own))
+    }
+
+    /// Returns `true` if a live entry host knows newer documents than `own`.
+    pub(crate) fn knows_newer_than(&self, own: &DocumentNumbers, now: Instant) -> bool {
+        self.ahead_of(own, now).next().is_some()
+    }
+
     /// Returns `true` if no beacon has arrived yet.
     pub fn is_empty(&self) -> bool {
         self.peers.is_empty()
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod skipped_objects;
 pub mod store;
 mod store_contact;
+mod store_decoding;
 mod store_point;
 pub mod wire_config;
 pub mod wire_directory;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,9 +17,11 @@
 
 use crate::{
     http1::{Call, Client, HttpError, Response},
-    ids::{Revision, StoreGeneration},
-    json_parts,
-    platform::{skipped_objects, wire_objects, StoreContact, StorePoint},
+    ids::Revision,
+    platform::{
+        store_decoding::{decode_changes, decode_page},
+        wire_objects, StoreContact, StorePoint,
+    },
 };
 
 /// Timeout of a call that does not wait for changes.
@@ -30,8 +32,6 @@
 const WATCH_RESPONSE_MARGIN: Duration = Duration::from_millis(1500);
 /// Maximum length of a response: a page of a list and a margin.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
-/// The store's count of its returns from an older copy, in all its responses.
-const GENERATION: &str = "Store-Era";
 /// Maximum number of pages of one list; further pages are not read.
 const MAX_PAGES: usize = 64;
 /// Bytes of names, besides letters and digits, that stand for themselves in the query of a target.
@@ -140,13 +140,6 @@
     pub deleted: bool,
 }
 
-/// A page of a list.
-struct Page {
-    objects: Vec<StoredObject>,
-    more: bool,
-    at: StorePoint,
-}
-
 /// A client for the store.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -300,59 +293,6 @@
     }
 }
 
-/// The names and the texts of the members of a response's body.
-type Members<'a> = Vec<(String, &'a [u8])>;
-
-fn members_of(response: &Response) -> Result<Members<'_>, StoreError> {
-    let members = json_parts::members(&response.body);
-    members.ok_or_else(|| invalid_response("the body is cut or is not an object"))
-}
-
-fn invalid_response(reason: &str) -> StoreError {
-    StoreError::InvalidResponse(serde::de::Error::custom(reason))
-}
-
-fn decode_page(kind: &str, response: &Response) -> Result<Page, StoreError> {
-    let parts = members_of(response)?;
-    let items = json_parts::member(&parts, "items").and_then(json_parts::items);
-    let items = items.ok_or_else(|| invalid_response("no list of items"))?;
-    let revision = json_parts::decode_member(&parts, "at");
-    let revision = revision.ok_or_else(|| invalid_response("no revision"))?;
-    let more = json_parts::member(&parts, "more").map(serde_json::from_slice).transpose()?;
-    Ok(Page {
-        objects: items.iter().filter_map(|it| decode_object(kind, it)).collect(),
-        more: more.unwrap_or(false),
-        at: StorePoint { generation: generation_of(response, &parts), revision },
-    })
-}
-
-/// Decodes the response to a watch from `revision`.
-fn decode_changes(
-    kind: &str,
-    revision: Revision,
-    response: &Response,
-) -> Result<Changes, StoreError> {
-    let parts = members_of(response)?;
-    let events = json_parts::member(&parts, "events").and_then(json_parts::items);
-    let events = events.ok_or_else(|| invalid_response("no list of events"))?;
-    let events: Result<Vec<Option<Change>>, StoreError> =
-        events.into_iter().map(|it| decode_change(kind, it)).collect();
-    let max_age = json_parts::decode_member(&parts, "max-age-ms").unwrap_or(0);
-    let at = StorePoint {
-        generation: generation_of(response, &parts),
-        revision: json_parts::decode_member(&parts, "at").unwrap_or(revision),
-    };
-    let events = events?.into_iter().flatten().collect();
-    Ok(Changes { events, at, max_age: Duration::from_millis(max_age) })
-}
-
-/// Returns the generation in a response: the store has it in a header field, an entry host in the
-/// body.
-fn generation_of(response: &Response, parts: &Members<'_>) -> StoreGeneration {
-    let in_header = response.head.headers.number(GENERATION);
-    in_header.or_else(|| json_parts::decode_member(parts, "generation")).unwrap_or(0)
-}
-
 /// Encodes a name for the query of a target.
 fn encode_name(name: &str) -> String {
     let encode = |byte: u8| match byte {
@@ -362,48 +302,3 @@
     };
     name.bytes().map(encode).collect()
 }
-
-/// Decodes a change; returns `None` if the object has no name that can be decoded.
-///
-/// # Errors
-///
-/// Returns `StoreError::HistoryLost` if an unknown object may have been removed, which only a list
-/// can tell.
-fn decode_change(kind: &str, text: &[u8]) -> Result<Option<Change>, StoreError> {
-    let parts = json_parts::members(text).ok_or(StoreError::HistoryLost)?;
-    let object = json_parts::member(&parts, "object").and_then(|it| decode_object(kind, it));
-    let deleted = match json_parts::member(&parts, "deleted") {
-        Some(it) => serde_json::from_slice(it).ok(),
-        None => Some(false),
-    };
-    match (object, deleted) {
-        (Some(object), Some(deleted)) => Ok(Some(Change { object, deleted })),
-        (None, Some(false)) => Ok(None),
-        _ => Err(StoreError::HistoryLost),
-    }
-}
-
-/// Decodes an object; returns `None` if it has no name that can be decoded. If another part can't be
-/// decoded, the object has a name without content, as it still takes the place of an earlier one.
-fn decode_object(kind: &str, text: &[u8]) -> Option<StoredObject> {
-    let parts = json_parts::members(text).unwrap_or_default();
-    let metadata = json_parts::member(&parts, "metadata").and_then(json_parts::members);
-    let metadata = metadata.unwrap_or_default();
-    let Some(name) = json_parts::decode_member::<String>(&metadata, "name") else {
-        skipped_objects::log_skipped(kind, "", "no name");
-        return None;
-    };
-    let revision: Option<Revision> = json_parts::decode_member(&metadata, "revision");
-    let spec = json_parts::member(&parts, "spec").map(serde_json::from_slice::<Value>).transpose();
-    let reason = match (revision, spec) {
-        (Some(revision), Ok(spec)) => {
-            let metadata = Metadata { name, revision };
-            return Some(StoredObject { metadata, spec: spec.unwrap_or_default() });
-        }
-        (_, Err(err)) => err.to_string(),
-        (None, Ok(_)) => "no revision".to_owned(),
-    };
-    skipped_objects::log_skipped(kind, &name, &reason);
-    let metadata = Metadata { name, revision: revision.unwrap_or(0) };
-    Some(StoredObject { metadata, spec: Value::Null })
-}
