A version that a list shows after an outage is no older than the store's return

Change: the age of a change that a list shows counts at most from the store's return, unless this process may have been suspended, which looks alike.

--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -158,7 +158,7 @@
         apply(KindUpdate::Listed {
             objects: listing.objects,
             restored_until: progress.restored_until,
-            max_age: progress.last_up_to_date.map(|it| clock::elapsed(it) + progress.max_lag),
+            max_age: progress.last_up_to_date.map(|it| self.max_change_age(it, progress.max_lag)),
         });
         self.sources.record_watch(source, self.kind, at);
         *progress = Progress {
@@ -280,6 +280,17 @@
         is_earlier || listed.generation < self.sources.generation()
     }
 
+    /// Returns the greatest age of a change that a list shows, after the watch was up to date at that time
+    /// with a source that lagged by `max_lag`.
+    fn max_change_age(&self, last_up_to_date: Instant, max_lag: Duration) -> Duration {
+        let age = clock::elapsed(last_up_to_date) + max_lag;
+        match self.max_delay(last_up_to_date).is_zero() {
+            true => self.sources.contact().max_change_age(age, Instant::now()),
+            // A process that did not run can't tell this from an outage of the store.
+            false => age,
+        }
+    }
+
     /// Returns the longest time for which a message that was sent after `earliest` and is read now
     /// may have waited in this process.
     fn max_delay(&self, earliest: Instant) -> Duration {
--- a/src/platform/store_contact.rs
+++ b/src/platform/store_contact.rs
@@ -46,6 +46,14 @@
         self.returned = self.returned.max(time_of(relayed.returned));
     }
 
+    /// Returns the greatest age of a change that a process learns now, after it was up to date
+    /// `since_up_to_date` ago. While the store is away for everyone who is asked, it acknowledges nothing
+    /// that could have come into force, so the age counts from its return.
+    pub fn max_change_age(&self, since_up_to_date: Duration, now: Instant) -> Duration {
+        let since_return = self.returned.map(|it| now.saturating_duration_since(it));
+        since_return.map_or(since_up_to_date, |it| it.min(since_up_to_date))
+    }
+
     /// Returns the time at which the store came back from its latest outage.
     pub fn returned(&self) -> Option<Instant> {
         self.returned
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -114,6 +114,18 @@
     assert_eq!(follower, contact);
 }
 
+/// Guards against a change that counts as old as the outage in which nothing could change.
+#[test]
+fn change_is_no_older_than_return() {
+    let now = Instant::now();
+    let mut contact = StoreContact::default();
+    assert_eq!(contact.max_change_age(ms(9000), now), ms(9000), "no outage");
+    contact.record_answer(now);
+    contact.record_answer(now + ms(8000));
+    assert_eq!(contact.max_change_age(ms(9000), now + ms(8300)), ms(300));
+    assert_eq!(contact.max_change_age(ms(200), now + ms(8300)), ms(200), "up to date since");
+}
+
 /// Guards against an older copy of the store that takes back that a server leaves or has left.
 #[test]
 fn older_copy_takes_no_leaving_back() {
--- a/tests/late_versions.rs
+++ b/tests/late_versions.rs
@@ -13,7 +13,7 @@
     clock,
     fleet::{EngineNotice, PeerMessage, StallDetector, TURN_INTERVAL},
 };
-use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreFault, StoreStandin};
 use entry_process::{
     charter, event_chunk, read_response, request, server_entry, stream_head, CallerResponse,
     EntryProcess,
@@ -100,6 +100,25 @@
     assert!(engine.requests().iter().all(|it| it.header("x-request-id") != Some("after")));
 }
 
+/// The store acknowledges no version while it is away, so one that a list shows after its return is new,
+/// however long the host has heard nothing. Requests on the old version were refused at once.
+#[test]
+fn outage_ages_no_version() {
+    let engine = ScriptedServer::start(one_event).unwrap();
+    let (store, entry) = start(&engine, charter(1), "version_ms = 4000\n");
+    assert_eq!(entry.exchange(&stream_request("before")).status(), 200);
+    store.set_fault(StoreFault::Status(503));
+    thread::sleep(OLD_VERSION_BOUND + Duration::from_secs(1));
+    let published = publish(&store, 2);
+    store.set_fault(StoreFault::None);
+    sleep_until(published + Duration::from_millis(1500));
+    let response = entry.exchange(&stream_request("in time"));
+    assert_eq!(response.status(), 200, "{}", response.text());
+    sleep_until(published + OLD_VERSION_BOUND + Duration::from_secs(1));
+    let response = entry.exchange(&stream_request("late"));
+    assert_eq!(response.status(), 503, "{}", response.text());
+}
+
 /// A second change during the suspension is read by a request that was sent after it, and is as old.
 #[test]
 fn second_change_keeps_age() {
