Keep requests to allowed regions and out of evacuated zones

Cause: nothing used the regions of routes and customers, evacuations were not read, and the directory ignored both the host name of a query and later starts at one address. Change: eligible_servers filters by AllowedZones on all paths, at owners and again at the holder. The regions on arrival and those of the charter in force both bind. Constrained requests ask owners of allowed engines. The kind evacuations is watched, relayed and probed if the settings have a bound for it; a zone whose entry an older copy of the store lacks stays evacuated for 60 s. Requests without an allowed server are refused at once. The directory prefers hosts in allowed regions and names only the newest start at an address. BackendRequirements has a file of its own now.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     entry::{
-        eligible_servers::{eligible_servers, version_served},
+        eligible_servers::{allowed_zones, eligible_servers, version_served},
         entry_host::EntryHost,
         pending_request::PendingRequest,
         reservation_error::ReservationError,
@@ -167,11 +167,12 @@
     /// Returns the owners to ask, those that did not answer lately last.
     fn owners_to_ask(&self, host: &EntryHost, demand: &Demand, now: Instant) -> Vec<HostId> {
         let zone = &host.settings.host.zone;
+        let allowed = allowed_zones(host, &demand.regions);
         let mut owners = match demand.in_turn_parts.first() {
-            Some(part) => host.engine_owners.for_part(*part),
+            Some(part) => host.engine_owners.for_part(*part, &allowed),
             None => {
                 let position = demand.attempt.map_or_else(fastrand::f64, |it| it.owner_position());
-                host.engine_owners.to_ask(zone, position)
+                host.engine_owners.to_ask(zone, position, &allowed)
             }
         };
         let silent_until = self.silent_until.borrow();
@@ -231,18 +232,22 @@
 }
 
 /// Reserves an engine of the own zone at which this host has no request, when no owner answers or
-/// the hosts asked do not know yet that they are owners.
+/// the hosts asked do not know yet that they are owners; one of another zone if the request may not use
+/// the own zone.
 ///
 /// All entry hosts together send an engine few requests in this way, and the engine refuses those
 /// that it has no room for.
 fn reserve_without_owner(host: &Rc<EntryHost>, demand: &Demand) -> Result<Grant, ReservationError> {
     let servers = host.backends.borrow();
-    let eligible = eligible_servers(host, &servers, &demand.service, demand.model.as_deref());
+    let model = demand.model.as_deref();
+    let eligible = eligible_servers(host, &servers, &demand.service, model, &demand.regions);
+    let zone = &host.settings.host.zone;
+    let may_use_own_zone = allowed_zones(host, &demand.regions).allows(zone);
     let is_unused = |address: &SocketAddr| host.request_counts.borrow().get(address) == 0;
     let candidates: Vec<&BackendServer> = eligible
         .into_iter()
-        .filter(|it| it.zone == host.settings.host.zone && !demand.excluded.contains(&it.id))
-        .filter(|it| is_unused(&it.address))
+        .filter(|it| it.zone == *zone || !may_use_own_zone)
+        .filter(|it| !demand.excluded.contains(&it.id) && is_unused(&it.address))
         .collect();
     let engine = fastrand::choice(candidates).ok_or(ReservationError::NoBackend)?.id.clone();
     let number = host.admission.take_number();
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::pin,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -11,13 +12,14 @@
     clock,
     entry::{
         attempt_outcome::AttemptOutcome,
+        backend_requirements::BackendRequirements,
         buffered_relay, crash_reports,
         cut_reason::CutReason,
         engine_stream::EngineStream,
         error_response::ErrorResponse,
         exchange::{ConnectionReuse, Exchange},
         request_sender::{RequestSender, UsableResponse},
-        reservation::{BackendRequirements, Reservation},
+        reservation::Reservation,
         reservation_error::ReservationError,
         stream_relay,
         successor::{Successor, SuccessorSearch},
@@ -25,7 +27,7 @@
     http1::ResponseHead,
     ids::ServiceId,
     memory::BufferedBody,
-    placement::{QuarantinedPart, RegionConstraint, RequestAttempt},
+    placement::{QuarantinedPart, RequestAttempt},
     routing::{Customer, Route},
     runtime,
     verdict::Verdict,
@@ -115,9 +117,7 @@
             priority: customer.and_then(|it| it.priority).unwrap_or(route.priority),
             objective_at: now + route.latency_objective.saturating_sub(age),
             deadline_at: now + exchange.time_left(route),
-            regions: customer
-                .map_or(&RegionConstraint::Any, |it| &it.regions)
-                .intersection(&route.regions),
+            regions: Rc::new(exchange.regions(route, customer)),
             prompt_parts: request.prompt_parts.clone(),
             is_resumed: false,
             excluded: crash_reports::crashed_backends(&exchange.host, exchange.fingerprint.get()),
--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -14,6 +14,7 @@
 use async_executor::Task;
 
 use crate::{
+    clock,
     entry::{crash_reports, datagrams, entry_host::EntryHost, own_registration},
     fleet::{beacon_interval, Beacon, MessageReceiver, PeerMessage},
     platform::store::Store,
@@ -77,7 +78,8 @@
     if is_new && crash_reports::has_any(host) {
         send_at_once(host, from);
     }
-    host.peers.borrow_mut().record_beacon(beacon, Instant::now());
+    let max_delay = host.stalls.borrow_mut().max_delay(clock::now());
+    host.peers.borrow_mut().record_delayed_beacon(beacon, max_delay, Instant::now());
     host.refresh_peers();
 }
 
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -116,7 +116,8 @@
         let owned_since = self.owned_since.borrow();
         let health = host.health.borrow();
         let servers = host.backends.borrow();
-        let eligible = eligible_servers(host, &servers, &demand.service, demand.model.as_deref());
+        let model = demand.model.as_deref();
+        let eligible = eligible_servers(host, &servers, &demand.service, model, &demand.regions);
         eligible
             .into_iter()
             .filter(|it| !demand.excluded.contains(&it.id) && health.is_usable(&it.id, 0, now))
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -26,8 +26,10 @@
         return SmallResponse::status(503);
     }
     let own = host.next_beacon(Duration::ZERO);
+    let charter = host.charter.borrow().clone();
+    let preferred = charter.map(|it| it.preferred_regions(&query.name)).unwrap_or_default();
     let location = CallerLocation { region: &query.region, zone: &query.zone };
-    let addresses = host.peers.borrow().addresses(&own, location, Instant::now());
+    let addresses = host.peers.borrow().addresses(&own, location, &preferred, Instant::now());
     if addresses.is_empty() {
         return SmallResponse::status(503);
     }
--- a/src/entry/engine_owners.rs
+++ b/src/entry/engine_owners.rs
@@ -11,7 +11,7 @@
     entry::{eligible_servers, entry_host::EntryHost},
     fleet::{Beacon, EntryState},
     ids::{BackendId, HostId, ZoneId},
-    placement::{CellMap, OwnerCandidate, PartDigest},
+    placement::{AllowedZones, CellMap, OwnerCandidate, PartDigest},
 };
 
 /// Time for which a leaving host still owns its engines, until the other hosts know that it leaves.
@@ -40,13 +40,25 @@
     }
 
     /// Returns the owners to ask for a request of a zone, in this order, beginning at `position`.
-    pub(crate) fn to_ask(&self, zone: &ZoneId, position: f64) -> Vec<HostId> {
-        self.cell_map.borrow().owners_to_ask(zone, position)
+    pub(crate) fn to_ask(
+        &self,
+        zone: &ZoneId,
+        position: f64,
+        allowed: &AllowedZones<'_>,
+    ) -> Vec<HostId> {
+        let cell_map = self.cell_map.borrow();
+        match allowed.allows_all() {
+            true => cell_map.owners_to_ask(zone, position),
+            false => cell_map.allowed_owners_to_ask(zone, position, allowed),
+        }
     }
 
     /// Returns the owners to ask for a request with a suspected part, in this order.
-    pub(crate) fn for_part(&self, part: PartDigest) -> Vec<HostId> {
-        self.cell_map.borrow().owners_for_part(part)
+    pub(crate) fn for_part(&self, part: PartDigest, allowed: &AllowedZones<'_>) -> Vec<HostId> {
+        let cell_map = self.cell_map.borrow();
+        let mut owners = cell_map.owners_for_part(part);
+        owners.retain(|it| allowed.allows_all() || cell_map.owns_allowed(it, allowed));
+        owners
     }
 }
 
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -27,8 +27,8 @@
     },
     fleet::{
         entry_registry, follows_store, relay_order, AdmissionMessage, BackendTable, Beacon,
-        EngineNotice, EntryState, KindCache, PeerMessage, PeerTable, PendingReport, StallDetector,
-        StoreSource, StoreSources, VersionTable,
+        EngineNotice, EntryState, EvacuatedZones, KindCache, PeerMessage, PeerTable, PendingReport,
+        StallDetector, StoreSource, StoreSources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     memory::Buffers,
@@ -36,7 +36,7 @@
         BackendHealth, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate, RequestCounts,
         RetryBudgets,
     },
-    platform::{store::Store, wire_config, wire_server},
+    platform::{store::Store, wire_config, wire_evacuation, wire_server},
     relay::BackendConnections,
     routing::RoutingCharter,
     settings::{DeployedSettings, EntryListenSettings},
@@ -65,6 +65,10 @@
     /// The charter in force; absent until the first one is read.
     pub(crate) charter: RefCell<Option<Rc<RoutingCharter>>>,
     pub(crate) backends: RefCell<BackendTable>,
+    /// The zones whose backend servers get no new requests.
+    pub(crate) evacuated: RefCell<EvacuatedZones>,
+    /// Notified when other zones may be allowed for a request: of new charters and evacuations.
+    pub(crate) allowed_changed: Event,
     /// Whether the backend servers have been listed at least once.
     pub(crate) has_backends: Cell<bool>,
     pub(crate) versions: RefCell<VersionTable>,
@@ -138,6 +142,8 @@
             listen,
             charter: RefCell::default(),
             backends: RefCell::default(),
+            evacuated: RefCell::default(),
+            allowed_changed: Event::new(),
             has_backends: Cell::new(false),
             versions: RefCell::new(VersionTable::new(bounds.version)),
             version_published: Event::new(),
@@ -178,6 +184,7 @@
             Some(_) => EntryState::Leaving,
             None if self.charter.borrow().is_some()
                 && self.has_backends.get()
+                && self.knows_evacuations()
                 && self.has_heard_peers()
                 && self.catch_up.is_done(self) =>
             {
@@ -187,6 +194,11 @@
         }
     }
 
+    /// Returns `true` once this host knows which zones are evacuated, or if the platform evacuates none.
+    pub(crate) fn knows_evacuations(&self) -> bool {
+        self.settings.bounds.evacuation.is_none() || self.evacuated.borrow().is_known()
+    }
+
     /// Returns `true` once this host knows which requests and parts of prompts the other hosts refuse, or
     /// none of them tells.
     fn has_heard_peers(&self) -> bool {
@@ -259,7 +271,9 @@
     /// Returns `true` if this host watches the store directly and without a gap.
     fn follows_store(&self) -> bool {
         let watches_store = self.sources.choose(Instant::now()) == StoreSource::Store;
-        watches_store && self.cache.is_current(&WATCHED_KINDS)
+        let has_evacuations = self.settings.bounds.evacuation.is_none()
+            || self.cache.is_current(&[wire_evacuation::EVACUATION_KIND]);
+        watches_store && self.cache.is_current(&WATCHED_KINDS) && has_evacuations
     }
 
     /// Updates owners and store sources if another entry host appeared, changed its state or
--- /dev/null
+++ b/src/entry/evacuations.rs
@@ -0,0 +1,48 @@
+//! Keeps the evacuated zones of an entry host up to date with the store, if the platform evacuates
+//! zones.
+
+use std::{rc::Rc, time::Instant};
+
+use async_executor::Task;
+
+use crate::{
+    entry::{entry_host::EntryHost, store_sync},
+    fleet::{KindUpdate, StoreRetry},
+    platform::wire_evacuation,
+    runtime,
+};
+
+/// Starts to watch the evacuations; `None` if the settings have no bound for them.
+pub(crate) fn start(host: &Rc<EntryHost>, retry: &StoreRetry) -> Option<Task<()>> {
+    host.settings.bounds.evacuation?;
+    let watch = store_sync::watch(host, wire_evacuation::EVACUATION_KIND, retry);
+    let host = host.clone();
+    Some(runtime::spawn_local(watch.run(move |update| apply(&host, update))))
+}
+
+fn apply(host: &EntryHost, update: KindUpdate) {
+    let generation = host.sources.generation();
+    let has_changed = host.evacuated.borrow_mut().apply(update, generation, Instant::now());
+    if has_changed {
+        decide_again(host);
+    }
+}
+
+/// Ends the evacuations whose entries were lost with the store and not written again.
+pub(crate) fn expire(host: &EntryHost) {
+    let has_changed = host.evacuated.borrow_mut().expire(Instant::now());
+    if has_changed {
+        decide_again(host);
+    }
+}
+
+/// Decides on the waiting requests of this host and of its engines again, and closes what it holds open
+/// to evacuated zones.
+fn decide_again(host: &EntryHost) {
+    let evacuated = host.evacuated.borrow().names();
+    for server in host.backends.borrow().iter().filter(|it| evacuated.contains(&it.zone)) {
+        host.connections.close_idle(&server.id);
+    }
+    host.allowed_changed.notify(usize::MAX);
+    host.cell_owner.decide_waiting(host);
+}
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -7,6 +7,7 @@
 };
 
 use futures_lite::FutureExt;
+use metrics::counter;
 
 use crate::{
     clock,
@@ -21,10 +22,11 @@
     http1::{ConnectionWriter, HttpError, RequestHead, ResponseHead},
     ids::CustomerId,
     memory::BufferedBody,
+    metric_names,
     placement::{Fingerprint, QuarantinedPart},
     platform::wire_headers,
     relay::{CallerRequest, Event},
-    routing::Route,
+    routing::{Customer, RequestRegions, Route},
     runtime,
     verdict::Verdict,
 };
@@ -113,6 +115,12 @@
         self.crash_try.replace(Some(crash_try));
     }
 
+    /// Returns the regions in which the request may be served.
+    pub(crate) fn regions(&self, route: &Route, customer: Option<&Customer>) -> RequestRegions {
+        let (host, path) = (&self.request.host, self.head.path());
+        RequestRegions::new(route, customer, host, path, self.request.key.as_deref())
+    }
+
     /// Returns the time until the earlier of the caller's deadline and the route's timeout.
     pub(crate) fn time_left(&self, route: &Route) -> Duration {
         let limit = self.request.time_left.unwrap_or(route.timeout).min(route.timeout);
@@ -216,6 +224,9 @@
     }
 
     pub(crate) async fn send_reservation_error(&self, reason: ReservationError) -> ConnectionReuse {
+        if let ReservationError::NotAllowed(reason) = &reason {
+            counter!(metric_names::NOT_ALLOWED_REQUESTS, "reason" => reason.as_str()).increment(1);
+        }
         self.send_error(reason.response()).await
     }
 
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -17,6 +17,7 @@
         count_guard::CountGuard,
         directory::{directory_response, readiness_response},
         entry_host::EntryHost,
+        evacuations,
         metrics_endpoint::{self, metrics_response},
         peer_catch_up, store_relay, store_sync,
     },
@@ -65,7 +66,9 @@
         let host = EntryHost::new(settings, listen.clone())?;
         let store = host.sources.client(StoreSource::Store);
         let listener = Async::new(net_listen(listen.callers)?)?;
-        let mut tasks = store_sync::start(&host);
+        let retry = store_sync::new_retry();
+        let mut tasks = store_sync::start(&host, &retry);
+        tasks.extend(evacuations::start(&host, &retry));
         tasks.push(store_relay::start(&host)?);
         tasks.extend(beacon_exchange::start(&host, &store));
         tasks.push(runtime::spawn_local(peer_catch_up::run(host.clone())));
@@ -153,6 +156,7 @@
             );
         }
         expired.confirmed.iter().for_each(|it| host.server_notices.note_listed(it));
+        evacuations::expire(&host);
         forget_removed_backends(&host);
         if has_changed || host.departure.since().is_some() {
             host.engine_owners.update(&host);
--- a/src/entry/metrics_endpoint.rs
+++ b/src/entry/metrics_endpoint.rs
@@ -1,13 +1,18 @@
 //! The HTTP endpoint for the metrics of an entry host.
 
-use std::{collections::BTreeMap, rc::Rc, sync::OnceLock};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::OnceLock,
+    time::Duration,
+};
 
 use metrics::{counter, gauge};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::{
-    entry::entry_host::EntryHost, http1::SmallResponse, metric_names, placement::DecisionCounts,
-    routing::BackendState,
+    entry::entry_host::EntryHost, http1::SmallResponse, ids::ZoneId, metric_names,
+    placement::DecisionCounts, routing::BackendState,
 };
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
@@ -27,6 +32,7 @@
 pub(crate) fn metrics_response(host: &Rc<EntryHost>) -> SmallResponse {
     let Some(handle) = HANDLE.get() else { return SmallResponse::status(503) };
     set_gauges(host);
+    set_zone_gauges(host);
     let counts = host.cell_owner.counts();
     set_decision_counters("first", counts.first);
     set_decision_counters("returning", counts.returning);
@@ -60,3 +66,25 @@
         gauge!(metric_names::READY_BACKENDS, "service" => service).set(f64::from(n_ready));
     }
 }
+
+/// Sets the gauges by which an operator sees that an evacuated zone is empty.
+fn set_zone_gauges(host: &EntryHost) {
+    if host.settings.bounds.evacuation.is_none() {
+        return;
+    }
+    let evacuated = host.evacuated.borrow();
+    let evacuated: BTreeMap<&ZoneId, Duration> =
+        evacuated.iter().map(|it| (it.0, it.1.since.elapsed())).collect();
+    let backends = host.backends.borrow();
+    let counts = host.request_counts.borrow();
+    let zones: BTreeSet<&ZoneId> =
+        host.settings.zones.keys().chain(backends.iter().map(|it| &it.zone)).collect();
+    for zone in zones {
+        let evacuated_for = evacuated.get(zone).copied().unwrap_or_default();
+        gauge!(metric_names::ZONE_EVACUATED_SECONDS, "zone" => zone.clone())
+            .set(evacuated_for.as_secs_f64());
+        let in_zone = backends.iter().filter(|it| it.zone == *zone);
+        let in_progress: u32 = in_zone.map(|it| counts.get(&it.address)).sum();
+        gauge!(metric_names::ZONE_IN_PROGRESS, "zone" => zone.clone()).set(f64::from(in_progress));
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod admission_client;
 mod attempt_outcome;
 mod attempts;
+mod backend_requirements;
 mod beacon_exchange;
 mod buffered_relay;
 mod caller_connection;
@@ -20,6 +21,7 @@
 mod engine_stream;
 mod entry_host;
 mod error_response;
+mod evacuations;
 mod exchange;
 mod lifecycle;
 mod metrics_endpoint;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -13,60 +13,23 @@
     clock,
     entry::{
         admission_client::{self, Grant},
-        eligible_servers::{eligible_servers, n_layers},
+        backend_requirements::BackendRequirements,
+        eligible_servers::{allowed_zones, eligible_servers, n_layers},
         entry_host::EntryHost,
         reservation_error::ReservationError,
     },
     fleet::ServiceOutcome,
-    ids::{BackendId, ServiceId, WeightsVersion},
-    placement::{
-        choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, QuarantinedPart,
-        RegionConstraint, RequestAttempt, ReservationNumber,
-    },
+    ids::{BackendId, WeightsVersion},
+    placement::{choose_plain_backend, Load, PlainCandidate, ReservationNumber},
     routing::{BackendServer, BackendState},
     runtime,
 };
 
 /// Longest sleep until the time of a start deadline is read again.
 const MAX_DEADLINE_SLEEP: Duration = Duration::from_millis(250);
-/// Shortest wait of a request that has to begin in turn, longer than the pause after a failed start.
-const MIN_TURN_WAIT: Duration = Duration::from_millis(300);
 /// Number of grants for one request whose engine this host must not use, up to which it asks for
 /// another one though it has waited as long as it may.
 const MAX_UNUSABLE_GRANTS: usize = 3;
-/// Maximum number of parts of the prompt that an owner is told besides those that begin in turn, so that
-/// its datagram holds them.
-const MAX_DEMAND_PARTS: usize = 4096;
-
-/// The requirements that a backend server must meet for a request.
-#[derive(Clone, Debug)]
-pub(crate) struct BackendRequirements {
-    /// Pool or service that the request is for.
-    pub(crate) service: ServiceId,
-    /// Model that the request names, for a pool.
-    pub(crate) model: Option<String>,
-    /// The caller's attempt until it was sent to a backend server.
-    pub(crate) attempt: Option<RequestAttempt>,
-    /// The number of tokens of the prompt.
-    pub(crate) prompt_tokens: u32,
-    /// The number of output tokens that the caller expects, or else its maximum.
-    pub(crate) output_tokens: u32,
-    /// Priority; 0 is the most urgent.
-    pub(crate) priority: u32,
-    /// Time at which the latency objective of the request will have passed.
-    pub(crate) objective_at: Instant,
-    /// Time at which the deadline of the request will have passed.
-    pub(crate) deadline_at: Instant,
-    /// Regions in which it may be served.
-    pub(crate) regions: RegionConstraint,
-    /// Parts of the prompt that other requests may share.
-    pub(crate) prompt_parts: Vec<PartDigest>,
-    /// Whether the caller already has the start of the response.
-    pub(crate) is_resumed: bool,
-    /// Backend servers that were tried already, or that broke the connection while they had an
-    /// identical request.
-    pub(crate) excluded: Vec<BackendId>,
-}
 
 /// Capacity for one request at one backend server; dropping it releases the capacity.
 pub(crate) struct Reservation {
@@ -113,6 +76,7 @@
         requirements: &BackendRequirements,
         queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
+        requirements.check_allowed(host)?;
         if let Some(left) = requirements.time_until_first(host) {
             return Err(ReservationError::Paused(left));
         }
@@ -140,13 +104,22 @@
             let mut demand = requirements.demand(host, wait);
             demand.excluded.extend(unusable.iter().cloned());
             let asked = Instant::now();
-            let grant = match admission_client::reserve(host, &demand).await {
+            let reserve = async { Some(admission_client::reserve(host, &demand).await) };
+            let allowed_changed = async {
+                requirements.wait_until_allowed_differs(host, &demand.regions).await;
+                None
+            };
+            let Some(res) = reserve.or(allowed_changed).await else {
+                requirements.check_allowed(host)?;
+                continue;
+            };
+            let grant = match res {
                 // A refusal before the end of the wait says that asking again is no use.
                 Err(ReservationError::Full) if wait < left && asked.elapsed() >= wait => continue,
                 res => res?,
             };
             let engine = grant.engine.clone();
-            if let Some(reservation) = Reservation::at_engine(host, &demand, grant) {
+            if let Some(reservation) = Reservation::at_engine(host, requirements, grant) {
                 return Ok(reservation);
             }
             unusable.push(engine);
@@ -157,14 +130,21 @@
     }
 
     /// Uses a grant, or releases it if this host knows that the engine must not get the request: it
-    /// is leaving or pausing, or its weights are too old.
-    fn at_engine(host: &Rc<EntryHost>, demand: &Demand, grant: Grant) -> Option<Reservation> {
+    /// is leaving or pausing, is not allowed for the request, or its weights are too old.
+    fn at_engine(
+        host: &Rc<EntryHost>,
+        requirements: &BackendRequirements,
+        grant: Grant,
+    ) -> Option<Reservation> {
         let now = clock::now();
         let server = host.backends.borrow().get(&grant.engine).cloned();
+        let regions = requirements.allowed_regions(host);
         let server = server
-            .filter(|it| it.state == BackendState::Ready && host.server_notices.takes_requests(it));
+            .filter(|it| it.state == BackendState::Ready && host.server_notices.takes_requests(it))
+            .filter(|it| allowed_zones(host, &regions).allows(&it.zone));
         let versions = host.versions.borrow();
-        let oldest = demand.model.as_ref().map_or(0, |model| versions.oldest_allowed(model, now));
+        let oldest =
+            requirements.model.as_ref().map_or(0, |model| versions.oldest_allowed(model, now));
         let is_too_old = grant.version.is_some_and(|it| it < oldest);
         let Some(server) = server.filter(|_| !is_too_old) else {
             host.admission.release(host, grant.number, ServiceOutcome::Unsent);
@@ -180,7 +160,7 @@
             load: grant.load,
             version: grant.version,
             expected_version: grant.version.filter(|_| oldest > 0),
-            model: demand.model.clone(),
+            model: requirements.model.clone(),
             number: Some(grant.number),
             outcome: Cell::new(ServiceOutcome::Unknown),
             is_sent: Cell::new(false),
@@ -200,7 +180,8 @@
                 && !host.server_notices.is_paused(it)
                 && health.is_usable(&it.id, n_own, Instant::now())
         };
-        let eligible = eligible_servers(host, &servers, &requirements.service, None);
+        let regions = requirements.allowed_regions(host);
+        let eligible = eligible_servers(host, &servers, &requirements.service, None, &regions);
         let usable: Vec<&BackendServer> = eligible.into_iter().filter(is_usable).collect();
         let candidate = |it: &&BackendServer| PlainCandidate {
             slots: it.slots,
@@ -289,79 +270,3 @@
         }
     }
 }
-
-impl BackendRequirements {
-    /// Waits until a part of the prompt is in quarantine.
-    async fn wait_for_quarantine(&self, host: &EntryHost) -> QuarantinedPart {
-        loop {
-            let quarantined = host.part_quarantined.listen();
-            match self.quarantined_part(host) {
-                Some(part) => return part,
-                None => quarantined.await,
-            }
-        }
-    }
-
-    fn quarantined_part(&self, host: &EntryHost) -> Option<QuarantinedPart> {
-        let crashing_parts = host.crashing_parts.borrow();
-        crashing_parts.find_quarantined(&self.prompt_parts, Instant::now())
-    }
-
-    /// Returns the time until the first backend server takes the request, if all that it could use
-    /// now asked for a pause.
-    fn time_until_first(&self, host: &EntryHost) -> Option<Duration> {
-        if !host.server_notices.has_pauses() {
-            return None;
-        }
-        let servers = host.backends.borrow();
-        let health = host.health.borrow();
-        let mut usable = eligible_servers(host, &servers, &self.service, self.model.as_deref());
-        usable.retain(|it| {
-            !self.excluded.contains(&it.id) && health.is_usable(&it.id, 0, Instant::now())
-        });
-        host.server_notices.time_until_first(&usable)
-    }
-
-    /// Returns the time until one more engine wants requests again, if any that the request could use
-    /// now asked for a pause.
-    fn time_until_pause_ends(&self, host: &EntryHost) -> Option<Duration> {
-        if !host.server_notices.has_pauses() {
-            return None;
-        }
-        let servers = host.backends.borrow();
-        let mut usable = eligible_servers(host, &servers, &self.service, self.model.as_deref());
-        usable.retain(|it| !self.excluded.contains(&it.id));
-        host.server_notices.time_until_next(&usable)
-    }
-
-    /// Returns the demand for an engine; it excludes those that this host itself finds failing, and
-    /// those that leave or want no requests of this host, which their owner may not know.
-    fn demand(&self, host: &EntryHost, wait: Duration) -> Demand {
-        let mut excluded = self.excluded.clone();
-        excluded.extend(host.health.borrow().ejected(Instant::now()).cloned());
-        let servers = host.backends.borrow();
-        let ready = servers.ready_of(&self.service);
-        let unavailable = ready.filter(|it| !host.server_notices.takes_requests(it));
-        excluded.extend(unavailable.map(|it| it.id.clone()));
-        let in_turn_parts =
-            host.crashing_parts.borrow().parts_to_start_in_turn(&self.prompt_parts, Instant::now());
-        let now = Instant::now();
-        let wait = if in_turn_parts.is_empty() { wait } else { wait.max(MIN_TURN_WAIT) };
-        Demand {
-            service: self.service.clone(),
-            model: self.model.clone(),
-            attempt: self.attempt,
-            prompt_tokens: self.prompt_tokens,
-            output_tokens: self.output_tokens,
-            priority: self.priority,
-            time_to_objective: self.objective_at.saturating_duration_since(now),
-            time_to_deadline: self.deadline_at.saturating_duration_since(now),
-            regions: self.regions.clone(),
-            is_resumed: self.is_resumed,
-            excluded,
-            prompt_parts: self.prompt_parts.iter().take(MAX_DEMAND_PARTS).copied().collect(),
-            in_turn_parts,
-            wait,
-        }
-    }
-}
--- a/src/entry/reservation_error.rs
+++ b/src/entry/reservation_error.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::{entry::error_response::ErrorResponse, placement::QuarantinedPart};
+use crate::{
+    entry::error_response::ErrorResponse,
+    placement::{NoAllowedServer, QuarantinedPart},
+};
 
 /// Value of `Retry-After` in the response to a request that finds all backend servers busy.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -10,6 +13,13 @@
 /// while engines load weights, which takes seconds. A caller that returned earlier would be refused
 /// again.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Value of `Retry-After` while all zones that the request may use are evacuated; operators end an
+/// evacuation seconds after it took effect at the soonest.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Value of `Retry-After` if the charter allows no region; only its next change helps.
+const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Value of `Retry-After` in the response of a host that has just started.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The number of nanoseconds in the unit to which `Retry-After` is rounded.
 const NANOS_PER_MS: u128 = 1_000_000;
 
@@ -22,6 +32,8 @@
     Full,
     /// All of them want no requests now; the first takes them again after this time.
     Paused(Duration),
+    /// No backend server may get the request, whatever their load.
+    NotAllowed(NoAllowedServer),
     /// A part of the prompt is in quarantine, so no engine may get the request.
     Quarantined(QuarantinedPart),
 }
@@ -41,6 +53,7 @@
             ReservationError::Full => {
                 ("all backend servers are busy; retry later", BUSY_RETRY_AFTER)
             }
+            ReservationError::NotAllowed(reason) => not_allowed(reason),
             // Rounded up, so that a caller that waits as told is not early.
             ReservationError::Paused(left) => (
                 "all backend servers asked for a pause; retry after it",
@@ -50,3 +63,24 @@
         ErrorResponse::not_run(503, message).with_retry_after(retry_after)
     }
 }
+
+fn not_allowed(reason: NoAllowedServer) -> (&'static str, Duration) {
+    match reason {
+        NoAllowedServer::NoRegion => (
+            "the route and the customer have no allowed region in common; change the charter",
+            NO_REGION_RETRY_AFTER,
+        ),
+        NoAllowedServer::NoServer => (
+            "no backend server in the allowed regions can accept the request now; retry later",
+            UNAVAILABLE_RETRY_AFTER,
+        ),
+        NoAllowedServer::Evacuated => (
+            "all zones that may serve the request are evacuated; retry after the evacuation",
+            EVACUATED_RETRY_AFTER,
+        ),
+        NoAllowedServer::EvacuationsUnknown => (
+            "this entry host does not know the evacuated zones yet; retry at another one",
+            STARTING_RETRY_AFTER,
+        ),
+    }
+}
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -18,7 +18,7 @@
     platform::{
         skipped_objects::decode_or_skip,
         store::{Change, StoredObject},
-        wire_config, wire_server,
+        wire_config, wire_evacuation, wire_server,
     },
     routing::{BackendServer, RoutingCharter},
     runtime,
@@ -36,40 +36,50 @@
 /// Time over which changes of the charter are batched, as its transfer may occupy the link of a
 /// small host for a tenth of a second.
 const CHARTER_BATCH_INTERVAL: Duration = Duration::from_millis(250);
-/// The kinds whose changes must be in force soonest.
-const URGENT_KINDS: [&str; 2] = [wire_server::SERVER_KIND, wire_config::CONFIG_KIND];
+/// The kinds whose changes must be in force soonest; the last one only if the platform evacuates zones.
+const URGENT_KINDS: [&str; 3] =
+    [wire_server::SERVER_KIND, wire_config::CONFIG_KIND, wire_evacuation::EVACUATION_KIND];
+const N_URGENT_WITHOUT_EVACUATIONS: usize = 2;
 /// Mean interval between two probes of the store.
 const STORE_PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Returns the pacing of retries that all watches of a process share.
+pub(crate) fn new_retry() -> StoreRetry {
+    StoreRetry::new(MAX_RETRY_DELAY)
+}
+
 /// Starts to watch all kinds of objects that an entry host uses, and to probe the store.
-pub(crate) fn start(host: &Rc<EntryHost>) -> Vec<Task<()>> {
-    let retry = StoreRetry::new(MAX_RETRY_DELAY);
+pub(crate) fn start(host: &Rc<EntryHost>, retry: &StoreRetry) -> Vec<Task<()>> {
     let charter = {
         let host = host.clone();
         let watch =
-            watch(&host, wire_config::CONFIG_KIND, &retry).with_batch_delay(CHARTER_BATCH_INTERVAL);
+            watch(&host, wire_config::CONFIG_KIND, retry).with_batch_delay(CHARTER_BATCH_INTERVAL);
         runtime::spawn_local(watch.run(move |update| apply_charters(&host, update)))
     };
     let servers = {
         let host = host.clone();
         let watch =
-            watch(&host, wire_server::SERVER_KIND, &retry).with_batch_delay(SERVER_BATCH_INTERVAL);
+            watch(&host, wire_server::SERVER_KIND, retry).with_batch_delay(SERVER_BATCH_INTERVAL);
         runtime::spawn_local(watch.run(move |update| apply_servers(&host, update)))
     };
     let versions = {
         let host = host.clone();
-        let watch = watch(&host, wire_server::VERSION_KIND, &retry);
+        let watch = watch(&host, wire_server::VERSION_KIND, retry);
         runtime::spawn_local(watch.run(move |update| apply_version_update(&host, update)))
     };
     let entries = {
         let host = host.clone();
-        let watch = watch(&host, entry_registry::KIND, &retry)
-            .with_batch_delay(REGISTRATION_BATCH_INTERVAL);
+        let watch =
+            watch(&host, entry_registry::KIND, retry).with_batch_delay(REGISTRATION_BATCH_INTERVAL);
         runtime::spawn_local(watch.run(move |update| apply_entry_hosts(&host, update)))
     };
     let sources = host.sources.clone();
     let listed = wire_server::VERSION_KIND;
-    let probe = StoreProbe::new(sources, listed, &URGENT_KINDS, STORE_PROBE_INTERVAL, retry);
+    let urgent = match host.settings.bounds.evacuation {
+        Some(_) => URGENT_KINDS.as_slice(),
+        None => &URGENT_KINDS[..N_URGENT_WITHOUT_EVACUATIONS],
+    };
+    let probe = StoreProbe::new(sources, listed, urgent, STORE_PROBE_INTERVAL, retry.clone());
     let probe = runtime::spawn_local(probe.run());
     let turns = runtime::spawn_local(record_turns(host.clone()));
     vec![charter, servers, versions, entries, probe, turns]
@@ -83,7 +93,8 @@
     }
 }
 
-fn watch(host: &EntryHost, kind: &'static str, retry: &StoreRetry) -> KindWatch {
+/// Creates the watch of a kind that other processes can follow through this host.
+pub(crate) fn watch(host: &EntryHost, kind: &'static str, retry: &StoreRetry) -> KindWatch {
     KindWatch::new(host.sources.clone(), kind, retry.clone())
         .with_cache(host.cache.clone())
         .with_stall_detector(host.stalls.clone())
@@ -128,6 +139,7 @@
     log::info!("charter: in force number={} before={before}", charter.number);
     *in_force = Some(Rc::new(charter));
     drop(in_force);
+    host.allowed_changed.notify(usize::MAX);
     host.engine_owners.update(host);
 }
 
--- a/src/entry/successor.rs
+++ b/src/entry/successor.rs
@@ -17,8 +17,9 @@
 use crate::{
     entry::{
         attempt_outcome::AttemptOutcome,
+        backend_requirements::BackendRequirements,
         request_sender::{RequestSender, UsableResponse},
-        reservation::{BackendRequirements, Reservation},
+        reservation::Reservation,
     },
     ids::BackendId,
     runtime,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod beacon;
 mod document_numbers;
 pub(crate) mod entry_registry;
+mod evacuated_zones;
 mod expired_entries;
 mod kind_cache;
 mod kind_watch;
@@ -31,6 +32,7 @@
         RequestTry,
     },
     document_numbers::DocumentNumbers,
+    evacuated_zones::{EvacuatedZones, Evacuation},
     expired_entries::ExpiredEntries,
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -9,6 +9,7 @@
 use crate::{
     fleet::beacon::{Beacon, EntryState},
     ids::HostId,
+    placement::RegionConstraint,
 };
 
 /// Minimum time without a beacon after which an entry host counts as failed.
@@ -17,6 +18,9 @@
 /// are longer than `BEACON_TIMEOUT`.
 const MISSED_BEACONS: f64 = 2.5;
 
+/// Time for which a beacon may have waited unread in a busy process and still show that its host runs.
+const MAX_UNREAD_TIME: Duration = Duration::from_millis(2000);
+
 /// Interval between two beacons in a small deployment.
 const BEACON_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of entry hosts of a small deployment.
@@ -29,6 +33,8 @@
     pub beacon: Beacon,
     /// Time at which that beacon arrived.
     pub received_at: Instant,
+    /// Earliest time at which it may have been sent, if it waited unread in this process.
+    pub earliest_sent: Instant,
 }
 
 /// A table of the other entry hosts by id.
@@ -40,12 +46,27 @@
 impl PeerTable {
     /// Stores a beacon unless a newer one of the same host is stored.
     pub fn record_beacon(&mut self, beacon: Beacon, now: Instant) {
+        self.record_delayed_beacon(beacon, Duration::ZERO, now);
+    }
+
+    /// Stores a beacon that may have waited unread for `max_delay`, unless a newer one of the same host,
+    /// or one of a later host at its address, is stored. Earlier hosts at its address are removed.
+    pub fn record_delayed_beacon(&mut self, beacon: Beacon, max_delay: Duration, now: Instant) {
         let is_newer = |it: &Peer| {
             (it.beacon.started_ms, it.beacon.number) < (beacon.started_ms, beacon.number)
         };
         if self.peers.get(&beacon.host).is_some_and(|it| !is_newer(it)) {
             return;
         }
+        let is_later_start = |it: &Peer| {
+            is_same_address(&it.beacon, &beacon)
+                && it.beacon.host != beacon.host
+                && it.beacon.started_ms > beacon.started_ms
+        };
+        if self.peers.values().any(|it| is_later_start(it) && it.is_live(now)) {
+            return;
+        }
+        self.peers.retain(|id, it| *id == beacon.host || !is_same_address(&it.beacon, &beacon));
         let state_before = self.peers.get(&beacon.host).map(|it| it.beacon.state);
         if state_before != Some(beacon.state) {
             log::info!(
@@ -54,7 +75,9 @@
                 beacon.state
             );
         }
-        self.peers.insert(beacon.host.clone(), Peer { beacon, received_at: now });
+        let earliest_sent = now.checked_sub(max_delay).unwrap_or(now);
+        let peer = Peer { beacon, received_at: now, earliest_sent };
+        self.peers.insert(peer.beacon.host.clone(), peer);
     }
 
     /// Returns the newest beacons of the entry hosts that have not timed out.
@@ -78,16 +101,23 @@
     }
 
     /// Returns the addresses at which a caller should connect: those of the ready entry hosts in
-    /// its zone, of those in its region if there are none, or else of all. `own` is the beacon of
-    /// this host.
+    /// its zone, of those in its region if there are none, else of those in the first of the
+    /// `preferred` regions that has any, or else of all. `own` is the beacon of this host.
+    ///
+    /// A beacon that may have waited unread for long doesn't show that its host still runs.
     pub fn addresses(
         &self,
         own: &Beacon,
         caller: CallerLocation<'_>,
+        preferred: &[RegionConstraint],
         now: Instant,
     ) -> Vec<SocketAddr> {
+        let is_running = |it: &&Peer| {
+            it.is_live(now) && it.was_sent_lately(now) && !is_same_address(&it.beacon, own)
+        };
+        let others = self.peers.values().filter(is_running);
         let ready: Vec<&Beacon> = std::iter::once(own)
-            .chain(self.live_beacons(now))
+            .chain(others.map(|it| &it.beacon))
             .filter(|it| it.state == EntryState::Ready)
             .collect();
         let matching = |is_near: &dyn Fn(&Beacon) -> bool| -> Vec<SocketAddr> {
@@ -101,18 +131,32 @@
         if !in_region.is_empty() {
             return in_region;
         }
-        matching(&|_| true)
+        let in_preferred =
+            preferred.iter().map(|it| matching(&|host| it.allows(Some(&host.region))));
+        in_preferred.chain([matching(&|_| true)]).find(|it| !it.is_empty()).unwrap_or_default()
     }
 }
 
 impl Peer {
     fn is_live(&self, now: Instant) -> bool {
+        now.duration_since(self.received_at) < self.timeout()
+    }
+
+    fn was_sent_lately(&self, now: Instant) -> bool {
+        now.duration_since(self.earliest_sent) < self.timeout() + MAX_UNREAD_TIME
+    }
+
+    fn timeout(&self) -> Duration {
         let interval = Duration::from_millis(u64::from(self.beacon.interval_ms));
-        let timeout = interval.mul_f64(MISSED_BEACONS).max(BEACON_TIMEOUT);
-        now.duration_since(self.received_at) < timeout
+        interval.mul_f64(MISSED_BEACONS).max(BEACON_TIMEOUT)
     }
 }
 
+/// Returns `true` if two beacons are of hosts that callers or other processes reach at one address.
+fn is_same_address(left: &Beacon, right: &Beacon) -> bool {
+    left.callers == right.callers || left.peers == right.peers
+}
+
 /// Returns the interval between two beacons of a host in a deployment of `n_hosts` hosts.
 ///
 /// In large deployments the interval grows with `n_hosts`, so that the number of beacons that a
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -29,6 +29,12 @@
 /// Counter: decisions of this host as owner of engines on requests for capacity, by `attempt` (first or
 /// returning) and `outcome`.
 pub const CELL_REQUESTS: &str = "crocustiller_cell_requests_total";
+/// Counter: requests for which no backend server was allowed, by `reason`.
+pub const NOT_ALLOWED_REQUESTS: &str = "crocustiller_not_allowed_requests_total";
+/// Gauge: time for which this host has known that a zone is evacuated, 0 if it isn't, by `zone`.
+pub const ZONE_EVACUATED_SECONDS: &str = "crocustiller_zone_evacuated_seconds";
+/// Gauge: requests of this host in progress at backend servers of a zone, by `zone`.
+pub const ZONE_IN_PROGRESS: &str = "crocustiller_zone_in_progress";
 /// Counter: lists that the store or an entry host answered, by `kind`.
 pub const STORE_LISTS: &str = "crocustiller_store_lists_total";
 /// Gauge: the number of times that the store came back from an older copy, as the store counts.
--- a/src/placement/cell_map.rs
+++ b/src/placement/cell_map.rs
@@ -5,11 +5,14 @@
 //! is admitted to another one without a further message. The number of engines per owner is
 //! bounded on average, so its work does not grow with the deployment.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use crate::{
     ids::{BackendId, HostId, ZoneId},
-    placement::PartDigest,
+    placement::{AllowedZones, PartDigest},
     weights::rank::{host_hash, score},
 };
 
@@ -42,6 +45,8 @@
 pub struct CellMap {
     owners: BTreeMap<BackendId, HostId>,
     owners_by_zone: BTreeMap<ZoneId, Vec<HostId>>,
+    /// The zones of each owner's engines.
+    engine_zones: BTreeMap<HostId, BTreeSet<ZoneId>>,
 }
 
 impl CellMap {
@@ -62,11 +67,16 @@
             let owners = zone_owners.get(zone).unwrap_or(&all_owners);
             owners.iter().max_by_key(|it| score(engine_hash, it.0)).map(|it| it.1.clone())
         };
-        let owners = engines
+        let owners: BTreeMap<BackendId, HostId> = engines
             .iter()
             .filter_map(|(engine, zone)| Some((engine.clone(), owner_of(engine, zone)?)))
             .collect();
-        CellMap { owners, owners_by_zone }
+        let mut engine_zones: BTreeMap<HostId, BTreeSet<ZoneId>> = BTreeMap::new();
+        for (engine, owner) in &owners {
+            let zones = engine_zones.entry(owner.clone()).or_default();
+            zones.extend(engines.get(engine).cloned());
+        }
+        CellMap { owners, owners_by_zone, engine_zones }
     }
 
     /// Returns the owner of an engine.
@@ -98,6 +108,38 @@
         let near = near_rotated.take(MAX_NEAR_CELLS);
         near.chain(far.get(index(far.len())).copied()).cloned().collect()
     }
+
+    /// Returns the owners of engines in allowed zones that a request is sent to, one after the other: as
+    /// `owners_to_ask`, but if its own zone has none, as many of other zones.
+    pub fn allowed_owners_to_ask(
+        &self,
+        zone: &ZoneId,
+        position: f64,
+        allowed: &AllowedZones<'_>,
+    ) -> Vec<HostId> {
+        let owners = self.owners_by_zone.iter().flat_map(|(zone, owners)| {
+            owners.iter().filter(|it| self.owns_allowed(it, allowed)).map(move |it| (zone, it))
+        });
+        let (near, far): (Vec<_>, Vec<_>) = owners.partition(|it| it.0 == zone);
+        let n_near = near.len().min(MAX_NEAR_CELLS);
+        let n_far = if n_near == 0 { MAX_NEAR_CELLS + 1 } else { 1 };
+        rotated(&near, position)
+            .take(n_near)
+            .chain(rotated(&far, position).take(n_far))
+            .map(|it| it.1.clone())
+            .collect()
+    }
+
+    /// Returns `true` if an entry host owns engines in allowed zones.
+    pub fn owns_allowed(&self, host: &HostId, allowed: &AllowedZones<'_>) -> bool {
+        self.engine_zones.get(host).is_some_and(|it| it.iter().any(|it| allowed.allows(it)))
+    }
+}
+
+/// Returns all items once, beginning at `position` in 0 to 1.
+fn rotated<T>(items: &[T], position: f64) -> impl Iterator<Item = &T> {
+    let first = ((position * items.len() as f64) as usize).min(items.len().saturating_sub(1));
+    items.iter().cycle().skip(first).take(items.len())
 }
 
 /// Returns the owners of each zone that has entry hosts: as many as its engines need.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission_cell;
 mod admission_counts;
+mod allowed_zones;
 mod backend_health;
 mod cell_map;
 mod crash_suspects;
@@ -35,6 +36,7 @@
 pub use crate::placement::{
     admission_cell::{Admission, AdmissionCell, CellEngine, HeldReservation},
     admission_counts::{AdmissionCounts, DecisionCounts},
+    allowed_zones::{AllowedZones, NoAllowedServer},
     backend_health::BackendHealth,
     cell_map::{CellMap, OwnerCandidate},
     crash_suspects::{CrashSuspects, Fingerprint, MAX_SUSPECTED_REQUESTS},
--- a/src/placement/region_constraint.rs
+++ b/src/placement/region_constraint.rs
@@ -36,6 +36,21 @@
         }
     }
 
+    /// Returns the constraint that allows what either allows.
+    pub fn union(&self, other: &RegionConstraint) -> RegionConstraint {
+        match (self, other) {
+            (RegionConstraint::Any, _) | (_, RegionConstraint::Any) => RegionConstraint::Any,
+            (RegionConstraint::Only(left), RegionConstraint::Only(right)) => {
+                RegionConstraint::Only(left.union(right).cloned().collect())
+            }
+        }
+    }
+
+    /// Returns `true` if no region is allowed.
+    pub fn allows_none(&self) -> bool {
+        matches!(self, RegionConstraint::Only(regions) if regions.is_empty())
+    }
+
     /// Returns `true` if the region is allowed; an unknown one is allowed only without a bound.
     pub fn allows(&self, region: Option<&RegionId>) -> bool {
         match self {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,6 +11,7 @@
 mod store_point;
 pub mod wire_config;
 pub mod wire_directory;
+pub mod wire_evacuation;
 pub mod wire_headers;
 pub mod wire_objects;
 pub mod wire_server;
--- a/src/platform/wire_directory.rs
+++ b/src/platform/wire_directory.rs
@@ -12,9 +12,11 @@
 /// The path of a query.
 const PATH: &str = "/v1/resolve";
 
-/// A caller's query, with its location; the host name that the caller also sends is ignored.
+/// A caller's query, with its location.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectoryQuery {
+    /// The host name to which the caller sends requests; empty if it names none.
+    pub name: String,
     /// The region of the caller.
     pub region: RegionId,
     /// The availability zone of the caller.
@@ -28,7 +30,11 @@
         let fields = query.split('&').filter_map(|it| it.split_once('='));
         fields.filter(|it| it.0 == name).map(|it| it.1.to_owned()).next().unwrap_or_default()
     };
-    (path == PATH).then(|| DirectoryQuery { region: field("region"), zone: field("zone") })
+    (path == PATH).then(|| DirectoryQuery {
+        name: field("name"),
+        region: field("region"),
+        zone: field("zone"),
+    })
 }
 
 /// Encodes a response that callers may cache for `max_age_s` seconds.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,6 +4,7 @@
 mod backend_server;
 mod cold_start;
 mod customer;
+mod request_regions;
 mod route;
 mod routing_charter;
 mod service;
@@ -13,6 +14,7 @@
     backend_server::{BackendServer, BackendState, LoadedLayers},
     cold_start::ColdStart,
     customer::Customer,
+    request_regions::RequestRegions,
     route::{Route, RouteKind, RouteTarget},
     routing_charter::{CallerLimits, RoutingCharter},
     service::{EngineSpec, ModelSpec, Origin, Service},
--- a/src/routing/routing_charter.rs
+++ b/src/routing/routing_charter.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     ids::{DocumentNumber, ServiceId},
+    placement::RegionConstraint,
     routing::{Customer, EngineSpec, Origin, Route, Service},
 };
 
@@ -54,8 +55,25 @@
 impl RoutingCharter {
     /// Returns the route of a host with the longest prefix that matches `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes_of(host).iter().find(|it| path.starts_with(&it.prefix))
+    }
+
+    /// Returns the regions in which entry hosts suit callers of a host name, the best ones first: those
+    /// that all of its constrained routes allow, then those that some of them allow.
+    pub fn preferred_regions(&self, host: &str) -> Vec<RegionConstraint> {
+        let constraints = self.routes_of(host).iter().map(|it| &it.regions);
+        let constrained: Vec<&RegionConstraint> =
+            constraints.filter(|it| **it != RegionConstraint::Any).collect();
+        let Some((first, others)) = constrained.split_first() else { return Vec::new() };
+        let all = others.iter().fold((*first).clone(), |all, it| all.intersection(it));
+        let some = others.iter().fold((*first).clone(), |some, it| some.union(it));
+        vec![all, some]
+    }
+
+    /// Returns the routes of a host name, which may have a port; those with longer prefixes first.
+    fn routes_of(&self, host: &str) -> &[Route] {
         let name = host.rsplit_once(':').map_or(host, |it| it.0).to_ascii_lowercase();
-        self.routes.get(&name)?.iter().find(|it| path.starts_with(&it.prefix))
+        self.routes.get(&name).map(Vec::as_slice).unwrap_or_default()
     }
 
     /// Returns the parameters of a pool's engines; `None` for a plain service.
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -1,6 +1,9 @@
 //! The tables of backend servers and peers of an entry host, before, during and after outages.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use crocustiller::{
     fleet::{
@@ -275,8 +278,8 @@
         number,
         interval_ms: 100,
         state,
-        callers: format!("10.0.1.{}:80", host.as_bytes()[0]).parse().unwrap(),
-        peers: format!("10.0.1.{}:7700", host.as_bytes()[0]).parse().unwrap(),
+        callers: SocketAddr::from(([10, 0, 1, 1], port_of(host))),
+        peers: SocketAddr::from(([10, 0, 1, 2], port_of(host))),
         processor_permille: 250,
         follows_store: true,
         documents: DocumentNumbers::default(),
@@ -287,6 +290,11 @@
     }
 }
 
+/// Returns a port of its own for each host, as a later host replaces an earlier one at its address.
+fn port_of(host: &str) -> u16 {
+    host.bytes().fold(7, |hash: u16, byte| hash.wrapping_mul(31).wrapping_add(byte.into()))
+}
+
 #[test]
 fn callers_get_near_ready_hosts() {
     let now = Instant::now();
@@ -295,15 +303,15 @@
     let mut peers = PeerTable::default();
     peers.record_beacon(beacon("b", "x", EntryState::Ready, 1), now);
     peers.record_beacon(beacon("c", "y", EntryState::Ready, 1), now);
-    assert_eq!(peers.addresses(&own, near, now).len(), 2);
+    assert_eq!(peers.addresses(&own, near, &[], now).len(), 2);
     // A host that leaves is removed from the list at once; an older beacon does not add it again.
     peers.record_beacon(beacon("b", "x", EntryState::Leaving, 3), now);
     peers.record_beacon(beacon("b", "x", EntryState::Ready, 2), now);
-    assert_eq!(peers.addresses(&own, near, now), [own.callers]);
+    assert_eq!(peers.addresses(&own, near, &[], now), [own.callers]);
     // A host that sends no beacons is removed too; callers of its zone get other hosts.
     let far = CallerLocation { region: "y", zone: "y" };
-    assert_eq!(peers.addresses(&own, far, now).len(), 1);
-    assert_eq!(peers.addresses(&own, far, now + ms(1100)), [own.callers]);
+    assert_eq!(peers.addresses(&own, far, &[], now).len(), 1);
+    assert_eq!(peers.addresses(&own, far, &[], now + ms(1100)), [own.callers]);
 }
 
 /// In a large deployment beacons are rare; a host is not regarded as failed between two of them.
