--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -25,9 +25,9 @@
     },
     fleet::{
         entry_registry, follows_store, relay_order, AdmissionMessage, BackendTable, Beacon,
-        DocumentCatchUp, DocumentNumbers, EngineNotice, EntryState, KindCache, PeerMessage,
-        PeerTable, PendingReport, RegistrationState, StallDetector, StoreSource, StoreSources,
-        VersionTable,
+        DocumentCatchUp, DocumentNumbers, EngineNotice, EntryState, EvacuatedZones, KindCache,
+        PeerMessage, PeerTable, PendingReport, RegistrationState, StallDetector, StoreSource,
+        StoreSources, VersionTable,
     },
     ids::{BackendId, HostId, ServiceId, ZoneId},
     memory::Buffers,
@@ -35,7 +35,7 @@
         BackendHealth, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate, RequestCounts,
         RetryBudgets,
     },
-    platform::{store::Store, wire_config, wire_server},
+    platform::{store::Store, wire_config, wire_evacuation, wire_server},
     relay::BackendConnections,
     routing::RoutingCharter,
     settings::{DeployedSettings, EntryListenSettings},
@@ -64,6 +64,10 @@
     /// The charter in force; absent until the first one is read.
     pub(crate) charter: RefCell<Option<Rc<RoutingCharter>>>,
     pub(crate) backends: RefCell<BackendTable>,
+    /// The zones whose backend servers get no new requests.
+    pub(crate) evacuated: RefCell<EvacuatedZones>,
+    /// Notified when other zones may be allowed for a request: of new charters and evacuations.
+    pub(crate) allowed_changed: Event,
     /// Whether the backend servers have been listed at least once.
     pub(crate) has_backends: Cell<bool>,
     pub(crate) versions: RefCell<VersionTable>,
@@ -139,6 +143,8 @@
             listen,
             charter: RefCell::default(),
             backends: RefCell::default(),
+            evacuated: RefCell::default(),
+            allowed_changed: Event::new(),
             has_backends: Cell::new(false),
             versions: RefCell::new(VersionTable::new(bounds.version)),
             version_published: Event::new(),
@@ -179,6 +185,7 @@
             Some(_) => EntryState::Leaving,
             None if self.charter.borrow().is_some()
                 && self.has_backends.get()
+                && self.knows_evacuations()
                 && self.has_heard_peers()
                 && self.has_caught_up() =>
             {
@@ -188,6 +195,11 @@
         }
     }
 
+    /// Returns `true` once this host knows which zones are evacuated, or if the platform evacuates none.
+    pub(crate) fn knows_evacuations(&self) -> bool {
+        self.settings.bounds.evacuation.is_none() || self.evacuated.borrow().is_known()
+    }
+
     /// Returns `true` once this host knows which requests and parts of prompts the other hosts refuse, or
     /// none of them tells.
     fn has_heard_peers(&self) -> bool {
@@ -274,7 +286,9 @@
     /// Returns `true` if this host watches the store directly and without a gap.
     fn follows_store(&self) -> bool {
         let watches_store = self.sources.choose(Instant::now()) == StoreSource::Store;
-        watches_store && self.cache.is_current(&WATCHED_KINDS)
+        let has_evacuations = self.settings.bounds.evacuation.is_none()
+            || self.cache.is_current(&[wire_evacuation::EVACUATION_KIND]);
+        watches_store && self.cache.is_current(&WATCHED_KINDS) && has_evacuations
     }
 
     /// Updates owners and store sources if another entry host appeared, changed its state or
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod document_catch_up;
 mod document_numbers;
 pub(crate) mod entry_registry;
+mod evacuated_zones;
 mod expired_entries;
 mod kind_cache;
 mod kind_watch;
@@ -33,6 +34,7 @@
         RequestTry,
     },
     document_numbers::DocumentNumbers,
+    evacuated_zones::{EvacuatedZones, Evacuation},
     expired_entries::ExpiredEntries,
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
