Limit the rate of requests to cold backend servers

Cause: nothing reads cold starts, so all free slots of an engine that has just started or come back are filled at once, which makes a cold engine crash. The cell keeps to the rate of each engine (GrantRates) and wakes when a waiting request may start. Hosts share what a server of a plain service bears. A server that got warm takes two seconds to its full rate. Also: a decision on a waiting request that fell due while another request was decided on was lost, with its reservation; it is now returned by the next decide_waiting. The existing tests changed only by the new field of CellEngine.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -239,12 +239,19 @@
     let servers = host.backends.borrow();
     let eligible = eligible_servers(host, &servers, &demand.service, demand.model.as_deref());
     let is_unused = |address: &SocketAddr| host.request_counts.borrow().get(address) == 0;
-    let candidates: Vec<&BackendServer> = eligible
+    let mut candidates: Vec<&BackendServer> = eligible
         .into_iter()
         .filter(|it| it.zone == host.settings.host.zone && !demand.excluded.contains(&it.id))
-        .filter(|it| is_unused(&it.address))
         .collect();
+    let now = Instant::now();
+    let mut cold_servers = host.cold_servers.borrow_mut();
+    let health = host.health.borrow();
+    let on_probation = candidates.iter().filter(|it| !health.is_usable(&it.id, 1, now));
+    on_probation.for_each(|it| cold_servers.note_probation(&it.id, now));
+    cold_servers.retain_unowned(&mut candidates, || host.entry_share(), now);
+    candidates.retain(|it| is_unused(&it.address));
     let engine = fastrand::choice(candidates).ok_or(ReservationError::NoBackend)?.id.clone();
+    cold_servers.record_own(&engine, || host.entry_share(), now);
     let number = host.admission.take_number();
     let owner = host.engine_owners.address(host, &engine).unwrap_or(host.settings.peers);
     host.admission.hold(number, owner, &engine, demand.prompt_tokens);
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -42,13 +42,14 @@
 }
 
 impl CellOwner {
-    /// Applies a change of the engines that this host owns.
-    pub(crate) fn update_engines(&self, engines: Vec<BackendId>, now: Instant) {
+    /// Applies a change of the engines that this host owns; returns those that it did not own before.
+    pub(crate) fn update_engines(&self, engines: Vec<BackendId>, now: Instant) -> Vec<BackendId> {
         let mut owned_since = self.owned_since.borrow_mut();
         owned_since.retain(|it, _| engines.contains(it));
-        for engine in engines {
-            owned_since.entry(engine).or_insert(now);
-        }
+        let is_new = |it: &BackendId| !owned_since.contains_key(it);
+        let new: Vec<BackendId> = engines.into_iter().filter(is_new).collect();
+        owned_since.extend(new.iter().map(|it| (it.clone(), now)));
+        new
     }
 
     /// Returns the numbers of decisions on requests for capacity since the start.
@@ -56,8 +57,14 @@
         self.cell.borrow().counts()
     }
 
+    /// Returns the number of requests that waited or were refused as engines are cold.
+    pub(crate) fn n_held_back(&self) -> u64 {
+        self.cell.borrow().n_held_back()
+    }
+
     /// Starts to learn again what runs at the engines, as this process may have missed reports.
-    fn relearn(&self, now: Instant) {
+    fn relearn(&self, host: &EntryHost, now: Instant) {
+        host.cold_servers.borrow_mut().note_suspended(now);
         self.owned_since.borrow_mut().values_mut().for_each(|it| *it = now);
     }
 
@@ -73,6 +80,9 @@
                     Some(decision) => send_decision(host, id, decision),
                     None => drop(self.has_waiting.notify(usize::MAX)),
                 }
+                if self.cell.borrow().has_undelivered() {
+                    self.decide_waiting(host);
+                }
             }
             AdmissionMessage::FirstEvent { number } => {
                 let id = ReservationId { holder: from, number };
@@ -100,7 +110,8 @@
 
     /// Decides on the waiting requests after a change of load or engines.
     pub(crate) fn decide_waiting(&self, host: &EntryHost) {
-        if self.cell.borrow().n_waiting() == 0 {
+        let has_undelivered = self.cell.borrow().has_undelivered();
+        if self.cell.borrow().n_waiting() == 0 && !has_undelivered {
             return;
         }
         let now = Instant::now();
@@ -115,6 +126,7 @@
     fn usable_engines(&self, host: &EntryHost, demand: &Demand, now: Instant) -> Vec<CellEngine> {
         let owned_since = self.owned_since.borrow();
         let health = host.health.borrow();
+        let mut cold_servers = host.cold_servers.borrow_mut();
         let servers = host.backends.borrow();
         let eligible = eligible_servers(host, &servers, &demand.service, demand.model.as_deref());
         eligible
@@ -122,10 +134,15 @@
             .filter(|it| !demand.excluded.contains(&it.id) && health.is_usable(&it.id, 0, now))
             .filter_map(|it| {
                 let is_learning = now < *owned_since.get(&it.id)? + LEARNING_TIME;
+                let is_on_probation = !health.is_usable(&it.id, 1, now);
+                if is_on_probation {
+                    cold_servers.note_probation(&it.id, now);
+                }
                 Some(CellEngine {
                     id: it.id.clone(),
                     slots: if is_learning { it.slots.div_ceil(2) } else { it.slots },
-                    is_on_probation: !health.is_usable(&it.id, 1, now),
+                    is_on_probation,
+                    rate_limit: cold_servers.owner_limit(&it.id, now),
                 })
             })
             .collect()
@@ -146,7 +163,7 @@
         let now = Instant::now();
         if clock::elapsed(std::mem::replace(&mut last_turn, clock::now())) > MAX_TURN_INTERVAL {
             log::info!("cell: the process was suspended, learning the loads again");
-            owner.relearn(now);
+            owner.relearn(&host, now);
         }
         if now >= next_expiry {
             next_expiry = now + EXPIRE_INTERVAL;
--- a/src/entry/engine_owners.rs
+++ b/src/entry/engine_owners.rs
@@ -28,7 +28,9 @@
     pub(crate) fn update(&self, host: &EntryHost) {
         let cell_map = CellMap::new(&engines(host), &candidates(host));
         let owned = cell_map.engines_of(&host.settings.host.id).cloned().collect();
-        host.cell_owner.update_engines(owned, Instant::now());
+        let now = Instant::now();
+        let newly_owned = host.cell_owner.update_engines(owned, now);
+        host.cold_servers.borrow_mut().note_owned(&newly_owned, now);
         *self.cell_map.borrow_mut() = cell_map;
         host.cell_owner.decide_waiting(host);
     }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -33,8 +33,8 @@
     ids::{BackendId, HostId, ServiceId, ZoneId},
     memory::Buffers,
     placement::{
-        BackendHealth, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate, RequestCounts,
-        RetryBudgets,
+        BackendHealth, ColdBounds, ColdServers, CrashSuspects, CrashingParts, EntryShare,
+        Fingerprint, OwnerCandidate, RequestCounts, RetryBudgets,
     },
     platform::{store::Store, wire_config, wire_server},
     relay::BackendConnections,
@@ -74,6 +74,8 @@
     /// This host's own requests in progress at each backend server.
     pub(crate) request_counts: RefCell<RequestCounts>,
     pub(crate) health: RefCell<BackendHealth>,
+    /// The backend servers that bear few requests, as they started just now.
+    pub(crate) cold_servers: RefCell<ColdServers>,
     /// What backend servers said of themselves in their responses.
     pub(crate) server_notices: ServerNotices,
     /// Requests that may crash backend servers, as far as all entry hosts know.
@@ -130,6 +132,7 @@
         let bounds = settings.bounds;
         let retry_budgets =
             RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
+        let cold_bounds = ColdBounds { over: bounds.cold_over, slack: bounds.cold_slack };
         let sources = StoreSources::new(Store::new(settings.store));
         let socket = Async::<UdpSocket>::bind(settings.peers)?;
         let buffers = Buffers::new(settings.memory_bytes);
@@ -144,6 +147,7 @@
             peers: RefCell::default(),
             request_counts: RefCell::default(),
             health: RefCell::default(),
+            cold_servers: RefCell::new(ColdServers::new(cold_bounds)),
             server_notices: ServerNotices::default(),
             crash_suspects: RefCell::default(),
             crashing_parts: RefCell::default(),
@@ -296,6 +300,13 @@
         }
     }
 
+    /// Returns this host among all that may send requests on their own decision.
+    pub(crate) fn entry_share(&self) -> EntryShare {
+        // Also hosts of other zones, of which this host gets no beacons, may be running.
+        let others = self.beacon_targets.borrow().keys().copied().collect();
+        EntryShare { own: self.settings.peers, others }
+    }
+
     fn processor_permille(&self) -> u32 {
         (self.settings.processor_share * 1000.0) as u32
     }
--- a/src/entry/metrics_endpoint.rs
+++ b/src/entry/metrics_endpoint.rs
@@ -1,6 +1,6 @@
 //! The HTTP endpoint for the metrics of an entry host.
 
-use std::{collections::BTreeMap, rc::Rc, sync::OnceLock};
+use std::{collections::BTreeMap, rc::Rc, sync::OnceLock, time::Instant};
 
 use metrics::{counter, gauge};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -51,6 +51,7 @@
     gauge!(metric_names::BUFFERED_BYTES).set(host.buffers.total_bytes() as f64);
     gauge!(metric_names::MAX_BUFFERED_BYTES).set(host.buffers.max_total_bytes() as f64);
     counter!(metric_names::BUFFERS_GIVEN_UP).absolute(host.buffers.n_given_up());
+    set_cold_metrics(host);
     let mut ready: BTreeMap<String, u32> = BTreeMap::new();
     for server in host.backends.borrow().iter() {
         let n_ready = ready.entry(server.service.clone()).or_default();
@@ -60,3 +61,13 @@
         gauge!(metric_names::READY_BACKENDS, "service" => service).set(f64::from(n_ready));
     }
 }
+
+fn set_cold_metrics(host: &EntryHost) {
+    let cold_servers = host.cold_servers.borrow();
+    if !cold_servers.is_active() {
+        return;
+    }
+    gauge!(metric_names::COLD_SERVERS).set(cold_servers.n_limited(Instant::now()) as f64);
+    let n_held_back = cold_servers.n_held_back() + host.cell_owner.n_held_back();
+    counter!(metric_names::COLD_HELD_BACK).absolute(n_held_back);
+}
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -201,7 +201,16 @@
                 && health.is_usable(&it.id, n_own, Instant::now())
         };
         let eligible = eligible_servers(host, &servers, &requirements.service, None);
-        let usable: Vec<&BackendServer> = eligible.into_iter().filter(is_usable).collect();
+        let mut usable: Vec<&BackendServer> = eligible.into_iter().filter(is_usable).collect();
+        let now = Instant::now();
+        let mut cold_servers = host.cold_servers.borrow_mut();
+        let on_probation = usable.iter().filter(|it| !health.is_usable(&it.id, 1, now));
+        on_probation.for_each(|it| cold_servers.note_probation(&it.id, now));
+        let is_any_usable = !usable.is_empty();
+        cold_servers.retain_within_share(&mut usable, || host.entry_share(), now);
+        if usable.is_empty() && is_any_usable {
+            return Err(ReservationError::Full);
+        }
         let candidate = |it: &&BackendServer| PlainCandidate {
             slots: it.slots,
             is_near: it.zone == host.settings.host.zone,
@@ -214,6 +223,7 @@
         let server = usable[idx];
         let load = Load { n_requests: counts.get(&server.address), unread_tokens: 0 };
         counts.begin(server.address);
+        cold_servers.record_own(&server.id, || host.entry_share(), now);
         host.server_notices.note_begun(server);
         Ok(Reservation {
             host: host.clone(),
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -2,6 +2,7 @@
 //! and the other entry hosts.
 
 use std::{
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -15,6 +16,8 @@
         apply_versions, entry_registry, KindUpdate, KindWatch, StoreProbe, StoreRetry,
         TURN_INTERVAL,
     },
+    ids::BackendId,
+    placement::ColdChanges,
     platform::{
         skipped_objects::decode_or_skip,
         store::{Change, StoredObject},
@@ -126,14 +129,16 @@
         return;
     }
     log::info!("charter: in force number={} before={before}", charter.number);
+    host.cold_servers.borrow_mut().update_services(&charter.services);
     *in_force = Some(Rc::new(charter));
     drop(in_force);
+    update_cold_servers(host, &BTreeSet::new(), Instant::now());
     host.engine_owners.update(host);
 }
 
 fn apply_servers(host: &EntryHost, update: KindUpdate) {
     let now = Instant::now();
-    match update {
+    let renewed = match update {
         KindUpdate::Listed { objects, restored_until, .. } => {
             let (restored, current): (Vec<StoredObject>, Vec<StoredObject>) =
                 objects.into_iter().partition(|it| it.metadata.revision <= restored_until);
@@ -144,27 +149,52 @@
             log::info!("fleet: replaced the list of backend servers n={}", servers.len());
             backends.replace_all(servers, host.sources.contact().returned(), now);
             host.has_backends.set(true);
+            BTreeSet::new()
         }
         KindUpdate::Changed { changes, .. } => apply_server_changes(host, changes, now),
-    }
+    };
+    update_cold_servers(host, &renewed, now);
     host.backends.borrow().iter().for_each(|it| host.server_notices.note_listed(it));
     host.engine_owners.update(host);
 }
 
-fn apply_server_changes(host: &EntryHost, changes: Vec<Change>, now: Instant) {
+/// Applies changed entries; returns the servers that have written theirs.
+fn apply_server_changes(
+    host: &EntryHost,
+    changes: Vec<Change>,
+    now: Instant,
+) -> BTreeSet<BackendId> {
     let mut backends = host.backends.borrow_mut();
     let mut removed = Vec::new();
+    let mut renewed = BTreeSet::new();
     for change in changes {
         let id = change.object.metadata.name.clone();
         removed.retain(|it| *it != id);
         match decode_server(&change.object) {
             _ if change.deleted => removed.push(id),
-            Some(server) => backends.insert(server, now),
+            Some(server) => {
+                renewed.insert(id);
+                backends.insert(server, now);
+            }
             // A backend server whose entry is invalid cannot be used.
             None => removed.push(id),
         }
     }
     backends.remove_all(removed, host.sources.contact().returned(), now);
+    renewed
+}
+
+/// Notes which servers are cold after an update, in which the entries of `renewed` changed.
+fn update_cold_servers(host: &EntryHost, renewed: &BTreeSet<BackendId>, now: Instant) {
+    if !host.has_backends.get() {
+        return;
+    }
+    let mut cold_servers = host.cold_servers.borrow_mut();
+    cold_servers.update_servers(host.backends.borrow().iter(), renewed, now);
+    let ColdChanges { limited, warm } = cold_servers.take_changes(now);
+    if !limited.is_empty() || !warm.is_empty() {
+        log::info!("cold: servers are or may be cold={limited:?} warm again={warm:?}");
+    }
 }
 
 fn decode_server(object: &StoredObject) -> Option<BackendServer> {
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -29,6 +29,10 @@
 /// Counter: decisions of this host as owner of engines on requests for capacity, by `attempt` (first or
 /// returning) and `outcome`.
 pub const CELL_REQUESTS: &str = "crocustiller_cell_requests_total";
+/// Gauge: backend servers that are cold, or may be, as far as this host knows.
+pub const COLD_SERVERS: &str = "crocustiller_cold_servers";
+/// Counter: requests that this host did not send, or admit, at once as servers are cold or may be.
+pub const COLD_HELD_BACK: &str = "crocustiller_cold_held_back_total";
 /// Counter: lists that the store or an entry host answered, by `kind`.
 pub const STORE_LISTS: &str = "crocustiller_store_lists_total";
 /// Gauge: the number of times that the store came back from an older copy, as the store counts.
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -21,7 +21,8 @@
     ids::BackendId,
     placement::{
         choose_engine, refused_requests::RefusedRequests, reservations::Reservations,
-        AdmissionCounts, Candidate, Demand, Load, PartDigest, ReservationId, ReservationNumber,
+        AdmissionCounts, Candidate, Demand, GrantRates, Load, PartDigest, RateLimit, ReservationId,
+        ReservationNumber,
     },
 };
 
@@ -45,6 +46,8 @@
     pub slots: u32,
     /// Whether it may have only one request in progress, which tests if it has recovered.
     pub is_on_probation: bool,
+    /// The rate of its requests, if it starts cold.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// The decision on one request.
@@ -92,11 +95,16 @@
     /// Time at which the last start with a part ended without a response.
     failed_starts: BTreeMap<PartDigest, Instant>,
     waiting: Vec<WaitingRequest>,
+    /// Decisions on waiting requests that were made while another one was decided on.
+    undelivered: Vec<(ReservationId, Admission)>,
+    grant_rates: GrantRates,
+    n_held_back: u64,
 }
 
 impl AdmissionCell {
     /// Decides on a request; returns `None` if it waits, in which case `decide_waiting` returns the
-    /// decision later. A repeated message gets the same engine again.
+    /// decision later. A repeated message gets the same engine again. Waiting requests whose time has come
+    /// are decided on too; `decide_waiting` returns these decisions.
     ///
     /// `engines` are the usable engines of the cell for this demand.
     pub fn request(
@@ -124,10 +132,13 @@
         let deadline = now + wait.min(MAX_WAIT);
         self.waiting.push(WaitingRequest { id, demand, is_return, deadline });
         let has_room = self.waiting.len() <= MAX_WAITING_PER_SLOT * n_slots as usize;
-        let decisions = self.place_waiting(engines, now);
-        if let Some(decision) = decisions.into_iter().find(|it| it.0 == id) {
-            return Some(decision.1);
+        let mut decisions = self.place_waiting(engines, now);
+        let own = decisions.iter().position(|it| it.0 == id).map(|it| decisions.swap_remove(it).1);
+        self.undelivered.extend(decisions);
+        if own.is_some() {
+            return own;
         }
+        self.n_held_back += u64::from(self.grant_rates.next_due().is_some());
         if deadline <= now || !has_room {
             self.refuse(now, |it| it.id == id);
             return Some(Admission::Full);
@@ -141,7 +152,8 @@
         engines: &dyn Fn(&Demand) -> Vec<CellEngine>,
         now: Instant,
     ) -> Vec<(ReservationId, Admission)> {
-        let mut decisions = self.place_waiting(engines, now);
+        let mut decisions = std::mem::take(&mut self.undelivered);
+        decisions.extend(self.place_waiting(engines, now));
         let refused = self.refuse(now, |it| it.deadline <= now);
         decisions.extend(refused.into_iter().map(|it| (it, Admission::Full)));
         decisions
@@ -168,12 +180,14 @@
     }
 
     /// Returns the earliest time at which a waiting request has to be decided on without a change of the
-    /// load: its deadline, or the end of the pause after a failed start.
+    /// load: its deadline, the end of the pause after a failed start, or the time at which an engine takes
+    /// a request by its rate limit.
     pub fn next_deadline(&self) -> Option<Instant> {
         let deadlines = self.waiting.iter().map(|it| it.deadline);
         let in_turn = self.waiting.iter().flat_map(|it| &it.demand.in_turn_parts);
         let failed_starts = in_turn.filter_map(|it| self.failed_starts.get(it));
-        deadlines.chain(failed_starts.map(|it| *it + START_PAUSE)).min()
+        let next_due = self.grant_rates.next_due().filter(|_| !self.waiting.is_empty());
+        deadlines.chain(failed_starts.map(|it| *it + START_PAUSE)).chain(next_due).min()
     }
 
     /// Records that the first event of a response has arrived, so its prompt has been read.
@@ -191,7 +205,9 @@
     /// Ends a reservation whose engine did not get the request, or the wait for one; returns the engine.
     /// No start has failed.
     pub fn cancel(&mut self, id: &ReservationId) -> Option<BackendId> {
-        Some(self.remove(id)?.0)
+        let engine = self.remove(id)?.0;
+        self.grant_rates.give_back(&engine);
+        Some(engine)
     }
 
     /// Applies a holder's report of all reservations that it holds at engines of this cell.
@@ -233,13 +249,25 @@
         self.counts
     }
 
+    /// Returns the number of requests that did not get a place at once, while an engine with room was held
+    /// back by its rate limit.
+    pub fn n_held_back(&self) -> u64 {
+        self.n_held_back
+    }
+
     /// Returns the number of waiting requests.
     pub fn n_waiting(&self) -> usize {
         self.waiting.len()
     }
 
+    /// Returns `true` if `request` has decided on waiting requests, for `decide_waiting` to return.
+    pub fn has_undelivered(&self) -> bool {
+        !self.undelivered.is_empty()
+    }
+
     fn remove(&mut self, id: &ReservationId) -> Option<(BackendId, BTreeSet<PartDigest>)> {
         self.waiting.retain(|it| it.id != *id);
+        self.undelivered.retain(|it| it.0 != *id);
         self.reservations.remove(id)
     }
 
@@ -254,6 +282,7 @@
         now: Instant,
     ) -> Vec<(ReservationId, Admission)> {
         self.failed_starts.retain(|_, it| now.duration_since(*it) < START_PAUSE);
+        self.grant_rates.begin_round(now);
         let mut decisions = Vec::new();
         let mut held: BTreeSet<BackendId> = BTreeSet::new();
         let waiting = std::mem::take(&mut self.waiting);
@@ -264,7 +293,8 @@
             }
             let usable = engines(&request.demand);
             let max_held = (usable.len() as f64 * MAX_HELD_SHARE) as usize;
-            let candidates: Vec<Candidate> = usable.iter().map(|it| self.candidate(it)).collect();
+            let candidates: Vec<Candidate> =
+                usable.iter().map(|it| self.candidate(it, now)).collect();
             let is_free = |idx: usize| !held.contains(&usable[idx].id);
             let demand = &request.demand;
             match choose_engine(&candidates, demand.prompt_tokens, demand.is_resumed, is_free) {
@@ -272,6 +302,9 @@
                     let engine = usable[idx].id.clone();
                     let load = candidates[idx].load;
                     self.counts.of(request.is_return).n_admitted += 1;
+                    if let Some(limit) = &usable[idx].rate_limit {
+                        self.grant_rates.record(&engine, limit, now);
+                    }
                     self.reservations.grant(request.id, engine.clone(), demand, now);
                     decisions.push((request.id, Admission::Granted { engine, load }));
                 }
@@ -290,13 +323,18 @@
         decisions
     }
 
-    fn candidate(&self, engine: &CellEngine) -> Candidate {
+    fn candidate(&mut self, engine: &CellEngine, now: Instant) -> Candidate {
         let load = self.load(&engine.id);
         let slots = match engine.is_on_probation && load.n_requests > 0 {
             true => 0,
             false => engine.slots,
         };
-        Candidate { slots, load }
+        let candidate = Candidate { slots, load };
+        let limit = engine.rate_limit.as_ref().filter(|_| candidate.has_slot());
+        match limit.is_some_and(|it| !self.grant_rates.is_due(&engine.id, it, now)) {
+            true => Candidate { slots: 0, load },
+            false => candidate,
+        }
     }
 
     /// Returns `false` if an engine that may crash on one of the parts has yet to begin its response, or
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,10 +7,14 @@
 mod admission_counts;
 mod backend_health;
 mod cell_map;
+mod cold_bounds;
+mod cold_servers;
 mod crash_suspects;
 mod crashing_parts;
 mod demand;
 mod engine_choice;
+mod entry_share;
+mod grant_rates;
 mod leaving_servers;
 mod load;
 mod part_crash;
@@ -19,6 +23,7 @@
 mod paused_servers;
 mod plain_choice;
 mod quarantined_part;
+mod rate_limit;
 mod refused_requests;
 mod region_constraint;
 mod request_attempt;
@@ -27,6 +32,7 @@
 mod reservation_id;
 mod reservations;
 mod retry_budgets;
+mod server_warmth;
 mod shutdown_admission;
 mod suspect_groups;
 mod suspected_request;
@@ -37,21 +43,27 @@
     admission_counts::{AdmissionCounts, DecisionCounts},
     backend_health::BackendHealth,
     cell_map::{CellMap, OwnerCandidate},
+    cold_bounds::ColdBounds,
+    cold_servers::{ColdChanges, ColdServers},
     crash_suspects::{CrashSuspects, Fingerprint, MAX_SUSPECTED_REQUESTS},
     crashing_parts::CrashingParts,
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
+    entry_share::EntryShare,
+    grant_rates::GrantRates,
     leaving_servers::LeavingServers,
     load::Load,
     part_crash::{PartCrash, PartDigest},
     paused_servers::{PausedServers, TRIAL_INTERVAL},
     plain_choice::{choose_plain_backend, PlainCandidate},
     quarantined_part::QuarantinedPart,
+    rate_limit::RateLimit,
     region_constraint::RegionConstraint,
     request_attempt::RequestAttempt,
     request_counts::RequestCounts,
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
+    server_warmth::ColdState,
     shutdown_admission::can_finish_before_exit,
     suspected_request::{crash_id, CrashId, SuspectedRequest, TryId},
     windowed_retry_budget::WindowedRetryBudget,
--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -40,8 +40,12 @@
 
 fn engines(n_engines: usize) -> impl Fn(&Demand) -> Vec<CellEngine> {
     move |demand| {
-        let engine =
-            |it| CellEngine { id: format!("i-{it}"), slots: SLOTS, is_on_probation: false };
+        let engine = |it| CellEngine {
+            id: format!("i-{it}"),
+            slots: SLOTS,
+            is_on_probation: false,
+            rate_limit: None,
+        };
         let all = (0..n_engines).map(engine);
         all.filter(|it| !demand.excluded.contains(&it.id)).collect()
     }
@@ -190,8 +194,14 @@
 #[test]
 fn probation_allows_one_request() {
     let now = Instant::now();
-    let on_probation =
-        |_: &Demand| vec![CellEngine { id: "i-0".to_owned(), slots: SLOTS, is_on_probation: true }];
+    let on_probation = |_: &Demand| {
+        vec![CellEngine {
+            id: "i-0".to_owned(),
+            slots: SLOTS,
+            is_on_probation: true,
+            rate_limit: None,
+        }]
+    };
     let mut cell = AdmissionCell::default();
     assert!(is_granted(&cell.request(id(1, 1), demand(100, 0), &on_probation, now)));
     let second = cell.request(id(1, 2), demand(100, 0), &on_probation, now);
--- /dev/null
+++ b/tests/cold_servers.rs
@@ -0,0 +1,217 @@
+//! Requests to cold backend servers: their rate summed over all hosts, and what is known of their state.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crocustiller::{
+    placement::{
+        Admission, AdmissionCell, CellEngine, ColdBounds, ColdServers, ColdState, Demand,
+        EntryShare, ReservationId,
+    },
+    routing::{BackendServer, BackendState, ColdStart, EngineSpec, Service},
+};
+
+const SLOTS: u32 = 12;
+const COLD_MS: u64 = 3000;
+const BOUNDS: ColdBounds = ColdBounds { over: 1.5, slack: 5 };
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, 1], number))
+}
+
+fn cold_servers() -> ColdServers {
+    let engine = EngineSpec {
+        slots: SLOTS,
+        models: Vec::new(),
+        n_layers: 1,
+        n_pieces: 1,
+        piece_bytes: 1,
+        step: ms(7),
+        step_per_request: Duration::ZERO,
+        step_per_1000_tokens: Duration::ZERO,
+        steps_per_event: 7,
+        usual_output_tokens: 0,
+        read_tokens_per_s: 30_600.0,
+    };
+    let cold_start = Some(ColdStart { duration: ms(COLD_MS), max_requests_per_s: 17.0 });
+    let service = |engine| Service { engine, origin: None, cold_start };
+    let mut cold = ColdServers::new(BOUNDS);
+    cold.update_services(&BTreeMap::from([
+        ("pool".to_owned(), service(Some(engine))),
+        ("plain".to_owned(), service(None)),
+    ]));
+    cold
+}
+
+fn server(id: &str, service: &str, started_ms: u64, cold_left: Duration) -> BackendServer {
+    BackendServer {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        address: address(1),
+        zone: "z1".to_owned(),
+        slots: SLOTS,
+        state: BackendState::Ready,
+        weights: Vec::new(),
+        is_switching: false,
+        started_ms,
+        cold_left,
+    }
+}
+
+fn renew(cold: &mut ColdServers, server: &BackendServer, now: Instant) {
+    cold.update_servers([server].into_iter(), &BTreeSet::from([server.id.clone()]), now);
+}
+
+fn list(cold: &mut ColdServers, servers: &[BackendServer], now: Instant) {
+    cold.update_servers(servers.iter(), &BTreeSet::new(), now);
+}
+
+fn cell_engine(cold: &ColdServers, is_on_probation: bool, now: Instant) -> CellEngine {
+    let rate_limit = cold.owner_limit("i-0", now);
+    CellEngine { id: "i-0".to_owned(), slots: SLOTS, is_on_probation, rate_limit }
+}
+
+fn demand(wait: Duration) -> Demand {
+    Demand { service: "pool".to_owned(), prompt_tokens: 10, wait, ..Demand::default() }
+}
+
+/// Late news: an entry that may have been written before an event doesn't make the server warm, and no
+/// event leaves it limited for longer than a cold start takes.
+#[test]
+fn late_entries() {
+    let now = Instant::now();
+    let warm = server("i-0", "pool", 1, Duration::ZERO);
+    let mut cold = cold_servers();
+    list(&mut cold, std::slice::from_ref(&warm), now);
+    assert_eq!(cold.state("i-0", now), ColdState::Warm, "its first listing says its state");
+    assert!(cold.owner_limit("i-0", now).is_some_and(|it| !it.is_binding));
+    cold.note_zone_returned(&"z1".to_owned(), now + ms(9000));
+    list(&mut cold, std::slice::from_ref(&warm), now + ms(10_500));
+    renew(&mut cold, &warm, now + ms(9900));
+    assert_eq!(cold.state("i-0", now + ms(11_999)), ColdState::Unknown);
+    assert_eq!(cold.state("i-0", now + ms(12_000)), ColdState::Warm);
+    cold.note_suspended(now + ms(20_000));
+    renew(&mut cold, &warm, now + ms(21_000));
+    assert_eq!(cold.state("i-0", now + ms(21_000)), ColdState::Warm);
+    renew(&mut cold, &server("i-0", "pool", 1, ms(500)), now + ms(22_000));
+    assert_eq!(cold.state("i-0", now + ms(22_499)), ColdState::Cold);
+    renew(&mut cold, &server("i-0", "pool", 2, Duration::ZERO), now + ms(23_000));
+    assert_eq!(cold.state("i-0", now + ms(25_999)), ColdState::Unknown, "another start");
+    let changes = cold.take_changes(now + ms(25_000));
+    assert_eq!(changes.limited, ["i-0"]);
+    assert_eq!(cold.take_changes(now + ms(26_000)).warm, ["i-0"]);
+}
+
+/// A new owner that has listed all servers just now goes by that list; one that listed them long ago does
+/// not. Otherwise a whole site would start at a fraction of its rate, or full rate go to a cold server.
+#[test]
+fn new_owners() {
+    let now = Instant::now();
+    let mut cold = cold_servers();
+    list(&mut cold, &[server("i-0", "pool", 1, Duration::ZERO)], now);
+    cold.note_owned(&["i-0".to_owned()], now + ms(2000));
+    assert_eq!(cold.state("i-0", now + ms(2000)), ColdState::Warm);
+    cold.note_owned(&["i-0".to_owned()], now + ms(9000));
+    assert_eq!(cold.state("i-0", now + ms(9000)), ColdState::Unknown);
+}
+
+/// All free slots of a server that got warm must not be filled at once: its rate rises over two seconds.
+#[test]
+fn rising_rate() {
+    let now = Instant::now();
+    let mut cold = cold_servers();
+    list(&mut cold, &[server("i-0", "pool", 1, ms(1000))], now);
+    let interval =
+        |at| cold.owner_limit("i-0", now + ms(at)).map(|it| (it.interval, it.is_binding));
+    assert_eq!(interval(1000), interval(0));
+    assert!(interval(2000) > interval(2500) && interval(1000) > interval(2000));
+    assert!(interval(2999).is_some_and(|it| it.1) && interval(3000).is_some_and(|it| !it.1));
+}
+
+/// A request that waits for a cold engine starts by itself when its turn comes, and a grant that was not
+/// used is given back. Otherwise engines would stay idle while requests wait.
+#[test]
+fn turns_at_cold_engine() {
+    let now = Instant::now();
+    let mut cold = cold_servers();
+    list(&mut cold, &[server("i-0", "pool", 1, ms(COLD_MS))], now);
+    let engines = |_: &Demand| vec![cell_engine(&cold, false, now)];
+    let mut cell = AdmissionCell::default();
+    let id = |number| ReservationId { holder: address(1), number };
+    let mut ask = |number, wait| cell.request(id(number), demand(wait), &engines, now);
+    assert!(matches!(ask(1, ms(0)), Some(Admission::Granted { .. })));
+    assert!(matches!(ask(2, ms(0)), Some(Admission::Granted { .. })));
+    assert_eq!(ask(3, ms(0)), Some(Admission::Full));
+    assert_eq!(ask(4, ms(500)), None);
+    let due = cell.next_deadline().expect("a request waits");
+    assert!(due > now && due < now + ms(200), "{:?}", due - now);
+    assert_eq!(cell.decide_waiting(&engines, due - ms(1)), []);
+    assert_eq!(cell.decide_waiting(&engines, due).len(), 1);
+    assert_eq!(cell.request(id(5), demand(ms(0)), &engines, due), Some(Admission::Full));
+    assert!(cell.cancel(&id(4)).is_some() && cell.cancel(&id(4)).is_none());
+    assert!(cell.request(id(5), demand(ms(0)), &engines, due) != Some(Admission::Full));
+    assert_eq!(cell.n_held_back(), 3);
+}
+
+/// Hosts without an owner prefer warm engines, and all hosts together keep to a share at cold ones; those
+/// of a plain service keep to what it bears. Each would else send one request in the same moment.
+#[test]
+fn shares_of_hosts() {
+    let now = Instant::now();
+    let entries = |service| {
+        [server("i-0", service, 1, ms(COLD_MS)), server("i-1", service, 1, Duration::ZERO)]
+    };
+    for (service, n_max) in [("pool", 3), ("plain", 17)] {
+        let entries = entries(service);
+        let mut n_begun = 0;
+        for own in 1..=38 {
+            let share =
+                || EntryShare { own: address(own), others: (1..=38).map(address).collect() };
+            let mut cold = cold_servers();
+            list(&mut cold, &entries, now);
+            let mut both: Vec<&BackendServer> = entries.iter().collect();
+            cold.retain_unowned(&mut both, share, now);
+            assert_eq!(both, [&entries[1]], "the warm one");
+            for at in [0, 300, 900] {
+                let mut servers = vec![&entries[0]];
+                cold.retain_within_share(&mut servers, share, now + ms(at));
+                n_begun += servers.len();
+                servers.iter().for_each(|it| cold.record_own(&it.id, share, now + ms(at)));
+            }
+        }
+        assert_eq!(n_begun, n_max);
+    }
+}
+
+/// In calm operation a pool whose charter names a cold start admits the same requests as any other.
+#[test]
+fn warm_pool_keeps_capacity() {
+    let start = Instant::now();
+    let mut cold = cold_servers();
+    list(&mut cold, &[server("i-0", "pool", 1, Duration::ZERO)], start);
+    let mut cells = [AdmissionCell::default(), AdmissionCell::default()];
+    let mut random = fastrand::Rng::with_seed(1);
+    for number in 0..20_000 {
+        let now = start + ms(number * 2);
+        if number % 500 == 0 {
+            renew(&mut cold, &server("i-0", "pool", 1, Duration::ZERO), now);
+        }
+        let released = number.saturating_sub(random.u64(0..40));
+        for cell in &mut cells {
+            cell.release(&ReservationId { holder: address(1), number: released }, now);
+        }
+        let id = ReservationId { holder: address(1), number };
+        let limited = |_: &Demand| vec![cell_engine(&cold, false, now)];
+        let unlimited =
+            |_: &Demand| vec![CellEngine { rate_limit: None, ..cell_engine(&cold, false, now) }];
+        let with = cells[0].request(id, demand(ms(0)), &limited, now);
+        assert_eq!(with, cells[1].request(id, demand(ms(0)), &unlimited, now));
+    }
+}
--- a/tests/paused_pool.rs
+++ b/tests/paused_pool.rs
@@ -153,7 +153,9 @@
 
 fn usable(demand: &Demand) -> Vec<CellEngine> {
     let engines = (0..N_ENGINES).map(name).filter(|it| !demand.excluded.contains(it));
-    engines.map(|id| CellEngine { id, slots: SLOTS, is_on_probation: false }).collect()
+    engines
+        .map(|id| CellEngine { id, slots: SLOTS, is_on_probation: false, rate_limit: None })
+        .collect()
 }
 
 /// Load pattern: overload, with engines that take less than their entries say, so that they always
