--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -245,9 +245,7 @@
         .collect();
     let now = Instant::now();
     let mut cold_servers = host.cold_servers.borrow_mut();
-    let health = host.health.borrow();
-    let on_probation = candidates.iter().filter(|it| !health.is_usable(&it.id, 1, now));
-    on_probation.for_each(|it| cold_servers.note_probation(&it.id, now));
+    cold_servers.note_probations(&candidates, &host.health.borrow(), now);
     cold_servers.retain_unowned(&mut candidates, || host.entry_share(), now);
     candidates.retain(|it| is_unused(&it.address));
     let engine = fastrand::choice(candidates).ok_or(ReservationError::NoBackend)?.id.clone();
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -135,9 +135,7 @@
             .filter_map(|it| {
                 let is_learning = now < *owned_since.get(&it.id)? + LEARNING_TIME;
                 let is_on_probation = !health.is_usable(&it.id, 1, now);
-                if is_on_probation {
-                    cold_servers.note_probation(&it.id, now);
-                }
+                cold_servers.note_probations(&[it], &health, now);
                 Some(CellEngine {
                     id: it.id.clone(),
                     slots: if is_learning { it.slots.div_ceil(2) } else { it.slots },
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -204,8 +204,7 @@
         let mut usable: Vec<&BackendServer> = eligible.into_iter().filter(is_usable).collect();
         let now = Instant::now();
         let mut cold_servers = host.cold_servers.borrow_mut();
-        let on_probation = usable.iter().filter(|it| !health.is_usable(&it.id, 1, now));
-        on_probation.for_each(|it| cold_servers.note_probation(&it.id, now));
+        cold_servers.note_probations(&usable, &health, now);
         let is_any_usable = !usable.is_empty();
         cold_servers.retain_within_share(&mut usable, || host.entry_share(), now);
         if usable.is_empty() && is_any_usable {
--- a/src/placement/backend_health.rs
+++ b/src/placement/backend_health.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Returns `true` if the backend server has not served a request since it was ejected.
+    pub fn is_on_probation(&self, backend: &str) -> bool {
+        self.records.get(backend).is_some_and(|it| it.ejected_until.is_some())
+    }
+
     /// Returns the backend servers that are ejected now.
     pub fn ejected(&self, now: Instant) -> impl Iterator<Item = &BackendId> {
         let is_ejected = move |it: &Record| it.ejected_until.is_some_and(|until| now < until);
--- a/src/placement/cold_servers.rs
+++ b/src/placement/cold_servers.rs
@@ -13,7 +13,8 @@
 use crate::{
     ids::{BackendId, ServiceId, ZoneId},
     placement::{
-        server_warmth::ServerWarmth, ColdBounds, ColdState, EntryShare, GrantRates, RateLimit,
+        server_warmth::ServerWarmth, BackendHealth, ColdBounds, ColdState, EntryShare, GrantRates,
+        RateLimit,
     },
     routing::{BackendServer, ColdStart, Service},
 };
@@ -145,10 +146,20 @@
         of_zone.for_each(|it| it.note_unknown(now));
     }
 
-    /// Records that a server that failed is tried: it may have started again meanwhile.
-    pub fn note_probation(&mut self, server: &str, now: Instant) {
-        if let Some(warmth) = self.servers.get_mut(server) {
-            warmth.note_unknown(now);
+    /// Records which of these servers are tried after they failed: they may have started again meanwhile.
+    pub fn note_probations(
+        &mut self,
+        servers: &[&BackendServer],
+        health: &BackendHealth,
+        now: Instant,
+    ) {
+        if self.services.is_empty() {
+            return;
+        }
+        for server in servers.iter().filter(|it| health.is_on_probation(&it.id)) {
+            if let Some(warmth) = self.servers.get_mut(&server.id) {
+                warmth.note_unknown(now);
+            }
         }
     }
 
--- a/tests/cold_schedules.rs
+++ b/tests/cold_schedules.rs
@@ -86,9 +86,9 @@
     }
 }
 
-/// Returns `true` in the step of that time.
+/// Returns `true` in the first step from that time on.
 fn is_due(time: u64, now: u64) -> bool {
-    (now..now + STEP_MS).contains(&time)
+    now.checked_sub(time).is_some_and(|it| it < STEP_MS)
 }
 
 impl World {
@@ -184,24 +184,28 @@
                 cold_from(self.dark.end);
             }
             2 if self.hosts.iter().all(|it| it.evacuated == NEVER || it.evacuated.end < now) => {
-                cold_from(now + 2500);
+                cold_from(now + 2950);
                 for host in &mut self.hosts {
                     let mut lag = || self.random.u64(0..MAX_LAG_MS);
                     host.evacuated = now + lag()..now + 3000 + lag();
                 }
             }
             3 if now >= self.next_owner_event => {
-                let (begins, ends) = (self.random.u64(0..500), self.random.u64(0..1000));
+                let (begins, ends) = (self.random.u64(0..200), self.random.u64(800..1200));
                 self.change_owner(now, now + begins, now + ends);
             }
             4 if now >= self.next_owner_event => {
-                cold_from(now + 300);
-                let resumes = now + self.random.u64(1500..3000);
+                let resumes = now + self.random.u64(1200..3000);
+                let is_replaced = self.random.bool();
+                cold_from(if is_replaced { now + 300 } else { resumes - 50 });
                 for host in self.hosts.iter_mut().filter(|it| it.owns.contains(&now)) {
                     host.suspended = now..resumes;
                 }
                 let ends = resumes + self.random.u64(0..1000);
-                self.change_owner(now, now + 500, ends);
+                match is_replaced {
+                    true => self.change_owner(now, now + 500, ends),
+                    false => self.next_owner_event = ends,
+                }
             }
             // Nothing but its entry tells of it, so its requests count once all have read that.
             5 => {
@@ -250,9 +254,7 @@
         let at = self.at(now);
         let host = &mut self.hosts[idx];
         let is_on_probation = !host.health.is_usable(ID, 1, at);
-        if is_on_probation {
-            host.cold.note_probation(ID, at);
-        }
+        host.cold.note_probations(&[&host.entry], &host.health, at);
         let rate_limit = host.cold.owner_limit(ID, at);
         let engine = CellEngine { id: ID.to_owned(), slots: SLOTS, is_on_probation, rate_limit };
         let is_usable = host.health.is_usable(ID, 0, at);
@@ -289,9 +291,7 @@
         if now < host.unowned_until {
             return;
         }
-        if !host.health.is_usable(ID, 1, at) {
-            host.cold.note_probation(ID, at);
-        }
+        host.cold.note_probations(&[&host.entry], &host.health, at);
         let share = || EntryShare { own: host.address, others: addresses.clone() };
         let mut servers = vec![&host.entry];
         host.cold.retain_unowned(&mut servers, share, at);
@@ -343,7 +343,7 @@
         for now in (0..RUN_MS).step_by(STEP_MS as usize) {
             if now >= next_event {
                 self.begin_event(now);
-                next_event = now + self.random.u64(300..4000);
+                next_event = now + self.random.u64(300..2000);
             }
             if now % 1000 == 0 && !self.dark.contains(&now) {
                 self.write_entry(now);
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -98,6 +98,7 @@
     assert_eq!(cold.state("i-0", now + ms(11_999)), ColdState::Unknown);
     assert_eq!(cold.state("i-0", now + ms(12_000)), ColdState::Warm);
     cold.note_suspended(now + ms(20_000));
+    assert_eq!(cold.state("i-0", now + ms(20_000)), ColdState::Unknown);
     renew(&mut cold, &warm, now + ms(21_000));
     assert_eq!(cold.state("i-0", now + ms(21_000)), ColdState::Warm);
     renew(&mut cold, &server("i-0", "pool", 1, ms(500)), now + ms(22_000));
@@ -160,6 +161,27 @@
     assert_eq!(cell.n_held_back(), 3);
 }
 
+/// Requests that an engine got just before its entry says that it is cold count, as it may have been cold
+/// since then.
+#[test]
+fn cold_under_load() {
+    let now = Instant::now();
+    let mut cold = cold_servers();
+    list(&mut cold, &[server("i-0", "pool", 1, Duration::ZERO)], now);
+    let mut cell = AdmissionCell::default();
+    let mut ask = |cold: &ColdServers, number, now| {
+        let id = ReservationId { holder: address(1), number };
+        let engine = cell_engine(cold, false, now);
+        cell.request(id, demand(ms(0)), &|_: &Demand| vec![engine.clone()], now)
+    };
+    for number in 1..=10 {
+        assert!(matches!(ask(&cold, number, now), Some(Admission::Granted { .. })));
+    }
+    renew(&mut cold, &server("i-0", "pool", 1, ms(COLD_MS)), now + ms(500));
+    assert_eq!(ask(&cold, 11, now + ms(850)), Some(Admission::Full));
+    assert!(matches!(ask(&cold, 12, now + ms(950)), Some(Admission::Granted { .. })));
+}
+
 /// Hosts without an owner prefer warm engines, and all hosts together keep to a share at cold ones; those
 /// of a plain service keep to what it bears. Each would else send one request in the same moment.
 #[test]
