--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -244,12 +244,18 @@
     let zone = &host.settings.host.zone;
     let may_use_own_zone = allowed_zones(host, &demand.regions).allows(zone);
     let is_unused = |address: &SocketAddr| host.request_counts.borrow().get(address) == 0;
-    let candidates: Vec<&BackendServer> = eligible
+    let mut candidates: Vec<&BackendServer> = eligible
         .into_iter()
         .filter(|it| it.zone == *zone || !may_use_own_zone)
-        .filter(|it| !demand.excluded.contains(&it.id) && is_unused(&it.address))
+        .filter(|it| !demand.excluded.contains(&it.id))
         .collect();
+    let now = Instant::now();
+    let mut cold_servers = host.cold_servers.borrow_mut();
+    cold_servers.note_probations(&candidates, &host.health.borrow(), now);
+    cold_servers.retain_unowned(&mut candidates, || host.entry_share(), now);
+    candidates.retain(|it| is_unused(&it.address));
     let engine = fastrand::choice(candidates).ok_or(ReservationError::NoBackend)?.id.clone();
+    cold_servers.record_own(&engine, || host.entry_share(), now);
     let number = host.admission.take_number();
     let owner = host.engine_owners.address(host, &engine).unwrap_or(host.settings.peers);
     host.admission.hold(number, owner, &engine, demand.prompt_tokens);
--- a/src/entry/evacuations.rs
+++ b/src/entry/evacuations.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     entry::{entry_host::EntryHost, store_sync},
-    fleet::{KindUpdate, StoreRetry},
+    fleet::{EvacuatedZones, KindUpdate, StoreRetry},
     platform::wire_evacuation,
     runtime,
 };
@@ -22,18 +22,26 @@
 
 fn apply(host: &EntryHost, update: KindUpdate) {
     let generation = host.sources.generation();
-    let has_changed = host.evacuated.borrow_mut().apply(update, generation, Instant::now());
-    if has_changed {
-        decide_again(host);
-    }
+    change(host, |it| it.apply(update, generation, Instant::now()));
 }
 
 /// Ends the evacuations whose entries were lost with the store and not written again.
 pub(crate) fn expire(host: &EntryHost) {
-    let has_changed = host.evacuated.borrow_mut().expire(Instant::now());
-    if has_changed {
-        decide_again(host);
+    change(host, |it| it.expire(Instant::now()));
+}
+
+/// Applies a change, which says whether it made a difference. The servers of a zone that is taken back
+/// may be cold.
+fn change(host: &EntryHost, apply: impl FnOnce(&mut EvacuatedZones) -> bool) {
+    let before = host.evacuated.borrow().names();
+    if !apply(&mut host.evacuated.borrow_mut()) {
+        return;
+    }
+    let evacuated = host.evacuated.borrow().names();
+    for zone in before.iter().filter(|it| !evacuated.contains(it)) {
+        host.cold_servers.borrow_mut().note_zone_returned(zone, Instant::now());
     }
+    decide_again(host);
 }
 
 /// Decides on the waiting requests of this host and of its engines again, and closes what it holds open
--- a/src/entry/metrics_endpoint.rs
+++ b/src/entry/metrics_endpoint.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::OnceLock,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use metrics::{counter, gauge};
@@ -57,6 +57,7 @@
     gauge!(metric_names::BUFFERED_BYTES).set(host.buffers.total_bytes() as f64);
     gauge!(metric_names::MAX_BUFFERED_BYTES).set(host.buffers.max_total_bytes() as f64);
     counter!(metric_names::BUFFERS_GIVEN_UP).absolute(host.buffers.n_given_up());
+    set_cold_metrics(host);
     let mut ready: BTreeMap<String, u32> = BTreeMap::new();
     for server in host.backends.borrow().iter() {
         let n_ready = ready.entry(server.service.clone()).or_default();
@@ -88,3 +89,13 @@
         gauge!(metric_names::ZONE_IN_PROGRESS, "zone" => zone.clone()).set(f64::from(in_progress));
     }
 }
+
+fn set_cold_metrics(host: &EntryHost) {
+    let cold_servers = host.cold_servers.borrow();
+    if !cold_servers.is_active() {
+        return;
+    }
+    gauge!(metric_names::COLD_SERVERS).set(cold_servers.n_limited(Instant::now()) as f64);
+    let n_held_back = cold_servers.n_held_back() + host.cell_owner.n_held_back();
+    counter!(metric_names::COLD_HELD_BACK).absolute(n_held_back);
+}
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -182,7 +182,15 @@
         };
         let regions = requirements.allowed_regions(host);
         let eligible = eligible_servers(host, &servers, &requirements.service, None, &regions);
-        let usable: Vec<&BackendServer> = eligible.into_iter().filter(is_usable).collect();
+        let mut usable: Vec<&BackendServer> = eligible.into_iter().filter(is_usable).collect();
+        let now = Instant::now();
+        let mut cold_servers = host.cold_servers.borrow_mut();
+        cold_servers.note_probations(&usable, &health, now);
+        let is_any_usable = !usable.is_empty();
+        cold_servers.retain_within_share(&mut usable, || host.entry_share(), now);
+        if usable.is_empty() && is_any_usable {
+            return Err(ReservationError::Full);
+        }
         let candidate = |it: &&BackendServer| PlainCandidate {
             slots: it.slots,
             is_near: it.zone == host.settings.host.zone,
@@ -195,6 +203,7 @@
         let server = usable[idx];
         let load = Load { n_requests: counts.get(&server.address), unread_tokens: 0 };
         counts.begin(server.address);
+        cold_servers.record_own(&server.id, || host.entry_share(), now);
         host.server_notices.note_begun(server);
         Ok(Reservation {
             host: host.clone(),
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -35,6 +35,10 @@
 pub const ZONE_EVACUATED_SECONDS: &str = "crocustiller_zone_evacuated_seconds";
 /// Gauge: requests of this host in progress at backend servers of a zone, by `zone`.
 pub const ZONE_IN_PROGRESS: &str = "crocustiller_zone_in_progress";
+/// Gauge: backend servers that are cold, or may be, as far as this host knows.
+pub const COLD_SERVERS: &str = "crocustiller_cold_servers";
+/// Counter: requests that this host did not send, or admit, at once as servers are cold or may be.
+pub const COLD_HELD_BACK: &str = "crocustiller_cold_held_back_total";
 /// Counter: lists that the store or an entry host answered, by `kind`.
 pub const STORE_LISTS: &str = "crocustiller_store_lists_total";
 /// Gauge: the number of times that the store came back from an older copy, as the store counts.
