Choose plain servers by how late they respond, and hedge repeatable calls

Servers of plain services are slow at times and zones have unequal demand, but a host chose by its own requests in flight alone, own zone first, and left a silent server after 450 ms, when objectives of 120 to 300 ms are over.

PlainServers records the usual latency of each route and how much later each server responds, with calls that are overdue. The choice leaves a clearly slower server, and the own zone only for a gain of more than a quarter of the latency objective, with a share of the calls that grows with the gain. A repeatable call is hedged once within the route's attempts, the retry budget and a tenth of the host's calls, if the second response can be in time. Where all servers look alike, the choice is as before.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -108,6 +108,8 @@
         };
         let requirements = BackendRequirements {
             service: service.clone(),
+            route: route.id(),
+            latency_objective: route.latency_objective,
             model: request.model.clone(),
             attempt: Some(attempt),
             prompt_tokens: request.sizes.prompt_tokens,
@@ -354,6 +356,7 @@
     }
     let on_progress = || search.record_progress(PLAIN_RESPONSE_TIMEOUT);
     let (head, body) = buffered_relay::receive(exchange, response, &watch, on_progress).await?;
+    reservation.record_response();
     Ok(UsableResponse::Complete(head, body))
 }
 
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -33,8 +33,8 @@
     ids::{BackendId, HostId, ServiceId, ZoneId},
     memory::Buffers,
     placement::{
-        BackendHealth, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate, RequestCounts,
-        RetryBudgets,
+        BackendHealth, CrashSuspects, CrashingParts, Fingerprint, OwnerCandidate, PlainServers,
+        RequestCounts, RetryBudgets,
     },
     platform::{store::Store, wire_config, wire_server},
     relay::BackendConnections,
@@ -74,6 +74,8 @@
     /// This host's own requests in progress at each backend server.
     pub(crate) request_counts: RefCell<RequestCounts>,
     pub(crate) health: RefCell<BackendHealth>,
+    /// How late the servers of plain services respond now.
+    pub(crate) plain_servers: Rc<RefCell<PlainServers>>,
     /// What backend servers said of themselves in their responses.
     pub(crate) server_notices: ServerNotices,
     /// Requests that may crash backend servers, as far as all entry hosts know.
@@ -144,6 +146,7 @@
             peers: RefCell::default(),
             request_counts: RefCell::default(),
             health: RefCell::default(),
+            plain_servers: Rc::default(),
             server_notices: ServerNotices::default(),
             crash_suspects: RefCell::default(),
             crashing_parts: RefCell::default(),
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -164,5 +164,6 @@
     let backends = host.backends.borrow();
     let is_registered = |id: &str| backends.get(id).is_some();
     host.health.borrow_mut().forget_removed(is_registered, Instant::now());
+    host.plain_servers.borrow_mut().forget_removed(is_registered, Instant::now());
     host.server_notices.expire(is_registered);
 }
--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -91,6 +91,7 @@
         let (response, watch) = self.send(reservation).await?;
         if !self.begins_stream(&response) {
             let received = buffered_relay::receive(self.exchange, response, &watch, || {}).await?;
+            reservation.record_response();
             return Ok(UsableResponse::Complete(received.0, received.1));
         }
         let mut stream = EngineStream::new(self.exchange, response, watch)?;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -15,10 +15,11 @@
         admission_client::{self, Grant},
         eligible_servers::{eligible_servers, n_layers},
         entry_host::EntryHost,
+        plain_call::PlainCall,
         reservation_error::ReservationError,
     },
     fleet::ServiceOutcome,
-    ids::{BackendId, ServiceId, WeightsVersion},
+    ids::{BackendId, RouteId, ServiceId, WeightsVersion},
     placement::{
         choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, QuarantinedPart,
         RegionConstraint, RequestAttempt, ReservationNumber,
@@ -43,6 +44,10 @@
 pub(crate) struct BackendRequirements {
     /// Pool or service that the request is for.
     pub(crate) service: ServiceId,
+    /// Route of the request.
+    pub(crate) route: RouteId,
+    /// Latency objective of the route.
+    pub(crate) latency_objective: Duration,
     /// Model that the request names, for a pool.
     pub(crate) model: Option<String>,
     /// The caller's attempt until it was sent to a backend server.
@@ -91,6 +96,8 @@
     outcome: Cell<ServiceOutcome>,
     /// Whether the backend server may have got the request.
     is_sent: Cell<bool>,
+    /// The call, for a plain service.
+    plain_call: Option<PlainCall>,
 }
 
 impl Reservation {
@@ -184,6 +191,7 @@
             number: Some(grant.number),
             outcome: Cell::new(ServiceOutcome::Unknown),
             is_sent: Cell::new(false),
+            plain_call: None,
         })
     }
 
@@ -193,12 +201,14 @@
     ) -> Result<Reservation, ReservationError> {
         let servers = host.backends.borrow();
         let health = host.health.borrow();
+        let now = Instant::now();
+        let seen = host.plain_servers.borrow();
         let mut counts = host.request_counts.borrow_mut();
         let is_usable = |it: &&BackendServer| {
             let n_own = counts.get(&it.address);
             !requirements.excluded.contains(&it.id)
                 && !host.server_notices.is_paused(it)
-                && health.is_usable(&it.id, n_own, Instant::now())
+                && health.is_usable(&it.id, n_own, now)
         };
         let eligible = eligible_servers(host, &servers, &requirements.service, None);
         let usable: Vec<&BackendServer> = eligible.into_iter().filter(is_usable).collect();
@@ -207,10 +217,12 @@
             is_near: it.zone == host.settings.host.zone,
             n_requests: counts.get(&it.address),
             failure_rate: health.failure_rate(&it.id),
+            expected_latency: seen.expected_latency(&it.id, &requirements.route, now),
         };
         let candidates: Vec<PlainCandidate> = usable.iter().map(candidate).collect();
-        let idx = choose_plain_backend(&candidates, fastrand::f64())
-            .ok_or(ReservationError::NoBackend)?;
+        let idx =
+            choose_plain_backend(&candidates, requirements.latency_objective, fastrand::f64())
+                .ok_or(ReservationError::NoBackend)?;
         let server = usable[idx];
         let load = Load { n_requests: counts.get(&server.address), unread_tokens: 0 };
         counts.begin(server.address);
@@ -227,6 +239,7 @@
             number: None,
             outcome: Cell::new(ServiceOutcome::Unknown),
             is_sent: Cell::new(false),
+            plain_call: Some(PlainCall::new(&host.plain_servers, &server.id, &requirements.route)),
         })
     }
 
@@ -268,6 +281,22 @@
     /// Records whether the backend server may have got the request.
     pub(crate) fn record_sent(&self, is_sent: bool) {
         self.is_sent.set(is_sent);
+        if let Some(call) = &self.plain_call {
+            call.record_sent(is_sent);
+        }
+    }
+
+    /// Records that the response of a plain service is complete.
+    pub(crate) fn record_response(&self) {
+        if let Some(call) = &self.plain_call {
+            call.record_response();
+        }
+    }
+
+    /// Takes a hedged request to the backend server of a plain service from the allowance of this host.
+    pub(crate) fn try_hedge(&self, requirements: &BackendRequirements) -> bool {
+        let left = requirements.objective_at.saturating_duration_since(Instant::now());
+        self.plain_call.as_ref().is_some_and(|it| it.try_hedge(left))
     }
 
     /// Records how the backend server served the request, for the owner of the engine.
--- a/src/entry/successor.rs
+++ b/src/entry/successor.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a backend server with many requests is silent for a moment and then goes on, while the
 //! others have little capacity left, refuse requests or are away. Giving its requests up before another
-//! one responds would lose responses that are still to come. Whichever responds first is used.
+//! one responds would lose responses that are still to come. Whichever responds first is used. A call to
+//! a plain service that may be repeated is hedged once before that, see `placement::PlainServers`.
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,6 +14,7 @@
 
 use event_listener::Event;
 use futures_lite::FutureExt;
+use metrics::counter;
 
 use crate::{
     entry::{
@@ -21,7 +23,7 @@
         reservation::{BackendRequirements, Reservation},
     },
     ids::BackendId,
-    runtime,
+    metric_names, runtime,
     verdict::Verdict,
 };
 
@@ -53,6 +55,10 @@
     /// The time of the latest progress, and the silence after it that starts the search.
     last_progress: Cell<Instant>,
     silence: Cell<Duration>,
+    /// The time without progress after which the call is hedged; shorter than `silence`.
+    hedge_delay: Cell<Option<Duration>>,
+    /// Whether the present silence was reported.
+    is_reported: Cell<bool>,
     progressed: Event,
     settled: Event,
 }
@@ -73,6 +79,7 @@
         n_left: u32,
         silence: Duration,
     ) -> SuccessorSearch<'a> {
+        let hedge_delay = hedge_delay(sender, &requirements, n_left, silence);
         SuccessorSearch {
             sender,
             requirements: RefCell::new(requirements),
@@ -83,6 +90,8 @@
             is_writing: Cell::new(false),
             last_progress: Cell::new(Instant::now()),
             silence: Cell::new(silence),
+            hedge_delay: Cell::new(hedge_delay),
+            is_reported: Cell::new(false),
             progressed: Event::new(),
             settled: Event::new(),
         }
@@ -92,6 +101,7 @@
     pub(crate) fn record_progress(&self, silence: Duration) {
         self.last_progress.set(Instant::now());
         self.silence.set(silence);
+        self.hedge_delay.set(None);
         self.progressed.notify(usize::MAX);
     }
 
@@ -118,10 +128,9 @@
     /// Searches whenever the response makes no progress, until another backend server responds.
     pub(crate) async fn run(&self) -> Successor<'a> {
         loop {
-            self.wait_for_silence().await;
             let silent_since = self.last_progress.get();
             let progressed = self.progressed.listen();
-            self.report_silence();
+            self.is_reported.set(false);
             let found = async { Some(self.search().await) };
             let ended = async {
                 progressed.await;
@@ -152,10 +161,11 @@
         found.or(failed).await
     }
 
-    async fn wait_for_silence(&self) {
+    /// Waits until there was no progress for `silence`.
+    async fn wait_for_silence(&self, silence: Duration) {
         loop {
             let silent_for = self.last_progress.get().elapsed();
-            let left = self.silence.get().saturating_sub(silent_for);
+            let left = silence.saturating_sub(silent_for);
             if left.is_zero() && !self.is_writing.get() {
                 return;
             }
@@ -163,8 +173,12 @@
         }
     }
 
-    /// Lets the backend server get no new requests for now.
-    fn report_silence(&self) {
+    /// Waits until the backend server has been silent for long, and lets it get no new requests for now.
+    async fn report_silence(&self) {
+        self.wait_for_silence(self.silence.get()).await;
+        if self.is_reported.replace(true) {
+            return;
+        }
         let exchange = self.sender.exchange;
         log::info!("relay: silent request={} backend={}", exchange.request.id, self.current);
         let is_at_engine = self.sender.route.is_stream();
@@ -174,6 +188,10 @@
     }
 
     async fn search(&self) -> Successor<'a> {
+        if let Some(successor) = self.hedge().await {
+            return successor;
+        }
+        self.report_silence().await;
         loop {
             if self.n_left.get() == 0 {
                 return std::future::pending().await;
@@ -185,6 +203,35 @@
         }
     }
 
+    /// Sends a call that is late, but not yet silent for long, to one more backend server.
+    async fn hedge(&self) -> Option<Successor<'a>> {
+        self.wait_for_silence(self.hedge_delay.get()?).await;
+        self.hedge_delay.set(None);
+        let reported = async {
+            self.report_silence().await;
+            std::future::pending().await
+        };
+        self.try_hedge().or(reported).await
+    }
+
+    async fn try_hedge(&self) -> Option<Successor<'a>> {
+        let exchange = self.sender.exchange;
+        let requirements = self.requirements();
+        let reservation = Reservation::wait(&exchange.host, &requirements, QUEUE_TIMEOUT).await;
+        let reservation = reservation.ok().filter(|it| it.try_hedge(&requirements))?;
+        if !exchange.host.try_spend_retry(&requirements.service) {
+            return None;
+        }
+        counter!(metric_names::HEDGED_REQUESTS).increment(1);
+        log::info!(
+            "relay: hedged request={} late={} backend={}",
+            exchange.request.id,
+            self.current,
+            reservation.backend
+        );
+        self.send_to(reservation).await
+    }
+
     /// Sends the request to one more backend server; returns `None` unless it responds.
     async fn try_next(&self) -> Option<Successor<'a>> {
         let exchange = self.sender.exchange;
@@ -195,6 +242,11 @@
         if !exchange.host.try_spend_retry(&requirements.service) {
             return None;
         }
+        self.send_to(reservation).await
+    }
+
+    async fn send_to(&self, reservation: Reservation) -> Option<Successor<'a>> {
+        let exchange = self.sender.exchange;
         exchange.trace.record_reservation(&reservation);
         let in_flight = InFlight::begin(self, &reservation.backend);
         let res = self.sender.send_until_usable(&reservation).await;
@@ -230,6 +282,22 @@
     }
 }
 
+/// Returns the time without a response after which a call is hedged, if it may be repeated and a second
+/// server can respond in time.
+fn hedge_delay(
+    sender: RequestSender<'_>,
+    requirements: &BackendRequirements,
+    n_left: u32,
+    silence: Duration,
+) -> Option<Duration> {
+    if sender.route.is_stream() || n_left == 0 {
+        return None;
+    }
+    let left = requirements.objective_at.saturating_duration_since(Instant::now());
+    let seen = sender.exchange.host.plain_servers.borrow();
+    seen.hedge_delay(&requirements.route, left).filter(|it| *it < silence)
+}
+
 impl<'s, 'a> InFlight<'s, 'a> {
     fn begin(search: &'s SuccessorSearch<'a>, backend: &BackendId) -> InFlight<'s, 'a> {
         search.requirements.borrow_mut().excluded.push(backend.clone());
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -18,6 +18,8 @@
 pub type RequestId = String;
 /// The id of a charter patch, which is the operator's idempotency key.
 pub type PatchId = String;
+/// The id of a route: its host name and path prefix.
+pub type RouteId = String;
 /// The number of a document; a document with a greater number replaces one with a smaller number.
 pub type DocumentNumber = u64;
 /// The number of switches of a pool; it increases by one with every change of the serving version.
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -10,6 +10,8 @@
 pub const ENTRY_REQUESTS: &str = "crocustiller_entry_requests_total";
 /// Counter: attempts to send a request to a backend server.
 pub const ENTRY_ATTEMPTS: &str = "crocustiller_entry_attempts_total";
+/// Counter: second requests to another server while the first one was late.
+pub const HEDGED_REQUESTS: &str = "crocustiller_hedged_requests_total";
 /// Summary: time from a request's arrival to the first bytes of its response.
 pub const ENTRY_FIRST_BYTES_SECONDS: &str = "crocustiller_entry_first_bytes_seconds";
 /// Summary: time from a request's arrival until it was sent to a backend server.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -11,6 +11,7 @@
 mod crashing_parts;
 mod demand;
 mod engine_choice;
+mod hedging;
 mod leaving_servers;
 mod load;
 mod part_crash;
@@ -18,6 +19,7 @@
 mod part_suspect;
 mod paused_servers;
 mod plain_choice;
+mod plain_servers;
 mod quarantined_part;
 mod refused_requests;
 mod region_constraint;
@@ -27,9 +29,11 @@
 mod reservation_id;
 mod reservations;
 mod retry_budgets;
+mod server_slowness;
 mod shutdown_admission;
 mod suspect_groups;
 mod suspected_request;
+mod usual_latency;
 mod windowed_retry_budget;
 
 pub use crate::placement::{
@@ -46,12 +50,14 @@
     part_crash::{PartCrash, PartDigest},
     paused_servers::{PausedServers, TRIAL_INTERVAL},
     plain_choice::{choose_plain_backend, PlainCandidate},
+    plain_servers::PlainServers,
     quarantined_part::QuarantinedPart,
     region_constraint::RegionConstraint,
     request_attempt::RequestAttempt,
     request_counts::RequestCounts,
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
+    server_slowness::CallNumber,
     shutdown_admission::can_finish_before_exit,
     suspected_request::{crash_id, CrashId, SuspectedRequest, TryId},
     windowed_retry_budget::WindowedRetryBudget,
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::{ids::ServiceId, placement::RegionConstraint};
+use crate::{
+    ids::{RouteId, ServiceId},
+    placement::RegionConstraint,
+};
 
 /// A route of the charter, which matches requests by host name and path prefix.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,6 +56,11 @@
 }
 
 impl Route {
+    /// Returns the id of the route.
+    pub fn id(&self) -> RouteId {
+        format!("{}{}", self.host, self.prefix)
+    }
+
     /// Returns `true` if a request may be retried after it may have run.
     pub fn is_repeatable(&self) -> bool {
         matches!(self.kind, RouteKind::Idempotent | RouteKind::Stream { is_resumable: true })
--- a/tests/placement_rules.rs
+++ b/tests/placement_rules.rs
@@ -12,6 +12,8 @@
 };
 
 const SLOTS: u32 = 16;
+/// Latency objective of calls to plain services.
+const OBJECTIVE: Duration = Duration::from_millis(120);
 
 fn candidate(n_requests: u32, unread_tokens: u32) -> Candidate {
     Candidate { slots: SLOTS, load: Load { n_requests, unread_tokens } }
@@ -55,25 +57,53 @@
     assert_eq!(choose(&candidates, 1290, true), Some(0));
 }
 
+fn idle_near_backend() -> PlainCandidate {
+    PlainCandidate {
+        slots: SLOTS,
+        is_near: true,
+        n_requests: 0,
+        failure_rate: 0.0,
+        expected_latency: Duration::from_millis(20),
+    }
+}
+
+/// Guards against leaving the zone for less than a clear gain, and against a slow server of it.
+#[test]
+fn slow_backends_are_left() {
+    let near = idle_near_backend();
+    let far = PlainCandidate { is_near: false, ..near.clone() };
+    let slower =
+        |ms| PlainCandidate { expected_latency: Duration::from_millis(ms), ..near.clone() };
+    let n_far = |near: PlainCandidate| {
+        let candidates = [far.clone(), near];
+        let choose = |it| choose_plain_backend(&candidates, OBJECTIVE, f64::from(it) / 100.0);
+        (0..100).filter(|it| choose(*it) == Some(0)).count()
+    };
+    assert_eq!([20, 50, 80, 110, 200].map(|ms| n_far(slower(ms))), [0, 0, 50, 100, 100]);
+    let busy = PlainCandidate { n_requests: 4, ..near.clone() };
+    assert_eq!(choose_plain_backend(&[slower(60), busy.clone()], OBJECTIVE, 0.5), Some(1));
+    assert_eq!(choose_plain_backend(&[slower(30), busy], OBJECTIVE, 0.5), Some(0), "alike");
+}
+
 #[test]
 fn near_backend_preferred_unless_failing() {
-    let near = PlainCandidate { slots: SLOTS, is_near: true, n_requests: 4, failure_rate: 0.0 };
+    let near = PlainCandidate { n_requests: 4, ..idle_near_backend() };
     let far = PlainCandidate { is_near: false, n_requests: 0, ..near.clone() };
-    assert_eq!(choose_plain_backend(&[far.clone(), near.clone()], 0.5), Some(1));
+    assert_eq!(choose_plain_backend(&[far.clone(), near.clone()], OBJECTIVE, 0.5), Some(1));
     let failing = PlainCandidate { failure_rate: 0.4, ..near.clone() };
-    assert_eq!(choose_plain_backend(&[far.clone(), failing], 0.5), Some(0));
-    let full = PlainCandidate { n_requests: SLOTS, ..near };
-    assert_eq!(choose_plain_backend(&[far, full], 0.5), Some(0));
+    assert_eq!(choose_plain_backend(&[far.clone(), failing], OBJECTIVE, 0.5), Some(0));
+    let full = PlainCandidate { n_requests: SLOTS, ..near.clone() };
+    assert_eq!(choose_plain_backend(&[far.clone(), full], OBJECTIVE, 0.5), Some(0));
 }
 
 /// Load pattern: many entry hosts that send few requests each. Those that know of no difference
 /// between backend servers must not all choose the first one.
 #[test]
 fn equal_backends_share_requests() {
-    let idle = PlainCandidate { slots: 6, is_near: true, n_requests: 0, failure_rate: 0.0 };
-    let candidates = vec![idle; 3];
-    let chosen: Vec<usize> =
-        (0..30).filter_map(|it| choose_plain_backend(&candidates, f64::from(it) / 30.0)).collect();
+    let candidates = vec![idle_near_backend(); 3];
+    let chosen: Vec<usize> = (0..30)
+        .filter_map(|it| choose_plain_backend(&candidates, OBJECTIVE, f64::from(it) / 30.0))
+        .collect();
     let count = |idx: usize| chosen.iter().filter(|it| **it == idx).count();
     assert_eq!((count(0), count(1), count(2)), (10, 10, 10));
 }
