--- a/src/entry/backend_requirements.rs
+++ b/src/entry/backend_requirements.rs
@@ -12,7 +12,7 @@
         reservation_error::ReservationError,
     },
     fleet::BackendTable,
-    ids::{BackendId, ServiceId},
+    ids::{BackendId, RouteId, ServiceId},
     placement::{Demand, PartDigest, QuarantinedPart, RegionConstraint, RequestAttempt},
     routing::{BackendServer, RequestRegions},
 };
@@ -28,6 +28,10 @@
 pub(crate) struct BackendRequirements {
     /// Pool or service that the request is for.
     pub(crate) service: ServiceId,
+    /// Route of the request.
+    pub(crate) route: RouteId,
+    /// Latency objective of the route.
+    pub(crate) latency_objective: Duration,
     /// Model that the request names, for a pool.
     pub(crate) model: Option<String>,
     /// The caller's attempt until it was sent to a backend server.
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -33,7 +33,7 @@
     memory::Buffers,
     placement::{
         BackendHealth, ColdBounds, ColdServers, CrashSuspects, CrashingParts, EntryShare,
-        Fingerprint, OwnerCandidate, RequestCounts, RetryBudgets,
+        Fingerprint, OwnerCandidate, PlainServers, RequestCounts, RetryBudgets,
     },
     platform::{store::Store, wire_config, wire_evacuation, wire_server},
     relay::BackendConnections,
@@ -79,6 +79,8 @@
     pub(crate) health: RefCell<BackendHealth>,
     /// The backend servers that bear few requests, as they started just now.
     pub(crate) cold_servers: RefCell<ColdServers>,
+    /// How late the servers of plain services respond now.
+    pub(crate) plain_servers: Rc<RefCell<PlainServers>>,
     /// What backend servers said of themselves in their responses.
     pub(crate) server_notices: ServerNotices,
     /// Requests that may crash backend servers, as far as all entry hosts know.
@@ -155,6 +157,7 @@
             request_counts: RefCell::default(),
             health: RefCell::default(),
             cold_servers: RefCell::new(ColdServers::new(cold_bounds)),
+            plain_servers: Rc::default(),
             server_notices: ServerNotices::default(),
             crash_suspects: RefCell::default(),
             crashing_parts: RefCell::default(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod engine_choice;
 mod entry_share;
 mod grant_rates;
+mod hedging;
 mod leaving_servers;
 mod load;
 mod part_crash;
@@ -23,6 +24,7 @@
 mod part_suspect;
 mod paused_servers;
 mod plain_choice;
+mod plain_servers;
 mod quarantined_part;
 mod rate_limit;
 mod refused_requests;
@@ -33,10 +35,12 @@
 mod reservation_id;
 mod reservations;
 mod retry_budgets;
+mod server_slowness;
 mod server_warmth;
 mod shutdown_admission;
 mod suspect_groups;
 mod suspected_request;
+mod usual_latency;
 mod windowed_retry_budget;
 
 pub use crate::placement::{
@@ -58,6 +62,7 @@
     part_crash::{PartCrash, PartDigest},
     paused_servers::{PausedServers, TRIAL_INTERVAL},
     plain_choice::{choose_plain_backend, PlainCandidate},
+    plain_servers::PlainServers,
     quarantined_part::QuarantinedPart,
     rate_limit::RateLimit,
     region_constraint::RegionConstraint,
@@ -65,6 +70,7 @@
     request_counts::RequestCounts,
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
+    server_slowness::CallNumber,
     server_warmth::ColdState,
     shutdown_admission::can_finish_before_exit,
     suspected_request::{crash_id, CrashId, SuspectedRequest, TryId},
