Tell starting hosts of evacuations whose entries the store has lost

Cause: a host that starts after an older copy of the store came back can't read an entry that the others still keep to. A host that starts again after its clock was set back was never listed again by the others. A beacon with an earlier start replaces one that has timed out.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -254,6 +254,7 @@
             PeerMessage::CrashReport(report) => crash_reports::apply(self, report),
             PeerMessage::RequestTry(message) => crash_tries::apply(self, from, &message),
             PeerMessage::ServerLeaving(notice) => server_notices::apply(self, from, &notice),
+            PeerMessage::LostEvacuations(lost) => beacon_exchange::learn_evacuations(self, &lost),
             PeerMessage::PiecesHeld(_) | PeerMessage::Manifest(_) => {
                 log::debug!("fleet: ignored a message for slot processes from={from}")
             }
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    fleet::{AdmissionMessage, DocumentNumbers, LeavingNotice},
+    fleet::{AdmissionMessage, DocumentNumbers, LeavingNotice, LostEvacuation},
     ids::{HostId, RegionId, WeightsVersion, ZoneId},
     placement::{
         Fingerprint, OwnerCandidate, PartCrash, PartDigest, QuarantinedPart, SuspectedRequest,
@@ -32,6 +32,8 @@
     ServerLeaving(LeavingNotice),
     /// A try of a refused request, from one entry host to the others.
     RequestTry(RequestTry),
+    /// Evacuations whose entries the store has lost, from an entry host for those that start.
+    LostEvacuations(Vec<LostEvacuation>),
 }
 
 /// The version that the engine of a slot process serves.
--- a/src/fleet/evacuated_zones.rs
+++ b/src/fleet/evacuated_zones.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    fleet::KindUpdate,
+    fleet::{KindUpdate, LostEvacuation},
     ids::{StoreGeneration, ZoneId},
     platform::{store::StoredObject, wire_evacuation, StorePoint},
 };
@@ -67,6 +67,33 @@
         !ended.is_empty()
     }
 
+    /// Returns the evacuations whose entries the store has lost.
+    pub fn lost(&self, now: Instant) -> Vec<LostEvacuation> {
+        let lost_ago = |it: &Evacuation| Some(now.duration_since(it.lost?).as_millis() as u32);
+        let lost = self.zones.iter().filter_map(|it| Some((it.0.clone(), lost_ago(it.1)?)));
+        lost.map(|(zone, lost_ago_ms)| LostEvacuation { zone, lost_ago_ms }).collect()
+    }
+
+    /// Adds the evacuations that another host knows and the store has lost; returns `true` if there are
+    /// new ones.
+    pub fn learn(&mut self, lost: &[LostEvacuation], now: Instant) -> bool {
+        let n_before = self.zones.len();
+        for LostEvacuation { zone, lost_ago_ms } in lost {
+            let lost_ago = Duration::from_millis(u64::from(*lost_ago_ms));
+            let Some(lost) = now.checked_sub(lost_ago) else { continue };
+            if lost_ago >= LOST_ENTRY_MEMORY || self.zones.contains_key(zone) {
+                continue;
+            }
+            log::info!(
+                "evacuation: another entry host says that a zone is evacuated zone={}",
+                zone.escape_debug()
+            );
+            let evacuation = Evacuation { since: now, at: StorePoint::default(), lost: Some(lost) };
+            self.zones.insert(zone.clone(), evacuation);
+        }
+        self.zones.len() > n_before
+    }
+
     /// Returns `true` once the entries have been listed.
     pub fn is_known(&self) -> bool {
         self.is_known
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod kind_watch;
 mod leaving_notice;
 mod list_pacing;
+mod lost_evacuation;
 mod message_receiver;
 mod peer_table;
 mod pending_report;
@@ -38,6 +39,7 @@
     kind_watch::{KindUpdate, KindWatch},
     leaving_notice::LeavingNotice,
     list_pacing::ListPacing,
+    lost_evacuation::LostEvacuation,
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
     pending_report::PendingReport,
     registration_pacing::{registration_delay, registration_retry_delay},
--- a/src/fleet/peer_table.rs
+++ b/src/fleet/peer_table.rs
@@ -44,7 +44,8 @@
 }
 
 impl PeerTable {
-    /// Stores a beacon unless a newer one of the same host is stored.
+    /// Stores a beacon unless a newer one of the same host is stored that hasn't timed out: a start after
+    /// the clock was set back looks older than the one before.
     pub fn record_beacon(&mut self, beacon: Beacon, now: Instant) {
         self.record_delayed_beacon(beacon, Duration::ZERO, now);
     }
@@ -55,7 +56,8 @@
         let is_newer = |it: &Peer| {
             (it.beacon.started_ms, it.beacon.number) < (beacon.started_ms, beacon.number)
         };
-        if self.peers.get(&beacon.host).is_some_and(|it| !is_newer(it)) {
+        let known = self.peers.get(&beacon.host);
+        if known.is_some_and(|it| !is_newer(it) && it.is_live(now)) {
             return;
         }
         let is_later_start = |it: &Peer| {
--- a/tests/directory_answers.rs
+++ b/tests/directory_answers.rs
@@ -148,6 +148,20 @@
     }
 }
 
+/// Guards against a host that is named no more because its clock was set back before it started again.
+#[test]
+fn clock_set_back_hides_no_host() {
+    let now = Instant::now();
+    let anywhere = CallerLocation { region: "r-x", zone: "x1" };
+    let own = Beacon { state: EntryState::Leaving, ..beacon("own", "a1", 1, 1) };
+    let mut peers = PeerTable::default();
+    peers.record_beacon(Beacon { number: 50, ..beacon("h", "b1", 2, 9000) }, now);
+    let again = now + Duration::from_secs(3);
+    assert!(peers.addresses(&own, anywhere, &[], again).is_empty());
+    peers.record_beacon(beacon("h", "b1", 2, 4000), again);
+    assert_eq!(peers.addresses(&own, anywhere, &[], again).len(), 1);
+}
+
 /// Guards against a query whose host name is ignored, or that fails without one.
 #[test]
 fn query_names_host() {
--- a/tests/evacuated_zones.rs
+++ b/tests/evacuated_zones.rs
@@ -241,6 +241,53 @@
     site.wait_until_used(&host, "mill");
 }
 
+/// Guards against requests that go on waiting for full engines of a zone that is evacuated: they move to
+/// another zone, or are refused at once if there is none.
+#[test]
+fn waiting_requests_are_decided_again() {
+    for has_other in [true, false] {
+        let site = Site::start(if has_other { &["mill", "quay"] } else { &["mill"] });
+        let mut patient = charter(1);
+        patient["routes"][2]["goal-ms"] = json!(16_000);
+        patient["version"] = json!(2);
+        site.store.put("config", "main", patient);
+        // Full until the zone is evacuated, as it has one slot and another one may wait there.
+        let server = |zone: &str| site.servers.iter().find(|it| it.0 == zone).unwrap().1.address();
+        let put = |zone: &str, state: &str| {
+            let mut entry = server_entry("pool", server(zone), state);
+            entry["zone"] = json!(zone);
+            entry["slots"] = json!(1);
+            site.store.put("servers", &format!("pool-{zone}"), entry);
+        };
+        put("mill", "ready");
+        if has_other {
+            put("quay", "draining");
+        }
+        let host = site.start_host("entry-1");
+        thread::sleep(Duration::from_millis(500));
+        thread::scope(|scope| {
+            let running: Vec<_> =
+                (0..2).map(|_| scope.spawn(|| send_stream(&host, "long"))).collect();
+            thread::sleep(Duration::from_millis(200));
+            let waiting = scope.spawn(|| {
+                let started = Instant::now();
+                (send_stream(&host, "waiting"), started.elapsed())
+            });
+            thread::sleep(Duration::from_millis(100));
+            assert_eq!(site.n_requests("mill"), 2, "the third one waits");
+            if has_other {
+                put("quay", "ready");
+            }
+            site.store.put(KIND, "mill", json!({}));
+            let (response, took) = waiting.join().unwrap();
+            assert_eq!(response.status(), if has_other { 200 } else { 503 }, "{}", response.text());
+            assert!(took < Duration::from_millis(900), "before a slot was free: {took:?}");
+            running.into_iter().for_each(|it| assert_eq!(it.join().unwrap().status(), 200));
+        });
+        assert_eq!(site.n_requests("mill"), 2);
+    }
+}
+
 /// Guards against requests that wait, or are refused without a time to come again, while all zones are
 /// evacuated.
 #[test]
@@ -293,13 +340,17 @@
     assert!(site.store.objects(KIND).is_empty());
     thread::sleep(Duration::from_millis(2500));
     check_unused("after the return of an older copy");
+    let late = site.start_host("entry-3");
+    let n_before = site.n_requests("mill");
+    (0..12).for_each(|_| drop(send_both(&late)));
+    assert_eq!(site.n_requests("mill"), n_before, "by a host that starts with the older copy");
     site.store.put(KIND, "mill", json!({}));
     site.store.put(KIND, "moor", json!({}));
     thread::sleep(Duration::from_millis(1500));
     check_unused("written again");
     site.store.remove(KIND, "mill");
-    [&host, &cut].iter().for_each(|it| site.wait_until_used(it, "mill"));
-    [&host, &cut].iter().for_each(|it| site.wait_until_unused(it, "moor"));
+    [&host, &cut, &late].iter().for_each(|it| site.wait_until_used(it, "mill"));
+    [&host, &cut, &late].iter().for_each(|it| site.wait_until_unused(it, "moor"));
 }
 
 /// Guards against calls of the store for evacuations where the settings have no bound for them, or more
