--- a/tests/allowed_regions.rs
+++ b/tests/allowed_regions.rs
@@ -14,7 +14,8 @@
 };
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
-    charter, encode_response, event_chunk, request, server_entry, stream_head, CallerResponse,
+    charter, encode_response, event_chunk, stream_head,
+    zoned_servers::{is_stream, put_server, send, served, ROUTES, SERVICES},
     EntryProcess,
 };
 use serde_json::{json, Value};
@@ -23,7 +24,6 @@
 const ZONES: &str = "\n[zones]\nquay = north\nmill = north\nmoor = west\n";
 /// Time until which a change of the charter or of a server is in force at a host.
 const APPLY_TIME: Duration = Duration::from_millis(900);
-const ROUTES: [(&str, &str); 3] = [("GET", "/stock/1"), ("POST", "/hold/1"), ("POST", "/draft/1")];
 
 fn only(regions: &[&str]) -> RegionConstraint {
     RegionConstraint::Only(regions.iter().map(|it| it.to_string()).collect())
@@ -111,37 +111,12 @@
     changed
 }
 
-fn put_server(store: &StoreStandin, service: &str, zone: &str, server: &ScriptedServer) {
-    let mut entry = server_entry(service, server.address(), "ready");
-    entry["zone"] = json!(zone);
-    entry["slots"] = json!(1);
-    store.put("servers", &format!("{service}-{zone}"), entry);
-}
-
 fn start_host(store: &StoreStandin, id: &str) -> EntryProcess {
     let host = EntryProcess::start_with_bounds(store.address(), id, ZONES);
     host.wait_until_ready();
     host
 }
 
-fn send(host: &EntryProcess, route: (&str, &str), id: &str) -> CallerResponse {
-    let headers = "X-Model: lots\r\nX-Token-Counts: 100,20\r\n";
-    host.exchange(&request(route.0, route.1, id, headers))
-}
-
-fn is_stream(request: &RawRequest) -> bool {
-    request.target.starts_with("/draft/")
-}
-
-/// Returns a complete response to a request of any route.
-fn served(request: &RawRequest) -> Vec<Step> {
-    if !is_stream(request) {
-        return vec![Step::Send(encode_response(request, 200, "served"))];
-    }
-    let events = [event_chunk(1), event_chunk(2), b"0\r\n\r\n".to_vec()].concat();
-    vec![Step::Send([stream_head(request), events].concat())]
-}
-
 /// Starts a server whose response to each request id fails the first time, at any server that shares
 /// `seen`, in the way that the id names.
 fn failing_server(seen: &Arc<Mutex<HashMap<String, u32>>>) -> ScriptedServer {
@@ -180,13 +155,13 @@
     let allowed = [failing_server(&seen), failing_server(&seen)];
     let outside: Vec<ScriptedServer> =
         (0..3).map(|_| ScriptedServer::start(served).unwrap()).collect();
-    for service in ["ledger", "pool"] {
+    for service in SERVICES {
         for (zone, server) in [("quay", &allowed[0]), ("mill", &allowed[1])] {
-            put_server(&store, service, zone, server);
+            put_server(&store, service, zone, server, 1);
         }
         // One in the region of the host, one that only the route allows, one in an unknown zone.
         for (zone, server) in ["depot", "moor", "nowhere"].into_iter().zip(&outside) {
-            put_server(&store, service, zone, server);
+            put_server(&store, service, zone, server, 1);
         }
     }
     let host = start_host(&store, "entry-1");
@@ -221,8 +196,8 @@
     let store = StoreStandin::start().unwrap();
     store.put("config", "main", constrained(1, &[], &[]));
     let server = ScriptedServer::start(served).unwrap();
-    for service in ["ledger", "pool"] {
-        put_server(&store, service, "depot", &server);
+    for service in SERVICES {
+        put_server(&store, service, "depot", &server, 1);
     }
     let host = start_host(&store, "entry-1");
     for (number, (route_regions, customer_regions, message)) in cases.into_iter().enumerate() {
@@ -258,8 +233,8 @@
         };
         let north = ScriptedServer::start(slow).unwrap();
         let west = ScriptedServer::start(served).unwrap();
-        put_server(&store, "pool", "quay", &north);
-        put_server(&store, "pool", "moor", &west);
+        put_server(&store, "pool", "quay", &north, 1);
+        put_server(&store, "pool", "moor", &west, 1);
         let host = start_host(&store, "entry-1");
         let draft = ROUTES[2];
         thread::scope(|scope| {
@@ -295,8 +270,8 @@
     let store = StoreStandin::start().unwrap();
     store.put("config", "main", constrained(1, &["north"], &[]));
     let [near, north] = [(); 2].map(|()| ScriptedServer::start(served).unwrap());
-    put_server(&store, "pool", "depot", &near);
-    put_server(&store, "pool", "quay", &north);
+    put_server(&store, "pool", "depot", &near, 1);
+    put_server(&store, "pool", "quay", &north, 1);
     // The one with the smallest id owns all engines, as all get the same processor time.
     let hosts = ["entry-1", "entry-2"].map(|it| start_host(&store, it));
     thread::sleep(Duration::from_millis(800));
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod pausing_server;
 pub mod sent_request;
+pub mod zoned_servers;
 
 use std::{
     fs::File,
--- a/tests/evacuated_zones.rs
+++ b/tests/evacuated_zones.rs
@@ -14,8 +14,9 @@
 };
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreFault, StoreStandin};
 use entry_process::{
-    charter, encode_response, event_chunk, request, server_entry, stream_head, CallerResponse,
-    EntryProcess,
+    charter, event_chunk, server_entry, stream_head,
+    zoned_servers::{put_server, send, served, ROUTES, SERVICES},
+    CallerResponse, EntryProcess,
 };
 use serde_json::{json, Value};
 
@@ -138,17 +139,17 @@
     }
 }
 
-fn served(request: &RawRequest) -> Vec<Step> {
-    if !request.target.starts_with("/draft/") {
-        return vec![Step::Send(encode_response(request, 200, "served"))];
+/// Serves a request whose id is "long" for a while.
+fn served_slowly(request: &RawRequest) -> Vec<Step> {
+    match request.header("x-request-id") {
+        Some("long") => {
+            let start = [stream_head(request), event_chunk(1)].concat();
+            let pause = Step::Pause(Duration::from_millis(1200));
+            let end = [event_chunk(2), b"0\r\n\r\n".to_vec()].concat();
+            vec![Step::Send(start), pause, Step::Send(end)]
+        }
+        _ => served(request),
     }
-    let pause = match request.header("x-request-id") {
-        Some("long") => Duration::from_millis(1200),
-        _ => Duration::ZERO,
-    };
-    let start = [stream_head(request), event_chunk(1)].concat();
-    let end = [event_chunk(2), b"0\r\n\r\n".to_vec()].concat();
-    vec![Step::Send(start), Step::Pause(pause), Step::Send(end)]
 }
 
 /// A store with an engine and a plain server in each of some zones.
@@ -161,14 +162,10 @@
     fn start(zones: &[&'static str]) -> Site {
         let store = StoreStandin::start().unwrap();
         store.put("config", "main", charter(1));
-        let start = |zone: &&'static str| (*zone, ScriptedServer::start(served).unwrap());
+        let start = |zone: &&'static str| (*zone, ScriptedServer::start(served_slowly).unwrap());
         let servers: Vec<(&str, ScriptedServer)> = zones.iter().map(start).collect();
         for (zone, server) in &servers {
-            for service in ["ledger", "pool"] {
-                let mut entry = server_entry(service, server.address(), "ready");
-                entry["zone"] = json!(zone);
-                store.put("servers", &format!("{service}-{zone}"), entry);
-            }
+            SERVICES.iter().for_each(|it| put_server(&store, it, zone, server, 16));
         }
         Site { store, servers }
     }
@@ -206,12 +203,11 @@
 }
 
 fn send_stream(host: &EntryProcess, id: &str) -> CallerResponse {
-    let headers = "X-Model: lots\r\nX-Token-Counts: 100,20\r\n";
-    host.exchange(&request("POST", "/draft/1", id, headers))
+    send(host, ROUTES[2], id)
 }
 
 fn send_both(host: &EntryProcess) -> [CallerResponse; 2] {
-    [host.exchange(&request("GET", "/stock/x", "short", "")), send_stream(host, "short")]
+    [send(host, ROUTES[0], "short"), send_stream(host, "short")]
 }
 
 /// Guards against requests to an evacuated zone at a running host, running ones that are cut, and a zone
@@ -251,17 +247,11 @@
         patient["routes"][2]["goal-ms"] = json!(16_000);
         patient["version"] = json!(2);
         site.store.put("config", "main", patient);
-        // Full until the zone is evacuated, as it has one slot and another one may wait there.
-        let server = |zone: &str| site.servers.iter().find(|it| it.0 == zone).unwrap().1.address();
-        let put = |zone: &str, state: &str| {
-            let mut entry = server_entry("pool", server(zone), state);
-            entry["zone"] = json!(zone);
-            entry["slots"] = json!(1);
-            site.store.put("servers", &format!("pool-{zone}"), entry);
-        };
-        put("mill", "ready");
+        // One request is served and another one waits at an engine; the other engine leaves at first.
+        put_server(&site.store, "pool", "mill", &site.servers[0].1, 1);
         if has_other {
-            put("quay", "draining");
+            let leaving = server_entry("pool", site.servers[1].1.address(), "draining");
+            site.store.put("servers", "pool-quay", leaving);
         }
         let host = site.start_host("entry-1");
         thread::sleep(Duration::from_millis(500));
@@ -276,7 +266,7 @@
             thread::sleep(Duration::from_millis(100));
             assert_eq!(site.n_requests("mill"), 2, "the third one waits");
             if has_other {
-                put("quay", "ready");
+                put_server(&site.store, "pool", "quay", &site.servers[1].1, 1);
             }
             site.store.put(KIND, "mill", json!({}));
             let (response, took) = waiting.join().unwrap();
@@ -353,6 +343,23 @@
     [&host, &cut, &late].iter().for_each(|it| site.wait_until_unused(it, "moor"));
 }
 
+/// Guards against a host that trusts an owner which doesn't know of an evacuation.
+#[test]
+fn grant_of_uninformed_owner_is_checked() {
+    let site = Site::start(&["mill", "quay"]);
+    // It owns all engines, as its id is the smallest, and doesn't watch evacuations.
+    let owner = EntryProcess::start_with_bounds(site.store.address(), "entry-1", "");
+    owner.wait_until_ready();
+    let host = site.start_host("entry-2");
+    thread::sleep(Duration::from_millis(1500));
+    site.store.put(KIND, "mill", json!({}));
+    site.wait_until_unused(&host, "mill");
+    (0..12).for_each(|_| assert_eq!(send_stream(&host, "short").status(), 200));
+    let (n_before, n_of_owner) = (site.n_requests("mill"), 3);
+    (0..n_of_owner).for_each(|_| drop(send_stream(&owner, "short")));
+    assert_eq!(site.n_requests("mill"), n_before + n_of_owner, "the owner grants these engines");
+}
+
 /// Guards against calls of the store for evacuations where the settings have no bound for them, or more
 /// than one list where they have.
 #[test]
