Refuse waiting requests soon after a charter forbids their engines: stricter test

Cause: without the notice of a new charter, the test still passed, as a grant came before its limit. Change: the engine is busy for longer than the refusal may take. Result: the test fails without the notice and passes with it.

--- a/tests/allowed_regions.rs
+++ b/tests/allowed_regions.rs
@@ -225,11 +225,13 @@
 /// either of them forbids.
 #[test]
 fn charter_change_binds_waiting_requests() {
-    for (changed, expected) in [(["west"].as_slice(), 503), (&["north", "west"], 200)] {
+    // The engine is full for longer than a refusal may take, or for less than the request may wait.
+    let cases = [(["west"].as_slice(), 503, 1700), (&["north", "west"], 200, 800)];
+    for (changed, expected, busy_ms) in cases {
         let store = StoreStandin::start().unwrap();
         store.put("config", "main", constrained(1, &["north"], &[]));
-        let slow = |request: &RawRequest| {
-            [vec![Step::Pause(Duration::from_millis(800))], served(request)].concat()
+        let slow = move |request: &RawRequest| {
+            [vec![Step::Pause(Duration::from_millis(busy_ms))], served(request)].concat()
         };
         let north = ScriptedServer::start(slow).unwrap();
         let west = ScriptedServer::start(served).unwrap();
