--- a/tests/evacuated_zones.rs
+++ b/tests/evacuated_zones.rs
@@ -14,8 +14,9 @@
 };
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreFault, StoreStandin};
 use entry_process::{
-    charter, encode_response, event_chunk, request, server_entry, stream_head, CallerResponse,
-    EntryProcess,
+    charter, event_chunk, server_entry, stream_head,
+    zoned_servers::{put_server, send, served, ROUTES, SERVICES},
+    CallerResponse, EntryProcess,
 };
 use serde_json::{json, Value};
 
@@ -138,17 +139,17 @@
     }
 }
 
-fn served(request: &RawRequest) -> Vec<Step> {
-    if !request.target.starts_with("/draft/") {
-        return vec![Step::Send(encode_response(request, 200, "served"))];
+/// Serves a request whose id is "long" for a while.
+fn served_slowly(request: &RawRequest) -> Vec<Step> {
+    match request.header("x-request-id") {
+        Some("long") => {
+            let start = [stream_head(request), event_chunk(1)].concat();
+            let pause = Step::Pause(Duration::from_millis(1200));
+            let end = [event_chunk(2), b"0\r\n\r\n".to_vec()].concat();
+            vec![Step::Send(start), pause, Step::Send(end)]
+        }
+        _ => served(request),
     }
-    let pause = match request.header("x-request-id") {
-        Some("long") => Duration::from_millis(1200),
-        _ => Duration::ZERO,
-    };
-    let start = [stream_head(request), event_chunk(1)].concat();
-    let end = [event_chunk(2), b"0\r\n\r\n".to_vec()].concat();
-    vec![Step::Send(start), Step::Pause(pause), Step::Send(end)]
 }
 
 /// A store with an engine and a plain server in each of some zones.
@@ -161,14 +162,10 @@
     fn start(zones: &[&'static str]) -> Site {
         let store = StoreStandin::start().unwrap();
         store.put("config", "main", charter(1));
-        let start = |zone: &&'static str| (*zone, ScriptedServer::start(served).unwrap());
+        let start = |zone: &&'static str| (*zone, ScriptedServer::start(served_slowly).unwrap());
         let servers: Vec<(&str, ScriptedServer)> = zones.iter().map(start).collect();
         for (zone, server) in &servers {
-            for service in ["ledger", "pool"] {
-                let mut entry = server_entry(service, server.address(), "ready");
-                entry["zone"] = json!(zone);
-                store.put("servers", &format!("{service}-{zone}"), entry);
-            }
+            SERVICES.iter().for_each(|it| put_server(&store, it, zone, server, 16));
         }
         Site { store, servers }
     }
@@ -206,12 +203,11 @@
 }
 
 fn send_stream(host: &EntryProcess, id: &str) -> CallerResponse {
-    let headers = "X-Model: lots\r\nX-Token-Counts: 100,20\r\n";
-    host.exchange(&request("POST", "/draft/1", id, headers))
+    send(host, ROUTES[2], id)
 }
 
 fn send_both(host: &EntryProcess) -> [CallerResponse; 2] {
-    [host.exchange(&request("GET", "/stock/x", "short", "")), send_stream(host, "short")]
+    [send(host, ROUTES[0], "short"), send_stream(host, "short")]
 }
 
 /// Guards against requests to an evacuated zone at a running host, running ones that are cut, and a zone
@@ -241,6 +237,47 @@
     site.wait_until_used(&host, "mill");
 }
 
+/// Guards against requests that go on waiting for full engines of a zone that is evacuated: they move to
+/// another zone, or are refused at once if there is none.
+#[test]
+fn waiting_requests_are_decided_again() {
+    for has_other in [true, false] {
+        let site = Site::start(if has_other { &["mill", "quay"] } else { &["mill"] });
+        let mut patient = charter(1);
+        patient["routes"][2]["goal-ms"] = json!(16_000);
+        patient["version"] = json!(2);
+        site.store.put("config", "main", patient);
+        // One request is served and another one waits at an engine; the other engine leaves at first.
+        put_server(&site.store, "pool", "mill", &site.servers[0].1, 1);
+        if has_other {
+            let leaving = server_entry("pool", site.servers[1].1.address(), "draining");
+            site.store.put("servers", "pool-quay", leaving);
+        }
+        let host = site.start_host("entry-1");
+        thread::sleep(Duration::from_millis(500));
+        thread::scope(|scope| {
+            let running: Vec<_> =
+                (0..2).map(|_| scope.spawn(|| send_stream(&host, "long"))).collect();
+            thread::sleep(Duration::from_millis(200));
+            let waiting = scope.spawn(|| {
+                let started = Instant::now();
+                (send_stream(&host, "waiting"), started.elapsed())
+            });
+            thread::sleep(Duration::from_millis(100));
+            assert_eq!(site.n_requests("mill"), 2, "the third one waits");
+            if has_other {
+                put_server(&site.store, "pool", "quay", &site.servers[1].1, 1);
+            }
+            site.store.put(KIND, "mill", json!({}));
+            let (response, took) = waiting.join().unwrap();
+            assert_eq!(response.status(), if has_other { 200 } else { 503 }, "{}", response.text());
+            assert!(took < Duration::from_millis(900), "before a slot was free: {took:?}");
+            running.into_iter().for_each(|it| assert_eq!(it.join().unwrap().status(), 200));
+        });
+        assert_eq!(site.n_requests("mill"), 2);
+    }
+}
+
 /// Guards against requests that wait, or are refused without a time to come again, while all zones are
 /// evacuated.
 #[test]
@@ -293,13 +330,34 @@
     assert!(site.store.objects(KIND).is_empty());
     thread::sleep(Duration::from_millis(2500));
     check_unused("after the return of an older copy");
+    let late = site.start_host("entry-3");
+    let n_before = site.n_requests("mill");
+    (0..12).for_each(|_| drop(send_both(&late)));
+    assert_eq!(site.n_requests("mill"), n_before, "by a host that starts with the older copy");
     site.store.put(KIND, "mill", json!({}));
     site.store.put(KIND, "moor", json!({}));
     thread::sleep(Duration::from_millis(1500));
     check_unused("written again");
     site.store.remove(KIND, "mill");
-    [&host, &cut].iter().for_each(|it| site.wait_until_used(it, "mill"));
-    [&host, &cut].iter().for_each(|it| site.wait_until_unused(it, "moor"));
+    [&host, &cut, &late].iter().for_each(|it| site.wait_until_used(it, "mill"));
+    [&host, &cut, &late].iter().for_each(|it| site.wait_until_unused(it, "moor"));
+}
+
+/// Guards against a host that trusts an owner which doesn't know of an evacuation.
+#[test]
+fn grant_of_uninformed_owner_is_checked() {
+    let site = Site::start(&["mill", "quay"]);
+    // It owns all engines, as its id is the smallest, and doesn't watch evacuations.
+    let owner = EntryProcess::start_with_bounds(site.store.address(), "entry-1", "");
+    owner.wait_until_ready();
+    let host = site.start_host("entry-2");
+    thread::sleep(Duration::from_millis(1500));
+    site.store.put(KIND, "mill", json!({}));
+    site.wait_until_unused(&host, "mill");
+    (0..12).for_each(|_| assert_eq!(send_stream(&host, "short").status(), 200));
+    let (n_before, n_of_owner) = (site.n_requests("mill"), 3);
+    (0..n_of_owner).for_each(|_| drop(send_stream(&owner, "short")));
+    assert_eq!(site.n_requests("mill"), n_before + n_of_owner, "the owner grants these engines");
 }
 
 /// Guards against calls of the store for evacuations where the settings have no bound for them, or more
