Count servers as unknown before the first message after a suspension

Cause: an owner that was suspended could admit requests at full rate from messages that it read before its own task noticed the suspension. Change: a turn of the process is recorded before each message is handled, too.

--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -1,7 +1,7 @@
 //! Answers the other entry hosts' requests for capacity at the engines that this host owns.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -39,6 +39,8 @@
     owned_since: RefCell<BTreeMap<BackendId, Instant>>,
     /// Notified when a request begins to wait.
     has_waiting: Event,
+    /// Time of the latest turn of this process, by `clock::now`.
+    last_turn: Cell<Option<Instant>>,
 }
 
 impl CellOwner {
@@ -62,8 +64,14 @@
         self.cell.borrow().n_held_back()
     }
 
-    /// Starts to learn again what runs at the engines, as this process may have missed reports.
-    fn relearn(&self, host: &EntryHost, now: Instant) {
+    /// Records a turn of this process; if it may have been suspended since the last one, begins to learn
+    /// again what runs at the engines, as it may have missed reports.
+    fn record_turn(&self, host: &EntryHost, now: Instant) {
+        let last_turn = self.last_turn.replace(Some(clock::now()));
+        if last_turn.is_none_or(|it| clock::elapsed(it) <= MAX_TURN_INTERVAL) {
+            return;
+        }
+        log::info!("cell: the process was suspended, learning the loads again");
         host.cold_servers.borrow_mut().note_suspended(now);
         self.owned_since.borrow_mut().values_mut().for_each(|it| *it = now);
     }
@@ -71,6 +79,8 @@
     /// Handles a message of an entry host that holds, or asks for, reservations.
     pub(crate) fn handle(&self, host: &EntryHost, from: SocketAddr, message: AdmissionMessage) {
         let now = Instant::now();
+        // A message may be read before the task that waits for the next turn runs.
+        self.record_turn(host, now);
         match message {
             AdmissionMessage::Request { number, demand } => {
                 let id = ReservationId { holder: from, number };
@@ -151,7 +161,6 @@
 /// dropped.
 pub(crate) async fn run(host: Rc<EntryHost>) {
     let owner = &host.cell_owner;
-    let mut last_turn = clock::now();
     let mut next_expiry = Instant::now() + EXPIRE_INTERVAL;
     loop {
         let listener = owner.has_waiting.listen();
@@ -159,10 +168,7 @@
         let wake = next_deadline.map_or(next_expiry, |it| it.min(next_expiry));
         listener.or(runtime::sleep_until(wake)).await;
         let now = Instant::now();
-        if clock::elapsed(std::mem::replace(&mut last_turn, clock::now())) > MAX_TURN_INTERVAL {
-            log::info!("cell: the process was suspended, learning the loads again");
-            owner.relearn(&host, now);
-        }
+        owner.record_turn(&host, now);
         if now >= next_expiry {
             next_expiry = now + EXPIRE_INTERVAL;
             let n_expired = owner.cell.borrow_mut().expire(now);
