--- a/tests/cold_schedules.rs
+++ b/tests/cold_schedules.rs
@@ -1,34 +1,29 @@
 //! A server that gets cold again and again, under more requests than it bears, in random schedules: no
 //! second brings more than the outer bound, summed over all hosts.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    ops::Range,
-    time::{Duration, Instant},
-};
+mod cold_pool;
+
+use std::{collections::BTreeSet, net::SocketAddr, ops::Range, time::Instant};
 
+use cold_pool::{address, cold_servers, ms, server, COLD_MS, SLOTS};
 use crocustiller::{
     placement::{
-        Admission, AdmissionCell, BackendHealth, CellEngine, ColdBounds, ColdServers, Demand,
-        EntryShare, ReservationId,
+        Admission, AdmissionCell, BackendHealth, CellEngine, ColdServers, Demand, EntryShare,
+        ReservationId,
     },
-    routing::{BackendServer, BackendState, ColdStart, EngineSpec, Service},
+    routing::BackendServer,
 };
 use fastrand::Rng;
 
 const ID: &str = "i-0";
 const N_HOSTS: usize = 4;
-const SLOTS: u32 = 12;
 const STEP_MS: u64 = 5;
 const RUN_MS: u64 = 30_000;
-const COLD_MS: u64 = 3000;
 /// Time until all hosts have read a new entry.
 const MAX_LAG_MS: u64 = 950;
 /// Time until a granted request arrives at its server.
 const MAX_SEND_MS: u64 = 200;
-const BOUNDS: ColdBounds = ColdBounds { over: 1.5, slack: 5 };
-/// Requests in one second beyond which the server crashes: 17 x 1.5 + 5.
+/// Requests in one second beyond which the server crashes.
 const MAX_PER_SECOND: usize = 30;
 
 const NEVER: Range<u64> = u64::MAX..u64::MAX;
@@ -72,18 +67,7 @@
 }
 
 fn entry(started_ms: u64, cold_left_ms: u64) -> BackendServer {
-    BackendServer {
-        id: ID.to_owned(),
-        service: "pool".to_owned(),
-        address: SocketAddr::from(([10, 1, 0, 1], 1)),
-        zone: "z1".to_owned(),
-        slots: SLOTS,
-        state: BackendState::Ready,
-        weights: Vec::new(),
-        is_switching: false,
-        started_ms,
-        cold_left: Duration::from_millis(cold_left_ms),
-    }
+    server(ID, "pool", started_ms, ms(cold_left_ms))
 }
 
 /// Returns `true` in the first step from that time on.
@@ -94,29 +78,11 @@
 impl World {
     fn new(seed: u64) -> World {
         let start = Instant::now();
-        let cold_start =
-            ColdStart { duration: Duration::from_millis(COLD_MS), max_requests_per_s: 17.0 };
-        let engine = EngineSpec {
-            slots: SLOTS,
-            models: Vec::new(),
-            n_layers: 1,
-            n_pieces: 1,
-            piece_bytes: 1,
-            step: Duration::ZERO,
-            step_per_request: Duration::ZERO,
-            step_per_1000_tokens: Duration::ZERO,
-            steps_per_event: 1,
-            usual_output_tokens: 0,
-            read_tokens_per_s: 1.0,
-        };
-        let service = Service { engine: Some(engine), origin: None, cold_start: Some(cold_start) };
-        let services = BTreeMap::from([("pool".to_owned(), service)]);
         let host = |number: usize| {
-            let mut cold = ColdServers::new(BOUNDS);
-            cold.update_services(&services);
+            let mut cold = cold_servers();
             cold.update_servers([&entry(1, 0)].into_iter(), &BTreeSet::new(), start);
             Host {
-                address: SocketAddr::from(([10, 1, 0, 2], number as u16)),
+                address: address(number as u16),
                 cold,
                 cell: AdmissionCell::default(),
                 health: BackendHealth::default(),
@@ -141,8 +107,8 @@
         }
     }
 
-    fn at(&self, ms: u64) -> Instant {
-        self.start + Duration::from_millis(ms)
+    fn at(&self, ms_after: u64) -> Instant {
+        self.start + ms(ms_after)
     }
 
     /// The server writes its entry; each host reads it later, in order, some twice.
@@ -163,11 +129,8 @@
         for host in self.hosts.iter_mut().filter(|it| it.owns.contains(&now)) {
             host.owns.end = ends;
         }
-        if !self.hosts[new].owns.contains(&now) {
-            self.hosts[new].owns = begins..u64::MAX;
-        } else {
-            self.hosts[new].owns.end = u64::MAX;
-        }
+        let owns = &mut self.hosts[new].owns;
+        *owns = if owns.contains(&now) { owns.start } else { begins }..u64::MAX;
         self.next_owner_event = ends + 1000;
     }
 
@@ -262,7 +225,7 @@
             true => vec![engine.clone()],
             false => Vec::new(),
         };
-        let wait = Duration::from_millis(self.random.u64(0..50));
+        let wait = ms(self.random.u64(0..50));
         let demand = Demand { prompt_tokens: 1, wait, ..Demand::default() };
         let id = ReservationId { holder: host.address, number: now };
         let decision = host.cell.request(id, demand.clone(), &engines, at).map(|it| (id, it));
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -1,70 +1,21 @@
 //! Requests to cold backend servers: their rate summed over all hosts, and what is known of their state.
 
+mod cold_pool;
+
 use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    collections::BTreeSet,
     time::{Duration, Instant},
 };
 
+use cold_pool::{address, cold_servers, ms, server, COLD_MS, SLOTS};
 use crocustiller::{
     placement::{
-        Admission, AdmissionCell, CellEngine, ColdBounds, ColdServers, ColdState, Demand,
-        EntryShare, ReservationId,
+        Admission, AdmissionCell, CellEngine, ColdServers, ColdState, Demand, EntryShare,
+        ReservationId,
     },
-    routing::{BackendServer, BackendState, ColdStart, EngineSpec, Service},
+    routing::BackendServer,
 };
 
-const SLOTS: u32 = 12;
-const COLD_MS: u64 = 3000;
-const BOUNDS: ColdBounds = ColdBounds { over: 1.5, slack: 5 };
-
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn address(number: u16) -> SocketAddr {
-    SocketAddr::from(([10, 1, 0, 1], number))
-}
-
-fn cold_servers() -> ColdServers {
-    let engine = EngineSpec {
-        slots: SLOTS,
-        models: Vec::new(),
-        n_layers: 1,
-        n_pieces: 1,
-        piece_bytes: 1,
-        step: ms(7),
-        step_per_request: Duration::ZERO,
-        step_per_1000_tokens: Duration::ZERO,
-        steps_per_event: 7,
-        usual_output_tokens: 0,
-        read_tokens_per_s: 30_600.0,
-    };
-    let cold_start = Some(ColdStart { duration: ms(COLD_MS), max_requests_per_s: 17.0 });
-    let service = |engine| Service { engine, origin: None, cold_start };
-    let mut cold = ColdServers::new(BOUNDS);
-    cold.update_services(&BTreeMap::from([
-        ("pool".to_owned(), service(Some(engine))),
-        ("plain".to_owned(), service(None)),
-    ]));
-    cold
-}
-
-fn server(id: &str, service: &str, started_ms: u64, cold_left: Duration) -> BackendServer {
-    BackendServer {
-        id: id.to_owned(),
-        service: service.to_owned(),
-        address: address(1),
-        zone: "z1".to_owned(),
-        slots: SLOTS,
-        state: BackendState::Ready,
-        weights: Vec::new(),
-        is_switching: false,
-        started_ms,
-        cold_left,
-    }
-}
-
 fn renew(cold: &mut ColdServers, server: &BackendServer, now: Instant) {
     cold.update_servers([server].into_iter(), &BTreeSet::from([server.id.clone()]), now);
 }
