A response with a status that HTTP doesn't have is malformed

A backend server's response with status 000, or any status below 100 or above 599, was parsed like any other. tests/odd_statuses failed before this change in all its tests but the resumption of a stream: - a repeatable call, a call that must not be repeated, and the start of a stream were given the odd response ("HTTP/1.1 0 OK" for 000), which counted as a success of the server and kept its connection; - Client, by which entry hosts, slots, the store and the origin are called, returned it as a response; - ResponseHead::parse accepted 0 to 99 and 600 to 999; - the resumption of a stream was cut already, as only a success may follow the start of a stream.

ResponseHead::parse takes such a head as malformed, so that the connection is closed, the server counts as failing (ejected after two) and the request may have run: 502, or another attempt if it may be repeated. A promise in such a head that nothing ran is not believed.

A malformed response counted as a crash of the backend server, so three odd servers made a sound request refused as one that crashes servers (503, "crashed while running this request", seen with the change of the parser alone). Only a connection that broke counts now.

--- a/src/entry/crash_watch.rs
+++ b/src/entry/crash_watch.rs
@@ -81,9 +81,12 @@
     /// Returns the outcome of an attempt whose connection failed, after recording the crash of an
     /// engine that is found dead.
     pub(crate) async fn outcome_after_break(&self, err: &HttpError) -> AttemptOutcome {
-        if matches!(err, HttpError::Io(_) | HttpError::Closed | HttpError::Truncated) {
-            self.record_break().await;
+        // A crash ends the connection; one that sends something odd is still there.
+        if !matches!(err, HttpError::Io(_) | HttpError::Closed | HttpError::Truncated) {
+            let reason = err.to_string();
+            return AttemptOutcome::from_lost_response(self.exchange, &self.backend, &reason);
         }
+        self.record_break().await;
         AttemptOutcome::from_broken_connection(self.exchange, &self.backend, err)
     }
 
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -1,10 +1,15 @@
 //! Heads of requests and responses: the start line and the header fields.
 
+use std::ops::RangeInclusive;
+
 use crate::http1::{headers::Headers, HttpError};
 
 /// Maximum number of header fields in a head.
 const MAX_FIELDS: usize = 100;
 
+/// The status codes that HTTP has. A server that sends another one may have done anything.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// The request line and header fields of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestHead {
@@ -90,7 +95,9 @@
         let mut response = httparse::Response::new(&mut fields);
         let status = response.parse(bytes).map_err(convert_error)?;
         let httparse::Status::Complete(length) = status else { return Ok(None) };
-        let Some(code) = response.code else { return Err(HttpError::Malformed("no status")) };
+        let Some(code) = response.code.filter(|it| VALID_STATUSES.contains(it)) else {
+            return Err(HttpError::Malformed("no valid status"));
+        };
         let mut head = ResponseHead::new(code, response.reason.unwrap_or(""));
         head.is_http10 = response.version == Some(0);
         copy_fields(response.headers, &mut head.headers);
--- /dev/null
+++ b/tests/odd_statuses.rs
@@ -0,0 +1,180 @@
+//! Responses with a status that HTTP doesn't have. What such a server did is unknown, so the response is
+//! lost: it reaches no caller, and the request may have run.
+
+mod entry_process;
+
+use std::{net::SocketAddr, time::Duration};
+
+use crocustiller::{
+    http1::{Call, Client, HttpError, ResponseHead},
+    runtime,
+};
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
+use entry_process::{
+    complete_response, event_chunk, request, server_entry, stream_head, CallerResponse, Deployment,
+};
+
+const STATUSES: [&str; 4] = ["000", "099", "600", "999"];
+const END: &[u8] = b"0\r\n\r\n";
+
+/// Starts a server whose responses have this status and look sound otherwise; one says that the request
+/// was not run, which such a response can't promise.
+fn odd_server(status: &'static str, extra_headers: &'static str) -> ScriptedServer {
+    ScriptedServer::start(move |request: &RawRequest| {
+        let id = request.header("x-request-id").unwrap_or("");
+        let response = format!(
+            "HTTP/1.1 {status} OK\r\nX-Request-Id: {id}\r\nX-Server-Stamp: stamp-{id}\r\n\
+             {extra_headers}Content-Length: 3\r\n\r\nodd"
+        );
+        vec![Step::Send(response.into_bytes())]
+    })
+    .unwrap()
+}
+
+fn engine(events: [u32; 2]) -> ScriptedServer {
+    ScriptedServer::start(move |request: &RawRequest| {
+        let events = events.map(event_chunk).concat();
+        vec![Step::Send([stream_head(request), events, END.to_vec()].concat())]
+    })
+    .unwrap()
+}
+
+fn draft(id: &str) -> Vec<u8> {
+    request("POST", "/draft/1", id, "X-Model: lots\r\nX-Token-Counts: 200,20\r\n")
+}
+
+fn is_lost(response: &CallerResponse) -> bool {
+    response.status() == 502 && response.text().contains("X-Verdict: may-have-run")
+}
+
+/// A repeatable call goes to the other server, and the odd one is ejected.
+#[test]
+fn repeatable_call() {
+    for status in STATUSES {
+        let sound = ScriptedServer::start(complete_response("sound")).unwrap();
+        let odd = odd_server(status, "");
+        let deployment = Deployment::start("ledger", &[&odd, &sound]);
+        for number in 0..30 {
+            let call = request("GET", "/stock/1", &format!("call-{number}"), "");
+            let response = deployment.entry.exchange(&call);
+            assert_eq!(response.status(), 200, "{status}: {}", response.text());
+        }
+        assert!(!odd.requests().is_empty());
+        let log = std::fs::read_to_string(deployment.entry.log_path()).unwrap();
+        assert!(log.contains("health: ejected a backend server backend=ledger-0"), "{status}");
+    }
+}
+
+/// Guards against repeating a call that may have run, and against using the connection again.
+#[test]
+fn call_that_must_not_be_repeated() {
+    for status in STATUSES {
+        for extra_headers in ["", "X-Not-Run: 1\r\n"] {
+            let odd = [(); 2].map(|()| odd_server(status, extra_headers));
+            let deployment = Deployment::start("ledger", &[&odd[0], &odd[1]]);
+            let response = deployment.entry.exchange(&request("POST", "/hold/1", "once", ""));
+            assert!(is_lost(&response), "{status}: {}", response.text());
+            assert_eq!(odd[0].requests().len() + odd[1].requests().len(), 1, "{status}");
+        }
+    }
+}
+
+/// Guards against refusing a request as one that crashes servers, as none of them broke a connection.
+#[test]
+fn odd_status_is_no_crash() {
+    let odd = [(); 4].map(|()| odd_server("000", ""));
+    let deployment = Deployment::start("ledger", &[&odd[0]]);
+    for (idx, server) in odd.iter().enumerate() {
+        let entry = server_entry("ledger", server.address(), "ready");
+        deployment.store.put("servers", &format!("ledger-{idx}"), entry);
+        for number in 0..50 {
+            let call = request("GET", "/stock/1", &format!("call-{idx}-{number}"), "");
+            let response = deployment.entry.exchange(&call);
+            assert!(!response.text().contains("crashed"), "{}", response.text());
+            if !server.requests().is_empty() {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        assert!(!server.requests().is_empty(), "server {idx}");
+        deployment.store.remove("servers", &format!("ledger-{idx}"));
+    }
+}
+
+/// Guards against reading further responses from a connection whose state is unknown.
+#[test]
+fn connection_is_closed() {
+    for status in STATUSES {
+        let odd = odd_server(status, "");
+        let deployment = Deployment::start("ledger", &[&odd]);
+        for id in ["first", "second"] {
+            let response = deployment.entry.exchange(&request("GET", "/stock/1", id, ""));
+            assert!(is_lost(&response), "{status}: {}", response.text());
+        }
+        let requests = odd.requests();
+        assert_ne!(requests[0].connection, requests[1].connection, "{status}");
+    }
+}
+
+#[test]
+fn start_of_a_stream() {
+    for status in STATUSES {
+        let odd = odd_server(status, "");
+        let deployment = Deployment::start("pool", &[&odd]);
+        let response = deployment.entry.exchange(&draft("alone"));
+        assert!(is_lost(&response), "{status}: {}", response.text());
+        let servers = [odd_server(status, ""), engine([1, 2])];
+        let deployment = Deployment::start("pool", &[&servers[0], &servers[1]]);
+        for number in 0..6 {
+            let response = deployment.entry.exchange(&draft(&format!("stream-{number}")));
+            assert!(response.is_complete(), "{status}: {}", response.text());
+            assert!(response.text().contains("token-2"), "{status}: {}", response.text());
+        }
+    }
+}
+
+/// The caller has the start of the stream, so nothing of the odd response may follow it.
+#[test]
+fn resumption_of_a_stream() {
+    for status in STATUSES {
+        let script = move |request: &RawRequest| match request.header("last-event-id") {
+            None => vec![Step::Send([stream_head(request), event_chunk(1)].concat()), Step::Close],
+            Some(_) => {
+                let id = request.header("x-request-id").unwrap_or("");
+                let head = format!("HTTP/1.1 {status} OK\r\nX-Request-Id: {id}\r\n");
+                let rest = "X-Server-Stamp: s\r\nContent-Type: text/event-stream\r\n\
+                            Transfer-Encoding: chunked\r\n\r\n";
+                let bytes = [head.as_bytes(), rest.as_bytes(), &event_chunk(2), END].concat();
+                vec![Step::Send(bytes)]
+            }
+        };
+        let engines = [(); 2].map(|()| ScriptedServer::start(script).unwrap());
+        let deployment = Deployment::start("pool", &[&engines[0], &engines[1]]);
+        let response = deployment.entry.exchange(&draft("resumed"));
+        let text = response.text();
+        assert!(response.is_closed && !response.is_complete(), "{status}: {text}");
+        assert!(text.contains("token-1") && !text.contains("token-2"), "{status}: {text}");
+        assert_eq!(text.matches("HTTP/1.1").count(), 1, "{status}: {text}");
+    }
+}
+
+/// Entry hosts, slots, the store and the origin are all called by this client.
+#[test]
+fn responses_of_other_processes() {
+    for status in STATUSES {
+        let odd = odd_server(status, "");
+        let address: SocketAddr = odd.address();
+        let call = Call::get("/", Duration::from_secs(2), 1000);
+        let res = runtime::run_local(async { Client::default().call(address, &call).await });
+        assert!(matches!(res, Err(HttpError::Malformed(_))), "{status}: {res:?}");
+    }
+}
+
+#[test]
+fn all_statuses() {
+    for status in 0..1000 {
+        let head = format!("HTTP/1.1 {status:03} OK\r\n\r\n");
+        let is_valid = ResponseHead::parse(head.as_bytes()).is_ok();
+        assert_eq!(is_valid, (100..600).contains(&status), "{status}");
+    }
+}
