Bound connections of each port, count heads, let requests sent ahead wait

A connection whose next request had already arrived never waited, so that its task kept the only thread: while 100 connections sent 80,000 requests each to the directory, or to the callers' port without a route, connecting to a backend server, which may take 300 ms, timed out and callers got 503. No port had a limit of connections, so idle or slow ones took all descriptors and connecting to a backend server failed. Bodies at the small endpoints and heads were in no budget, and buffers that were given up stayed until all other tasks had read.

The descriptors of the process ([host] descriptors, by default what the system allows) are divided among the ports; beyond its limit a port closes the connection that has waited longest, never one whose request is being served. Requests sent ahead are begun in turn with other tasks, at the small endpoints at most one in a millisecond. Bodies there are dropped as they arrive. An incomplete head counts as buffered and isn't parsed anew for each byte. Readers let tasks run whose buffers were given up. A counter and a log line tell of connections beyond a limit.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -17,7 +17,7 @@
         request_routing,
         unread_request::UnreadRequest,
     },
-    http1::{BodyLength, BodyReader, Connection, HttpError, RequestHead},
+    http1::{BodyLength, BodyReader, Connection, ConnectionSlot, HttpError, RequestHead},
     memory::{BodyBlocks, BufferLease, BufferSender, BufferedBody, Buffers},
     routing::CallerLimits,
     runtime,
@@ -35,6 +35,7 @@
 /// A connection of a caller, whose requests are served one after the other.
 pub(crate) struct CallerConnection {
     connection: Connection,
+    slot: Rc<ConnectionSlot>,
     host: Rc<EntryHost>,
 }
 
@@ -72,8 +73,12 @@
 
 impl CallerConnection {
     /// Creates the server side of an accepted connection.
-    pub(crate) fn new(connection: Connection, host: Rc<EntryHost>) -> CallerConnection {
-        CallerConnection { connection, host }
+    pub(crate) fn new(
+        connection: Connection,
+        slot: Rc<ConnectionSlot>,
+        host: Rc<EntryHost>,
+    ) -> CallerConnection {
+        CallerConnection { connection, slot, host }
     }
 
     /// Serves requests until one side closes the connection.
@@ -85,13 +90,16 @@
                 // crosses the close must stay unread, so that its caller can tell.
                 Ok(None) => return,
                 Err(reason) => {
+                    self.connection.drop_buffered();
                     self.refuse_unread(&reason).await;
                     return self.close_after_refusal().await;
                 }
             };
+            self.slot.begin_exchange();
             if self.handle(request).await == ConnectionReuse::Close {
                 return self.close().await;
             }
+            self.slot.begin_wait();
         }
     }
 
@@ -129,7 +137,8 @@
         let received = clock::now();
         let limits = self.limits();
         let read = async {
-            let head = self.connection.read_request_head(limits.max_head_bytes).await?;
+            let lease = self.host.buffers.open(BufferSender::Callers);
+            let head = read_head(&mut self.connection, limits.max_head_bytes, lease).await?;
             let length = BodyLength::of_request(&head)?;
             let lease = self.host.buffers.open(BufferSender::Callers);
             let max_bytes = limits.max_body_bytes.min(lease.max_bytes());
@@ -226,8 +235,7 @@
     async fn drain(&mut self) {
         let drain = async {
             while let Ok(true) = self.connection.fill().await {
-                let n_bytes = self.connection.buffered().len();
-                self.connection.consume(n_bytes);
+                self.connection.drop_buffered();
             }
         };
         if runtime::timeout(LINGER_TIMEOUT, drain).await.is_err() {
@@ -236,6 +244,20 @@
     }
 }
 
+/// Reads a head; fails if it is too long, or is given up before it is complete as the requests of all
+/// callers need too much memory.
+async fn read_head(
+    connection: &mut Connection,
+    max_bytes: usize,
+    lease: BufferLease,
+) -> Result<RequestHead, HttpError> {
+    let given_up = async {
+        lease.wait_until_given_up().await;
+        Err(HttpError::BuffersFull)
+    };
+    connection.read_request_head_while(max_bytes, |it| lease.grow(it)).or(given_up).await
+}
+
 /// Reads a body; fails if it is too long, or is given up as the bodies of all callers need too much
 /// memory.
 async fn read_body(
@@ -251,6 +273,7 @@
             lease.wait_until_given_up().await;
             Err(HttpError::BuffersFull)
         };
+        lease.let_given_up_end().await;
         if !given_up.or(reader.read(connection, blocks.last_block())).await? {
             return Ok(BufferedBody::new(blocks, lease));
         }
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -21,7 +21,10 @@
         peer_catch_up, store_relay, store_sync,
     },
     fleet::{ExpiredEntries, StoreSource},
-    http1::{accept_all, Connection, HttpEndpoint},
+    http1::{
+        accept_all, Connection, ConnectionLimits, ConnectionSlot, HttpEndpoint, PortConnections,
+        RequestHead,
+    },
     net::listen::listen as net_listen,
     runtime,
     settings::{DeployedSettings, EntryListenSettings},
@@ -65,28 +68,34 @@
         let host = EntryHost::new(settings, listen.clone())?;
         let store = host.sources.client(StoreSource::Store);
         let listener = Async::new(net_listen(listen.callers)?)?;
+        let limits = ConnectionLimits::of_process(host.settings.n_descriptors);
         let mut tasks = store_sync::start(&host);
-        tasks.push(store_relay::start(&host)?);
+        tasks.push(store_relay::start(&host, limits.peers)?);
         tasks.extend(beacon_exchange::start(&host, &store));
         tasks.push(runtime::spawn_local(peer_catch_up::run(host.clone())));
         tasks.push(runtime::spawn_local(cell_owner::run(host.clone())));
         tasks.push(runtime::spawn_local(admission_client::report(host.clone())));
         let callers = host.clone();
-        let accept = accept_all(listener, move |it| serve(callers.clone(), it));
+        let connections = PortConnections::new("callers", limits.callers);
+        let accept =
+            accept_all(listener, connections, move |it, slot| serve(callers.clone(), it, slot));
         tasks.push(runtime::spawn_local(accept));
         tasks.push(runtime::spawn_local(expire(host.clone())));
         let directory = {
             let host = host.clone();
-            HttpEndpoint::listen(listen.directory, move |it| directory_response(&host, &it.target))?
+            let respond = move |it: &RequestHead| directory_response(&host, &it.target);
+            HttpEndpoint::listen("directory", listen.directory, limits.directory, respond)?
         };
         let readiness = {
             let host = host.clone();
-            HttpEndpoint::listen(listen.readiness, move |_| readiness_response(&host))?
+            let respond = move |_: &RequestHead| readiness_response(&host);
+            HttpEndpoint::listen("readiness", listen.readiness, limits.checks, respond)?
         };
         let metrics = {
             let host = host.clone();
             metrics_endpoint::install_recorder();
-            HttpEndpoint::listen(listen.metrics, move |_| metrics_response(&host))?
+            let respond = move |_: &RequestHead| metrics_response(&host);
+            HttpEndpoint::listen("metrics", listen.metrics, limits.checks, respond)?
         };
         log::info!("daemon: started host={} role=entry", host.settings.host.id);
         Ok(Serving { host, signals, tasks, endpoints: vec![directory, readiness, metrics] })
@@ -131,9 +140,9 @@
     }
 }
 
-async fn serve(host: Rc<EntryHost>, connection: Connection) {
+async fn serve(host: Rc<EntryHost>, connection: Connection, slot: Rc<ConnectionSlot>) {
     let _guard = CountGuard::new(host.clone(), |it| &it.n_connections);
-    CallerConnection::new(connection, host).serve().await;
+    CallerConnection::new(connection, slot, host).serve().await;
 }
 
 /// Removes backend servers that lapsed in an outage of the store and did not register again, and
--- a/src/entry/store_relay.rs
+++ b/src/entry/store_relay.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     entry::entry_host::EntryHost,
-    http1::{accept_all, Connection, HttpError, SmallResponse},
+    http1::{accept_all, Connection, ConnectionSlot, HttpError, PortConnections, SmallResponse},
     net::listen::listen,
     platform::wire_objects,
     runtime,
@@ -24,27 +24,36 @@
 /// Longest time for which a watch waits for a change.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
-/// Starts to serve requests at the address for peers.
-pub(crate) fn start(host: &Rc<EntryHost>) -> io::Result<Task<()>> {
+/// Starts to serve requests at the address for peers, on at most `max_connections`.
+pub(crate) fn start(host: &Rc<EntryHost>, max_connections: usize) -> io::Result<Task<()>> {
     let listener = Async::new(listen(host.settings.peers)?)?;
     let host = host.clone();
-    Ok(runtime::spawn_local(accept_all(listener, move |it| serve_logged(host.clone(), it))))
+    let connections = PortConnections::new("peers", max_connections);
+    let accept =
+        accept_all(listener, connections, move |it, slot| serve_logged(host.clone(), it, slot));
+    Ok(runtime::spawn_local(accept))
 }
 
-async fn serve_logged(host: Rc<EntryHost>, connection: Connection) {
-    if let Err(err) = serve(&host, connection).await {
+async fn serve_logged(host: Rc<EntryHost>, connection: Connection, slot: Rc<ConnectionSlot>) {
+    if let Err(err) = serve(&host, connection, &slot).await {
         log::debug!("fleet: connection to a store watcher failed error=\"{err}\"");
     }
 }
 
-async fn serve(host: &EntryHost, mut connection: Connection) -> Result<(), HttpError> {
+async fn serve(
+    host: &EntryHost,
+    mut connection: Connection,
+    slot: &ConnectionSlot,
+) -> Result<(), HttpError> {
     loop {
         let head = connection.read_request_head(MAX_HEAD_BYTES);
         let head = match runtime::timeout(IDLE_TIMEOUT, head).await {
             Ok(Err(HttpError::Closed)) | Err(_) => return Ok(()),
             Ok(res) => res?,
         };
+        slot.begin_exchange();
         let response = handle(host, &head.target).await;
+        slot.begin_wait();
         let bytes = response.to_bytes();
         let write = runtime::timeout(IDLE_TIMEOUT, connection.write(&bytes)).await;
         write.map_err(|_| HttpError::TimedOut)??;
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -112,15 +112,17 @@
         limit_bytes: usize,
     ) -> Result<(), HttpError> {
         let mut n_bytes = 0;
-        let mut part = Vec::new();
-        while self.read(connection, &mut part).await? {
+        loop {
+            // No memory is kept while the next part is awaited.
+            let mut part = Vec::new();
+            if !self.read(connection, &mut part).await? {
+                return Ok(());
+            }
             n_bytes += part.len();
-            part.clear();
             if n_bytes > limit_bytes {
                 return Err(HttpError::BodyTooLong);
             }
         }
-        Ok(())
     }
 
     /// Reads the rest of the body; fails if it is longer than `limit_bytes`.
--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -52,6 +52,8 @@
     n_consumed: usize,
     is_eof: bool,
     n_reads_in_turn: u32,
+    /// Whether a request was taken from the buffer since the last read.
+    has_read_request: bool,
     has_failed_write: Arc<AtomicBool>,
     peer: PeerState,
 }
@@ -94,6 +96,7 @@
             n_consumed: 0,
             is_eof: false,
             n_reads_in_turn: 0,
+            has_read_request: false,
             has_failed_write: Arc::default(),
             peer,
         })
@@ -122,6 +125,11 @@
         }
     }
 
+    /// Removes all buffered bytes.
+    pub fn drop_buffered(&mut self) {
+        self.consume(self.buffered().len());
+    }
+
     /// Waits until more bytes are buffered; returns `false` if the peer has closed its write half.
     ///
     /// Fails if the peer is gone or has reset the connection, also if a write has already reported
@@ -135,6 +143,7 @@
             self.n_consumed = 0;
         }
         self.yield_between_turns().await;
+        self.has_read_request = false;
         let stream = self.stream.clone();
         let n_read = stream.read_with(|mut it| read_into(&mut it, &mut self.buffer)).await?;
         if n_read == 0 {
@@ -233,14 +242,38 @@
         &mut self,
         limit_bytes: usize,
     ) -> Result<RequestHead, HttpError> {
+        self.read_request_head_while(limit_bytes, |_| true).await
+    }
+
+    /// Reads the head of a request as `read_request_head` does. While it is incomplete, calls `may_keep` with
+    /// the length of each part that is buffered, and fails once that returns `false`.
+    pub async fn read_request_head_while(
+        &mut self,
+        limit_bytes: usize,
+        may_keep: impl Fn(usize) -> bool,
+    ) -> Result<RequestHead, HttpError> {
+        if self.has_read_request {
+            // The peer sends requests ahead, so that reading the next one may never wait.
+            future::yield_now().await;
+        }
+        let mut n_known = 0;
+        let mut n_parsed = 0;
         loop {
-            if let Some((head, length)) = RequestHead::parse(self.buffered())? {
-                if length > limit_bytes {
-                    return Err(HttpError::HeadTooLong);
+            if may_complete_head(self.buffered(), n_parsed) {
+                n_parsed = self.buffered().len();
+                if let Some((head, length)) = RequestHead::parse(self.buffered())? {
+                    if length > limit_bytes {
+                        return Err(HttpError::HeadTooLong);
+                    }
+                    self.consume(length);
+                    self.has_read_request = true;
+                    return Ok(head);
                 }
-                self.consume(length);
-                return Ok(head);
             }
+            if !may_keep(self.buffered().len() - n_known) {
+                return Err(HttpError::BuffersFull);
+            }
+            n_known = self.buffered().len();
             self.fill_head(limit_bytes).await?;
         }
     }
@@ -292,6 +325,16 @@
     }
 }
 
+/// Returns `true` if a head of which `n_parsed` bytes are known not to complete it may be complete, or has
+/// grown so much that its errors should be found.
+///
+/// A head that arrives byte by byte would otherwise be parsed from its start for each of them.
+fn may_complete_head(buffered: &[u8], n_parsed: usize) -> bool {
+    let since = n_parsed.saturating_sub(2);
+    let has_end = buffered[since..].windows(2).any(|it| it == b"\n\n" || it == b"\n\r");
+    has_end || buffered.len() >= 2 * n_parsed
+}
+
 /// Appends the bytes that can be read now; the buffer is unchanged if there are none.
 fn read_into(stream: &mut &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
     READ_BUFFER.with_borrow_mut(|it| {
--- a/src/http1/http_endpoint.rs
+++ b/src/http1/http_endpoint.rs
@@ -11,6 +11,7 @@
         body::{BodyLength, BodyReader},
         connection::Connection,
         head::RequestHead,
+        port_connections::{ConnectionSlot, PortConnections},
         HttpError,
     },
     runtime,
@@ -23,6 +24,9 @@
 /// Time after which a connection is closed on which no complete request arrived, or a response was
 /// not read.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between two responses of the port to requests that were sent ahead. Building them would otherwise
+/// take all processor time, as requests that were sent ahead never need to be waited for.
+const AHEAD_INTERVAL: Duration = Duration::from_millis(1);
 
 /// A response with a complete body, for endpoints that need no header fields of their own.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,23 +66,34 @@
     task: Task<()>,
 }
 
+/// What all connections of a port share.
+struct Responder<F> {
+    respond: F,
+    /// Held while a request that was sent ahead waits for its interval.
+    ahead_turn: async_lock::Mutex<()>,
+}
+
 impl HttpEndpoint {
-    /// Starts a server at `address` that responds to each request with the result of `respond`.
+    /// Starts a server at `address` that has at most `max_connections` open and responds to each request
+    /// with the result of `respond`. Its port is called `name` in metrics and in the log.
     pub fn listen(
+        name: &'static str,
         address: SocketAddr,
+        max_connections: usize,
         respond: impl Fn(&RequestHead) -> SmallResponse + 'static,
     ) -> io::Result<HttpEndpoint> {
         let listener = Async::<std::net::TcpListener>::bind(address)?;
-        let respond = Rc::new(respond);
-        let serve_connection = move |connection| {
-            let respond = respond.clone();
+        let connections = PortConnections::new(name, max_connections);
+        let responder = Rc::new(Responder { respond, ahead_turn: async_lock::Mutex::new(()) });
+        let serve_connection = move |connection, slot: Rc<ConnectionSlot>| {
+            let responder = responder.clone();
             async move {
-                if let Err(err) = serve(connection, &*respond).await {
+                if let Err(err) = responder.serve(connection, &slot).await {
                     log::debug!("http: failed to respond to a request error=\"{err}\"");
                 }
             }
         };
-        let task = runtime::spawn_local(accept_all(listener, serve_connection));
+        let task = runtime::spawn_local(accept_all(listener, connections, serve_connection));
         Ok(HttpEndpoint { task })
     }
 
@@ -88,21 +103,30 @@
     }
 }
 
-async fn serve(
-    mut connection: Connection,
-    respond: &dyn Fn(&RequestHead) -> SmallResponse,
-) -> Result<(), HttpError> {
-    loop {
-        let head = match runtime::timeout(IDLE_TIMEOUT, read_request(&mut connection)).await {
-            Ok(Err(HttpError::Closed)) | Err(_) => return Ok(()),
-            Ok(res) => res?,
-        };
-        let bytes = respond(&head).to_bytes();
-        let write = runtime::timeout(IDLE_TIMEOUT, connection.write(&bytes)).await;
-        write.map_err(|_| HttpError::TimedOut)??;
-        if head.headers.has_member("connection", "close") {
-            connection.shutdown_write();
-            return Ok(());
+impl<F: Fn(&RequestHead) -> SmallResponse> Responder<F> {
+    async fn serve(
+        &self,
+        mut connection: Connection,
+        slot: &ConnectionSlot,
+    ) -> Result<(), HttpError> {
+        loop {
+            let is_ahead = !connection.buffered().is_empty();
+            let head = match runtime::timeout(IDLE_TIMEOUT, read_request(&mut connection)).await {
+                Ok(Err(HttpError::Closed)) | Err(_) => return Ok(()),
+                Ok(res) => res?,
+            };
+            if is_ahead {
+                let _turn = self.ahead_turn.lock().await;
+                runtime::sleep(AHEAD_INTERVAL).await;
+            }
+            let bytes = (self.respond)(&head).to_bytes();
+            let write = runtime::timeout(IDLE_TIMEOUT, connection.write(&bytes)).await;
+            write.map_err(|_| HttpError::TimedOut)??;
+            if head.headers.has_member("connection", "close") {
+                connection.shutdown_write();
+                return Ok(());
+            }
+            slot.begin_wait();
         }
     }
 }
@@ -111,6 +135,6 @@
 async fn read_request(connection: &mut Connection) -> Result<RequestHead, HttpError> {
     let head = connection.read_request_head(MAX_HEAD_BYTES).await?;
     let mut body = BodyReader::new(BodyLength::of_request(&head)?);
-    body.read_all(connection, MAX_BODY_BYTES).await?;
+    body.discard(connection, MAX_BODY_BYTES).await?;
     Ok(head)
 }
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -10,20 +10,26 @@
 mod chunk_decoder;
 mod client;
 mod connection;
+mod connection_limits;
 mod error;
 mod head;
 mod headers;
 mod http_endpoint;
 mod peer_silence;
 mod peer_watch;
+mod port_connections;
 
-pub(crate) use crate::http1::acceptor::accept_all;
+pub(crate) use crate::http1::{
+    acceptor::accept_all,
+    port_connections::{ConnectionSlot, PortConnections},
+};
 pub use crate::http1::{
     ack_status::AckStatus,
     body::{BodyLength, BodyReader},
     chunk_decoder::ChunkDecoder,
     client::{Call, Client, Response},
     connection::{Connection, ConnectionWriter},
+    connection_limits::ConnectionLimits,
     error::HttpError,
     head::{RequestHead, ResponseHead},
     headers::Headers,
--- a/src/memory/buffer_lease.rs
+++ b/src/memory/buffer_lease.rs
@@ -41,6 +41,11 @@
         self.buffers.wait_for_caller(self.id);
     }
 
+    /// Lets the tasks run whose buffers were given up, so that they drop the bytes.
+    pub async fn let_given_up_end(&self) {
+        self.buffers.let_given_up_end().await;
+    }
+
     /// Waits until the buffer is given up for another one; its bytes must then be dropped.
     pub async fn wait_until_given_up(&self) {
         self.buffers.wait_until_given_up(self.id).await;
--- a/src/memory/buffers.rs
+++ b/src/memory/buffers.rs
@@ -1,8 +1,13 @@
 //! The buffers of one process, which share its memory.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
 
 use event_listener::Event;
+use futures_lite::future;
 
 use crate::memory::{BufferBudget, BufferId, BufferLease, BufferLimits, BufferSender};
 
@@ -17,13 +22,21 @@
     budget: RefCell<BufferBudget>,
     /// The events of the buffers that have a lease, each notified when its buffer is given up.
     given_up: RefCell<BTreeMap<BufferId, Rc<Event>>>,
+    /// The buffers that were given up and whose bytes may not be dropped yet.
+    undropped: RefCell<BTreeSet<BufferId>>,
 }
 
 impl Buffers {
     /// Creates the buffers of a process that may use `memory_bytes`.
     pub fn new(memory_bytes: usize) -> Buffers {
         let budget = RefCell::new(BufferBudget::new(BufferLimits::of_process(memory_bytes)));
-        Buffers { shared: Rc::new(Shared { budget, given_up: RefCell::default() }) }
+        Buffers {
+            shared: Rc::new(Shared {
+                budget,
+                given_up: RefCell::default(),
+                undropped: RefCell::default(),
+            }),
+        }
     }
 
     /// Returns the lease of an empty buffer for bytes of `sender`.
@@ -73,6 +86,15 @@
     pub(crate) fn close(&self, id: BufferId) {
         self.shared.budget.borrow_mut().close(id);
         self.shared.given_up.borrow_mut().remove(&id);
+        self.shared.undropped.borrow_mut().remove(&id);
+    }
+
+    /// Lets other tasks run if buffers were given up that may still be in memory. Many tasks at once with
+    /// bytes ready would otherwise all read before one of those drops its bytes.
+    pub(crate) async fn let_given_up_end(&self) {
+        if !self.shared.undropped.borrow().is_empty() {
+            future::yield_now().await;
+        }
     }
 
     /// Waits until a buffer is given up for another one.
@@ -89,6 +111,7 @@
     }
 
     fn notify(&self, given_up: &[BufferId]) {
+        self.shared.undropped.borrow_mut().extend(given_up);
         let events = self.shared.given_up.borrow();
         for event in given_up.iter().filter_map(|it| events.get(it)) {
             event.notify(usize::MAX);
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -16,6 +16,9 @@
 pub const ENTRY_WAIT_SECONDS: &str = "crocustiller_entry_wait_seconds";
 /// Gauge: open connections from callers.
 pub const ENTRY_CONNECTIONS: &str = "crocustiller_entry_connections";
+/// Counter: connections beyond the limit of a port, by `port` and `outcome`: another one was evicted for it,
+/// or it was refused.
+pub const EXCESS_CONNECTIONS: &str = "crocustiller_excess_connections_total";
 /// Gauge: backend servers that accept new requests, by `service`.
 pub const READY_BACKENDS: &str = "crocustiller_ready_backends";
 /// Gauge: requests from this host that are in progress at backend servers.
--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -15,6 +15,8 @@
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// The number of bytes in a megabyte.
 const BYTES_PER_MB: f64 = 1_048_576.0;
+/// Greatest number of descriptors of a process.
+const MAX_DESCRIPTORS: u64 = 1 << 30;
 /// Memory of a process whose settings don't name it, in megabytes.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 
@@ -33,6 +35,8 @@
     pub processor_share: f64,
     /// `[host] memory_mb`: memory that the process may use, converted to bytes.
     pub memory_bytes: usize,
+    /// `[host] descriptors`: file descriptors that the process may have open.
+    pub n_descriptors: u64,
     /// Settings that depend on the role.
     pub role: DeployedRole,
     /// `[bounds]`: limits on shutdown time, version changes and retries.
@@ -119,6 +123,8 @@
     let host = read_host(reader);
     let processor_share = reader.positive_number("host", "processor_share", 1.0);
     let memory_mb = reader.positive_number("host", "memory_mb", DEFAULT_MEMORY_MB);
+    let n_descriptors =
+        reader.number("host", "descriptors", 64..=MAX_DESCRIPTORS, descriptor_limit());
     let store = reader.address("store", "address");
     let peers = reader.address("listen", "peers");
     let mut zones = reader.names_by_key("zones");
@@ -137,12 +143,19 @@
         zones,
         processor_share: processor_share?,
         memory_bytes: (memory_mb? * BYTES_PER_MB) as usize,
+        n_descriptors: n_descriptors?,
         role: role?,
         bounds: bounds?,
         log: log?,
     })
 }
 
+/// Returns the number of descriptors that the system lets this process open.
+fn descriptor_limit() -> u64 {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS)
+}
+
 fn read_entry(reader: &mut IniReader) -> Option<EntryListenSettings> {
     let callers = reader.address("listen", "callers");
     let readiness = reader.address("listen", "readiness");
--- a/src/slot/piece_server.rs
+++ b/src/slot/piece_server.rs
@@ -9,7 +9,10 @@
 use async_io::Async;
 
 use crate::{
-    http1::{accept_all, Connection, HttpError, ResponseHead},
+    http1::{
+        accept_all, Connection, ConnectionLimits, ConnectionSlot, HttpError, PortConnections,
+        ResponseHead,
+    },
     platform::origin_api::encode_manifest,
     runtime,
     slot::{slot_state::SlotState, PieceStore},
@@ -61,8 +64,11 @@
             budget: LinkBudget::new(rate, rate, MIN_SHARE_PERCENT),
             n_queued: Cell::new(0),
         });
-        let task = runtime::spawn_local(accept_all(listener, move |it| serve(queue.clone(), it)));
-        Ok(PieceServer { task })
+        let limits = ConnectionLimits::of_process(slot.settings.n_descriptors);
+        let connections = PortConnections::new("pieces", limits.peers);
+        let accept =
+            accept_all(listener, connections, move |it, place| serve(queue.clone(), it, place));
+        Ok(PieceServer { task: runtime::spawn_local(accept) })
     }
 
     /// Stops the server.
@@ -81,20 +87,26 @@
     format!("/piece/{model}/{version}/{number}")
 }
 
-async fn serve(queue: Rc<UploadQueue>, connection: Connection) {
-    if let Err(err) = queue.serve(connection).await {
+async fn serve(queue: Rc<UploadQueue>, connection: Connection, place: Rc<ConnectionSlot>) {
+    if let Err(err) = queue.serve(connection, &place).await {
         log::debug!("weights: connection to another slot failed error=\"{err}\"");
     }
 }
 
 impl UploadQueue {
-    async fn serve(&self, mut connection: Connection) -> Result<(), HttpError> {
+    async fn serve(
+        &self,
+        mut connection: Connection,
+        place: &ConnectionSlot,
+    ) -> Result<(), HttpError> {
         loop {
+            place.begin_wait();
             let head = connection.read_request_head(MAX_HEAD_BYTES);
             let head = match runtime::timeout(IDLE_TIMEOUT, head).await {
                 Ok(Err(HttpError::Closed)) | Err(_) => return Ok(()),
                 Ok(res) => res?,
             };
+            place.begin_exchange();
             if let Some(manifest) = self.encoded_manifest(&head.target) {
                 send_head(&connection, 200, manifest.len()).await?;
                 write(&connection, &manifest).await?;
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -42,6 +42,7 @@
     pub readiness: SocketAddr,
     pub directory: SocketAddr,
     pub peers: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 /// The bytes that a caller received in response to a request.
@@ -72,11 +73,16 @@
 /// Starts a process with the settings `text`; they and its log are deleted when the folder is
 /// dropped.
 pub fn start_platform_process(text: &str) -> (Child, TempDir) {
+    start_with_descriptors(text, None)
+}
+
+/// Starts a process that may have only `n_descriptors` open, if that is named.
+pub fn start_with_descriptors(text: &str, n_descriptors: Option<u64>) -> (Child, TempDir) {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("settings.ini");
     std::fs::write(&path, text).unwrap();
     // Standard error is inherited, so that the reason of a failed start is in the test's output.
-    let child = Command::new(env!("CARGO_BIN_EXE_crocustillerd"))
+    let child = daemon_command(n_descriptors)
         .args(["--platform", "--settings"])
         .arg(&path)
         .stdout(File::create(folder.path().join(LOG_FILE)).unwrap())
@@ -85,6 +91,28 @@
     (child, folder)
 }
 
+/// Returns the command that runs a daemon, which may have only `n_descriptors` open if that is named.
+pub fn daemon_command(n_descriptors: Option<u64>) -> Command {
+    const DAEMON: &str = env!("CARGO_BIN_EXE_crocustillerd");
+    let Some(n_descriptors) = n_descriptors else { return Command::new(DAEMON) };
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {n_descriptors} && exec \"$0\" \"$@\"");
+    command.args(["-c", &script, DAEMON]);
+    command
+}
+
+/// Returns the largest resident memory of a process so far, in kilobytes.
+pub fn peak_memory_kb(process: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+    let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
+    peak.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// Returns the number of descriptors that a process has open.
+pub fn n_descriptors(process: &Child) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", process.id())).unwrap().count()
+}
+
 /// Sends the signal with this name, such as `STOP`, to a process.
 pub fn send_signal(process: &Child, name: &str) {
     let id = process.id().to_string();
@@ -112,17 +140,34 @@
     /// Starts an entry host that may use this memory, and waits until it listens.
     pub fn start_with_memory(store: SocketAddr, id: &str, memory_mb: u64) -> EntryProcess {
         let host = format!("memory_mb = {memory_mb}\n");
-        EntryProcess::start_with_settings(store, id, &host, "grace_s = 4\n")
+        EntryProcess::start_with_settings(store, id, &host, "grace_s = 4\n", None)
+    }
+
+    /// Starts an entry host that may use this memory and have this number of descriptors open, and waits
+    /// until it listens.
+    pub fn start_with_limits(
+        store: SocketAddr,
+        memory_mb: u64,
+        n_descriptors: Option<u64>,
+    ) -> EntryProcess {
+        let host = format!("memory_mb = {memory_mb}\n");
+        EntryProcess::start_with_settings(store, "entry-1", &host, "grace_s = 4\n", n_descriptors)
     }
 
     /// Starts an entry host with these lines in the section `bounds` of its settings.
     pub fn start_with_all_bounds(store: SocketAddr, id: &str, bounds: &str) -> EntryProcess {
-        EntryProcess::start_with_settings(store, id, "", bounds)
+        EntryProcess::start_with_settings(store, id, "", bounds, None)
     }
 
     /// Starts an entry host with more lines in the section `host` of its settings, and these in the
     /// section `bounds`.
-    fn start_with_settings(store: SocketAddr, id: &str, host: &str, bounds: &str) -> EntryProcess {
+    fn start_with_settings(
+        store: SocketAddr,
+        id: &str,
+        host: &str,
+        bounds: &str,
+        n_descriptors: Option<u64>,
+    ) -> EntryProcess {
         let ip = unique_loopback_ip();
         let [callers, readiness, directory, peers, metrics] =
             [9101, 9102, 9103, 9104, 9105].map(|port| SocketAddr::from((ip, port)));
@@ -133,8 +178,9 @@
              [bounds]\n{bounds}",
             store
         );
-        let (child, folder) = start_platform_process(&text);
-        let mut entry = EntryProcess { child, folder, callers, readiness, directory, peers };
+        let (child, folder) = start_with_descriptors(&text, n_descriptors);
+        let mut entry =
+            EntryProcess { child, folder, callers, readiness, directory, peers, metrics };
         let started = Instant::now();
         while TcpStream::connect(entry.readiness).is_err() {
             assert!(!entry.has_exited(), "the entry host exited; see its error above");
@@ -215,9 +261,12 @@
 
     /// Returns the largest resident memory of the process so far, in kilobytes.
     pub fn peak_memory_kb(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
-        peak.trim().trim_end_matches(" kB").parse().unwrap()
+        peak_memory_kb(&self.child)
+    }
+
+    /// Returns the number of descriptors that the process has open.
+    pub fn n_descriptors(&self) -> usize {
+        n_descriptors(&self.child)
     }
 
     /// Returns `true` if the process has exited.
