Order waiting requests by rank, with bounds for sizes, kinds and customers

Cause: an overloaded cell served waiting requests in order of arrival and refused each after an eighth of its latency objective, whatever its priority. Long prompts, and so the most urgent kind, were refused first. Change: where requests of a service differ in priority or objective, the queue orders them by rank, and a kind, size or customer that is served too seldom goes first. A request waits up to half of its objective while it can still be in time, and is refused at once if its expected wait is longer. Its Retry-After says when room is expected. Elsewhere the order stays by arrival; the largest prompts of a kind wait longer while they are served too seldom. A request that arrives could place other waiting ones, whose grants were dropped; they are delivered now. The demand in a peer message is boxed, as it has grown.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -203,13 +203,13 @@
     host: &Rc<EntryHost>,
     demand: &Demand,
 ) -> Result<Grant, ReservationError> {
-    let immediate = Demand { wait: Duration::ZERO, ..demand.clone() };
+    let immediate = Demand { wait: Duration::ZERO, max_wait: Duration::ZERO, ..demand.clone() };
     let mut first_full = None;
     let mut is_owner_known = false;
     for owner in host.admission.owners_to_ask(host, demand, Instant::now()) {
         match ask(host, &owner, &immediate).await {
             Answer::Granted(grant) => return Ok(grant),
-            Answer::Refused(RefusalReason::Full) => {
+            Answer::Refused(RefusalReason::Full | RefusalReason::Late { .. }) => {
                 first_full = first_full.or(Some(owner));
                 if !demand.in_turn_parts.is_empty() {
                     break;
@@ -222,7 +222,8 @@
     match first_full {
         Some(owner) if !demand.wait.is_zero() => match ask(host, &owner, demand).await {
             Answer::Granted(grant) => Ok(grant),
-            Answer::Refused(_) | Answer::Silent => Err(ReservationError::Full),
+            Answer::Refused(reason) => Err(ReservationError::of_wait(reason, fastrand::f64())),
+            Answer::Silent => Err(ReservationError::Full),
         },
         Some(_) => Err(ReservationError::Full),
         None if is_owner_known => Err(ReservationError::NoBackend),
@@ -256,7 +257,7 @@
 async fn ask(host: &Rc<EntryHost>, owner: &HostId, demand: &Demand) -> Answer {
     let Some(address) = host.peer_address(owner) else { return Answer::Silent };
     let pending = PendingRequest::send(host, address, demand);
-    let timeout = demand.wait + ANSWER_TIMEOUT;
+    let timeout = demand.longest_wait() + ANSWER_TIMEOUT;
     match runtime::timeout(timeout, pending.answer()).await {
         Ok(Some(answer)) => {
             if let Answer::Granted(grant) = &answer {
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -26,7 +26,7 @@
     ids::ServiceId,
     memory::BufferedBody,
     placement::{QuarantinedPart, RegionConstraint, RequestAttempt},
-    routing::{Customer, Route},
+    routing::{Customer, QueueTerms, Route},
     runtime,
     verdict::Verdict,
 };
@@ -100,6 +100,8 @@
     fn new(sender: RequestSender<'a>, service: &ServiceId) -> Attempts<'a> {
         let RequestSender { exchange, route, customer } = sender;
         let request = &exchange.request;
+        let sizes = &request.sizes;
+        let charter = exchange.host.charter.borrow();
         let age = clock::elapsed(exchange.received);
         let now = Instant::now();
         let attempt = RequestAttempt {
@@ -110,11 +112,14 @@
             service: service.clone(),
             model: request.model.clone(),
             attempt: Some(attempt),
-            prompt_tokens: request.sizes.prompt_tokens,
-            output_tokens: request.sizes.output_tokens(),
+            prompt_tokens: sizes.prompt_tokens,
+            output_tokens: sizes.output_tokens(),
             priority: customer.and_then(|it| it.priority).unwrap_or(route.priority),
             objective_at: now + route.latency_objective.saturating_sub(age),
             deadline_at: now + exchange.time_left(route),
+            terms: charter.as_ref().map_or_else(QueueTerms::default, |it| {
+                it.queue_terms(route, service, customer, sizes.prompt_tokens, sizes.output_tokens())
+            }),
             regions: customer
                 .map_or(&RegionConstraint::Any, |it| &it.regions)
                 .intersection(&route.regions),
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -68,11 +68,14 @@
             AdmissionMessage::Request { number, demand } => {
                 let id = ReservationId { holder: from, number };
                 let usable = |it: &Demand| self.usable_engines(host, it, now);
-                let decision = self.cell.borrow_mut().request(id, demand, &usable, now);
+                let decision = self.cell.borrow_mut().request(id, *demand, &usable, now);
                 match decision {
                     Some(decision) => send_decision(host, id, decision),
                     None => drop(self.has_waiting.notify(usize::MAX)),
                 }
+                if self.cell.borrow().has_placed() {
+                    self.decide_waiting(host);
+                }
             }
             AdmissionMessage::FirstEvent { number } => {
                 let id = ReservationId { holder: from, number };
@@ -100,7 +103,7 @@
 
     /// Decides on the waiting requests after a change of load or engines.
     pub(crate) fn decide_waiting(&self, host: &EntryHost) {
-        if self.cell.borrow().n_waiting() == 0 {
+        if self.cell.borrow().is_idle() {
             return;
         }
         let now = Instant::now();
@@ -187,6 +190,9 @@
             unread_tokens: load.unread_tokens,
         },
         Admission::Full => refused(RefusalReason::Full),
+        Admission::Late { room_in } => {
+            refused(RefusalReason::Late { room_in_ms: room_in.as_millis() as u32 })
+        }
         Admission::NoEngine if host.cell_owner.owned_since.borrow().is_empty() => {
             refused(RefusalReason::NotOwner)
         }
--- a/src/entry/pending_request.rs
+++ b/src/entry/pending_request.rs
@@ -23,7 +23,7 @@
     /// Sends the request to the owner at an address.
     pub(crate) fn send(host: &Rc<EntryHost>, owner: SocketAddr, demand: &Demand) -> PendingRequest {
         let (number, answer) = host.admission.expect_answer();
-        let message = AdmissionMessage::Request { number, demand: demand.clone() };
+        let message = AdmissionMessage::Request { number, demand: Box::new(demand.clone()) };
         host.send_admission(owner, message);
         PendingRequest { host: host.clone(), owner, number, answer, is_open: true }
     }
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -23,7 +23,7 @@
         choose_plain_backend, Demand, Load, PartDigest, PlainCandidate, QuarantinedPart,
         RegionConstraint, RequestAttempt, ReservationNumber,
     },
-    routing::{BackendServer, BackendState},
+    routing::{BackendServer, BackendState, QueueTerms},
     runtime,
 };
 
@@ -57,6 +57,8 @@
     pub(crate) objective_at: Instant,
     /// Time at which the deadline of the request will have passed.
     pub(crate) deadline_at: Instant,
+    /// Terms on which it waits for an engine.
+    pub(crate) terms: QueueTerms,
     /// Regions in which it may be served.
     pub(crate) regions: RegionConstraint,
     /// Parts of the prompt that other requests may share.
@@ -130,7 +132,8 @@
         requirements: &BackendRequirements,
         queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
-        let give_up = Instant::now() + queue_timeout;
+        let asked_first = Instant::now();
+        let give_up = asked_first + queue_timeout;
         let mut unusable: Vec<BackendId> = Vec::new();
         loop {
             let left = give_up.saturating_duration_since(Instant::now());
@@ -139,6 +142,8 @@
             // Made anew each time: engines begin pauses, several at once, and end them.
             let mut demand = requirements.demand(host, wait);
             demand.excluded.extend(unusable.iter().cloned());
+            let max_left = requirements.terms.max_wait.saturating_sub(asked_first.elapsed());
+            demand.max_wait = until_pause_ends.map_or(max_left, |it| it.min(max_left));
             let asked = Instant::now();
             let grant = match admission_client::reserve(host, &demand).await {
                 // A refusal before the end of the wait says that asking again is no use.
@@ -361,7 +366,10 @@
             excluded,
             prompt_parts: self.prompt_parts.iter().take(MAX_DEMAND_PARTS).copied().collect(),
             in_turn_parts,
+            class: self.terms.class,
+            time_to_first_event: self.terms.time_to_first_event,
             wait,
+            max_wait: Duration::ZERO,
         }
     }
 }
--- a/src/entry/reservation_error.rs
+++ b/src/entry/reservation_error.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::{entry::error_response::ErrorResponse, placement::QuarantinedPart};
+use crate::{
+    entry::error_response::ErrorResponse, fleet::RefusalReason, placement::QuarantinedPart,
+};
 
 /// Value of `Retry-After` in the response to a request that finds all backend servers busy.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -10,6 +12,8 @@
 /// while engines load weights, which takes seconds. A caller that returned earlier would be refused
 /// again.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Share of `Retry-After` over which callers that are refused at the same time are spread.
+const RETURN_SPREAD: f64 = 0.5;
 /// The number of nanoseconds in the unit to which `Retry-After` is rounded.
 const NANOS_PER_MS: u128 = 1_000_000;
 
@@ -20,6 +24,8 @@
     NoBackend,
     /// All backend servers that meet the requirements are full.
     Full,
+    /// They have no room in time; there may be some after this time.
+    Late(Duration),
     /// All of them want no requests now; the first takes them again after this time.
     Paused(Duration),
     /// A part of the prompt is in quarantine, so no engine may get the request.
@@ -27,6 +33,17 @@
 }
 
 impl ReservationError {
+    /// Returns the error of a request that waited at an owner in vain; `random` is uniform in 0 to 1.
+    pub(crate) fn of_wait(reason: RefusalReason, random: f64) -> ReservationError {
+        match reason {
+            RefusalReason::Late { room_in_ms } => {
+                let room_in = Duration::from_millis(room_in_ms.into());
+                ReservationError::Late(room_in.mul_f64(1.0 + RETURN_SPREAD * (random - 0.5)))
+            }
+            _ => ReservationError::Full,
+        }
+    }
+
     /// Returns the response to a request that could not be sent.
     pub(crate) fn response(self) -> ErrorResponse {
         let (message, retry_after) = match self {
@@ -41,6 +58,9 @@
             ReservationError::Full => {
                 ("all backend servers are busy; retry later", BUSY_RETRY_AFTER)
             }
+            ReservationError::Late(room_in) => {
+                ("all backend servers are busy with more urgent requests; retry later", room_in)
+            }
             // Rounded up, so that a caller that waits as told is not early.
             ReservationError::Paused(left) => (
                 "all backend servers asked for a pause; retry after it",
--- a/src/fleet/admission_message.rs
+++ b/src/fleet/admission_message.rs
@@ -15,7 +15,7 @@
         /// Number that the reservation is to have.
         number: ReservationNumber,
         /// What the request needs.
-        demand: Demand,
+        demand: Box<Demand>,
     },
     /// The owner reserved capacity.
     Granted {
@@ -61,6 +61,11 @@
 pub enum RefusalReason {
     /// All engines that the request could use are at capacity.
     Full,
+    /// None has capacity in time for a request of this rank; there may be room after this time.
+    Late {
+        /// Milliseconds until there may be room.
+        room_in_ms: u32,
+    },
     /// None of the receiver's engines can be used now.
     NoUsableEngine,
     /// The receiver owns no engine, as its view of the entry hosts differs from the sender's.
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -3,7 +3,7 @@
 //! Load pattern: sustained overload with many entry hosts. If every entry host chose engines by
 //! load reports, all would send to the engines that were free when the reports left, and queue
 //! there. Instead one entry host, the owner, admits all requests to an engine. Requests wait here,
-//! in order of arrival, rather than at engines, where they delay the streams that already run.
+//! in the order of `WaitingQueue`, rather than at engines, where they delay the streams that already run.
 //!
 //! Callers come back after a refusal, too late for their latency objective. If they waited like
 //! others, each refusal would cause another one: most places would go to late requests, and most
@@ -21,12 +21,12 @@
     ids::BackendId,
     placement::{
         choose_engine, refused_requests::RefusedRequests, reservations::Reservations,
-        AdmissionCounts, Candidate, Demand, Load, PartDigest, ReservationId, ReservationNumber,
+        usable_engines::UsableEngines, waiting_queue::WaitingQueue,
+        waiting_request::WaitingRequest, AdmissionCounts, Candidate, Demand, Load, PartDigest,
+        ReservationId, ReservationNumber,
     },
 };
 
-/// Longest time for which a request may wait, whatever its entry host asks for.
-const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Maximum number of waiting requests for each slot of the cell.
 const MAX_WAITING_PER_SLOT: usize = 2;
 /// Time after a start with a suspected part failed until the next one begins. Reports of one crash
@@ -59,6 +59,11 @@
     },
     /// No engine had capacity in time.
     Full,
+    /// No engine has capacity in time for a request of its rank; there may be room after `room_in`.
+    Late {
+        /// Time until there may be room.
+        room_in: Duration,
+    },
     /// The cell has no engine that the request could use.
     NoEngine,
 }
@@ -74,15 +79,6 @@
     pub unread_tokens: u32,
 }
 
-#[derive(Clone, Debug)]
-struct WaitingRequest {
-    id: ReservationId,
-    demand: Demand,
-    /// Whether it came back after a refusal.
-    is_return: bool,
-    deadline: Instant,
-}
-
 /// The reservations and the waiting requests of one cell.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionCell {
@@ -91,12 +87,14 @@
     counts: AdmissionCounts,
     /// Time at which the last start with a part ended without a response.
     failed_starts: BTreeMap<PartDigest, Instant>,
-    waiting: Vec<WaitingRequest>,
+    waiting: WaitingQueue,
+    /// Waiting requests that were placed when another one arrived.
+    placed: Vec<(ReservationId, Admission)>,
 }
 
 impl AdmissionCell {
     /// Decides on a request; returns `None` if it waits, in which case `decide_waiting` returns the
-    /// decision later. A repeated message gets the same engine again.
+    /// decision later. If `has_placed` then returns `true`, it has decisions on others already. A repeated message gets the same engine again.
     ///
     /// `engines` are the usable engines of the cell for this demand.
     pub fn request(
@@ -118,21 +116,20 @@
             return Some(Admission::NoEngine);
         }
         let n_slots: u32 = usable.iter().map(|it| it.slots).sum();
-        let is_return = demand.attempt.is_some_and(|it| self.refused.is_return(it, now));
-        // A returning request is late already; waiting, it would take the place of one that is not.
-        let wait = if is_return { Duration::ZERO } else { demand.wait };
-        let deadline = now + wait.min(MAX_WAIT);
-        self.waiting.push(WaitingRequest { id, demand, is_return, deadline });
+        let age = demand.attempt.and_then(|it| self.refused.age_of_return(it, now));
+        self.waiting.add(id, demand, age, now);
         let has_room = self.waiting.len() <= MAX_WAITING_PER_SLOT * n_slots as usize;
-        let decisions = self.place_waiting(engines, now);
-        if let Some(decision) = decisions.into_iter().find(|it| it.0 == id) {
-            return Some(decision.1);
-        }
-        if deadline <= now || !has_room {
-            self.refuse(now, |it| it.id == id);
-            return Some(Admission::Full);
+        let mut decisions = self.place_waiting(engines, now);
+        let own = decisions.iter().position(|it| it.0 == id);
+        let own = own.map(|it| decisions.remove(it).1);
+        self.placed.extend(decisions);
+        if own.is_some() {
+            return own;
         }
-        None
+        let wait = self.waiting.expected_wait(id, now).unwrap_or_default();
+        let is_refused =
+            |it: &WaitingRequest| it.id == id && (!has_room || it.deadline <= now + wait);
+        self.refuse(now, is_refused).pop().map(|it| it.1)
     }
 
     /// Decides on the waiting requests after a change of load or engines, or at a deadline.
@@ -141,30 +138,37 @@
         engines: &dyn Fn(&Demand) -> Vec<CellEngine>,
         now: Instant,
     ) -> Vec<(ReservationId, Admission)> {
-        let mut decisions = self.place_waiting(engines, now);
-        let refused = self.refuse(now, |it| it.deadline <= now);
-        decisions.extend(refused.into_iter().map(|it| (it, Admission::Full)));
+        let mut decisions = std::mem::take(&mut self.placed);
+        decisions.extend(self.place_waiting(engines, now));
+        decisions.extend(self.refuse(now, |it| it.deadline <= now));
         decisions
     }
 
     /// Ends the wait of requests without a place and remembers their refusal, unless it may be for want of
-    /// a turn; returns their ids.
+    /// a turn.
     fn refuse(
         &mut self,
         now: Instant,
         is_refused: impl Fn(&WaitingRequest) -> bool,
-    ) -> Vec<ReservationId> {
-        let (refused, waiting): (Vec<WaitingRequest>, Vec<WaitingRequest>) =
-            std::mem::take(&mut self.waiting).into_iter().partition(is_refused);
-        self.waiting = waiting;
-        for request in &refused {
+    ) -> Vec<(ReservationId, Admission)> {
+        let mut decisions = Vec::new();
+        for request in self.waiting.take_ended(is_refused) {
             self.counts.of(request.is_return).n_refused += 1;
+            self.waiting.record_decision(&request, false, now);
             let has_turn = request.demand.in_turn_parts.is_empty();
             if let Some(attempt) = request.demand.attempt.filter(|_| has_turn) {
-                self.refused.record(attempt, now);
+                self.refused.record(attempt, request.asked, now);
             }
+            let room_in = self.waiting.time_until_room(&request.demand, now);
+            let decision = room_in.map_or(Admission::Full, |room_in| Admission::Late { room_in });
+            decisions.push((request.id, decision));
         }
-        refused.into_iter().map(|it| it.id).collect()
+        decisions
+    }
+
+    /// Returns `true` if waiting requests were placed when another one arrived.
+    pub fn has_placed(&self) -> bool {
+        !self.placed.is_empty()
     }
 
     /// Returns the earliest time at which a waiting request has to be decided on without a change of the
@@ -233,17 +237,22 @@
         self.counts
     }
 
+    /// Returns `true` if there is nothing to decide on.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.len() == 0 && self.placed.is_empty()
+    }
+
     /// Returns the number of waiting requests.
     pub fn n_waiting(&self) -> usize {
         self.waiting.len()
     }
 
     fn remove(&mut self, id: &ReservationId) -> Option<(BackendId, BTreeSet<PartDigest>)> {
-        self.waiting.retain(|it| it.id != *id);
+        self.waiting.take_ended(|it| it.id == *id);
         self.reservations.remove(id)
     }
 
-    /// Places the waiting requests in order of arrival.
+    /// Places the waiting requests in their order.
     ///
     /// A prompt that no engine can take yet because of its length keeps the engine with the fewest
     /// unread tokens from later requests. Otherwise shorter prompts would always be placed first
@@ -256,40 +265,48 @@
         self.failed_starts.retain(|_, it| now.duration_since(*it) < START_PAUSE);
         let mut decisions = Vec::new();
         let mut held: BTreeSet<BackendId> = BTreeSet::new();
-        let waiting = std::mem::take(&mut self.waiting);
-        for request in waiting {
+        let mut all_usable = UsableEngines::default();
+        for request in self.waiting.take_ordered(now) {
             if !self.can_start(&request.demand.in_turn_parts) {
-                self.waiting.push(request);
+                self.waiting.put_back(request);
                 continue;
             }
-            let usable = engines(&request.demand);
-            let max_held = (usable.len() as f64 * MAX_HELD_SHARE) as usize;
-            let candidates: Vec<Candidate> = usable.iter().map(|it| self.candidate(it)).collect();
-            let is_free = |idx: usize| !held.contains(&usable[idx].id);
             let demand = &request.demand;
-            match choose_engine(&candidates, demand.prompt_tokens, demand.is_resumed, is_free) {
+            let usable = all_usable.of(demand, engines, |it| self.candidate(it));
+            let max_held = (usable.engines.len() as f64 * MAX_HELD_SHARE) as usize;
+            let is_free = |idx: usize| !held.contains(&usable.engines[idx].id);
+            let candidates = &usable.candidates;
+            match choose_engine(candidates, demand.prompt_tokens, demand.is_resumed, is_free) {
                 Some(idx) => {
-                    let engine = usable[idx].id.clone();
+                    let engine = usable.engines[idx].id.clone();
                     let load = candidates[idx].load;
-                    self.counts.of(request.is_return).n_admitted += 1;
-                    self.reservations.grant(request.id, engine.clone(), demand, now);
-                    decisions.push((request.id, Admission::Granted { engine, load }));
+                    decisions
+                        .push((request.id, Admission::Granted { engine: engine.clone(), load }));
+                    self.grant(&request, engine, now);
+                    all_usable.clear();
                 }
                 None => {
-                    let with_slot = (0..usable.len()).filter(|it| candidates[*it].has_slot());
+                    let with_slot = (0..candidates.len()).filter(|it| candidates[*it].has_slot());
                     let next_free = with_slot
                         .filter(|it| is_free(*it))
                         .min_by_key(|it| candidates[*it].load.unread_tokens);
                     if let Some(idx) = next_free.filter(|_| held.len() < max_held) {
-                        held.insert(usable[idx].id.clone());
+                        held.insert(usable.engines[idx].id.clone());
                     }
-                    self.waiting.push(request);
+                    self.waiting.put_back(request);
                 }
             }
         }
         decisions
     }
 
+    /// Grants an engine to a request; all grants are made here.
+    fn grant(&mut self, request: &WaitingRequest, engine: BackendId, now: Instant) {
+        self.counts.of(request.is_return).n_admitted += 1;
+        self.waiting.record_decision(request, true, now);
+        self.reservations.grant(request.id, engine, &request.demand, now);
+    }
+
     fn candidate(&self, engine: &CellEngine) -> Candidate {
         let load = self.load(&engine.id);
         let slots = match engine.is_on_probation && load.n_requests > 0 {
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::{BackendId, ServiceId},
-    placement::{PartDigest, RegionConstraint, RequestAttempt},
+    placement::{PartDigest, RegionConstraint, RequestAttempt, RequestClass},
 };
 
 /// The needs of one request that is to run at an engine of a pool.
@@ -39,6 +39,20 @@
     pub prompt_parts: Vec<PartDigest>,
     /// Those of them that are suspected of crashing engines.
     pub in_turn_parts: Vec<PartDigest>,
-    /// Longest time for which the request waits while all engines are full.
+    /// The groups of requests that it belongs to.
+    pub class: RequestClass,
+    /// Expected time from its start at an engine until its first event.
+    pub time_to_first_event: Duration,
+    /// Time for which the request waits while all engines are full, in order of arrival; zero if it doesn't
+    /// wait at all.
     pub wait: Duration,
+    /// Longest time for which it waits where requests are ranked, or if its class is served too seldom.
+    pub max_wait: Duration,
+}
+
+impl Demand {
+    /// Returns the longest time until the owner decides.
+    pub fn longest_wait(&self) -> Duration {
+        self.wait.max(self.max_wait)
+    }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -22,14 +22,23 @@
 mod refused_requests;
 mod region_constraint;
 mod request_attempt;
+mod request_class;
+mod request_cost;
 mod request_counts;
 mod request_suspicion;
 mod reservation_id;
 mod reservations;
 mod retry_budgets;
+mod served_share;
+mod served_shares;
 mod shutdown_admission;
+mod size_classes;
+mod size_shares;
 mod suspect_groups;
 mod suspected_request;
+mod usable_engines;
+mod waiting_queue;
+mod waiting_request;
 mod windowed_retry_budget;
 
 pub use crate::placement::{
@@ -49,6 +58,8 @@
     quarantined_part::QuarantinedPart,
     region_constraint::RegionConstraint,
     request_attempt::RequestAttempt,
+    request_class::RequestClass,
+    request_cost::RequestCost,
     request_counts::RequestCounts,
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
--- a/src/placement/refused_requests.rs
+++ b/src/placement/refused_requests.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Refusal {
     attempt: u64,
+    /// Time at which the attempt asked.
+    asked: Instant,
     at: Instant,
     /// The attempt with which the caller came back.
     next_attempt: Option<u64>,
@@ -35,25 +37,28 @@
 
 impl RefusedRequests {
     /// Records the refusal of an attempt, which may be refused several times.
-    pub(crate) fn record(&mut self, attempt: RequestAttempt, now: Instant) {
+    pub(crate) fn record(&mut self, attempt: RequestAttempt, asked: Instant, now: Instant) {
         self.forget_old(now);
         let refusals = self.refusals.entry(attempt.request).or_default();
         if refusals.iter().any(|it| it.attempt == attempt.number) {
             return;
         }
-        refusals.push(Refusal { attempt: attempt.number, at: now, next_attempt: None });
+        refusals.push(Refusal { attempt: attempt.number, asked, at: now, next_attempt: None });
         self.by_age.push_back((now, attempt.request));
     }
 
-    /// Returns `true` if an earlier attempt of the request was refused.
+    /// Returns the time since an earlier attempt of the request asked that was refused; `None` if there was
+    /// none.
     ///
     /// Each refusal stands for one return, so that equal requests of other callers don't count as such.
-    pub(crate) fn is_return(&mut self, attempt: RequestAttempt, now: Instant) -> bool {
-        let Some(refusals) = self.refusals.get_mut(&attempt.request) else { return false };
-        if refusals.iter().any(|it| it.attempt == attempt.number) {
-            // It asks again, as after a grant that its host can't use.
-            return refusals.iter().any(|it| it.next_attempt == Some(attempt.number));
-        }
+    pub(crate) fn age_of_return(
+        &mut self,
+        attempt: RequestAttempt,
+        now: Instant,
+    ) -> Option<Duration> {
+        let refusals = self.refusals.get_mut(&attempt.request)?;
+        let is_next = |it: &&mut Refusal| it.next_attempt == Some(attempt.number);
+        let is_known = refusals.iter().any(|it| it.attempt == attempt.number);
         let is_own = |it: &&mut Refusal| match it.next_attempt {
             Some(next) => next == attempt.number,
             None => {
@@ -61,9 +66,13 @@
                 (MIN_RETURN_TIME..MEMORY_TIME).contains(&age)
             }
         };
-        let Some(refusal) = refusals.iter_mut().find(is_own) else { return false };
+        let refusal = match is_known {
+            // It asks again, as after a grant that its host can't use.
+            true => refusals.iter_mut().find(is_next)?,
+            false => refusals.iter_mut().find(is_own)?,
+        };
         refusal.next_attempt = Some(attempt.number);
-        true
+        Some(now.saturating_duration_since(refusal.asked))
     }
 
     fn forget_old(&mut self, now: Instant) {
--- /dev/null
+++ b/src/placement/waiting_queue.rs
@@ -0,0 +1,148 @@
+//! The requests that wait for an engine, in the order in which they are placed.
+//!
+//! Load pattern: callers of several ranks compete for too little capacity. Urgent requests go first; within
+//! a rank the order is by arrival. Classes that are served too seldom go before all others, so that no
+//! rank, size or customer is shut out. A request that can't be in time any more is refused at once, since its
+//! caller loses nothing by asking again sooner.
+
+use std::time::{Duration, Instant};
+
+use crate::placement::{
+    served_shares::ServedShares, waiting_request::WaitingRequest, Demand, ReservationId,
+};
+
+/// Longest time for which a request may wait, whatever its entry host asks for.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+/// Time for messages between the owner, the entry host and the engine, and for the engine's current step.
+const START_MARGIN: Duration = Duration::from_millis(10);
+/// Shortest and longest time after which a refused caller is told to return.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(300);
+const MAX_RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// The requests that wait for an engine.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WaitingQueue {
+    requests: Vec<WaitingRequest>,
+    shares: ServedShares,
+}
+
+impl WaitingQueue {
+    /// Adds a request; `age` is the time since its caller first asked, if it came back after a refusal.
+    pub(crate) fn add(
+        &mut self,
+        id: ReservationId,
+        demand: Demand,
+        age: Option<Duration>,
+        now: Instant,
+    ) {
+        let needed =
+            demand.time_to_first_event.saturating_add(START_MARGIN + age.unwrap_or_default());
+        let slack = demand.time_to_objective.saturating_sub(needed);
+        let is_ranked = demand.class.is_ranked;
+        let is_late_return = age.is_some() && (!is_ranked || slack.is_zero());
+        let shortfall = self.shares.shortfall(&demand, now);
+        let wait = match shortfall {
+            // A returning request is late; waiting, it would take the place of one that is not.
+            _ if is_late_return || demand.wait.is_zero() => Duration::ZERO,
+            // An engine had it already, or it waits for its turn.
+            _ if demand.attempt.is_none() || !demand.in_turn_parts.is_empty() => demand.wait,
+            Some(_) => demand.longest_wait(),
+            None if is_ranked => demand.max_wait.min(slack),
+            None => demand.wait,
+        };
+        self.requests.push(WaitingRequest {
+            id,
+            demand,
+            is_late_return,
+            is_return: age.is_some(),
+            asked: now,
+            deadline: now + wait.min(MAX_WAIT),
+            shortfall,
+        });
+    }
+
+    /// Removes and returns all requests in the order in which they are placed.
+    pub(crate) fn take_ordered(&mut self, now: Instant) -> Vec<WaitingRequest> {
+        let mut requests = std::mem::take(&mut self.requests);
+        for request in &mut requests {
+            request.shortfall = self.shares.shortfall(&request.demand, now);
+        }
+        requests.sort_by_key(WaitingRequest::place);
+        requests
+    }
+
+    /// Puts back a request that was not placed.
+    pub(crate) fn put_back(&mut self, request: WaitingRequest) {
+        self.requests.push(request);
+    }
+
+    /// Removes and returns the requests for which `is_ended` returns `true`.
+    pub(crate) fn take_ended(
+        &mut self,
+        is_ended: impl Fn(&WaitingRequest) -> bool,
+    ) -> Vec<WaitingRequest> {
+        let (ended, waiting) = std::mem::take(&mut self.requests).into_iter().partition(is_ended);
+        self.requests = waiting;
+        ended
+    }
+
+    /// Returns the time for which a waiting request will wait, by its place and by what was served lately;
+    /// `None` if that says nothing about it.
+    pub(crate) fn expected_wait(&self, id: ReservationId, now: Instant) -> Option<Duration> {
+        let own = self.requests.iter().find(|it| it.id == id)?;
+        let Demand { service, priority, class, .. } = &own.demand;
+        if !class.is_ranked || own.shortfall.is_some() {
+            return None;
+        }
+        let place = own.place();
+        let ahead = || {
+            self.requests.iter().filter(|it| it.demand.service == *service && it.place() < place)
+        };
+        let n_urgent = ahead().filter(|it| it.demand.priority < *priority).count() as f64;
+        let n_equal = ahead().count() as f64 - n_urgent;
+        let (per_s, yielding_per_s) = self.shares.served_per_s(service, *priority, now);
+        // Without any grant lately nothing is known of how fast engines become free.
+        if per_s == 0.0 {
+            return None;
+        }
+        let wait_s = n_urgent / per_s + (n_equal + 1.0) / yielding_per_s.max(f64::MIN_POSITIVE);
+        Some(Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64())))
+    }
+
+    /// Returns the time after which a request like this one may find room, for a refusal.
+    pub(crate) fn time_until_room(&self, demand: &Demand, now: Instant) -> Option<Duration> {
+        if !demand.class.is_ranked {
+            return None;
+        }
+        let of_service = self.requests.iter().filter(|it| it.demand.service == demand.service);
+        let n_ahead = of_service.filter(|it| it.demand.priority <= demand.priority).count() as f64;
+        let (_, yielding_per_s) = self.shares.served_per_s(&demand.service, demand.priority, now);
+        let wait_s = (n_ahead + 1.0) / yielding_per_s.max(f64::MIN_POSITIVE);
+        let wait = Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64()));
+        Some(wait.clamp(MIN_RETURN_TIME, MAX_RETURN_TIME))
+    }
+
+    /// Records the decision on a request, whose wait has ended.
+    pub(crate) fn record_decision(
+        &mut self,
+        request: &WaitingRequest,
+        is_served: bool,
+        now: Instant,
+    ) {
+        // A request that asks several owners is refused only by the one at which it waits.
+        let is_decided = is_served || !request.demand.wait.is_zero();
+        if is_decided && !request.is_return && !request.demand.is_resumed {
+            self.shares.record(&request.demand, is_served, now);
+        }
+    }
+
+    /// Returns the waiting requests.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &WaitingRequest> {
+        self.requests.iter()
+    }
+
+    /// Returns the number of waiting requests.
+    pub(crate) fn len(&self) -> usize {
+        self.requests.len()
+    }
+}
--- /dev/null
+++ b/src/placement/waiting_request.rs
@@ -0,0 +1,60 @@
+//! A request that waits for an engine.
+
+use std::time::Instant;
+
+use crate::placement::{served_shares::Shortfall, Demand, ReservationId};
+
+/// A request that waits for an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingRequest {
+    /// Its id.
+    pub(crate) id: ReservationId,
+    /// What it needs.
+    pub(crate) demand: Demand,
+    /// Whether it came back after a refusal, too late for its latency objective.
+    pub(crate) is_late_return: bool,
+    /// Whether it came back after a refusal.
+    pub(crate) is_return: bool,
+    /// Time at which it asked.
+    pub(crate) asked: Instant,
+    /// Time at which its wait ends.
+    pub(crate) deadline: Instant,
+    /// The class of it that was served too seldom when the requests were last ordered.
+    pub(crate) shortfall: Option<Shortfall>,
+}
+
+/// The place of a request among those that wait; lower ones go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Place {
+    precedence: Precedence,
+    rank: u32,
+    since: Instant,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Precedence {
+    /// Its caller is already reading the response.
+    Reading,
+    /// A class of it is served too seldom.
+    Shortfall,
+    Usual,
+    /// It came back, too late for its latency objective.
+    LateReturn,
+}
+
+impl WaitingRequest {
+    /// Returns the place of the request.
+    ///
+    /// Where requests don't differ in rank, the order is by arrival.
+    pub(crate) fn place(&self) -> Place {
+        let is_ranked = self.demand.class.is_ranked;
+        let precedence = match self.shortfall {
+            _ if self.is_late_return => Precedence::LateReturn,
+            _ if is_ranked && self.demand.is_resumed => Precedence::Reading,
+            Some(_) if is_ranked => Precedence::Shortfall,
+            _ => Precedence::Usual,
+        };
+        let rank = if is_ranked { self.demand.priority } else { 0 };
+        Place { precedence, rank, since: self.asked }
+    }
+}
--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -14,8 +14,8 @@
     placement::RegionConstraint,
     platform::{store::StoredObject, wire_server::MAX_COUNT},
     routing::{
-        CallerLimits, ColdStart, Customer, EngineSpec, ModelSpec, Origin, Route, RouteKind,
-        RouteTarget, RoutingCharter, Service,
+        ranked_services, CallerLimits, ColdStart, Customer, EngineSpec, ModelSpec, Origin, Route,
+        RouteKind, RouteTarget, RoutingCharter, Service,
     },
 };
 
@@ -195,16 +195,24 @@
         }
         let services: BTreeMap<ServiceId, Service> =
             self.services.into_iter().map(WireService::into_service).collect();
-        let customers = self
+        let customers: Option<HashMap<String, Customer>> = self
             .tenants
             .map(|tenants| tenants.into_iter().flat_map(WireTenant::into_customers).collect());
+        let ranked_services = ranked_services(routes.values().flatten(), customers.as_ref());
         let limits = CallerLimits {
             max_head_bytes: self.limits.max_header_bytes,
             max_body_bytes: self.limits.max_body_bytes,
             head_timeout: self.limits.header_timeout_ms.min(MAX_TIME),
             idle_timeout: self.limits.idle_timeout_ms.min(MAX_TIME),
         };
-        RoutingCharter { number: self.version, routes, services, customers, limits }
+        RoutingCharter {
+            number: self.version,
+            routes,
+            services,
+            ranked_services,
+            customers,
+            limits,
+        }
     }
 }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,15 +4,19 @@
 mod backend_server;
 mod cold_start;
 mod customer;
+mod queue_terms;
+mod ranked_services;
 mod route;
 mod routing_charter;
 mod service;
 mod target_version;
 
+pub(crate) use crate::routing::ranked_services::ranked_services;
 pub use crate::routing::{
     backend_server::{BackendServer, BackendState, LoadedLayers},
     cold_start::ColdStart,
     customer::Customer,
+    queue_terms::QueueTerms,
     route::{Route, RouteKind, RouteTarget},
     routing_charter::{CallerLimits, RoutingCharter},
     service::{EngineSpec, ModelSpec, Origin, Service},
--- a/src/routing/routing_charter.rs
+++ b/src/routing/routing_charter.rs
@@ -1,7 +1,7 @@
 //! The charter in force: numbered settings of routes, services, customers and limits.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -19,6 +19,8 @@
     pub routes: HashMap<String, Vec<Route>>,
     /// Pools, plain services and origins.
     pub services: BTreeMap<ServiceId, Service>,
+    /// Those of them whose requests differ in priority or latency objective.
+    pub ranked_services: BTreeSet<ServiceId>,
     /// Customers by key; `None` if callers need no key.
     pub customers: Option<HashMap<String, Customer>>,
     /// Limits for callers.
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::routing::ColdStart;
+use crate::{placement::RequestCost, routing::ColdStart};
 
 /// A pool of model engines, a plain service without models, or the origin, from which new weights
 /// are fetched.
@@ -60,3 +60,26 @@
     /// Time that an engine needs to load staged weights.
     pub load: Duration,
 }
+
+impl EngineSpec {
+    /// Returns the work of a request for an engine that has room for it.
+    pub fn cost(&self, prompt_tokens: u32, output_tokens: u32) -> RequestCost {
+        let output_tokens = match output_tokens {
+            0 => self.usual_output_tokens,
+            n => n,
+        };
+        let memory_tokens = u64::from(prompt_tokens) + u64::from(output_tokens);
+        let read_s = match self.read_tokens_per_s > 0.0 {
+            true => f64::from(prompt_tokens) / self.read_tokens_per_s,
+            false => 0.0,
+        };
+        let context = self.step_per_1000_tokens.mul_f64(memory_tokens as f64 / 1000.0);
+        let step = self.step + self.step_per_request + context;
+        RequestCost {
+            read: Duration::try_from_secs_f64(read_s).unwrap_or(Duration::MAX / 4),
+            first_event: step.saturating_mul(self.steps_per_event.max(1)),
+            write: step.saturating_mul(output_tokens),
+            memory_tokens,
+        }
+    }
+}
--- a/tests/cell_owners.rs
+++ b/tests/cell_owners.rs
@@ -191,7 +191,7 @@
     let held =
         |number| HeldReservation { number, engine: "pool-0".to_owned(), unread_tokens: u32::MAX };
     let messages = [
-        AdmissionMessage::Request { number: u64::MAX, demand },
+        AdmissionMessage::Request { number: u64::MAX, demand: Box::new(demand) },
         AdmissionMessage::Report { reservations: (0..900).map(held).collect() },
         AdmissionMessage::FirstEvent { number: 3 },
         AdmissionMessage::Refused { number: 3, reason: RefusalReason::Full },
@@ -211,7 +211,8 @@
     // The reservations that the datagrams made up lapse.
     thread::sleep(Duration::from_millis(1800));
     assert_eq!(send(&hosts[0], "after-junk").status(), 200);
-    let request = PeerMessage::Admission(AdmissionMessage::Request { number: 7, demand: sound });
+    let request =
+        PeerMessage::Admission(AdmissionMessage::Request { number: 7, demand: Box::new(sound) });
     socket.send_to(&bincode::serialize(&request).unwrap(), hosts[0].peers).unwrap();
     let answers = std::iter::repeat_with(|| receive(&socket));
     let is_grant = |it: &PeerMessage| {
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -336,7 +336,7 @@
     };
     let manifest =
         ManifestCopy { model: "lots".to_owned(), version: u64::MAX, digests: Vec::new() };
-    let request = AdmissionMessage::Request { number: u64::MAX, demand };
+    let request = AdmissionMessage::Request { number: u64::MAX, demand: Box::new(demand) };
     let report =
         CrashReport { requests: vec![suspected_request(u64::MAX); 3], ..CrashReport::default() };
     vec![
