Place short prompts of a rank first and refuse hopeless waits early

Cause: within a rank the order was by arrival, so that few long prompts delayed many requests past their objective; requests of low rank waited up to 0.4 s although more urgent ones arrived faster than engines became free. Change: within a rank the shortest prompt goes first; the largest of a kind go before all others once they are served less than 0.8 times as often as their kind. Waiting requests are refused once their expected wait is twice what they have left.

--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -126,7 +126,8 @@
         if own.is_some() {
             return own;
         }
-        let wait = self.waiting.expected_wait(id, now).unwrap_or_default();
+        let own = self.waiting.expected_waits(now).find(|it| it.0.id == id);
+        let wait = own.and_then(|it| it.1).unwrap_or_default();
         let is_refused =
             |it: &WaitingRequest| it.id == id && (!has_room || it.deadline <= now + wait);
         self.refuse(now, is_refused).pop().map(|it| it.1)
@@ -140,7 +141,8 @@
     ) -> Vec<(ReservationId, Admission)> {
         let mut decisions = std::mem::take(&mut self.placed);
         decisions.extend(self.place_waiting(engines, now));
-        decisions.extend(self.refuse(now, |it| it.deadline <= now));
+        let hopeless = self.waiting.hopeless(now);
+        decisions.extend(self.refuse(now, |it| it.deadline <= now || hopeless.contains(&it.id)));
         decisions
     }
 
--- a/src/placement/served_shares.rs
+++ b/src/placement/served_shares.rs
@@ -13,8 +13,10 @@
     placement::{served_share::ServedShare, size_shares::SizeShares, Demand},
 };
 
-/// Share of what its kind gets below which a size class goes first. It is promised half.
+/// Share of what its kind gets below which a size class goes first. It is promised half; where shorter
+/// prompts go first, that needs a margin, as a class falls below it before enough were refused to tell.
 const MIN_SIZE_SHARE: f64 = 0.55;
+const MIN_RANKED_SIZE_SHARE: f64 = 0.8;
 /// Share of what all get below which a kind, or a customer, goes first. It is promised a quarter.
 const MIN_KIND_SHARE: f64 = 0.5;
 const MIN_CUSTOMER_SHARE: f64 = 0.4;
@@ -89,9 +91,13 @@
             part.zip(whole.share(now)).is_some_and(|(part, whole)| part < min_share * whole)
         };
         let kind = shares.kinds.get(&kind_key(demand))?;
+        let min_share = match demand.class.is_ranked {
+            true => MIN_RANKED_SIZE_SHARE,
+            false => MIN_SIZE_SHARE,
+        };
         let by_prompt = kind.by_prompt.share(demand.prompt_tokens.into(), now);
         let by_work = kind.by_work.share(work_tokens(demand), now);
-        if [by_prompt, by_work].into_iter().any(|it| is_below(it, MIN_SIZE_SHARE, &kind.all)) {
+        if [by_prompt, by_work].into_iter().any(|it| is_below(it, min_share, &kind.all)) {
             return Some(Shortfall::Size);
         }
         if !demand.class.is_ranked {
@@ -110,7 +116,7 @@
     pub(crate) fn served_per_s(&self, service: &str, rank: u32, now: Instant) -> (f64, f64) {
         let Some(shares) = self.services.get(service) else { return (0.0, 0.0) };
         let yielding = shares.kinds.iter().filter(|it| it.0 .0 >= rank);
-        let yielding = yielding.map(|it| it.1.all.served_per_s(now)).sum();
+        let yielding = yielding.fold(0.0, |sum, it| sum + it.1.all.served_per_s(now));
         (shares.all.served_per_s(now), yielding)
     }
 
--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -1,20 +1,28 @@
 //! The requests that wait for an engine, in the order in which they are placed.
 //!
-//! Load pattern: callers of several ranks compete for too little capacity. Urgent requests go first; within
-//! a rank the order is by arrival. Classes that are served too seldom go before all others, so that no
+//! Load pattern: callers of several ranks compete for too little capacity. Urgent requests go first, within
+//! a rank those with the shortest prompts, so that most can be in time. Classes that are served too seldom go before all others, so that no
 //! rank, size or customer is shut out. A request that can't be in time any more is refused at once, since its
 //! caller loses nothing by asking again sooner.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
-use crate::placement::{
-    served_shares::ServedShares, waiting_request::WaitingRequest, Demand, ReservationId,
+use crate::{
+    ids::ServiceId,
+    placement::{
+        served_shares::ServedShares, waiting_request::WaitingRequest, Demand, ReservationId,
+    },
 };
 
 /// Longest time for which a request may wait, whatever its entry host asks for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Time for messages between the owner, the entry host and the engine, and for the engine's current step.
 const START_MARGIN: Duration = Duration::from_millis(10);
+/// Factor by which an expected wait may be too long; requests that wait already are refused beyond it.
+const MAX_WAIT_ERROR: u32 = 2;
 /// Shortest and longest time after which a refused caller is told to return.
 const MIN_RETURN_TIME: Duration = Duration::from_millis(300);
 const MAX_RETURN_TIME: Duration = Duration::from_secs(2);
@@ -86,27 +94,41 @@
         ended
     }
 
-    /// Returns the time for which a waiting request will wait, by its place and by what was served lately;
-    /// `None` if that says nothing about it.
-    pub(crate) fn expected_wait(&self, id: ReservationId, now: Instant) -> Option<Duration> {
-        let own = self.requests.iter().find(|it| it.id == id)?;
-        let Demand { service, priority, class, .. } = &own.demand;
-        if !class.is_ranked || own.shortfall.is_some() {
-            return None;
-        }
-        let place = own.place();
-        let ahead = || {
-            self.requests.iter().filter(|it| it.demand.service == *service && it.place() < place)
+    /// Returns the time for which each waiting request will wait, by its place and by what was served
+    /// lately; `None` where that says nothing about it.
+    pub(crate) fn expected_waits(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&WaitingRequest, Option<Duration>)> {
+        let mut n_ahead: BTreeMap<&ServiceId, BTreeMap<u32, u32>> = BTreeMap::new();
+        let mut rates: BTreeMap<(&ServiceId, u32), (f64, f64)> = BTreeMap::new();
+        self.requests.iter().map(move |request| {
+            let Demand { service, priority, class, .. } = &request.demand;
+            let ahead = n_ahead.entry(service).or_default();
+            let n_urgent: u32 = ahead.range(..priority).map(|it| it.1).sum();
+            let n_other: u32 = ahead.range(priority..).map(|it| it.1).sum();
+            *ahead.entry(*priority).or_default() += 1;
+            if !class.is_ranked || request.shortfall.is_some() {
+                return (request, None);
+            }
+            let (per_s, yielding_per_s) = *rates
+                .entry((service, *priority))
+                .or_insert_with(|| self.shares.served_per_s(service, *priority, now));
+            let wait_s =
+                time_to_serve_s(n_urgent, per_s) + time_to_serve_s(n_other + 1, yielding_per_s);
+            // Without any grant lately nothing is known of how fast engines become free.
+            let is_known = per_s > 0.0;
+            (request, is_known.then(|| Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64()))))
+        })
+    }
+
+    /// Returns the waiting requests that will most likely not be placed in time.
+    pub(crate) fn hopeless(&self, now: Instant) -> BTreeSet<ReservationId> {
+        let is_hopeless = |it: &(&WaitingRequest, Option<Duration>)| {
+            let left = it.0.deadline.saturating_duration_since(now);
+            it.1.is_some_and(|wait| wait > left * MAX_WAIT_ERROR)
         };
-        let n_urgent = ahead().filter(|it| it.demand.priority < *priority).count() as f64;
-        let n_equal = ahead().count() as f64 - n_urgent;
-        let (per_s, yielding_per_s) = self.shares.served_per_s(service, *priority, now);
-        // Without any grant lately nothing is known of how fast engines become free.
-        if per_s == 0.0 {
-            return None;
-        }
-        let wait_s = n_urgent / per_s + (n_equal + 1.0) / yielding_per_s.max(f64::MIN_POSITIVE);
-        Some(Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64())))
+        self.expected_waits(now).filter(is_hopeless).map(|it| it.0.id).collect()
     }
 
     /// Returns the time after which a request like this one may find room, for a refusal.
@@ -115,9 +137,9 @@
             return None;
         }
         let of_service = self.requests.iter().filter(|it| it.demand.service == demand.service);
-        let n_ahead = of_service.filter(|it| it.demand.priority <= demand.priority).count() as f64;
+        let n_ahead = of_service.filter(|it| it.demand.priority <= demand.priority).count() as u32;
         let (_, yielding_per_s) = self.shares.served_per_s(&demand.service, demand.priority, now);
-        let wait_s = (n_ahead + 1.0) / yielding_per_s.max(f64::MIN_POSITIVE);
+        let wait_s = time_to_serve_s(n_ahead + 1, yielding_per_s);
         let wait = Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64()));
         Some(wait.clamp(MIN_RETURN_TIME, MAX_RETURN_TIME))
     }
@@ -146,3 +168,11 @@
         self.requests.len()
     }
 }
+
+/// Returns the time in seconds to serve `n` requests, which is infinite if none were served lately.
+fn time_to_serve_s(n: u32, per_s: f64) -> f64 {
+    match n {
+        0 => 0.0,
+        n => f64::from(n) / per_s.max(f64::MIN_POSITIVE),
+    }
+}
--- a/src/placement/waiting_request.rs
+++ b/src/placement/waiting_request.rs
@@ -28,7 +28,8 @@
 pub(crate) struct Place {
     precedence: Precedence,
     rank: u32,
-    since: Instant,
+    prompt_tokens: u32,
+    asked: Instant,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,7 +46,8 @@
 impl WaitingRequest {
     /// Returns the place of the request.
     ///
-    /// Where requests don't differ in rank, the order is by arrival.
+    /// Where requests don't differ in rank, the order is by arrival, also among those that go first, so that the
+    /// largest of all is served, too.
     pub(crate) fn place(&self) -> Place {
         let is_ranked = self.demand.class.is_ranked;
         let precedence = match self.shortfall {
@@ -55,6 +57,8 @@
             _ => Precedence::Usual,
         };
         let rank = if is_ranked { self.demand.priority } else { 0 };
-        Place { precedence, rank, since: self.asked }
+        let is_by_size = is_ranked && precedence == Precedence::Usual;
+        let prompt_tokens = if is_by_size { self.demand.prompt_tokens } else { 0 };
+        Place { precedence, rank, prompt_tokens, asked: self.asked }
     }
 }
