--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -28,7 +28,7 @@
     ids::ServiceId,
     memory::BufferedBody,
     placement::{QuarantinedPart, RequestAttempt},
-    routing::{Customer, Route},
+    routing::{Customer, QueueTerms, Route},
     runtime,
     verdict::Verdict,
 };
@@ -102,6 +102,8 @@
     fn new(sender: RequestSender<'a>, service: &ServiceId) -> Attempts<'a> {
         let RequestSender { exchange, route, customer } = sender;
         let request = &exchange.request;
+        let sizes = &request.sizes;
+        let charter = exchange.host.charter.borrow();
         let age = clock::elapsed(exchange.received);
         let now = Instant::now();
         let attempt = RequestAttempt {
@@ -114,11 +116,14 @@
             latency_objective: route.latency_objective,
             model: request.model.clone(),
             attempt: Some(attempt),
-            prompt_tokens: request.sizes.prompt_tokens,
-            output_tokens: request.sizes.output_tokens(),
+            prompt_tokens: sizes.prompt_tokens,
+            output_tokens: sizes.output_tokens(),
             priority: customer.and_then(|it| it.priority).unwrap_or(route.priority),
             objective_at: now + route.latency_objective.saturating_sub(age),
             deadline_at: now + exchange.time_left(route),
+            terms: charter.as_ref().map_or_else(QueueTerms::default, |it| {
+                it.queue_terms(route, service, customer, sizes.prompt_tokens, sizes.output_tokens())
+            }),
             regions: Rc::new(exchange.regions(route, customer)),
             prompt_parts: request.prompt_parts.clone(),
             is_resumed: false,
--- a/src/entry/backend_requirements.rs
+++ b/src/entry/backend_requirements.rs
@@ -14,7 +14,7 @@
     fleet::BackendTable,
     ids::{BackendId, RouteId, ServiceId},
     placement::{Demand, PartDigest, QuarantinedPart, RegionConstraint, RequestAttempt},
-    routing::{BackendServer, RequestRegions},
+    routing::{BackendServer, QueueTerms, RequestRegions},
 };
 
 /// Shortest wait of a request that has to begin in turn, longer than the pause after a failed start.
@@ -46,6 +46,8 @@
     pub(crate) objective_at: Instant,
     /// Time at which the deadline of the request will have passed.
     pub(crate) deadline_at: Instant,
+    /// Terms on which it waits for an engine.
+    pub(crate) terms: QueueTerms,
     /// Regions in which it may be served.
     pub(crate) regions: Rc<RequestRegions>,
     /// Parts of the prompt that other requests may share.
@@ -166,7 +168,10 @@
             excluded,
             prompt_parts: self.prompt_parts.iter().take(MAX_DEMAND_PARTS).copied().collect(),
             in_turn_parts,
+            class: self.terms.class,
+            time_to_first_event: self.terms.time_to_first_event,
             wait,
+            max_wait: Duration::ZERO,
         }
     }
 }
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -97,7 +97,8 @@
         requirements: &BackendRequirements,
         queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
-        let give_up = Instant::now() + queue_timeout;
+        let asked_first = Instant::now();
+        let give_up = asked_first + queue_timeout;
         let mut unusable: Vec<BackendId> = Vec::new();
         loop {
             let left = give_up.saturating_duration_since(Instant::now());
@@ -106,6 +107,8 @@
             // Made anew each time: engines begin pauses, several at once, and end them.
             let mut demand = requirements.demand(host, wait);
             demand.excluded.extend(unusable.iter().cloned());
+            let max_left = requirements.terms.max_wait.saturating_sub(asked_first.elapsed());
+            demand.max_wait = until_pause_ends.map_or(max_left, |it| it.min(max_left));
             let asked = Instant::now();
             let reserve = async { Some(admission_client::reserve(host, &demand).await) };
             let allowed_changed = async {
--- a/src/entry/reservation_error.rs
+++ b/src/entry/reservation_error.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     entry::error_response::ErrorResponse,
+    fleet::RefusalReason,
     placement::{NoAllowedServer, QuarantinedPart},
 };
 
@@ -20,6 +21,8 @@
 const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Value of `Retry-After` in the response of a host that has just started.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Share of `Retry-After` over which callers that are refused at the same time are spread.
+const RETURN_SPREAD: f64 = 0.5;
 /// The number of nanoseconds in the unit to which `Retry-After` is rounded.
 const NANOS_PER_MS: u128 = 1_000_000;
 
@@ -30,6 +33,8 @@
     NoBackend,
     /// All backend servers that meet the requirements are full.
     Full,
+    /// They have no room in time; there may be some after this time.
+    Late(Duration),
     /// All of them want no requests now; the first takes them again after this time.
     Paused(Duration),
     /// No backend server may get the request, whatever their load.
@@ -39,6 +44,17 @@
 }
 
 impl ReservationError {
+    /// Returns the error of a request that waited at an owner in vain; `random` is uniform in 0 to 1.
+    pub(crate) fn of_wait(reason: RefusalReason, random: f64) -> ReservationError {
+        match reason {
+            RefusalReason::Late { room_in_ms } => {
+                let room_in = Duration::from_millis(room_in_ms.into());
+                ReservationError::Late(room_in.mul_f64(1.0 + RETURN_SPREAD * (random - 0.5)))
+            }
+            _ => ReservationError::Full,
+        }
+    }
+
     /// Returns the response to a request that could not be sent.
     pub(crate) fn response(self) -> ErrorResponse {
         let (message, retry_after) = match self {
@@ -54,6 +70,9 @@
                 ("all backend servers are busy; retry later", BUSY_RETRY_AFTER)
             }
             ReservationError::NotAllowed(reason) => not_allowed(reason),
+            ReservationError::Late(room_in) => {
+                ("all backend servers are busy with more urgent requests; retry later", room_in)
+            }
             // Rounded up, so that a caller that waits as told is not early.
             ReservationError::Paused(left) => (
                 "all backend servers asked for a pause; retry after it",
