Datagrams are received and handed out by a file of their own

Cause: EntryHost imported every part that a datagram concerns, and each of these imports EntryHost. Change: peer_messages.rs receives datagrams and applies them. Behaviour is unchanged.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -1,4 +1,4 @@
-//! Sends beacons to the other entry hosts and receives theirs.
+//! Sends beacons to the other entry hosts and applies theirs.
 //!
 //! Each host sends its beacons to the hosts of its own zone, which need to know the owners of the
 //! zone's engines and the addresses for callers. A few hosts of each zone, its representatives,
@@ -11,31 +11,20 @@
     time::{Duration, Instant},
 };
 
-use async_executor::Task;
-
 use crate::{
     clock,
     entry::{crash_reports, datagrams, entry_host::EntryHost},
-    fleet::{beacon_interval, Beacon, LostEvacuation, MessageReceiver, PeerMessage},
+    fleet::{beacon_interval, Beacon, LostEvacuation, PeerMessage},
     runtime,
 };
 
-/// Maximum length of a datagram; a host may report more than a thousand reservations to one owner.
-const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 /// Time after its start for which a host learns evacuations from others.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of representatives of a zone.
 const MAX_REPRESENTATIVES: usize = 4;
 
-/// Starts to exchange beacons.
-pub(crate) fn start(host: &Rc<EntryHost>) -> Vec<Task<()>> {
-    let send = send_loop(host.clone());
-    let receive = receive_loop(host.clone());
-    vec![runtime::spawn_local(send), runtime::spawn_local(receive)]
-}
-
 /// Sends beacons until the task is dropped.
-async fn send_loop(host: Rc<EntryHost>) {
+pub(crate) async fn run(host: Rc<EntryHost>) {
     let mut last_sent_far: Option<Instant> = None;
     loop {
         crash_reports::decide(&host);
@@ -115,11 +104,3 @@
     }
     datagrams::send(host, targets, &PeerMessage::Beacon(host.next_beacon(interval)));
 }
-
-async fn receive_loop(host: Rc<EntryHost>) {
-    let mut receiver = MessageReceiver::new(&host.socket, MAX_DATAGRAM_BYTES);
-    loop {
-        let (from, message) = receiver.next().await;
-        host.apply_message(from, message);
-    }
-}
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -15,13 +15,8 @@
 use crate::{
     clock,
     entry::{
-        admission_client::AdmissionClient,
-        beacon_exchange,
-        cell_owner::CellOwner,
-        crash_reports, crash_tries, datagrams,
-        departure::Departure,
-        engine_owners::EngineOwners,
-        server_notices::{self, ServerNotices},
+        admission_client::AdmissionClient, cell_owner::CellOwner, datagrams, departure::Departure,
+        engine_owners::EngineOwners, server_notices::ServerNotices,
     },
     fleet::{
         entry_registry, follows_store, relay_order, AdmissionMessage, BackendTable, Beacon,
@@ -267,22 +262,6 @@
         }
     }
 
-    /// Applies a datagram of another process.
-    pub(crate) fn apply_message(&self, from: SocketAddr, message: PeerMessage) {
-        match message {
-            PeerMessage::Admission(message) => self.handle_admission(from, message),
-            PeerMessage::Beacon(beacon) => beacon_exchange::apply(self, from, beacon),
-            PeerMessage::EngineNotice(notice) => self.apply_notice(&notice),
-            PeerMessage::CrashReport(report) => crash_reports::apply(self, report),
-            PeerMessage::RequestTry(message) => crash_tries::apply(self, from, &message),
-            PeerMessage::ServerLeaving(notice) => server_notices::apply(self, from, &notice),
-            PeerMessage::LostEvacuations(lost) => beacon_exchange::learn_evacuations(self, &lost),
-            PeerMessage::PiecesHeld(_) | PeerMessage::Manifest(_) => {
-                log::debug!("fleet: ignored a message for slot processes from={from}")
-            }
-        }
-    }
-
     /// Returns the address of a live entry host for messages.
     pub(crate) fn peer_address(&self, host: &HostId) -> Option<SocketAddr> {
         if *host == self.settings.host.id {
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -19,7 +19,7 @@
         entry_host::EntryHost,
         evacuations,
         metrics_endpoint::{self, metrics_response},
-        own_registration, peer_catch_up, store_relay, store_sync,
+        own_registration, peer_catch_up, peer_messages, store_relay, store_sync,
     },
     fleet::{ExpiredEntries, StoreSource},
     http1::{
@@ -75,7 +75,8 @@
         tasks.extend(evacuations::start(&host, &retry));
         tasks.push(store_relay::start(&host, limits.peers)?);
         tasks.push(runtime::spawn_local(own_registration::keep(host.clone(), store)));
-        tasks.extend(beacon_exchange::start(&host));
+        tasks.push(runtime::spawn_local(beacon_exchange::run(host.clone())));
+        tasks.push(runtime::spawn_local(peer_messages::run(host.clone())));
         tasks.push(runtime::spawn_local(peer_catch_up::run(host.clone())));
         tasks.push(runtime::spawn_local(cell_owner::run(host.clone())));
         tasks.push(runtime::spawn_local(admission_client::report(host.clone())));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod metrics_endpoint;
 mod own_registration;
 mod peer_catch_up;
+mod peer_messages;
 mod pending_request;
 mod plain_call;
 mod request_routing;
