Count an entry that says a server is cold only once

Cause: each update of any server brought the entries of all others again, so a cold server stayed cold until its own next entry. Change: an entry that was not renewed counts only if it says something else.

--- a/src/placement/server_warmth.rs
+++ b/src/placement/server_warmth.rs
@@ -28,6 +28,8 @@
     pub(crate) service: ServiceId,
     pub(crate) zone: ZoneId,
     pub(crate) started_ms: u64,
+    /// What its entry said last.
+    cold_left: Duration,
     /// Time until which it is cold by its entry, or was limited before its entry said that it is warm.
     cold_until: Option<Instant>,
     /// Time of the latest event after which its state is unknown.
@@ -42,6 +44,7 @@
             service: server.service.clone(),
             zone: server.zone.clone(),
             started_ms: server.started_ms,
+            cold_left: server.cold_left,
             cold_until,
             unknown_since: None,
         }
@@ -52,9 +55,10 @@
         self.unknown_since = Some(now);
     }
 
-    /// Applies an entry that is read again and may be old: it can only say that the server is cold.
+    /// Applies an entry that may be old: it can only say that the server is cold, and says it once.
     pub(crate) fn apply_listed(&mut self, server: &BackendServer, now: Instant) {
-        if !server.cold_left.is_zero() {
+        let earlier = std::mem::replace(&mut self.cold_left, server.cold_left);
+        if !server.cold_left.is_zero() && server.cold_left != earlier {
             self.cold_until = self.cold_until.max(Some(now + server.cold_left));
         }
     }
@@ -67,8 +71,11 @@
         now: Instant,
     ) {
         if self.unknown_since.is_some_and(|it| now < it + MAX_NEWS_AGE) {
+            // The server has just written it, so it counts even if it says the same as the one before.
+            self.cold_left = Duration::ZERO;
             return self.apply_listed(server, now);
         }
+        self.cold_left = server.cold_left;
         let limited_until = self.limited_until(cold_start);
         self.unknown_since = None;
         self.cold_until = match server.cold_left.is_zero() {
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -52,7 +52,11 @@
     assert_eq!(cold.state("i-0", now + ms(20_000)), ColdState::Unknown);
     renew(&mut cold, &warm, now + ms(21_000));
     assert_eq!(cold.state("i-0", now + ms(21_000)), ColdState::Warm);
-    renew(&mut cold, &server("i-0", "pool", 1, ms(500)), now + ms(22_000));
+    let cold_again = server("i-0", "pool", 1, ms(500));
+    renew(&mut cold, &cold_again, now + ms(22_000));
+    // The update of another server brings its entry again.
+    list(&mut cold, &[cold_again, server("i-1", "pool", 1, Duration::ZERO)], now + ms(22_400));
+    assert_eq!(cold.state("i-0", now + ms(22_500)), ColdState::Warm);
     assert_eq!(cold.state("i-0", now + ms(22_499)), ColdState::Cold);
     renew(&mut cold, &server("i-0", "pool", 2, Duration::ZERO), now + ms(23_000));
     assert_eq!(cold.state("i-0", now + ms(25_999)), ColdState::Unknown, "another start");
