crocustiller charter check: checks a configuration before it is sent

A configuration of the platform could be judged only by sending it: entry hosts resolve entries that exclude each other without a word.

`charter check FILE [--against FILE] [--json]` decodes it as the entry hosts do and prints typed findings (entries that can never match, unknown services, limits that contradict each other, a version that would be ignored) and what differs from the one in force.

Not checked: whether a region has engines, which the configuration doesn't say.

--- a/src/error.rs
+++ b/src/error.rs
@@ -19,6 +19,10 @@
             source(err)
             display("{}: {err}; check the path and its permissions", path.display())
         }
+        /// A check found something; it was printed.
+        Findings(n_findings: usize) {
+            display("findings: {n_findings}; nothing was sent")
+        }
         /// No entry host accepted the command, so it was not run.
         Unreachable(attempts: Vec<FailedAttempt>) {
             display("no entry host accepted the command; give other addresses with --entry, or retry later{}", format_attempts(attempts))
@@ -47,7 +51,7 @@
     pub reason: String,
 }
 
-/// Exit code if a command was refused or the response was invalid.
+/// Exit code if a command was refused, the response was invalid or a check found something.
 pub const EXIT_REFUSED: u8 = 1;
 /// Exit code if arguments, settings or files are invalid.
 pub const EXIT_USAGE: u8 = 2;
@@ -65,7 +69,9 @@
             CommandError::ResponseLost(_) | CommandError::Refused(_, _, Verdict::MayHaveRun) => {
                 EXIT_MAY_HAVE_RUN
             }
-            CommandError::Refused(..) | CommandError::InvalidResponse(_) => EXIT_REFUSED,
+            CommandError::Findings(_)
+            | CommandError::Refused(..)
+            | CommandError::InvalidResponse(_) => EXIT_REFUSED,
         })
     }
 }
--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -1,12 +1,9 @@
 //! Decodes the operator's configuration object into a `RoutingCharter`.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
 use serde::Deserialize;
+use serde_json::Value;
 use serde_with::{serde_as, DurationMilliSeconds, DurationSecondsWithFrac};
 
 use crate::{
@@ -14,8 +11,8 @@
     placement::RegionConstraint,
     platform::{store::StoredObject, wire_server::MAX_COUNT},
     routing::{
-        CallerLimits, ColdStart, Customer, EngineSpec, ModelSpec, Origin, Route, RouteKind,
-        RouteTarget, RoutingCharter, Service,
+        CallerLimits, CharterDraft, ColdStart, Customer, DraftCustomer, EngineSpec, ModelSpec,
+        Origin, Route, RouteKind, RouteTarget, RoutingCharter, Service,
     },
 };
 
@@ -33,8 +30,12 @@
     if object.metadata.name != CONFIG_NAME {
         return Ok(None);
     }
-    let config = WireConfig::deserialize(&object.spec)?;
-    Ok(Some(config.into_charter()))
+    Ok(Some(decode_draft(&object.spec)?.into_charter()))
+}
+
+/// Decodes the content of the configuration object with all its entries.
+pub fn decode_draft(spec: &Value) -> Result<CharterDraft, serde_json::Error> {
+    Ok(WireConfig::deserialize(spec)?.into_draft())
 }
 
 #[derive(Deserialize)]
@@ -185,38 +186,29 @@
 }
 
 impl WireConfig {
-    fn into_charter(self) -> RoutingCharter {
-        let mut routes: HashMap<String, Vec<Route>> = HashMap::new();
-        for route in self.routes.into_iter().map(WireRoute::into_route) {
-            routes.entry(route.host.clone()).or_default().push(route);
-        }
-        for host_routes in routes.values_mut() {
-            host_routes.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
-        }
-        let services: BTreeMap<ServiceId, Service> =
-            self.services.into_iter().map(WireService::into_service).collect();
-        let customers = self
-            .tenants
-            .map(|tenants| tenants.into_iter().flat_map(WireTenant::into_customers).collect());
+    fn into_draft(self) -> CharterDraft {
+        let routes = self.routes.into_iter().map(WireRoute::into_route).collect();
+        let services = self.services.into_iter().map(WireService::into_service).collect();
+        let customers =
+            self.tenants.map(|it| it.into_iter().map(WireTenant::into_customer).collect());
         let limits = CallerLimits {
             max_head_bytes: self.limits.max_header_bytes,
             max_body_bytes: self.limits.max_body_bytes,
             head_timeout: self.limits.header_timeout_ms.min(MAX_TIME),
             idle_timeout: self.limits.idle_timeout_ms.min(MAX_TIME),
         };
-        RoutingCharter { number: self.version, routes, services, customers, limits }
+        CharterDraft { number: self.version, routes, services, customers, limits }
     }
 }
 
 impl WireTenant {
-    /// Returns the customer for each of its keys.
-    fn into_customers(self) -> impl Iterator<Item = (String, Customer)> {
+    fn into_customer(self) -> DraftCustomer {
         let customer = Customer {
             id: self.name,
             priority: self.priority,
             regions: RegionConstraint::from_list(self.allowed_regions),
         };
-        self.api_keys.into_iter().map(move |key| (key, customer.clone()))
+        DraftCustomer { customer, keys: self.api_keys }
     }
 }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,6 +2,9 @@
 //! versions.
 
 mod backend_server;
+mod charter_change;
+mod charter_draft;
+mod charter_finding;
 mod cold_start;
 mod customer;
 mod route;
@@ -11,6 +14,9 @@
 
 pub use crate::routing::{
     backend_server::{BackendServer, BackendState, LoadedLayers},
+    charter_change::{changes_of_charter, ChangeKind, CharterChange, CharterPart},
+    charter_draft::{CharterDraft, DraftCustomer},
+    charter_finding::{find_in_charter, CharterFinding},
     cold_start::ColdStart,
     customer::Customer,
     route::{Route, RouteKind, RouteTarget},
--- a/src/subcommand.rs
+++ b/src/subcommand.rs
@@ -12,6 +12,7 @@
 
 mod burn;
 mod charter;
+mod charter_check;
 mod common_options;
 mod hosts;
 mod operator_client;
@@ -98,7 +99,7 @@
     async fn run(self, options: CommonOptions) -> Result<(), CommandError> {
         let client = || OperatorClient::new(&options);
         match self {
-            Command::Charter(it) => it.run(&client()?).await,
+            Command::Charter(it) => it.run(&options).await,
             Command::Hosts(it) => it.run(&client()?).await,
             Command::Pools(it) => it.run(&client()?).await,
             Command::Rollout(it) => it.run(&client()?).await,
--- a/src/subcommand/charter.rs
+++ b/src/subcommand/charter.rs
@@ -1,4 +1,4 @@
-//! `crocustiller charter`: shows and patches the charter.
+//! `crocustiller charter`: shows, patches and checks the charter.
 
 use std::path::{Path, PathBuf};
 
@@ -10,11 +10,15 @@
     charter::CharterStatus,
     error::CommandError,
     ids::{DocumentNumber, PatchId},
-    subcommand::operator_client::{OperatorCall, OperatorClient},
+    subcommand::{
+        charter_check::CheckCharter,
+        common_options::CommonOptions,
+        operator_client::{OperatorCall, OperatorClient},
+    },
     verdict::Verdict,
 };
 
-/// Shows and patches the charter.
+/// Shows, patches and checks the charter.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "charter")]
 pub(crate) struct CharterCommand {
@@ -29,6 +33,7 @@
     Patch(PatchCharter),
     Status(CharterOrPatchStatus),
     History(CharterHistory),
+    Check(CheckCharter),
 }
 
 /// Prints the charter in force.
@@ -67,12 +72,14 @@
 
 impl CharterCommand {
     /// Runs the command.
-    pub(crate) async fn run(self, client: &OperatorClient) -> Result<(), CommandError> {
+    pub(crate) async fn run(self, options: &CommonOptions) -> Result<(), CommandError> {
+        let client = || OperatorClient::new(options);
         match self.action {
-            CharterAction::Show(_) => show_charter(client).await,
-            CharterAction::Patch(it) => it.run(client).await,
-            CharterAction::Status(it) => it.run(client).await,
-            CharterAction::History(_) => show_history(client).await,
+            CharterAction::Show(_) => show_charter(&client()?).await,
+            CharterAction::Patch(it) => it.run(&client()?).await,
+            CharterAction::Status(it) => it.run(&client()?).await,
+            CharterAction::History(_) => show_history(&client()?).await,
+            CharterAction::Check(it) => it.run(options.is_json),
         }
     }
 }
