--- a/src/entry/store_relay.rs
+++ b/src/entry/store_relay.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -34,7 +35,7 @@
     Ok(runtime::spawn_local(accept))
 }
 
-async fn serve_logged(host: Rc<EntryHost>, connection: Connection, slot: Rc<ConnectionSlot>) {
+async fn serve_logged(host: Rc<EntryHost>, connection: Connection, slot: Arc<ConnectionSlot>) {
     if let Err(err) = serve(&host, connection, &slot).await {
         log::debug!("fleet: connection to a store watcher failed error=\"{err}\"");
     }
