--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,6 +30,7 @@
 mod peer_messages;
 mod pending_request;
 mod plain_call;
+mod refusal_log;
 mod request_routing;
 mod request_sender;
 mod request_trace;
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -44,6 +44,13 @@
 pub const COLD_SERVERS: &str = "crocustiller_cold_servers";
 /// Counter: requests that this host did not send, or admit, at once as servers are cold or may be.
 pub const COLD_HELD_BACK: &str = "crocustiller_cold_held_back_total";
+/// Counter: decisions of this host as owner of engines on first attempts, by `rank` (9 stands for all from 9
+/// on) and `outcome` (served or refused).
+pub const CELL_RANKS: &str = "crocustiller_cell_ranks_total";
+/// Gauge: requests that wait at this host as owner of engines, by `rank`.
+pub const CELL_WAITING: &str = "crocustiller_cell_waiting";
+/// Counter: time in milliseconds that served requests had left until they had to begin, by `rank`.
+pub const CELL_SLACK_MS: &str = "crocustiller_cell_slack_milliseconds_total";
 /// Counter: lists that the store or an entry host answered, by `kind`.
 pub const STORE_LISTS: &str = "crocustiller_store_lists_total";
 /// Gauge: the number of times that the store came back from an older copy, as the store counts.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -26,7 +26,9 @@
 mod plain_choice;
 mod plain_servers;
 mod quarantined_part;
+mod rank_counts;
 mod rate_limit;
+mod refusal;
 mod refused_requests;
 mod region_constraint;
 mod request_attempt;
@@ -73,7 +75,9 @@
     plain_choice::{choose_plain_backend, PlainCandidate},
     plain_servers::PlainServers,
     quarantined_part::QuarantinedPart,
+    rank_counts::RankCounts,
     rate_limit::RateLimit,
+    refusal::{Refusal, RefusalCause},
     region_constraint::RegionConstraint,
     request_attempt::RequestAttempt,
     request_class::RequestClass,
