A request's rank has its customer's priority first, then that of its route

Cause: a customer's priority replaced that of the route. Change: both priorities are digits of the rank.

--- a/benches/admission_order.rs
+++ b/benches/admission_order.rs
@@ -38,7 +38,7 @@
         attempt: Some(RequestAttempt { request: number, number }),
         prompt_tokens: 200 + (number * 7919 % 2000) as u32,
         output_tokens: 150,
-        priority: (number % 3) as u32,
+        rank: (number % 3) as u32,
         class: RequestClass {
             kind: (number % 3) as u32,
             customer: (number % 24) as u32,
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -118,7 +118,7 @@
             attempt: Some(attempt),
             prompt_tokens: sizes.prompt_tokens,
             output_tokens: sizes.output_tokens(),
-            priority: customer.and_then(|it| it.priority).unwrap_or(route.priority),
+            rank: route.rank(customer),
             objective_at: now + route.latency_objective.saturating_sub(age),
             deadline_at: now + exchange.time_left(route),
             terms: charter.as_ref().map_or_else(QueueTerms::default, |it| {
--- a/src/entry/backend_requirements.rs
+++ b/src/entry/backend_requirements.rs
@@ -40,8 +40,8 @@
     pub(crate) prompt_tokens: u32,
     /// The number of output tokens that the caller expects, or else its maximum.
     pub(crate) output_tokens: u32,
-    /// Priority; 0 is the most urgent.
-    pub(crate) priority: u32,
+    /// Rank; 0 is the most urgent.
+    pub(crate) rank: u32,
     /// Time at which the latency objective of the request will have passed.
     pub(crate) objective_at: Instant,
     /// Time at which the deadline of the request will have passed.
@@ -160,7 +160,7 @@
             attempt: self.attempt,
             prompt_tokens: self.prompt_tokens,
             output_tokens: self.output_tokens,
-            priority: self.priority,
+            rank: self.rank,
             time_to_objective: self.objective_at.saturating_duration_since(now),
             time_to_deadline: self.deadline_at.saturating_duration_since(now),
             regions: self.allowed_regions(host),
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -44,8 +44,8 @@
 pub const COLD_SERVERS: &str = "crocustiller_cold_servers";
 /// Counter: requests that this host did not send, or admit, at once as servers are cold or may be.
 pub const COLD_HELD_BACK: &str = "crocustiller_cold_held_back_total";
-/// Counter: decisions of this host as owner of engines on first attempts, by `rank` (9 stands for all from 9
-/// on) and `outcome` (served or refused).
+/// Counter: decisions of this host as owner of engines on first attempts, by `rank` (99 stands for all
+/// from 99 on) and `outcome` (served or refused).
 pub const CELL_RANKS: &str = "crocustiller_cell_ranks_total";
 /// Gauge: requests that wait at this host as owner of engines, by `rank`.
 pub const CELL_WAITING: &str = "crocustiller_cell_waiting";
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -23,8 +23,8 @@
     pub prompt_tokens: u32,
     /// The number of output tokens that its caller expects, or else its maximum; 0 if unknown.
     pub output_tokens: u32,
-    /// Priority; 0 is the most urgent.
-    pub priority: u32,
+    /// Rank; 0 is the most urgent.
+    pub rank: u32,
     /// Time left until its latency objective has passed.
     pub time_to_objective: Duration,
     /// Time left until its deadline.
--- a/src/placement/rank_counts.rs
+++ b/src/placement/rank_counts.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 /// Ranks from here on are counted together.
-const MAX_RANK: u32 = 9;
+const MAX_RANK: u32 = 99;
 
 /// The decisions on first attempts of one rank.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/placement/served_shares.rs
+++ b/src/placement/served_shares.rs
@@ -134,7 +134,7 @@
 }
 
 fn kind_key(demand: &Demand) -> (u32, u32) {
-    (demand.priority, demand.class.kind)
+    (demand.rank, demand.class.kind)
 }
 
 fn work_tokens(demand: &Demand) -> u64 {
--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -111,17 +111,17 @@
         let mut n_ahead: BTreeMap<&ServiceId, BTreeMap<u32, u32>> = BTreeMap::new();
         let mut rates: BTreeMap<(&ServiceId, u32), (f64, f64)> = BTreeMap::new();
         self.requests.iter().map(move |request| {
-            let Demand { service, priority, class, .. } = &request.demand;
+            let Demand { service, rank, class, .. } = &request.demand;
             let ahead = n_ahead.entry(service).or_default();
-            let n_urgent: u32 = ahead.range(..priority).map(|it| it.1).sum();
-            let n_other: u32 = ahead.range(priority..).map(|it| it.1).sum();
-            *ahead.entry(*priority).or_default() += 1;
+            let n_urgent: u32 = ahead.range(..rank).map(|it| it.1).sum();
+            let n_other: u32 = ahead.range(rank..).map(|it| it.1).sum();
+            *ahead.entry(*rank).or_default() += 1;
             if !class.is_ranked || request.shortfall.is_some() {
                 return (request, None);
             }
             let (per_s, yielding_per_s) = *rates
-                .entry((service, *priority))
-                .or_insert_with(|| self.shares.served_per_s(service, *priority, now));
+                .entry((service, *rank))
+                .or_insert_with(|| self.shares.served_per_s(service, *rank, now));
             let wait_s =
                 time_to_serve_s(n_urgent, per_s) + time_to_serve_s(n_other + 1, yielding_per_s);
             // Without any grant lately nothing is known of how fast engines become free.
@@ -150,7 +150,7 @@
         let demand = &request.demand;
         demand.class.is_ranked.then(|| Refusal {
             cause,
-            rank: demand.priority,
+            rank: demand.rank,
             waited: now.saturating_duration_since(request.asked),
             room_in: self.time_until_room(demand, now),
         })
@@ -158,8 +158,8 @@
 
     fn time_until_room(&self, demand: &Demand, now: Instant) -> Duration {
         let of_service = self.requests.iter().filter(|it| it.demand.service == demand.service);
-        let n_ahead = of_service.filter(|it| it.demand.priority <= demand.priority).count() as u32;
-        let (_, yielding_per_s) = self.shares.served_per_s(&demand.service, demand.priority, now);
+        let n_ahead = of_service.filter(|it| it.demand.rank <= demand.rank).count() as u32;
+        let (_, yielding_per_s) = self.shares.served_per_s(&demand.service, demand.rank, now);
         let wait_s = time_to_serve_s(n_ahead + 1, yielding_per_s);
         let wait = Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64()));
         wait.clamp(MIN_RETURN_TIME, MAX_RETURN_TIME)
@@ -177,15 +177,15 @@
         if is_decided && !request.is_return && !request.demand.is_resumed {
             self.shares.record(&request.demand, is_served, now);
             match is_served {
-                true => self.counts.record_served(request.demand.priority, request.slack(now)),
-                false => self.counts.record_refused(request.demand.priority),
+                true => self.counts.record_served(request.demand.rank, request.slack(now)),
+                false => self.counts.record_refused(request.demand.rank),
             }
         }
     }
 
     /// Returns the numbers of decisions by rank.
     pub(crate) fn rank_counts(&self) -> BTreeMap<u32, RankCounts> {
-        self.counts.with_waiting(self.requests.iter().map(|it| it.demand.priority))
+        self.counts.with_waiting(self.requests.iter().map(|it| it.demand.rank))
     }
 
     /// Returns the waiting requests.
--- a/src/placement/waiting_request.rs
+++ b/src/placement/waiting_request.rs
@@ -73,7 +73,7 @@
             Some(_) if is_ranked => Precedence::Shortfall,
             _ => Precedence::Usual,
         };
-        let rank = if is_ranked { self.demand.priority } else { 0 };
+        let rank = if is_ranked { self.demand.rank } else { 0 };
         let is_by_size = is_ranked && precedence == Precedence::Usual;
         let prompt_tokens = if is_by_size { self.demand.prompt_tokens } else { 0 };
         Place { precedence, rank, prompt_tokens, asked: self.asked }
--- a/src/routing/ranked_services.rs
+++ b/src/routing/ranked_services.rs
@@ -19,13 +19,12 @@
         customers.into_iter().flat_map(HashMap::values).map(|it| it.priority).collect();
     let mut ranks: BTreeMap<&ServiceId, BTreeSet<(u32, Duration)>> = BTreeMap::new();
     for route in routes {
-        let of_customers = own.iter().map(|it| it.unwrap_or(route.priority));
+        let of_customers = own.iter().map(|it| route.rank_at(*it));
         let is_open = route.is_public || own.is_empty();
-        let priorities: BTreeSet<u32> =
-            of_customers.chain(is_open.then_some(route.priority)).collect();
+        let all: BTreeSet<u32> = of_customers.chain(is_open.then(|| route.rank(None))).collect();
         for target in &route.targets {
             let ranks = ranks.entry(&target.service).or_default();
-            ranks.extend(priorities.iter().map(|it| (*it, route.latency_objective)));
+            ranks.extend(all.iter().map(|it| (*it, route.latency_objective)));
         }
     }
     ranks.into_iter().filter(|it| it.1.len() > 1).map(|it| it.0.clone()).collect()
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -5,8 +5,12 @@
 use crate::{
     ids::{RouteId, ServiceId},
     placement::RegionConstraint,
+    routing::Customer,
 };
 
+/// Greatest priority that is told from others.
+const MAX_PRIORITY: u32 = 9;
+
 /// A route of the charter, which matches requests by host name and path prefix.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -61,6 +65,19 @@
         format!("{}{}", self.host, self.prefix)
     }
 
+    /// Returns the rank of a customer's request: its customer's priority as the first digit, which goes before
+    /// that of the route as the second. 0 is the most urgent. A customer without a priority has that of the
+    /// route.
+    pub fn rank(&self, customer: Option<&Customer>) -> u32 {
+        self.rank_at(customer.and_then(|it| it.priority))
+    }
+
+    /// Returns the rank of a request of a customer with this priority.
+    pub(crate) fn rank_at(&self, customer_priority: Option<u32>) -> u32 {
+        let of_customer = customer_priority.unwrap_or(self.priority).min(MAX_PRIORITY);
+        of_customer * (MAX_PRIORITY + 1) + self.priority.min(MAX_PRIORITY)
+    }
+
     /// Returns `true` if a request may be retried after it may have run.
     pub fn is_repeatable(&self) -> bool {
         matches!(self.kind, RouteKind::Idempotent | RouteKind::Stream { is_resumable: true })
--- a/tests/emulated_cell/mod.rs
+++ b/tests/emulated_cell/mod.rs
@@ -275,7 +275,7 @@
             attempt: Some(RequestAttempt { request: request as u64, number: u64::from(attempt) }),
             prompt_tokens: arrival.prompt_tokens,
             output_tokens: arrival.output_tokens,
-            priority: if self.order == Order::Need { kind.rank } else { 0 },
+            rank: if self.order == Order::Need { kind.rank } else { 0 },
             class: RequestClass {
                 kind: if self.order == Order::Arrival { request } else { arrival.kind } as u32,
                 customer: arrival.customer,
