--- a/src/placement/usual_latency.rs
+++ b/src/placement/usual_latency.rs
@@ -14,8 +14,9 @@
 const VARIANCE_GAIN: f64 = 0.05;
 /// Largest change of the logarithm that one response shows, a factor of 20.
 const MAX_EXCESS: f64 = 3.0;
-/// Shortest latency that is told from others; the timers of a busy host aren't more precise.
-const MIN_LATENCY: Duration = Duration::from_millis(1);
+/// Shortest latency that is told from others; a shorter one depends more on how busy this host is than
+/// on the server.
+const MIN_LATENCY: Duration = Duration::from_millis(5);
 /// Number of standard deviations above the average from which on a response is late.
 const LATE_DEVIATIONS: f64 = 3.0;
 /// Factor above the average below which no response is late, however alike all are.
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -166,6 +166,18 @@
         self.folder.path().join(LOG_FILE)
     }
 
+    /// Waits until the log has this text, as a thread writes it, and returns `false` if it doesn't get it.
+    pub fn logs(&self, text: &str) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < START_TIMEOUT {
+            if std::fs::read_to_string(self.log_path()).unwrap().contains(text) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
     /// Opens a connection to the address for callers.
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.callers).unwrap();
