--- a/src/daemon/components.rs
+++ b/src/daemon/components.rs
@@ -8,6 +8,7 @@
 use crate::{
     daemon::daemon::StartError,
     engine::EngineClient,
+    http1::ConnectionLimits,
     membership::{Detector, Gossip},
     net::{Handler, HttpServer, ServerLimits},
     node::Node,
@@ -135,11 +136,13 @@
     key: &'static str,
     handler: Handler,
 ) -> Result<HttpServer, StartError> {
-    let address = match key {
-        "request" => node.settings.listen.request,
-        _ => node.settings.listen.operator,
+    let limits = ConnectionLimits::of_this_process();
+    let (address, max_connections) = match key {
+        "request" => (node.settings.listen.request, limits.callers),
+        _ => (node.settings.listen.operator, limits.directory),
     };
-    let limits = ServerLimits { max_connections: node.settings.limits.max_connections };
+    let max_connections = max_connections.min(node.settings.limits.max_connections);
+    let limits = ServerLimits { max_connections };
     HttpServer::bind(address, limits, handler).await.map_err(|err| StartError::Listen(key, err))
 }
 
--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -35,7 +36,7 @@
 /// A connection of a caller, whose requests are served one after the other.
 pub(crate) struct CallerConnection {
     connection: Connection,
-    slot: Rc<ConnectionSlot>,
+    slot: Arc<ConnectionSlot>,
     host: Rc<EntryHost>,
 }
 
@@ -75,7 +76,7 @@
     /// Creates the server side of an accepted connection.
     pub(crate) fn new(
         connection: Connection,
-        slot: Rc<ConnectionSlot>,
+        slot: Arc<ConnectionSlot>,
         host: Rc<EntryHost>,
     ) -> CallerConnection {
         CallerConnection { connection, slot, host }
@@ -214,6 +215,7 @@
     /// A request that crosses the close stays unread, so that its caller can tell that it has not run.
     async fn close(mut self) {
         self.connection.shutdown_write();
+        self.slot.begin_wait();
         let peer_end = async {
             if self.connection.wait_for_input().await {
                 std::future::pending().await
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -140,7 +141,7 @@
     }
 }
 
-async fn serve(host: Rc<EntryHost>, connection: Connection, slot: Rc<ConnectionSlot>) {
+async fn serve(host: Rc<EntryHost>, connection: Connection, slot: Arc<ConnectionSlot>) {
     let _guard = CountGuard::new(host.clone(), |it| &it.n_connections);
     CallerConnection::new(connection, slot, host).serve().await;
 }
--- a/src/entry/store_relay.rs
+++ b/src/entry/store_relay.rs
@@ -3,15 +3,18 @@
 use std::{
     io,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use async_executor::Task;
 use async_io::Async;
+use futures_lite::FutureExt;
 
 use crate::{
     entry::entry_host::EntryHost,
     http1::{accept_all, Connection, ConnectionSlot, HttpError, PortConnections, SmallResponse},
+    memory::{BufferSender, Buffers},
     net::listen::listen,
     platform::wire_objects,
     runtime,
@@ -34,7 +37,7 @@
     Ok(runtime::spawn_local(accept))
 }
 
-async fn serve_logged(host: Rc<EntryHost>, connection: Connection, slot: Rc<ConnectionSlot>) {
+async fn serve_logged(host: Rc<EntryHost>, connection: Connection, slot: Arc<ConnectionSlot>) {
     if let Err(err) = serve(&host, connection, &slot).await {
         log::debug!("fleet: connection to a store watcher failed error=\"{err}\"");
     }
@@ -52,14 +55,30 @@
             Ok(res) => res?,
         };
         slot.begin_exchange();
-        let response = handle(host, &head.target).await;
+        let bytes = handle(host, &head.target).await.to_bytes();
         slot.begin_wait();
-        let bytes = response.to_bytes();
-        let write = runtime::timeout(IDLE_TIMEOUT, connection.write(&bytes)).await;
-        write.map_err(|_| HttpError::TimedOut)??;
+        let write = write_leased(&connection, &bytes, &host.buffers);
+        runtime::timeout(IDLE_TIMEOUT, write).await.map_err(|_| HttpError::TimedOut)??;
     }
 }
 
+/// Writes a response, which is given up if too much is buffered while its reader delays it. One that is
+/// longer than a buffer may be counts as one of that length, as lists have no limit.
+async fn write_leased(
+    connection: &Connection,
+    bytes: &[u8],
+    buffers: &Buffers,
+) -> Result<(), HttpError> {
+    let lease = buffers.open(BufferSender::Responses);
+    lease.grow(bytes.len().min(lease.max_bytes()));
+    lease.wait_for_caller();
+    let given_up = async {
+        lease.wait_until_given_up().await;
+        Err(HttpError::BuffersFull)
+    };
+    connection.write(bytes).or(given_up).await
+}
+
 async fn handle(host: &EntryHost, target: &str) -> SmallResponse {
     let Some(query) = wire_objects::decode_query(target) else {
         return SmallResponse::status(404);
--- a/src/http1/acceptor.rs
+++ b/src/http1/acceptor.rs
@@ -1,6 +1,6 @@
 //! Accepts connections and serves each one in its own task.
 
-use std::{future::Future, io, net::TcpListener, rc::Rc, time::Duration};
+use std::{future::Future, io, net::TcpListener, sync::Arc, time::Duration};
 
 use async_io::Async;
 use futures_lite::{future, FutureExt};
@@ -22,8 +22,8 @@
 /// each of them. The future is dropped when its connection is closed for another one.
 pub(crate) async fn accept_all<F: Future<Output = ()> + 'static>(
     listener: Async<TcpListener>,
-    connections: Rc<PortConnections>,
-    serve: impl Fn(Connection, Rc<ConnectionSlot>) -> F,
+    connections: Arc<PortConnections>,
+    serve: impl Fn(Connection, Arc<ConnectionSlot>) -> F,
 ) {
     let mut n_accepted = 0;
     loop {
@@ -55,7 +55,7 @@
     }
 }
 
-async fn serve_until_evicted(serve: impl Future<Output = ()>, slot: Rc<ConnectionSlot>) {
+async fn serve_until_evicted(serve: impl Future<Output = ()>, slot: Arc<ConnectionSlot>) {
     // An eviction comes first: a request that arrives at the same time stays unread.
     slot.wait_until_evicted().or(serve).await;
 }
--- a/src/http1/connection_limits.rs
+++ b/src/http1/connection_limits.rs
@@ -4,6 +4,10 @@
 //! descriptors, for backend servers, and the process itself for the store and its peers, so the ports
 //! together get only a part.
 
+use rustix::process::{getrlimit, Resource};
+
+/// Greatest number of descriptors of a process.
+pub(crate) const MAX_DESCRIPTORS: u64 = 1 << 30;
 /// Descriptors that the platform needs for itself in each process.
 const SYSTEM_DESCRIPTORS: u64 = 200;
 /// Greatest share of all descriptors that are left to the platform where there are only a few.
@@ -31,7 +35,18 @@
     pub checks: usize,
 }
 
+/// Returns the number of descriptors that the system lets this process open.
+pub(crate) fn descriptor_limit() -> u64 {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS)
+}
+
 impl ConnectionLimits {
+    /// Returns the limits of this process, by the descriptors that the system lets it open.
+    pub fn of_this_process() -> ConnectionLimits {
+        ConnectionLimits::of_process(descriptor_limit())
+    }
+
     /// Returns the limits of a process that may have `n_descriptors` open.
     pub fn of_process(n_descriptors: u64) -> ConnectionLimits {
         let max_system = (n_descriptors as f64 * MAX_SYSTEM_SHARE) as u64;
--- a/src/http1/http_endpoint.rs
+++ b/src/http1/http_endpoint.rs
@@ -1,6 +1,6 @@
 //! A small HTTP server whose responses are built from the state of the process without waiting.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use async_executor::Task;
 use async_io::Async;
@@ -85,7 +85,7 @@
         let listener = Async::<std::net::TcpListener>::bind(address)?;
         let connections = PortConnections::new(name, max_connections);
         let responder = Rc::new(Responder { respond, ahead_turn: async_lock::Mutex::new(()) });
-        let serve_connection = move |connection, slot: Rc<ConnectionSlot>| {
+        let serve_connection = move |connection, slot: Arc<ConnectionSlot>| {
             let responder = responder.clone();
             async move {
                 if let Err(err) = responder.serve(connection, &slot).await {
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -21,6 +21,7 @@
 
 pub(crate) use crate::http1::{
     acceptor::accept_all,
+    connection_limits::{descriptor_limit, MAX_DESCRIPTORS},
     port_connections::{ConnectionSlot, PortConnections},
 };
 pub use crate::http1::{
--- a/src/http1/port_connections.rs
+++ b/src/http1/port_connections.rs
@@ -5,9 +5,8 @@
 //! being served never is.
 
 use std::{
-    cell::{Cell, RefCell},
     collections::BTreeMap,
-    rc::Rc,
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use event_listener::Event;
@@ -23,66 +22,76 @@
 pub(crate) struct PortConnections {
     port: &'static str,
     max_connections: usize,
-    n_open: Cell<usize>,
-    n_waits: Cell<WaitNumber>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    n_open: usize,
+    n_waits: WaitNumber,
     /// The connections that wait for a complete request, each with the event that closes it.
-    waiting: RefCell<BTreeMap<WaitNumber, Rc<Event>>>,
+    waiting: BTreeMap<WaitNumber, Arc<Event>>,
 }
 
 /// The place of one connection among those of its port, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct ConnectionSlot {
-    connections: Rc<PortConnections>,
+    connections: Arc<PortConnections>,
     /// Absent while a request is being served.
-    wait: Cell<Option<WaitNumber>>,
-    evicted: Rc<Event>,
+    wait: Mutex<Option<WaitNumber>>,
+    evicted: Arc<Event>,
 }
 
 impl PortConnections {
     /// Creates a port without connections.
-    pub(crate) fn new(port: &'static str, max_connections: usize) -> Rc<PortConnections> {
-        Rc::new(PortConnections {
-            port,
-            max_connections,
-            n_open: Cell::default(),
-            n_waits: Cell::default(),
-            waiting: RefCell::default(),
-        })
+    pub(crate) fn new(port: &'static str, max_connections: usize) -> Arc<PortConnections> {
+        Arc::new(PortConnections { port, max_connections, state: Mutex::default() })
     }
 
     /// Returns the place of a new connection, for which the oldest waiting one is closed if too many are
     /// open; `None` if all of them are being served.
-    pub(crate) fn admit(self: &Rc<Self>) -> Option<Rc<ConnectionSlot>> {
+    pub(crate) fn admit(self: &Arc<Self>) -> Option<Arc<ConnectionSlot>> {
         if self.is_full() && !self.evict_oldest() {
             self.count("refused");
             return None;
         }
-        self.n_open.set(self.n_open.get() + 1);
+        self.state().n_open += 1;
         let slot = ConnectionSlot {
             connections: self.clone(),
-            wait: Cell::default(),
-            evicted: Rc::default(),
+            wait: Mutex::default(),
+            evicted: Arc::default(),
         };
         slot.begin_wait();
-        Some(Rc::new(slot))
+        Some(Arc::new(slot))
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn n_open(&self) -> usize {
+        self.state().n_open
     }
 
     /// Returns `true` if the next connection takes the place of another one.
     pub(crate) fn is_full(&self) -> bool {
-        self.n_open.get() >= self.max_connections
+        self.n_open() >= self.max_connections
     }
 
     /// Closes the connection that has waited longest; returns `false` if none waits.
     pub(crate) fn evict_oldest(&self) -> bool {
-        let Some((_, evicted)) = self.waiting.borrow_mut().pop_first() else { return false };
+        let Some((_, evicted)) = self.state().waiting.pop_first() else { return false };
         evicted.notify(usize::MAX);
         self.count("evicted");
         true
     }
 
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
     fn count(&self, outcome: &'static str) {
         let PortConnections { port, max_connections, .. } = self;
-        log::warn!("http: too many connections port={port} max={max_connections} new={outcome}");
+        log::warn!(
+            "http: too many connections port={port} max={max_connections} outcome={outcome}"
+        );
         counter!(metric_names::EXCESS_CONNECTIONS, "port" => self.port, "outcome" => outcome)
             .increment(1);
     }
@@ -91,18 +100,20 @@
 impl ConnectionSlot {
     /// Records that a complete request is being served, so that the connection isn't closed for others.
     pub(crate) fn begin_exchange(&self) {
-        if let Some(wait) = self.wait.take() {
-            self.connections.waiting.borrow_mut().remove(&wait);
+        if let Some(wait) = self.wait.lock().unwrap().take() {
+            self.connections.state().waiting.remove(&wait);
         }
     }
 
     /// Records that the connection waits for its client from now on.
     pub(crate) fn begin_wait(&self) {
         self.begin_exchange();
-        let wait = self.connections.n_waits.get();
-        self.connections.n_waits.set(wait + 1);
-        self.connections.waiting.borrow_mut().insert(wait, self.evicted.clone());
-        self.wait.set(Some(wait));
+        let mut state = self.connections.state();
+        let wait = state.n_waits;
+        state.n_waits += 1;
+        state.waiting.insert(wait, self.evicted.clone());
+        drop(state);
+        *self.wait.lock().unwrap() = Some(wait);
     }
 
     /// Waits until the connection must be closed for another one.
@@ -117,14 +128,14 @@
     }
 
     fn is_evicted(&self) -> bool {
-        let waiting = self.connections.waiting.borrow();
-        self.wait.get().is_some_and(|it| !waiting.contains_key(&it))
+        let wait = *self.wait.lock().unwrap();
+        wait.is_some_and(|it| !self.connections.state().waiting.contains_key(&it))
     }
 }
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         self.begin_exchange();
-        self.connections.n_open.set(self.connections.n_open.get() - 1);
+        self.connections.state().n_open -= 1;
     }
 }
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -19,6 +19,7 @@
 use quick_error::quick_error;
 
 use crate::{
+    http1::PortConnections,
     net::server_connection::ServerConnection,
     runtime::{self, TimedOut},
 };
@@ -31,7 +32,8 @@
 /// The limits that bound a server's memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerLimits {
-    /// The maximum number of open connections; further ones are closed as soon as they are accepted.
+    /// The maximum number of open connections. For a further one, that which has waited longest for a
+    /// request is closed; if there is none, the further one is closed as soon as it is accepted.
     pub max_connections: usize,
 }
 
@@ -56,11 +58,11 @@
     accept_task: Task<()>,
 }
 
-/// The numbers of open connections and of exchanges in progress at a server.
-#[derive(Debug, Default)]
+/// The open connections and the number of exchanges in progress at a server.
+#[derive(Debug)]
 pub(crate) struct ServerCounts {
-    /// The number of open connections.
-    pub(crate) connections: AtomicUsize,
+    /// The open connections.
+    pub(crate) connections: Arc<PortConnections>,
     /// The number of exchanges in progress, from the head of a request to the end of its response.
     pub(crate) exchanges: AtomicUsize,
 }
@@ -74,8 +76,9 @@
     ) -> io::Result<HttpServer> {
         let listener = TcpListener::try_from(crate::net::listen::listen(address)?)?;
         let address = listener.local_addr()?;
-        let counts = Arc::new(ServerCounts::default());
-        let accept_task = runtime::spawn(accept_loop(listener, limits, handler, counts.clone()));
+        let connections = PortConnections::new("http", limits.max_connections);
+        let counts = Arc::new(ServerCounts { connections, exchanges: AtomicUsize::new(0) });
+        let accept_task = runtime::spawn(accept_loop(listener, handler, counts.clone()));
         Ok(HttpServer { address, counts, accept_task })
     }
 
@@ -86,7 +89,7 @@
 
     /// Returns the number of open connections.
     pub fn n_connections(&self) -> usize {
-        self.counts.connections.load(Ordering::Relaxed)
+        self.counts.connections.n_open()
     }
 
     /// Returns the number of exchanges whose response has not been sent completely.
@@ -162,23 +165,17 @@
     }
 }
 
-async fn accept_loop(
-    listener: TcpListener,
-    limits: ServerLimits,
-    handler: Handler,
-    counts: Arc<ServerCounts>,
-) {
+async fn accept_loop(listener: TcpListener, handler: Handler, counts: Arc<ServerCounts>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            // There may be no descriptors left.
+            counts.connections.evict_oldest();
             runtime::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if counts.connections.load(Ordering::Relaxed) >= limits.max_connections {
-            continue;
-        }
-        let Ok(connection) = ServerConnection::new(stream, handler.clone(), counts.clone()) else {
-            continue;
-        };
-        runtime::spawn(connection.serve()).detach();
+        let Some(slot) = counts.connections.admit() else { continue };
+        let (handler, counts) = (handler.clone(), counts.clone());
+        let Ok(connection) = ServerConnection::new(stream, handler, counts, slot) else { continue };
+        runtime::spawn(connection.serve_until_evicted()).detach();
     }
 }
--- a/src/net/server_connection.rs
+++ b/src/net/server_connection.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
         Arc, Mutex,
     },
     time::{Duration, Instant},
@@ -15,6 +15,7 @@
 use http_types::{Request, Response};
 
 use crate::{
+    http1::ConnectionSlot,
     net::{
         byte_stream::ByteStream,
         http_server::{Handler, ServerCounts},
@@ -46,7 +47,7 @@
     stream: ByteStream,
     handler: Handler,
     counts: Arc<ServerCounts>,
-    _open_guard: CountGuard,
+    slot: Arc<ConnectionSlot>,
 }
 
 /// The outcome of an exchange.
@@ -62,20 +63,27 @@
 }
 
 impl ServerConnection {
-    /// Wraps an accepted connection, which counts as open until it is dropped at the end of `serve`.
+    /// Wraps an accepted connection, which counts as open until `slot` is dropped.
     pub(crate) fn new(
         stream: TcpStream,
         handler: Handler,
         counts: Arc<ServerCounts>,
+        slot: Arc<ConnectionSlot>,
     ) -> io::Result<ServerConnection> {
         let stream = ByteStream::new(stream)?;
-        let open_guard = CountGuard::new(counts.clone(), |it| &it.connections);
-        Ok(ServerConnection { stream, handler, counts, _open_guard: open_guard })
+        Ok(ServerConnection { stream, handler, counts, slot })
     }
 
-    /// Serves requests until one side closes the connection.
-    pub(crate) async fn serve(self) {
+    /// Serves requests until one side closes the connection, or it is closed for another one.
+    pub(crate) async fn serve_until_evicted(self) {
+        let slot = self.slot.clone();
+        // An eviction comes first: a request that arrives at the same time stays unread.
+        slot.wait_until_evicted().or(self.serve()).await;
+    }
+
+    async fn serve(self) {
         loop {
+            self.slot.begin_wait();
             match self.serve_one().await {
                 ExchangeOutcome::Reusable => continue,
                 ExchangeOutcome::Closed => break,
@@ -91,6 +99,8 @@
                 }
             }
         }
+        // The client has the response, or can still read it.
+        self.slot.begin_wait();
         self.stream.clone().close_lingering().await;
     }
 
@@ -103,7 +113,8 @@
         let exchange_guard = Mutex::new(None);
         let endpoint = |request| {
             has_head.store(true, Ordering::Relaxed);
-            let guard = CountGuard::new(self.counts.clone(), |it| &it.exchanges);
+            self.slot.begin_exchange();
+            let guard = ExchangeGuard::new(self.counts.clone());
             *exchange_guard.lock().unwrap() = Some(guard);
             self.call_handler(request)
         };
@@ -186,21 +197,20 @@
     }
 }
 
-/// A guard that increments a counter and decrements it again when dropped.
-struct CountGuard {
+/// Counts an exchange until it is dropped.
+struct ExchangeGuard {
     counts: Arc<ServerCounts>,
-    counter: fn(&ServerCounts) -> &AtomicUsize,
 }
 
-impl CountGuard {
-    fn new(counts: Arc<ServerCounts>, counter: fn(&ServerCounts) -> &AtomicUsize) -> CountGuard {
-        counter(&counts).fetch_add(1, Ordering::Relaxed);
-        CountGuard { counts, counter }
+impl ExchangeGuard {
+    fn new(counts: Arc<ServerCounts>) -> ExchangeGuard {
+        counts.exchanges.fetch_add(1, Ordering::Relaxed);
+        ExchangeGuard { counts }
     }
 }
 
-impl Drop for CountGuard {
+impl Drop for ExchangeGuard {
     fn drop(&mut self) {
-        (self.counter)(&self.counts).fetch_sub(1, Ordering::Relaxed);
+        self.counts.exchanges.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -1,15 +1,6 @@
 //! A server for calls from other processes.
 
-use std::{
-    io,
-    net::SocketAddr,
-    pin::pin,
-    sync::{
-        atomic::{AtomicUsize, Ordering},
-        Arc,
-    },
-    time::Duration,
-};
+use std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender};
 use async_compat::{Compat, CompatExt};
@@ -25,6 +16,7 @@
 use tokio_util::codec::Framed;
 
 use crate::{
+    http1::{ConnectionLimits, ConnectionSlot, PortConnections},
     peer::{
         counted_stream::CountedStream,
         handshake::{self, PeerKey},
@@ -36,7 +28,8 @@
     runtime,
 };
 
-/// The maximum number of open connections; further ones are closed as soon as they are accepted.
+/// The maximum number of open connections, if there are descriptors for them. For a further one, that
+/// which has waited longest to prove its key is closed.
 const MAX_CONNECTIONS: usize = 4096;
 /// The time without a call after which a connection is closed.
 const MAX_IDLE: Duration = Duration::from_secs(180);
@@ -89,26 +82,24 @@
     service: PeerService,
     shutdown_receiver: Receiver<()>,
 ) {
-    let n_connections = Arc::new(AtomicUsize::new(0));
+    let max_connections = MAX_CONNECTIONS.min(ConnectionLimits::of_this_process().peers);
+    let connections = PortConnections::new("peer", max_connections);
     loop {
         let Ok((stream, from)) = listener.accept().await else {
+            // There may be no descriptors left.
+            connections.evict_oldest();
             runtime::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if n_connections.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
-            log::warn!("peer: refused a connection because too many are open from={from}");
-            continue;
-        }
-        n_connections.fetch_add(1, Ordering::Relaxed);
-        let serve = serve_connection(stream, from, key.clone(), counters.clone(), service.clone());
-        let n_connections = n_connections.clone();
+        let Some(slot) = connections.admit() else { continue };
+        let (key, counters, service) = (key.clone(), counters.clone(), service.clone());
+        let serve = serve_connection(stream, from, key, counters, service, slot.clone());
         let shutdown_receiver = shutdown_receiver.clone();
         runtime::spawn(async move {
             let stopped = async {
                 let _ = shutdown_receiver.recv().await;
             };
-            serve.or(stopped).await;
-            n_connections.fetch_sub(1, Ordering::Relaxed);
+            slot.wait_until_evicted().or(serve).or(stopped).await;
         })
         .detach();
     }
@@ -120,6 +111,7 @@
     key: PeerKey,
     counters: Arc<LinkCounters>,
     service: PeerService,
+    slot: Arc<ConnectionSlot>,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
@@ -128,11 +120,12 @@
         Ok(class) => class,
         Err(err) => {
             log::warn!(
-                "peer: refused a connection because the handshake failed from={from} error=\"{err}\""
+                "peer: refused a connection because the handshake failed error=\"{err}\" from={from}"
             );
             return;
         }
     };
+    slot.begin_exchange();
     let stream = CountedStream::new(stream, class, counters);
     let framed = Framed::new(Compat::new(stream), codec());
     let transport = serde_transport::new(framed, Bincode::default());
--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
 
 use crate::{
+    http1::{descriptor_limit, MAX_DESCRIPTORS},
     ids::{RegionId, ZoneId},
     settings::{
         ini_reader::{IniReader, SettingsError},
@@ -15,8 +16,6 @@
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// The number of bytes in a megabyte.
 const BYTES_PER_MB: f64 = 1_048_576.0;
-/// Greatest number of descriptors of a process.
-const MAX_DESCRIPTORS: u64 = 1 << 30;
 /// Memory of a process whose settings don't name it, in megabytes.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 
@@ -150,12 +149,6 @@
     })
 }
 
-/// Returns the number of descriptors that the system lets this process open.
-fn descriptor_limit() -> u64 {
-    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-    limit.unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS)
-}
-
 fn read_entry(reader: &mut IniReader) -> Option<EntryListenSettings> {
     let callers = reader.address("listen", "callers");
     let readiness = reader.address("listen", "readiness");
--- a/src/slot/piece_server.rs
+++ b/src/slot/piece_server.rs
@@ -3,7 +3,7 @@
 //! The engine's streams use the same network link of the host, so pieces are sent in small slices
 //! below its rate: a queue on the link would delay every event of every stream.
 
-use std::{cell::Cell, io, net::TcpListener, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
 
 use async_executor::Task;
 use async_io::Async;
@@ -87,7 +87,7 @@
     format!("/piece/{model}/{version}/{number}")
 }
 
-async fn serve(queue: Rc<UploadQueue>, connection: Connection, place: Rc<ConnectionSlot>) {
+async fn serve(queue: Rc<UploadQueue>, connection: Connection, place: Arc<ConnectionSlot>) {
     if let Err(err) = queue.serve(connection, &place).await {
         log::debug!("weights: connection to another slot failed error=\"{err}\"");
     }
--- a/tests/daemon_process/mod.rs
+++ b/tests/daemon_process/mod.rs
@@ -4,14 +4,16 @@
 use std::{
     io::Write,
     net::{SocketAddr, TcpStream},
-    process::{Child, Command},
+    process::Child,
     thread,
     time::{Duration, Instant},
 };
 
 use tempfile::TempDir;
 
-use crate::entry_process::{read_response, send_signal, unique_loopback_ip};
+use crate::entry_process::{
+    daemon_command, peak_memory_kb, read_response, send_signal, unique_loopback_ip,
+};
 
 /// Time within which a process must listen.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
@@ -33,7 +35,13 @@
         join: Option<SocketAddr>,
         limits: &str,
     ) -> DaemonProcess {
-        DaemonProcess::start("entry", platform, join, "", limits)
+        DaemonProcess::start("entry", platform, join, "", limits, None)
+    }
+
+    /// Starts an entry host that joins no process and may have only `n_descriptors` open, and waits until
+    /// it listens.
+    pub fn start_with_descriptors(platform: SocketAddr, n_descriptors: u64) -> DaemonProcess {
+        DaemonProcess::start("entry", platform, None, "", "", Some(n_descriptors))
     }
 
     /// Starts a slot that joins the process at the peer address `join`, with the section `backend` of
@@ -43,7 +51,7 @@
         join: Option<SocketAddr>,
         backend: &str,
     ) -> DaemonProcess {
-        DaemonProcess::start("backend", platform, join, &format!("[backend]\n{backend}"), "")
+        DaemonProcess::start("backend", platform, join, &format!("[backend]\n{backend}"), "", None)
     }
 
     fn start(
@@ -52,6 +60,7 @@
         join: Option<SocketAddr>,
         section: &str,
         limits: &str,
+        n_descriptors: Option<u64>,
     ) -> DaemonProcess {
         let ip = unique_loopback_ip();
         let [request, peer, operator] = [9201, 9202, 9203].map(|port| SocketAddr::from((ip, port)));
@@ -70,11 +79,7 @@
         );
         let path = folder.path().join("settings.ini");
         std::fs::write(&path, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_crocustillerd"))
-            .arg("--settings")
-            .arg(&path)
-            .spawn()
-            .unwrap();
+        let child = daemon_command(n_descriptors).arg("--settings").arg(&path).spawn().unwrap();
         let mut daemon = DaemonProcess { child, _folder: folder, request, peer, operator };
         let started = Instant::now();
         while TcpStream::connect(operator).is_err() {
@@ -106,6 +111,11 @@
         send_signal(&self.child, name);
     }
 
+    /// Returns the largest resident memory of the process so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        peak_memory_kb(&self.child)
+    }
+
     /// Returns `true` if the process has exited.
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().unwrap().is_some()
--- a/tests/misbehaving_clients.rs
+++ b/tests/misbehaving_clients.rs
@@ -24,6 +24,8 @@
 const N_CLIENTS: usize = 300;
 /// Clients that are many for the memory of an entry host.
 const N_MANY_CLIENTS: usize = 1_500;
+/// Clients whose unread lists of 1 MB are many for that memory.
+const N_LIST_CLIENTS: usize = 60;
 /// Memory of an entry host that has little.
 const MEMORY_MB: u64 = 64;
 /// Time within which a process ends after SIGTERM, a multiple of its grace period.
@@ -32,7 +34,7 @@
 /// An entry host in front of a sound server of the service `ledger`.
 struct Site {
     _ledger: ScriptedServer,
-    _store: StoreStandin,
+    store: StoreStandin,
     entry: EntryProcess,
 }
 
@@ -49,7 +51,7 @@
         store.put("servers", "ledger-1", server_entry("ledger", ledger.address(), "ready"));
         let entry = EntryProcess::start_with_limits(store.address(), MEMORY_MB, n_descriptors);
         entry.wait_until_ready();
-        Site { _ledger: ledger, _store: store, entry }
+        Site { _ledger: ledger, store, entry }
     }
 
     /// Checks that the process is within its limits, and that an ordinary request and a readiness check
@@ -143,6 +145,19 @@
     ));
 }
 
+/// Guards against long lists that are asked for at the port for peers and not read.
+#[test]
+fn unread_lists_fill_no_memory() {
+    let _crowd = CROWD.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut site = Site::start(None);
+    site.store.put("config", "spare", json!({ "text": "x".repeat(1 << 20) }));
+    thread::sleep(Duration::from_secs(1));
+    let requests = b"GET /v1/objects/config HTTP/1.1\r\nHost: x\r\n\r\n".repeat(8);
+    let crowd = Crowd::open(N_LIST_CLIENTS, site.entry.peers, &requests);
+    thread::sleep(Duration::from_secs(2));
+    site.check(&format!("unread lists clients={}", crowd.clients.len()));
+}
+
 /// Guards against clients of several kinds at once, and against a process that doesn't end because of
 /// them.
 #[test]
--- a/tests/slot_process/mod.rs
+++ b/tests/slot_process/mod.rs
@@ -15,7 +15,7 @@
 use serde_json::{json, Value};
 use sha2::{Digest, Sha256};
 
-use crate::entry_process::{charter, start_platform_process, unique_loopback_ip};
+use crate::entry_process::{charter, start_with_descriptors, unique_loopback_ip};
 
 /// The number of pieces of each version.
 pub const N_PIECES: u32 = 4;
@@ -137,6 +137,15 @@
 impl Slot {
     /// Starts a slot process beside `engine` and waits until it calls the store.
     pub fn start(origin: &ScriptedServer, engine: EngineState) -> Slot {
+        Slot::start_with_descriptors(origin, engine, None)
+    }
+
+    /// Starts a slot process that may have only `n_descriptors` open, if that is named.
+    pub fn start_with_descriptors(
+        origin: &ScriptedServer,
+        engine: EngineState,
+        n_descriptors: Option<u64>,
+    ) -> Slot {
         let engine = Arc::new(Mutex::new(engine));
         let server = engine_server(engine.clone());
         let store = StoreStandin::start().unwrap();
@@ -152,7 +161,7 @@
             server.address(),
             store.address()
         );
-        let (child, _folder) = start_platform_process(&text);
+        let (child, _folder) = start_with_descriptors(&text, n_descriptors);
         // The settings may be deleted once the process calls the store, as it has read them then.
         let started = Instant::now();
         while store.n_calls() == 0 {
