--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -215,6 +215,7 @@
     /// A request that crosses the close stays unread, so that its caller can tell that it has not run.
     async fn close(mut self) {
         self.connection.shutdown_write();
+        self.slot.begin_wait();
         let peer_end = async {
             if self.connection.wait_for_input().await {
                 std::future::pending().await
--- a/src/net/server_connection.rs
+++ b/src/net/server_connection.rs
@@ -99,6 +99,8 @@
                 }
             }
         }
+        // The client has the response, or can still read it.
+        self.slot.begin_wait();
         self.stream.clone().close_lingering().await;
     }
 
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -120,7 +120,7 @@
         Ok(class) => class,
         Err(err) => {
             log::warn!(
-                "peer: refused a connection because the handshake failed from={from} error=\"{err}\""
+                "peer: refused a connection because the handshake failed error=\"{err}\" from={from}"
             );
             return;
         }
