--- a/benches/admission_order.rs
+++ b/benches/admission_order.rs
@@ -45,6 +45,7 @@
             is_ranked,
         },
         time_to_objective: Duration::from_secs(60),
+        time_to_deadline: Duration::from_secs(60),
         wait: Duration::from_secs(5),
         max_wait: Duration::from_secs(5),
         ..Demand::default()
--- /dev/null
+++ b/src/placement/admission.rs
@@ -0,0 +1,24 @@
+//! The decisions of the owner of a cell.
+
+use crate::{
+    ids::BackendId,
+    placement::{Load, Refusal},
+};
+
+/// The decision on one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Capacity is reserved at an engine, whose load was `load` before.
+    Granted {
+        /// The engine.
+        engine: BackendId,
+        /// Its load before this reservation.
+        load: Load,
+    },
+    /// No engine had capacity in time.
+    Full,
+    /// No engine had, or will have, capacity in time for a request that competes with others of other ranks.
+    Refused(Refusal),
+    /// The cell has no engine that the request could use.
+    NoEngine,
+}
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -15,15 +15,13 @@
     time::{Duration, Instant},
 };
 
-use serde::{Deserialize, Serialize};
-
 use crate::{
     ids::BackendId,
     placement::{
         choose_engine, refused_requests::RefusedRequests, reservations::Reservations,
         usable_engines::UsableEngines, waiting_queue::WaitingQueue,
-        waiting_request::WaitingRequest, AdmissionCounts, Candidate, Demand, Load, PartDigest,
-        RankCounts, Refusal, RefusalCause, ReservationId, ReservationNumber,
+        waiting_request::WaitingRequest, Admission, AdmissionCounts, Candidate, CellEngine, Demand,
+        HeldReservation, Load, PartDigest, RankCounts, RefusalCause, ReservationId,
     },
 };
 
@@ -38,47 +36,6 @@
 /// Maximum share of the engines that are kept free for long prompts that wait.
 const MAX_HELD_SHARE: f64 = 0.25;
 
-/// An engine of the cell as the owner sees it now.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CellEngine {
-    /// Its id.
-    pub id: BackendId,
-    /// The number of requests that it processes at once. Smaller while the owner has yet to learn
-    /// what runs there.
-    pub slots: u32,
-    /// Whether it may have only one request in progress, which tests if it has recovered.
-    pub is_on_probation: bool,
-}
-
-/// The decision on one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// Capacity is reserved at an engine, whose load was `load` before.
-    Granted {
-        /// The engine.
-        engine: BackendId,
-        /// Its load before this reservation.
-        load: Load,
-    },
-    /// No engine had capacity in time.
-    Full,
-    /// No engine had, or will have, capacity in time for a request that competes with others of other ranks.
-    Refused(Refusal),
-    /// The cell has no engine that the request could use.
-    NoEngine,
-}
-
-/// A reservation that an entry host holds, as its report lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldReservation {
-    /// Its number at the entry host.
-    pub number: ReservationNumber,
-    /// The engine.
-    pub engine: BackendId,
-    /// Prompt tokens of the request if its first event has not arrived, else 0.
-    pub unread_tokens: u32,
-}
-
 /// The reservations and the waiting requests of one cell.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionCell {
@@ -129,14 +86,14 @@
         if own.is_some() {
             return own;
         }
-        let own = self.waiting.expected_waits(now).find(|it| it.0.id == id);
+        let own = self.waiting.expected_waits().find(|it| it.0.id == id);
         let wait = own.and_then(|it| it.1).unwrap_or_default();
         let last = self.waiting.iter().last().map(|it| it.id).filter(|_| !has_room);
         let cause = |it: &WaitingRequest| match it {
             it if Some(it.id) == last => Some(RefusalCause::QueueFull),
             it if it.id != id => None,
             it if it.deadline <= now => Some(it.cause_at_deadline()),
-            it => (it.deadline <= now + wait).then_some(RefusalCause::ExpectedWait),
+            it => (it.time_left(now) <= wait).then_some(RefusalCause::ExpectedWait),
         };
         let mut refused = self.refuse(now, cause);
         let own = refused.iter().position(|it| it.0 == id);
--- /dev/null
+++ b/src/placement/cell_engine.rs
@@ -0,0 +1,15 @@
+//! An engine of a cell.
+
+use crate::ids::BackendId;
+
+/// An engine of the cell as the owner sees it now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CellEngine {
+    /// Its id.
+    pub id: BackendId,
+    /// The number of requests that it processes at once. Smaller while the owner has yet to learn
+    /// what runs there.
+    pub slots: u32,
+    /// Whether it may have only one request in progress, which tests if it has recovered.
+    pub is_on_probation: bool,
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -3,14 +3,18 @@
 //! Nothing here reads the clock or generates random numbers: callers pass both in, so that tests
 //! are reproducible.
 
+mod admission;
 mod admission_cell;
 mod admission_counts;
 mod backend_health;
+mod cell_engine;
 mod cell_map;
 mod crash_suspects;
 mod crashing_parts;
 mod demand;
+mod drain_rate;
 mod engine_choice;
+mod held_reservation;
 mod leaving_servers;
 mod load;
 mod part_crash;
@@ -44,14 +48,17 @@
 mod windowed_retry_budget;
 
 pub use crate::placement::{
-    admission_cell::{Admission, AdmissionCell, CellEngine, HeldReservation},
+    admission::Admission,
+    admission_cell::AdmissionCell,
     admission_counts::{AdmissionCounts, DecisionCounts},
     backend_health::BackendHealth,
+    cell_engine::CellEngine,
     cell_map::{CellMap, OwnerCandidate},
     crash_suspects::{CrashSuspects, Fingerprint, MAX_SUSPECTED_REQUESTS},
     crashing_parts::CrashingParts,
     demand::Demand,
     engine_choice::{choose_engine, Candidate},
+    held_reservation::HeldReservation,
     leaving_servers::LeavingServers,
     load::Load,
     part_crash::{PartCrash, PartDigest},
--- a/src/placement/served_share.rs
+++ b/src/placement/served_share.rs
@@ -36,11 +36,6 @@
         (n_decided >= MIN_DECISIONS).then(|| self.n_served / self.n_decided)
     }
 
-    /// Returns the decisions per second that served a request.
-    pub(crate) fn served_per_s(&self, now: Instant) -> f64 {
-        self.n_served * self.weight_at(now) / MEMORY_TIME.as_secs_f64()
-    }
-
     /// Returns `true` if all decisions are so old that they don't count.
     pub(crate) fn is_forgotten(&self, now: Instant) -> bool {
         self.n_decided * self.weight_at(now) < 0.01
--- a/src/placement/served_shares.rs
+++ b/src/placement/served_shares.rs
@@ -111,15 +111,6 @@
             .then_some(Shortfall::Customer)
     }
 
-    /// Returns the requests per second that were served lately of all ranks, and of those that are no more
-    /// urgent than `rank`.
-    pub(crate) fn served_per_s(&self, service: &str, rank: u32, now: Instant) -> (f64, f64) {
-        let Some(shares) = self.services.get(service) else { return (0.0, 0.0) };
-        let yielding = shares.kinds.iter().filter(|it| it.0 .0 >= rank);
-        let yielding = yielding.fold(0.0, |sum, it| sum + it.1.all.served_per_s(now));
-        (shares.all.served_per_s(now), yielding)
-    }
-
     fn forget_old(&mut self, now: Instant) {
         if self.next_forget.is_some_and(|it| now < it) {
             return;
--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -13,8 +13,9 @@
 use crate::{
     ids::ServiceId,
     placement::{
-        rank_counts::CountsByRank, refused_requests::Return, served_shares::ServedShares,
-        waiting_request::WaitingRequest, Demand, RankCounts, Refusal, RefusalCause, ReservationId,
+        drain_rate::DrainRate, rank_counts::CountsByRank, refused_requests::Return,
+        served_shares::ServedShares, waiting_request::WaitingRequest, Demand, RankCounts, Refusal,
+        RefusalCause, ReservationId,
     },
 };
 
@@ -36,6 +37,7 @@
 pub(crate) struct WaitingQueue {
     requests: Vec<WaitingRequest>,
     shares: ServedShares,
+    drain_rates: BTreeMap<ServiceId, DrainRate>,
     counts: CountsByRank,
 }
 
@@ -52,15 +54,15 @@
         let is_hasty = found.is_some_and(|it| it.pause < MIN_PAUSE);
         let needed =
             demand.time_to_first_event.saturating_add(START_MARGIN + age.unwrap_or_default());
-        let slack = demand.time_to_objective.saturating_sub(needed);
+        let time_left = demand.time_to_objective.min(demand.time_to_deadline);
+        let slack = time_left.saturating_sub(needed);
         let is_ranked = demand.class.is_ranked;
         let is_late_return = age.is_some() && (!is_ranked || is_hasty || slack.is_zero());
         let shortfall = self.shares.shortfall(&demand, now);
         let wait = match shortfall {
             // A returning request is late; waiting, it would take the place of one that is not.
             _ if is_late_return || demand.wait.is_zero() => Duration::ZERO,
-            // An engine had it already, or it waits for its turn.
-            _ if demand.attempt.is_none() || !demand.in_turn_parts.is_empty() => demand.wait,
+            _ if is_bound_to_wait(&demand) => demand.wait,
             Some(_) => demand.longest_wait(),
             None if is_ranked => demand.max_wait.min(slack),
             None => demand.wait,
@@ -79,6 +81,7 @@
 
     /// Removes and returns all requests in the order in which they are placed.
     pub(crate) fn take_ordered(&mut self, now: Instant) -> Vec<WaitingRequest> {
+        self.record_waiting(now);
         let mut requests = std::mem::take(&mut self.requests);
         for request in &mut requests {
             request.shortfall = self.shares.shortfall(&request.demand, now);
@@ -87,6 +90,20 @@
         requests
     }
 
+    fn record_waiting(&mut self, now: Instant) {
+        let mut waiting_since: BTreeMap<&ServiceId, Instant> = BTreeMap::new();
+        for request in self.requests.iter().filter(|it| it.demand.class.is_ranked) {
+            let since = waiting_since.entry(&request.demand.service).or_insert(now);
+            *since = request.asked.min(*since);
+        }
+        for (service, since) in waiting_since {
+            match self.drain_rates.get_mut(service) {
+                Some(rate) => rate.record_waiting(since, now),
+                None => drop(self.drain_rates.insert(service.clone(), DrainRate::default())),
+            }
+        }
+    }
+
     /// Puts back a request that was not placed.
     pub(crate) fn put_back(&mut self, request: WaitingRequest) {
         self.requests.push(request);
@@ -106,37 +123,29 @@
     /// lately; `None` where that says nothing about it.
     pub(crate) fn expected_waits(
         &self,
-        now: Instant,
     ) -> impl Iterator<Item = (&WaitingRequest, Option<Duration>)> {
         let mut n_ahead: BTreeMap<&ServiceId, BTreeMap<u32, u32>> = BTreeMap::new();
-        let mut rates: BTreeMap<(&ServiceId, u32), (f64, f64)> = BTreeMap::new();
         self.requests.iter().map(move |request| {
             let Demand { service, priority, class, .. } = &request.demand;
             let ahead = n_ahead.entry(service).or_default();
             let n_urgent: u32 = ahead.range(..priority).map(|it| it.1).sum();
             let n_other: u32 = ahead.range(priority..).map(|it| it.1).sum();
             *ahead.entry(*priority).or_default() += 1;
-            if !class.is_ranked || request.shortfall.is_some() {
+            if !class.is_ranked || request.shortfall.is_some() || is_bound_to_wait(&request.demand)
+            {
                 return (request, None);
             }
-            let (per_s, yielding_per_s) = *rates
-                .entry((service, *priority))
-                .or_insert_with(|| self.shares.served_per_s(service, *priority, now));
-            let wait_s =
-                time_to_serve_s(n_urgent, per_s) + time_to_serve_s(n_other + 1, yielding_per_s);
-            // Without any grant lately nothing is known of how fast engines become free.
-            let is_known = per_s > 0.0;
-            (request, is_known.then(|| Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64()))))
+            let rate = self.drain_rates.get(service);
+            (request, rate.and_then(|it| it.expected_wait(*priority, n_urgent, n_other + 1)))
         })
     }
 
     /// Returns the waiting requests that will most likely not be placed in time.
     pub(crate) fn hopeless(&self, now: Instant) -> BTreeSet<ReservationId> {
         let is_hopeless = |it: &(&WaitingRequest, Option<Duration>)| {
-            let left = it.0.deadline.saturating_duration_since(now);
-            it.1.is_some_and(|wait| wait > left * MAX_WAIT_ERROR)
+            it.1.is_some_and(|wait| wait > it.0.time_left(now) * MAX_WAIT_ERROR)
         };
-        self.expected_waits(now).filter(is_hopeless).map(|it| it.0.id).collect()
+        self.expected_waits().filter(is_hopeless).map(|it| it.0.id).collect()
     }
 
     /// Returns the refusal of a request, with the time after which one like it may find room; `None` if
@@ -152,17 +161,16 @@
             cause,
             rank: demand.priority,
             waited: now.saturating_duration_since(request.asked),
-            room_in: self.time_until_room(demand, now),
+            room_in: self.time_until_room(demand),
         })
     }
 
-    fn time_until_room(&self, demand: &Demand, now: Instant) -> Duration {
+    fn time_until_room(&self, demand: &Demand) -> Duration {
         let of_service = self.requests.iter().filter(|it| it.demand.service == demand.service);
         let n_ahead = of_service.filter(|it| it.demand.priority <= demand.priority).count() as u32;
-        let (_, yielding_per_s) = self.shares.served_per_s(&demand.service, demand.priority, now);
-        let wait_s = time_to_serve_s(n_ahead + 1, yielding_per_s);
-        let wait = Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64()));
-        wait.clamp(MIN_RETURN_TIME, MAX_RETURN_TIME)
+        let rate = self.drain_rates.get(&demand.service);
+        let wait = rate.and_then(|it| it.expected_wait(demand.priority, 0, n_ahead + 1));
+        wait.unwrap_or_default().clamp(MIN_RETURN_TIME, MAX_RETURN_TIME)
     }
 
     /// Records the decision on a request, whose wait has ended.
@@ -172,6 +180,10 @@
         is_served: bool,
         now: Instant,
     ) {
+        if let Some(rate) = self.drain_rates.get_mut(&request.demand.service).filter(|_| is_served)
+        {
+            rate.record_grant(request.demand.priority);
+        }
         // A request that asks several owners is refused only by the one at which it waits.
         let is_decided = is_served || !request.demand.wait.is_zero();
         if is_decided && !request.is_return && !request.demand.is_resumed {
@@ -199,10 +211,8 @@
     }
 }
 
-/// Returns the time in seconds to serve `n` requests, which is infinite if none were served lately.
-fn time_to_serve_s(n: u32, per_s: f64) -> f64 {
-    match n {
-        0 => 0.0,
-        n => f64::from(n) / per_s.max(f64::MIN_POSITIVE),
-    }
+/// Returns `true` if a request waits as long as its entry host says, as an engine had it already or as it
+/// waits for its turn.
+fn is_bound_to_wait(demand: &Demand) -> bool {
+    demand.attempt.is_none() || !demand.in_turn_parts.is_empty()
 }
--- a/src/placement/waiting_request.rs
+++ b/src/placement/waiting_request.rs
@@ -61,6 +61,11 @@
         self.demand.time_to_objective.saturating_sub(needed)
     }
 
+    /// Returns the time until its wait ends.
+    pub(crate) fn time_left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
     /// Returns the place of the request.
     ///
     /// Where requests don't differ in rank, the order is by arrival, also among those that go first, so that the
--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -2,9 +2,16 @@
 
 mod emulated_cell;
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
-use crocustiller::routing::EngineSpec;
+use crocustiller::{
+    placement::{Admission, AdmissionCell, CellEngine, Demand, RequestAttempt, RequestClass},
+    placement::{RefusalCause, ReservationId},
+    routing::EngineSpec,
+};
 
 use emulated_cell::{play, Burst, Load, Order, Outcome};
 
@@ -181,3 +188,46 @@
     let slow = EngineSpec { read_tokens_per_s: 1e-300, ..engine };
     assert!(slow.cost(u32::MAX, u32::MAX).time_to_first_event() > Duration::from_secs(1 << 32));
 }
+
+/// Load pattern: a stream breaks off while more urgent requests wait for all engines. Guards against refusing
+/// its resumption at once for its rank, and against placing those that wait first.
+#[test]
+fn resumed_stream_waits() {
+    let engines =
+        |_: &Demand| vec![CellEngine { id: "i-0".to_owned(), slots: 2, is_on_probation: false }];
+    let id = |number| ReservationId { holder: SocketAddr::from(([10, 1, 0, 1], 80)), number };
+    let urgent = |number| Demand {
+        attempt: Some(RequestAttempt { request: number, number }),
+        class: RequestClass { is_ranked: true, ..RequestClass::default() },
+        time_to_objective: Duration::from_millis(400),
+        time_to_deadline: Duration::from_secs(6),
+        wait: Duration::from_millis(50),
+        max_wait: Duration::from_millis(200),
+        ..Demand::default()
+    };
+    let now = Instant::now();
+    let mut cell = AdmissionCell::default();
+    for number in 0..3 {
+        let admission = cell.request(id(number), urgent(number), &engines, now);
+        assert!(matches!(admission, Some(Admission::Granted { .. })), "{admission:?}");
+    }
+    assert_eq!(cell.request(id(3), urgent(3), &engines, now), None);
+    let wait = Duration::from_millis(1900);
+    let resumed = Demand { attempt: None, priority: 2, is_resumed: true, wait, ..urgent(4) };
+    assert_eq!(cell.request(id(4), resumed, &engines, now), None);
+    let at = now + Duration::from_millis(300);
+    let decisions = cell.decide_waiting(&engines, at);
+    let causes: Vec<RefusalCause> = decisions
+        .iter()
+        .filter_map(|it| match it.1 {
+            Admission::Refused(refusal) => Some(refusal.cause),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(causes, [RefusalCause::WaitEnded], "the urgent one only");
+    cell.request(id(5), urgent(5), &engines, at);
+    cell.release(&id(0), at);
+    cell.release(&id(1), at);
+    let decisions = cell.decide_waiting(&engines, at);
+    assert_eq!(decisions.first().map(|it| it.0), Some(id(4)), "{decisions:?}");
+}
