--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -3,20 +3,24 @@
 //! Nothing here reads the clock or generates random numbers: callers pass both in, so that tests
 //! are reproducible.
 
+mod admission;
 mod admission_cell;
 mod admission_counts;
 mod allowed_zones;
 mod backend_health;
+mod cell_engine;
 mod cell_map;
 mod cold_bounds;
 mod cold_servers;
 mod crash_suspects;
 mod crashing_parts;
 mod demand;
+mod drain_rate;
 mod engine_choice;
 mod entry_share;
 mod grant_rates;
 mod hedging;
+mod held_reservation;
 mod leaving_servers;
 mod load;
 mod part_crash;
@@ -55,10 +59,12 @@
 mod windowed_retry_budget;
 
 pub use crate::placement::{
-    admission_cell::{Admission, AdmissionCell, CellEngine, HeldReservation},
+    admission::Admission,
+    admission_cell::AdmissionCell,
     admission_counts::{AdmissionCounts, DecisionCounts},
     allowed_zones::{AllowedZones, NoAllowedServer},
     backend_health::BackendHealth,
+    cell_engine::CellEngine,
     cell_map::{CellMap, OwnerCandidate},
     cold_bounds::ColdBounds,
     cold_servers::{ColdChanges, ColdServers},
@@ -68,6 +74,7 @@
     engine_choice::{choose_engine, Candidate},
     entry_share::EntryShare,
     grant_rates::GrantRates,
+    held_reservation::HeldReservation,
     leaving_servers::LeavingServers,
     load::Load,
     part_crash::{PartCrash, PartDigest},
