Give bytes that callers send ahead a share of their own

Bytes that follow a request being served are kept and were counted with the requests of callers, so that 300 callers that sent 64 KiB each behind a slow request left no room for the body of any other one: 503, not run.

They have their own share of the buffers, as large as that of callers; beyond it no more is read ahead.

Shown by bytes_ahead_leave_room_for_bodies in tests/misbehaving_clients.rs: 503 before, 200 after, peak 37,920 kB of 65,536.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -64,7 +64,7 @@
 
     /// Adds a part that was read; returns `false` if no more may be read, as too much is buffered.
     fn may_keep(&self, n_bytes: usize) -> bool {
-        let lease = self.buffers.open(BufferSender::Callers);
+        let lease = self.buffers.open(BufferSender::ReadAhead);
         lease.complete();
         let has_room = lease.grow(n_bytes);
         self.leases.borrow_mut().push(lease);
--- a/src/memory/buffer_budget.rs
+++ b/src/memory/buffer_budget.rs
@@ -25,6 +25,9 @@
     Backend(BackendId),
     /// Any caller.
     Callers,
+    /// Any caller that sends more while its request is being served. Such bytes are kept, so they have a
+    /// share of their own: the requests of others could give up none of them.
+    ReadAhead,
     /// Any backend server whose complete response waits until its caller has read it: how long that
     /// takes is no fault of the backend server.
     Responses,
@@ -77,7 +80,7 @@
     /// callers, and only what the host can't hold is too long besides.
     pub fn max_bytes(&self, sender: &BufferSender) -> usize {
         match sender {
-            BufferSender::Callers => self.sender_bytes,
+            BufferSender::Callers | BufferSender::ReadAhead => self.sender_bytes,
             BufferSender::Backend(_) | BufferSender::Responses => self.buffer_bytes,
         }
     }
@@ -242,7 +245,9 @@
     fn weight_bytes(&self, buffer: &Buffer) -> usize {
         match buffer.sender {
             BufferSender::Backend(_) => self.sender_bytes.get(&buffer.sender).copied().unwrap_or(0),
-            BufferSender::Callers | BufferSender::Responses => buffer.size_bytes,
+            BufferSender::Callers | BufferSender::ReadAhead | BufferSender::Responses => {
+                buffer.size_bytes
+            }
         }
     }
 }
--- a/tests/misbehaving_clients.rs
+++ b/tests/misbehaving_clients.rs
@@ -11,10 +11,10 @@
     time::{Duration, Instant},
 };
 
-use crocustiller_standins::raw_http::{ScriptedServer, StoreStandin};
+use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use crowd::{Crowd, CROWD};
 use entry_process::{
-    charter, complete_response, request, request_head, server_entry, EntryProcess, HOST,
+    charter, encode_response, request, request_head, server_entry, EntryProcess, HOST,
 };
 use serde_json::json;
 
@@ -28,6 +28,8 @@
 const N_LIST_CLIENTS: usize = 60;
 /// Memory of an entry host that has little.
 const MEMORY_MB: u64 = 64;
+/// Time that the service takes for a slow request.
+const SLOW_TIME: Duration = Duration::from_secs(4);
 /// Time within which a process ends after SIGTERM, a multiple of its grace period.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -40,13 +42,20 @@
 
 impl Site {
     fn start(n_descriptors: Option<u64>) -> Site {
-        let ledger = ScriptedServer::start(complete_response("own")).unwrap();
+        let ledger = ScriptedServer::start(|it: &RawRequest| match it.target.as_str() {
+            "/hold/slow" => {
+                vec![Step::Pause(SLOW_TIME), Step::Send(encode_response(it, 200, "late"))]
+            }
+            _ => vec![Step::Send(encode_response(it, 200, "own"))],
+        })
+        .unwrap();
         let store = StoreStandin::start().unwrap();
         let mut charter = charter(1);
         charter["limits"] = json!({
             "max-header-bytes": 16_384, "max-body-bytes": 4_194_304, "header-timeout-ms": 3_000,
             "idle-timeout-ms": 15_000,
         });
+        charter["services"][0]["max-connections"] = json!(1_000);
         store.put("config", "main", charter);
         store.put("servers", "ledger-1", server_entry("ledger", ledger.address(), "ready"));
         let entry = EntryProcess::start_with_limits(store.address(), MEMORY_MB, n_descriptors);
@@ -145,6 +154,21 @@
     ));
 }
 
+/// Guards against bytes that are sent ahead behind slow requests and take the memory which the bodies of
+/// other callers need.
+#[test]
+fn bytes_ahead_leave_room_for_bodies() {
+    let _crowd = CROWD.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut site = Site::start(None);
+    let slow = request("POST", "/hold/slow", "slow", "");
+    let crowd = Crowd::open(N_CLIENTS, site.entry.callers, &[slow, vec![b'x'; 64 << 10]].concat());
+    let body = vec![b'x'; 30_000];
+    let head = request_head("GET", "/stock/1", "body", 3_000, "Content-Length: 30000\r\n");
+    let response = site.entry.exchange(&[head, body].concat());
+    assert_eq!(response.status(), 200, "{}", response.text());
+    site.check(&format!("bytes ahead clients={}", crowd.clients.len()));
+}
+
 /// Guards against long lists that are asked for at the port for peers and not read.
 #[test]
 fn unread_lists_fill_no_memory() {
