--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -8,10 +8,17 @@
 };
 
 use crocustiller::{
-    placement::{Admission, AdmissionCell, CellEngine, Demand, RequestAttempt, RequestClass},
-    placement::{RefusalCause, ReservationId},
+    placement::{
+        Admission, AdmissionCell, CellEngine, Demand, RefusalCause, RequestAttempt, RequestClass,
+        ReservationId,
+    },
+    platform::{
+        store::{Metadata, StoredObject},
+        wire_config,
+    },
     routing::EngineSpec,
 };
+use serde_json::{json, Value};
 
 use emulated_cell::{play, Burst, Load, Order, Outcome};
 
@@ -231,3 +238,33 @@
     let decisions = cell.decide_waiting(&engines, at);
     assert_eq!(decisions.first().map(|it| it.0), Some(id(4)), "{decisions:?}");
 }
+
+/// Guards against ranks where nothing differs, which would change how earlier deployments are served.
+#[test]
+fn ranked_where_requests_differ() {
+    let is_ranked = |priorities: [u32; 2], objectives: [u32; 2], customers: Value| {
+        let route = |idx: usize| {
+            json!({ "host": "a", "path-prefix": format!("/{idx}/"), "route-type": "streaming",
+                "timeout-ms": 6000, "goal-ms": objectives[idx], "priority": priorities[idx],
+                "service": "pool" })
+        };
+        let spec = json!({
+            "version": 1, "routes": [route(0), route(1)], "services": [{ "name": "pool" }],
+            "limits": { "max-header-bytes": 4096, "max-body-bytes": 65536,
+                "header-timeout-ms": 3000, "idle-timeout-ms": 15000 },
+            "tenants": customers,
+        });
+        let metadata = Metadata { name: "main".to_owned(), revision: 1 };
+        let charter = wire_config::decode_config(&StoredObject { metadata, spec }).unwrap();
+        charter.unwrap().ranked_services.contains("pool")
+    };
+    let customer = |priority| json!({ "name": "c", "api-keys": ["k", "l"], "priority": priority });
+    let plain = json!([customer(Value::Null)]);
+    let both = json!([customer(json!(1)), { "name": "d", "api-keys": ["m"] }]);
+    assert!(!is_ranked([2, 2], [400, 400], Value::Null));
+    assert!(!is_ranked([2, 2], [400, 400], plain.clone()));
+    assert!(is_ranked([0, 2], [400, 400], plain.clone()), "by route");
+    assert!(is_ranked([2, 2], [400, 500], plain), "by objective");
+    assert!(is_ranked([2, 2], [400, 400], both), "by customer");
+    assert!(!is_ranked([0, 2], [400, 400], json!([customer(json!(1))])), "one for all");
+}
