Count requests that wait as they were sent ahead

The rate of answers to requests sent ahead to readiness, directory and metrics had no counter and no log line. Shown by the whole of tests/misbehaving_clients.rs: 12 passed.

--- a/src/http1/http_endpoint.rs
+++ b/src/http1/http_endpoint.rs
@@ -4,6 +4,7 @@
 
 use async_executor::Task;
 use async_io::Async;
+use metrics::counter;
 
 use crate::{
     http1::{
@@ -14,7 +15,7 @@
         port_connections::{ConnectionSlot, PortConnections},
         HttpError,
     },
-    runtime,
+    metric_names, runtime,
 };
 
 /// Maximum length of a request head.
@@ -68,6 +69,7 @@
 
 /// What all connections of a port share.
 struct Responder<F> {
+    name: &'static str,
     respond: F,
     /// Held while a request that was sent ahead waits for its interval.
     ahead_turn: async_lock::Mutex<()>,
@@ -84,7 +86,8 @@
     ) -> io::Result<HttpEndpoint> {
         let listener = Async::<std::net::TcpListener>::bind(address)?;
         let connections = PortConnections::new(name, max_connections);
-        let responder = Rc::new(Responder { respond, ahead_turn: async_lock::Mutex::new(()) });
+        let responder =
+            Rc::new(Responder { name, respond, ahead_turn: async_lock::Mutex::new(()) });
         let serve_connection = move |connection, slot: Arc<ConnectionSlot>| {
             let responder = responder.clone();
             async move {
@@ -116,6 +119,8 @@
                 Ok(res) => res?,
             };
             if is_ahead {
+                log::warn!("http: delayed a request that was sent ahead port={}", self.name);
+                counter!(metric_names::DELAYED_REQUESTS, "port" => self.name).increment(1);
                 let _turn = self.ahead_turn.lock().await;
                 runtime::sleep(AHEAD_INTERVAL).await;
             }
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -19,6 +19,8 @@
 /// Counter: connections beyond the limit of a port, by `port` and `outcome`: another one was evicted for it,
 /// or it was refused.
 pub const EXCESS_CONNECTIONS: &str = "crocustiller_excess_connections_total";
+/// Counter: requests to readiness, directory or metrics that were delayed as they were sent ahead, by `port`.
+pub const DELAYED_REQUESTS: &str = "crocustiller_delayed_requests_total";
 /// Gauge: backend servers that accept new requests, by `service`.
 pub const READY_BACKENDS: &str = "crocustiller_ready_backends";
 /// Gauge: requests from this host that are in progress at backend servers.
