Old rates refuse nobody; a host that was cut off takes changes as old

Change: the weight falls with the time that passes. An outage shortens the age of changes only if other hosts were heard all through it; relays tell their followers of it apart from the return that keeps lapsed entries. The owner is woken for an earlier deadline. Result: old_burst_refuses_nobody failed (refused, expected-wait) and passes; cut_off_host_takes_changes_as_old passes, as do fleet_tables, late_versions, admission_order, store_relays and cell_owners.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -62,6 +62,7 @@
 /// that it knows the requests and parts of prompts that are refused before it serves.
 pub(crate) fn apply(host: &EntryHost, from: SocketAddr, beacon: Beacon) {
     host.beacon_targets.borrow_mut().insert(from, beacon.zone.clone());
+    host.sources.record_peer(Instant::now());
     crash_reports::merge(host, &beacon.suspected, &beacon.quarantined);
     let is_new = host.peers.borrow().started_ms(&beacon.host) != Some(beacon.started_ms);
     if is_new && crash_reports::has_any(host) {
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -40,8 +40,10 @@
     cell: RefCell<AdmissionCell>,
     /// Time at which this host became the owner of each engine.
     owned_since: RefCell<BTreeMap<BackendId, Instant>>,
-    /// Notified when a request begins to wait.
+    /// Notified when a request begins to wait, or has to be decided on earlier than expected.
     has_waiting: Event,
+    /// Time at which the waiting requests are decided on next.
+    next_wake: Cell<Option<Instant>>,
     /// Time of the latest turn of this process, by `clock::now`.
     last_turn: Cell<Option<Instant>>,
 }
@@ -137,6 +139,12 @@
         for (id, decision) in decisions {
             send_decision(host, id, decision);
         }
+        // A release may let an engine take a request by its rate limit before the next wake-up.
+        let next_deadline = self.cell.borrow().next_deadline();
+        let is_earlier = |it: Instant| self.next_wake.get().is_some_and(|wake| it < wake);
+        if next_deadline.is_some_and(is_earlier) {
+            self.has_waiting.notify(usize::MAX);
+        }
     }
 
     /// Returns the engines of the cell that a request may use now.
@@ -174,6 +182,7 @@
         let listener = owner.has_waiting.listen();
         let next_deadline = owner.cell.borrow().next_deadline();
         let wake = next_deadline.map_or(next_expiry, |it| it.min(next_expiry));
+        owner.next_wake.set(Some(wake));
         listener.or(runtime::sleep_until(wake)).await;
         let now = Instant::now();
         owner.record_turn(&host, now);
--- a/src/fleet/store_sources.rs
+++ b/src/fleet/store_sources.rs
@@ -159,6 +159,11 @@
         self.shared.store.contact()
     }
 
+    /// Records a message of another host, which shows that this process isn't cut off.
+    pub(crate) fn record_peer(&self, now: Instant) {
+        self.shared.store.record_peer(now);
+    }
+
     /// Records that the store came back, whatever its responses show.
     pub(crate) fn record_return(&self) {
         self.shared.store.record_return();
--- a/src/placement/drain_rate.rs
+++ b/src/placement/drain_rate.rs
@@ -8,7 +8,8 @@
     time::{Duration, Instant},
 };
 
-/// Time of waiting in which grants lose all but 1/e of their weight.
+/// Time in which grants and waits lose all but 1/e of their weight, so that a rate from before a calm
+/// period says nothing.
 const MEMORY_S: f64 = 2.0;
 /// Time of waiting below which the rate is not known: a few times that of one pass of an engine.
 const MIN_BUSY_S: f64 = 0.25;
@@ -27,7 +28,8 @@
     pub(crate) fn record_waiting(&mut self, since: Instant, now: Instant) {
         let from = self.updated.map_or(since, |it| it.max(since));
         let waited_s = now.saturating_duration_since(from).as_secs_f64();
-        let weight = (-waited_s / MEMORY_S).exp();
+        let age = self.updated.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
+        let weight = (-age.as_secs_f64() / MEMORY_S).exp();
         self.n_granted.values_mut().for_each(|it| *it *= weight);
         self.busy_s = self.busy_s * weight + waited_s;
         self.is_busy = since < now;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -172,6 +172,11 @@
         *self.contact.borrow()
     }
 
+    /// Records a message of another host, which shows that this process isn't cut off.
+    pub(crate) fn record_peer(&self, now: Instant) {
+        self.contact.borrow_mut().record_peer(now);
+    }
+
     /// Records that the store came back, whatever its responses show.
     pub(crate) fn record_return(&self) {
         self.contact.borrow_mut().record_return(Instant::now());
--- a/src/platform/store_contact.rs
+++ b/src/platform/store_contact.rs
@@ -11,6 +11,12 @@
 pub struct StoreContact {
     answered: Option<Instant>,
     returned: Option<Instant>,
+    /// The end of the latest outage in which the process heard other hosts, so that the store was away,
+    /// not the process.
+    outage_ended: Option<Instant>,
+    /// Time since which other hosts have been heard without a gap, and time at which one was heard last.
+    heard_since: Option<Instant>,
+    heard_last: Option<Instant>,
 }
 
 /// The times since the events of a contact, as a relay tells them.
@@ -20,6 +26,8 @@
     pub answered: Option<Duration>,
     /// Time since the store's first response after its latest outage.
     pub returned: Option<Duration>,
+    /// Time since the end of the latest outage that was the store's own.
+    pub outage_ended: Option<Duration>,
 }
 
 impl StoreContact {
@@ -31,6 +39,17 @@
         if silence >= MIN_OUTAGE {
             log::info!("store: back after an outage away_ms={}", silence.as_millis());
             self.returned = Some(now);
+            if self.has_heard_others(silence, now) {
+                self.outage_ended = Some(now);
+            }
+        }
+    }
+
+    /// Records a message of another host, which shows that this process isn't cut off.
+    pub fn record_peer(&mut self, now: Instant) {
+        let gap = self.heard_last.replace(now).map(|it| now.saturating_duration_since(it));
+        if gap.is_none_or(|it| it >= MIN_OUTAGE) {
+            self.heard_since = Some(now);
         }
     }
 
@@ -44,14 +63,23 @@
         let time_of = |age: Option<Duration>| age.and_then(|it| now.checked_sub(it));
         self.answered = self.answered.max(time_of(relayed.answered));
         self.returned = self.returned.max(time_of(relayed.returned));
+        self.outage_ended = self.outage_ended.max(time_of(relayed.outage_ended));
     }
 
-    /// Returns the greatest age of a change that a process learns now, after it was up to date
-    /// `since_up_to_date` ago. While the store is away for everyone who is asked, it acknowledges nothing
-    /// that could have come into force, so the age counts from its return.
+    /// Returns the greatest age of a change that a process learns now, if it was last up to date
+    /// `since_up_to_date` ago. During an outage the store acknowledges no changes, so after one the age is
+    /// counted from its end. A process that was cut off itself can't tell.
     pub fn max_change_age(&self, since_up_to_date: Duration, now: Instant) -> Duration {
-        let since_return = self.returned.map(|it| now.saturating_duration_since(it));
-        since_return.map_or(since_up_to_date, |it| it.min(since_up_to_date))
+        let since_outage = self.outage_ended.map(|it| now.saturating_duration_since(it));
+        since_outage.map_or(since_up_to_date, |it| it.min(since_up_to_date))
+    }
+
+    /// Returns `true` if other hosts were heard all through a silence of the store that ends now, or have
+    /// never been heard, as there may be none.
+    fn has_heard_others(&self, silence: Duration, now: Instant) -> bool {
+        let (Some(since), Some(last)) = (self.heard_since, self.heard_last) else { return true };
+        let is_heard_now = now.saturating_duration_since(last) < MIN_OUTAGE;
+        is_heard_now && now.saturating_duration_since(since) >= silence
     }
 
     /// Returns the time at which the store came back from its latest outage.
@@ -62,6 +90,10 @@
     /// Returns the ages of its events, to be told to others.
     pub fn ages(&self, now: Instant) -> ContactAges {
         let age_of = |it: Option<Instant>| it.map(|it| now.saturating_duration_since(it));
-        ContactAges { answered: age_of(self.answered), returned: age_of(self.returned) }
+        ContactAges {
+            answered: age_of(self.answered),
+            returned: age_of(self.returned),
+            outage_ended: age_of(self.outage_ended),
+        }
     }
 }
--- a/src/platform/wire_objects.rs
+++ b/src/platform/wire_objects.rs
@@ -23,6 +23,8 @@
 const ANSWERED: &str = "answered-ms";
 /// The ms since the store's latest return.
 const RETURNED: &str = "returned-ms";
+/// Time since the end of the latest outage that was the store's own, in milliseconds.
+const OUTAGE_ENDED: &str = "outage-ended-ms";
 
 /// A query for the objects of one kind.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -76,7 +78,11 @@
 pub fn decode_contact(body: &[u8]) -> ContactAges {
     let parts = json_parts::members(body).unwrap_or_default();
     let age = |name: &str| json_parts::decode_member(&parts, name).map(Duration::from_millis);
-    ContactAges { answered: age(ANSWERED), returned: age(RETURNED) }
+    ContactAges {
+        answered: age(ANSWERED),
+        returned: age(RETURNED),
+        outage_ended: age(OUTAGE_ENDED),
+    }
 }
 
 /// Encodes an error as an HTTP status without a body.
@@ -90,7 +96,11 @@
 }
 
 fn json_response(mut body: Value, contact: ContactAges) -> SmallResponse {
-    for (name, age) in [(ANSWERED, contact.answered), (RETURNED, contact.returned)] {
+    for (name, age) in [
+        (ANSWERED, contact.answered),
+        (RETURNED, contact.returned),
+        (OUTAGE_ENDED, contact.outage_ended),
+    ] {
         if let Some(age) = age {
             body[name] = json!(age.as_millis() as u64);
         }
--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -245,6 +245,43 @@
     assert_eq!(decisions.first().map(|it| it.0), Some(id(4)), "{decisions:?}");
 }
 
+/// Load pattern: a burst of urgent requests, in which no other one is placed, then an hour of calm. Guards
+/// against refusing a request at once by the rate of the burst.
+#[test]
+fn old_burst_refuses_nobody() {
+    let engine =
+        CellEngine { id: "i-0".to_owned(), slots: 2, is_on_probation: false, rate_limit: None };
+    let engines = |_: &Demand| vec![engine.clone()];
+    let id = |number| ReservationId { holder: SocketAddr::from(([10, 1, 0, 1], 80)), number };
+    let ranked = |number, rank| Demand {
+        attempt: Some(RequestAttempt { request: number, number }),
+        class: RequestClass { is_ranked: true, ..RequestClass::default() },
+        rank,
+        time_to_objective: Duration::from_millis(400),
+        time_to_deadline: Duration::from_secs(6),
+        wait: Duration::from_millis(50),
+        max_wait: Duration::from_millis(200),
+        ..Demand::default()
+    };
+    let start = Instant::now();
+    let mut cell = AdmissionCell::default();
+    for number in 0..100 {
+        let now = start + Duration::from_millis(100) * number as u32;
+        cell.request(id(number), ranked(number, 0), &engines, now);
+        if number >= 4 {
+            cell.release(&id(number - 4), now + Duration::from_millis(50));
+            cell.decide_waiting(&engines, now + Duration::from_millis(50));
+        }
+    }
+    (0..100).for_each(|it| drop(cell.cancel(&id(it))));
+    let calm = start + Duration::from_secs(3600);
+    for number in 200..203 {
+        let admission = cell.request(id(number), ranked(number, 2), &engines, calm);
+        assert!(matches!(admission, Some(Admission::Granted { .. })), "{admission:?}");
+    }
+    assert_eq!(cell.request(id(203), ranked(203, 2), &engines, calm), None, "it waits");
+}
+
 /// Guards against ranks where nothing differs, which would change how earlier deployments are served.
 #[test]
 fn ranked_where_requests_differ() {
--- a/tests/fleet_tables.rs
+++ b/tests/fleet_tables.rs
@@ -129,6 +129,24 @@
     assert_eq!(contact.max_change_age(ms(200), now + ms(8300)), ms(200), "up to date since");
 }
 
+/// Guards against a host that was itself cut off from the store and all others, and takes what was changed
+/// meanwhile as new.
+#[test]
+fn cut_off_host_takes_changes_as_old() {
+    let now = Instant::now();
+    let age_after = |heard_ms: &dyn Fn(u64) -> bool| {
+        let mut contact = StoreContact::default();
+        contact.record_answer(now + ms(1000));
+        let heard = (0..=100).map(|it| it * 100).filter(|it| heard_ms(*it));
+        heard.for_each(|it| contact.record_peer(now + ms(it)));
+        contact.record_answer(now + ms(10_000));
+        contact.max_change_age(ms(9000), now + ms(10_100))
+    };
+    assert_eq!(age_after(&|_| true), ms(100), "the store was away");
+    assert_eq!(age_after(&|it| it <= 1000), ms(9000), "cut off");
+    assert_eq!(age_after(&|it| it <= 1000 || it >= 9000), ms(9000), "the cut ended first");
+}
+
 /// Guards against an older copy of the store that takes back that a server leaves or has left.
 #[test]
 fn older_copy_takes_no_leaving_back() {
