A ranked request whose usual wait is over keeps its longest wait

When an entry host asks again after an eighth of the objective, the wait in order of arrival is zero, which was read as a request that must be decided at once. It was refused although time up to its longest wait was left.

Whether a request may wait is now decided by its longest wait, at the entry host and at the owner.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -221,7 +221,7 @@
         }
     }
     match first_full {
-        Some(owner) if !demand.wait.is_zero() => match ask(host, &owner, demand).await {
+        Some(owner) if demand.may_wait() => match ask(host, &owner, demand).await {
             Answer::Granted(grant) => Ok(grant),
             Answer::Refused(reason) => Err(ReservationError::of_wait(reason, fastrand::f64())),
             Answer::Silent => Err(ReservationError::Full),
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -43,8 +43,7 @@
     pub class: RequestClass,
     /// Expected time from its start at an engine until its first event.
     pub time_to_first_event: Duration,
-    /// Time for which the request waits while all engines are full, in order of arrival; zero if it doesn't
-    /// wait at all.
+    /// Time for which the request waits while all engines are full, in order of arrival.
     pub wait: Duration,
     /// Longest time for which it waits where requests are ranked, or if its class is served too seldom.
     pub max_wait: Duration,
@@ -55,4 +54,9 @@
     pub fn longest_wait(&self) -> Duration {
         self.wait.max(self.max_wait)
     }
+
+    /// Returns `true` if it may wait at all.
+    pub fn may_wait(&self) -> bool {
+        !self.longest_wait().is_zero()
+    }
 }
--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -61,7 +61,7 @@
         let shortfall = self.shares.shortfall(&demand, now);
         let wait = match shortfall {
             // A returning request is late; waiting, it would take the place of one that is not.
-            _ if is_late_return || demand.wait.is_zero() => Duration::ZERO,
+            _ if is_late_return || !demand.may_wait() => Duration::ZERO,
             _ if is_bound_to_wait(&demand) => demand.wait,
             Some(_) => demand.longest_wait(),
             None if is_ranked => demand.max_wait.min(slack),
@@ -185,7 +185,7 @@
             rate.record_grant(request.demand.rank);
         }
         // A request that asks several owners is refused only by the one at which it waits.
-        let is_decided = is_served || !request.demand.wait.is_zero();
+        let is_decided = is_served || request.demand.may_wait();
         if is_decided && !request.is_return && !request.demand.is_resumed {
             self.shares.record(&request.demand, is_served, now);
             match is_served {
--- /dev/null
+++ b/tests/queue_waits.rs
@@ -0,0 +1,61 @@
+//! How long requests wait in the queue of a cell, and how much of that time an entry host has left.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crocustiller::placement::{
+    Admission, AdmissionCell, CellEngine, Demand, RequestAttempt, RequestClass, ReservationId,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn id(number: u64) -> ReservationId {
+    ReservationId { holder: SocketAddr::from(([10, 1, 0, 1], 80)), number }
+}
+
+/// Returns one engine with one slot for each service.
+fn engines(demand: &Demand) -> Vec<CellEngine> {
+    let id = format!("{}-0", demand.service);
+    vec![CellEngine { id, slots: 1, is_on_probation: false, rate_limit: None }]
+}
+
+fn demand(number: u64, service: &str) -> Demand {
+    Demand {
+        service: service.to_owned(),
+        attempt: Some(RequestAttempt { request: number, number }),
+        class: RequestClass { is_ranked: true, ..RequestClass::default() },
+        time_to_objective: ms(400),
+        time_to_deadline: ms(6000),
+        wait: ms(50),
+        max_wait: ms(200),
+        ..Demand::default()
+    }
+}
+
+/// Places two requests of a service, which fill its engine.
+fn fill(cell: &mut AdmissionCell, first: u64, service: &str, now: Instant) {
+    for number in [first, first + 1] {
+        let admission = cell.request(id(number), demand(number, service), &engines, now);
+        assert!(matches!(admission, Some(Admission::Granted { .. })), "{admission:?}");
+    }
+}
+
+/// Guards against refusing at once a ranked request that is asked for again, as the regions changed after the
+/// usual wait.
+#[test]
+fn ranked_wait_goes_on() {
+    let now = Instant::now();
+    let mut cell = AdmissionCell::default();
+    fill(&mut cell, 0, "pool", now);
+    let asked_again = Demand { wait: Duration::ZERO, max_wait: ms(140), ..demand(2, "pool") };
+    assert_eq!(cell.request(id(2), asked_again, &engines, now), None);
+    cell.decide_waiting(&engines, now + ms(139));
+    assert_eq!(cell.n_waiting(), 1);
+    let refused = cell.decide_waiting(&engines, now + ms(140));
+    assert!(matches!(refused[..], [(_, Admission::Refused(_))]), "{refused:?}");
+    assert_eq!(cell.rank_counts()[&0].n_refused, 1, "a decision on a request that could wait");
+}
