Ask again after a pause where requests are ranked

A wait that was cut short at the end of a pause went on only after the refusal Full. Where requests are ranked, the owner answers WaitEnded, so the caller was refused just when an engine took requests again. The limit on unusable grants regards the longest wait, too.

The time left is now computed in placement::WaitLeft. Only its rule is tested, not the loop at the entry host.

--- a/src/entry/backend_requirements.rs
+++ b/src/entry/backend_requirements.rs
@@ -13,7 +13,7 @@
     },
     fleet::BackendTable,
     ids::{BackendId, RouteId, ServiceId},
-    placement::{Demand, PartDigest, QuarantinedPart, RegionConstraint, RequestAttempt},
+    placement::{Demand, PartDigest, QuarantinedPart, RegionConstraint, RequestAttempt, WaitLeft},
     routing::{BackendServer, QueueTerms, RequestRegions},
 };
 
@@ -143,7 +143,7 @@
 
     /// Returns the demand for an engine; it excludes those that this host itself finds failing, and
     /// those that leave or want no requests of this host, which their owner may not know.
-    pub(crate) fn demand(&self, host: &EntryHost, wait: Duration) -> Demand {
+    pub(crate) fn demand(&self, host: &EntryHost, wait: WaitLeft) -> Demand {
         let mut excluded = self.excluded.clone();
         excluded.extend(host.health.borrow().ejected(Instant::now()).cloned());
         let servers = host.backends.borrow();
@@ -153,7 +153,7 @@
         let in_turn_parts =
             host.crashing_parts.borrow().parts_to_start_in_turn(&self.prompt_parts, Instant::now());
         let now = Instant::now();
-        let wait = if in_turn_parts.is_empty() { wait } else { wait.max(MIN_TURN_WAIT) };
+        let min_wait = if in_turn_parts.is_empty() { Duration::ZERO } else { MIN_TURN_WAIT };
         Demand {
             service: self.service.clone(),
             model: self.model.clone(),
@@ -170,8 +170,8 @@
             in_turn_parts,
             class: self.terms.class,
             time_to_first_event: self.terms.time_to_first_event,
-            wait,
-            max_wait: Duration::ZERO,
+            wait: wait.usual.max(min_wait),
+            max_wait: wait.longest,
         }
     }
 }
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -21,7 +21,7 @@
     },
     fleet::ServiceOutcome,
     ids::{BackendId, WeightsVersion},
-    placement::{choose_plain_backend, Load, PlainCandidate, ReservationNumber},
+    placement::{choose_plain_backend, Load, PlainCandidate, ReservationNumber, WaitLeft},
     routing::{BackendServer, BackendState},
     runtime,
 };
@@ -98,17 +98,14 @@
         queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
         let asked_first = Instant::now();
-        let give_up = asked_first + queue_timeout;
         let mut unusable: Vec<BackendId> = Vec::new();
         loop {
-            let left = give_up.saturating_duration_since(Instant::now());
-            let until_pause_ends = requirements.time_until_pause_ends(host);
-            let wait = until_pause_ends.map_or(left, |it| it.min(left));
+            let max_wait = requirements.terms.max_wait;
+            let left = WaitLeft::after(asked_first.elapsed(), queue_timeout, max_wait);
+            let part = left.until(requirements.time_until_pause_ends(host));
             // Made anew each time: engines begin pauses, several at once, and end them.
-            let mut demand = requirements.demand(host, wait);
+            let mut demand = requirements.demand(host, part);
             demand.excluded.extend(unusable.iter().cloned());
-            let max_left = requirements.terms.max_wait.saturating_sub(asked_first.elapsed());
-            demand.max_wait = until_pause_ends.map_or(max_left, |it| it.min(max_left));
             let asked = Instant::now();
             let reserve = async { Some(admission_client::reserve(host, &demand).await) };
             let allowed_changed = async {
@@ -120,8 +117,7 @@
                 continue;
             };
             let grant = match res {
-                // A refusal before the end of the wait says that asking again is no use.
-                Err(ReservationError::Full) if wait < left && asked.elapsed() >= wait => continue,
+                Err(err) if err.is_end_of_wait() && left.exceeds(part, asked.elapsed()) => continue,
                 res => res?,
             };
             let engine = grant.engine.clone();
@@ -129,7 +125,7 @@
                 return Ok(reservation);
             }
             unusable.push(engine);
-            if unusable.len() >= MAX_UNUSABLE_GRANTS && Instant::now() >= give_up {
+            if unusable.len() >= MAX_UNUSABLE_GRANTS && left.is_over() {
                 return Err(ReservationError::Full);
             }
         }
--- a/src/entry/reservation_error.rs
+++ b/src/entry/reservation_error.rs
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Returns `true` if the request may have waited as long as it was to.
+    pub(crate) fn is_end_of_wait(&self) -> bool {
+        matches!(
+            self,
+            ReservationError::Full | ReservationError::Ranked(RefusalCause::WaitEnded, _)
+        )
+    }
+
     /// Returns the response to a request that could not be sent.
     pub(crate) fn response(self) -> ErrorResponse {
         let (message, retry_after) = match self {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -54,6 +54,7 @@
 mod suspected_request;
 mod usable_engines;
 mod usual_latency;
+mod wait_left;
 mod waiting_queue;
 mod waiting_request;
 mod windowed_retry_budget;
@@ -96,5 +97,6 @@
     server_warmth::ColdState,
     shutdown_admission::can_finish_before_exit,
     suspected_request::{crash_id, CrashId, SuspectedRequest, TryId},
+    wait_left::WaitLeft,
     windowed_retry_budget::WindowedRetryBudget,
 };
--- a/tests/queue_waits.rs
+++ b/tests/queue_waits.rs
@@ -7,6 +7,7 @@
 
 use crocustiller::placement::{
     Admission, AdmissionCell, CellEngine, Demand, RequestAttempt, RequestClass, ReservationId,
+    WaitLeft,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -59,3 +60,17 @@
     assert!(matches!(refused[..], [(_, Admission::Refused(_))]), "{refused:?}");
     assert_eq!(cell.rank_counts()[&0].n_refused, 1, "a decision on a request that could wait");
 }
+
+/// Guards against refusing a ranked request just when a pause ends and engines take requests again.
+#[test]
+fn wait_cut_short_by_pause() {
+    let left = WaitLeft::after(ms(20), ms(50), ms(200));
+    assert_eq!(left, WaitLeft { usual: ms(30), longest: ms(180) });
+    let part = left.until(Some(ms(100)));
+    assert_eq!(part, WaitLeft { usual: ms(30), longest: ms(100) });
+    assert!(!left.exceeds(part, ms(99)), "refused before the pause ended");
+    assert!(left.exceeds(part, ms(100)));
+    assert!(!left.exceeds(left.until(None), ms(180)));
+    assert!(!WaitLeft::after(ms(50), ms(50), ms(200)).is_over());
+    assert!(WaitLeft::after(ms(200), ms(50), ms(200)).is_over());
+}
