Bound the queue of each service by its own slots

The waiting requests of all services of a cell were compared with the slots of one, before those with a place were placed, and the one that was refused could be of another service.

--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -28,7 +28,7 @@
 /// Time after a refusal within which an equal request is that of another caller; callers are told to come
 /// back later. Where requests are ranked, any equal request counts as a return.
 const MIN_RETURN_TIME: Duration = Duration::from_millis(200);
-/// Maximum number of waiting requests for each slot of the cell.
+/// Maximum number of waiting requests of a service for each slot of its engines.
 const MAX_WAITING_PER_SLOT: usize = 2;
 /// Time after a start with a suspected part failed until the next one begins. Reports of one crash
 /// arrive up to 0.1 s apart, so a start that fails sooner shows nothing new.
@@ -75,12 +75,12 @@
             return Some(Admission::NoEngine);
         }
         let n_slots: u32 = usable.iter().map(|it| it.slots).sum();
+        let service = demand.service.clone();
         let is_ranked = demand.class.is_ranked;
         let min_return_time = if is_ranked { Duration::ZERO } else { MIN_RETURN_TIME };
         let attempt = demand.attempt;
         let found = attempt.and_then(|it| self.refused.find_return(it, min_return_time, now));
         self.waiting.add(id, demand, found, now);
-        let has_room = self.waiting.len() <= MAX_WAITING_PER_SLOT * n_slots as usize;
         let mut decisions = self.place_waiting(engines, now);
         let own = decisions.iter().position(|it| it.0 == id);
         let own = own.map(|it| decisions.remove(it).1);
@@ -91,7 +91,8 @@
         self.n_held_back += u64::from(self.grant_rates.next_due().is_some());
         let own = self.waiting.expected_waits().find(|it| it.0.id == id);
         let wait = own.and_then(|it| it.1).unwrap_or_default();
-        let last = self.waiting.iter().last().map(|it| it.id).filter(|_| !has_room);
+        let max_waiting = MAX_WAITING_PER_SLOT * n_slots as usize;
+        let last = self.waiting.last_beyond(&service, max_waiting);
         let cause = |it: &WaitingRequest| match it {
             it if Some(it.id) == last => Some(RefusalCause::QueueFull),
             it if it.id != id => None,
--- a/tests/queue_waits.rs
+++ b/tests/queue_waits.rs
@@ -6,8 +6,8 @@
 };
 
 use crocustiller::placement::{
-    Admission, AdmissionCell, CellEngine, Demand, RequestAttempt, RequestClass, ReservationId,
-    WaitLeft,
+    Admission, AdmissionCell, CellEngine, Demand, Refusal, RefusalCause, RequestAttempt,
+    RequestClass, ReservationId, WaitLeft,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -74,3 +74,27 @@
     assert!(!WaitLeft::after(ms(50), ms(50), ms(200)).is_over());
     assert!(WaitLeft::after(ms(200), ms(50), ms(200)).is_over());
 }
+
+/// Guards against refusing a request as the requests of another pool fill the queue, against refusing one of
+/// another pool for it, and against counting those that are placed now.
+#[test]
+fn queues_of_two_pools() {
+    let now = Instant::now();
+    let mut cell = AdmissionCell::default();
+    fill(&mut cell, 0, "a", now);
+    fill(&mut cell, 10, "b", now);
+    for number in [2, 3] {
+        assert_eq!(cell.request(id(number), demand(number, "a"), &engines, now), None);
+    }
+    let last = Demand { rank: 9, ..demand(12, "b") };
+    assert_eq!(cell.request(id(12), last, &engines, now), None, "the first of its pool");
+    assert_eq!(cell.n_waiting(), 3);
+    let refused = cell.request(id(4), demand(4, "a"), &engines, now);
+    let is_full = |it: &Refusal| it.cause == RefusalCause::QueueFull;
+    assert!(matches!(&refused, Some(Admission::Refused(it)) if is_full(it)), "{refused:?}");
+    cell.release(&id(0), now);
+    assert_eq!(cell.request(id(5), demand(5, "a"), &engines, now), None);
+    let decisions = cell.decide_waiting(&engines, now);
+    let is_grant = |it: &Admission| matches!(it, Admission::Granted { .. });
+    assert!(matches!(&decisions[..], [(it, admission)] if *it == id(2) && is_grant(admission)));
+}
