Bound the interval of a rate limit

The interval of a rate such as 1e-20 per second doesn't fit a Duration, and the division panicked, which ended each entry host that read such a charter or setting.

--- a/src/placement/rate_limit.rs
+++ b/src/placement/rate_limit.rs
@@ -7,6 +7,8 @@
 /// Time by which the delays between a grant and the arrival of its request may differ: the wait of the
 /// datagram, that of its holder for processor time, and a new connection.
 const SEND_DELAY: Duration = Duration::from_millis(200);
+/// Longest interval, for rates so low that theirs can't be represented.
+const MAX_INTERVAL: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// A limit on the rate of requests to one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,7 +30,9 @@
         let burst = if n_whole >= f64::from(MAX_BURST) { MAX_BURST } else { 1 };
         let n_after_burst = n_whole - f64::from(burst - 1);
         let window = Duration::from_secs(1) + SEND_DELAY;
-        RateLimit { interval: window.div_f64(n_after_burst), burst, is_binding: true }
+        let interval = Duration::try_from_secs_f64(window.as_secs_f64() / n_after_burst);
+        let interval = interval.map_or(MAX_INTERVAL, |it| it.min(MAX_INTERVAL));
+        RateLimit { interval, burst, is_binding: true }
     }
 
     /// Returns the time that a whole burst takes beyond its first request.
--- a/tests/cold_pool/mod.rs
+++ b/tests/cold_pool/mod.rs
@@ -22,6 +22,11 @@
 /// Returns a decider that knows the services `pool` and `plain`, whose servers bear 17 requests per
 /// second while cold, and crash beyond 30 in one second.
 pub fn cold_servers() -> ColdServers {
+    cold_servers_with(17.0)
+}
+
+/// Returns a decider whose servers bear `max_requests_per_s` while cold.
+pub fn cold_servers_with(max_requests_per_s: f64) -> ColdServers {
     let engine = EngineSpec {
         slots: SLOTS,
         models: Vec::new(),
@@ -35,7 +40,7 @@
         usual_output_tokens: 0,
         read_tokens_per_s: 30_600.0,
     };
-    let cold_start = Some(ColdStart { duration: ms(COLD_MS), max_requests_per_s: 17.0 });
+    let cold_start = Some(ColdStart { duration: ms(COLD_MS), max_requests_per_s });
     let service = |engine| Service { engine, origin: None, cold_start };
     let mut cold = ColdServers::new(BOUNDS);
     cold.update_services(&BTreeMap::from([
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -7,11 +7,11 @@
     time::{Duration, Instant},
 };
 
-use cold_pool::{address, cold_servers, ms, server, COLD_MS, SLOTS};
+use cold_pool::{address, cold_servers, cold_servers_with, ms, server, COLD_MS, SLOTS};
 use crocustiller::{
     placement::{
         Admission, AdmissionCell, CellEngine, ColdServers, ColdState, Demand, EntryShare,
-        ReservationId,
+        RateLimit, ReservationId,
     },
     routing::BackendServer,
 };
@@ -167,6 +167,19 @@
     }
 }
 
+/// Guards against the end of all entry hosts by a rate so low that its interval overflows.
+#[test]
+fn tiny_rates() {
+    for n_requests in [1e-20, 1e-300, f64::MIN_POSITIVE, 0.0] {
+        let limit = RateLimit::per_second(n_requests);
+        assert_eq!((limit.interval, limit.burst), (ms(86_400_000), 1), "{n_requests}");
+    }
+    let mut cold = cold_servers_with(1e-20);
+    let now = Instant::now();
+    list(&mut cold, &[server("i-0", "pool", 1, ms(COLD_MS))], now);
+    assert!(cold.owner_limit("i-0", now).is_some_and(|it| it.is_binding));
+}
+
 /// In calm operation a pool whose charter names a cold start admits the same requests as any other.
 #[test]
 fn warm_pool_keeps_capacity() {
