Send to cold plain servers that bear less than a request per second

The rate was truncated to 0 requests per second, so that no host sent to the server for the whole cold time. A rate below 1 now goes to the host that ranks first for the server. Pools still round down, as their engines are reached through owners.

--- a/src/placement/cold_bounds.rs
+++ b/src/placement/cold_bounds.rs
@@ -29,13 +29,14 @@
         RateLimit::per_second(share.min(cold_start.max_requests_per_s))
     }
 
-    /// Returns the requests per second that all hosts without an owner together may send to an engine.
+    /// Returns the requests per second that all hosts without an owner together may send to an engine. Rates
+    /// below one become none, as the engine is reached through its owner.
     pub fn n_unowned(&self, cold_start: &ColdStart) -> usize {
         (self.max_per_second(cold_start) * UNOWNED_SHARE) as usize
     }
 
     /// Returns the requests per second that all hosts together may send to a server of a plain service.
-    pub fn n_plain(&self, cold_start: &ColdStart) -> usize {
-        self.max_per_second(cold_start).min(cold_start.max_requests_per_s) as usize
+    pub fn plain_per_s(&self, cold_start: &ColdStart) -> f64 {
+        self.max_per_second(cold_start).min(cold_start.max_requests_per_s)
     }
 }
--- a/src/placement/cold_servers.rs
+++ b/src/placement/cold_servers.rs
@@ -260,12 +260,12 @@
     /// Returns the limit for this host's own requests to a cold server; `None` if it must send none.
     fn own_limit(&self, server: &str, share: &EntryShare) -> Option<RateLimit> {
         let (_, service) = self.find(server)?;
-        let n_all = match service.is_pool {
-            true => self.bounds.n_unowned(&service.cold_start),
-            false => self.bounds.n_plain(&service.cold_start),
+        let all_per_s = match service.is_pool {
+            true => self.bounds.n_unowned(&service.cold_start) as f64,
+            false => self.bounds.plain_per_s(&service.cold_start),
         };
-        let n_own = share.of(n_all, server);
-        (n_own > 0).then(|| RateLimit::per_second(n_own as f64))
+        let own_per_s = share.of_rate(all_per_s, server);
+        (own_per_s > 0.0).then(|| RateLimit::per_second(own_per_s))
     }
 
     fn find(&self, server: &str) -> Option<(&ServerWarmth, &ColdService)> {
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -167,6 +167,27 @@
     }
 }
 
+/// Guards against a plain service that no host may send to while all its servers are cold, as they bear less
+/// than a request per second.
+#[test]
+fn less_than_one_per_second() {
+    let now = Instant::now();
+    let entry = server("i-0", "plain", 1, ms(COLD_MS));
+    let mut n_begun = 0;
+    for own in 1..=38 {
+        let share = || EntryShare { own: address(own), others: (1..=38).map(address).collect() };
+        let mut cold = cold_servers_with(0.5);
+        list(&mut cold, std::slice::from_ref(&entry), now);
+        for at in [0, 1900] {
+            let mut servers = vec![&entry];
+            cold.retain_within_share(&mut servers, share, now + ms(at));
+            n_begun += servers.len();
+            servers.iter().for_each(|it| cold.record_own(&it.id, share, now + ms(at)));
+        }
+    }
+    assert_eq!(n_begun, 1, "one host, one request in 2 s");
+}
+
 /// Guards against the end of all entry hosts by a rate so low that its interval overflows.
 #[test]
 fn tiny_rates() {
