--- a/src/routing/ranked_services.rs
+++ b/src/routing/ranked_services.rs
@@ -19,7 +19,8 @@
         customers.into_iter().flat_map(HashMap::values).map(|it| it.priority).collect();
     let mut ranks: BTreeMap<&ServiceId, BTreeSet<(u32, Duration)>> = BTreeMap::new();
     for route in routes {
-        let of_customers = own.iter().map(|it| route.rank_at(*it));
+        // Requests on public routes have no customer.
+        let of_customers = own.iter().filter(|_| !route.is_public).map(|it| route.rank_at(*it));
         let is_open = route.is_public || own.is_empty();
         let all: BTreeSet<u32> = of_customers.chain(is_open.then(|| route.rank(None))).collect();
         for target in &route.targets {
--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -248,11 +248,11 @@
 /// Guards against ranks where nothing differs, which would change how earlier deployments are served.
 #[test]
 fn ranked_where_requests_differ() {
-    let is_ranked = |priorities: [u32; 2], objectives: [u32; 2], customers: Value| {
+    let is_ranked_of = |is_public, priorities: [u32; 2], objectives: [u32; 2], customers: Value| {
         let route = |idx: usize| {
             json!({ "host": "a", "path-prefix": format!("/{idx}/"), "route-type": "streaming",
                 "timeout-ms": 6000, "goal-ms": objectives[idx], "priority": priorities[idx],
-                "service": "pool" })
+                "public": is_public, "service": "pool" })
         };
         let spec = json!({
             "version": 1, "routes": [route(0), route(1)], "services": [{ "name": "pool" }],
@@ -264,6 +264,8 @@
         let charter = wire_config::decode_config(&StoredObject { metadata, spec }).unwrap();
         charter.unwrap().ranked_services.contains("pool")
     };
+    let is_ranked =
+        |priorities, objectives, customers| is_ranked_of(false, priorities, objectives, customers);
     let customer = |priority| json!({ "name": "c", "api-keys": ["k", "l"], "priority": priority });
     let plain = json!([customer(Value::Null)]);
     let both = json!([customer(json!(1)), { "name": "d", "api-keys": ["m"] }]);
@@ -271,6 +273,7 @@
     assert!(!is_ranked([2, 2], [400, 400], plain.clone()));
     assert!(is_ranked([0, 2], [400, 400], plain.clone()), "by route");
     assert!(is_ranked([2, 2], [400, 500], plain), "by objective");
-    assert!(is_ranked([2, 2], [400, 400], both), "by customer");
+    assert!(is_ranked([2, 2], [400, 400], both.clone()), "by customer");
+    assert!(!is_ranked_of(true, [2, 2], [400, 400], both), "no customers on public routes");
     assert!(!is_ranked([0, 2], [400, 400], json!([customer(json!(1))])), "one for all");
 }
