--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -177,12 +177,15 @@
     let retry_ratio = reader.fraction(SECTION, "retry_ratio", 0.2);
     let retry_slack = reader.number(SECTION, "retry_slack", 0..=1_000_000, 100);
     let retry_window = reader.number(SECTION, "retry_window_s", 1..=3_600, 10);
-    let evacuation = match reader.has_key(SECTION, "evacuation_ms") {
-        true => Some(reader.milliseconds(SECTION, "evacuation_ms", 100..=3_600_000, 5_000)?),
-        false => None,
-    };
+    let evacuation = reader
+        .has_key(SECTION, "evacuation_ms")
+        .then(|| reader.milliseconds(SECTION, "evacuation_ms", 100..=3_600_000, 5_000));
     let cold_over = reader.positive_number(SECTION, "cold_over", 1.0);
     let cold_slack = reader.number(SECTION, "cold_slack", 0..=1_000_000, 0);
+    let evacuation = match evacuation {
+        Some(it) => Some(it?),
+        None => None,
+    };
     Some(BoundSettings {
         grace: Duration::from_secs(grace?),
         version: version?,
--- a/tests/deployed_settings.rs
+++ b/tests/deployed_settings.rs
@@ -32,3 +32,12 @@
         assert!(problems.contains("memory_mb"), "{problems}");
     }
 }
+
+/// Guards against blaming valid keys after an invalid one in the same section.
+#[test]
+fn invalid_evacuation_time() {
+    let bounds = "[bounds]\nevacuation_ms = soon\ncold_over = 1.5\ncold_slack = 2";
+    let problems = parse(bounds).unwrap_err();
+    assert!(problems.contains("evacuation_ms"), "{problems}");
+    assert!(!problems.contains("cold_"), "{problems}");
+}
