Count urgent requests at their own rate in the return time

The time after which a refused caller is told to return took the more urgent requests ahead of it as of its own rank, which are placed at a lower rate. It now counts them as the expected waits do.

--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -166,10 +166,11 @@
     }
 
     fn time_until_room(&self, demand: &Demand) -> Duration {
-        let of_service = self.requests.iter().filter(|it| it.demand.service == demand.service);
-        let n_ahead = of_service.filter(|it| it.demand.rank <= demand.rank).count() as u32;
+        let of_service = || self.requests.iter().filter(|it| it.demand.service == demand.service);
+        let n_urgent = of_service().filter(|it| it.demand.rank < demand.rank).count() as u32;
+        let n_equal = of_service().filter(|it| it.demand.rank == demand.rank).count() as u32;
         let rate = self.drain_rates.get(&demand.service);
-        let wait = rate.and_then(|it| it.expected_wait(demand.rank, 0, n_ahead + 1));
+        let wait = rate.and_then(|it| it.expected_wait(demand.rank, n_urgent, n_equal + 1));
         wait.unwrap_or_default().clamp(MIN_RETURN_TIME, MAX_RETURN_TIME)
     }
 
--- a/tests/queue_waits.rs
+++ b/tests/queue_waits.rs
@@ -98,3 +98,43 @@
     let is_grant = |it: &Admission| matches!(it, Admission::Granted { .. });
     assert!(matches!(&decisions[..], [(it, admission)] if *it == id(2) && is_grant(admission)));
 }
+
+/// Guards against telling the callers of seldom served ranks to return later than room is expected.
+#[test]
+fn return_time_by_rank() {
+    let mut now = Instant::now();
+    let mut cell = AdmissionCell::default();
+    let patient = |number, rank| Demand {
+        rank,
+        time_to_objective: ms(60_000),
+        max_wait: ms(5000),
+        ..demand(number, "pool")
+    };
+    let engines =
+        |_: &Demand| vec![CellEngine { slots: 8, ..engines(&demand(0, "pool")).remove(0) }];
+    let mut running = Vec::new();
+    for number in 0..9 {
+        cell.request(id(number), patient(number, 0), &engines, now);
+        running.push(id(number));
+    }
+    let mut number = 100;
+    let mut ask = |cell: &mut AdmissionCell, rank, now| {
+        number += 1;
+        assert_eq!(cell.request(id(number), patient(number, rank), &engines, now), None);
+    };
+    ask(&mut cell, 1, now);
+    // Of 20 grants in a second, 4 are of the less urgent rank.
+    for step in 0..40 {
+        now += ms(50);
+        ask(&mut cell, u32::from(step % 5 == 4), now);
+        cell.release(&running.remove(0), now);
+        running.extend(cell.decide_waiting(&engines, now).iter().map(|it| it.0));
+    }
+    for _ in 0..5 {
+        ask(&mut cell, 0, now);
+    }
+    let short = Demand { max_wait: ms(1), ..patient(1000, 1) };
+    let refused = cell.request(id(1000), short, &engines, now);
+    let Some(Admission::Refused(refusal)) = refused else { panic!("{refused:?}") };
+    assert!(refusal.room_in > ms(300) && refusal.room_in < ms(1200), "{refusal:?}");
+}
