--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -9,6 +9,9 @@
     placement::{PartDigest, RegionConstraint, RequestAttempt, RequestClass},
 };
 
+/// Time for messages between the owner, the entry host and the engine, and for the engine's current step.
+const START_MARGIN: Duration = Duration::from_millis(10);
+
 /// The needs of one request that is to run at an engine of a pool.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
@@ -55,6 +58,12 @@
         self.wait.max(self.max_wait)
     }
 
+    /// Returns the time that it has left, after `waited`, until it must begin at an engine to be in time.
+    pub fn slack_after(&self, waited: Duration) -> Duration {
+        let needed = self.time_to_first_event.saturating_add(START_MARGIN).saturating_add(waited);
+        self.time_to_objective.min(self.time_to_deadline).saturating_sub(needed)
+    }
+
     /// Returns `true` if it may wait at all.
     pub fn may_wait(&self) -> bool {
         !self.longest_wait().is_zero()
--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -21,8 +21,6 @@
 
 /// Longest time for which a request may wait, whatever its entry host asks for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
-/// Time for messages between the owner, the entry host and the engine, and for the engine's current step.
-const START_MARGIN: Duration = Duration::from_millis(10);
 /// Factor by which an expected wait may be too long; requests that wait already are refused beyond it.
 const MAX_WAIT_ERROR: u32 = 2;
 /// Time after a refusal before which a caller that returns gets only what no waiting request can use; all are
@@ -52,10 +50,7 @@
     ) {
         let age = found.map(|it| it.age);
         let is_hasty = found.is_some_and(|it| it.pause < MIN_PAUSE);
-        let needed =
-            demand.time_to_first_event.saturating_add(START_MARGIN + age.unwrap_or_default());
-        let time_left = demand.time_to_objective.min(demand.time_to_deadline);
-        let slack = time_left.saturating_sub(needed);
+        let slack = demand.slack_after(age.unwrap_or_default());
         let is_ranked = demand.class.is_ranked;
         let is_late_return = age.is_some() && (!is_ranked || is_hasty || slack.is_zero());
         let shortfall = self.shares.shortfall(&demand, now);
--- a/src/placement/waiting_request.rs
+++ b/src/placement/waiting_request.rs
@@ -56,9 +56,7 @@
 
     /// Returns the time that it has left until it must begin.
     pub(crate) fn slack(&self, now: Instant) -> Duration {
-        let waited = now.saturating_duration_since(self.asked);
-        let needed = self.demand.time_to_first_event.saturating_add(waited);
-        self.demand.time_to_objective.saturating_sub(needed)
+        self.demand.slack_after(now.saturating_duration_since(self.first_asked))
     }
 
     /// Returns the time until its wait ends.
--- a/tests/queue_waits.rs
+++ b/tests/queue_waits.rs
@@ -138,3 +138,14 @@
     let Some(Admission::Refused(refusal)) = refused else { panic!("{refused:?}") };
     assert!(refusal.room_in > ms(300) && refusal.room_in < ms(1200), "{refusal:?}");
 }
+
+/// Guards against reporting slack that requests don't have: the wait regards the deadline and the messages too.
+#[test]
+fn slack_until_deadline() {
+    let now = Instant::now();
+    let mut cell = AdmissionCell::default();
+    let first =
+        Demand { time_to_deadline: ms(300), time_to_first_event: ms(100), ..demand(0, "pool") };
+    cell.request(id(0), first, &engines, now);
+    assert_eq!(cell.rank_counts()[&0].total_slack, ms(190));
+}
