Record the first waiting interval of a service

The interval was dropped when the rate was created. That has no visible effect, as requests are recorded when they arrive, so there is no test that fails before.

--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -92,10 +92,7 @@
             *since = request.asked.min(*since);
         }
         for (service, since) in waiting_since {
-            match self.drain_rates.get_mut(service) {
-                Some(rate) => rate.record_waiting(since, now),
-                None => drop(self.drain_rates.insert(service.clone(), DrainRate::default())),
-            }
+            self.drain_rates.entry(service.clone()).or_default().record_waiting(since, now);
         }
     }
 
