--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -21,8 +21,6 @@
 
 /// Longest time for which a request may wait, whatever its entry host asks for.
 const MAX_WAIT: Duration = Duration::from_secs(5);
-/// Time for messages between the owner, the entry host and the engine, and for the engine's current step.
-const START_MARGIN: Duration = Duration::from_millis(10);
 /// Factor by which an expected wait may be too long; requests that wait already are refused beyond it.
 const MAX_WAIT_ERROR: u32 = 2;
 /// Time after a refusal before which a caller that returns gets only what no waiting request can use; all are
@@ -52,16 +50,13 @@
     ) {
         let age = found.map(|it| it.age);
         let is_hasty = found.is_some_and(|it| it.pause < MIN_PAUSE);
-        let needed =
-            demand.time_to_first_event.saturating_add(START_MARGIN + age.unwrap_or_default());
-        let time_left = demand.time_to_objective.min(demand.time_to_deadline);
-        let slack = time_left.saturating_sub(needed);
+        let slack = demand.slack_after(age.unwrap_or_default());
         let is_ranked = demand.class.is_ranked;
         let is_late_return = age.is_some() && (!is_ranked || is_hasty || slack.is_zero());
         let shortfall = self.shares.shortfall(&demand, now);
         let wait = match shortfall {
             // A returning request is late; waiting, it would take the place of one that is not.
-            _ if is_late_return || demand.wait.is_zero() => Duration::ZERO,
+            _ if is_late_return || !demand.may_wait() => Duration::ZERO,
             _ if is_bound_to_wait(&demand) => demand.wait,
             Some(_) => demand.longest_wait(),
             None if is_ranked => demand.max_wait.min(slack),
@@ -97,10 +92,7 @@
             *since = request.asked.min(*since);
         }
         for (service, since) in waiting_since {
-            match self.drain_rates.get_mut(service) {
-                Some(rate) => rate.record_waiting(since, now),
-                None => drop(self.drain_rates.insert(service.clone(), DrainRate::default())),
-            }
+            self.drain_rates.entry(service.clone()).or_default().record_waiting(since, now);
         }
     }
 
@@ -166,10 +158,11 @@
     }
 
     fn time_until_room(&self, demand: &Demand) -> Duration {
-        let of_service = self.requests.iter().filter(|it| it.demand.service == demand.service);
-        let n_ahead = of_service.filter(|it| it.demand.rank <= demand.rank).count() as u32;
+        let of_service = || self.requests.iter().filter(|it| it.demand.service == demand.service);
+        let n_urgent = of_service().filter(|it| it.demand.rank < demand.rank).count() as u32;
+        let n_equal = of_service().filter(|it| it.demand.rank == demand.rank).count() as u32;
         let rate = self.drain_rates.get(&demand.service);
-        let wait = rate.and_then(|it| it.expected_wait(demand.rank, 0, n_ahead + 1));
+        let wait = rate.and_then(|it| it.expected_wait(demand.rank, n_urgent, n_equal + 1));
         wait.unwrap_or_default().clamp(MIN_RETURN_TIME, MAX_RETURN_TIME)
     }
 
@@ -185,7 +178,7 @@
             rate.record_grant(request.demand.rank);
         }
         // A request that asks several owners is refused only by the one at which it waits.
-        let is_decided = is_served || !request.demand.wait.is_zero();
+        let is_decided = is_served || request.demand.may_wait();
         if is_decided && !request.is_return && !request.demand.is_resumed {
             self.shares.record(&request.demand, is_served, now);
             match is_served {
@@ -205,6 +198,12 @@
         self.requests.iter()
     }
 
+    /// Returns the last waiting request of a service if more than `max_waiting` of them wait.
+    pub(crate) fn last_beyond(&self, service: &str, max_waiting: usize) -> Option<ReservationId> {
+        let of_service = || self.requests.iter().filter(|it| it.demand.service == service);
+        of_service().nth(max_waiting).and_then(|_| of_service().last()).map(|it| it.id)
+    }
+
     /// Returns the number of waiting requests.
     pub(crate) fn len(&self) -> usize {
         self.requests.len()
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -7,11 +7,11 @@
     time::{Duration, Instant},
 };
 
-use cold_pool::{address, cold_servers, ms, server, COLD_MS, SLOTS};
+use cold_pool::{address, cold_servers, cold_servers_with, ms, server, COLD_MS, SLOTS};
 use crocustiller::{
     placement::{
         Admission, AdmissionCell, CellEngine, ColdServers, ColdState, Demand, EntryShare,
-        ReservationId,
+        RateLimit, ReservationId,
     },
     routing::BackendServer,
 };
@@ -167,6 +167,40 @@
     }
 }
 
+/// Guards against a plain service that no host may send to while all its servers are cold, as they bear less
+/// than a request per second.
+#[test]
+fn less_than_one_per_second() {
+    let now = Instant::now();
+    let entry = server("i-0", "plain", 1, ms(COLD_MS));
+    let mut n_begun = 0;
+    for own in 1..=38 {
+        let share = || EntryShare { own: address(own), others: (1..=38).map(address).collect() };
+        let mut cold = cold_servers_with(0.5);
+        list(&mut cold, std::slice::from_ref(&entry), now);
+        for at in [0, 1900] {
+            let mut servers = vec![&entry];
+            cold.retain_within_share(&mut servers, share, now + ms(at));
+            n_begun += servers.len();
+            servers.iter().for_each(|it| cold.record_own(&it.id, share, now + ms(at)));
+        }
+    }
+    assert_eq!(n_begun, 1, "one host, one request in 2 s");
+}
+
+/// Guards against the end of all entry hosts by a rate so low that its interval overflows.
+#[test]
+fn tiny_rates() {
+    for n_requests in [1e-20, 1e-300, f64::MIN_POSITIVE, 0.0] {
+        let limit = RateLimit::per_second(n_requests);
+        assert_eq!((limit.interval, limit.burst), (ms(86_400_000), 1), "{n_requests}");
+    }
+    let mut cold = cold_servers_with(1e-20);
+    let now = Instant::now();
+    list(&mut cold, &[server("i-0", "pool", 1, ms(COLD_MS))], now);
+    assert!(cold.owner_limit("i-0", now).is_some_and(|it| it.is_binding));
+}
+
 /// In calm operation a pool whose charter names a cold start admits the same requests as any other.
 #[test]
 fn warm_pool_keeps_capacity() {
