--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -201,7 +201,7 @@
     /// Returns the last waiting request of a service if more than `max_waiting` of them wait.
     pub(crate) fn last_beyond(&self, service: &str, max_waiting: usize) -> Option<ReservationId> {
         let of_service = || self.requests.iter().filter(|it| it.demand.service == service);
-        of_service().nth(max_waiting).and_then(|_| of_service().last()).map(|it| it.id)
+        of_service().nth(max_waiting).and_then(|_| of_service().next_back()).map(|it| it.id)
     }
 
     /// Returns the number of waiting requests.
