Keep evictions that coincide with the start of a wait

Servers of processes without a platform run on several threads. Between the entry of a wait into the port's state and the note of its number, another thread could evict the connection; the notification found no number and was lost, and the connection could never be evicted again. A connection evicted while its wait begins anew was lost in the same way.

The number's lock is taken first and kept while the state changes. Not covered by a test: the race has no point at which a test could stop a thread.

--- a/src/http1/port_connections.rs
+++ b/src/http1/port_connections.rs
@@ -37,7 +37,8 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionSlot {
     connections: Arc<PortConnections>,
-    /// Absent while a request is being served.
+    /// Absent while a request is being served. Locked before the state of the port and together with it:
+    /// another thread may evict the connection as soon as the wait is in that state.
     wait: Mutex<Option<WaitNumber>>,
     evicted: Arc<Event>,
 }
@@ -100,20 +101,24 @@
 impl ConnectionSlot {
     /// Records that a complete request is being served, so that the connection isn't closed for others.
     pub(crate) fn begin_exchange(&self) {
-        if let Some(wait) = self.wait.lock().unwrap().take() {
+        let mut wait = self.wait.lock().unwrap();
+        if let Some(wait) = wait.take() {
             self.connections.state().waiting.remove(&wait);
         }
     }
 
-    /// Records that the connection waits for its client from now on.
+    /// Records that the connection waits for its client from now on, unless it has been evicted in its
+    /// present wait.
     pub(crate) fn begin_wait(&self) {
-        self.begin_exchange();
+        let mut wait = self.wait.lock().unwrap();
         let mut state = self.connections.state();
-        let wait = state.n_waits;
+        if wait.is_some_and(|it| state.waiting.remove(&it).is_none()) {
+            return;
+        }
+        let next = state.n_waits;
         state.n_waits += 1;
-        state.waiting.insert(wait, self.evicted.clone());
-        drop(state);
-        *self.wait.lock().unwrap() = Some(wait);
+        state.waiting.insert(next, self.evicted.clone());
+        *wait = Some(next);
     }
 
     /// Waits until the connection must be closed for another one.
@@ -128,7 +133,7 @@
     }
 
     fn is_evicted(&self) -> bool {
-        let wait = *self.wait.lock().unwrap();
+        let wait = self.wait.lock().unwrap();
         wait.is_some_and(|it| !self.connections.state().waiting.contains_key(&it))
     }
 }
