Evict a connection only when descriptors run out

The servers of processes without a platform closed a waiting connection after each failed accept, also for a client that went away before. They now share the condition of the other ports (EMFILE, ENFILE).

--- a/src/http1/acceptor.rs
+++ b/src/http1/acceptor.rs
@@ -60,6 +60,8 @@
     slot.wait_until_evicted().or(serve).await;
 }
 
-fn is_out_of_descriptors(err: &io::Error) -> bool {
+/// Returns `true` if an accept failed as the process or the system has no descriptors left, so that closing
+/// a connection helps.
+pub(crate) fn is_out_of_descriptors(err: &io::Error) -> bool {
     matches!(err.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
 }
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -20,7 +20,7 @@
 mod port_connections;
 
 pub(crate) use crate::http1::{
-    acceptor::accept_all,
+    acceptor::{accept_all, is_out_of_descriptors},
     connection_limits::{descriptor_limit, MAX_DESCRIPTORS},
     port_connections::{ConnectionSlot, PortConnections},
 };
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -19,7 +19,7 @@
 use quick_error::quick_error;
 
 use crate::{
-    http1::PortConnections,
+    http1::{is_out_of_descriptors, PortConnections},
     net::server_connection::ServerConnection,
     runtime::{self, TimedOut},
 };
@@ -167,11 +167,15 @@
 
 async fn accept_loop(listener: TcpListener, handler: Handler, counts: Arc<ServerCounts>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // There may be no descriptors left.
-            counts.connections.evict_oldest();
-            runtime::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                if is_out_of_descriptors(&err) {
+                    counts.connections.evict_oldest();
+                }
+                runtime::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
         let Some(slot) = counts.connections.admit() else { continue };
         let (handler, counts) = (handler.clone(), counts.clone());
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -16,7 +16,7 @@
 use tokio_util::codec::Framed;
 
 use crate::{
-    http1::{ConnectionLimits, ConnectionSlot, PortConnections},
+    http1::{is_out_of_descriptors, ConnectionLimits, ConnectionSlot, PortConnections},
     peer::{
         counted_stream::CountedStream,
         handshake::{self, PeerKey},
@@ -85,11 +85,15 @@
     let max_connections = MAX_CONNECTIONS.min(ConnectionLimits::of_this_process().peers);
     let connections = PortConnections::new("peer", max_connections);
     loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            // There may be no descriptors left.
-            connections.evict_oldest();
-            runtime::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                if is_out_of_descriptors(&err) {
+                    connections.evict_oldest();
+                }
+                runtime::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
         let Some(slot) = connections.admit() else { continue };
         let (key, counters, service) = (key.clone(), counters.clone(), service.clone());
