Give back the charge of an unsent request to a cold server

A reservation made without an owner is charged to this host's share of what a cold server bears. The charge stayed when nothing was sent, such as for a hedged call beyond the allowance, so that a cold server got fewer requests than it bears. The reservation notes whether it was charged and gives the charge back if its outcome is Unsent; so does a grant whose engine this host must not use.

In tests/cold_servers.rs a closure becomes a loop, as record_own returns a value now.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -44,6 +44,8 @@
     pub(crate) version: Option<WeightsVersion>,
     /// Its load before this reservation.
     pub(crate) load: Load,
+    /// Whether it is charged to this host's share of a cold engine, as no owner is known.
+    pub(crate) is_own_charged: bool,
 }
 
 /// The answer of an owner.
@@ -89,7 +91,10 @@
         let (number, answer) = match message {
             AdmissionMessage::Granted { number, engine, version, n_requests, unread_tokens } => {
                 let load = Load { n_requests, unread_tokens };
-                (number, Answer::Granted(Grant { number, engine, version, load }))
+                (
+                    number,
+                    Answer::Granted(Grant { number, engine, version, load, is_own_charged: false }),
+                )
             }
             AdmissionMessage::Refused { number, reason } => (number, Answer::Refused(reason)),
             _ => return,
@@ -256,13 +261,13 @@
     cold_servers.retain_unowned(&mut candidates, || host.entry_share(), now);
     candidates.retain(|it| is_unused(&it.address));
     let engine = fastrand::choice(candidates).ok_or(ReservationError::NoBackend)?.id.clone();
-    cold_servers.record_own(&engine, || host.entry_share(), now);
+    let is_own_charged = cold_servers.record_own(&engine, || host.entry_share(), now);
     let number = host.admission.take_number();
     let owner = host.engine_owners.address(host, &engine).unwrap_or(host.settings.peers);
     host.admission.hold(number, owner, &engine, demand.prompt_tokens);
     log::info!("cell: no owner is known, reserved without one backend={engine}");
     let version = version_served(host, &engine);
-    Ok(Grant { number, engine, version, load: Load::default() })
+    Ok(Grant { number, engine, version, load: Load::default(), is_own_charged })
 }
 
 async fn ask(host: &Rc<EntryHost>, owner: &HostId, demand: &Demand) -> Answer {
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -52,6 +52,8 @@
     model: Option<String>,
     /// Number of the reservation at its owner; `None` for a backend server of a plain service.
     number: Option<ReservationNumber>,
+    /// Whether it is charged to this host's share of a cold backend server, as no owner decided on it.
+    is_own_charged: bool,
     outcome: Cell<ServiceOutcome>,
     /// Whether the backend server may have got the request.
     is_sent: Cell<bool>,
@@ -154,6 +156,9 @@
         let is_too_old = grant.version.is_some_and(|it| it < oldest);
         let Some(server) = server.filter(|_| !is_too_old) else {
             host.admission.release(host, grant.number, ServiceOutcome::Unsent);
+            if grant.is_own_charged {
+                host.cold_servers.borrow_mut().give_back_own(&grant.engine);
+            }
             return None;
         };
         host.request_counts.borrow_mut().begin(server.address);
@@ -168,6 +173,7 @@
             expected_version: grant.version.filter(|_| oldest > 0),
             model: requirements.model.clone(),
             number: Some(grant.number),
+            is_own_charged: grant.is_own_charged,
             outcome: Cell::new(ServiceOutcome::Unknown),
             is_sent: Cell::new(false),
             plain_call: None,
@@ -213,7 +219,7 @@
         let server = usable[idx];
         let load = Load { n_requests: counts.get(&server.address), unread_tokens: 0 };
         counts.begin(server.address);
-        cold_servers.record_own(&server.id, || host.entry_share(), now);
+        let is_own_charged = cold_servers.record_own(&server.id, || host.entry_share(), now);
         host.server_notices.note_begun(server);
         Ok(Reservation {
             host: host.clone(),
@@ -225,6 +231,7 @@
             expected_version: None,
             model: None,
             number: None,
+            is_own_charged,
             outcome: Cell::new(ServiceOutcome::Unknown),
             is_sent: Cell::new(false),
             plain_call: Some(PlainCall::new(&host.plain_servers, &server.id, &requirements.route)),
@@ -304,5 +311,8 @@
         if let Some(number) = self.number {
             self.host.admission.release(&self.host, number, outcome);
         }
+        if self.is_own_charged && matches!(outcome, ServiceOutcome::Unsent) {
+            self.host.cold_servers.borrow_mut().give_back_own(&self.backend);
+        }
     }
 }
--- a/src/placement/cold_servers.rs
+++ b/src/placement/cold_servers.rs
@@ -209,14 +209,25 @@
         self.n_held_back += u64::from(servers.is_empty());
     }
 
-    /// Records a request that this host sends to a server without asking an owner.
-    pub fn record_own(&mut self, server: &str, share: impl FnOnce() -> EntryShare, now: Instant) {
+    /// Records a request that this host sends to a server without asking an owner; returns `true` if it
+    /// is charged to this host's share, as the server is cold or may be.
+    pub fn record_own(
+        &mut self,
+        server: &str,
+        share: impl FnOnce() -> EntryShare,
+        now: Instant,
+    ) -> bool {
         if self.state(server, now) == ColdState::Warm {
-            return;
-        }
-        if let Some(limit) = self.own_limit(server, &share()) {
-            self.own_grants.record(server, &limit, now);
+            return false;
         }
+        let Some(limit) = self.own_limit(server, &share()) else { return false };
+        self.own_grants.record(server, &limit, now);
+        true
+    }
+
+    /// Takes back a request that `record_own` charged and that was not sent.
+    pub fn give_back_own(&mut self, server: &str) {
+        self.own_grants.give_back(server);
     }
 
     /// Returns `true` if servers of any service start cold.
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -160,13 +160,40 @@
                 let mut servers = vec![&entries[0]];
                 cold.retain_within_share(&mut servers, share, now + ms(at));
                 n_begun += servers.len();
-                servers.iter().for_each(|it| cold.record_own(&it.id, share, now + ms(at)));
+                for server in &servers {
+                    cold.record_own(&server.id, share, now + ms(at));
+                }
             }
         }
         assert_eq!(n_begun, n_max);
     }
 }
 
+/// Guards against charging a cold server for a reservation that is given up before anything is sent, such
+/// as one for a hedged call beyond the allowance.
+#[test]
+fn unsent_requests_are_given_back() {
+    let now = Instant::now();
+    let entry = server("i-0", "plain", 1, ms(COLD_MS));
+    let share = || EntryShare { own: address(1), others: vec![address(1)] };
+    let mut cold = cold_servers();
+    list(&mut cold, std::slice::from_ref(&entry), now);
+    let is_due = |cold: &mut ColdServers| {
+        let mut servers = vec![&entry];
+        cold.retain_within_share(&mut servers, share, now);
+        !servers.is_empty()
+    };
+    assert!(!cold.record_own("i-1", share, now), "an unknown server isn't limited");
+    let mut n_sent = 0;
+    while is_due(&mut cold) {
+        assert!(cold.record_own("i-0", share, now));
+        n_sent += 1;
+    }
+    assert!(n_sent > 0);
+    cold.give_back_own("i-0");
+    assert!(is_due(&mut cold));
+}
+
 /// In calm operation a pool whose charter names a cold start admits the same requests as any other.
 #[test]
 fn warm_pool_keeps_capacity() {
