Learn lost evacuations where all others are applied

beacon_exchange had its own copy of the consequences of a changed evacuation, which left idle connections to the evacuated zone open. evacuations::learn goes through the common function.

--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -14,12 +14,10 @@
 use crate::{
     clock,
     entry::{crash_reports, datagrams, entry_host::EntryHost},
-    fleet::{beacon_interval, Beacon, LostEvacuation, PeerMessage},
+    fleet::{beacon_interval, Beacon, PeerMessage},
     runtime,
 };
 
-/// Time after its start for which a host learns evacuations from others.
-const LEARNING_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of representatives of a zone.
 const MAX_REPRESENTATIVES: usize = 4;
 
@@ -72,20 +70,6 @@
     host.refresh_peers();
 }
 
-/// Learns the evacuations that the store has lost, if this host has just started: any other one has seen
-/// itself what the store had.
-pub(crate) fn learn_evacuations(host: &EntryHost, lost: &[LostEvacuation]) {
-    let is_watched = host.settings.bounds.evacuation.is_some();
-    if !is_watched || host.started.elapsed() >= LEARNING_TIME {
-        return;
-    }
-    let has_changed = host.evacuated.borrow_mut().learn(lost, Instant::now());
-    if has_changed {
-        host.allowed_changed.notify(usize::MAX);
-        host.cell_owner.decide_waiting(host);
-    }
-}
-
 /// Sends a beacon to a host that has just started, if it is one that gets this host's beacons.
 fn send_at_once(host: &EntryHost, target: SocketAddr) {
     let (near, far) = targets(host);
--- a/src/entry/evacuations.rs
+++ b/src/entry/evacuations.rs
@@ -1,17 +1,23 @@
 //! Keeps the evacuated zones of an entry host up to date with the store, if the platform evacuates
 //! zones.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use async_executor::Task;
 
 use crate::{
     entry::{entry_host::EntryHost, store_sync},
-    fleet::{EvacuatedZones, KindUpdate, StoreRetry},
+    fleet::{EvacuatedZones, KindUpdate, LostEvacuation, StoreRetry},
     platform::wire_evacuation,
     runtime,
 };
 
+/// Time after its start for which a host learns evacuations from others.
+const EVACUATION_LEARNING_TIME: Duration = Duration::from_secs(3);
+
 /// Starts to watch the evacuations; `None` if the settings have no bound for them.
 pub(crate) fn start(host: &Rc<EntryHost>, retry: &StoreRetry) -> Option<Task<()>> {
     host.settings.bounds.evacuation?;
@@ -25,6 +31,15 @@
     change(host, |it| it.apply(update, generation, Instant::now()));
 }
 
+/// Learns the evacuations that the store has lost, if this host has just started: any other one has seen
+/// itself what the store had.
+pub(crate) fn learn(host: &EntryHost, lost: &[LostEvacuation]) {
+    let is_watched = host.settings.bounds.evacuation.is_some();
+    if is_watched && host.started.elapsed() < EVACUATION_LEARNING_TIME {
+        change(host, |it| it.learn(lost, Instant::now()));
+    }
+}
+
 /// Ends the evacuations whose entries were lost with the store and not written again.
 pub(crate) fn expire(host: &EntryHost) {
     change(host, |it| it.expire(Instant::now()));
