--- a/src/daemon/components.rs
+++ b/src/daemon/components.rs
@@ -143,7 +143,9 @@
     };
     let max_connections = max_connections.min(node.settings.limits.max_connections);
     let limits = ServerLimits { max_connections };
-    HttpServer::bind(address, limits, handler).await.map_err(|err| StartError::Listen(key, err))
+    HttpServer::bind_port(key, address, limits, handler)
+        .await
+        .map_err(|err| StartError::Listen(key, err))
 }
 
 fn spawn_backend_driver(
--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -68,15 +68,26 @@
 }
 
 impl HttpServer {
-    /// Listens on `address` and serves requests with `handler` until closed or dropped.
+    /// Listens on `address` as the port `request`; see `bind_port`.
     pub async fn bind(
         address: SocketAddr,
         limits: ServerLimits,
         handler: Handler,
+    ) -> io::Result<HttpServer> {
+        HttpServer::bind_port("request", address, limits, handler).await
+    }
+
+    /// Listens on `address` and serves requests with `handler` until closed or dropped; metrics and log
+    /// lines name the port `port`.
+    pub async fn bind_port(
+        port: &'static str,
+        address: SocketAddr,
+        limits: ServerLimits,
+        handler: Handler,
     ) -> io::Result<HttpServer> {
         let listener = TcpListener::try_from(crate::net::listen::listen(address)?)?;
         let address = listener.local_addr()?;
-        let connections = PortConnections::new("http", limits.max_connections);
+        let connections = PortConnections::new(port, limits.max_connections);
         let counts = Arc::new(ServerCounts { connections, exchanges: AtomicUsize::new(0) });
         let accept_task = runtime::spawn(accept_loop(listener, handler, counts.clone()));
         Ok(HttpServer { address, counts, accept_task })
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -83,7 +83,7 @@
     shutdown_receiver: Receiver<()>,
 ) {
     let max_connections = MAX_CONNECTIONS.min(ConnectionLimits::of_this_process().peers);
-    let connections = PortConnections::new("peer", max_connections);
+    let connections = PortConnections::new("peers", max_connections);
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
--- a/tests/log_repeats.rs
+++ b/tests/log_repeats.rs
@@ -4,6 +4,27 @@
 
 use crocustiller::logging::{RepeatDecision, RepeatLimiter};
 
+/// Guards against a line for each connection of clients that misbehave: one in 10 s for each port and
+/// outcome.
+#[test]
+fn refused_connections() {
+    let start = Instant::now();
+    let mut limiter = RepeatLimiter::default();
+    let mut n_logged = 0;
+    for number in 0..100 {
+        for (port, outcome) in
+            [("callers", "evicted"), ("callers", "refused"), ("peers", "refused")]
+        {
+            let message =
+                format!("http: too many connections port={port} max=100 outcome={outcome}");
+            let decision = limiter.decide(&message, start + Duration::from_millis(99 * number));
+            n_logged += u32::from(decision != RepeatDecision::Suppress);
+        }
+    }
+    assert_eq!(n_logged, 3);
+}
+
+/// Guards against a fault that floods the log as it repeats, and against hiding another one.
 #[test]
 fn repeats_are_suppressed_and_counted() {
     let cases = [
