Write changes of cold servers as fields

The line had 'warm again=', which isn't a key=value field. The test that waits for the line looks for the new field. The urgent kinds are two constants instead of a slice by a count.

--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -39,10 +39,11 @@
 /// Time over which changes of the charter are batched, as its transfer may occupy the link of a
 /// small host for a tenth of a second.
 const CHARTER_BATCH_INTERVAL: Duration = Duration::from_millis(250);
-/// The kinds whose changes must be in force soonest; the last one only if the platform evacuates zones.
-const URGENT_KINDS: [&str; 3] =
+/// The kinds whose changes must be in force soonest.
+const URGENT_KINDS: [&str; 2] = [wire_server::SERVER_KIND, wire_config::CONFIG_KIND];
+/// The same if the platform evacuates zones.
+const URGENT_KINDS_WITH_EVACUATIONS: [&str; 3] =
     [wire_server::SERVER_KIND, wire_config::CONFIG_KIND, wire_evacuation::EVACUATION_KIND];
-const N_URGENT_WITHOUT_EVACUATIONS: usize = 2;
 /// Mean interval between two probes of the store.
 const STORE_PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -79,8 +80,8 @@
     let sources = host.sources.clone();
     let listed = wire_server::VERSION_KIND;
     let urgent = match host.settings.bounds.evacuation {
-        Some(_) => URGENT_KINDS.as_slice(),
-        None => &URGENT_KINDS[..N_URGENT_WITHOUT_EVACUATIONS],
+        Some(_) => URGENT_KINDS_WITH_EVACUATIONS.as_slice(),
+        None => URGENT_KINDS.as_slice(),
     };
     let probe = StoreProbe::new(sources, listed, urgent, STORE_PROBE_INTERVAL, retry.clone());
     let probe = runtime::spawn_local(probe.run());
@@ -205,7 +206,7 @@
     cold_servers.update_servers(host.backends.borrow().iter(), renewed, now);
     let ColdChanges { limited, warm } = cold_servers.take_changes(now);
     if !limited.is_empty() || !warm.is_empty() {
-        log::info!("cold: servers are or may be cold={limited:?} warm again={warm:?}");
+        log::info!("cold: servers changed limited={limited:?} warm={warm:?}");
     }
 }
 
--- a/tests/cold_entries.rs
+++ b/tests/cold_entries.rs
@@ -49,7 +49,7 @@
         assert_eq!(server.requests().len(), served, "{service}: cold");
         entry["cold-left-ms"] = json!(0);
         store.put("servers", "server-1", entry);
-        wait_for_lines(&host, &["cold: ", "warm again=[\"server-1\"]"]);
+        wait_for_lines(&host, &["cold: ", "warm=[\"server-1\"]"]);
         // Until its rate has risen.
         thread::sleep(Duration::from_millis(2100));
         assert_eq!(n_served(&host, path), N_REQUESTS, "{service}: warm");
