Tidy names, constants and doc comments

One STARTING_RETRY_AFTER instead of two, plain_servers instead of seen, yield_to_given_up instead of let_given_up_end, and shares of descriptors as sixteenths. The counter of accepted connections wraps instead of overflowing. The docs of the port's connections say which ports record no exchanges; those of the 200 reserved descriptors say that the number is an assumption, as no source gives a reason.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -275,7 +275,7 @@
             lease.wait_until_given_up().await;
             Err(HttpError::BuffersFull)
         };
-        lease.let_given_up_end().await;
+        lease.yield_to_given_up().await;
         if !given_up.or(reader.read(connection, blocks.last_block())).await? {
             return Ok(BufferedBody::new(blocks, lease));
         }
--- a/src/entry/plain_call.rs
+++ b/src/entry/plain_call.rs
@@ -13,7 +13,7 @@
 
 /// A call that is sent or will be; dropping it records that its latency stays unknown.
 pub(crate) struct PlainCall {
-    seen: Rc<RefCell<PlainServers>>,
+    plain_servers: Rc<RefCell<PlainServers>>,
     backend: BackendId,
     route: RouteId,
     /// Present while the call is in flight.
@@ -23,12 +23,12 @@
 impl PlainCall {
     /// Creates a call that is not sent yet.
     pub(crate) fn new(
-        seen: &Rc<RefCell<PlainServers>>,
+        plain_servers: &Rc<RefCell<PlainServers>>,
         backend: &BackendId,
         route: &RouteId,
     ) -> PlainCall {
         PlainCall {
-            seen: seen.clone(),
+            plain_servers: plain_servers.clone(),
             backend: backend.clone(),
             route: route.clone(),
             number: Cell::new(None),
@@ -38,25 +38,25 @@
     /// Takes a hedged request to the server from the allowance of this host, if the server is expected
     /// to respond before `time_to_objective` is over.
     pub(crate) fn try_hedge(&self, time_to_objective: Duration) -> bool {
-        let mut seen = self.seen.borrow_mut();
-        seen.try_hedge(&self.backend, &self.route, time_to_objective, Instant::now())
+        let mut plain_servers = self.plain_servers.borrow_mut();
+        plain_servers.try_hedge(&self.backend, &self.route, time_to_objective, Instant::now())
     }
 
     /// Records whether the server may have got the call.
     pub(crate) fn record_sent(&self, is_sent: bool) {
-        let mut seen = self.seen.borrow_mut();
+        let mut plain_servers = self.plain_servers.borrow_mut();
         if is_sent {
-            self.number.set(Some(seen.begin(&self.backend, &self.route, Instant::now())));
+            self.number.set(Some(plain_servers.begin(&self.backend, &self.route, Instant::now())));
         } else if let Some(number) = self.number.take() {
-            seen.record_unsent(&self.backend, number);
+            plain_servers.record_unsent(&self.backend, number);
         }
     }
 
     /// Records that the response is complete.
     pub(crate) fn record_response(&self) {
         if let Some(number) = self.number.take() {
-            let mut seen = self.seen.borrow_mut();
-            seen.record_response(&self.backend, number, Instant::now());
+            let mut plain_servers = self.plain_servers.borrow_mut();
+            plain_servers.record_response(&self.backend, number, Instant::now());
         }
     }
 }
@@ -64,8 +64,8 @@
 impl Drop for PlainCall {
     fn drop(&mut self) {
         if let Some(number) = self.number.take() {
-            let mut seen = self.seen.borrow_mut();
-            seen.record_lost(&self.backend, number, Instant::now());
+            let mut plain_servers = self.plain_servers.borrow_mut();
+            plain_servers.record_lost(&self.backend, number, Instant::now());
         }
     }
 }
--- a/src/entry/request_routing.rs
+++ b/src/entry/request_routing.rs
@@ -9,6 +9,7 @@
         cut_reason::CutReason,
         error_response::ErrorResponse,
         exchange::{ConnectionReuse, Exchange},
+        reservation_error::STARTING_RETRY_AFTER,
     },
     ids::ServiceId,
     placement::can_finish_before_exit,
@@ -18,8 +19,6 @@
 
 /// Time after the deadline for which the engine's own response is still accepted.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(40);
-/// Value of `Retry-After` in the response of a host that has no charter yet.
-const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Where the charter sends a request, and whose it is.
 struct Destination<'a> {
--- a/src/entry/reservation_error.rs
+++ b/src/entry/reservation_error.rs
@@ -20,7 +20,7 @@
 /// Value of `Retry-After` if the charter allows no region; only its next change helps.
 const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Value of `Retry-After` in the response of a host that has just started.
-const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(crate) const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Share of `Retry-After` over which callers that are refused at the same time are spread.
 const RETURN_SPREAD: f64 = 0.5;
 /// The number of nanoseconds in the unit to which `Retry-After` is rounded.
--- a/src/http1/acceptor.rs
+++ b/src/http1/acceptor.rs
@@ -25,7 +25,7 @@
     connections: Arc<PortConnections>,
     serve: impl Fn(Connection, Arc<ConnectionSlot>) -> F,
 ) {
-    let mut n_accepted = 0;
+    let mut n_accepted: u32 = 0;
     loop {
         let accepted = match listener.accept().await {
             Ok((stream, _)) => Connection::new(stream),
@@ -42,7 +42,7 @@
                 continue;
             }
         };
-        n_accepted += 1;
+        n_accepted = n_accepted.wrapping_add(1);
         let ends_turn = connections.is_full() || n_accepted % ACCEPTS_PER_TURN == 0;
         if let Some(slot) = connections.admit() {
             runtime::spawn_local(serve_until_evicted(serve(connection, slot.clone()), slot))
--- a/src/http1/connection_limits.rs
+++ b/src/http1/connection_limits.rs
@@ -8,19 +8,20 @@
 
 /// Greatest number of descriptors of a process.
 pub(crate) const MAX_DESCRIPTORS: u64 = 1 << 30;
-/// Descriptors that the platform needs for itself in each process.
+/// Descriptors that the platform needs for itself in each process. The number is an assumption, as
+/// docs/PLATFORM.md states none.
 const SYSTEM_DESCRIPTORS: u64 = 200;
 /// Greatest share of all descriptors that are left to the platform where there are only a few.
 const MAX_SYSTEM_SHARE: f64 = 0.25;
 /// Share of the others for connections of callers.
-const CALLERS_SHARE: f64 = 0.5;
+const CALLERS_SHARE: f64 = 8.0 / 16.0;
 /// Share for connections of other processes, which watch the store through this one.
-const PEERS_SHARE: f64 = 0.1875;
+const PEERS_SHARE: f64 = 3.0 / 16.0;
 /// Share for queries of the directory.
-const DIRECTORY_SHARE: f64 = 0.0625;
+const DIRECTORY_SHARE: f64 = 1.0 / 16.0;
 /// Share for readiness checks, and for metrics. All shares leave 3 of 16 for connections that this process
 /// opens.
-const CHECKS_SHARE: f64 = 0.03125;
+const CHECKS_SHARE: f64 = 0.5 / 16.0;
 
 /// The number of connections that each port of a process may have open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/http1/port_connections.rs
+++ b/src/http1/port_connections.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: clients keep connections idle, send requests that never end, or read no responses. The
 //! connection that has waited longest is closed, so that the next client is served; one whose request is
-//! being served never is.
+//! being served never is. Ports with small responses that are made at once (readiness, directory, metrics)
+//! don't record exchanges: their connections wait all the time, also while a response is written.
 
 use std::{
     collections::BTreeMap,
--- a/src/memory/buffer_lease.rs
+++ b/src/memory/buffer_lease.rs
@@ -42,8 +42,8 @@
     }
 
     /// Lets the tasks run whose buffers were given up, so that they drop the bytes.
-    pub async fn let_given_up_end(&self) {
-        self.buffers.let_given_up_end().await;
+    pub async fn yield_to_given_up(&self) {
+        self.buffers.yield_to_given_up().await;
     }
 
     /// Waits until the buffer is given up for another one; its bytes must then be dropped.
--- a/src/memory/buffers.rs
+++ b/src/memory/buffers.rs
@@ -91,7 +91,7 @@
 
     /// Lets other tasks run if buffers were given up that may still be in memory. Many tasks at once with
     /// bytes ready would otherwise all read before one of those drops its bytes.
-    pub(crate) async fn let_given_up_end(&self) {
+    pub(crate) async fn yield_to_given_up(&self) {
         if !self.shared.undropped.borrow().is_empty() {
             future::yield_now().await;
         }
