Name the tests of invalid statuses so, say what tests guard against

tests/odd_statuses.rs becomes invalid_statuses.rs; its checks are unchanged but for the text of a body of the same length. Each test there, in uneven_servers, hedged_calls and charter_check has a comment that says which failure it guards against.

--- a/tests/charter_check.rs
+++ b/tests/charter_check.rs
@@ -80,7 +80,8 @@
     }
 }
 
-/// Differences alone are no findings; a number that the entry hosts ignore is one.
+/// Guards against a difference that is missed or taken for a finding, and against a number that the entry
+/// hosts ignore.
 #[test]
 fn differences_from_the_one_in_force() {
     let checker = Checker::new();
@@ -123,6 +124,7 @@
     assert!(!String::from_utf8_lossy(&output.stdout).contains("secret-key"));
 }
 
+/// Guards against a report of no findings for input that wasn't read.
 #[test]
 fn unreadable_input() {
     let checker = Checker::new();
--- a/tests/hedged_calls.rs
+++ b/tests/hedged_calls.rs
@@ -48,6 +48,7 @@
     panic!("the late server got no call");
 }
 
+/// Guards against a repeatable call that waits for its late server alone, or is sent more than once again.
 #[test]
 fn repeatable_call_is_hedged() {
     let (deployment, servers) = start("stock");
--- a/tests/invalid_statuses.rs
+++ b/tests/invalid_statuses.rs
@@ -19,12 +19,12 @@
 
 /// Starts a server whose responses have this status and look sound otherwise; one says that the request
 /// was not run, which such a response can't promise.
-fn odd_server(status: &'static str, extra_headers: &'static str) -> ScriptedServer {
+fn invalid_server(status: &'static str, extra_headers: &'static str) -> ScriptedServer {
     ScriptedServer::start(move |request: &RawRequest| {
         let id = request.header("x-request-id").unwrap_or("");
         let response = format!(
             "HTTP/1.1 {status} OK\r\nX-Request-Id: {id}\r\nX-Server-Stamp: stamp-{id}\r\n\
-             {extra_headers}Content-Length: 3\r\n\r\nodd"
+             {extra_headers}Content-Length: 3\r\n\r\nbad"
         );
         vec![Step::Send(response.into_bytes())]
     })
@@ -47,19 +47,19 @@
     response.status() == 502 && response.text().contains("X-Verdict: may-have-run")
 }
 
-/// A repeatable call goes to the other server, and the odd one is ejected.
+/// Guards against failing a call that the other server can serve, and against keeping the invalid server.
 #[test]
 fn repeatable_call() {
     for status in STATUSES {
         let sound = ScriptedServer::start(complete_response("sound")).unwrap();
-        let odd = odd_server(status, "");
-        let deployment = Deployment::start("ledger", &[&odd, &sound]);
+        let invalid = invalid_server(status, "");
+        let deployment = Deployment::start("ledger", &[&invalid, &sound]);
         for number in 0..30 {
             let call = request("GET", "/stock/1", &format!("call-{number}"), "");
             let response = deployment.entry.exchange(&call);
             assert_eq!(response.status(), 200, "{status}: {}", response.text());
         }
-        assert!(!odd.requests().is_empty());
+        assert!(!invalid.requests().is_empty());
         let ejected = "health: ejected a backend server backend=ledger-0";
         assert!(deployment.entry.logs(ejected), "{status}");
     }
@@ -70,21 +70,21 @@
 fn call_that_must_not_be_repeated() {
     for status in STATUSES {
         for extra_headers in ["", "X-Not-Run: 1\r\n"] {
-            let odd = [(); 2].map(|()| odd_server(status, extra_headers));
-            let deployment = Deployment::start("ledger", &[&odd[0], &odd[1]]);
+            let invalid = [(); 2].map(|()| invalid_server(status, extra_headers));
+            let deployment = Deployment::start("ledger", &[&invalid[0], &invalid[1]]);
             let response = deployment.entry.exchange(&request("POST", "/hold/1", "once", ""));
             assert!(is_lost(&response), "{status}: {}", response.text());
-            assert_eq!(odd[0].requests().len() + odd[1].requests().len(), 1, "{status}");
+            assert_eq!(invalid[0].requests().len() + invalid[1].requests().len(), 1, "{status}");
         }
     }
 }
 
 /// Guards against refusing a request as one that crashes servers, as none of them broke a connection.
 #[test]
-fn odd_status_is_no_crash() {
-    let odd = [(); 4].map(|()| odd_server("000", ""));
-    let deployment = Deployment::start("ledger", &[&odd[0]]);
-    for (idx, server) in odd.iter().enumerate() {
+fn invalid_status_is_no_crash() {
+    let invalid = [(); 4].map(|()| invalid_server("000", ""));
+    let deployment = Deployment::start("ledger", &[&invalid[0]]);
+    for (idx, server) in invalid.iter().enumerate() {
         let entry = server_entry("ledger", server.address(), "ready");
         deployment.store.put("servers", &format!("ledger-{idx}"), entry);
         for number in 0..50 {
@@ -105,25 +105,27 @@
 #[test]
 fn connection_is_closed() {
     for status in STATUSES {
-        let odd = odd_server(status, "");
-        let deployment = Deployment::start("ledger", &[&odd]);
+        let invalid = invalid_server(status, "");
+        let deployment = Deployment::start("ledger", &[&invalid]);
         for id in ["first", "second"] {
             let response = deployment.entry.exchange(&request("GET", "/stock/1", id, ""));
             assert!(is_lost(&response), "{status}: {}", response.text());
         }
-        let requests = odd.requests();
+        let requests = invalid.requests();
         assert_ne!(requests[0].connection, requests[1].connection, "{status}");
     }
 }
 
+/// Guards against a stream that begins with an invalid response, and against failing it while another engine
+/// can serve it.
 #[test]
 fn start_of_a_stream() {
     for status in STATUSES {
-        let odd = odd_server(status, "");
-        let deployment = Deployment::start("pool", &[&odd]);
+        let invalid = invalid_server(status, "");
+        let deployment = Deployment::start("pool", &[&invalid]);
         let response = deployment.entry.exchange(&draft("alone"));
         assert!(is_lost(&response), "{status}: {}", response.text());
-        let servers = [odd_server(status, ""), engine([1, 2])];
+        let servers = [invalid_server(status, ""), engine([1, 2])];
         let deployment = Deployment::start("pool", &[&servers[0], &servers[1]]);
         for number in 0..6 {
             let response = deployment.entry.exchange(&draft(&format!("stream-{number}")));
@@ -133,7 +135,7 @@
     }
 }
 
-/// The caller has the start of the stream, so nothing of the odd response may follow it.
+/// Guards against continuing a stream with a part of an invalid response.
 #[test]
 fn resumption_of_a_stream() {
     for status in STATUSES {
@@ -158,18 +160,20 @@
     }
 }
 
-/// Entry hosts, slots, the store and the origin are all called by this client.
+/// Guards against accepting such a response from a slot, the store, the origin or another entry host, which
+/// are all called by this client.
 #[test]
 fn responses_of_other_processes() {
     for status in STATUSES {
-        let odd = odd_server(status, "");
-        let address: SocketAddr = odd.address();
+        let invalid = invalid_server(status, "");
+        let address: SocketAddr = invalid.address();
         let call = Call::get("/", Duration::from_secs(2), 1000);
         let res = runtime::run_local(async { Client::default().call(address, &call).await });
         assert!(matches!(res, Err(HttpError::Malformed(_))), "{status}: {res:?}");
     }
 }
 
+/// Guards against refusing a status that HTTP has, and against accepting another one.
 #[test]
 fn all_statuses() {
     for status in 0..1000 {
--- a/tests/uneven_servers.rs
+++ b/tests/uneven_servers.rs
@@ -103,7 +103,8 @@
     }
 }
 
-/// Load pattern: one zone has more calls than its server can serve, the others are nearly idle.
+/// Guards against staying in a zone that has more calls than its server can serve, while the others are
+/// nearly idle.
 #[test]
 fn crowded_zone() {
     let rates = vec![440.0, 20.0, 20.0];
