--- a/src/net/http_server.rs
+++ b/src/net/http_server.rs
@@ -19,7 +19,7 @@
 use quick_error::quick_error;
 
 use crate::{
-    http1::PortConnections,
+    http1::{is_out_of_descriptors, PortConnections},
     net::server_connection::ServerConnection,
     runtime::{self, TimedOut},
 };
@@ -68,15 +68,26 @@
 }
 
 impl HttpServer {
-    /// Listens on `address` and serves requests with `handler` until closed or dropped.
+    /// Listens on `address` as the port `request`; see `bind_port`.
     pub async fn bind(
         address: SocketAddr,
         limits: ServerLimits,
         handler: Handler,
+    ) -> io::Result<HttpServer> {
+        HttpServer::bind_port("request", address, limits, handler).await
+    }
+
+    /// Listens on `address` and serves requests with `handler` until closed or dropped; metrics and log
+    /// lines name the port `port`.
+    pub async fn bind_port(
+        port: &'static str,
+        address: SocketAddr,
+        limits: ServerLimits,
+        handler: Handler,
     ) -> io::Result<HttpServer> {
         let listener = TcpListener::try_from(crate::net::listen::listen(address)?)?;
         let address = listener.local_addr()?;
-        let connections = PortConnections::new("http", limits.max_connections);
+        let connections = PortConnections::new(port, limits.max_connections);
         let counts = Arc::new(ServerCounts { connections, exchanges: AtomicUsize::new(0) });
         let accept_task = runtime::spawn(accept_loop(listener, handler, counts.clone()));
         Ok(HttpServer { address, counts, accept_task })
@@ -167,11 +178,15 @@
 
 async fn accept_loop(listener: TcpListener, handler: Handler, counts: Arc<ServerCounts>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // There may be no descriptors left.
-            counts.connections.evict_oldest();
-            runtime::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                if is_out_of_descriptors(&err) {
+                    counts.connections.evict_oldest();
+                }
+                runtime::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
         let Some(slot) = counts.connections.admit() else { continue };
         let (handler, counts) = (handler.clone(), counts.clone());
