entry_host: the followers of the store are decided in fleet

fleet/store_followers.rs now also says when a host may relay the store to others and in which order a host uses the relays. BackendTable answers whether an engine is switching, DeployedSettings the processor time in thousandths, and the request path counts in the retry budgets directly.

--- a/src/entry/attempt_outcome.rs
+++ b/src/entry/attempt_outcome.rs
@@ -62,7 +62,7 @@
         backend: &BackendId,
         err: &HttpError,
     ) -> AttemptOutcome {
-        if !exchange.host.is_switching(backend) {
+        if !exchange.host.backends.borrow().is_switching(backend) {
             crash_reports::report_break(&exchange.host, exchange.fingerprint.get(), backend);
         }
         AttemptOutcome::from_lost_response(exchange, backend, &err.to_string())
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -192,7 +192,9 @@
     match outcome {
         ServiceOutcome::Succeeded => host.health.borrow_mut().record_success(engine),
         // An engine that switches to other weights aborts its running requests; that is no failure.
-        ServiceOutcome::Failed | ServiceOutcome::Unreachable if !host.is_switching(engine) => {
+        ServiceOutcome::Failed | ServiceOutcome::Unreachable
+            if !host.backends.borrow().is_switching(engine) =>
+        {
             if host.health.borrow_mut().record_failure(engine, Instant::now()) {
                 log::info!("health: ejected an engine of the own cell backend={engine}");
             }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -19,7 +19,7 @@
         engine_owners::EngineOwners, server_notices::ServerNotices,
     },
     fleet::{
-        entry_registry, follows_store, relay_order, AdmissionMessage, BackendTable, Beacon,
+        follows_store, is_current_follower, relays_for, AdmissionMessage, BackendTable, Beacon,
         DocumentCatchUp, DocumentNumbers, EngineNotice, EntryState, EvacuatedZones, KindCache,
         PeerMessage, PeerTable, PendingReport, RegistrationState, StallDetector, StoreSource,
         StoreSources, VersionTable,
@@ -30,7 +30,7 @@
         BackendHealth, ColdBounds, ColdServers, CrashSuspects, CrashingParts, EntryShare,
         Fingerprint, OwnerCandidate, PlainServers, RequestCounts, RetryBudgets,
     },
-    platform::{store::Store, wire_config, wire_evacuation, wire_server},
+    platform::store::Store,
     relay::BackendConnections,
     routing::RoutingCharter,
     settings::{DeployedSettings, EntryListenSettings},
@@ -40,14 +40,6 @@
 const FIRST_BEACON_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum time for which a notice about an engine may have waited in this process.
 const MAX_NOTICE_DELAY: Duration = Duration::from_secs(1);
-/// The kinds that a host must watch without a gap before other processes watch the store through
-/// it.
-const WATCHED_KINDS: [&str; 4] = [
-    wire_config::CONFIG_KIND,
-    wire_server::SERVER_KIND,
-    wire_server::VERSION_KIND,
-    entry_registry::KIND,
-];
 
 /// The state of one entry host: its view of the deployment, the loads and its connections.
 ///
@@ -116,7 +108,7 @@
     pub(crate) n_connections: Cell<usize>,
     /// The other entry hosts for which owners and store sources were last computed.
     known_peers: RefCell<Vec<(HostId, EntryState, bool)>>,
-    retry_budgets: RefCell<RetryBudgets>,
+    pub(crate) retry_budgets: RefCell<RetryBudgets>,
     pub(crate) started: Instant,
     started_ms: u64,
     beacon_number: Cell<u64>,
@@ -233,7 +225,7 @@
             state: self.state(),
             callers: self.listen.callers,
             peers: self.settings.peers,
-            processor_permille: self.processor_permille(),
+            processor_permille: self.settings.processor_permille(),
             follows_store: self.follows_store(),
             documents: self.document_numbers(),
             region: self.settings.host.region.clone(),
@@ -272,10 +264,9 @@
 
     /// Returns `true` if this host watches the store directly and without a gap.
     fn follows_store(&self) -> bool {
-        let watches_store = self.sources.choose(Instant::now()) == StoreSource::Store;
-        let has_evacuations = self.settings.bounds.evacuation.is_none()
-            || self.cache.is_current(&[wire_evacuation::EVACUATION_KIND]);
-        watches_store && self.cache.is_current(&WATCHED_KINDS) && has_evacuations
+        let has_evacuations = self.settings.bounds.evacuation.is_some();
+        self.sources.choose(Instant::now()) == StoreSource::Store
+            && is_current_follower(&self.cache, has_evacuations)
     }
 
     /// Updates owners and store sources if another entry host appeared, changed its state or
@@ -308,7 +299,7 @@
         OwnerCandidate {
             host: self.settings.host.id.clone(),
             zone: self.settings.host.zone.clone(),
-            processor_permille: self.processor_permille(),
+            processor_permille: self.settings.processor_permille(),
         }
     }
 
@@ -319,32 +310,18 @@
         EntryShare { own: self.settings.peers, others }
     }
 
-    fn processor_permille(&self) -> u32 {
-        (self.settings.processor_share * 1000.0) as u32
-    }
-
     /// Updates the store sources: whether this host prefers to watch the store directly, and the
     /// entry hosts through which it can watch it instead.
     fn update_sources(&self) {
         let host = &self.settings.host;
         let peers = self.peers.borrow();
         let targets = self.beacon_targets.borrow();
-        let now = Instant::now();
-        let mut relays: Vec<&Beacon> =
-            peers.live_beacons(now).filter(|it| it.follows_store).collect();
-        relays.sort_by_key(|it| (it.zone != host.zone, relay_order(&host.id, &it.host)));
-        let relays = relays.into_iter().map(|it| it.peers).collect();
+        let relays = relays_for(&host.id, &host.zone, peers.live_beacons(Instant::now()));
         let zones: BTreeSet<&ZoneId> = targets.values().collect();
         let prefers_store = follows_store(self.n_preferred_in_zone(), zones.len());
         self.sources.update(prefers_store, relays);
     }
 
-    /// Returns `true` if an engine has stopped serving to load other weights.
-    pub(crate) fn is_switching(&self, backend: &BackendId) -> bool {
-        let backends = self.backends.borrow();
-        backends.get(backend).is_some_and(|it| it.is_switching)
-    }
-
     /// Applies the notice of a slot process about its engine, unless it may have waited while this
     /// process was suspended: the engine's entry in the store is newer then.
     pub(crate) fn apply_notice(&self, notice: &EngineNotice) {
@@ -367,7 +344,7 @@
     /// Counts a failure of a backend server, unless it is an engine that loads other weights and aborts
     /// its requests for that.
     pub(crate) fn record_failure(&self, backend: &BackendId) {
-        if self.is_switching(backend) {
+        if self.backends.borrow().is_switching(backend) {
             return;
         }
         let is_ejected = self.health.borrow_mut().record_failure(backend, Instant::now());
@@ -387,11 +364,6 @@
         }
     }
 
-    /// Counts a request for a pool or service, which raises its retry budget.
-    pub(crate) fn count_request(&self, service: &ServiceId) {
-        self.retry_budgets.borrow_mut().count_request(service, Instant::now());
-    }
-
     /// Takes one retry from the retry budget of a pool or service; returns `false` if the budget is
     /// spent.
     pub(crate) fn try_spend_retry(&self, service: &ServiceId) -> bool {
--- a/src/entry/request_routing.rs
+++ b/src/entry/request_routing.rs
@@ -1,6 +1,6 @@
 //! Routes one request of a caller: authorizes it, finds its service and sends it to backend servers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::{
     entry::{
@@ -55,7 +55,7 @@
     if let Some(quarantined) = exchange.quarantined_part() {
         return exchange.refuse_quarantined_part(&quarantined).await;
     }
-    exchange.host.count_request(destination.service);
+    exchange.host.retry_budgets.borrow_mut().count_request(destination.service, Instant::now());
     run_attempts(exchange, &destination).await
 }
 
--- a/src/fleet/backend_table.rs
+++ b/src/fleet/backend_table.rs
@@ -268,6 +268,11 @@
         self.servers.get(id)
     }
 
+    /// Returns `true` if an engine has stopped serving to load other weights.
+    pub fn is_switching(&self, id: &str) -> bool {
+        self.get(id).is_some_and(|it| it.is_switching)
+    }
+
     /// Returns an iterator over all backend servers, lapsed ones included.
     pub fn iter(&self) -> impl Iterator<Item = &BackendServer> {
         self.servers.values()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -46,13 +46,16 @@
     pending_report::PendingReport,
     registration_pacing::{registration_delay, registration_retry_delay},
     stall_detector::{StallDetector, TURN_INTERVAL},
-    store_followers::{follows_store, relay_order},
+    store_followers::follows_store,
     store_probe::StoreProbe,
     store_retry::StoreRetry,
     store_sources::{StoreSource, StoreSources},
     version_table::VersionTable,
 };
 pub(crate) use crate::fleet::{
-    document_catch_up::DocumentCatchUp, message_receiver::MessageReceiver,
-    registration_state::RegistrationState, version_updates::apply_versions,
+    document_catch_up::DocumentCatchUp,
+    message_receiver::MessageReceiver,
+    registration_state::RegistrationState,
+    store_followers::{is_current_follower, relays_for},
+    version_updates::apply_versions,
 };
--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -116,6 +116,11 @@
         reader.finish()?;
         Ok(settings.expect("a reader without problems has read every value"))
     }
+
+    /// Returns the processor time that the process gets, in thousandths of a core.
+    pub(crate) fn processor_permille(&self) -> u32 {
+        (self.processor_share * 1000.0) as u32
+    }
 }
 
 fn read(reader: &mut IniReader) -> Option<DeployedSettings> {
