--- a/tests/emulated_pool/mod.rs
+++ b/tests/emulated_pool/mod.rs
@@ -1,6 +1,8 @@
 //! An emulated pool of engines with several entry hosts, of which each decides on crashing parts.
 
+mod attempt;
 mod day;
+mod event;
 mod misses;
 
 use std::{
@@ -12,6 +14,9 @@
 use crocustiller::placement::{CrashingParts, PartCrash, PartDigest, QuarantinedPart};
 use fastrand::Rng;
 
+use attempt::Attempt;
+use event::Event;
+
 pub(crate) use day::Day;
 
 /// Time after the fifth crash by which every host must know.
@@ -34,34 +39,6 @@
 /// Time after a start with a suspected part failed until the owner lets the next one begin.
 const START_PAUSE_MS: u64 = 150;
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    SoundArrives,
-    BadArrives,
-    Begins(u64),
-    GoesOn(u64),
-    Ends(u64),
-    Retries { host: usize, parts: Vec<PartDigest>, request: u64, n_before: u32, n_waits: u32 },
-    Restarts(usize),
-    Crash(usize),
-    CrashSeen { host: usize, engine: String, parts: Vec<PartDigest>, request: u64, sent: u64 },
-    CrashHeard { host: usize, engine: String, parts: Vec<PartDigest>, request: u64, sent_ago: u64 },
-    ClearingHeard { host: usize, parts: Vec<PartDigest> },
-    Decides(usize),
-    Beacon(usize),
-    HostRestarts(usize),
-}
-
-struct Attempt {
-    host: usize,
-    engine: usize,
-    parts: Vec<PartDigest>,
-    request: u64,
-    sent: u64,
-    is_starting: bool,
-    n_before: u32,
-}
-
 pub(crate) struct Pool {
     day: Day,
     random: Rng,
