--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -49,6 +49,14 @@
     assert!(need.worst_customer >= need.served / 4.0, "customer: {text}");
 }
 
+/// Plays a load in both orders, and checks the bounds and that the order by need is worth no less.
+fn check_worth(load: &Load) {
+    play_both(load, |arrival, need, text| {
+        check_bounds(need, text);
+        assert!(need.value >= arrival.value, "{text}");
+    });
+}
+
 fn burst(factor: f64, kinds: &[usize]) -> Load {
     let bursts = kinds.iter().map(|it| Burst { kind: *it, factor: 2.2 }).collect();
     Load { factor, bursts, ..Load::default() }
@@ -59,29 +67,20 @@
 #[test]
 fn least_urgent_burst() {
     for factor in [1.0, 1.4, 1.8] {
-        play_both(&burst(factor, &[2]), |arrival, need, text| {
-            check_bounds(need, text);
-            assert!(need.value >= arrival.value, "{text}");
-        });
+        check_worth(&burst(factor, &[2]));
     }
 }
 
 /// Load pattern: overload with a burst of the most urgent kind. Guards against shutting out all others.
 #[test]
 fn most_urgent_burst() {
-    play_both(&burst(1.4, &[0]), |arrival, need, text| {
-        check_bounds(need, text);
-        assert!(need.value >= arrival.value, "{text}");
-    });
+    check_worth(&burst(1.4, &[0]));
 }
 
 /// Load pattern: bursts of the most and of the least urgent kind at the same time.
 #[test]
 fn two_bursts() {
-    play_both(&burst(1.4, &[0, 2]), |arrival, need, text| {
-        check_bounds(need, text);
-        assert!(need.value >= arrival.value, "{text}");
-    });
+    check_worth(&burst(1.4, &[0, 2]));
 }
 
 /// Load pattern: one customer sends most requests. Guards against refusing those of all others.
@@ -95,30 +94,21 @@
 #[test]
 fn lost_engines() {
     let load = Load { n_lost: 4, ..burst(1.0, &[]) };
-    play_both(&load, |arrival, need, text| {
-        check_bounds(need, text);
-        assert!(need.value >= arrival.value, "{text}");
-    });
+    check_worth(&load);
 }
 
 /// Load pattern: sizes with a long tail. Guards against refusing all large requests.
 #[test]
 fn long_tails() {
     let load = Load { size_spread: 1.1, ..burst(1.2, &[2]) };
-    play_both(&load, |arrival, need, text| {
-        check_bounds(need, text);
-        assert!(need.value >= arrival.value, "{text}");
-    });
+    check_worth(&load);
 }
 
 /// Load pattern: three owners, which each request asks in turn.
 #[test]
 fn three_owners() {
     let load = Load { n_owners: 3, ..burst(1.4, &[2]) };
-    play_both(&load, |arrival, need, text| {
-        check_bounds(need, text);
-        assert!(need.value >= arrival.value, "{text}");
-    });
+    check_worth(&load);
 }
 
 /// Load pattern: an owner is lost during overload, with its queue and its memory of refusals.
