Wording of the admission queue, cold servers and size classes

Cause: a reader new to the project stumbled over figurative names (hopeless, hasty, bears), one name with two meanings and missing load patterns. Change: names, doc comments and named quantiles; behaviour is unchanged.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -64,7 +64,7 @@
     /// This host's own requests in progress at each backend server.
     pub(crate) request_counts: RefCell<RequestCounts>,
     pub(crate) health: RefCell<BackendHealth>,
-    /// The backend servers that bear few requests, as they started just now.
+    /// Rate limits of backend servers that started just now, or may have.
     pub(crate) cold_servers: RefCell<ColdServers>,
     /// How late the servers of plain services respond now.
     pub(crate) plain_servers: Rc<RefCell<PlainServers>>,
@@ -124,7 +124,8 @@
         let bounds = settings.bounds;
         let retry_budgets =
             RetryBudgets::new(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window);
-        let cold_bounds = ColdBounds { over: bounds.cold_over, slack: bounds.cold_slack };
+        let cold_bounds =
+            ColdBounds { rate_factor: bounds.cold_over, extra_requests: bounds.cold_slack };
         let sources = StoreSources::new(Store::new(settings.store));
         let socket = Async::<UdpSocket>::bind(settings.peers)?;
         let buffers = Buffers::new(settings.memory_bytes);
--- a/src/entry/reservation_error.rs
+++ b/src/entry/reservation_error.rs
@@ -14,8 +14,8 @@
 /// while engines load weights, which takes seconds. A caller that returned earlier would be refused
 /// again.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Value of `Retry-After` while all zones that the request may use are evacuated; operators end an
-/// evacuation seconds after it took effect at the soonest.
+/// Value of `Retry-After` while all zones that the request may use are evacuated. An evacuation lasts
+/// seconds at least.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Value of `Retry-After` if the charter allows no region; only its next change helps.
 const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(60);
@@ -33,7 +33,7 @@
     NoBackend,
     /// All backend servers that meet the requirements are full.
     Full,
-    /// They have no room in time; there may be some after the time.
+    /// They will have no room in time; the duration is that after which there may be some.
     Ranked(RefusalCause, Duration),
     /// All of them want no requests now; the first takes them again after this time.
     Paused(Duration),
--- a/src/fleet/kind_watch.rs
+++ b/src/fleet/kind_watch.rs
@@ -280,8 +280,8 @@
         is_earlier || listed.generation < self.sources.generation()
     }
 
-    /// Returns the greatest age of a change that a list shows, after the watch was up to date at that time
-    /// with a source that lagged by `max_lag`.
+    /// Returns the greatest age of a change in a list, if the watch was last up to date at
+    /// `last_up_to_date` with a source that lagged by `max_lag`.
     fn max_change_age(&self, last_up_to_date: Instant, max_lag: Duration) -> Duration {
         let age = clock::elapsed(last_up_to_date) + max_lag;
         match self.max_delay(last_up_to_date).is_zero() {
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -27,7 +27,7 @@
 
 /// Time after a refusal within which an equal request is that of another caller; callers are told to come
 /// back later. Where requests are ranked, any equal request counts as a return.
-const MIN_RETURN_TIME: Duration = Duration::from_millis(200);
+const UNRELATED_REQUEST_TIME: Duration = Duration::from_millis(200);
 /// Maximum number of waiting requests of a service for each slot of its engines.
 const MAX_WAITING_PER_SLOT: usize = 2;
 /// Time after a start with a suspected part failed until the next one begins. Reports of one crash
@@ -53,9 +53,10 @@
 
 impl AdmissionCell {
     /// Decides on a request; returns `None` if it waits, in which case `decide_waiting` returns the
-    /// decision later. If `has_decided` returns `true` then, it has decisions on others already. A repeated message gets the same engine again.
+    /// decision later. A repeated message gets the same engine again.
     ///
-    /// `engines` are the usable engines of the cell for this demand.
+    /// The call may also decide on other waiting requests: if `has_decided` returns `true` afterwards, call
+    /// `decide_waiting`. `engines` returns the usable engines of the cell for a demand.
     pub fn request(
         &mut self,
         id: ReservationId,
@@ -77,7 +78,7 @@
         let n_slots: u32 = usable.iter().map(|it| it.slots).sum();
         let service = demand.service.clone();
         let is_ranked = demand.class.is_ranked;
-        let min_return_time = if is_ranked { Duration::ZERO } else { MIN_RETURN_TIME };
+        let min_return_time = if is_ranked { Duration::ZERO } else { UNRELATED_REQUEST_TIME };
         let attempt = demand.attempt;
         let found = attempt.and_then(|it| self.refused.find_return(it, min_return_time, now));
         self.waiting.add(id, demand, found, now);
@@ -114,10 +115,10 @@
     ) -> Vec<(ReservationId, Admission)> {
         let mut decisions = std::mem::take(&mut self.decided);
         decisions.extend(self.place_waiting(engines, now));
-        let hopeless = self.waiting.hopeless(now);
+        let late = self.waiting.late_by_estimate(now);
         let cause = |it: &WaitingRequest| match it {
             it if it.deadline <= now => Some(it.cause_at_deadline()),
-            it => hopeless.contains(&it.id).then_some(RefusalCause::ExpectedWait),
+            it => late.contains(&it.id).then_some(RefusalCause::ExpectedWait),
         };
         decisions.extend(self.refuse(now, cause));
         decisions
--- a/src/placement/cold_bounds.rs
+++ b/src/placement/cold_bounds.rs
@@ -1,4 +1,7 @@
-//! Divides what a cold server bears among those that may send to it at the same time.
+//! Divides the request rate that a cold server can handle among the hosts that may send to it.
+//!
+//! Load pattern: while cells change, two entry hosts may own an engine and others know no owner; together
+//! they must not exceed what it can handle.
 
 use crate::{placement::RateLimit, routing::ColdStart};
 
@@ -11,16 +14,16 @@
 /// The bound beyond which requests make a cold server crash.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdBounds {
-    /// Factor on the request rate that a cold server bears.
-    pub over: f64,
-    /// Requests in one second beyond that.
-    pub slack: u64,
+    /// Factor on the request rate that a cold server can handle.
+    pub rate_factor: f64,
+    /// Requests in one second beyond that, summed over all hosts.
+    pub extra_requests: u64,
 }
 
 impl ColdBounds {
     /// Returns the requests within one second, summed over all hosts, beyond which a cold server crashes.
     pub fn max_per_second(&self, cold_start: &ColdStart) -> f64 {
-        cold_start.max_requests_per_s * self.over + self.slack as f64
+        cold_start.max_requests_per_s * self.rate_factor + self.extra_requests as f64
     }
 
     /// Returns the limit for the owner of a cold engine.
--- a/src/placement/cold_servers.rs
+++ b/src/placement/cold_servers.rs
@@ -1,9 +1,9 @@
 //! Limits the rate of requests to servers that are cold or may be.
 //!
-//! Load pattern: a server that starts, or comes back, while many requests wait. It bears few requests a
-//! second at first and crashes if all its free slots are filled at once. Several hosts may send to it at
-//! the same time, and news of its state is late; so each host keeps to a share of what the server bears,
-//! and a server whose state is unknown counts as cold.
+//! Load pattern: a server that starts, or comes back, while many requests wait. It can handle few requests
+//! a second at first and crashes if all its free slots are filled at once. Several hosts may send to it at
+//! the same time, and updates of its state are late; so each host keeps to a share of what the server can
+//! handle, and a server whose state is unknown counts as cold.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -19,9 +19,10 @@
     routing::{BackendServer, ColdStart, Service},
 };
 
-/// Time after a server got warm over which its rate rises.
+/// Time after a server became warm over which its rate limit is raised, so that the waiting requests don't
+/// all reach it at once.
 const RAMP_TIME: Duration = Duration::from_secs(2);
-/// Time in which the rate doubles meanwhile.
+/// Time in which the rate limit doubles during `RAMP_TIME`.
 const RAMP_DOUBLING: Duration = Duration::from_millis(500);
 
 /// The servers of pools and services with a cold start, as far as this host knows.
@@ -85,8 +86,8 @@
 
     /// Applies all known servers after an update; `renewed` are those whose entries changed in it.
     ///
-    /// What is listed first says its own state. A server that appears later, or with another start, may
-    /// be cold, whatever its entry says.
+    /// The state of servers in the first list is that of their entries. A server that appears later, or
+    /// with another start time, may be cold, whatever its entry says.
     pub fn update_servers<'a>(
         &mut self,
         servers: impl Iterator<Item = &'a BackendServer>,
@@ -123,7 +124,8 @@
         self.first_listed = self.first_listed.or(Some(now));
     }
 
-    /// Records that this host became the owner of engines. What it has listed itself just now counts.
+    /// Records that this host became the owner of engines, whose state is unknown unless it listed all
+    /// servers just now.
     pub fn note_owned(&mut self, engines: &[BackendId], now: Instant) {
         let Some(first_listed) = self.first_listed else { return };
         for engine in engines {
@@ -193,7 +195,7 @@
         }
     }
 
-    /// Removes the servers that are cold, or may be, and have got this host's share of what they bear.
+    /// Removes the servers that are cold, or may be, and have got this host's share of what they can handle.
     pub fn retain_within_share(
         &mut self,
         servers: &mut Vec<&BackendServer>,
--- a/src/placement/drain_rate.rs
+++ b/src/placement/drain_rate.rs
@@ -1,5 +1,8 @@
 //! The rate at which waiting requests are placed.
 //!
+//! Load pattern: requests of several ranks wait for one pool, and a new one is told at once if it can't be
+//! placed in time.
+//!
 //! Only the time in which requests wait counts: what is placed at other times tells how many arrive, not how
 //! many the engines can take.
 
@@ -43,8 +46,8 @@
         }
     }
 
-    /// Returns the time to place `n_urgent` requests of any rank and then `n_other` ones that are no more urgent
-    /// than `rank`; `None` if it is not known.
+    /// Returns the time to place `n_urgent` requests of any rank and then `n_other` ones of `rank` or less
+    /// urgent ranks; `None` if it is not known.
     pub(crate) fn expected_wait(&self, rank: u32, n_urgent: u32, n_other: u32) -> Option<Duration> {
         if self.busy_s < MIN_BUSY_S {
             return None;
--- a/src/placement/entry_share.rs
+++ b/src/placement/entry_share.rs
@@ -26,8 +26,8 @@
         n_requests / n_hosts + usize::from(rank < n_requests % n_hosts)
     }
 
-    /// Returns which part of a rate to a server is this host's. A rate below 1 goes to the host that ranks first
-    /// for the server; others are rounded down and divided.
+    /// Returns which part of a rate to a server is this host's. A rate below 1 goes to the host that ranks
+    /// first for the server; others are rounded down and divided.
     pub fn of_rate(&self, per_s: f64, server: &str) -> f64 {
         match per_s < 1.0 {
             true => per_s * self.of(1, server) as f64,
--- a/src/placement/grant_rates.rs
+++ b/src/placement/grant_rates.rs
@@ -1,8 +1,9 @@
 //! Limits the rate of requests to each server.
 //!
-//! Load pattern: a server that bears few requests a second, while many wait. They are spread evenly, with
+//! Load pattern: a server that can handle few requests a second, while many wait. They are spread evenly,
+//! with
 //! a small burst (the generic cell rate algorithm). Requests before the limit began count too: a server
-//! that gets cold under load has just got some.
+//! that becomes cold under load has just got some.
 
 use std::{
     collections::BTreeMap,
--- a/src/placement/rate_limit.rs
+++ b/src/placement/rate_limit.rs
@@ -18,7 +18,7 @@
     /// Requests that may follow each other at once after a pause.
     pub burst: u32,
     /// Whether requests are held back by it. If not, they are only counted, for the moment at which the
-    /// server gets cold.
+    /// server becomes cold.
     pub is_binding: bool,
 }
 
--- a/src/placement/served_share.rs
+++ b/src/placement/served_share.rs
@@ -1,12 +1,16 @@
 //! The share of requests that were served lately.
+//!
+//! Load pattern: overload that changes within seconds; a share must tell of now, and not of one request.
 
 use std::time::{Duration, Instant};
 
-/// Time in which a decision loses all but 1/e of its weight: long enough for the rare requests of a class,
-/// shorter than a burst of seconds needs to shift what is served for good.
+/// Time in which a decision loses all but 1/e of its weight: long enough to count the rare requests of a
+/// class, short enough that a burst is soon forgotten.
 const MEMORY_TIME: Duration = Duration::from_secs(8);
 /// Weight of decisions below which a share says nothing.
 const MIN_DECISIONS: f64 = 4.0;
+/// Weight of decisions below which the record is removed.
+const MIN_WEIGHT: f64 = 0.01;
 
 /// Decisions on requests of one class, of which older ones weigh less.
 #[derive(Clone, Copy, Debug)]
@@ -38,7 +42,7 @@
 
     /// Returns `true` if all decisions are so old that they don't count.
     pub(crate) fn is_forgotten(&self, now: Instant) -> bool {
-        self.n_decided * self.weight_at(now) < 0.01
+        self.n_decided * self.weight_at(now) < MIN_WEIGHT
     }
 
     fn weight_at(&self, now: Instant) -> f64 {
--- a/src/placement/served_shares.rs
+++ b/src/placement/served_shares.rs
@@ -13,12 +13,14 @@
     placement::{served_share::ServedShare, size_shares::SizeShares, Demand},
 };
 
-/// Share of what its kind gets below which a size class goes first. It is promised half; where shorter
-/// prompts go first, that needs a margin, as a class falls below it before enough were refused to tell.
+/// Share of what its kind gets below which a size class goes first. Each is to get half at least; the share is
+/// known only after some refusals.
 const MIN_SIZE_SHARE: f64 = 0.55;
+/// As `MIN_SIZE_SHARE`, where requests are ranked and shorter prompts go first.
 const MIN_RANKED_SIZE_SHARE: f64 = 0.8;
-/// Share of what all get below which a kind, or a customer, goes first. It is promised a quarter.
+/// Share of what all get below which a kind goes first; each is to get a quarter at least.
 const MIN_KIND_SHARE: f64 = 0.5;
+/// As `MIN_KIND_SHARE`, for a customer.
 const MIN_CUSTOMER_SHARE: f64 = 0.4;
 /// Weight of an output token beside one of the prompt: written one by one, read many at a time.
 const OUTPUT_WEIGHT: u64 = 10;
--- a/src/placement/server_warmth.rs
+++ b/src/placement/server_warmth.rs
@@ -1,4 +1,6 @@
 //! What a host knows of whether one server is cold.
+//!
+//! Load pattern: a server restarts while entries of its earlier start still arrive.
 
 use std::time::{Duration, Instant};
 
@@ -11,14 +13,14 @@
 /// of both. One that arrives within it after an event may have been written before.
 const MAX_NEWS_AGE: Duration = Duration::from_secs(1);
 
-/// Whether a server bears all requests.
+/// Whether a server can handle its full load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ColdState {
     /// It is cold, as its entry says.
     Cold,
     /// It may be cold, as it may have started again unnoticed.
     Unknown,
-    /// It bears all requests.
+    /// It can handle its full load.
     Warm,
 }
 
--- a/src/placement/size_classes.rs
+++ b/src/placement/size_classes.rs
@@ -1,16 +1,20 @@
 //! Estimates from which size on a request belongs to the largest of its kind.
+//!
+//! Load pattern: sizes have a long tail, and change with the callers that are active.
 
-/// Smallest share by which a quantile follows one request.
+/// Smallest weight of the newest request, so that the quantiles follow changes of the sizes.
 const MIN_STEP: f64 = 0.05;
+/// Shares of the requests of a kind that are smaller than a large one, and than one of the largest.
+const QUANTILE_SHARES: [f64; 2] = [0.7, 0.9];
 
 /// How large a request is among those of its kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SizeClass {
-    /// Smaller than three tenths of them.
+    /// Below the 70th percentile.
     Usual,
-    /// In the fifth below the largest tenth.
+    /// Between the 70th and the 90th percentile.
     Large,
-    /// In the largest tenth.
+    /// Above the 90th percentile.
     Largest,
 }
 
@@ -18,7 +22,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SizeClasses {
     n_sizes: u32,
-    /// Natural logarithms of the sizes that 0.7 and 0.9 of the requests stay below.
+    /// Natural logarithms of the sizes at `QUANTILE_SHARES`.
     quantiles: [f64; 2],
 }
 
@@ -31,7 +35,7 @@
             self.quantiles = [size; 2];
         }
         let step = (1.0 / f64::from(self.n_sizes)).max(MIN_STEP);
-        for (quantile, share) in self.quantiles.iter_mut().zip([0.7, 0.9]) {
+        for (quantile, share) in self.quantiles.iter_mut().zip(QUANTILE_SHARES) {
             *quantile += step * if size > *quantile { share } else { share - 1.0 };
         }
     }
--- a/src/placement/usable_engines.rs
+++ b/src/placement/usable_engines.rs
@@ -1,4 +1,7 @@
 //! The engines that waiting requests can use, found once for all with equal constraints.
+//!
+//! Load pattern: hundreds of requests wait with few different constraints; finding the engines for each of
+//! them would cost a pass over all engines.
 
 use crate::placement::{Candidate, CellEngine, Demand};
 
@@ -42,6 +45,7 @@
     }
 }
 
+/// Compares all fields by which the owner chooses usable engines.
 fn has_equal_constraints(a: &Demand, b: &Demand) -> bool {
     a.service == b.service
         && a.model == b.model
--- a/src/placement/usual_latency.rs
+++ b/src/placement/usual_latency.rs
@@ -1,5 +1,7 @@
 //! The usual latency of a route's responses, over all servers.
 //!
+//! Load pattern: sizes have a long tail, and some servers are slow for seconds.
+//!
 //! Logarithms are averaged, as sizes may have a long tail: few long responses change the average little.
 
 use std::time::{Duration, Instant};
--- a/src/placement/waiting_queue.rs
+++ b/src/placement/waiting_queue.rs
@@ -1,9 +1,9 @@
 //! The requests that wait for an engine, in the order in which they are placed.
 //!
-//! Load pattern: callers of several ranks compete for too little capacity. Urgent requests go first, within
-//! a rank those with the shortest prompts, so that most can be in time. Classes that are served too seldom go before all others, so that no
-//! rank, size or customer is shut out. A request that can't be in time any more is refused at once, since its
-//! caller loses nothing by asking again sooner.
+//! Load pattern: callers of several ranks compete for too little capacity. Urgent requests go first, and
+//! within a rank those with the shortest prompts, so that most meet their objective. Classes that are
+//! served too seldom go before all others, so that no rank, size or customer is starved. A request that can
+//! no longer meet its objective is refused at once, so that its caller can retry sooner.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -26,9 +26,11 @@
 /// Time after a refusal before which a caller that returns gets only what no waiting request can use; all are
 /// told to return later. Otherwise callers would gain by asking again and again.
 const MIN_PAUSE: Duration = Duration::from_millis(200);
-/// Shortest and longest time after which a refused caller is told to return.
-const MIN_RETURN_TIME: Duration = Duration::from_millis(300);
-const MAX_RETURN_TIME: Duration = Duration::from_secs(2);
+/// Shortest time after which a refused caller is told to return; longer than `MIN_PAUSE`, so that a caller
+/// that does as told is not deferred.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Longest time after which a refused caller is told to return.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// The requests that wait for an engine.
 #[derive(Clone, Debug, Default)]
@@ -49,15 +51,15 @@
         now: Instant,
     ) {
         let age = found.map(|it| it.age);
-        let is_hasty = found.is_some_and(|it| it.pause < MIN_PAUSE);
+        let is_too_early = found.is_some_and(|it| it.pause < MIN_PAUSE);
         let slack = demand.slack_after(age.unwrap_or_default());
         let is_ranked = demand.class.is_ranked;
-        let is_late_return = age.is_some() && (!is_ranked || is_hasty || slack.is_zero());
+        let is_deferred = age.is_some() && (!is_ranked || is_too_early || slack.is_zero());
         let shortfall = self.shares.shortfall(&demand, now);
         let wait = match shortfall {
             // A returning request is late; waiting, it would take the place of one that is not.
-            _ if is_late_return || !demand.may_wait() => Duration::ZERO,
-            _ if is_bound_to_wait(&demand) => demand.wait,
+            _ if is_deferred || !demand.may_wait() => Duration::ZERO,
+            _ if has_fixed_wait(&demand) => demand.wait,
             Some(_) => demand.longest_wait(),
             None if is_ranked => demand.max_wait.min(slack),
             None => demand.wait,
@@ -65,7 +67,7 @@
         self.requests.push(WaitingRequest {
             id,
             demand,
-            is_late_return,
+            is_deferred,
             is_return: age.is_some(),
             asked: now,
             first_asked: age.and_then(|it| now.checked_sub(it)).unwrap_or(now),
@@ -123,8 +125,7 @@
             let n_urgent: u32 = ahead.range(..rank).map(|it| it.1).sum();
             let n_other: u32 = ahead.range(rank..).map(|it| it.1).sum();
             *ahead.entry(*rank).or_default() += 1;
-            if !class.is_ranked || request.shortfall.is_some() || is_bound_to_wait(&request.demand)
-            {
+            if !class.is_ranked || request.shortfall.is_some() || has_fixed_wait(&request.demand) {
                 return (request, None);
             }
             let rate = self.drain_rates.get(service);
@@ -132,12 +133,12 @@
         })
     }
 
-    /// Returns the waiting requests that will most likely not be placed in time.
-    pub(crate) fn hopeless(&self, now: Instant) -> BTreeSet<ReservationId> {
-        let is_hopeless = |it: &(&WaitingRequest, Option<Duration>)| {
+    /// Returns the waiting requests that will not be placed in time by the estimate.
+    pub(crate) fn late_by_estimate(&self, now: Instant) -> BTreeSet<ReservationId> {
+        let is_late = |it: &(&WaitingRequest, Option<Duration>)| {
             it.1.is_some_and(|wait| wait > it.0.time_left(now) * MAX_WAIT_ERROR)
         };
-        self.expected_waits().filter(is_hopeless).map(|it| it.0.id).collect()
+        self.expected_waits().filter(is_late).map(|it| it.0.id).collect()
     }
 
     /// Returns the refusal of a request, with the time after which one like it may find room; `None` if
@@ -163,7 +164,7 @@
         let n_equal = of_service().filter(|it| it.demand.rank == demand.rank).count() as u32;
         let rate = self.drain_rates.get(&demand.service);
         let wait = rate.and_then(|it| it.expected_wait(demand.rank, n_urgent, n_equal + 1));
-        wait.unwrap_or_default().clamp(MIN_RETURN_TIME, MAX_RETURN_TIME)
+        wait.unwrap_or_default().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
     /// Records the decision on a request, whose wait has ended.
@@ -210,8 +211,8 @@
     }
 }
 
-/// Returns `true` if a request waits as long as its entry host says, as an engine had it already or as it
-/// waits for its turn.
-fn is_bound_to_wait(demand: &Demand) -> bool {
+/// Returns `true` if a request waits for the whole time that its entry host asks for: an engine has already
+/// received it, or it waits for its turn.
+fn has_fixed_wait(demand: &Demand) -> bool {
     demand.attempt.is_none() || !demand.in_turn_parts.is_empty()
 }
--- a/src/placement/waiting_request.rs
+++ b/src/placement/waiting_request.rs
@@ -11,8 +11,9 @@
     pub(crate) id: ReservationId,
     /// What it needs.
     pub(crate) demand: Demand,
-    /// Whether it came back after a refusal, too late for its latency objective.
-    pub(crate) is_late_return: bool,
+    /// Whether it gets only capacity that no other waiting request can use: it came back too early or too late
+    /// after a refusal, or its service isn't ranked.
+    pub(crate) is_deferred: bool,
     /// Whether it came back after a refusal.
     pub(crate) is_return: bool,
     /// Time at which it asked.
@@ -41,14 +42,14 @@
     /// A class of it is served too seldom.
     Shortfall,
     Usual,
-    /// It came back, too late for its latency objective.
-    LateReturn,
+    /// It gets only what no other one can use.
+    Deferred,
 }
 
 impl WaitingRequest {
     /// Returns what decides on it if it is refused at its deadline.
     pub(crate) fn cause_at_deadline(&self) -> RefusalCause {
-        match self.is_late_return {
+        match self.is_deferred {
             true => RefusalCause::LateReturn,
             false => RefusalCause::WaitEnded,
         }
@@ -66,12 +67,12 @@
 
     /// Returns the place of the request.
     ///
-    /// Where requests don't differ in rank, the order is by arrival, also among those that go first, so that the
-    /// largest of all is served, too.
+    /// Where requests don't differ in rank, all are placed by arrival, also those of classes that are served
+    /// too seldom, so that the largest ones are served, too.
     pub(crate) fn place(&self) -> Place {
         let is_ranked = self.demand.class.is_ranked;
         let precedence = match self.shortfall {
-            _ if self.is_late_return => Precedence::LateReturn,
+            _ if self.is_deferred => Precedence::Deferred,
             _ if is_ranked && self.demand.is_resumed => Precedence::Reading,
             Some(_) if is_ranked => Precedence::Shortfall,
             _ => Precedence::Usual,
--- a/src/platform/store_decoding.rs
+++ b/src/platform/store_decoding.rs
@@ -1,5 +1,5 @@
-//! Decodes the store's lists and watches, each object by itself, so that one that can't be read costs no
-//! other.
+//! Decodes the store's lists and watches, each object by itself, so that an invalid one doesn't affect the
+//! others.
 
 use std::time::Duration;
 
--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -96,7 +96,7 @@
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     #[serde(default, rename = "cold-start-s")]
     cold_start_s: Duration,
-    /// The requests per second that a cold server bears; 0 if a start makes no difference.
+    /// The requests per second that a cold server can handle; 0 if a start makes no difference.
     #[serde(default, rename = "cold-per-s")]
     cold_per_s: f64,
 }
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -12,7 +12,7 @@
     pub engine: Option<EngineSpec>,
     /// Parameters of the origin; `None` for any other service.
     pub origin: Option<Origin>,
-    /// What its servers bear after a start; `None` if a start makes no difference.
+    /// The load that its servers can handle after a start; `None` if a start makes no difference.
     pub cold_start: Option<ColdStart>,
 }
 
--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -94,10 +94,10 @@
     /// `evacuation_ms`: time from the evacuation of an availability zone until no request is sent to its
     /// backend servers; `None` if the platform evacuates no zones.
     pub evacuation: Option<Duration>,
-    /// `cold_over`: factor on the request rate that a cold backend server bears, up to which it doesn't
-    /// crash.
+    /// `cold_over`: factor on the request rate that a cold backend server can handle, up to which it
+    /// doesn't crash.
     pub cold_over: f64,
-    /// `cold_slack`: requests in one second that it bears beyond that.
+    /// `cold_slack`: requests in one second that it can handle beyond that.
     pub cold_slack: u64,
 }
 
--- a/tests/cold_pool/mod.rs
+++ b/tests/cold_pool/mod.rs
@@ -9,7 +9,7 @@
 
 pub const SLOTS: u32 = 12;
 pub const COLD_MS: u64 = 3000;
-const BOUNDS: ColdBounds = ColdBounds { over: 1.5, slack: 5 };
+const BOUNDS: ColdBounds = ColdBounds { rate_factor: 1.5, extra_requests: 5 };
 
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
