--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -33,8 +33,7 @@
     verdict::Verdict,
 };
 
-/// Share of the latency objective for which a request waits for a reservation where its terms allow no longer
-/// wait.
+/// Share of the latency objective for which a request waits, unless its terms allow a longer wait.
 const QUEUE_TIMEOUT_SHARE: f64 = 0.125;
 /// Time for which a stream that broke off waits for an engine that resumes it; callers leave after a
 /// gap of two seconds at the earliest.
