charter check: ask RegionConstraint whether it allows no region

Cause: the check repeated what RegionConstraint::allows_none tells. Change: it calls that; behaviour is unchanged. Result: charter_check passes, clippy is clean.

--- a/src/routing/charter_finding.rs
+++ b/src/routing/charter_finding.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     ids::{CustomerId, DocumentNumber, RouteId, ServiceId},
-    placement::RegionConstraint,
     routing::{CharterDraft, Route},
 };
 
@@ -112,10 +111,8 @@
 }
 
 fn find_excluding_regions(draft: &CharterDraft, route: &Route) -> Vec<CharterFinding> {
-    let is_empty =
-        |it: &RegionConstraint| matches!(it, RegionConstraint::Only(regions) if regions.is_empty());
     let customers = draft.customers.iter().flatten().map(|it| &it.customer);
-    let excluded = customers.filter(|it| is_empty(&it.regions.intersection(&route.regions)));
+    let excluded = customers.filter(|it| it.regions.intersection(&route.regions).allows_none());
     let finding =
         |customer: CustomerId| CharterFinding::RegionsExclude { route: route.id(), customer };
     excluded.map(|it| finding(it.id.clone())).collect()
