Review: a case that is ended leaves no process behind

Cause: a server that is started again after a crash could be started while the case was closing; a signal ended a case without its clean-up.

Change: no process is started once a case is over, and SIGTERM and SIGINT end it with its clean-up.

--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -181,6 +181,7 @@
         self.begun = time.monotonic()
         self.lock = threading.Lock()
         self.children = []
+        self.is_over = False
         self.store = Store()
         self.hosts = {}
         self.log(f"TROUBLE={int(TROUBLE)}")
@@ -190,14 +191,17 @@
 
     def log(self, text):
         with self.lock:
-            self.record.write(f"{self.now():8.3f} s  {text}\n")
+            if not self.record.closed:
+                self.record.write(f"{self.now():8.3f} s  {text}\n")
 
     def spawn(self, words, name):
-        out = open(self.temp / f"{name}.log", "ab")
-        child = subprocess.Popen(words, cwd=ROOT, stdout=out, stderr=out)
-        out.close()
-        self.children.append(child)
-        return child
+        with self.lock:
+            if self.is_over:
+                raise CannotRun("the case is over")
+            with open(self.temp / f"{name}.log", "ab") as out:
+                child = subprocess.Popen(words, cwd=ROOT, stdout=out, stderr=out)
+            self.children.append(child)
+            return child
 
     def start_host(self, name):
         """Starts an entry host with the command of the deploy file; one that is started again keeps its
@@ -234,6 +238,8 @@
         self.log(f"{name} is ready")
 
     def close(self):
+        with self.lock:
+            self.is_over = True
         for child in self.children:
             if child.poll() is None:
                 try:
@@ -243,7 +249,8 @@
                     pass
         for child in self.children:
             child.wait()
-        self.record.close()
+        with self.lock:
+            self.record.close()
         if os.environ.get("KEEP"):
             print("kept", self.temp)
         else:
@@ -364,12 +371,15 @@
         self.rig.store.put("servers", self.name, spec)
 
     def watch(self):
-        while not self.is_over:
-            if self.child.poll() is not None and not self.is_over:
+        while not self.is_over and not self.rig.is_over:
+            if self.child.poll() is not None:
                 self.rig.log(f"{self.name} has ended (start {self.n_starts}), back in {self.back_s} s")
                 time.sleep(self.back_s)
-                if not self.is_over:
-                    self.start()
+                try:
+                    if not self.is_over:
+                        self.start()
+                except CannotRun:
+                    return
             time.sleep(0.02)
 
     def seen(self):
@@ -378,12 +388,18 @@
         return [(float(t), what, rid, rest) for t, what, rid, rest in (l.split("\t") for l in lines)]
 
 
-def run(folder, case, build=()):
+def run(folder, case):
     """Runs a case and exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     if not DAEMON.exists():
         print("no daemon: run the build of the deploy file")
         sys.exit(2)
     rig = Rig(folder)
+
+    def end(*_):
+        raise CannotRun("it was ended by a signal")
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
     try:
         broken = case(rig)
     except Exception as error:  # noqa: BLE001: whatever it is, the case couldn't run
