Log the request limits that backend servers name

Cause: nothing decoded Server-Limit, so neither logs nor metrics could tell whether a host knew of a limit. Change: the header is decoded, ServerLimits keeps the newest statement of each start of a server, lines limit: name the response, crocustiller_limited_servers counts; requests explain shows the line. No decision uses it yet. The ramp after the end of a limit is that of cold servers, moved into a module of its own.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -16,7 +16,8 @@
     clock,
     entry::{
         admission_client::AdmissionClient, cell_owner::CellOwner, datagrams, departure::Departure,
-        engine_owners::EngineOwners, server_notices::ServerNotices,
+        engine_owners::EngineOwners, limited_servers::LimitedServers,
+        server_notices::ServerNotices,
     },
     fleet::{
         follows_store, is_current_follower, relays_for, AdmissionMessage, BackendTable, Beacon,
@@ -70,6 +71,8 @@
     pub(crate) plain_servers: Rc<RefCell<PlainServers>>,
     /// What backend servers said of themselves in their responses.
     pub(crate) server_notices: ServerNotices,
+    /// The limits that backend servers named for all hosts together.
+    pub(crate) limited_servers: LimitedServers,
     /// Requests that may crash backend servers, as far as all entry hosts know.
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
     /// Parts of prompts that crash engines, as far as all entry hosts know.
@@ -147,6 +150,7 @@
             cold_servers: RefCell::new(ColdServers::new(cold_bounds)),
             plain_servers: Rc::default(),
             server_notices: ServerNotices::default(),
+            limited_servers: LimitedServers::default(),
             crash_suspects: RefCell::default(),
             crashing_parts: RefCell::default(),
             part_quarantined: Event::new(),
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -182,4 +182,5 @@
     host.health.borrow_mut().forget_removed(is_registered, Instant::now());
     host.plain_servers.borrow_mut().forget_removed(is_registered, Instant::now());
     host.server_notices.expire(is_registered);
+    host.limited_servers.expire(is_registered);
 }
--- a/src/entry/metrics_endpoint.rs
+++ b/src/entry/metrics_endpoint.rs
@@ -76,6 +76,7 @@
     gauge!(metric_names::MAX_BUFFERED_BYTES).set(host.buffers.max_total_bytes() as f64);
     counter!(metric_names::BUFFERS_GIVEN_UP).absolute(host.buffers.n_given_up());
     set_cold_metrics(host);
+    gauge!(metric_names::LIMITED_SERVERS).set(host.limited_servers.n_limited() as f64);
     let mut ready: BTreeMap<String, u32> = BTreeMap::new();
     for server in host.backends.borrow().iter() {
         let n_ready = ready.entry(server.service.clone()).or_default();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,6 +24,7 @@
 mod evacuations;
 mod exchange;
 mod lifecycle;
+mod limited_servers;
 mod metrics_endpoint;
 mod own_registration;
 mod peer_catch_up;
--- a/src/entry/request_sender.rs
+++ b/src/entry/request_sender.rs
@@ -1,5 +1,7 @@
 //! Sends a request to a backend server and waits for its response.
 
+use std::time::Instant;
+
 use futures_lite::FutureExt;
 
 use crate::{
@@ -59,6 +61,7 @@
         let watch = CrashWatch::new(exchange, &attempt);
         reservation.record_sent(true);
         exchange.set_has_run(true);
+        let begun = Instant::now();
         let sent = async { Some(attempt.send(&exchange.host.connections).await) };
         let expired = async {
             reservation.wait_for_start_deadline().await;
@@ -66,7 +69,7 @@
         };
         match sent.or(expired).await {
             Some(Ok(response)) => {
-                server_notices::record(&exchange.host, &attempt, &response);
+                server_notices::record(&exchange.host, &attempt, &response, begun);
                 Ok((response, watch))
             }
             Some(Err(err)) if err.verdict == Verdict::NotRun => {
--- a/src/entry/server_notices.rs
+++ b/src/entry/server_notices.rs
@@ -1,5 +1,5 @@
-//! What backend servers say of themselves in the heads of their responses: that they leave, or that
-//! they want no requests for a time.
+//! What backend servers say of themselves in the heads of their responses: that they leave, that they
+//! want no requests for a time, or that they take few.
 
 use std::{
     cell::RefCell,
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    entry::{datagrams, entry_host::EntryHost},
+    entry::{datagrams, entry_host::EntryHost, limited_servers},
     fleet::{LeavingNotice, PeerMessage},
     ids::BackendId,
     placement::{LeavingServers, PausedServers},
@@ -94,14 +94,20 @@
 }
 
 /// Applies what the head of a response says of its backend server, before any of it reaches the
-/// caller.
-pub(crate) fn record(host: &Rc<EntryHost>, attempt: &Attempt<'_>, response: &BackendResponse) {
+/// caller; its request began at `begun`.
+pub(crate) fn record(
+    host: &Rc<EntryHost>,
+    attempt: &Attempt<'_>,
+    response: &BackendResponse,
+    begun: Instant,
+) {
     let info = &response.info;
     let is_success = (200..300).contains(&response.head.status);
     let is_of_backend = !info.is_other_backend && (info.has_receipt || !is_success);
     if !is_of_backend {
         return;
     }
+    limited_servers::record(host, attempt, response, begun);
     if info.is_leaving {
         record_leaving(host, attempt, response.head.status);
     }
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -46,6 +46,8 @@
 pub const COLD_SERVERS: &str = "crocustiller_cold_servers";
 /// Counter: requests that this host did not send, or admit, at once as servers are cold or may be.
 pub const COLD_HELD_BACK: &str = "crocustiller_cold_held_back_total";
+/// Gauge: backend servers that name a limit on their requests, as far as this host knows.
+pub const LIMITED_SERVERS: &str = "crocustiller_limited_servers";
 /// Counter: decisions of this host as owner of engines on first attempts, by `rank` (99 stands for all
 /// from 99 on) and `outcome` (served or refused).
 pub const CELL_RANKS: &str = "crocustiller_cell_ranks_total";
--- a/src/placement/cold_servers.rs
+++ b/src/placement/cold_servers.rs
@@ -13,18 +13,12 @@
 use crate::{
     ids::{BackendId, ServiceId, ZoneId},
     placement::{
-        server_warmth::ServerWarmth, BackendHealth, ColdBounds, ColdState, EntryShare, GrantRates,
-        RateLimit,
+        ramp, server_warmth::ServerWarmth, BackendHealth, ColdBounds, ColdState, EntryShare,
+        GrantRates, RateLimit,
     },
     routing::{BackendServer, ColdStart, Service},
 };
 
-/// Time after a server became warm over which its rate limit is raised, so that the waiting requests don't
-/// all reach it at once.
-const RAMP_TIME: Duration = Duration::from_secs(2);
-/// Time in which the rate limit doubles during `RAMP_TIME`.
-const RAMP_DOUBLING: Duration = Duration::from_millis(500);
-
 /// The servers of pools and services with a cold start, as far as this host knows.
 #[derive(Clone, Debug)]
 pub struct ColdServers {
@@ -289,9 +283,8 @@
 
 /// Returns the limit of a server that has been warm for `warm_for`: its rate rises, then it has none.
 fn ramped(limit: RateLimit, warm_for: Duration) -> RateLimit {
-    if warm_for >= RAMP_TIME {
-        return RateLimit { is_binding: false, ..limit };
+    match ramp::growth(warm_for) {
+        Some(growth) => RateLimit { interval: limit.interval.div_f64(growth), ..limit },
+        None => RateLimit { is_binding: false, ..limit },
     }
-    let growth = 2f64.powf(warm_for.as_secs_f64() / RAMP_DOUBLING.as_secs_f64());
-    RateLimit { interval: limit.interval.div_f64(growth), ..limit }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -22,6 +22,7 @@
 mod hedging;
 mod held_reservation;
 mod leaving_servers;
+mod limit_statement;
 mod load;
 mod part_crash;
 mod part_quarantine;
@@ -30,6 +31,7 @@
 mod plain_choice;
 mod plain_servers;
 mod quarantined_part;
+mod ramp;
 mod rank_counts;
 mod rate_limit;
 mod refusal;
@@ -39,12 +41,14 @@
 mod request_class;
 mod request_cost;
 mod request_counts;
+mod request_limit;
 mod request_suspicion;
 mod reservation_id;
 mod reservations;
 mod retry_budgets;
 mod served_share;
 mod served_shares;
+mod server_limits;
 mod server_slowness;
 mod server_warmth;
 mod shutdown_admission;
@@ -77,6 +81,7 @@
     grant_rates::GrantRates,
     held_reservation::HeldReservation,
     leaving_servers::LeavingServers,
+    limit_statement::LimitStatement,
     load::Load,
     part_crash::{PartCrash, PartDigest},
     paused_servers::{PausedServers, TRIAL_INTERVAL},
@@ -91,8 +96,10 @@
     request_class::RequestClass,
     request_cost::RequestCost,
     request_counts::RequestCounts,
+    request_limit::RequestLimit,
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
+    server_limits::{LimitChange, ServerLimits},
     server_slowness::CallNumber,
     server_warmth::ColdState,
     shutdown_admission::can_finish_before_exit,
--- a/src/platform/wire_headers.rs
+++ b/src/platform/wire_headers.rs
@@ -6,8 +6,8 @@
     digest::Digest,
     http1::{Headers, RequestHead, ResponseHead},
     ids::WeightsVersion,
-    placement::PartDigest,
-    relay::{CallerRequest, EngineCall, PromptSizes, ResponseInfo},
+    placement::{PartDigest, RequestLimit},
+    relay::{CallerRequest, EngineCall, PromptSizes, ResponseInfo, StatedLimit},
     weights::rank::digest_hash,
 };
 
@@ -37,6 +37,8 @@
 const LEAVING: &str = "Server-Leaving";
 /// The time in seconds for which an engine that refused a request wants no more.
 const RETRY_AFTER: &str = "Retry-After";
+/// The requests per second that an engine takes from all hosts together, while it names them.
+const SERVER_LIMIT: &str = "Server-Limit";
 const WEIGHTS_VERSION: &str = "X-Weight-Versions";
 /// The status with which a backend server refuses a request that was meant for another one.
 const STATUS_MISDIRECTED: u16 = 421;
@@ -132,6 +134,7 @@
         is_other_backend: head.status == STATUS_MISDIRECTED,
         is_leaving: headers.has_member(LEAVING, "1"),
         pause: decode_pause(head),
+        limit: decode_limit(&head.headers),
         has_receipt: headers.get(RECEIPT).is_some(),
         is_encoded,
         is_event_stream: headers
@@ -150,15 +153,30 @@
     pauses.max().filter(|it| !it.is_zero())
 }
 
-/// Decodes a number of seconds with an optional fraction. Dates and signs mean nothing, as the clocks
-/// of machines differ; a number that is too large means the longest time.
+/// Returns what a response says of a limit, the strictest if there are several fields.
+fn decode_limit(headers: &Headers) -> StatedLimit {
+    if headers.all(SERVER_LIMIT).next().is_none() {
+        return StatedLimit::Unlimited;
+    }
+    let rates = headers.all(SERVER_LIMIT).filter_map(decode_decimal);
+    let strictest = rates.min_by(f64::total_cmp).and_then(RequestLimit::per_second);
+    strictest.map_or(StatedLimit::Unreadable, StatedLimit::Limited)
+}
+
+/// Decodes a number of seconds with an optional fraction. Dates mean nothing, as the clocks of machines
+/// differ; a number that is too large means the longest time.
 fn decode_seconds(value: &[u8]) -> Option<Duration> {
+    let seconds = decode_decimal(value)?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
+/// Decodes a decimal number with an optional fraction and no sign.
+fn decode_decimal(value: &[u8]) -> Option<f64> {
     let text = std::str::from_utf8(value).ok()?.trim();
     let (whole, fraction) = text.split_once('.').unwrap_or((text, ""));
     let is_number = |it: &str| it.bytes().all(|it| it.is_ascii_digit());
     if whole.is_empty() || !is_number(whole) || !is_number(fraction) {
         return None;
     }
-    let seconds: f64 = text.parse().ok()?;
-    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    text.parse().ok()
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod engine_call;
 mod event_splitter;
 mod response_info;
+mod stated_limit;
 
 pub use crate::relay::{
     attempt::{Attempt, AttemptError, BackendResponse},
@@ -14,4 +15,5 @@
     engine_call::EngineCall,
     event_splitter::{Event, EventSplitter, Events},
     response_info::ResponseInfo,
+    stated_limit::StatedLimit,
 };
--- a/src/relay/response_info.rs
+++ b/src/relay/response_info.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
-use crate::ids::{RequestId, WeightsVersion};
+use crate::{
+    ids::{RequestId, WeightsVersion},
+    relay::StatedLimit,
+};
 
 /// The information in a backend server's response head.
 ///
 /// It determines whether the response can be used and whether the request may be retried.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that the response belongs to.
     pub request_id: Option<RequestId>,
@@ -19,6 +22,8 @@
     pub is_leaving: bool,
     /// Time for which the backend server, which refused the request, wants no more of this host.
     pub pause: Option<Duration>,
+    /// What it says of a limit on the requests of all hosts to the backend server.
+    pub limit: StatedLimit,
     /// Whether the response has the receipt header, which every backend server adds.
     pub has_receipt: bool,
     /// Whether the body has a content encoding, which makes the response unusable.
--- a/src/report/request_timeline.rs
+++ b/src/report/request_timeline.rs
@@ -1,7 +1,7 @@
 //! Merges the log lines of several processes that concern one request.
 
 /// First words of log lines that report a change in a process's state.
-const STATE_PARTS: [&str; 10] = [
+const STATE_PARTS: [&str; 11] = [
     "charter:",
     "versions:",
     "fleet:",
@@ -9,6 +9,7 @@
     "health:",
     "drain:",
     "pause:",
+    "limit:",
     "crashes:",
     "slot:",
     "daemon:",
--- /dev/null
+++ b/tests/limit_rules.rs
@@ -0,0 +1,152 @@
+//! What the limit in a response says, and for how long it holds.
+
+use std::time::{Duration, Instant};
+
+use crocustiller::{
+    http1::ResponseHead,
+    placement::{LimitChange, LimitStatement, RequestLimit, ServerLimits},
+    platform::wire_headers::decode_response_info,
+    relay::StatedLimit,
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// What the header of a response says; anything but plain numbers says nothing.
+#[test]
+fn limits_in_headers() {
+    let limited = |it: f64| StatedLimit::Limited(RequestLimit::per_second(it).unwrap());
+    let table: [(&[&str], StatedLimit); 17] = [
+        (&[], StatedLimit::Unlimited),
+        (&["1"], limited(1.0)),
+        (&["1.3"], limited(1.3)),
+        (&[" 0.25\t"], limited(0.25)),
+        (&["0"], limited(0.0)),
+        (&["12."], limited(12.0)),
+        (&["007"], limited(7.0)),
+        (&["99999999999999999999"], limited(1e20)),
+        // The strictest of several fields counts.
+        (&["3", "2.5"], limited(2.5)),
+        (&["soon", "4"], limited(4.0)),
+        (&["-1"], StatedLimit::Unreadable),
+        (&["+1"], StatedLimit::Unreadable),
+        (&["1e3"], StatedLimit::Unreadable),
+        (&["NaN"], StatedLimit::Unreadable),
+        (&["inf"], StatedLimit::Unreadable),
+        (&[""], StatedLimit::Unreadable),
+        (&["1, 2"], StatedLimit::Unreadable),
+    ];
+    for (values, expected) in table {
+        for status in [200, 404, 500, 503] {
+            let mut head = ResponseHead::new(status, "x");
+            values.iter().for_each(|it| head.headers.push("Server-Limit", *it));
+            assert_eq!(decode_response_info(&head).limit, expected, "{status} {values:?}");
+        }
+    }
+}
+
+/// Returns what a response says to the start 1000, whose request began and which arrived at these times.
+fn statement(limit: Option<f64>, begun: Instant, arrived: Instant) -> LimitStatement {
+    LimitStatement {
+        backend: "i-1".to_owned(),
+        started_ms: 1000,
+        latest_start_ms: 5000,
+        limit: limit.and_then(RequestLimit::per_second),
+        begun,
+        arrived,
+        is_own: true,
+    }
+}
+
+fn rate(limits: &ServerLimits, started_ms: u64, at: Instant) -> Option<f64> {
+    limits.limit("i-1", started_ms, at).map(|it| it.max_requests_per_s())
+}
+
+/// Responses overtake each other: a stricter limit counts at once, a looser one or none only if its
+/// request began after the limit was last named.
+#[test]
+fn order_of_responses() {
+    let now = Instant::now();
+    let mut limits = ServerLimits::default();
+    assert_eq!(limits.record(&statement(None, now, now)), LimitChange::Unchanged);
+    assert!(limits.is_empty());
+    let at = |ms: u32| now + ms * MS;
+    let mut record = |limit: Option<f64>, begun: u32, arrived: u32| {
+        let change = limits.record(&statement(limit, at(begun), at(arrived)));
+        (change, rate(&limits, 1000, at(arrived)))
+    };
+    assert_eq!(record(Some(2.0), 0, 100), (LimitChange::Named, Some(2.0)));
+    assert_eq!(record(Some(2.0), 0, 150), (LimitChange::Unchanged, Some(2.0)));
+    // Begun before the limit was last named.
+    assert_eq!(record(None, 149, 200), (LimitChange::Unchanged, Some(2.0)));
+    assert_eq!(record(Some(3.0), 149, 200), (LimitChange::Unchanged, Some(2.0)));
+    // A late one with a stricter limit.
+    assert_eq!(record(Some(1.0), 0, 210), (LimitChange::Named, Some(1.0)));
+    assert_eq!(record(Some(3.0), 210, 300), (LimitChange::Named, Some(3.0)));
+    let lasted = 300 * MS;
+    assert_eq!(record(None, 300, 400), (LimitChange::Ended { lasted, n_held_back: 0 }, Some(3.0)));
+    // One that another host got before the request that ended the limit began.
+    assert_eq!(record(Some(3.0), 200, 299), (LimitChange::Unchanged, Some(3.0)));
+    assert_eq!(record(Some(4.0), 350, 450), (LimitChange::Named, Some(4.0)));
+}
+
+/// After its end a limit rises for two seconds before it is lifted, as a late response may have ended it.
+#[test]
+fn rise_after_the_end() {
+    let now = Instant::now();
+    let mut limits = ServerLimits::default();
+    limits.record(&statement(Some(2.0), now, now));
+    assert_eq!(rate(&limits, 1000, now + 3600 * 1000 * MS), Some(2.0));
+    limits.note_held_back("i-1");
+    let end = now + 1000 * MS;
+    let lasted = 1000 * MS;
+    let change = limits.record(&statement(None, end, end));
+    assert_eq!(change, LimitChange::Ended { lasted, n_held_back: 1 });
+    for (after_ms, expected) in
+        [(0, Some(2.0)), (500, Some(4.0)), (1000, Some(8.0)), (1500, Some(16.0)), (2000, None)]
+    {
+        assert_eq!(rate(&limits, 1000, end + after_ms * MS), expected, "{after_ms}");
+    }
+    assert_eq!(limits.n_limited(), 0);
+    limits.forget_old(|_| true, end + 59_000 * MS);
+    assert!(!limits.is_empty());
+    limits.forget_old(|_| true, end + 60_000 * MS);
+    assert!(limits.is_empty());
+}
+
+/// A server that starts again under its id has named nothing, also if the limit came before the entry of
+/// the start that named it.
+#[test]
+fn starts_that_a_limit_binds() {
+    let now = Instant::now();
+    let mut limits = ServerLimits::default();
+    limits.record(&statement(Some(2.0), now, now));
+    for (started_ms, expected) in
+        [(0, Some(2.0)), (1000, Some(2.0)), (5000, Some(2.0)), (5001, None)]
+    {
+        assert_eq!(rate(&limits, started_ms, now), expected, "{started_ms}");
+    }
+    // A late response of the earlier start changes nothing of the later one.
+    let later = LimitStatement {
+        started_ms: 6000,
+        latest_start_ms: 7000,
+        ..statement(Some(9.0), now, now + MS)
+    };
+    assert_eq!(limits.record(&later), LimitChange::Named);
+    limits.record(&statement(Some(1.0), now, now + 2 * MS));
+    limits.record(&statement(None, now + 3 * MS, now + 4 * MS));
+    assert_eq!(rate(&limits, 6000, now + 4 * MS), Some(9.0));
+}
+
+/// The limit of a removed server is kept for a while, as its entry may come back.
+#[test]
+fn limit_of_a_removed_server() {
+    let now = Instant::now();
+    let mut limits = ServerLimits::default();
+    limits.record(&statement(Some(2.0), now, now));
+    limits.forget_old(|_| false, now + 599_000 * MS);
+    assert_eq!(rate(&limits, 1000, now), Some(2.0));
+    limits.forget_old(|_| true, now + 3600 * 1000 * MS);
+    assert_eq!(rate(&limits, 1000, now), Some(2.0));
+    limits.forget_old(|_| false, now + 600_000 * MS);
+    assert!(limits.is_empty());
+}
