Keep the request limits of backend servers over all hosts

What callers saw: a server in need got as many requests as before it named a limit, so they ran late there.

Change: each host tells the others what it heard, at once, again after 0.1 s and with every tenth beacon, and a host that starts all of it. The owner of an engine grants the named rate, evenly spread, and counts its grants of the last 4.2 s, those before the limit too. Beyond that each host keeps to its share of an outer bound (1.5 times the limit and one request in 4.2 s), fixed by the number of hosts, so that two owners or hosts that don't hear each other stay below it; a host that has just started has used its share. All requests are counted where they reserve a server: first attempts, hedged ones, retries, resumed streams. A looser limit, or none, counts only if its request began after the limit was last named, and the rate then rises over 2 s. Requests go elsewhere at once; if no server is left they are refused as not run with the time until the first one takes a request.

--- a/benches/admission_order.rs
+++ b/benches/admission_order.rs
@@ -62,6 +62,7 @@
             slots: SLOTS,
             is_on_probation: false,
             rate_limit: None,
+            request_limit: None,
         })
         .collect();
     let engines = |_: &Demand| all.clone();
--- a/src/entry/backend_requirements.rs
+++ b/src/entry/backend_requirements.rs
@@ -118,17 +118,22 @@
         eligible
     }
 
-    /// Returns the time until the first backend server takes the request, if all that it could use
-    /// now asked for a pause.
-    pub(crate) fn time_until_first(&self, host: &EntryHost) -> Option<Duration> {
-        if !host.server_notices.has_pauses() {
+    /// Returns the refusal of the request, with the time until the first backend server takes it, if all
+    /// that it could use now asked for a pause or named limits.
+    pub(crate) fn unavailable(&self, host: &EntryHost) -> Option<ReservationError> {
+        if !host.server_notices.has_pauses() && !host.limited_servers.has_limits() {
             return None;
         }
         let servers = host.backends.borrow();
         let health = host.health.borrow();
         let mut usable = self.eligible(host, &servers);
         usable.retain(|it| health.is_usable(&it.id, 0, Instant::now()));
-        host.server_notices.time_until_first(&usable)
+        let times: Option<Vec<Duration>> = usable.iter().map(|it| host.time_left(it)).collect();
+        let left = times?.into_iter().min()?;
+        Some(match host.server_notices.time_until_first(&usable) {
+            Some(_) => ReservationError::Paused(left),
+            None => ReservationError::Limited(left),
+        })
     }
 
     /// Returns the time until one more engine wants requests again, if any that the request could use
@@ -148,8 +153,10 @@
         excluded.extend(host.health.borrow().ejected(Instant::now()).cloned());
         let servers = host.backends.borrow();
         let ready = servers.ready_of(&self.service);
-        let unavailable = ready.filter(|it| !host.server_notices.takes_requests(it));
-        excluded.extend(unavailable.map(|it| it.id.clone()));
+        for server in ready.filter(|it| !host.takes_requests(it)) {
+            host.limited_servers.note_held_back(server);
+            excluded.push(server.id.clone());
+        }
         let in_turn_parts =
             host.crashing_parts.borrow().parts_to_start_in_turn(&self.prompt_parts, Instant::now());
         let now = Instant::now();
--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -13,32 +13,45 @@
 
 use crate::{
     clock,
-    entry::{crash_reports, datagrams, entry_host::EntryHost},
+    entry::{crash_reports, datagrams, entry_host::EntryHost, limited_servers},
     fleet::{beacon_interval, Beacon, PeerMessage},
     runtime,
 };
 
 /// Maximum number of representatives of a zone.
 const MAX_REPRESENTATIVES: usize = 4;
+/// Number of beacons after which request limits are sent again, for hosts that lost earlier notices.
+const BEACONS_PER_LIMITS: u32 = 10;
 
 /// Sends beacons until the task is dropped.
 pub(crate) async fn run(host: Rc<EntryHost>) {
     let mut last_sent_far: Option<Instant> = None;
+    let (mut n_sent_near, mut n_sent_far) = (0u32, 0u32);
     loop {
         crash_reports::decide(&host);
         let (near, far) = targets(&host);
         let near_interval = beacon_interval(near.len());
         let far_interval = beacon_interval(near.len() + far.len());
         send(&host, &near, near_interval);
+        send_limits(&host, &near, &mut n_sent_near);
         let is_due = last_sent_far.is_none_or(|it| it.elapsed() >= far_interval);
         if is_due && informs_other_zones(&host) {
             send(&host, &far, far_interval);
+            send_limits(&host, &far, &mut n_sent_far);
             last_sent_far = Some(Instant::now());
         }
         runtime::sleep(near_interval).await;
     }
 }
 
+/// Sends the request limits of backend servers with every tenth beacon.
+fn send_limits(host: &EntryHost, targets: &[SocketAddr], n_beacons: &mut u32) {
+    *n_beacons = n_beacons.wrapping_add(1);
+    if *n_beacons % BEACONS_PER_LIMITS == 0 {
+        limited_servers::send_own(host, targets);
+    }
+}
+
 /// Returns the addresses of the entry hosts of the own zone, and of the other zones.
 fn targets(host: &EntryHost) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
     let targets = host.beacon_targets.borrow();
@@ -63,6 +76,9 @@
     host.sources.record_peer(Instant::now());
     crash_reports::merge(host, &beacon.suspected, &beacon.quarantined);
     let is_new = host.peers.borrow().started_ms(&beacon.host) != Some(beacon.started_ms);
+    if is_new && host.limited_servers.has_limits() {
+        limited_servers::send_all(host, from);
+    }
     if is_new && crash_reports::has_any(host) {
         send_at_once(host, from);
     }
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -74,6 +74,11 @@
         self.cell.borrow().n_held_back()
     }
 
+    /// Returns the number of requests that waited or were refused as engines named limits.
+    pub(crate) fn n_limit_held_back(&self) -> u64 {
+        self.cell.borrow().n_limit_held_back()
+    }
+
     /// Records a turn of this process; if it may have been suspended since the last one, begins to learn
     /// again what runs at the engines, as it may have missed reports.
     fn record_turn(&self, host: &EntryHost, now: Instant) {
@@ -167,6 +172,7 @@
                     slots: if is_learning { it.slots.div_ceil(2) } else { it.slots },
                     is_on_probation,
                     rate_limit: cold_servers.owner_limit(&it.id, now),
+                    request_limit: host.limited_servers.limit(it, now),
                 })
             })
             .collect()
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -33,7 +33,7 @@
     },
     platform::store::Store,
     relay::BackendConnections,
-    routing::RoutingCharter,
+    routing::{BackendServer, RoutingCharter},
     settings::{DeployedSettings, EntryListenSettings},
 };
 
@@ -88,6 +88,8 @@
     pub(crate) socket: Async<UdpSocket>,
     /// Addresses of the entry hosts that beacons are sent to, with their zones.
     pub(crate) beacon_targets: RefCell<BTreeMap<SocketAddr, ZoneId>>,
+    /// Whether the entry hosts have been listed at least once.
+    pub(crate) knows_entry_hosts: Cell<bool>,
     /// Whether this host has known what the others know.
     pub(crate) catch_up: DocumentCatchUp,
     /// Whether the store has the registration of this host.
@@ -159,6 +161,7 @@
             buffers,
             socket,
             beacon_targets: RefCell::default(),
+            knows_entry_hosts: Cell::new(false),
             catch_up: DocumentCatchUp::default(),
             registration,
             sources,
@@ -340,6 +343,26 @@
         }
     }
 
+    /// Returns `true` if a backend server takes one more request of this host now, as far as it said.
+    pub(crate) fn takes_requests(&self, server: &BackendServer) -> bool {
+        !self.server_notices.is_leaving(server) && self.time_left(server).is_none()
+    }
+
+    /// Returns the time until a backend server takes one more request of this host, as far as it said;
+    /// `None` if it takes one now.
+    pub(crate) fn time_left(&self, server: &BackendServer) -> Option<Duration> {
+        let pause_left = self.server_notices.pause_left(server);
+        pause_left.max(self.limited_servers.time_left(self, server))
+    }
+
+    /// Records that a request to a backend server begins; returns the time.
+    pub(crate) fn note_begun(&self, server: &BackendServer) -> Instant {
+        let now = Instant::now();
+        self.server_notices.note_begun(server, now);
+        self.limited_servers.note_begun(server, now);
+        now
+    }
+
     /// Returns `true` if too many backend servers broke the connection during a request, counted
     /// over all entry hosts.
     pub(crate) fn is_crash_suspect(&self, fingerprint: Fingerprint) -> bool {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -227,6 +227,9 @@
         if let ReservationError::NotAllowed(reason) = &reason {
             counter!(metric_names::NOT_ALLOWED_REQUESTS, "reason" => reason.as_str()).increment(1);
         }
+        if matches!(reason, ReservationError::Limited(_)) {
+            self.host.limited_servers.note_refused();
+        }
         self.send_error(reason.response()).await
     }
 
--- a/src/entry/metrics_endpoint.rs
+++ b/src/entry/metrics_endpoint.rs
@@ -76,7 +76,7 @@
     gauge!(metric_names::MAX_BUFFERED_BYTES).set(host.buffers.max_total_bytes() as f64);
     counter!(metric_names::BUFFERS_GIVEN_UP).absolute(host.buffers.n_given_up());
     set_cold_metrics(host);
-    gauge!(metric_names::LIMITED_SERVERS).set(host.limited_servers.n_limited() as f64);
+    set_limit_metrics(host);
     let mut ready: BTreeMap<String, u32> = BTreeMap::new();
     for server in host.backends.borrow().iter() {
         let n_ready = ready.entry(server.service.clone()).or_default();
@@ -109,6 +109,12 @@
     }
 }
 
+fn set_limit_metrics(host: &EntryHost) {
+    gauge!(metric_names::LIMITED_SERVERS).set(host.limited_servers.n_limited() as f64);
+    let n_held_back = host.limited_servers.n_refused() + host.cell_owner.n_limit_held_back();
+    counter!(metric_names::LIMIT_HELD_BACK).absolute(n_held_back);
+}
+
 fn set_cold_metrics(host: &EntryHost) {
     let cold_servers = host.cold_servers.borrow();
     if !cold_servers.is_active() {
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -54,6 +54,8 @@
     number: Option<ReservationNumber>,
     /// Whether it is charged to this host's share of a cold backend server, as no owner decided on it.
     is_own_charged: bool,
+    /// Time at which it was made.
+    begun: Instant,
     outcome: Cell<ServiceOutcome>,
     /// Whether the backend server may have got the request.
     is_sent: Cell<bool>,
@@ -82,16 +84,15 @@
         queue_timeout: Duration,
     ) -> Result<Reservation, ReservationError> {
         requirements.check_allowed(host)?;
-        if let Some(left) = requirements.time_until_first(host) {
-            return Err(ReservationError::Paused(left));
+        if let Some(err) = requirements.unavailable(host) {
+            return Err(err);
         }
         if n_layers(host, &requirements.service).is_none() {
             return Reservation::at_plain_backend(host, requirements);
         }
         let res = Reservation::wait_for_engine(host, requirements, queue_timeout).await;
-        // Engines may have asked for a pause while the request waited.
-        let paused = || requirements.time_until_first(host).map(ReservationError::Paused);
-        res.map_err(|err| paused().unwrap_or(err))
+        // Engines may have asked for a pause, or named limits, while the request waited.
+        res.map_err(|err| requirements.unavailable(host).unwrap_or(err))
     }
 
     async fn wait_for_engine(
@@ -144,7 +145,7 @@
         let server = host.backends.borrow().get(&grant.engine).cloned();
         let regions = requirements.allowed_regions(host);
         let server = server
-            .filter(|it| it.state == BackendState::Ready && host.server_notices.takes_requests(it))
+            .filter(|it| it.state == BackendState::Ready && host.takes_requests(it))
             .filter(|it| allowed_zones(host, &regions).allows(&it.zone));
         let versions = host.versions.borrow();
         let oldest =
@@ -158,7 +159,7 @@
             return None;
         };
         host.request_counts.borrow_mut().begin(server.address);
-        host.server_notices.note_begun(&server);
+        let begun = host.note_begun(&server);
         Some(Reservation {
             host: host.clone(),
             backend: grant.engine,
@@ -170,6 +171,7 @@
             model: requirements.model.clone(),
             number: Some(grant.number),
             is_own_charged: grant.is_own_charged,
+            begun,
             outcome: Cell::new(ServiceOutcome::Unknown),
             is_sent: Cell::new(false),
             plain_call: None,
@@ -188,7 +190,7 @@
         let is_usable = |it: &&BackendServer| {
             let n_own = counts.get(&it.address);
             !requirements.excluded.contains(&it.id)
-                && !host.server_notices.is_paused(it)
+                && host.takes_requests(it)
                 && health.is_usable(&it.id, n_own, now)
         };
         let regions = requirements.allowed_regions(host);
@@ -216,7 +218,7 @@
         let load = Load { n_requests: counts.get(&server.address), unread_tokens: 0 };
         counts.begin(server.address);
         let is_own_charged = cold_servers.record_own(&server.id, || host.entry_share(), now);
-        host.server_notices.note_begun(server);
+        let begun = host.note_begun(server);
         Ok(Reservation {
             host: host.clone(),
             backend: server.id.clone(),
@@ -228,6 +230,7 @@
             model: None,
             number: None,
             is_own_charged,
+            begun,
             outcome: Cell::new(ServiceOutcome::Unknown),
             is_sent: Cell::new(false),
             plain_call: Some(PlainCall::new(&host.plain_servers, &server.id, &requirements.route)),
@@ -307,6 +310,9 @@
         if let Some(number) = self.number {
             self.host.admission.release(&self.host, number, outcome);
         }
+        if !outcome.is_sent() {
+            self.host.limited_servers.take_back(&self.backend, self.begun);
+        }
         if self.is_own_charged && matches!(outcome, ServiceOutcome::Unsent) {
             self.host.cold_servers.borrow_mut().give_back_own(&self.backend);
         }
--- a/src/entry/reservation_error.rs
+++ b/src/entry/reservation_error.rs
@@ -37,6 +37,9 @@
     Ranked(RefusalCause, Duration),
     /// All of them want no requests now; the first takes them again after this time.
     Paused(Duration),
+    /// All of them want no requests now, some as they named limits; the first takes one again after this
+    /// time.
+    Limited(Duration),
     /// No backend server may get the request, whatever their load.
     NotAllowed(NoAllowedServer),
     /// A part of the prompt is in quarantine, so no engine may get the request.
@@ -81,16 +84,23 @@
             }
             ReservationError::NotAllowed(reason) => not_allowed(reason),
             ReservationError::Ranked(cause, room_in) => (ranked_message(cause), room_in),
-            // Rounded up, so that a caller that waits as told is not early.
-            ReservationError::Paused(left) => (
-                "all backend servers asked for a pause; retry after it",
-                Duration::from_millis(left.as_nanos().div_ceil(NANOS_PER_MS) as u64),
+            ReservationError::Paused(left) => {
+                ("all backend servers asked for a pause; retry after it", rounded_up(left))
+            }
+            ReservationError::Limited(left) => (
+                "all backend servers limit their requests; retry after the stated time",
+                rounded_up(left),
             ),
         };
         ErrorResponse::not_run(503, message).with_retry_after(retry_after)
     }
 }
 
+/// Rounds a time up to milliseconds, so that a caller that waits as told is not early.
+fn rounded_up(time: Duration) -> Duration {
+    Duration::from_millis(time.as_nanos().div_ceil(NANOS_PER_MS) as u64)
+}
+
 fn not_allowed(reason: NoAllowedServer) -> (&'static str, Duration) {
     match reason {
         NoAllowedServer::NoRegion => (
--- a/src/entry/server_notices.rs
+++ b/src/entry/server_notices.rs
@@ -34,20 +34,13 @@
         self.leaving.borrow().is_closed(&server.id, server.started_ms)
     }
 
-    /// Returns `true` if a backend server wants no requests of this host now.
-    pub(crate) fn is_paused(&self, server: &BackendServer) -> bool {
-        let now = Instant::now();
-        self.paused.borrow().time_left(&server.id, server.started_ms, now).is_some()
-    }
-
-    /// Returns `true` if a backend server takes requests of this host now, as far as it said.
-    pub(crate) fn takes_requests(&self, server: &BackendServer) -> bool {
-        !self.is_leaving(server) && !self.is_paused(server)
+    /// Returns the time until a backend server wants requests of this host again, if it pauses.
+    pub(crate) fn pause_left(&self, server: &BackendServer) -> Option<Duration> {
+        self.paused.borrow().time_left(&server.id, server.started_ms, Instant::now())
     }
 
     /// Records that a request to a backend server is begun.
-    pub(crate) fn note_begun(&self, server: &BackendServer) {
-        let now = Instant::now();
+    pub(crate) fn note_begun(&self, server: &BackendServer, now: Instant) {
         self.paused.borrow_mut().note_begun(&server.id, server.started_ms, now);
     }
 
--- a/src/entry/store_sync.rs
+++ b/src/entry/store_sync.rs
@@ -110,6 +110,7 @@
     let objects: Vec<StoredObject> = match update {
         KindUpdate::Listed { objects, .. } => {
             host.registration.apply_listing(&objects);
+            host.knows_entry_hosts.set(true);
             objects
         }
         KindUpdate::Changed { changes, .. } => changes.into_iter().map(|it| it.object).collect(),
--- a/src/fleet/beacon.rs
+++ b/src/fleet/beacon.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    fleet::{AdmissionMessage, DocumentNumbers, LeavingNotice, LostEvacuation},
+    fleet::{AdmissionMessage, DocumentNumbers, LeavingNotice, LimitNotice, LostEvacuation},
     ids::{HostId, RegionId, WeightsVersion, ZoneId},
     placement::{
         Fingerprint, OwnerCandidate, PartCrash, PartDigest, QuarantinedPart, SuspectedRequest,
@@ -34,6 +34,8 @@
     RequestTry(RequestTry),
     /// Evacuations whose entries the store has lost, from an entry host for those that start.
     LostEvacuations(Vec<LostEvacuation>),
+    /// Request limits of backend servers, from one entry host to the others.
+    RequestLimits(Vec<LimitNotice>),
 }
 
 /// The version that the engine of a slot process serves.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod kind_cache;
 mod kind_watch;
 mod leaving_notice;
+mod limit_notice;
 mod list_pacing;
 mod lost_evacuation;
 mod message_receiver;
@@ -40,6 +41,7 @@
     kind_cache::KindCache,
     kind_watch::{KindUpdate, KindWatch},
     leaving_notice::LeavingNotice,
+    limit_notice::LimitNotice,
     list_pacing::ListPacing,
     lost_evacuation::LostEvacuation,
     peer_table::{beacon_interval, CallerLocation, Peer, PeerTable},
--- a/src/metric_names.rs
+++ b/src/metric_names.rs
@@ -48,6 +48,8 @@
 pub const COLD_HELD_BACK: &str = "crocustiller_cold_held_back_total";
 /// Gauge: backend servers that name a limit on their requests, as far as this host knows.
 pub const LIMITED_SERVERS: &str = "crocustiller_limited_servers";
+/// Counter: requests that this host refused, or did not admit at once, as servers name limits.
+pub const LIMIT_HELD_BACK: &str = "crocustiller_limit_held_back_total";
 /// Counter: decisions of this host as owner of engines on first attempts, by `rank` (99 stands for all
 /// from 99 on) and `outcome` (served or refused).
 pub const CELL_RANKS: &str = "crocustiller_cell_ranks_total";
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -18,10 +18,15 @@
 use crate::{
     ids::BackendId,
     placement::{
-        choose_engine, refused_requests::RefusedRequests, reservations::Reservations,
-        usable_engines::UsableEngines, waiting_queue::WaitingQueue,
-        waiting_request::WaitingRequest, Admission, AdmissionCounts, Candidate, CellEngine, Demand,
-        GrantRates, HeldReservation, Load, PartDigest, RankCounts, RefusalCause, ReservationId,
+        choose_engine,
+        grant_limits::GrantLimits,
+        refused_requests::RefusedRequests,
+        reservations::{EndedReservation, Reservations},
+        usable_engines::UsableEngines,
+        waiting_queue::WaitingQueue,
+        waiting_request::WaitingRequest,
+        Admission, AdmissionCounts, Candidate, CellEngine, Demand, HeldReservation, Load,
+        PartDigest, RankCounts, RefusalCause, ReservationId,
     },
 };
 
@@ -47,8 +52,7 @@
     waiting: WaitingQueue,
     /// Decisions on waiting requests that were made when another one arrived.
     decided: Vec<(ReservationId, Admission)>,
-    grant_rates: GrantRates,
-    n_held_back: u64,
+    grant_limits: GrantLimits,
 }
 
 impl AdmissionCell {
@@ -89,7 +93,7 @@
         if own.is_some() {
             return own;
         }
-        self.n_held_back += u64::from(self.grant_rates.next_due().is_some());
+        self.grant_limits.count_held_back();
         let own = self.waiting.expected_waits().find(|it| it.0.id == id);
         let wait = own.and_then(|it| it.1).unwrap_or_default();
         let max_waiting = MAX_WAITING_PER_SLOT * n_slots as usize;
@@ -157,7 +161,7 @@
         let deadlines = self.waiting.iter().map(|it| it.deadline);
         let in_turn = self.waiting.iter().flat_map(|it| &it.demand.in_turn_parts);
         let failed_starts = in_turn.filter_map(|it| self.failed_starts.get(it));
-        let next_due = self.grant_rates.next_due().filter(|_| self.waiting.len() > 0);
+        let next_due = self.grant_limits.next_due().filter(|_| self.waiting.len() > 0);
         deadlines.chain(failed_starts.map(|it| *it + START_PAUSE)).chain(next_due).min()
     }
 
@@ -168,17 +172,17 @@
 
     /// Ends a reservation, or the wait for one; returns the engine of the reservation.
     pub fn release(&mut self, id: &ReservationId, now: Instant) -> Option<BackendId> {
-        let (engine, starting_parts) = self.remove(id)?;
-        self.failed_starts.extend(starting_parts.into_iter().map(|it| (it, now)));
-        Some(engine)
+        let ended = self.remove(id)?;
+        self.failed_starts.extend(ended.starting_parts.into_iter().map(|it| (it, now)));
+        Some(ended.engine)
     }
 
     /// Ends a reservation whose engine did not get the request, or the wait for one; returns the engine.
     /// No start has failed.
     pub fn cancel(&mut self, id: &ReservationId) -> Option<BackendId> {
-        let engine = self.remove(id)?.0;
-        self.grant_rates.give_back(&engine);
-        Some(engine)
+        let ended = self.remove(id)?;
+        self.grant_limits.take_back(&ended.engine, ended.granted);
+        Some(ended.engine)
     }
 
     /// Applies a holder's report of all reservations that it holds at engines of this cell.
@@ -198,6 +202,7 @@
 
     /// Ends the reservations whose leases have lapsed; returns their number.
     pub fn expire(&mut self, now: Instant) -> usize {
+        self.grant_limits.forget_old(now);
         let expired = self.reservations.expired(now);
         for id in &expired {
             self.release(id, now);
@@ -223,7 +228,13 @@
     /// Returns the number of requests that did not get a place at once, while an engine with room was held
     /// back by its rate limit.
     pub fn n_held_back(&self) -> u64 {
-        self.n_held_back
+        self.grant_limits.n_cold_held_back()
+    }
+
+    /// Returns the number of requests that did not get a place at once, while an engine with room was held
+    /// back by the limit that it named.
+    pub fn n_limit_held_back(&self) -> u64 {
+        self.grant_limits.n_limit_held_back()
     }
 
     /// Returns `true` if there is nothing to decide on.
@@ -241,7 +252,7 @@
         self.waiting.len()
     }
 
-    fn remove(&mut self, id: &ReservationId) -> Option<(BackendId, BTreeSet<PartDigest>)> {
+    fn remove(&mut self, id: &ReservationId) -> Option<EndedReservation> {
         self.waiting.take_ended(|it| it.id == *id);
         self.decided.retain(|it| it.0 != *id);
         self.reservations.remove(id)
@@ -258,7 +269,7 @@
         now: Instant,
     ) -> Vec<(ReservationId, Admission)> {
         self.failed_starts.retain(|_, it| now.duration_since(*it) < START_PAUSE);
-        self.grant_rates.begin_round(now);
+        self.grant_limits.begin_round(now);
         let mut decisions = Vec::new();
         let mut held: BTreeSet<BackendId> = BTreeSet::new();
         let mut all_usable = UsableEngines::default();
@@ -299,9 +310,7 @@
     fn grant(&mut self, request: &WaitingRequest, engine: &CellEngine, now: Instant) {
         self.counts.of(request.is_return).n_admitted += 1;
         self.waiting.record_decision(request, true, now);
-        if let Some(limit) = &engine.rate_limit {
-            self.grant_rates.record(&engine.id, limit, now);
-        }
+        self.grant_limits.record(engine, now);
         self.reservations.grant(request.id, engine.id.clone(), &request.demand, now);
     }
 
@@ -312,8 +321,7 @@
             false => engine.slots,
         };
         let candidate = Candidate { slots, load };
-        let limit = engine.rate_limit.as_ref().filter(|_| candidate.has_slot());
-        match limit.is_some_and(|it| !self.grant_rates.is_due(&engine.id, it, now)) {
+        match candidate.has_slot() && !self.grant_limits.is_due(engine, now) {
             true => Candidate { slots: 0, load },
             false => candidate,
         }
--- a/src/placement/cell_engine.rs
+++ b/src/placement/cell_engine.rs
@@ -1,6 +1,9 @@
 //! An engine of a cell.
 
-use crate::{ids::BackendId, placement::RateLimit};
+use crate::{
+    ids::BackendId,
+    placement::{RateLimit, RequestLimit},
+};
 
 /// An engine of the cell as the owner sees it now.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,4 +17,6 @@
     pub is_on_probation: bool,
     /// The rate of its requests, if it starts cold.
     pub rate_limit: Option<RateLimit>,
+    /// The limit that it named on the requests of all hosts.
+    pub request_limit: Option<RequestLimit>,
 }
--- a/src/placement/entry_share.rs
+++ b/src/placement/entry_share.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use crate::weights::rank::{host_hash, score};
+use crate::{
+    placement::ShareRank,
+    weights::rank::{host_hash, score},
+};
 
 /// This entry host among all that it knows.
 #[derive(Clone, Debug)]
@@ -14,16 +17,20 @@
 }
 
 impl EntryShare {
-    /// Returns how many of `n_requests` to a server are this host's. All hosts compute shares that add up
-    /// to `n_requests`; the remainder of the division goes to those that rank first for the server.
-    pub fn of(&self, n_requests: usize, server: &str) -> usize {
+    /// Returns the place of this host in the division of requests to a server.
+    pub fn rank(&self, server: &str) -> ShareRank {
         let item = host_hash(server);
         let key = |it: &SocketAddr| (score(item, host_hash(&it.to_string())), *it);
         let own = key(&self.own);
         let others = || self.others.iter().filter(|it| **it != self.own);
         let rank = others().filter(|it| key(it) > own).count();
-        let n_hosts = others().count() + 1;
-        n_requests / n_hosts + usize::from(rank < n_requests % n_hosts)
+        ShareRank { rank, n_hosts: others().count() + 1 }
+    }
+
+    /// Returns how many of `n_requests` to a server are this host's. All hosts compute shares that add up
+    /// to `n_requests`; the remainder of the division goes to those that rank first for the server.
+    pub fn of(&self, n_requests: usize, server: &str) -> usize {
+        self.rank(server).of(n_requests)
     }
 
     /// Returns which part of a rate to a server is this host's. A rate below 1 goes to the host that ranks
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -18,6 +18,7 @@
 mod drain_rate;
 mod engine_choice;
 mod entry_share;
+mod grant_limits;
 mod grant_rates;
 mod hedging;
 mod held_reservation;
@@ -34,6 +35,7 @@
 mod ramp;
 mod rank_counts;
 mod rate_limit;
+mod recent_requests;
 mod refusal;
 mod refused_requests;
 mod region_constraint;
@@ -42,6 +44,7 @@
 mod request_cost;
 mod request_counts;
 mod request_limit;
+mod request_quota;
 mod request_suspicion;
 mod reservation_id;
 mod reservations;
@@ -51,6 +54,7 @@
 mod server_limits;
 mod server_slowness;
 mod server_warmth;
+mod share_rank;
 mod shutdown_admission;
 mod size_classes;
 mod size_shares;
@@ -90,6 +94,7 @@
     quarantined_part::QuarantinedPart,
     rank_counts::RankCounts,
     rate_limit::RateLimit,
+    recent_requests::RecentRequests,
     refusal::{Refusal, RefusalCause},
     region_constraint::RegionConstraint,
     request_attempt::RequestAttempt,
@@ -97,11 +102,13 @@
     request_cost::RequestCost,
     request_counts::RequestCounts,
     request_limit::RequestLimit,
+    request_quota::RequestQuota,
     reservation_id::{ReservationId, ReservationNumber},
     retry_budgets::RetryBudgets,
     server_limits::{LimitChange, ServerLimits},
     server_slowness::CallNumber,
     server_warmth::ColdState,
+    share_rank::ShareRank,
     shutdown_admission::can_finish_before_exit,
     suspected_request::{crash_id, CrashId, SuspectedRequest, TryId},
     wait_left::WaitLeft,
--- a/src/placement/reservations.rs
+++ b/src/placement/reservations.rs
@@ -37,6 +37,17 @@
     renewed: Instant,
 }
 
+/// A reservation that was removed.
+#[derive(Clone, Debug)]
+pub(crate) struct EndedReservation {
+    /// Its engine.
+    pub(crate) engine: BackendId,
+    /// Time at which it was granted.
+    pub(crate) granted: Instant,
+    /// Parts of the prompt if the first event of the response has not arrived.
+    pub(crate) starting_parts: BTreeSet<PartDigest>,
+}
+
 impl Reservations {
     /// Adds a reservation for a request.
     pub(crate) fn grant(
@@ -86,15 +97,12 @@
         load.unread_tokens = load.unread_tokens.saturating_sub(unread);
     }
 
-    /// Removes a reservation; returns its engine, and the parts of the prompt if the first event of
-    /// the response has not arrived.
-    pub(crate) fn remove(
-        &mut self,
-        id: &ReservationId,
-    ) -> Option<(BackendId, BTreeSet<PartDigest>)> {
+    /// Removes a reservation.
+    pub(crate) fn remove(&mut self, id: &ReservationId) -> Option<EndedReservation> {
         let reservation = self.by_id.remove(id)?;
         self.remove_load(&reservation);
-        Some((reservation.engine, reservation.starting_parts))
+        let Reservation { engine, granted, starting_parts, .. } = reservation;
+        Some(EndedReservation { engine, granted, starting_parts })
     }
 
     /// Returns the reservations of a holder that its report of all that it holds should list, but
--- a/src/placement/server_limits.rs
+++ b/src/placement/server_limits.rs
@@ -120,17 +120,14 @@
         }
     }
 
+    /// Returns what the latest response of a backend server said that named a limit, or ended it.
+    pub fn statement(&self, backend: &str) -> Option<LimitStatement> {
+        Some(self.records.get(backend)?.statement(backend))
+    }
+
     /// Returns what the latest responses of all backend servers with a limit said.
     pub fn statements(&self) -> impl Iterator<Item = LimitStatement> + '_ {
-        self.records.iter().filter(|it| it.1.end.is_none()).map(|(backend, it)| LimitStatement {
-            backend: backend.clone(),
-            started_ms: it.listed_start_ms,
-            latest_start_ms: it.latest_start_ms,
-            limit: Some(it.limit),
-            begun: it.begun,
-            arrived: it.last_named,
-            is_own: it.is_own,
-        })
+        self.records.iter().filter(|it| it.1.end.is_none()).map(|it| it.1.statement(it.0))
     }
 
     /// Returns the number of backend servers that name a limit.
@@ -168,6 +165,18 @@
         }
     }
 
+    fn statement(&self, backend: &str) -> LimitStatement {
+        LimitStatement {
+            backend: backend.to_owned(),
+            started_ms: self.listed_start_ms,
+            latest_start_ms: self.latest_start_ms,
+            limit: self.end.is_none().then_some(self.limit),
+            begun: self.end.map_or(self.begun, |it| it.begun),
+            arrived: self.end.map_or(self.last_named, |it| it.arrived),
+            is_own: self.is_own,
+        }
+    }
+
     /// Applies a response without a limit.
     fn end(&mut self, statement: &LimitStatement) -> LimitChange {
         if self.end.is_some() || statement.begun < self.last_named {
--- a/tests/admission_cells.rs
+++ b/tests/admission_cells.rs
@@ -45,6 +45,7 @@
             slots: SLOTS,
             is_on_probation: false,
             rate_limit: None,
+            request_limit: None,
         };
         let all = (0..n_engines).map(engine);
         all.filter(|it| !demand.excluded.contains(&it.id)).collect()
@@ -200,6 +201,7 @@
             slots: SLOTS,
             is_on_probation: true,
             rate_limit: None,
+            request_limit: None,
         }]
     };
     let mut cell = AdmissionCell::default();
--- a/tests/admission_order.rs
+++ b/tests/admission_order.rs
@@ -196,6 +196,7 @@
             slots: 2,
             is_on_probation: false,
             rate_limit: None,
+            request_limit: None,
         }]
     };
     let id = |number| ReservationId { holder: SocketAddr::from(([10, 1, 0, 1], 80)), number };
@@ -239,8 +240,13 @@
 /// against refusing a request at once by the rate of the burst.
 #[test]
 fn old_burst_refuses_nobody() {
-    let engine =
-        CellEngine { id: "i-0".to_owned(), slots: 2, is_on_probation: false, rate_limit: None };
+    let engine = CellEngine {
+        id: "i-0".to_owned(),
+        slots: 2,
+        is_on_probation: false,
+        rate_limit: None,
+        request_limit: None,
+    };
     let engines = |_: &Demand| vec![engine.clone()];
     let id = |number| ReservationId { holder: SocketAddr::from(([10, 1, 0, 1], 80)), number };
     let ranked = |number, rank| Demand {
--- a/tests/cold_schedules.rs
+++ b/tests/cold_schedules.rs
@@ -219,7 +219,13 @@
         let is_on_probation = !host.health.is_usable(ID, 1, at);
         host.cold.note_probations(&[&host.entry], &host.health, at);
         let rate_limit = host.cold.owner_limit(ID, at);
-        let engine = CellEngine { id: ID.to_owned(), slots: SLOTS, is_on_probation, rate_limit };
+        let engine = CellEngine {
+            id: ID.to_owned(),
+            slots: SLOTS,
+            is_on_probation,
+            rate_limit,
+            request_limit: None,
+        };
         let is_usable = host.health.is_usable(ID, 0, at);
         let engines = |_: &Demand| match is_usable {
             true => vec![engine.clone()],
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -26,7 +26,13 @@
 
 fn cell_engine(cold: &ColdServers, is_on_probation: bool, now: Instant) -> CellEngine {
     let rate_limit = cold.owner_limit("i-0", now);
-    CellEngine { id: "i-0".to_owned(), slots: SLOTS, is_on_probation, rate_limit }
+    CellEngine {
+        id: "i-0".to_owned(),
+        slots: SLOTS,
+        is_on_probation,
+        rate_limit,
+        request_limit: None,
+    }
 }
 
 fn demand(wait: Duration) -> Demand {
--- a/tests/emulated_cell/mod.rs
+++ b/tests/emulated_cell/mod.rs
@@ -225,6 +225,7 @@
             slots: SLOTS,
             is_on_probation: false,
             rate_limit: None,
+            request_limit: None,
         })
         .collect()
     }
--- a/tests/limit_rules.rs
+++ b/tests/limit_rules.rs
@@ -4,7 +4,10 @@
 
 use crocustiller::{
     http1::ResponseHead,
-    placement::{LimitChange, LimitStatement, RequestLimit, ServerLimits},
+    placement::{
+        Admission, AdmissionCell, CellEngine, Demand, LimitChange, LimitStatement, RecentRequests,
+        RequestLimit, RequestQuota, ReservationId, ServerLimits, ShareRank,
+    },
     platform::wire_headers::decode_response_info,
     relay::StatedLimit,
 };
@@ -150,3 +153,77 @@
     limits.forget_old(|_| false, now + 600_000 * MS);
     assert!(limits.is_empty());
 }
+
+/// Guards against an owner that counts only what it granted since an engine named its limit: the engine
+/// got 4.5 requests a second before, and the bound of four seconds counts those too.
+#[test]
+fn requests_before_the_limit() {
+    let start = Instant::now();
+    let mut cell = AdmissionCell::default();
+    let mut granted: Vec<u32> = Vec::new();
+    for ms in (0..20_000).step_by(222) {
+        let now = start + ms * MS;
+        let limit = (ms >= 8000).then(|| RequestLimit::per_second(1.0).unwrap());
+        if grants(&mut cell, ms, limit, now) {
+            granted.push(ms);
+        }
+    }
+    for end in (11_000..20_000).step_by(100) {
+        let n_granted = granted.iter().filter(|it| (end - 4000..=end).contains(*it)).count();
+        assert!(n_granted <= 11, "{n_granted} until {end}");
+        let n_later = granted.iter().filter(|it| **it > 12_500 && **it <= end).count();
+        assert!(n_later + 1 >= (end.max(12_500) - 12_500) as usize / 1111, "{n_later} until {end}");
+    }
+}
+
+/// Returns `true` if an owner grants a request to an engine with this limit at once.
+fn grants(cell: &mut AdmissionCell, ms: u32, limit: Option<RequestLimit>, now: Instant) -> bool {
+    let id = ReservationId { holder: ([10, 1, 0, 1], 7700).into(), number: u64::from(ms) };
+    let engine = CellEngine {
+        id: "i-1".to_owned(),
+        slots: 16,
+        is_on_probation: false,
+        rate_limit: None,
+        request_limit: limit,
+    };
+    let demand = Demand { prompt_tokens: 1, ..Demand::default() };
+    let decision = cell.request(id, demand, &|_: &Demand| vec![engine.clone()], now);
+    cell.release(&id, now);
+    matches!(decision, Some(Admission::Granted { .. }))
+}
+
+/// A grant that its holder gives back counts no more.
+#[test]
+fn grant_given_back() {
+    let now = Instant::now();
+    let limit = RequestLimit::per_second(0.5).unwrap();
+    let mut recent = RecentRequests::default();
+    let [pace, _] = limit.owner_quotas();
+    assert_eq!(recent.next_due("i-1", &pace, now), None);
+    recent.record("i-1", now);
+    assert_eq!(recent.next_due("i-1", &pace, now), Some(now + 2000 * MS));
+    recent.take_back("i-1", now);
+    assert_eq!(recent.next_due("i-1", &pace, now), None);
+}
+
+/// The shares of all hosts stay together below the outer bound, however small a limit is and however many
+/// hosts there are.
+#[test]
+fn shares_of_all_hosts() {
+    for n_hosts in [1, 2, 7, 38, 149] {
+        for max_requests_per_s in [0.0, 0.1, 0.3, 0.5, 1.0, 1.3, 2.0, 4.5, 17.0, 250.0] {
+            let limit = RequestLimit::per_second(max_requests_per_s).unwrap();
+            let ranks = || (0..n_hosts).map(|rank| ShareRank { rank, n_hosts });
+            let total = |quota: &dyn Fn(ShareRank) -> Option<RequestQuota>| -> usize {
+                ranks().filter_map(quota).map(|it| it.max_requests).sum()
+            };
+            let case = format!("{n_hosts} hosts, {max_requests_per_s}");
+            let outer = 6.0 * max_requests_per_s.max(1.0 / 60.0) + 1.0;
+            let engine = total(&|it| limit.engine_quota(it)) as f64;
+            assert!(engine <= outer && engine > outer - 1.0, "{case}: {engine}");
+            let plain = total(&|it| limit.plain_quota(it)) as f64;
+            assert!(plain <= outer && plain >= 1.0, "{case}: {plain}");
+            assert!(plain <= (4.0 * max_requests_per_s).max(n_hosts as f64), "{case}: {plain}");
+        }
+    }
+}
--- a/tests/paused_pool.rs
+++ b/tests/paused_pool.rs
@@ -154,7 +154,13 @@
 fn usable(demand: &Demand) -> Vec<CellEngine> {
     let engines = (0..N_ENGINES).map(name).filter(|it| !demand.excluded.contains(it));
     engines
-        .map(|id| CellEngine { id, slots: SLOTS, is_on_probation: false, rate_limit: None })
+        .map(|id| CellEngine {
+            id,
+            slots: SLOTS,
+            is_on_probation: false,
+            rate_limit: None,
+            request_limit: None,
+        })
         .collect()
 }
 
--- a/tests/queue_waits.rs
+++ b/tests/queue_waits.rs
@@ -21,7 +21,7 @@
 /// Returns one engine with one slot for each service.
 fn engines(demand: &Demand) -> Vec<CellEngine> {
     let id = format!("{}-0", demand.service);
-    vec![CellEngine { id, slots: 1, is_on_probation: false, rate_limit: None }]
+    vec![CellEngine { id, slots: 1, is_on_probation: false, rate_limit: None, request_limit: None }]
 }
 
 fn demand(number: u64, service: &str) -> Demand {
--- a/tests/returning_requests.rs
+++ b/tests/returning_requests.rs
@@ -32,7 +32,7 @@
 const ZONE: &str = "zone-1";
 
 fn cell_engine(id: String) -> CellEngine {
-    CellEngine { id, slots: SLOTS, is_on_probation: false, rate_limit: None }
+    CellEngine { id, slots: SLOTS, is_on_probation: false, rate_limit: None, request_limit: None }
 }
 
 fn engines(_: &Demand) -> Vec<CellEngine> {
