Refuse at once what limited engines can't take in time

Cause: while all engines with room had got what they take, a request waited at their owner for its whole wait and was told to come back after 0.3 s, when nothing had changed. Change: the owner says after which time the first engine takes a request; one that may not wait so long is refused at once, as not run, with that time. Measured: all_servers_limited, limit_that_ends and limit_told_to_others (new) pass; callers that wait as told are served.

--- a/src/entry/admission_client.rs
+++ b/src/entry/admission_client.rs
@@ -14,6 +14,7 @@
     entry::{
         eligible_servers::{allowed_zones, eligible_servers, version_served},
         entry_host::EntryHost,
+        owner_refusals::OwnerRefusals,
         pending_request::PendingRequest,
         reservation_error::ReservationError,
     },
@@ -210,29 +211,26 @@
     demand: &Demand,
 ) -> Result<Grant, ReservationError> {
     let immediate = Demand { wait: Duration::ZERO, max_wait: Duration::ZERO, ..demand.clone() };
-    let mut first_full = None;
-    let mut is_owner_known = false;
+    let mut refusals = OwnerRefusals::default();
     for owner in host.admission.owners_to_ask(host, demand, Instant::now()) {
         match ask(host, &owner, &immediate).await {
             Answer::Granted(grant) => return Ok(grant),
-            Answer::Refused(RefusalReason::Full | RefusalReason::Ranked(_)) => {
-                first_full = first_full.or(Some(owner));
-                if !demand.in_turn_parts.is_empty() {
-                    break;
-                }
-            }
-            Answer::Refused(RefusalReason::NoUsableEngine) => is_owner_known = true,
-            Answer::Refused(RefusalReason::NotOwner) | Answer::Silent => {}
+            Answer::Refused(reason) => refusals.record(owner, reason),
+            Answer::Silent => {}
+        }
+        if !demand.in_turn_parts.is_empty() && refusals.has_usable() {
+            break;
         }
     }
-    match first_full {
-        Some(owner) if demand.may_wait() => match ask(host, &owner, demand).await {
+    if let Some(owner) = refusals.owner_to_wait_at(demand.longest_wait()) {
+        return match ask(host, owner, demand).await {
             Answer::Granted(grant) => Ok(grant),
             Answer::Refused(reason) => Err(ReservationError::of_wait(reason, fastrand::f64())),
             Answer::Silent => Err(ReservationError::Full),
-        },
-        Some(_) => Err(ReservationError::Full),
-        None if is_owner_known => Err(ReservationError::NoBackend),
+        };
+    }
+    match refusals.error() {
+        Some(err) => Err(err),
         None => reserve_without_owner(host, demand),
     }
 }
--- a/src/entry/cell_owner.rs
+++ b/src/entry/cell_owner.rs
@@ -237,6 +237,7 @@
             refusal_log::log_refusal(&refusal);
             refused(RefusalReason::Ranked(refusal))
         }
+        Admission::Limited(left) => refused(RefusalReason::Limited(left)),
         Admission::NoEngine if host.cell_owner.owned_since.borrow().is_empty() => {
             refused(RefusalReason::NotOwner)
         }
--- a/src/entry/limited_servers.rs
+++ b/src/entry/limited_servers.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock,
-    entry::{datagrams, eligible_servers::n_layers, entry_host::EntryHost},
+    entry::{datagrams, eligible_servers::n_layers, entry_host::EntryHost, limit_log},
     fleet::{LimitNotice, PeerMessage},
     ids::BackendId,
     placement::{
@@ -211,7 +211,7 @@
     if change == LimitChange::Unchanged {
         return false;
     }
-    log_change(statement, change, source);
+    limit_log::log_change(statement, change, source);
     host.cell_owner.decide_waiting(host);
     true
 }
@@ -244,21 +244,3 @@
         datagrams::send(host, targets, &PeerMessage::RequestLimits(notices));
     }
 }
-
-fn log_change(statement: &LimitStatement, change: LimitChange, source: &str) {
-    let backend = &statement.backend;
-    match change {
-        LimitChange::Unchanged => {}
-        LimitChange::Named => log::info!(
-            "limit: a backend server takes few requests {source} backend={backend} \
-             max_requests_per_s={} age_ms={}",
-            statement.limit.map_or(f64::INFINITY, |it| it.max_requests_per_s()),
-            statement.arrived.elapsed().as_millis()
-        ),
-        LimitChange::Ended { lasted, n_held_back } => log::info!(
-            "limit: a backend server names no limit any more {source} backend={backend} \
-             lasted_ms={} held_back={n_held_back}",
-            lasted.as_millis()
-        ),
-    }
-}
--- a/src/entry/reservation_error.rs
+++ b/src/entry/reservation_error.rs
@@ -21,6 +21,8 @@
 const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Value of `Retry-After` in the response of a host that has just started.
 pub(crate) const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Longest value of `Retry-After` while backend servers name limits.
+const MAX_LIMITED_TIME: Duration = Duration::from_secs(60);
 /// Share of `Retry-After` over which callers that are refused at the same time are spread.
 const RETURN_SPREAD: f64 = 0.5;
 /// The number of nanoseconds in the unit to which `Retry-After` is rounded.
@@ -56,10 +58,17 @@
                 let room_in = refusal.room_in.min(UNAVAILABLE_RETRY_AFTER).mul_f64(spread);
                 ReservationError::Ranked(refusal.cause, room_in)
             }
+            RefusalReason::Limited(left) => ReservationError::limited(left),
             _ => ReservationError::Full,
         }
     }
 
+    /// Returns the error of a request whose owners' engines named limits, the first of which takes a request
+    /// after this time; the message of a peer may state any.
+    pub(crate) fn limited(left: Duration) -> ReservationError {
+        ReservationError::Limited(left.min(MAX_LIMITED_TIME))
+    }
+
     /// Returns `true` if the request may have waited as long as it was to.
     pub(crate) fn is_end_of_wait(&self) -> bool {
         matches!(
--- a/src/fleet/admission_message.rs
+++ b/src/fleet/admission_message.rs
@@ -1,5 +1,7 @@
 //! Messages between an entry host that holds reservations and the owner of a cell of engines.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -67,6 +69,8 @@
     NoUsableEngine,
     /// The receiver owns no engine, as its view of the entry hosts differs from the sender's.
     NotOwner,
+    /// All engines with room named limits; the first takes a request after this time.
+    Limited(Duration),
 }
 
 /// How an engine served a request, as far as it tells of the engine's health.
--- a/src/placement/admission.rs
+++ b/src/placement/admission.rs
@@ -1,5 +1,7 @@
 //! The decisions of the owner of a cell.
 
+use std::time::Duration;
+
 use crate::{
     ids::BackendId,
     placement::{Load, Refusal},
@@ -19,6 +21,9 @@
     Full,
     /// No engine had, or will have, capacity in time for a request that competes with others of other ranks.
     Refused(Refusal),
+    /// All engines that have room named limits; the first takes a request after this time, which is longer
+    /// than the request may wait.
+    Limited(Duration),
     /// The cell has no engine that the request could use.
     NoEngine,
 }
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -79,6 +79,12 @@
         if usable.is_empty() {
             return Some(Admission::NoEngine);
         }
+        if let Some(left) = self.grant_limits_left(&usable, now) {
+            if left > demand.longest_wait() {
+                self.grant_limits.count_limit_held_back();
+                return Some(Admission::Limited(left));
+            }
+        }
         let n_slots: u32 = usable.iter().map(|it| it.slots).sum();
         let service = demand.service.clone();
         let is_ranked = demand.class.is_ranked;
@@ -315,16 +321,32 @@
     }
 
     fn candidate(&mut self, engine: &CellEngine, now: Instant) -> Candidate {
+        let candidate = self.candidate_by_load(engine);
+        match candidate.has_slot() && !self.grant_limits.is_due(engine, now) {
+            true => Candidate { slots: 0, ..candidate },
+            false => candidate,
+        }
+    }
+
+    fn candidate_by_load(&self, engine: &CellEngine) -> Candidate {
         let load = self.load(&engine.id);
         let slots = match engine.is_on_probation && load.n_requests > 0 {
             true => 0,
             false => engine.slots,
         };
-        let candidate = Candidate { slots, load };
-        match candidate.has_slot() && !self.grant_limits.is_due(engine, now) {
-            true => Candidate { slots: 0, load },
-            false => candidate,
+        Candidate { slots, load }
+    }
+
+    /// Returns the time until the first engine takes a request, if all have room and are held back by the
+    /// limits that they named.
+    fn grant_limits_left(&self, engines: &[CellEngine], now: Instant) -> Option<Duration> {
+        if engines.iter().any(|it| !self.candidate_by_load(it).has_slot()) {
+            return None;
         }
+        let due = |it: &CellEngine| self.grant_limits.next_limit_due(it, now);
+        let all_due: Option<Vec<Instant>> = engines.iter().map(due).collect();
+        let first = all_due?.into_iter().min()?;
+        Some(first.saturating_duration_since(now))
     }
 
     /// Returns `false` if an engine that may crash on one of the parts has yet to begin its response, or
--- a/src/placement/grant_limits.rs
+++ b/src/placement/grant_limits.rs
@@ -58,6 +58,11 @@
         self.n_limit_held_back += u64::from(self.next_due.is_some());
     }
 
+    /// Counts a request that is refused at once as all engines named limits.
+    pub(crate) fn count_limit_held_back(&mut self) {
+        self.n_limit_held_back += 1;
+    }
+
     /// Returns the time at which the first engine that was refused since `begin_round` takes a request.
     pub(crate) fn next_due(&self) -> Option<Instant> {
         self.rates.next_due().into_iter().chain(self.next_due).min()
@@ -78,7 +83,8 @@
         self.recent.forget_old(now);
     }
 
-    fn next_limit_due(&self, engine: &CellEngine, now: Instant) -> Option<Instant> {
+    /// Returns the time at which an engine takes a request by the limit that it named; `None` if it does now.
+    pub(crate) fn next_limit_due(&self, engine: &CellEngine, now: Instant) -> Option<Instant> {
         let quotas = engine.request_limit.as_ref()?.owner_quotas();
         quotas.iter().filter_map(|it| self.recent.next_due(&engine.id, it, now)).max()
     }
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -4,7 +4,7 @@
 
 use std::{
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -14,8 +14,8 @@
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
 use entry_process::{
     charter,
-    pausing_server::{send, whole_response},
-    server_entry, EntryProcess,
+    pausing_server::{retry_after, send, wait_for_lines, whole_response},
+    server_entry, Deployment, EntryProcess,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -115,3 +115,84 @@
         callers.into_iter().map(|it| it.join().unwrap()).sum()
     })
 }
+
+/// While all servers have got what they take, callers are refused at once, as not run, with the time after
+/// which the first takes a request; one that waits as told is served.
+#[test]
+fn all_servers_limited() {
+    for (service, path) in [("ledger", "/hold/1"), ("ledger", "/stock/1"), ("pool", "/draft/1")] {
+        let (server, arrivals) = limited_server("0.5");
+        let deployment = Deployment::start(service, &[&server]);
+        // A host that has just started does not know what it sent before.
+        let started = Instant::now();
+        assert_eq!(send(&deployment.entry, path, "first").status(), 200, "{path}");
+        let mut number = 0;
+        while started.elapsed() < 9000 * MS {
+            let sent = Instant::now();
+            let response = send(&deployment.entry, path, &format!("request-{number}"));
+            number += 1;
+            if response.status() == 200 {
+                continue;
+            }
+            assert!(sent.elapsed() < 150 * MS, "{path}: {:?}", sent.elapsed());
+            let text = response.text();
+            assert!(response.status() == 503 && text.contains("not-run"), "{path}: {text}");
+            let told = Duration::from_secs_f64(retry_after(&response).unwrap());
+            assert!(told > Duration::ZERO && told < 4300 * MS, "{path}: {told:?}");
+            thread::sleep(told);
+            let returned = send(&deployment.entry, path, &format!("returned-{number}"));
+            assert_eq!(returned.status(), 200, "{path}: told {told:?}, {}", returned.text());
+        }
+        let n_requests = arrivals.lock().unwrap().len();
+        assert!((3..=8).contains(&n_requests), "{path}: {n_requests}");
+    }
+}
+
+/// A server that names no limit any more gets all requests again, within some seconds.
+#[test]
+fn limit_that_ends() {
+    for (service, path) in [("ledger", "/stock/1"), ("pool", "/draft/1")] {
+        let n_requests = AtomicU32::new(0);
+        let server = ScriptedServer::start(move |request| {
+            match n_requests.fetch_add(1, Ordering::Relaxed) < 3 {
+                true => with_limit(request, "1"),
+                false => whole_response(request),
+            }
+        })
+        .unwrap();
+        let deployment = Deployment::start(service, &[&server]);
+        send_for(std::slice::from_ref(&deployment.entry), path, 10_000 * MS);
+        for number in 0..30 {
+            let response = send(&deployment.entry, path, &format!("after-{number}"));
+            assert_eq!(response.status(), 200, "{path}: {}", response.text());
+        }
+        let backend = format!("backend={service}-0");
+        let expected = [
+            "limit: a backend server takes few requests request=".to_owned(),
+            format!("{backend} max_requests_per_s=1 age_ms="),
+            "limit: a backend server names no limit any more request=".to_owned(),
+            format!("{backend} lasted_ms="),
+        ];
+        wait_for_lines(&deployment.entry, &expected.each_ref().map(String::as_str));
+    }
+}
+
+/// A host hears of a limit from the host that was told, and one that starts later from those that know.
+#[test]
+fn limit_told_to_others() {
+    let (server, _) = limited_server("0.5");
+    let store = StoreStandin::start().unwrap();
+    store.put("config", "main", charter(1));
+    store.put("servers", "ledger-0", server_entry("ledger", server.address(), "ready"));
+    let hosts = ["entry-1", "entry-2"].map(|it| EntryProcess::start(&store, it));
+    hosts.iter().for_each(EntryProcess::wait_until_ready);
+    thread::sleep(JOIN_TIME);
+    assert_eq!(send(&hosts[0], "/stock/1", "first").status(), 200);
+    let told = format!("takes few requests from={} backend=ledger-0", hosts[0].peers);
+    wait_for_lines(&hosts[1], &[&told]);
+    assert_eq!(send(&hosts[1], "/stock/1", "second").status(), 503);
+    let late = EntryProcess::start(&store, "entry-3");
+    late.wait_until_ready();
+    assert_eq!(send(&late, "/stock/1", "third").status(), 503);
+    assert_eq!(server.requests().len(), 1);
+}
--- a/tests/paused_pool.rs
+++ b/tests/paused_pool.rs
@@ -126,7 +126,10 @@
             Admission::Granted { engine, .. } => {
                 Some((id, engine.trim_start_matches("i-").parse().unwrap()))
             }
-            Admission::Full | Admission::Refused(_) | Admission::NoEngine => None,
+            Admission::Full
+            | Admission::Refused(_)
+            | Admission::Limited(_)
+            | Admission::NoEngine => None,
         }
     }
 
