Accept bounds with fractions

Cause: six bounds were read as whole numbers. Change: they are decimal numbers; the slacks are rounded down, so that no more is used than is allowed. The other readers keep whole numbers.

--- a/src/settings/deployed_settings.rs
+++ b/src/settings/deployed_settings.rs
@@ -1,6 +1,8 @@
 //! Settings of a process that is deployed on the platform.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
+use std::{
+    collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, path::Path, time::Duration,
+};
 
 use crate::{
     http1::{descriptor_limit, MAX_DESCRIPTORS},
@@ -18,6 +20,10 @@
 const BYTES_PER_MB: f64 = 1_048_576.0;
 /// Memory of a process whose settings don't name it, in megabytes.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// The number of milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
+/// Allowed values of bounds on times, in milliseconds.
+const TIME_RANGE_MS: RangeInclusive<f64> = 100.0..=3_600_000.0;
 
 /// The settings of one process on the platform, as `crocustillerd --platform` reads them.
 #[derive(Clone, Debug)]
@@ -177,28 +183,32 @@
 
 fn read_bounds(reader: &mut IniReader) -> Option<BoundSettings> {
     const SECTION: &str = "bounds";
-    let grace = reader.number(SECTION, "grace_s", 1..=3_600, 8);
-    let version = reader.milliseconds(SECTION, "version_ms", 100..=3_600_000, 8_000);
+    let grace_s = reader.decimal(SECTION, "grace_s", 1.0..=3_600.0, 8.0);
+    let version_ms = reader.decimal(SECTION, "version_ms", TIME_RANGE_MS, 8_000.0);
     let retry_ratio = reader.fraction(SECTION, "retry_ratio", 0.2);
-    let retry_slack = reader.number(SECTION, "retry_slack", 0..=1_000_000, 100);
-    let retry_window = reader.number(SECTION, "retry_window_s", 1..=3_600, 10);
-    let evacuation = reader
+    let retry_slack = reader.decimal(SECTION, "retry_slack", 0.0..=1_000_000.0, 100.0);
+    let retry_window_s = reader.decimal(SECTION, "retry_window_s", 1.0..=3_600.0, 10.0);
+    let evacuation_ms = reader
         .has_key(SECTION, "evacuation_ms")
-        .then(|| reader.milliseconds(SECTION, "evacuation_ms", 100..=3_600_000, 5_000));
+        .then(|| reader.decimal(SECTION, "evacuation_ms", TIME_RANGE_MS, 5_000.0));
     let cold_over = reader.positive_number(SECTION, "cold_over", 1.0);
-    let cold_slack = reader.number(SECTION, "cold_slack", 0..=1_000_000, 0);
-    let evacuation = match evacuation {
-        Some(it) => Some(it?),
+    let cold_slack = reader.decimal(SECTION, "cold_slack", 0.0..=1_000_000.0, 0.0);
+    let evacuation = match evacuation_ms {
+        Some(it) => Some(milliseconds(it?)),
         None => None,
     };
     Some(BoundSettings {
-        grace: Duration::from_secs(grace?),
-        version: version?,
+        grace: Duration::from_secs_f64(grace_s?),
+        version: milliseconds(version_ms?),
         retry_ratio: retry_ratio?,
-        retry_slack: retry_slack?,
-        retry_window: Duration::from_secs(retry_window?),
+        retry_slack: retry_slack? as u64,
+        retry_window: Duration::from_secs_f64(retry_window_s?),
         evacuation,
         cold_over: cold_over?,
-        cold_slack: cold_slack?,
+        cold_slack: cold_slack? as u64,
     })
 }
+
+fn milliseconds(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / MS_PER_S)
+}
--- a/src/settings/ini_reader.rs
+++ b/src/settings/ini_reader.rs
@@ -201,6 +201,24 @@
         self.number(section, key, range, default).map(Duration::from_millis)
     }
 
+    /// Reads a number within `range`, with a fraction or without, or `default` if the key is missing.
+    pub(crate) fn decimal(
+        &mut self,
+        section: &str,
+        key: &str,
+        range: RangeInclusive<f64>,
+        default: f64,
+    ) -> Option<f64> {
+        let Some(text) = self.optional_text(section, key) else { return Some(default) };
+        match text.parse() {
+            Ok(value) if range.contains(&value) => Some(value),
+            _ => {
+                let allowed = format!("a number from {} to {}", range.start(), range.end());
+                self.reject_value(section, key, &text, &allowed)
+            }
+        }
+    }
+
     /// Reads a number from 0 to 1, or `default` if the key is missing.
     pub(crate) fn fraction(&mut self, section: &str, key: &str, default: f64) -> Option<f64> {
         let Some(text) = self.optional_text(section, key) else { return Some(default) };
--- a/tests/deployed_settings.rs
+++ b/tests/deployed_settings.rs
@@ -41,3 +41,19 @@
     assert!(problems.contains("evacuation_ms"), "{problems}");
     assert!(!problems.contains("cold_"), "{problems}");
 }
+
+/// Guards against a process that doesn't start, as the platform states a bound with a fraction.
+#[test]
+fn bounds_with_fractions() {
+    let text = "[bounds]\ngrace_s = 7.5\nversion_ms = 8000.0\nretry_slack = 102.6\n\
+                retry_window_s = 9.5\nevacuation_ms = 2500.5\ncold_slack = 5.0";
+    let bounds = parse(text).unwrap().bounds;
+    let times = [bounds.grace, bounds.version, bounds.retry_window, bounds.evacuation.unwrap()];
+    assert_eq!(times.map(|it| it.as_micros()), [7_500_000, 8_000_000, 9_500_000, 2_500_500]);
+    // Never more than is allowed.
+    assert_eq!((bounds.retry_slack, bounds.cold_slack), (102, 5));
+    for wrong in ["grace_s = 0.5", "grace_s = NaN", "version_ms = 1e9", "retry_slack = -1"] {
+        let problems = parse(&format!("[bounds]\n{wrong}")).unwrap_err();
+        assert!(problems.contains("give a number from"), "{problems}");
+    }
+}
