Tell other hosts of a limit at once only if it differs by a fifth

Cause: a server may name another limit in each response; each change was sent to all entry hosts twice, 20 datagrams a second and host at the most for one server, which 149 hosts multiply. Change: a limit that differs by up to a fifth from the one that was last told holds at once, and goes out with the beacons.

--- a/src/entry/limit_log.rs
+++ b/src/entry/limit_log.rs
@@ -14,12 +14,9 @@
     static LIMIT: RateLimit = RateLimit::new(LINES_PER_S);
 }
 
-/// Logs what a statement changed, if lines are left; `source` is a log field that names the response, or
+/// Logs a change by a statement, if lines are left; `source` is a log field that names the response, or
 /// the entry host that told of it.
 pub(crate) fn log_change(statement: &LimitStatement, change: LimitChange, source: &str) {
-    if change == LimitChange::Unchanged {
-        return;
-    }
     let LineDecision::Write { n_dropped } = LIMIT.with(|it| it.decide(Instant::now())) else {
         return;
     };
--- a/src/entry/limited_servers.rs
+++ b/src/entry/limited_servers.rs
@@ -205,10 +205,10 @@
     send(host, targets, &statements);
 }
 
-/// Applies what a response said that `source` names; returns `true` if a limit changed.
+/// Applies what a response said that `source` names; returns `true` if that is to be told at once.
 fn apply_statement(host: &EntryHost, statement: &LimitStatement, source: &str) -> bool {
     let change = host.limited_servers.limits.borrow_mut().record(statement);
-    if change == LimitChange::Unchanged {
+    if matches!(change, LimitChange::Unchanged | LimitChange::Adjusted) {
         return false;
     }
     limit_log::log_change(statement, change, source);
--- a/src/placement/request_limit.rs
+++ b/src/placement/request_limit.rs
@@ -18,6 +18,8 @@
 const EXTRA_REQUESTS: f64 = 1.0;
 /// Time within which an owner may grant requests that follow each other at once.
 const BURST_S: f64 = 0.1;
+/// Share of a limit by which another one may differ and need not be told at once.
+const MAX_ADJUSTMENT: f64 = 0.2;
 /// Lowest rate of requests per second that is kept to: one request a minute asks whether a lower limit
 /// still holds.
 const MIN_REQUESTS_PER_S: f64 = 1.0 / 60.0;
@@ -72,6 +74,12 @@
         host_quota(share.of(max_requests))
     }
 
+    /// Returns `true` if two limits differ by little.
+    pub(crate) fn is_near(&self, other: &RequestLimit) -> bool {
+        let difference = (self.kept_per_s() - other.kept_per_s()).abs();
+        difference <= MAX_ADJUSTMENT * other.kept_per_s()
+    }
+
     /// Returns the limit with a rate that is greater by a factor.
     pub(crate) fn grown(&self, factor: f64) -> RequestLimit {
         RequestLimit { max_requests_per_s: self.max_requests_per_s.max(1.0) * factor }
--- a/src/placement/server_limits.rs
+++ b/src/placement/server_limits.rs
@@ -35,6 +35,8 @@
     /// The latest start that may have named it.
     latest_start_ms: u64,
     limit: RequestLimit,
+    /// The limit that was last reported as a change.
+    reported: RequestLimit,
     /// Time at which the server first named a limit.
     first_named: Instant,
     /// Begin of the request, and arrival, of the latest response that named one.
@@ -60,6 +62,8 @@
 pub enum LimitChange {
     /// Nothing, or only the age of the limit.
     Unchanged,
+    /// The server named a limit that hardly differs from the one that was last reported.
+    Adjusted,
     /// The server named another limit, or one for the first time.
     Named,
     /// It names none any more.
@@ -156,6 +160,7 @@
             listed_start_ms: statement.started_ms,
             latest_start_ms: statement.latest_start_ms,
             limit,
+            reported: limit,
             first_named: statement.arrived,
             begun: statement.begun,
             last_named: statement.arrived,
@@ -211,6 +216,10 @@
             return LimitChange::Unchanged;
         }
         self.limit = limit;
+        if limit.is_near(&self.reported) {
+            return LimitChange::Adjusted;
+        }
+        self.reported = limit;
         LimitChange::Named
     }
 }
--- a/tests/limit_rules.rs
+++ b/tests/limit_rules.rs
@@ -227,3 +227,22 @@
         }
     }
 }
+
+/// A server that names another limit in each response would make its hosts tell all others each time: small
+/// changes hold, but are not told at once.
+#[test]
+fn small_changes() {
+    let now = Instant::now();
+    let mut limits = ServerLimits::default();
+    let mut record = |limit: f64, ms: u32| {
+        let at = now + ms * MS;
+        let change = limits.record(&statement(Some(limit), at, at));
+        (change, rate(&limits, 1000, at).unwrap())
+    };
+    assert_eq!(record(10.0, 0), (LimitChange::Named, 10.0));
+    assert_eq!(record(11.5, 1), (LimitChange::Adjusted, 11.5));
+    assert_eq!(record(8.5, 2), (LimitChange::Adjusted, 8.5));
+    assert_eq!(record(7.5, 3), (LimitChange::Named, 7.5));
+    assert_eq!(record(0.0, 4), (LimitChange::Named, 0.0));
+    assert_eq!(record(0.01, 5), (LimitChange::Adjusted, 0.01));
+}
