--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -38,6 +38,7 @@
 pub const API_KEY: &str = "weavers-key";
 /// The host name of all routes.
 pub const HOST: &str = "lots.example";
+const SETTINGS_FILE: &str = "settings.ini";
 const LOG_FILE: &str = "process.log";
 /// Time within which a process must listen and become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
@@ -62,16 +63,19 @@
 /// Starts a process that may have only `n_descriptors` open, if that is named.
 pub fn start_with_descriptors(text: &str, n_descriptors: Option<u64>) -> (Child, TempDir) {
     let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("settings.ini");
-    std::fs::write(&path, text).unwrap();
+    std::fs::write(folder.path().join(SETTINGS_FILE), text).unwrap();
+    (spawn_daemon(&folder, n_descriptors), folder)
+}
+
+/// Starts a process with the settings in `folder`.
+fn spawn_daemon(folder: &TempDir, n_descriptors: Option<u64>) -> Child {
     // Standard error is inherited, so that the reason of a failed start is in the test's output.
-    let child = daemon_command(n_descriptors)
+    daemon_command(n_descriptors)
         .args(["--platform", "--settings"])
-        .arg(&path)
+        .arg(folder.path().join(SETTINGS_FILE))
         .stdout(File::create(folder.path().join(LOG_FILE)).unwrap())
         .spawn()
-        .unwrap();
-    (child, folder)
+        .unwrap()
 }
 
 /// Returns the command that runs a daemon, which may have only `n_descriptors` open if that is named.
@@ -164,13 +168,24 @@
         let (child, folder) = start_with_descriptors(&text, n_descriptors);
         let mut entry =
             EntryProcess { child, folder, callers, readiness, directory, peers, metrics };
+        entry.wait_until_listening();
+        entry
+    }
+
+    /// Starts a process with the same settings in place of this one, which has ended, and waits until it
+    /// listens. Its log begins anew.
+    pub fn restart(&mut self) {
+        self.child = spawn_daemon(&self.folder, None);
+        self.wait_until_listening();
+    }
+
+    fn wait_until_listening(&mut self) {
         let started = Instant::now();
-        while TcpStream::connect(entry.readiness).is_err() {
-            assert!(!entry.has_exited(), "the entry host exited; see its error above");
+        while TcpStream::connect(self.readiness).is_err() {
+            assert!(!self.has_exited(), "the entry host exited; see its error above");
             assert!(started.elapsed() < START_TIMEOUT, "the entry host does not listen");
             thread::sleep(Duration::from_millis(10));
         }
-        entry
     }
 
     /// Waits until the process reports that it is ready.
