--- a/src/entry/beacon_exchange.rs
+++ b/src/entry/beacon_exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock,
-    entry::{crash_reports, datagrams, entry_host::EntryHost, limited_servers},
+    entry::{crash_reports, datagrams, entry_host::EntryHost, limit_notices},
     fleet::{beacon_interval, Beacon, PeerMessage},
     runtime,
 };
@@ -48,7 +48,7 @@
 fn send_limits(host: &EntryHost, targets: &[SocketAddr], n_beacons: &mut u32) {
     *n_beacons = n_beacons.wrapping_add(1);
     if *n_beacons % BEACONS_PER_LIMITS == 0 {
-        limited_servers::send_own(host, targets);
+        limit_notices::send_own(host, targets);
     }
 }
 
@@ -77,7 +77,7 @@
     crash_reports::merge(host, &beacon.suspected, &beacon.quarantined);
     let is_new = host.peers.borrow().started_ms(&beacon.host) != Some(beacon.started_ms);
     if is_new && host.limited_servers.has_limits() {
-        limited_servers::send_all(host, from);
+        limit_notices::send_all(host, from);
     }
     if is_new && crash_reports::has_any(host) {
         send_at_once(host, from);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod exchange;
 mod lifecycle;
 mod limit_log;
+mod limit_notices;
 mod limited_servers;
 mod metrics_endpoint;
 mod own_registration;
--- a/src/entry/peer_messages.rs
+++ b/src/entry/peer_messages.rs
@@ -5,7 +5,7 @@
 use crate::{
     entry::{
         beacon_exchange, crash_reports, crash_tries, entry_host::EntryHost, evacuations,
-        limited_servers, server_notices,
+        limit_notices, server_notices,
     },
     fleet::{MessageReceiver, PeerMessage},
 };
@@ -30,7 +30,7 @@
         PeerMessage::CrashReport(report) => crash_reports::apply(host, report),
         PeerMessage::RequestTry(message) => crash_tries::apply(host, from, &message),
         PeerMessage::ServerLeaving(notice) => server_notices::apply(host, from, &notice),
-        PeerMessage::RequestLimits(notices) => limited_servers::apply(host, from, &notices),
+        PeerMessage::RequestLimits(notices) => limit_notices::apply(host, from, &notices),
         PeerMessage::LostEvacuations(lost) => evacuations::learn(host, &lost),
         PeerMessage::PiecesHeld(_) | PeerMessage::Manifest(_) => {
             log::debug!("fleet: ignored a message for slot processes from={from}")
--- a/src/entry/server_notices.rs
+++ b/src/entry/server_notices.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    entry::{datagrams, entry_host::EntryHost, limited_servers},
+    entry::{datagrams, entry_host::EntryHost, limit_notices},
     fleet::{LeavingNotice, PeerMessage},
     ids::BackendId,
     placement::{LeavingServers, PausedServers},
@@ -100,7 +100,7 @@
     if !is_of_backend {
         return;
     }
-    limited_servers::record(host, attempt, response, begun);
+    limit_notices::record(host, attempt, response, begun);
     if info.is_leaving {
         record_leaving(host, attempt, response.head.status);
     }
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -5,6 +5,7 @@
 mod backend_response;
 mod caller_response;
 mod deployment;
+pub mod limited_server;
 pub mod pausing_server;
 pub mod sent_request;
 mod store_entries;
--- a/tests/limit_soak.rs
+++ b/tests/limit_soak.rs
@@ -16,9 +16,10 @@
     time::{Duration, Instant},
 };
 
-use crocustiller_standins::raw_http::{ScriptedServer, Step, StoreStandin};
+use crocustiller_standins::raw_http::{ScriptedServer, StoreStandin};
 use entry_process::{
     charter,
+    limited_server::with_limit,
     pausing_server::{whole_response, STREAM_HEADERS},
     read_response, request, server_entry, EntryProcess,
 };
@@ -126,19 +127,15 @@
 /// Starts the server of an engine that records all requests.
 fn start_engine(engine: &Arc<Engine>, max_requests_per_s: f64) -> ScriptedServer {
     let engine = engine.clone();
-    let header = format!("Server-Limit: {max_requests_per_s}\r\nX-Server-Stamp");
+    let limit = max_requests_per_s.to_string();
     ScriptedServer::start(move |request| {
         let host = request.header("x-sent-to").unwrap_or_default().to_owned();
         engine.arrivals.lock().unwrap().push(Arrival { at: Instant::now(), host });
         let is_limited = engine.named.lock().unwrap().is_some();
-        let steps = whole_response(request).into_iter().map(|step| match step {
-            Step::Send(bytes) if is_limited => {
-                let text = String::from_utf8(bytes).unwrap();
-                Step::Send(text.replacen("X-Server-Stamp", &header, 1).into_bytes())
-            }
-            step => step,
-        });
-        steps.collect()
+        match is_limited {
+            true => with_limit(whole_response(request), &limit),
+            false => whole_response(request),
+        }
     })
     .unwrap()
 }
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -11,9 +11,10 @@
     time::{Duration, Instant},
 };
 
-use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step, StoreStandin};
+use crocustiller_standins::raw_http::{ScriptedServer, StoreStandin};
 use entry_process::{
     charter,
+    limited_server::with_limit,
     pausing_server::{retry_after, send, wait_for_lines, whole_response},
     server_entry, Deployment, EntryProcess,
 };
@@ -70,24 +71,11 @@
     let recorded = arrivals.clone();
     let server = ScriptedServer::start(move |request| {
         recorded.lock().unwrap().push(Instant::now());
-        with_limit(request, limit)
+        with_limit(whole_response(request), limit)
     });
     (server.unwrap(), arrivals)
 }
 
-/// Returns the steps of a complete response that names a limit.
-fn with_limit(request: &RawRequest, limit: &str) -> Vec<Step> {
-    let header = format!("Server-Limit: {limit}\r\nX-Server-Stamp");
-    let named = |step: Step| match step {
-        Step::Send(bytes) => {
-            let text = String::from_utf8(bytes).unwrap();
-            Step::Send(text.replacen("X-Server-Stamp", &header, 1).into_bytes())
-        }
-        step => step,
-    };
-    whole_response(request).into_iter().map(named).collect()
-}
-
 /// Sends requests to all hosts for a time; returns the number of those that were not served.
 fn send_for(hosts: &[EntryProcess], path: &str, time: Duration) -> usize {
     let is_over = AtomicBool::new(false);
@@ -155,7 +143,7 @@
         let n_requests = AtomicU32::new(0);
         let server = ScriptedServer::start(move |request| {
             match n_requests.fetch_add(1, Ordering::Relaxed) < 3 {
-                true => with_limit(request, "1"),
+                true => with_limit(whole_response(request), "1"),
                 false => whole_response(request),
             }
         })
