--- a/src/fleet/limit_notice.rs
+++ b/src/fleet/limit_notice.rs
@@ -46,7 +46,8 @@
     /// Returns the statement, in a notice that may have waited unread for `max_delay`; `None` if the limit
     /// is no number.
     ///
-    /// A limit may be as new as its notice says, the end of one as old as it may be.
+    /// The request began at the earliest time that is possible, so that a looser limit, or none, counts only
+    /// if it is certain to be newer than what this host knows.
     pub fn statement(&self, max_delay: Duration, now: Instant) -> Option<LimitStatement> {
         let limit = match self.max_requests_per_s {
             Some(max_requests_per_s) => Some(RequestLimit::per_second(max_requests_per_s)?),
--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -79,7 +79,7 @@
         if usable.is_empty() {
             return Some(Admission::NoEngine);
         }
-        if let Some(left) = self.grant_limits_left(&usable, now) {
+        if let Some(left) = self.time_until_due(&usable, now) {
             if left > demand.longest_wait() {
                 self.grant_limits.count_limit_held_back();
                 return Some(Admission::Limited(left));
@@ -339,7 +339,7 @@
 
     /// Returns the time until the first engine takes a request, if all have room and are held back by the
     /// limits that they named.
-    fn grant_limits_left(&self, engines: &[CellEngine], now: Instant) -> Option<Duration> {
+    fn time_until_due(&self, engines: &[CellEngine], now: Instant) -> Option<Duration> {
         if engines.iter().any(|it| !self.candidate_by_load(it).has_slot()) {
             return None;
         }
--- a/tests/explained_requests.rs
+++ b/tests/explained_requests.rs
@@ -105,3 +105,20 @@
     }
     assert!(since.elapsed() < std::time::Duration::from_secs(5));
 }
+
+/// A request that is refused because of limits is explained with the newest limit, from whomever the host
+/// heard it.
+#[test]
+fn timeline_names_limits() {
+    let log = "\
+2026-12-07T08:00:01.000Z INFO  limit: a backend server takes few requests request=r-1 backend=i-3 max_requests_per_s=2 age_ms=0 left_out=0
+2026-12-07T08:00:02.000Z INFO  limit: a backend server takes few requests from=10.0.0.2:7700 backend=i-4 max_requests_per_s=1 age_ms=12 left_out=0
+2026-12-07T08:00:02.500Z INFO  request: ended request=r-3 outcome=refused status=503 verdict=not-run reason=\"all backend servers limit their requests; retry after the stated time\"
+";
+    let logs = [("entry-1.log".to_owned(), log.to_owned())];
+    let timeline = RequestTimeline::read("r-3", &logs);
+    let state: Vec<&str> = timeline.state_lines.iter().map(|it| it.text.as_str()).collect();
+    assert_eq!(state.len(), 1, "{state:?}");
+    assert!(state[0].contains("backend=i-4 max_requests_per_s=1 age_ms=12"), "{state:?}");
+    assert!(timeline.lines[0].text.contains("limit their requests"), "{timeline:?}");
+}
