Move the decision on limited servers out of the entry host

The test of schedules had its own copy of the decision when a host may send; it uses LimitedRequests now.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -152,7 +152,7 @@
             cold_servers: RefCell::new(ColdServers::new(cold_bounds)),
             plain_servers: Rc::default(),
             server_notices: ServerNotices::default(),
-            limited_servers: LimitedServers::default(),
+            limited_servers: LimitedServers::new(),
             crash_suspects: RefCell::default(),
             crashing_parts: RefCell::default(),
             part_quarantined: Event::new(),
--- a/src/entry/limited_servers.rs
+++ b/src/entry/limited_servers.rs
@@ -10,18 +10,15 @@
     entry::{eligible_servers::n_layers, entry_host::EntryHost},
     ids::BackendId,
     placement::{
-        LimitChange, LimitStatement, RecentRequests, RequestLimit, RequestQuota, ServerLimits,
-        ShareRank,
+        LimitChange, LimitStatement, LimitedRequests, RequestLimit, RequestQuota, ShareRank,
     },
     routing::BackendServer,
 };
 
 /// The backend servers that named limits, as far as this host knows, and its own requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct LimitedServers {
-    limits: RefCell<ServerLimits>,
-    /// The requests of this host to all backend servers.
-    sent: RefCell<RecentRequests>,
+    requests: RefCell<LimitedRequests>,
     /// This host's place in the division of requests to servers with limits.
     ranks: RefCell<HashMap<BackendId, CachedRank>>,
     /// The backend servers of which a change is being sent to the other hosts.
@@ -38,28 +35,31 @@
 }
 
 impl LimitedServers {
+    /// Creates the state of a host that starts now and knows no limits.
+    pub(crate) fn new() -> LimitedServers {
+        LimitedServers {
+            requests: RefCell::new(LimitedRequests::new(Instant::now())),
+            ranks: RefCell::default(),
+            announced: RefCell::default(),
+            n_refused: Cell::new(0),
+        }
+    }
+
     /// Returns the limit that a backend server named, for the owner that grants requests to it.
     pub(crate) fn limit(&self, server: &BackendServer, now: Instant) -> Option<RequestLimit> {
-        self.limits.borrow().limit(&server.id, server.started_ms, now)
+        self.requests.borrow().limits.limit(&server.id, server.started_ms, now)
     }
 
     /// Returns the time until this host may send a backend server one more request; `None` if it may now.
     pub(crate) fn time_left(&self, host: &EntryHost, server: &BackendServer) -> Option<Duration> {
-        let now = Instant::now();
-        let limit = self.limit(server, now)?;
-        // An earlier process of this host may have used its share.
-        let share_from = host.started + RequestLimit::WINDOW;
-        if now < share_from {
-            return Some(share_from - now);
-        }
-        let Some(quota) = self.quota(host, server, &limit) else { return Some(limit.interval()) };
-        let due = self.sent.borrow().next_due(&server.id, &quota, now)?;
-        Some(due.saturating_duration_since(now))
+        let requests = self.requests.borrow();
+        let quota = |limit: &RequestLimit| self.quota(host, server, limit);
+        requests.time_left(&server.id, server.started_ms, quota, Instant::now())
     }
 
     /// Counts a request that goes elsewhere because of the limit of a backend server.
     pub(crate) fn note_held_back(&self, server: &BackendServer) {
-        self.limits.borrow_mut().note_held_back(&server.id);
+        self.requests.borrow_mut().limits.note_held_back(&server.id);
     }
 
     /// Counts a request that is refused as all backend servers named limits.
@@ -69,27 +69,27 @@
 
     /// Records that a request to a backend server begins.
     pub(crate) fn note_begun(&self, server: &BackendServer, now: Instant) {
-        self.sent.borrow_mut().record(&server.id, now);
+        self.requests.borrow_mut().sent.record(&server.id, now);
     }
 
     /// Takes back a request that began at `begun` and was not sent.
     pub(crate) fn take_back(&self, backend: &BackendId, begun: Instant) {
-        self.sent.borrow_mut().take_back(backend, begun);
+        self.requests.borrow_mut().sent.take_back(backend, begun);
     }
 
     /// Applies what a response said; returns what that changed.
     pub(crate) fn record(&self, statement: &LimitStatement) -> LimitChange {
-        self.limits.borrow_mut().record(statement)
+        self.requests.borrow_mut().limits.record(statement)
     }
 
     /// Returns what the latest response of a backend server said that named a limit, or ended it.
     pub(crate) fn statement(&self, backend: &BackendId) -> Option<LimitStatement> {
-        self.limits.borrow().statement(backend)
+        self.requests.borrow().limits.statement(backend)
     }
 
     /// Returns what the latest responses of all backend servers with a limit said.
     pub(crate) fn statements(&self) -> Vec<LimitStatement> {
-        self.limits.borrow().statements().collect()
+        self.requests.borrow().limits.statements().collect()
     }
 
     /// Begins to tell the other hosts of a change; returns `false` if one is being told.
@@ -104,7 +104,7 @@
 
     /// Returns the number of backend servers that name a limit.
     pub(crate) fn n_limited(&self) -> usize {
-        self.limits.borrow().n_limited()
+        self.requests.borrow().limits.n_limited()
     }
 
     /// Returns the number of requests that this host refused as all backend servers had named limits.
@@ -114,18 +114,18 @@
 
     /// Returns `true` if any backend server may have a limit.
     pub(crate) fn has_limits(&self) -> bool {
-        !self.limits.borrow().is_empty()
+        !self.requests.borrow().limits.is_empty()
     }
 
     /// Forgets limits that ended, and those of backend servers that were removed, long ago.
     pub(crate) fn expire(&self, is_registered: impl Fn(&str) -> bool) {
         let now = Instant::now();
-        let mut limits = self.limits.borrow_mut();
-        limits.forget_old(is_registered, now);
-        if limits.is_empty() {
+        let requests = &mut *self.requests.borrow_mut();
+        requests.limits.forget_old(is_registered, now);
+        requests.sent.forget_old(now);
+        if requests.limits.is_empty() {
             self.ranks.borrow_mut().clear();
         }
-        self.sent.borrow_mut().forget_old(now);
     }
 
     /// Returns the quota of this host for a backend server; `None` if it must send it nothing.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -24,6 +24,7 @@
 mod held_reservation;
 mod leaving_servers;
 mod limit_statement;
+mod limited_requests;
 mod load;
 mod part_crash;
 mod part_quarantine;
@@ -86,6 +87,7 @@
     held_reservation::HeldReservation,
     leaving_servers::LeavingServers,
     limit_statement::LimitStatement,
+    limited_requests::LimitedRequests,
     load::Load,
     part_crash::{PartCrash, PartDigest},
     paused_servers::{PausedServers, TRIAL_INTERVAL},
--- a/tests/limit_schedules.rs
+++ b/tests/limit_schedules.rs
@@ -9,7 +9,7 @@
 
 use crocustiller::placement::{
     Admission, AdmissionCell, CellEngine, Demand, EntryShare, LimitChange, LimitStatement,
-    RecentRequests, RequestLimit, ReservationId, ServerLimits,
+    LimitedRequests, RequestLimit, ReservationId,
 };
 use fastrand::Rng;
 
@@ -33,14 +33,13 @@
 /// An entry host as its events left it. All times are milliseconds since the start of the run.
 struct Host {
     cell: AdmissionCell,
-    limits: ServerLimits,
-    sent: RecentRequests,
+    requests: LimitedRequests,
     /// Start of the engine by the entry that it read last.
     started_ms: u64,
     /// Time in which it does not run.
     stopped: Range<u64>,
-    /// Time at which it started again without what it knew.
-    restarted: Option<u64>,
+    /// Time at which it started, without what it knew.
+    started: u64,
     /// The hosts with the same number hear each other.
     group: usize,
     /// Statements on their way to it, with the times at which they arrive.
@@ -85,14 +84,13 @@
     SocketAddr::from(([10, 1, 0, number as u8], 7700))
 }
 
-fn new_host() -> Host {
+fn new_host(started: u64, at: Instant) -> Host {
     Host {
         cell: AdmissionCell::default(),
-        limits: ServerLimits::default(),
-        sent: RecentRequests::default(),
+        requests: LimitedRequests::new(at),
         started_ms: 1,
         stopped: 0..0,
-        restarted: None,
+        started,
         group: 0,
         inbox: Vec::new(),
         told: None,
@@ -102,14 +100,13 @@
 
 impl Host {
     /// Returns `true` if its own share allows one more request.
-    fn may_send(&self, number: usize, limit: Option<RequestLimit>, now: u64, at: Instant) -> bool {
-        let Some(limit) = limit else { return true };
-        let others = (0..N_HOSTS).map(address).collect();
-        let share = EntryShare { own: address(number), others };
-        let has_started =
-            self.restarted.is_none_or(|it| now >= it + RequestLimit::WINDOW.as_millis() as u64);
-        let quota = limit.engine_quota(share.rank(ID)).filter(|_| has_started);
-        quota.is_some_and(|it| self.sent.next_due(ID, &it, at).is_none())
+    fn may_send(&self, number: usize, at: Instant) -> bool {
+        let quota = |limit: &RequestLimit| {
+            let others = (0..N_HOSTS).map(address).collect();
+            let share = EntryShare { own: address(number), others };
+            limit.engine_quota(share.rank(ID))
+        };
+        self.requests.time_left(ID, self.started_ms, quota, at).is_none()
     }
 
     /// Returns the greatest limit that it was told, and that held since `from`.
@@ -119,16 +116,19 @@
     }
 
     fn limit(&self, at: Instant) -> Option<RequestLimit> {
-        self.limits.limit(ID, self.started_ms, at)
+        self.requests.limits.limit(ID, self.started_ms, at)
     }
 }
 
 impl World {
     fn new(seed: u64) -> World {
+        let start = Instant::now();
+        // The hosts have run for a while.
+        let started = start - RequestLimit::WINDOW;
         World {
             random: Rng::with_seed(seed),
-            start: Instant::now(),
-            hosts: (0..N_HOSTS).map(|_| new_host()).collect(),
+            start,
+            hosts: (0..N_HOSTS).map(|_| new_host(0, started)).collect(),
             sent: Vec::new(),
             started_ms: 1,
             named: Vec::new(),
@@ -163,8 +163,8 @@
             6 => self.hosts.iter_mut().for_each(|it| it.group = 0),
             7 => {
                 let Host { group, started_ms, .. } = self.hosts[any];
-                let (stopped, restarted) = (now..later, Some(later));
-                self.hosts[any] = Host { group, started_ms, stopped, restarted, ..new_host() };
+                let new = new_host(later, self.at(later));
+                self.hosts[any] = Host { group, started_ms, stopped: now..later, ..new };
             }
             8 => self.hosts[any].stopped = now..later,
             _ => self.former_owner = (any, later),
@@ -199,11 +199,11 @@
             self.hosts[idx].cell.expire(at);
             if now % 1000 == 0 {
                 let own: Vec<LimitStatement> =
-                    self.hosts[idx].limits.statements().filter(|it| it.is_own).collect();
+                    self.hosts[idx].requests.limits.statements().filter(|it| it.is_own).collect();
                 own.into_iter().for_each(|it| self.tell(idx, it, now));
             }
-            let is_joining = |it: u64| (it..it + JOIN_MS).contains(&now);
-            if self.hosts[idx].restarted.is_some_and(is_joining) {
+            let started = self.hosts[idx].started;
+            if started > 0 && (started..started + JOIN_MS).contains(&now) {
                 self.join(idx, now);
             } else if self.random.u8(0..4) == 0 {
                 self.send(idx, now);
@@ -223,7 +223,7 @@
         host.inbox = waiting;
         let arrived: Vec<(u64, LimitStatement)> = arrived;
         for (_, statement) in arrived {
-            host.limits.record(&statement);
+            host.requests.limits.record(&statement);
         }
     }
 
@@ -246,9 +246,10 @@
     fn join(&mut self, idx: usize, now: u64) {
         let group = self.hosts[idx].group;
         let others = self.hosts.iter().filter(|it| it.group == group && !it.stopped.contains(&now));
-        let known: Vec<LimitStatement> = others.flat_map(|it| it.limits.statements()).collect();
+        let known: Vec<LimitStatement> =
+            others.flat_map(|it| it.requests.limits.statements()).collect();
         known.into_iter().for_each(|it| {
-            self.hosts[idx].limits.record(&LimitStatement { is_own: false, ..it });
+            self.hosts[idx].requests.limits.record(&LimitStatement { is_own: false, ..it });
         });
     }
 
@@ -266,8 +267,7 @@
     /// streams are sent in the same way.
     fn send(&mut self, idx: usize, now: u64) {
         let at = self.at(now);
-        let limit = self.hosts[idx].limit(at);
-        if !self.hosts[idx].may_send(idx, limit, now, at) {
+        if !self.hosts[idx].may_send(idx, at) {
             return;
         }
         self.next_number += 1;
@@ -295,7 +295,7 @@
                 return;
             }
         }
-        self.hosts[idx].sent.record(ID, at);
+        self.hosts[idx].requests.sent.record(ID, at);
         let arrives = now + self.random.u64(0..MAX_SEND_MS);
         let responds = arrives + self.random.u64(20..300);
         let reservation = owner.map(|it| (it, id));
@@ -347,8 +347,8 @@
             arrived: at,
             is_own: true,
         };
-        if host.limits.record(&statement) != LimitChange::Unchanged {
-            let newest = host.limits.statement(ID).unwrap();
+        if host.requests.limits.record(&statement) != LimitChange::Unchanged {
+            let newest = host.requests.limits.statement(ID).unwrap();
             self.tell(sent.host, newest.clone(), now);
             self.tell(sent.host, newest, now);
         }
