Shorter entry host and settings reader

What backend servers said is asked in server_notices.rs; readers of optional values share one function. No change of behaviour: settings_files, deployed_settings, example_settings and command_line pass.

--- a/src/entry/backend_requirements.rs
+++ b/src/entry/backend_requirements.rs
@@ -10,6 +10,7 @@
         eligible_servers::{self, eligible_servers},
         entry_host::EntryHost,
         reservation_error::ReservationError,
+        server_notices,
     },
     fleet::BackendTable,
     ids::{BackendId, RouteId, ServiceId},
@@ -128,7 +129,8 @@
         let health = host.health.borrow();
         let mut usable = self.eligible(host, &servers);
         usable.retain(|it| health.is_usable(&it.id, 0, Instant::now()));
-        let times: Option<Vec<Duration>> = usable.iter().map(|it| host.time_left(it)).collect();
+        let times: Option<Vec<Duration>> =
+            usable.iter().map(|it| server_notices::time_left(host, it)).collect();
         let left = times?.into_iter().min()?;
         Some(match host.server_notices.time_until_first(&usable) {
             Some(_) => ReservationError::Paused(left),
@@ -153,7 +155,7 @@
         excluded.extend(host.health.borrow().ejected(Instant::now()).cloned());
         let servers = host.backends.borrow();
         let ready = servers.ready_of(&self.service);
-        for server in ready.filter(|it| !host.takes_requests(it)) {
+        for server in ready.filter(|it| !server_notices::takes_requests(host, it)) {
             host.limited_servers.note_held_back(server);
             excluded.push(server.id.clone());
         }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -33,7 +33,7 @@
     },
     platform::store::Store,
     relay::BackendConnections,
-    routing::{BackendServer, RoutingCharter},
+    routing::RoutingCharter,
     settings::{DeployedSettings, EntryListenSettings},
 };
 
@@ -343,26 +343,6 @@
         }
     }
 
-    /// Returns `true` if a backend server takes one more request of this host now, as far as it said.
-    pub(crate) fn takes_requests(&self, server: &BackendServer) -> bool {
-        !self.server_notices.is_leaving(server) && self.time_left(server).is_none()
-    }
-
-    /// Returns the time until a backend server takes one more request of this host, as far as it said;
-    /// `None` if it takes one now.
-    pub(crate) fn time_left(&self, server: &BackendServer) -> Option<Duration> {
-        let pause_left = self.server_notices.pause_left(server);
-        pause_left.max(self.limited_servers.time_left(self, server))
-    }
-
-    /// Records that a request to a backend server begins; returns the time.
-    pub(crate) fn note_begun(&self, server: &BackendServer) -> Instant {
-        let now = Instant::now();
-        self.server_notices.note_begun(server, now);
-        self.limited_servers.note_begun(server, now);
-        now
-    }
-
     /// Returns `true` if too many backend servers broke the connection during a request, counted
     /// over all entry hosts.
     pub(crate) fn is_crash_suspect(&self, fingerprint: Fingerprint) -> bool {
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -18,6 +18,7 @@
         entry_host::EntryHost,
         plain_call::PlainCall,
         reservation_error::ReservationError,
+        server_notices,
     },
     fleet::ServiceOutcome,
     ids::{BackendId, WeightsVersion},
@@ -145,7 +146,9 @@
         let server = host.backends.borrow().get(&grant.engine).cloned();
         let regions = requirements.allowed_regions(host);
         let server = server
-            .filter(|it| it.state == BackendState::Ready && host.takes_requests(it))
+            .filter(|it| {
+                it.state == BackendState::Ready && server_notices::takes_requests(host, it)
+            })
             .filter(|it| allowed_zones(host, &regions).allows(&it.zone));
         let versions = host.versions.borrow();
         let oldest =
@@ -159,7 +162,7 @@
             return None;
         };
         host.request_counts.borrow_mut().begin(server.address);
-        let begun = host.note_begun(&server);
+        let begun = server_notices::note_begun(host, &server);
         Some(Reservation {
             host: host.clone(),
             backend: grant.engine,
@@ -190,7 +193,7 @@
         let is_usable = |it: &&BackendServer| {
             let n_own = counts.get(&it.address);
             !requirements.excluded.contains(&it.id)
-                && host.takes_requests(it)
+                && server_notices::takes_requests(host, it)
                 && health.is_usable(&it.id, n_own, now)
         };
         let regions = requirements.allowed_regions(host);
@@ -218,7 +221,7 @@
         let load = Load { n_requests: counts.get(&server.address), unread_tokens: 0 };
         counts.begin(server.address);
         let is_own_charged = cold_servers.record_own(&server.id, || host.entry_share(), now);
-        let begun = host.note_begun(server);
+        let begun = server_notices::note_begun(host, server);
         Ok(Reservation {
             host: host.clone(),
             backend: server.id.clone(),
--- a/src/entry/server_notices.rs
+++ b/src/entry/server_notices.rs
@@ -86,6 +86,26 @@
     }
 }
 
+/// Returns `true` if a backend server takes one more request of this host now, as far as it said.
+pub(crate) fn takes_requests(host: &EntryHost, server: &BackendServer) -> bool {
+    !host.server_notices.is_leaving(server) && time_left(host, server).is_none()
+}
+
+/// Returns the time until a backend server takes one more request of this host, as far as it said;
+/// `None` if it takes one now.
+pub(crate) fn time_left(host: &EntryHost, server: &BackendServer) -> Option<Duration> {
+    let pause_left = host.server_notices.pause_left(server);
+    pause_left.max(host.limited_servers.time_left(host, server))
+}
+
+/// Records that a request to a backend server begins; returns the time.
+pub(crate) fn note_begun(host: &EntryHost, server: &BackendServer) -> Instant {
+    let now = Instant::now();
+    host.server_notices.note_begun(server, now);
+    host.limited_servers.note_begun(server, now);
+    now
+}
+
 /// Applies what the head of a response says of its backend server, before any of it reaches the
 /// caller; its request began at `begun`.
 pub(crate) fn record(
--- a/src/settings/ini_reader.rs
+++ b/src/settings/ini_reader.rs
@@ -180,14 +180,20 @@
         range: RangeInclusive<u64>,
         default: u64,
     ) -> Option<u64> {
-        let Some(text) = self.optional_text(section, key) else { return Some(default) };
-        match text.parse() {
-            Ok(number) if range.contains(&number) => Some(number),
-            _ => {
-                let allowed = format!("a whole number from {} to {}", range.start(), range.end());
-                self.reject_value(section, key, &text, &allowed)
-            }
-        }
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        self.parse_or(section, key, default, &allowed, |it| range.contains(it))
+    }
+
+    /// Reads a number within `range`, with a fraction or without, or `default` if the key is missing.
+    pub(crate) fn decimal(
+        &mut self,
+        section: &str,
+        key: &str,
+        range: RangeInclusive<f64>,
+        default: f64,
+    ) -> Option<f64> {
+        let allowed = format!("a number from {} to {}", range.start(), range.end());
+        self.parse_or(section, key, default, &allowed, |it| range.contains(it))
     }
 
     /// Reads a duration in whole milliseconds, or `default` if the key is missing.
@@ -201,31 +207,9 @@
         self.number(section, key, range, default).map(Duration::from_millis)
     }
 
-    /// Reads a number within `range`, with a fraction or without, or `default` if the key is missing.
-    pub(crate) fn decimal(
-        &mut self,
-        section: &str,
-        key: &str,
-        range: RangeInclusive<f64>,
-        default: f64,
-    ) -> Option<f64> {
-        let Some(text) = self.optional_text(section, key) else { return Some(default) };
-        match text.parse() {
-            Ok(value) if range.contains(&value) => Some(value),
-            _ => {
-                let allowed = format!("a number from {} to {}", range.start(), range.end());
-                self.reject_value(section, key, &text, &allowed)
-            }
-        }
-    }
-
     /// Reads a number from 0 to 1, or `default` if the key is missing.
     pub(crate) fn fraction(&mut self, section: &str, key: &str, default: f64) -> Option<f64> {
-        let Some(text) = self.optional_text(section, key) else { return Some(default) };
-        match text.parse() {
-            Ok(value) if (0.0..=1.0).contains(&value) => Some(value),
-            _ => self.reject_value(section, key, &text, "a number from 0 to 1"),
-        }
+        self.decimal(section, key, 0.0..=1.0, default)
     }
 
     /// Reads a finite number above 0, or `default` if the key is missing.
@@ -235,20 +219,28 @@
         key: &str,
         default: f64,
     ) -> Option<f64> {
-        let Some(text) = self.optional_text(section, key) else { return Some(default) };
-        match text.parse::<f64>() {
-            Ok(value) if value.is_finite() && value > 0.0 => Some(value),
-            _ => self.reject_value(section, key, &text, "a number above 0"),
-        }
+        let is_allowed = |it: &f64| it.is_finite() && *it > 0.0;
+        self.parse_or(section, key, default, "a number above 0", is_allowed)
     }
 
     /// Reads `true` or `false`, or `default` if the key is missing.
     pub(crate) fn flag(&mut self, section: &str, key: &str, default: bool) -> Option<bool> {
+        self.parse_or(section, key, default, "true or false", |_| true)
+    }
+
+    /// Reads a value that `is_allowed`, or `default` if the key is missing.
+    fn parse_or<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: T,
+        allowed: &str,
+        is_allowed: impl Fn(&T) -> bool,
+    ) -> Option<T> {
         let Some(text) = self.optional_text(section, key) else { return Some(default) };
-        match text.as_str() {
-            "true" => Some(true),
-            "false" => Some(false),
-            _ => self.reject_value(section, key, &text, "true or false"),
+        match text.parse().ok().filter(is_allowed) {
+            Some(value) => Some(value),
+            None => self.reject_value(section, key, &text, allowed),
         }
     }
 
