--- a/tests/early_replacement.rs
+++ b/tests/early_replacement.rs
@@ -157,14 +157,7 @@
     entry.wait_until_ready();
     // The host admits requests to half of the slots until it knows what runs there.
     thread::sleep(Duration::from_millis(600));
-    let callers: Vec<_> = ["broken", "other"]
-        .into_iter()
-        .map(|id| {
-            let response = entry.exchange_later(&draft(id));
-            thread::sleep(Duration::from_millis(100));
-            response
-        })
-        .collect();
+    let callers = entry.exchange_in_turn(&["broken", "other"].map(draft));
     let responses: Vec<_> = callers.into_iter().map(|it| it.join().unwrap()).collect();
     assert!(responses[1].is_complete(), "{}", responses[1].text());
     assert!(responses[0].is_complete(), "{}", responses[0].text());
--- a/tests/entry_process/mod.rs
+++ b/tests/entry_process/mod.rs
@@ -245,6 +245,16 @@
         thread::spawn(move || read_response(&mut stream))
     }
 
+    /// Sends requests one after the other, each on a new connection, and reads the responses in threads.
+    pub fn exchange_in_turn(&self, requests: &[Vec<u8>]) -> Vec<JoinHandle<CallerResponse>> {
+        let send = |request: &Vec<u8>| {
+            let response = self.exchange_later(request);
+            thread::sleep(Duration::from_millis(100));
+            response
+        };
+        requests.iter().map(send).collect()
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
         self.signal("TERM");
--- a/tests/silent_owners.rs
+++ b/tests/silent_owners.rs
@@ -24,14 +24,7 @@
     owner.wait_until_ready();
     entry.wait_until_ready();
     thread::sleep(Duration::from_millis(800));
-    let callers: Vec<_> = ["broken", "other"]
-        .into_iter()
-        .map(|id| {
-            let response = entry.exchange_later(&draft(id));
-            thread::sleep(Duration::from_millis(100));
-            response
-        })
-        .collect();
+    let callers = entry.exchange_in_turn(&["broken", "other"].map(draft));
     owner.suspend();
     thread::sleep(Duration::from_millis(700));
     owner.resume();
