silent_engines: wait until the owner admits to all slots

Traced by 28 runs of the test, 14 at a time, that kept their logs (1 failed): the requests came 0.3 s after the host became the owner of the engine, within the 0.4 s in which it admits to half of the slots, as the process was ready early by its own clock. The test promised nothing about that time; it starts the pool as other tests do, which wait for it. Its assertions are unchanged.

--- a/tests/silent_engines.rs
+++ b/tests/silent_engines.rs
@@ -7,7 +7,8 @@
 
 use crocustiller_standins::raw_http::{RawRequest, ScriptedServer, Step};
 use entry_process::{
-    encode_response, event_chunk, request, stream_head, CallerResponse, Deployment,
+    charter, encode_response, event_chunk, pausing_server::start_pool, request, stream_head,
+    CallerResponse, Deployment,
 };
 
 /// A silence after which a sound backend server goes on.
@@ -30,7 +31,7 @@
 #[test]
 fn silent_engine_keeps_all_streams() {
     let engine = ScriptedServer::start(silent_stream(Duration::from_millis(1800))).unwrap();
-    let deployment = Deployment::start("pool", &[&engine]);
+    let deployment = start_pool(charter(1), &[(&engine, 16)]);
     let callers: Vec<_> = (0..12)
         .map(|number| deployment.entry.exchange_later(&draft(&format!("silent-{number}"))))
         .collect();
