Look up no loads where no engine is limited; remove an unused reader

From reading the whole change once more: the owner looked up the load of every engine for each request before it asked whether any names a limit; now the first engine without one ends the question. ServerLimits::age had no caller. No change of behaviour: format, lint and the ten test files of limits, cells and order pass; the whole script was not run again.

--- a/src/placement/admission_cell.rs
+++ b/src/placement/admission_cell.rs
@@ -340,13 +340,12 @@
     /// Returns the time until the first engine takes a request, if all have room and are held back by the
     /// limits that they named.
     fn time_until_due(&self, engines: &[CellEngine], now: Instant) -> Option<Duration> {
-        if engines.iter().any(|it| !self.candidate_by_load(it).has_slot()) {
-            return None;
-        }
+        // Mostly the first engine has no limit, so that no load is looked up.
         let due = |it: &CellEngine| self.grant_limits.next_limit_due(it, now);
         let all_due: Option<Vec<Instant>> = engines.iter().map(due).collect();
         let first = all_due?.into_iter().min()?;
-        Some(first.saturating_duration_since(now))
+        let have_room = engines.iter().all(|it| self.candidate_by_load(it).has_slot());
+        have_room.then(|| first.saturating_duration_since(now))
     }
 
     /// Returns `false` if an engine that may crash on one of the parts has yet to begin its response, or
--- a/src/placement/server_limits.rs
+++ b/src/placement/server_limits.rs
@@ -111,12 +111,6 @@
         Some(record.limit.grown(growth))
     }
 
-    /// Returns the time since the start `started_ms` of a backend server last named its limit.
-    pub fn age(&self, backend: &str, started_ms: u64, now: Instant) -> Option<Duration> {
-        let record = self.records.get(backend).filter(|it| started_ms <= it.latest_start_ms)?;
-        Some(now.saturating_duration_since(record.last_named))
-    }
-
     /// Counts a request that was not sent to a backend server because of its limit.
     pub fn note_held_back(&mut self, backend: &str) {
         if let Some(record) = self.records.get_mut(backend) {
